Workspace, messages between processes, settings, peers' handshake

Nothing existed.

tarpc's generated service trait does not promise Send futures, so a generic `serve` cannot spawn them; `peer::accept` hands out the channel instead and the caller executes its own concrete service.

--- /dev/null
+++ b/crates/chestnutspur/src/main.rs
@@ -0,0 +1,2 @@
+//! The chestnutspur command.
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,20 @@
+//! What our processes say to each other, and the documents that operators write.
+//!
+//! Messages are plain types; the only behaviour here is validation, the peers' handshake and
+//! small helpers that several processes would otherwise write again.
+
+pub mod backend;
+pub mod bill;
+pub mod claim;
+pub mod configuration;
+pub mod evidence;
+pub mod fault;
+pub mod gossip;
+pub mod host;
+pub mod peer;
+pub mod platform;
+pub mod refusal;
+pub mod rpc;
+pub mod settings;
+pub mod shard;
+pub mod view;
--- /dev/null
+++ b/crates/wire/src/settings.rs
@@ -0,0 +1,280 @@
+//! Settings of one process: a JSON file, checked whole before anything starts.
+
+use std::net::SocketAddr;
+
+use policy::domain;
+use policy::name::Name;
+
+use crate::fault::{self, Fault};
+
+domain! {
+    /// Settings of either process.
+    #[serde(tag = "role", rename_all = "snake_case")]
+    pub enum Settings {
+        /// Of the data plane.
+        Entry(Entry),
+        /// Of the controllers.
+        Control(Control),
+    }
+
+    /// Settings of `entry`.
+    pub struct Entry {
+        /// The host's name.
+        pub name: Name,
+        /// Where the host stands.
+        pub failure_domain: Name,
+        /// Where callers come in; port 0 lets the system choose.
+        pub listen: SocketAddr,
+        /// Health and metrics.
+        pub operators: SocketAddr,
+        /// Controls to ask, own failure domain first.
+        pub controls: Vec<Peer>,
+        /// Shared with all controls.
+        pub peer_key: Secret,
+        /// `off`, `error`, `warn`, `info`, `debug` or `trace`.
+        #[serde(default = "default_log")]
+        pub log: Name,
+        /// Bounds on what callers send.
+        #[serde(default)]
+        pub bounds: Bounds,
+        /// Share of answers sent to the rating service, 0 to 1.
+        #[serde(default = "default_rated_share")]
+        pub rated_share: f64,
+        /// How long a graceful shutdown waits for requests under way, in milliseconds.
+        #[serde(default = "default_drain_ms")]
+        pub drain_ms: u64,
+    }
+
+    /// Settings of `control`.
+    pub struct Control {
+        /// The host's name.
+        pub name: Name,
+        /// Where the host stands.
+        pub failure_domain: Name,
+        /// Where entries and peers come in.
+        pub listen: SocketAddr,
+        /// Console, API, health and metrics.
+        pub operators: SocketAddr,
+        /// `IP:PORT` of the platform's service.
+        pub platform: SocketAddr,
+        /// Where other hosts reach `listen`, if that is another address.
+        #[serde(default)]
+        pub advertise: Option<SocketAddr>,
+        /// Other controls known from the start; more come with the host list.
+        #[serde(default)]
+        pub peers: Vec<Peer>,
+        /// Shared with all entries and controls.
+        pub peer_key: Secret,
+        /// SHA-256 of each operator's token, in hexadecimal.
+        #[serde(default)]
+        pub operator_token_hashes: Vec<Name>,
+        /// `off`, `error`, `warn`, `info`, `debug` or `trace`.
+        #[serde(default = "default_log")]
+        pub log: Name,
+        /// Bills held in memory at most; at it, new work is refused.
+        #[serde(default = "default_bills_max")]
+        pub bills_max: u64,
+        /// How often the platform's generation and host list are read, in milliseconds.
+        #[serde(default = "default_poll_ms")]
+        pub poll_ms: u64,
+        /// How often one peer is asked for news, in milliseconds.
+        #[serde(default = "default_gossip_ms")]
+        pub gossip_ms: u64,
+        /// Shards of each failure domain's keys.
+        #[serde(default = "default_shards")]
+        pub shards: u32,
+    }
+
+    /// A control's address.
+    pub struct Peer {
+        /// The host's name.
+        pub name: Name,
+        /// Where the host stands.
+        pub failure_domain: Name,
+        /// IP number and port.
+        pub address: SocketAddr,
+    }
+
+    /// A secret, named rather than written down.
+    #[serde(rename_all = "snake_case")]
+    pub enum Secret {
+        /// Path of a file that holds it.
+        File(String),
+        /// Name of an environment variable that holds it.
+        Env(String),
+        /// The secret itself, for the demo and for tests only: `check` warns of it.
+        Text(String),
+    }
+
+    /// Bounds on what callers send.
+    #[serde(default)]
+    pub struct Bounds {
+        /// Bytes of all headers together.
+        pub header_bytes: usize,
+        /// Bytes of a body.
+        pub body_bytes: usize,
+        /// Longest time a caller may take to send headers, and between two pieces of a body.
+        pub slow_ms: u64,
+        /// Requests at once; over it new ones are refused.
+        pub in_flight: usize,
+    }
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self { header_bytes: 16 << 10, body_bytes: 4 << 20, slow_ms: 10_000, in_flight: 10_000 }
+    }
+}
+
+fn default_log() -> Name {
+    Name::from("info")
+}
+
+fn default_rated_share() -> f64 {
+    0.1
+}
+
+fn default_drain_ms() -> u64 {
+    30_000
+}
+
+fn default_bills_max() -> u64 {
+    200_000
+}
+
+fn default_poll_ms() -> u64 {
+    1_000
+}
+
+fn default_gossip_ms() -> u64 {
+    250
+}
+
+fn default_shards() -> u32 {
+    16
+}
+
+/// Shortest accepted shared key, in bytes.
+pub const KEY_BYTES_MIN: usize = 16;
+
+/// Reads and checks settings.
+///
+/// # Errors
+/// Every fault found.
+pub fn parse(text: &str) -> Result<Settings, Vec<Fault>> {
+    let mut value: serde_json::Value =
+        serde_json::from_str(text).map_err(|e| vec![Fault::at("", e.to_string())])?;
+    let role = value.as_object_mut().and_then(|members| members.remove("role"));
+    let mut faults = Vec::new();
+    let settings = match role.as_ref().and_then(|role| role.as_str()) {
+        Some("entry") => fault::read(value, "", &mut faults).map(Settings::Entry),
+        Some("control") => fault::read(value, "", &mut faults).map(Settings::Control),
+        _ => {
+            faults.push(Fault::at("role", "must be \"entry\" or \"control\""));
+            None
+        }
+    };
+    match &settings {
+        Some(Settings::Entry(entry)) => check_entry(entry, &mut faults),
+        Some(Settings::Control(control)) => check_control(control, &mut faults),
+        None => {}
+    }
+    match settings {
+        Some(settings) if faults.is_empty() => Ok(settings),
+        _ => Err(faults),
+    }
+}
+
+fn check_entry(entry: &Entry, faults: &mut Vec<Fault>) {
+    check_common(&entry.name, &entry.failure_domain, &entry.log, faults);
+    check_secret(&entry.peer_key, faults);
+    if entry.controls.is_empty() {
+        faults.push(Fault::at("controls", "at least one is needed"));
+    }
+    if !(0.0..=1.0).contains(&entry.rated_share) {
+        faults.push(Fault::at("rated_share", "must be from 0 to 1"));
+    }
+    for (member, zero) in [
+        ("bounds.header_bytes", entry.bounds.header_bytes < 1024),
+        ("bounds.body_bytes", entry.bounds.body_bytes < 1024),
+        ("bounds.slow_ms", entry.bounds.slow_ms == 0),
+        ("bounds.in_flight", entry.bounds.in_flight == 0),
+    ] {
+        if zero {
+            faults.push(Fault::at(member, "too small to serve anything"));
+        }
+    }
+}
+
+fn check_control(control: &Control, faults: &mut Vec<Fault>) {
+    check_common(&control.name, &control.failure_domain, &control.log, faults);
+    check_secret(&control.peer_key, faults);
+    for (index, hash) in control.operator_token_hashes.iter().enumerate() {
+        if !is_sha256(hash) {
+            let path = format!("operator_token_hashes[{index}]");
+            faults.push(Fault::at(path, "must be 64 hexadecimal digits"));
+        }
+    }
+    for (member, zero) in [
+        ("bills_max", control.bills_max == 0),
+        ("poll_ms", control.poll_ms == 0),
+        ("gossip_ms", control.gossip_ms == 0),
+        ("shards", control.shards == 0),
+    ] {
+        if zero {
+            faults.push(Fault::at(member, "must not be 0"));
+        }
+    }
+}
+
+fn check_common(name: &Name, failure_domain: &Name, log: &Name, faults: &mut Vec<Fault>) {
+    for (member, text) in [("name", name), ("failure_domain", failure_domain)] {
+        if !is_name(text) {
+            faults.push(Fault::at(member, "must be 1 to 64 letters, digits, '-', '_' or '.'"));
+        }
+    }
+    if !["off", "error", "warn", "info", "debug", "trace"].contains(&log.as_str()) {
+        faults.push(Fault::at("log", "must be off, error, warn, info, debug or trace"));
+    }
+}
+
+fn check_secret(secret: &Secret, faults: &mut Vec<Fault>) {
+    if let Err(message) = secret.load() {
+        faults.push(Fault::at("peer_key", message));
+    }
+}
+
+impl Secret {
+    /// The secret's bytes.
+    ///
+    /// # Errors
+    /// A message that never holds the secret.
+    pub fn load(&self) -> Result<Vec<u8>, String> {
+        let text = match self {
+            Self::File(path) => {
+                std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?
+            }
+            Self::Env(name) => std::env::var(name).map_err(|e| format!("{name}: {e}"))?,
+            Self::Text(text) => text.clone(),
+        };
+        match text.trim() {
+            short if short.len() < KEY_BYTES_MIN => {
+                Err(format!("must hold at least {KEY_BYTES_MIN} bytes"))
+            }
+            key => Ok(key.as_bytes().to_vec()),
+        }
+    }
+}
+
+/// Whether a text may name a host, account, version or the like.
+#[must_use]
+pub fn is_name(text: &str) -> bool {
+    (1..=64).contains(&text.len())
+        && text.bytes().all(|b| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.'))
+}
+
+/// Whether a text is a SHA-256 in hexadecimal.
+#[must_use]
+pub fn is_sha256(text: &str) -> bool {
+    text.len() == 64 && text.bytes().all(|b| b.is_ascii_hexdigit())
+}
