--- /dev/null
+++ b/crates/control/src/node.rs
@@ -0,0 +1,50 @@
+//! What every controller of one process shares.
+
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use policy::name::Name;
+use policy::time::Millis;
+use wire::settings;
+
+use crate::peers::Peers;
+use crate::platform::Client;
+
+/// The process: who it is, and its ways to the platform and to peers.
+pub struct Node {
+    /// `HOST.random`, unique for all time: a restarted process is another incarnation.
+    pub incarnation: Name,
+    /// Its settings.
+    pub settings: settings::Control,
+    /// The platform.
+    pub platform: Client,
+    /// The other controls.
+    pub peers: Arc<Peers>,
+}
+
+impl Node {
+    /// The host's name.
+    #[must_use]
+    pub fn host(&self) -> &Name {
+        &self.settings.name
+    }
+
+    /// The host's failure domain.
+    #[must_use]
+    pub fn failure_domain(&self) -> &Name {
+        &self.settings.failure_domain
+    }
+}
+
+/// A new incarnation of a host.
+#[must_use]
+pub fn incarnation(host: &str) -> Name {
+    Name::from(format!("{host}.{:016x}", rand::random::<u64>()))
+}
+
+/// The wall clock, for shells to hand to the functions that decide.
+#[must_use]
+pub fn now() -> Millis {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Millis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/control/src/peers.rs
@@ -0,0 +1,117 @@
+//! The other controls this one knows of, and a lasting connection to each.
+//!
+//! Nobody agrees on this list. Settings and the host list say where to look; an exchange of
+//! gossip says which incarnation answers there and when it last did.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, RwLock};
+
+use policy::name::Name;
+use policy::time::Millis;
+use wire::peer::{Key, Link};
+
+/// A control not heard from for so long is not asked first.
+pub const QUIET_MS: u64 = 2_000;
+
+/// One other control.
+#[derive(Clone)]
+pub struct Member {
+    /// Its host's name.
+    pub host: Name,
+    /// Its failure domain.
+    pub failure_domain: Name,
+    /// Its incarnation, once it has answered; empty before.
+    pub incarnation: Name,
+    /// The generation in force there, when last heard.
+    pub generation: u64,
+    /// When it last answered, or asked; 0 if never.
+    pub heard: Millis,
+    /// The way to it.
+    pub link: Arc<Link>,
+}
+
+impl Member {
+    /// Whether it was heard from lately.
+    #[must_use]
+    pub fn alive(&self, now: Millis) -> bool {
+        !self.incarnation.is_empty() && now.since(self.heard) <= QUIET_MS
+    }
+}
+
+/// All of them, by host name.
+pub struct Peers {
+    key: Key,
+    own_host: Name,
+    members: RwLock<BTreeMap<Name, Member>>,
+}
+
+impl Peers {
+    /// None known yet.
+    #[must_use]
+    pub fn new(own_host: Name, key: Key) -> Self {
+        Self { key, own_host, members: RwLock::default() }
+    }
+
+    /// Takes in an address; a changed one replaces the connection.
+    pub fn learn(&self, host: &Name, failure_domain: &Name, address: SocketAddr) {
+        if *host == self.own_host {
+            return;
+        }
+        let mut members = self.write();
+        match members.get_mut(host) {
+            Some(member) if member.link.address() == address => {}
+            _ => {
+                let member = Member {
+                    host: host.clone(),
+                    failure_domain: failure_domain.clone(),
+                    incarnation: Name::default(),
+                    generation: 0,
+                    heard: Millis(0),
+                    link: Arc::new(Link::new(address, self.key.clone())),
+                };
+                members.insert(host.clone(), member);
+            }
+        }
+    }
+
+    /// Forgets a host that is gone for good.
+    pub fn forget(&self, host: &str) {
+        self.write().remove(host);
+    }
+
+    /// Notes that a host's incarnation was heard from.
+    pub fn heard(&self, host: &str, incarnation: &Name, generation: u64, now: Millis) {
+        if let Some(member) = self.write().get_mut(host) {
+            member.incarnation = incarnation.clone();
+            member.generation = generation;
+            member.heard = now;
+        }
+    }
+
+    /// All known, by host name.
+    #[must_use]
+    pub fn all(&self) -> Vec<Member> {
+        self.read().values().cloned().collect()
+    }
+
+    /// Those heard from lately.
+    #[must_use]
+    pub fn alive(&self, now: Millis) -> Vec<Member> {
+        self.read().values().filter(|member| member.alive(now)).cloned().collect()
+    }
+
+    /// The host that an incarnation runs on, if it was the last one heard there.
+    #[must_use]
+    pub fn by_incarnation(&self, incarnation: &str) -> Option<Member> {
+        self.read().values().find(|member| &*member.incarnation == incarnation).cloned()
+    }
+
+    fn read(&self) -> std::sync::RwLockReadGuard<'_, BTreeMap<Name, Member>> {
+        self.members.read().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    fn write(&self) -> std::sync::RwLockWriteGuard<'_, BTreeMap<Name, Member>> {
+        self.members.write().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
