coordination: homes, shards with owner and deputy, batch logs; messages refined

Bills name their log, so the place of a request id is fixed before its first send; put-if-absent after reading all earlier batches then makes doubles impossible with any number of writers, and needs no sealing. Ruled out: the home from a session token (a retry without it meets another home). Claims can be abandoned, else a request refused as not run poisons its key.

--- a/crates/wire/src/bill.rs
+++ b/crates/wire/src/bill.rs
@@ -1,5 +1,6 @@
 //! What a request is billed with.
 
+use coordination::batch::Entry;
 use policy::domain;
 use policy::name::Name;
 use policy::time::Millis;
@@ -9,6 +10,10 @@
     pub struct Bill {
         /// The request's id, unique for all time; what doubles are found by.
         pub request: Name,
+        /// The control incarnation whose log it goes into. Entry chooses it before it first sends
+        /// the bill (the one that gave its view) and keeps it through every retry, at whichever
+        /// control: two logs could otherwise hold the same request.
+        pub log: Name,
         /// Who pays.
         pub account: Name,
         /// The task, or the service's name.
@@ -61,6 +66,12 @@
     }
 }
 
+impl Entry for Bill {
+    fn id(&self) -> &Name {
+        &self.request
+    }
+}
+
 /// The object name of a batch.
 #[must_use]
 pub fn object(incarnation: &str, number: u64) -> String {
--- a/crates/wire/src/claim.rs
+++ b/crates/wire/src/claim.rs
@@ -5,6 +5,9 @@
 
 domain! {
     /// A request's wish to be the only run of its key.
+    ///
+    /// The home follows from account and key alone. A session token could name a nearer one, but
+    /// a retry without the token would then find another home, and run again.
     pub struct Claim {
         /// The client account; keys of different accounts never meet.
         pub account: Name,
@@ -14,8 +17,6 @@
         pub request: Name,
         /// How long the key is remembered at least, in milliseconds.
         pub keep_ms: u64,
-        /// The failure domain named by a session token, if there was one.
-        pub home: Option<Name>,
     }
 
     /// What the home says to a claim.
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -9,7 +9,7 @@
 use crate::claim::{Claim, ClaimAnswer, Pin, PinAnswer};
 use crate::evidence::Report;
 use crate::gossip::{Delta, Digest};
-use crate::shard::{Append, Appended};
+use crate::shard::{Append, Appended, Place, Reply};
 use crate::view::{Ask, View};
 
 /// Served by each control.
@@ -19,6 +19,10 @@
     async fn view(ask: Ask) -> View;
     /// Claims an idempotency key, wherever its home is.
     async fn claim(claim: Claim) -> ClaimAnswer;
+    /// Gives a claim back: the request has not run, and its entry host sends it nowhere any more.
+    /// Sent when a claimed request is refused as not run, or a claim had no answer; a retry of
+    /// the key would otherwise be told that it may have run. False if it could not be recorded.
+    async fn abandon(claim: Claim) -> bool;
     /// Pins a session, wherever its home is.
     async fn pin(pin: Pin) -> PinAnswer;
     /// Holds bills, here and at one peer, before it answers.
@@ -30,13 +34,15 @@
     /// The document of the generation in force here, if it is at least that one.
     async fn document(generation: u64) -> Option<String>;
     /// A claim for a shard that the asked one owns.
-    async fn owner_claim(shard: u32, claim: Claim) -> ClaimAnswer;
+    async fn owner_claim(place: Place, claim: Claim) -> Reply<ClaimAnswer>;
     /// A pin for a shard that the asked one owns.
-    async fn owner_pin(shard: u32, pin: Pin) -> PinAnswer;
+    async fn owner_pin(place: Place, pin: Pin) -> Reply<PinAnswer>;
+    /// An abandoned claim for a shard that the asked one owns; true once recorded.
+    async fn owner_abandon(place: Place, claim: Claim) -> Reply<bool>;
     /// Records for a shard that the asked one is deputy of.
     async fn append(append: Append) -> Appended;
-    /// Bills of another incarnation, to be held for it; false at the memory bound.
-    async fn hold(incarnation: Name, bills: Vec<Bill>) -> bool;
-    /// Bills of another incarnation that are in the object store now.
-    async fn release(incarnation: Name, requests: Vec<Name>);
+    /// Bills of another incarnation's log, to be held for it; false at the memory bound.
+    async fn hold(log: Name, bills: Vec<Bill>) -> bool;
+    /// Bills of a log that are in the object store now.
+    async fn release(log: Name, requests: Vec<Name>);
 }
