Stand-ins: platform, model engine, rater, plain service

Every other part is tested against these, so they come first and thin. A fault that breaks a connection is an error of the handler or the body: hyper then closes without an answer, which is what a caller must see. Faults that refuse connections need the port itself closed, which the Running handle does; over HTTP the stand-in must stay reachable, so there 'down' cuts at the request. Not yet shown by tests.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,17 @@
-//! Placeholder.
+//! Small stand-ins for what surrounds the system: platform, model engine, rater, plain service,
+//! and a proxy that brings about network faults. For tests and the demo only.
+//!
+//! Each is started with `start(listen, settings)`, keeps records of what it did and takes faults,
+//! both in memory and over HTTP (`GET /records`, `PUT /faults`).
+
+pub mod answer;
+pub mod backend;
+pub mod draw;
+pub mod engine;
+pub mod fault;
+pub mod platform;
+pub mod rater;
+pub mod reply;
+pub mod run;
+pub mod server;
+pub mod service;
--- /dev/null
+++ b/crates/standin/src/platform/fault.rs
@@ -0,0 +1,59 @@
+//! What can go wrong with the platform.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
+
+use policy::domain;
+
+use crate::fault::Down;
+
+domain! {
+    /// The platform's faults; all off by default.
+    #[derive(Default)]
+    #[serde(default, deny_unknown_fields)]
+    pub struct Faults {
+        /// Whether it takes requests.
+        pub down: Down,
+        /// It takes requests and never answers; they have no effect.
+        pub silent: bool,
+        /// Time each request waits before its effect, in milliseconds.
+        pub delay_ms: u64,
+        /// The answers of this many next writes are lost: each takes effect (or conflicts), then
+        /// its connection breaks. Counts down.
+        pub lose_answers: u64,
+        /// Writes a second at most; over it 429. 0 is no cap.
+        pub writes_per_second: u32,
+        /// Reads a second at most; over it 429. 0 is no cap.
+        pub reads_per_second: u32,
+        /// How far the host list is behind, in milliseconds.
+        pub lag_ms: u64,
+    }
+}
+
+/// Holds a rate to a cap: a bucket that holds one second's worth.
+#[derive(Default)]
+pub struct Limiter(Mutex<Option<Bucket>>);
+
+#[derive(Clone, Copy)]
+struct Bucket {
+    tokens: f64,
+    at: Instant,
+}
+
+impl Limiter {
+    /// Takes one call, if the cap allows it now.
+    pub fn take(&self, per_second: u32, now: Instant) -> bool {
+        let cap = f64::from(per_second);
+        if per_second == 0 {
+            return true;
+        }
+        let mut bucket = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let last = bucket.unwrap_or(Bucket { tokens: cap, at: now });
+        let filled = last.tokens + now.saturating_duration_since(last.at).as_secs_f64() * cap;
+        let tokens = filled.min(cap);
+        let taken = tokens >= 1.0;
+        let left = if taken { tokens - 1.0 } else { tokens };
+        *bucket = Some(Bucket { tokens: left, at: now });
+        taken
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/http.rs
@@ -0,0 +1,159 @@
+//! The platform's HTTP form.
+
+use std::sync::{Arc, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::IF_NONE_MATCH;
+use hyper::{Method, Request, Response, StatusCode};
+use wire::platform::{Committed, Transaction};
+
+use super::{Platform, Records};
+use crate::fault::Down;
+use crate::reply;
+use crate::server::{Body, Cut, Handler};
+
+/// One call, read whole.
+struct Call {
+    method: Method,
+    path: String,
+    query: String,
+    only_if_absent: bool,
+    body: Bytes,
+}
+
+impl Call {
+    async fn read(request: Request<Incoming>) -> Result<Self, Cut> {
+        Ok(Self {
+            method: request.method().clone(),
+            path: reply::decode(request.uri().path()),
+            query: request.uri().query().unwrap_or_default().to_owned(),
+            only_if_absent: reply::header(&request, IF_NONE_MATCH.as_str()) == "*",
+            body: reply::body(request).await?,
+        })
+    }
+}
+
+impl Handler for Platform {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+        let call = Call::read(request).await?;
+        match self.administer(&call) {
+            Some(response) => Ok(response),
+            None => self.serve(&call).await,
+        }
+    }
+}
+
+impl Platform {
+    /// Calls of tests and operators of the stand-in; no fault touches them.
+    fn administer(&self, call: &Call) -> Option<Response<Body>> {
+        match (&call.method, call.path.as_str()) {
+            (&Method::GET, "/records") => {
+                let records = Records { committed: self.records(), bills: self.bills() };
+                Some(reply::json(StatusCode::OK, &records))
+            }
+            (&Method::GET, "/faults") => Some(reply::json(StatusCode::OK, &self.faults())),
+            (&Method::PUT, "/faults") => {
+                Some(reply::set(&call.body, |faults| self.set_faults(faults)))
+            }
+            (&Method::PUT, "/hosts") => Some(reply::set(&call.body, |hosts| self.set_hosts(hosts))),
+            _ => None,
+        }
+    }
+
+    async fn serve(&self, call: &Call) -> Result<Response<Body>, Cut> {
+        let faults = self.faults();
+        match faults.down {
+            Down::Cut => return Err(Cut),
+            Down::Unavailable => return Ok(reply::later(StatusCode::SERVICE_UNAVAILABLE)),
+            Down::No if faults.silent => std::future::pending().await,
+            Down::No => {}
+        }
+        if faults.delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        }
+        let write = call.method != Method::GET;
+        let allowed = match write {
+            true => self.writes.take(faults.writes_per_second, Instant::now()),
+            false => self.reads.take(faults.reads_per_second, Instant::now()),
+        };
+        if !allowed {
+            return Ok(reply::later(StatusCode::TOO_MANY_REQUESTS));
+        }
+        let response = self.take_effect(call);
+        match write && self.loses_answer() {
+            true => Err(Cut),
+            false => Ok(response),
+        }
+    }
+
+    fn loses_answer(&self) -> bool {
+        let mut faults = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        let lost = faults.lose_answers > 0;
+        faults.lose_answers = faults.lose_answers.saturating_sub(1);
+        lost
+    }
+
+    fn take_effect(&self, call: &Call) -> Response<Body> {
+        match (&call.method, call.path.as_str()) {
+            (&Method::GET, "/hosts") => reply::json(StatusCode::OK, &self.lagging_hosts()),
+            (&Method::GET, "/objects") => self.names(&call.query),
+            (&Method::POST, "/transactions") => self.transact(&call.body),
+            (method, path) => match (method, split(path)) {
+                (&Method::GET, Some(("rows", rest))) => self.get_rows(rest),
+                (&Method::GET, Some(("objects", name))) => self.get_object(name),
+                (&Method::PUT, Some(("objects", name))) => self.put_object(name, call),
+                _ => reply::status(StatusCode::NOT_FOUND),
+            },
+        }
+    }
+
+    fn get_rows(&self, path: &str) -> Response<Body> {
+        let Some((table, key)) = path.split_once('/') else {
+            return reply::json(StatusCode::OK, &self.rows(path));
+        };
+        match self.row(table, key) {
+            Some(row) => reply::json(StatusCode::OK, &row),
+            None => reply::status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn transact(&self, body: &[u8]) -> Response<Body> {
+        let transaction = match serde_json::from_slice::<Transaction>(body) {
+            Ok(transaction) => transaction,
+            Err(error) => return reply::bytes(StatusCode::BAD_REQUEST, error.to_string()),
+        };
+        match self.store().transact(transaction) {
+            Ok(versions) => reply::json(StatusCode::OK, &Committed { versions }),
+            Err(conflict) => reply::json(StatusCode::CONFLICT, &conflict),
+        }
+    }
+
+    fn names(&self, query: &str) -> Response<Body> {
+        let prefix = query.split('&').find_map(|pair| pair.strip_prefix("prefix="));
+        let prefix = reply::decode(prefix.unwrap_or_default());
+        reply::json(StatusCode::OK, &self.objects(&prefix))
+    }
+
+    fn get_object(&self, name: &str) -> Response<Body> {
+        match self.store().object(name) {
+            Some(bytes) => reply::bytes(StatusCode::OK, bytes),
+            None => reply::status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn put_object(&self, name: &str, call: &Call) -> Response<Body> {
+        if !call.only_if_absent {
+            return reply::status(StatusCode::PRECONDITION_REQUIRED);
+        }
+        match self.store().put(name, call.body.clone()) {
+            true => reply::status(StatusCode::CREATED),
+            false => reply::status(StatusCode::PRECONDITION_FAILED),
+        }
+    }
+}
+
+fn split(path: &str) -> Option<(&str, &str)> {
+    path.strip_prefix('/')?.split_once('/')
+}
--- /dev/null
+++ b/crates/standin/src/rater.rs
@@ -0,0 +1,125 @@
+//! Stand-in for the service that rates answers: it reads the mark in the answer's text.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use policy::domain;
+use policy::name::Name;
+use wire::backend::{Rate, Rating};
+
+use crate::answer::Answer;
+use crate::fault::Down;
+use crate::platform::fault::Limiter;
+use crate::reply;
+use crate::server::{self, Body, Cut, Handler, Running};
+
+domain! {
+    /// The rater's faults; all off by default.
+    #[derive(Default)]
+    #[serde(default, deny_unknown_fields)]
+    pub struct Faults {
+        /// Whether it takes requests.
+        pub down: Down,
+        /// Time each rating takes, in milliseconds.
+        pub delay_ms: u64,
+        /// Ratings a second at most; over it 429. 0 is no cap.
+        pub per_second: u32,
+    }
+
+    /// One rating given.
+    pub struct Rated {
+        /// The request.
+        pub request: Name,
+        /// The version.
+        pub version: Name,
+        /// The task.
+        pub task: Name,
+        /// Whether the answer was good.
+        pub good: bool,
+    }
+}
+
+/// The rater's state.
+#[derive(Default)]
+pub struct Rater {
+    faults: Mutex<Faults>,
+    limiter: Limiter,
+    rated: Mutex<Vec<Rated>>,
+}
+
+/// Starts a rater.
+///
+/// # Errors
+/// When the address can't be listened on.
+pub fn start(listen: SocketAddr, faults: Faults) -> io::Result<Running<Rater>> {
+    let rater = Rater { faults: Mutex::new(faults), ..Rater::default() };
+    server::start(listen, rater)
+}
+
+impl Rater {
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: Faults) {
+        *self.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
+    }
+
+    /// The faults as they are.
+    #[must_use]
+    pub fn faults(&self) -> Faults {
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Every rating given, in order.
+    #[must_use]
+    pub fn records(&self) -> Vec<Rated> {
+        self.rated.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    async fn rate(&self, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+        let faults = self.faults();
+        let body = reply::body(request).await?;
+        match faults.down {
+            Down::No => {}
+            Down::Cut => return Err(Cut),
+            Down::Unavailable => return Ok(reply::later(StatusCode::SERVICE_UNAVAILABLE)),
+        }
+        if !self.limiter.take(faults.per_second, Instant::now()) {
+            return Ok(reply::later(StatusCode::TOO_MANY_REQUESTS));
+        }
+        if faults.delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        }
+        let rate: Rate = match serde_json::from_slice(&body) {
+            Ok(rate) => rate,
+            Err(error) => return Ok(reply::bytes(StatusCode::BAD_REQUEST, error.to_string())),
+        };
+        let Some(answer) = Answer::parse(&rate.answer) else {
+            return Ok(reply::bytes(StatusCode::BAD_REQUEST, "not an answer of an engine"));
+        };
+        let rated = Rated {
+            request: rate.request.into(),
+            version: rate.version.into(),
+            task: rate.task.into(),
+            good: answer.good,
+        };
+        self.rated.lock().unwrap_or_else(PoisonError::into_inner).push(rated);
+        Ok(reply::json(StatusCode::OK, &Rating { good: answer.good }))
+    }
+}
+
+impl Handler for Rater {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/records") => Ok(reply::json(StatusCode::OK, &self.records())),
+            (&Method::PUT, "/faults") => {
+                let body = reply::body(request).await?;
+                Ok(reply::set(&body, |faults| self.set_faults(faults)))
+            }
+            (&Method::POST, "/rate") => self.rate(request).await,
+            _ => Ok(reply::status(StatusCode::NOT_FOUND)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,176 @@
+//! The HTTP server that every stand-in runs on: connections that can be cut and a port that can
+//! be closed and opened again.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::ops::Deref;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Pause between two tries to take a port again that was closed for a while.
+const REBIND: Duration = Duration::from_millis(20);
+
+/// Body of every answer; an error in it breaks the connection visibly.
+pub type Body = UnsyncBoxBody<Bytes, Cut>;
+
+/// The connection is to be broken at this point.
+#[derive(Clone, Copy, Debug)]
+pub struct Cut;
+
+impl std::fmt::Display for Cut {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("cut by a fault")
+    }
+}
+
+impl std::error::Error for Cut {}
+
+/// What a stand-in does with one request.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers, or cuts the connection. The future is dropped when the caller goes away.
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Result<Response<Body>, Cut>> + Send;
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Gate {
+    Open,
+    Closed,
+    Stopped,
+}
+
+/// A started stand-in; dropping it stops it.
+pub struct Running<H> {
+    /// Where it listens.
+    pub address: SocketAddr,
+    handler: Arc<H>,
+    gate: watch::Sender<Gate>,
+}
+
+impl<H> Deref for Running<H> {
+    type Target = H;
+
+    fn deref(&self) -> &H {
+        &self.handler
+    }
+}
+
+impl<H> Running<H> {
+    /// The stand-in's state, to be kept beyond its server.
+    #[must_use]
+    pub fn state(&self) -> Arc<H> {
+        Arc::clone(&self.handler)
+    }
+
+    /// Cuts every connection and refuses new ones until [`Running::open`].
+    pub fn close(&self) {
+        self.gate.send_replace(Gate::Closed);
+    }
+
+    /// Listens again, at the same address.
+    pub fn open(&self) {
+        self.gate.send_replace(Gate::Open);
+    }
+
+    /// Ends it: cuts every connection and refuses new ones for good.
+    pub fn stop(&self) {
+        self.gate.send_replace(Gate::Stopped);
+    }
+
+    /// Waits until [`Running::stop`] has taken effect.
+    pub async fn stopped(&self) {
+        self.gate.closed().await;
+    }
+}
+
+impl<H> Drop for Running<H> {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+/// Starts a stand-in's server on the current runtime.
+///
+/// # Errors
+/// When the address can't be listened on.
+pub fn start<H: Handler>(listen: SocketAddr, handler: H) -> io::Result<Running<H>> {
+    let listener = bind(listen)?;
+    let address = listener.local_addr()?;
+    let handler = Arc::new(handler);
+    let (gate, watching) = watch::channel(Gate::Open);
+    tokio::spawn(accept(listener, address, Arc::clone(&handler), watching));
+    Ok(Running { address, handler, gate })
+}
+
+fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
+    let listener = std::net::TcpListener::bind(listen)?;
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
+
+async fn accept<H: Handler>(
+    listener: TcpListener,
+    address: SocketAddr,
+    handler: Arc<H>,
+    mut gate: watch::Receiver<Gate>,
+) {
+    let mut listening = Some(listener);
+    loop {
+        let state = *gate.borrow_and_update();
+        match (state, listening.take()) {
+            (Gate::Stopped, _) => return,
+            (Gate::Closed, _) => {
+                if gate.changed().await.is_err() {
+                    return;
+                }
+            }
+            (Gate::Open, None) => match bind(address) {
+                Ok(listener) => listening = Some(listener),
+                Err(_) => tokio::time::sleep(REBIND).await,
+            },
+            (Gate::Open, Some(listener)) => {
+                tokio::select! {
+                    accepted = listener.accept() => match accepted {
+                        Ok((stream, _)) => {
+                            tokio::spawn(connection(stream, Arc::clone(&handler), gate.clone()));
+                        }
+                        Err(error) => log::warn!("standin: accepting failed: {error}"),
+                    },
+                    changed = gate.changed() => if changed.is_err() {
+                        return;
+                    },
+                }
+                listening = Some(listener);
+            }
+        }
+    }
+}
+
+async fn connection<H: Handler>(
+    stream: TcpStream,
+    handler: Arc<H>,
+    mut gate: watch::Receiver<Gate>,
+) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let service = service_fn(move |request| Arc::clone(&handler).handle(request));
+    let serving =
+        hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        _ = serving => {}
+        _ = gate.wait_for(|state| *state != Gate::Open) => {}
+    }
+}
