--- /dev/null
+++ b/crates/chestnutspur/src/command.rs
@@ -0,0 +1,95 @@
+//! The command line: one small module for each subcommand.
+
+mod apply;
+mod bills;
+mod check;
+mod report;
+mod status;
+
+use std::path::{Path, PathBuf};
+
+use bpaf::Bpaf;
+use wire::fault::Fault;
+use wire::settings::{self, Settings};
+
+use crate::exit::Exit;
+
+/// Model-aware router for versions and cascades
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub enum Command {
+    /// Check a settings file or a configuration document, whichever it is
+    ///
+    /// Prints every fault with its path in the file; exit code 2 if there is one.
+    #[bpaf(command)]
+    Check {
+        /// The file
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Put a configuration document in force everywhere, or be told why not
+    #[bpaf(command)]
+    Apply(#[bpaf(external(apply::arguments))] apply::Arguments),
+    /// Show the generation in force on every host, versions, quarantines and roll-outs
+    #[bpaf(command)]
+    Status(#[bpaf(external(status::arguments))] status::Arguments),
+    /// Count the bills in the object store: ids, doubles, gaps
+    #[bpaf(command)]
+    Bills(#[bpaf(external(bills::arguments))] bills::Arguments),
+    /// Reports on a running deployment
+    #[bpaf(command)]
+    Report(#[bpaf(external(report::report))] report::Report),
+    /// Print the version of this program
+    #[bpaf(command)]
+    Version,
+}
+
+/// The command line's parser.
+#[must_use]
+pub fn options() -> bpaf::OptionParser<Command> {
+    command()
+}
+
+/// Runs one subcommand to its end.
+pub fn run(command: Command) -> Exit {
+    match command {
+        Command::Check { file } => check::run(&file),
+        Command::Apply(arguments) => apply::run(arguments),
+        Command::Status(arguments) => status::run(&arguments),
+        Command::Bills(arguments) => bills::run(&arguments),
+        Command::Report(report) => report::run(report),
+        Command::Version => {
+            println!("chestnutspur {}", env!("CARGO_PKG_VERSION"));
+            Exit::Done
+        }
+    }
+}
+
+/// Reads a file, or says on standard error why not.
+fn read(file: &Path) -> Option<String> {
+    std::fs::read_to_string(file)
+        .map_err(|error| eprintln!("chestnutspur: {}: {error}", file.display()))
+        .ok()
+}
+
+#[expect(dead_code, reason = "for entry and control, which come next")]
+/// Reads a settings file, or prints every fault found.
+fn load(file: &Path) -> Option<Settings> {
+    let text = read(file)?;
+    settings::parse(&text).map_err(|faults| print_faults(file, &faults)).ok()
+}
+
+fn print_faults(file: &Path, faults: &[Fault]) {
+    for fault in faults {
+        eprintln!("{}: {fault}", file.display());
+    }
+}
+
+/// Prints an answer's JSON as it is, or indented for people.
+fn print_json(body: &[u8], compact: bool) {
+    let text = String::from_utf8_lossy(body);
+    match serde_json::from_str::<serde_json::Value>(&text) {
+        Ok(value) if !compact => println!("{value:#}"),
+        _ => println!("{}", text.trim_end()),
+    }
+}
