--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -14,6 +14,17 @@
 /// A control not heard from for so long is not asked first.
 pub const QUIET_MS: u64 = 2_000;
 
+/// Who said where a control is reached, weakest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Source {
+    /// The control itself, in an exchange of gossip.
+    Gossip,
+    /// The platform's host list.
+    HostList,
+    /// This process's settings. A name never changes its host, so a written address stays.
+    Settings,
+}
+
 /// One other control.
 #[derive(Clone)]
 pub struct Member {
@@ -27,6 +38,8 @@
     pub generation: u64,
     /// When it last answered, or asked; 0 if never.
     pub heard: Millis,
+    /// Who said so.
+    pub source: Source,
     /// The way to it.
     pub link: Arc<Link>,
 }
@@ -53,14 +66,15 @@
         Self { key, own_host, members: RwLock::default() }
     }
 
-    /// Takes in an address; a changed one replaces the connection.
-    pub fn learn(&self, host: &Name, failure_domain: &Name, address: SocketAddr) {
+    /// Takes in an address; one that a source at least as strong has changed replaces the
+    /// connection.
+    pub fn learn(&self, source: Source, host: &Name, failure_domain: &Name, address: SocketAddr) {
         if *host == self.own_host {
             return;
         }
         let mut members = self.write();
         match members.get_mut(host) {
-            Some(member) if member.link.address() == address => {}
+            Some(member) if member.link.address() == address || member.source > source => {}
             _ => {
                 let member = Member {
                     host: host.clone(),
@@ -68,6 +82,7 @@
                     incarnation: Name::default(),
                     generation: 0,
                     heard: Millis(0),
+                    source,
                     link: Arc::new(Link::new(address, self.key.clone())),
                 };
                 members.insert(host.clone(), member);
