--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,10 +6,13 @@
 
 pub mod answer;
 pub mod backend;
+pub mod client;
 pub mod draw;
 pub mod engine;
 pub mod fault;
+pub mod passthrough;
 pub mod platform;
+pub mod proxy;
 pub mod rater;
 pub mod reply;
 pub mod run;
