control: the ledger: second holder before the answer, batches put if absent, recovery by the holder

Any number of writers may append to a log: who puts number N has read all before it. So a keeper wrongly taken for gone needs no fence. A holder with an unreachable keeper puts the copies into the keeper's log itself, a second holder made first.

--- /dev/null
+++ b/crates/control/src/bills/book.rs
@@ -0,0 +1,147 @@
+//! The bills of one log that one control keeps, and where their copies are.
+
+use std::collections::{BTreeMap, HashMap};
+
+use coordination::batch::Log;
+use policy::name::Name;
+use policy::time::Millis;
+use wire::bill::Bill;
+
+/// Bills learnt to be stored so long ago are not sent again by anyone.
+const REMEMBERED_MS: u64 = 600_000;
+
+/// Which book.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Id {
+    /// The log that the bills belong to.
+    pub log: Name,
+    /// Who puts them there, and releases them after.
+    pub keeper: Name,
+}
+
+/// The bills.
+pub struct Book {
+    /// Which book.
+    pub id: Id,
+    /// What is pending, and how far the log was read.
+    pub log: Log<Bill>,
+    /// Whether the next number is known to be free, as after reading it.
+    pub at_end: bool,
+    /// Controls that hold a copy of each pending bill; the last one is believed alive.
+    copies: HashMap<Name, Vec<Name>>,
+    /// Bills that a holder has not been told to drop yet.
+    owed: BTreeMap<Name, Vec<Name>>,
+}
+
+impl Book {
+    /// Empty; the log is read from its start.
+    #[must_use]
+    pub fn new(id: Id) -> Self {
+        let at_end = id.log == id.keeper;
+        let (copies, owed) = (HashMap::new(), BTreeMap::new());
+        Self { id, log: Log::default(), at_end, copies, owed }
+    }
+
+    /// Makes sure that the log is read from a number on, for bills that may stand there.
+    pub fn back_to(&mut self, number: u64) {
+        match self.log.pending().is_empty() {
+            true => self.log = std::mem::take(&mut self.log).starting_at(number),
+            false => self.log.back_to(number),
+        }
+        self.at_end = false;
+    }
+
+    /// Whether a bill is held by another control too, or stored.
+    #[must_use]
+    pub fn safe(&self, request: &str) -> bool {
+        !self.log.pending().contains_key(request) || self.copies.contains_key(request)
+    }
+
+    /// Bills that no other control holds.
+    #[must_use]
+    pub fn without_copy(&self) -> Vec<Bill> {
+        let pending = self.log.pending().iter();
+        pending.filter(|(id, _)| !self.copies.contains_key(*id)).map(|(_, b)| b.clone()).collect()
+    }
+
+    /// Bills that a control does not hold yet.
+    #[must_use]
+    pub fn not_at(&self, holder: &Name) -> Vec<Bill> {
+        let held = |id: &Name| self.copies.get(id).is_some_and(|at| at.contains(holder));
+        self.log.pending().iter().filter(|(id, _)| !held(id)).map(|(_, b)| b.clone()).collect()
+    }
+
+    /// Notes who holds bills now.
+    pub fn copied(&mut self, bills: &[Bill], holder: &Name) {
+        for bill in bills {
+            match self.log.pending().contains_key(&bill.request) {
+                true => self.copies.entry(bill.request.clone()).or_default().push(holder.clone()),
+                // Stored while the copy was on its way.
+                false => self.owed.entry(holder.clone()).or_default().push(bill.request.clone()),
+            }
+        }
+    }
+
+    /// Forgets copies on controls that are not alive: they are made anew elsewhere. Should such a
+    /// one still be there, it is told to drop them later, like the others.
+    pub fn lose_copies(&mut self, alive: impl Fn(&Name) -> bool) {
+        let mut lost = Vec::new();
+        self.copies.retain(|id, holders| {
+            let kept = holders.last().is_some_and(&alive);
+            if !kept {
+                lost.extend(holders.drain(..).map(|holder| (holder, id.clone())));
+            }
+            kept
+        });
+        for (holder, id) in lost {
+            self.owed.entry(holder).or_default().push(id);
+        }
+    }
+
+    /// Takes in the batch that stands at a number.
+    pub fn stands(&mut self, number: u64, bills: &[Bill], now: Millis) {
+        let ids: Vec<_> = bills.iter().map(|bill| bill.request.clone()).collect();
+        for bill in self.log.stands(number, &ids, now) {
+            self.owe(&bill.request);
+        }
+        self.log.forget(now - REMEMBERED_MS);
+    }
+
+    /// Drops a bill that is stored, or that its log's own control has taken.
+    pub fn release(&mut self, request: &Name) {
+        if self.log.release(request).is_some() {
+            self.owe(request);
+        }
+    }
+
+    fn owe(&mut self, request: &Name) {
+        for holder in self.copies.remove(request).unwrap_or_default() {
+            self.owed.entry(holder).or_default().push(request.clone());
+        }
+    }
+
+    /// Holders with bills to drop.
+    #[must_use]
+    pub fn owed(&self) -> Vec<(Name, Vec<Name>)> {
+        let still = |id: &Name| !self.log.pending().contains_key(id);
+        let owed = self.owed.iter();
+        owed.map(|(at, ids)| (at.clone(), ids.iter().filter(|id| still(id)).cloned().collect()))
+            .collect()
+    }
+
+    /// A holder has dropped bills, or is gone with them.
+    pub fn settled(&mut self, holder: &Name, requests: &[Name]) {
+        if let Some(owed) = self.owed.get_mut(holder) {
+            owed.retain(|id| !requests.contains(id));
+            if owed.is_empty() {
+                self.owed.remove(holder);
+            }
+        }
+    }
+
+    /// Nothing is left to do.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.log.pending().is_empty() && self.owed.is_empty()
+    }
+}
--- a/crates/coordination/src/batch.rs
+++ b/crates/coordination/src/batch.rs
@@ -46,6 +46,18 @@
         &self.pending
     }
 
+    /// Goes back to a number, for an entry that may stand in batches already read past.
+    pub fn back_to(&mut self, number: u64) {
+        self.next = self.next.min(number);
+    }
+
+    /// Starts at a number, when no batch before it can have any of the entries to come.
+    #[must_use]
+    pub fn starting_at(mut self, number: u64) -> Self {
+        self.next = number;
+        self
+    }
+
     /// Takes an entry; false if it is in the log already, or pending.
     pub fn add(&mut self, entry: E) -> bool {
         if self.stored.contains_key(entry.id()) || self.pending.contains_key(entry.id()) {
--- a/crates/coordination/src/records.rs
+++ b/crates/coordination/src/records.rs
@@ -96,11 +96,7 @@
         let mut records = Vec::with_capacity(self.len());
         for (key, Claimed { request, forget_at, abandoned, .. }) in &self.claims {
             let (key, request, forget_at) = (key.clone(), request.clone(), *forget_at);
-            records.push(Record::Claim {
-                key: key.clone(),
-                request: request.clone(),
-                forget_at,
-            });
+            records.push(Record::Claim { key: key.clone(), request: request.clone(), forget_at });
             if *abandoned {
                 records.push(Record::Abandon { key, request });
             }
--- a/crates/wire/src/bill.rs
+++ b/crates/wire/src/bill.rs
@@ -40,6 +40,19 @@
         pub bills: Vec<Bill>,
     }
 
+    /// Bills on their way to a second holder.
+    pub struct Hold {
+        /// The log they belong to.
+        pub log: Name,
+        /// The control incarnation that puts them into the log, and then releases them. The holder
+        /// does it when that one is gone.
+        pub keeper: Name,
+        /// No batch before this number has any of them.
+        pub from: u64,
+        /// The bills.
+        pub bills: Vec<Bill>,
+    }
+
     /// What reading every log gave.
     #[derive(Default)]
     pub struct Audit {
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -5,7 +5,7 @@
 
 use policy::name::Name;
 
-use crate::bill::{Bill, Held};
+use crate::bill::{Bill, Held, Hold};
 use crate::claim::{Claim, ClaimAnswer, Pin, PinAnswer};
 use crate::evidence::Report;
 use crate::gossip::{Delta, Digest};
@@ -41,8 +41,8 @@
     async fn owner_abandon(place: Place, claim: Claim) -> Reply<bool>;
     /// Records for a shard that the asked one is deputy of.
     async fn append(append: Append) -> Appended;
-    /// Bills of another incarnation's log, to be held for it; false at the memory bound.
-    async fn hold(log: Name, bills: Vec<Bill>) -> bool;
+    /// Bills to be held for another control; false at the memory bound.
+    async fn hold(hold: Hold) -> bool;
     /// Bills of a log that are in the object store now.
     async fn release(log: Name, requests: Vec<Name>);
 }
