--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -283,7 +283,7 @@
         return Some((Err(Cut), None));
     }
     let piece = relay.pieces.next()?;
-    tokio::time::sleep(piece.pause).await;
+    wait(piece.pause).await;
     let room = plan.silent_after.or(plan.cut_after).map(|limit| limit - relay.sent);
     let bytes = match room.and_then(|room| usize::try_from(room).ok()) {
         Some(room) if room < piece.bytes.len() => piece.bytes.slice(..room),
@@ -298,3 +298,10 @@
     }
     Some((Ok(bytes), Some(relay)))
 }
+
+/// Waits; no time at all is no wait, where the timer would make a millisecond of it.
+pub async fn wait(time: Duration) {
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -14,10 +14,10 @@
 use policy::domain;
 use policy::name::Name;
 use serde_json::{Value, json};
-use wire::backend;
+use wire::backend::{REQUEST_ID, TASK};
 
 use crate::answer::Answer;
-use crate::backend::{Backend, Capacity, Faults, Piece, Ticket};
+use crate::backend::{self, Backend, Capacity, Faults, Piece, Ticket};
 use crate::draw;
 use crate::reply;
 use crate::run::{Outcome, Run};
@@ -65,6 +65,14 @@
 }
 
 impl Version {
+    /// Time to the first byte of an answer: a plain one comes when all its tokens are there.
+    fn wait_ms(&self, stream: bool) -> u64 {
+        match stream {
+            true => self.service_ms,
+            false => self.service_ms + self.between_tokens_ms * u64::from(self.tokens),
+        }
+    }
+
     fn quality(&self, task: &str) -> f64 {
         self.quality.get(task).or(self.quality.get("")).copied().unwrap_or(1.0)
     }
@@ -139,8 +147,8 @@
 
 impl Engine {
     async fn complete(&self, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
-        let id = Name::from(reply::header(&request, backend::REQUEST_ID));
-        let task = Name::from(reply::header(&request, backend::TASK));
+        let id = Name::from(reply::header(&request, REQUEST_ID));
+        let task = Name::from(reply::header(&request, TASK));
         let body = reply::body(request).await?;
         let Some(chat) = Chat::parse(&id, &task, &body) else {
             return Ok(reply::status(StatusCode::BAD_REQUEST));
@@ -153,8 +161,8 @@
             Ok(ticket) => ticket,
             Err(turned_away) => return turned_away,
         };
-        let wait_ms = version.service_ms + self.faults().delay_ms;
-        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+        let wait_ms = version.wait_ms(chat.stream) + self.faults().delay_ms;
+        backend::wait(Duration::from_millis(wait_ms)).await;
         ticket.before_header().await?;
         if ticket.plan().error {
             ticket.end(Outcome::Failed);
@@ -204,7 +212,7 @@
 
 fn echo(mut response: Response<Body>, request: &str) -> Response<Body> {
     if let Ok(id) = HeaderValue::from_str(request) {
-        response.headers_mut().insert(backend::REQUEST_ID, id);
+        response.headers_mut().insert(REQUEST_ID, id);
     }
     response
 }
@@ -233,8 +241,8 @@
     });
     let bytes = Bytes::from(body.to_string());
     let length = bytes.len();
-    let pause = Duration::from_millis(version.between_tokens_ms * u64::from(version.tokens));
-    let mut response = Response::new(ticket.body(vec![Piece { pause, bytes }]));
+    let pieces = vec![Piece { pause: Duration::ZERO, bytes }];
+    let mut response = Response::new(ticket.body(pieces));
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -14,9 +14,9 @@
 use hyper::{Method, Request, Response, StatusCode};
 use policy::domain;
 use policy::name::Name;
-use wire::backend;
+use wire::backend::REQUEST_ID;
 
-use crate::backend::{Backend, Capacity, Faults, Piece};
+use crate::backend::{self, Backend, Capacity, Faults, Piece};
 use crate::draw;
 use crate::reply;
 use crate::run::{Outcome, Run};
@@ -104,7 +104,7 @@
     }
 
     async fn call(&self, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
-        let id = Name::from(reply::header(&request, backend::REQUEST_ID));
+        let id = Name::from(reply::header(&request, REQUEST_ID));
         let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
         let call = Name::from(format!("{} {path}", request.method()));
         let head = request.method() == Method::HEAD;
@@ -123,7 +123,7 @@
             Err(turned_away) => return turned_away,
         };
         let wait_ms = self.settings.service_ms + self.faults().delay_ms;
-        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+        backend::wait(Duration::from_millis(wait_ms)).await;
         ticket.before_header().await?;
         let plan = ticket.plan();
         let request = if plan.crossed { self.crossed(&ticket) } else { id };
@@ -150,7 +150,7 @@
         };
         match HeaderValue::from_str(&echo.request) {
             Ok(id) if !plan.no_echo => {
-                response.headers_mut().insert(backend::REQUEST_ID, id);
+                response.headers_mut().insert(REQUEST_ID, id);
             }
             _ => {}
         }
