wire: gossip by origins of counts, marks with a clearing generation

Evidence from every host as an origin would make digests grow with the fleet (400 origins of about 12 bytes, twice a second, is past 2 KB/s by itself). Weighed: vector per host, cursor per peer (redundant answers), one origin per failure domain. The last keeps a digest at 8 entries, so it is the form.

Each version now has `cleared`: marks up to that generation are void. node::now never steps back, so an age can't look younger than it is.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,7 +1,7 @@
 //! What every controller of one process shares.
 
-use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::{Arc, OnceLock};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use policy::name::Name;
 use policy::time::Millis;
@@ -42,9 +42,23 @@
     Name::from(format!("{host}.{:016x}", rand::random::<u64>()))
 }
 
-/// The wall clock, for shells to hand to the functions that decide.
+/// The wall clock at start plus the time run since, for shells to hand to functions that decide.
+///
+/// Never steps back: a clock set back would make an old confirmation look fresh.
 #[must_use]
 pub fn now() -> Millis {
+    static START: OnceLock<(Millis, Instant)> = OnceLock::new();
+    let (wall, started) = START.get_or_init(|| (wall(), Instant::now()));
+    *wall + u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
+
+fn wall() -> Millis {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     Millis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
 }
+
+/// The host of an incarnation.
+#[must_use]
+pub fn host_of(incarnation: &str) -> Name {
+    Name::from(incarnation.rsplit_once('.').map_or(incarnation, |(host, _)| host))
+}
--- a/crates/wire/src/configuration.rs
+++ b/crates/wire/src/configuration.rs
@@ -56,6 +56,10 @@
         /// How long a cut-off host goes on opening sessions on it without a confirmed generation.
         #[serde(default = "Version::default_stale_limit_ms")]
         pub stale_limit_ms: u64,
+        /// Quarantines judged in generations up to this one are void. So a change to anything
+        /// else never lifts a quarantine, and lifting one is a change that operators see.
+        #[serde(default)]
+        pub cleared: u64,
     }
 
     /// Where a version stands between coming and going.
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -1,37 +1,52 @@
-//! What controls tell each other about the world: newest generation, evidence, quarantines.
+//! What controls tell each other about the world: newest generation, counts, quarantines.
+//!
+//! Only one control of each failure domain, its reporter, is an origin of counts. So a digest
+//! names as many origins as there are failure domains, however many hosts each of them has.
 
 use policy::domain;
 use policy::name::Name;
 
-use crate::evidence::{Evidence, Outcome};
+use crate::evidence::Evidence;
 
 domain! {
     /// What the asker has; the answer holds what it lacks.
     #[derive(Default)]
+    #[serde(default)]
     pub struct Digest {
-        /// The asker's incarnation: `HOST/random`, unique for all time.
+        /// The asker's incarnation: `HOST.random`, unique for all time.
         pub from: Name,
-        /// The asker's host.
-        pub host: Name,
         /// Its failure domain.
         pub failure_domain: Name,
         /// Where it is reached.
         pub address: Name,
         /// The generation in force there.
         pub generation: u64,
-        /// Milliseconds since it was confirmed by the platform.
+        /// Milliseconds since it was confirmed, by the platform or by a chain of peers.
         pub unconfirmed_ms: u64,
+        /// Hash of the host list held.
+        pub hosts: u64,
+        /// When the platform made that list, in milliseconds since the epoch.
+        pub hosts_as_of: u64,
+        /// Hash of the quarantine marks held.
+        pub marks: u64,
         /// For each origin, the number of its newest piece of news held.
         pub news: Vec<(Name, u64)>,
+        /// Whether the answer shall say where the entries asking there stand.
+        pub wants_entries: bool,
     }
 
     /// What the asked has and the asker lacks.
     #[derive(Default)]
+    #[serde(default)]
     pub struct Delta {
         /// The asked one's own digest, so one exchange informs both.
         pub digest: Digest,
         /// Pieces that the asker lacks, a bounded number of them, in order for each origin.
         pub news: Vec<News>,
+        /// All marks held, if the asker's hash differs.
+        pub marks: Vec<Mark>,
+        /// The entries asking there and the generation in force in each, if the asker wants them.
+        pub entries: Vec<(Name, u64)>,
     }
 
     /// One numbered piece of news of one control incarnation.
@@ -41,23 +56,38 @@
         /// 1, 2, 3 …
         pub number: u64,
         /// What.
-        pub item: Item,
+        pub counts: Counts,
     }
 
-    /// Kinds of news.
-    pub enum Item {
-        /// Counts that its entry hosts reported.
-        Evidence(Vec<Evidence>),
-        /// Outcomes for the service levels.
-        Outcomes(Vec<Outcome>),
-        /// A version is under quarantine within a generation; never taken back by gossip.
-        Quarantine {
-            /// The version.
-            version: Name,
-            /// Only an operator's document with a higher generation clears it.
-            generation: u64,
-            /// Why, for people.
-            reason: String,
-        },
+    /// What the entries of one failure domain saw in one interval.
+    #[derive(Default)]
+    #[serde(default)]
+    pub struct Counts {
+        /// The generation in force at the origin.
+        pub generation: u64,
+        /// Of each version and task.
+        pub evidence: Vec<Evidence>,
+        /// Of each service level.
+        pub levels: Vec<Level>,
+    }
+
+    /// Requests of one service level.
+    pub struct Level {
+        /// The service level's name in the document.
+        pub name: Name,
+        /// Answered in time.
+        pub good: u64,
+        /// All.
+        pub total: u64,
+    }
+
+    /// A version's quarantine: local at once, spread by gossip, never taken back by it.
+    pub struct Mark {
+        /// The version.
+        pub version: Name,
+        /// The generation it was judged in; void once the document's `cleared` reaches it.
+        pub generation: u64,
+        /// Why, for people.
+        pub reason: String,
     }
 }
