control: listeners, run, service, configuration, gossip, views, operators' API

Acceptance is one transaction with two conditions: the row `current` at the version read (a race has one winner) and the change's own row absent (a lost answer is settled by sending the same transaction again, at any later time). Weighed: change ids kept in `current` (grows every poll), only the newest id there (a later change hides an earlier one). A row for each change, trimmed with its document after 256 generations, has neither fault. Steady polling of all by all would be 400 reads a second; one reporter for each failure domain polls, the others poll slower and hear by gossip. Claims, pins and bills go to a seam until their controllers are here.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,21 @@
 //! Nothing here is on disk and no control is special. What must last is in the platform's
 //! service; the rest is soft and comes back from peers.
 
+pub mod configuration;
+pub mod daemon;
+pub mod exposure;
+pub mod gossip;
+pub mod hosts;
+pub mod marks;
+pub mod news;
 pub mod node;
+pub mod operators;
 pub mod peers;
 pub mod platform;
+pub mod process;
+pub mod seam;
+pub mod server;
+pub mod status;
+pub mod view;
+
+pub use daemon::{Error, Listeners, run};
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,5 +1,6 @@
 //! What every controller of one process shares.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
@@ -7,7 +8,7 @@
 use policy::time::Millis;
 use wire::settings;
 
-use crate::peers::Peers;
+use crate::peers::{Member, Peers};
 use crate::platform::Client;
 
 /// The process: who it is, and its ways to the platform and to peers.
@@ -20,6 +21,8 @@
     pub platform: Client,
     /// The other controls.
     pub peers: Arc<Peers>,
+    /// Where peers reach this one.
+    pub address: SocketAddr,
 }
 
 impl Node {
@@ -29,6 +32,36 @@
         &self.settings.name
     }
 
+    /// Where peers reach this one, as text.
+    #[must_use]
+    pub fn address(&self) -> Name {
+        Name::from(self.address.to_string())
+    }
+
+    /// Whether this control speaks for its failure domain: of those alive there, the one with the
+    /// smallest host name. Nobody agrees on it; two at once only cost a few more messages.
+    #[must_use]
+    pub fn is_reporter(&self) -> bool {
+        self.reporter(now()).is_none()
+    }
+
+    /// The control that speaks for this failure domain; none if it is this one.
+    #[must_use]
+    pub fn reporter(&self, now: Millis) -> Option<Member> {
+        let alive = self.peers.alive(now);
+        let near = alive.into_iter().filter(|member| {
+            member.failure_domain == *self.failure_domain() && member.host < *self.host()
+        });
+        near.min_by(|one, other| one.host.cmp(&other.host))
+    }
+
+    /// Controls known of this failure domain, this one included.
+    #[must_use]
+    pub fn domain_size(&self) -> usize {
+        let all = self.peers.all();
+        1 + all.iter().filter(|member| member.failure_domain == *self.failure_domain()).count()
+    }
+
     /// The host's failure domain.
     #[must_use]
     pub fn failure_domain(&self) -> &Name {
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -5,7 +5,9 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, RwLock};
+use std::time::Duration;
 
 use policy::name::Name;
 use policy::time::Millis;
@@ -13,6 +15,10 @@
 
 /// A control not heard from for so long is not asked first.
 pub const QUIET_MS: u64 = 2_000;
+/// Longest time that one exchange with a peer may take.
+pub const CALL: Duration = Duration::from_secs(1);
+/// Rounds of gossip that a member may be silent for.
+const ROUNDS: u64 = 2;
 
 /// One other control.
 #[derive(Clone)]
@@ -32,10 +38,8 @@
 }
 
 impl Member {
-    /// Whether it was heard from lately.
-    #[must_use]
-    pub fn alive(&self, now: Millis) -> bool {
-        !self.incarnation.is_empty() && now.since(self.heard) <= QUIET_MS
+    fn alive(&self, now: Millis, quiet_ms: u64) -> bool {
+        !self.incarnation.is_empty() && now.since(self.heard) <= quiet_ms
     }
 }
 
@@ -44,13 +48,14 @@
     key: Key,
     own_host: Name,
     members: RwLock<BTreeMap<Name, Member>>,
+    quiet_ms: AtomicU64,
 }
 
 impl Peers {
     /// None known yet.
     #[must_use]
     pub fn new(own_host: Name, key: Key) -> Self {
-        Self { key, own_host, members: RwLock::default() }
+        Self { key, own_host, members: RwLock::default(), quiet_ms: AtomicU64::new(QUIET_MS) }
     }
 
     /// Takes in an address; a changed one replaces the connection.
@@ -80,6 +85,38 @@
         self.write().remove(host);
     }
 
+    /// Sets the interval at which one member is asked; all are alive that a few rounds reached.
+    pub fn expect(&self, interval: Duration) {
+        let interval = u64::try_from(interval.as_millis()).unwrap_or(u64::MAX);
+        let round = interval.saturating_mul(self.len() as u64);
+        self.quiet_ms.store(round.saturating_mul(ROUNDS).max(QUIET_MS), Ordering::Relaxed);
+    }
+
+    /// Notes that a host did not answer: it is not asked first until it is heard from again.
+    pub fn missed(&self, host: &str) {
+        if let Some(member) = self.write().get_mut(host) {
+            member.heard = Millis(0);
+        }
+    }
+
+    /// Number of members known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.read().len()
+    }
+
+    /// Whether no member is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.read().is_empty()
+    }
+
+    /// One member.
+    #[must_use]
+    pub fn get(&self, host: &str) -> Option<Member> {
+        self.read().get(host).cloned()
+    }
+
     /// Notes that a host's incarnation was heard from.
     pub fn heard(&self, host: &str, incarnation: &Name, generation: u64, now: Millis) {
         if let Some(member) = self.write().get_mut(host) {
@@ -98,7 +135,8 @@
     /// Those heard from lately.
     #[must_use]
     pub fn alive(&self, now: Millis) -> Vec<Member> {
-        self.read().values().filter(|member| member.alive(now)).cloned().collect()
+        let quiet_ms = self.quiet_ms.load(Ordering::Relaxed);
+        self.read().values().filter(|member| member.alive(now, quiet_ms)).cloned().collect()
     }
 
     /// The host that an incarnation runs on, if it was the last one heard there.
--- /dev/null
+++ b/crates/control/src/server.rs
@@ -0,0 +1,134 @@
+//! What entries and peers ask of this control, each call handed to its controller.
+
+use std::sync::Arc;
+
+use log::{info, warn};
+use policy::name::Name;
+use tarpc::context::Context;
+use tarpc::server::Channel;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use wire::bill::{Bill, Held};
+use wire::claim::{Claim, ClaimAnswer, Pin, PinAnswer};
+use wire::evidence::Report;
+use wire::gossip::{Delta, Digest};
+use wire::peer::Key;
+use wire::rpc::Control;
+use wire::shard::{Append, Appended};
+use wire::view::{Ask, View};
+
+use crate::node;
+use crate::process::Process;
+
+/// Serves one connection's calls.
+#[derive(Clone)]
+struct Server {
+    process: Arc<Process>,
+}
+
+impl Control for Server {
+    async fn view(self, _: Context, ask: Ask) -> View {
+        self.process.views.answer(ask).await
+    }
+
+    async fn claim(self, _: Context, claim: Claim) -> ClaimAnswer {
+        self.process.shards.claim(claim).await
+    }
+
+    async fn pin(self, _: Context, pin: Pin) -> PinAnswer {
+        self.process.shards.pin(pin).await
+    }
+
+    async fn bill(self, _: Context, bills: Vec<Bill>) -> Held {
+        self.process.ledger.add(bills).await
+    }
+
+    async fn report(self, _: Context, report: Report) {
+        self.process.exposure.report(report);
+    }
+
+    async fn gossip(self, _: Context, digest: Digest) -> Delta {
+        let now = node::now();
+        let mut delta = self.process.gossip.answer(&digest, now);
+        if digest.wants_entries {
+            delta.entries = self.process.views.standing(now);
+        }
+        delta
+    }
+
+    async fn document(self, _: Context, generation: u64) -> Option<String> {
+        let in_force = self.process.configuration.in_force();
+        match in_force.generation {
+            0 => None,
+            held if held >= generation => Some(in_force.text.clone()),
+            _ => None,
+        }
+    }
+
+    async fn owner_claim(self, _: Context, shard: u32, claim: Claim) -> ClaimAnswer {
+        self.process.shards.owner_claim(shard, claim).await
+    }
+
+    async fn owner_pin(self, _: Context, shard: u32, pin: Pin) -> PinAnswer {
+        self.process.shards.owner_pin(shard, pin).await
+    }
+
+    async fn append(self, _: Context, append: Append) -> Appended {
+        self.process.shards.append(append).await
+    }
+
+    async fn hold(self, _: Context, incarnation: Name, bills: Vec<Bill>) -> bool {
+        self.process.ledger.hold(incarnation, bills).await
+    }
+
+    async fn release(self, _: Context, incarnation: Name, requests: Vec<Name>) {
+        self.process.ledger.release(incarnation, requests).await;
+    }
+}
+
+/// Accepts connections until told to stop.
+pub async fn serve(
+    listener: TcpListener,
+    key: Key,
+    process: Arc<Process>,
+    tasks: TaskTracker,
+    stop: CancellationToken,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tasks.spawn(connection(stream, key.clone(), process.clone(), stop.clone()));
+            }
+            Err(error) => {
+                warn!("control: accept: {error}");
+                // Out of file descriptors, most likely; without a pause this would spin.
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn connection(stream: TcpStream, key: Key, process: Arc<Process>, stop: CancellationToken) {
+    let channel = match wire::peer::accept(stream, &key).await {
+        Ok(channel) => channel,
+        Err(error) => {
+            metrics::counter!("peers_refused_total").increment(1);
+            info!("control: connection refused: {error}");
+            return;
+        }
+    };
+    let calls = channel.execute(Server { process }.serve());
+    let each = futures::StreamExt::for_each(calls, |call| {
+        tokio::spawn(call);
+        std::future::ready(())
+    });
+    tokio::select! {
+        () = each => {}
+        () = stop.cancelled() => {}
+    }
+}
