--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -13,7 +13,7 @@
 use wire::settings;
 
 use crate::node::{self, Node};
-use crate::peers::Peers;
+use crate::peers::{Peers, Source};
 use crate::platform::Client;
 use crate::process::Process;
 use crate::{operators, server};
@@ -108,7 +108,7 @@
         listeners.peers.local_addr().map_err(|error| Error::Listen(settings.listen, error))?;
     let peers = Arc::new(Peers::new(settings.name.clone(), key.clone()));
     for peer in &settings.peers {
-        peers.learn(&peer.name, &peer.failure_domain, peer.address);
+        peers.learn(Source::Settings, &peer.name, &peer.failure_domain, peer.address);
     }
     Ok(Arc::new(Node {
         incarnation: node::incarnation(&settings.name),
--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -20,7 +20,7 @@
 use crate::marks::Marks;
 use crate::news::Log;
 use crate::node::{self, Node};
-use crate::peers::{CALL, Member};
+use crate::peers::{CALL, Member, Source};
 
 /// Members told at once of what is urgent.
 const FANOUT: usize = 4;
@@ -119,7 +119,7 @@
     fn meet(&self, theirs: &Digest, now: Millis) {
         let host = node::host_of(&theirs.from);
         if let Ok(address) = theirs.address.parse::<SocketAddr>() {
-            self.node.peers.learn(&host, &theirs.failure_domain, address);
+            self.node.peers.learn(Source::Gossip, &host, &theirs.failure_domain, address);
         }
         self.node.peers.heard(&host, &theirs.from, theirs.generation, now);
         if theirs.generation == self.configuration.in_force().generation {
--- a/crates/control/src/hosts.rs
+++ b/crates/control/src/hosts.rs
@@ -15,6 +15,7 @@
 use wire::host::{HostState, List, Role};
 
 use crate::node::Node;
+use crate::peers::Source;
 use crate::platform;
 
 /// A list and the hash of its hosts.
@@ -83,7 +84,12 @@
             match (host.state, host.address.parse::<SocketAddr>()) {
                 (HostState::Gone, _) => self.node.peers.forget(&host.name),
                 (_, Ok(address)) => {
-                    self.node.peers.learn(&host.name, &host.failure_domain, address);
+                    self.node.peers.learn(
+                        Source::HostList,
+                        &host.name,
+                        &host.failure_domain,
+                        address,
+                    );
                 }
                 (_, Err(error)) => warn!("hosts: {}: {error}", host.name),
             }
