--- a/crates/control/src/bills.rs
+++ b/crates/control/src/bills.rs
@@ -56,7 +56,7 @@
 impl Ledger {
     /// Starts its tasks; they end when it is dropped.
     #[must_use]
-    pub fn start(node: Arc<Node>) -> Self {
+    pub fn start(node: Arc<Node>) -> Arc<Self> {
         let id = Id { log: node.incarnation.clone(), keeper: node.incarnation.clone() };
         let own = Arc::new(Mutex::new(Book::new(id.clone())));
         let inner = Arc::new(Inner {
@@ -71,7 +71,7 @@
         let stop = CancellationToken::new();
         tokio::spawn(stop.clone().run_until_cancelled_owned(copy::run(Arc::clone(&inner))));
         tokio::spawn(stop.clone().run_until_cancelled_owned(flush::run(Arc::clone(&inner))));
-        Self { inner, _tasks: stop.drop_guard() }
+        Arc::new(Self { inner, _tasks: stop.drop_guard() })
     }
 
     /// Takes bills; answers when another control holds them too, or none is in reach.
@@ -230,16 +230,15 @@
 
     /// Whether an incarnation answers, as far as is known here.
     fn alive(&self, incarnation: &str) -> bool {
-        *incarnation == *self.node.incarnation
-            || self.node.peers.by_incarnation(incarnation).is_some_and(|peer| peer.alive(now()))
+        *incarnation == *self.node.incarnation || self.node.peers.is_alive(incarnation, now())
     }
 
     /// Asks one control to hold bills.
     async fn hold_at(&self, incarnation: &str, hold: &Hold) -> bool {
-        let Some(peer) = self.node.peers.by_incarnation(incarnation) else { return false };
-        if !peer.alive(now()) {
+        if !self.node.peers.is_alive(incarnation, now()) {
             return false;
         }
+        let Some(peer) = self.node.peers.by_incarnation(incarnation) else { return false };
         let hold = hold.clone();
         let held = peer.link.call(CALL, async |client, context| client.hold(context, hold).await);
         matches!(held.await, Ok(true))
--- a/crates/control/src/bills/audit.rs
+++ b/crates/control/src/bills/audit.rs
@@ -14,7 +14,7 @@
 pub async fn run(platform: &Client, pending: u64) -> Result<Audit, Error> {
     let names = platform.objects("bills/").await?;
     let gaps = gaps(&names);
-    let reads = names.iter().map(|name| read(platform, name));
+    let reads = names.into_iter().map(|name| read(platform.clone(), name));
     let batches: Vec<Batch> = futures::stream::iter(reads).buffered(READS).try_collect().await?;
     let mut audit = Audit { gaps, pending, ..Audit::default() };
     let mut seen = HashSet::new();
@@ -30,8 +30,8 @@
     Ok(audit)
 }
 
-async fn read(platform: &Client, name: &str) -> Result<Batch, Error> {
-    let Some(bytes) = platform.object(name).await? else {
+async fn read(platform: Client, name: String) -> Result<Batch, Error> {
+    let Some(bytes) = platform.object(&name).await? else {
         return Err(Error::Malformed(format!("{name} is listed but absent")));
     };
     serde_json::from_slice(&bytes).map_err(|e| Error::Malformed(format!("{name}: {e}")))
--- a/crates/control/src/bills/flush.rs
+++ b/crates/control/src/bills/flush.rs
@@ -7,7 +7,7 @@
 
 use crate::bills::book::Book;
 use crate::bills::{CALL, FLUSH, Inner, lock};
-use crate::node::now;
+use crate::node::{host_of, now};
 use crate::platform::Error;
 
 /// Bills of one batch at most.
@@ -152,10 +152,7 @@
 
     /// Whether another incarnation runs on that one's host now.
     pub fn replaced(&self, incarnation: &str) -> bool {
-        let host = incarnation.rsplit_once('.').map_or(incarnation, |(host, _)| host);
-        let heard = |peer: &crate::peers::Member| {
-            *peer.host == *host && !peer.incarnation.is_empty() && *peer.incarnation != *incarnation
-        };
-        self.node.peers.all().iter().any(heard)
+        let peer = self.node.peers.get(&host_of(incarnation));
+        peer.is_some_and(|peer| !peer.incarnation.is_empty() && *peer.incarnation != *incarnation)
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,21 @@
 //! service; the rest is soft and comes back from peers.
 
 pub mod bills;
+pub mod configuration;
+pub mod daemon;
+pub mod exposure;
+pub mod gossip;
+pub mod hosts;
+pub mod marks;
+pub mod news;
 pub mod node;
+pub mod operators;
 pub mod peers;
 pub mod platform;
+pub mod process;
+pub mod server;
+pub mod shards;
+pub mod status;
+pub mod view;
+
+pub use daemon::{Error, Listeners, run};
--- a/crates/coordination/src/message.rs
+++ b/crates/coordination/src/message.rs
@@ -4,13 +4,15 @@
 use policy::name::Name;
 use policy::time::Millis;
 
+use crate::home::Home;
+
 domain! {
     /// Who holds a shard: one row of the platform's table.
     #[derive(Default, Eq)]
     pub struct Holder {
         /// Rises by one with each change of hands.
         pub epoch: u64,
-        /// Control incarnation that answers; empty after all holders left in good order.
+        /// Control incarnation that answers.
         pub owner: Name,
         /// Control incarnation that must have recorded first; empty for none, then the records
         /// go to the object store first.
@@ -53,10 +55,8 @@
     /// Records on their way from owner to deputy.
     #[derive(Eq)]
     pub struct Append {
-        /// The failure domain.
-        pub failure_domain: Name,
         /// The shard.
-        pub shard: u32,
+        pub home: Home,
         /// The epoch under which the owner holds it, or is about to.
         pub epoch: u64,
         /// The owner's incarnation.
--- a/crates/coordination/src/owner.rs
+++ b/crates/coordination/src/owner.rs
@@ -11,6 +11,9 @@
 
 /// Keys and sessions of one shard at most; a whole load must fit one message.
 pub const RECORDS_MAX: usize = 100_000;
+/// Longest time a key is remembered after its last use, in milliseconds. Also how long a shard
+/// that lost records refuses unknown keys: any of them may have been claimed.
+pub const KEEP_MS_MAX: u64 = 24 * 3_600_000;
 
 /// Why a claim or pin can't be taken now. Nothing was recorded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,6 +25,8 @@
     },
     /// The bound on records is reached.
     Full,
+    /// The shard is being handed over.
+    Leaving,
 }
 
 /// What a claim came to, once its record is safe.
@@ -47,6 +52,8 @@
     pub deputy: Name,
     /// Until when unknown keys are refused.
     pub closed_until: Millis,
+    /// Takes nothing new: it is being handed over.
+    pub leaving: bool,
     records: Records,
     /// Records not known to be safe, in order.
     unsafe_yet: VecDeque<Record>,
@@ -55,12 +62,14 @@
 }
 
 impl Owner {
-    /// With records that are all safe.
+    /// With records that are all safe. Their numbers are below `next`, which is at least 1, so
+    /// that 0 can stand for any number of old.
     #[must_use]
     pub fn new(epoch: u64, deputy: Name, records: Records, next: u64) -> Self {
         let closed_until = Millis(0);
         let unsafe_yet = VecDeque::new();
-        Self { epoch, deputy, closed_until, records, unsafe_yet, safe_to: next }
+        let (leaving, safe_to) = (false, next.max(1));
+        Self { epoch, deputy, closed_until, leaving, records, unsafe_yet, safe_to }
     }
 
     /// Refuses unknown keys until a time.
@@ -88,8 +97,7 @@
         &self.records
     }
 
-    /// Records a claim if the key is free. The answer is [`Self::verdict`], and may be given only
-    /// once [`Self::safe_to`] has passed the number returned.
+    /// Records a claim if the key is free. The answer is [`Self::verdict`].
     ///
     /// # Errors
     /// When it can't be taken now.
@@ -99,42 +107,45 @@
         request: &Name,
         keep_ms: u64,
         now: Millis,
-    ) -> Result<u64, Refused> {
+    ) -> Result<(), Refused> {
         match self.records.claimed(key, now) {
-            Some(claimed) if !claimed.abandoned || claimed.request == *request => {
-                return Ok(claimed.number);
-            }
+            Some(claimed) if !claimed.abandoned || claimed.request == *request => return Ok(()),
+            Some(_) if self.leaving => return Err(Refused::Leaving),
             Some(_) => {}
             None => self.admit(now)?,
         }
         let (key, request) = (key.clone(), request.clone());
-        Ok(self.push(Record::Claim { key, request, forget_at: now + keep_ms }))
+        self.push(Record::Claim { key, request, forget_at: now + keep_ms.min(KEEP_MS_MAX) });
+        Ok(())
     }
 
-    /// What a claim came to.
+    /// What a claim came to; none while the record that says so is not safe.
+    ///
+    /// Looked up afresh at each call: the claim may have been abandoned while it was waiting.
     #[must_use]
-    pub fn verdict(&self, key: &str, request: &str, now: Millis) -> Verdict {
+    pub fn verdict(&self, key: &str, request: &str, now: Millis) -> Option<Verdict> {
         match self.records.claimed(key, now) {
+            Some(claimed) if claimed.number >= self.safe_to => None,
             Some(claimed) if &*claimed.request != request => {
-                Verdict::Taken { request: claimed.request.clone() }
+                Some(Verdict::Taken { request: claimed.request.clone() })
             }
-            Some(claimed) if claimed.abandoned => Verdict::Vacant,
-            Some(_) => Verdict::Granted,
-            None => Verdict::Vacant,
+            Some(claimed) if claimed.abandoned => Some(Verdict::Vacant),
+            Some(_) => Some(Verdict::Granted),
+            None => Some(Verdict::Vacant),
         }
     }
 
     /// Records that a request never ran and never will, if it holds the key.
-    pub fn abandon(&mut self, key: &Name, request: &Name, now: Millis) -> Option<u64> {
+    pub fn abandon(&mut self, key: &Name, request: &Name, now: Millis) {
         match self.records.claimed(key, now) {
             Some(claimed) if claimed.request == *request && !claimed.abandoned => {}
-            _ => return None,
+            _ => return,
         }
         let (key, request) = (key.clone(), request.clone());
-        Some(self.push(Record::Abandon { key, request }))
+        self.push(Record::Abandon { key, request });
     }
 
-    /// Pins a session, or keeps the pin it has. The version may be told once its number is safe.
+    /// Pins a session, or keeps the pin it has. The answer is [`Self::version`].
     ///
     /// A pin is recorded again only when half its time is over: its use would otherwise cost a
     /// record each time.
@@ -147,10 +158,11 @@
         version: &Name,
         keep_ms: u64,
         now: Millis,
-    ) -> Result<(Name, u64), Refused> {
+    ) -> Result<(), Refused> {
+        let keep_ms = keep_ms.min(KEEP_MS_MAX);
         let version = match self.records.pinned(key, now) {
-            Some(pinned) if Millis(pinned.forget_at.0).since(now) > keep_ms / 2 => {
-                return Ok((pinned.version.clone(), pinned.number));
+            Some(pinned) if self.leaving || pinned.forget_at.since(now) > keep_ms / 2 => {
+                return Ok(());
             }
             Some(pinned) => pinned.version.clone(),
             None => {
@@ -158,12 +170,21 @@
                 version.clone()
             }
         };
-        let key = key.clone();
-        let record = Record::Pin { key, version: version.clone(), forget_at: now + keep_ms };
-        Ok((version, self.push(record)))
+        self.push(Record::Pin { key: key.clone(), version, forget_at: now + keep_ms });
+        Ok(())
+    }
+
+    /// A session's version; none while the record that says so is not safe.
+    #[must_use]
+    pub fn version(&self, key: &str, now: Millis) -> Option<Name> {
+        let pinned = self.records.pinned(key, now)?;
+        (pinned.number < self.safe_to).then(|| pinned.version.clone())
     }
 
     fn admit(&mut self, now: Millis) -> Result<(), Refused> {
+        if self.leaving {
+            return Err(Refused::Leaving);
+        }
         if now < self.closed_until {
             return Err(Refused::Closed { until: self.closed_until });
         }
@@ -176,11 +197,9 @@
         }
     }
 
-    fn push(&mut self, record: Record) -> u64 {
-        let number = self.next();
-        self.records.apply(&record, number);
+    fn push(&mut self, record: Record) {
+        self.records.apply(&record, self.next());
         self.unsafe_yet.push_back(record);
-        number
     }
 
     /// The records that are not safe yet, a bounded number of them, for the deputy.
@@ -189,8 +208,7 @@
         match self.unsafe_yet.is_empty() {
             true => None,
             false => Some(Append {
-                failure_domain: home.failure_domain.clone(),
-                shard: home.shard,
+                home: home.clone(),
                 epoch: self.epoch,
                 owner: owner.clone(),
                 first: self.safe_to,
@@ -215,6 +233,19 @@
         self.saved(loaded_to);
     }
 
+    /// Whether the deputy has all.
+    #[must_use]
+    pub fn is_safe(&self) -> bool {
+        self.unsafe_yet.is_empty()
+    }
+
+    /// Its records, and the number of the next.
+    #[must_use]
+    pub fn into_records(self) -> (Records, u64) {
+        let next = self.next();
+        (self.records, next)
+    }
+
     /// Drops records whose time is over.
     pub fn forget(&mut self, now: Millis) {
         self.records.forget(now);
--- a/crates/coordination/src/shard.rs
+++ b/crates/coordination/src/shard.rs
@@ -101,9 +101,8 @@
             Role::Deputy(deputy) => (deputy.epoch, deputy.next, deputy.records.dump()),
             Role::Idle => return None,
         };
-        let Home { failure_domain, shard } = home.clone();
-        let (epoch, owner) = (epoch + 1, me.clone());
-        Some(Append { failure_domain, shard, epoch, owner, first, records, whole: true })
+        let (home, epoch, owner) = (home.clone(), epoch + 1, me.clone());
+        Some(Append { home, epoch, owner, first, records, whole: true })
     }
 
     /// Becomes owner under a row's epoch; only after the row was read or swapped so.
@@ -127,6 +126,20 @@
         }
     }
 
+    /// Hands the owner's half to its deputy, and stays as deputy itself: both have the same
+    /// records. Only after the swap took effect.
+    pub fn hand_over(&mut self, epoch: u64, to: Name) {
+        match std::mem::take(&mut self.role) {
+            Role::Owner(owner) => {
+                let (records, next) = owner.into_records();
+                let deputy = Deputy { epoch, owner: to, fenced: false, records, next };
+                self.seen = epoch;
+                self.role = Role::Deputy(Box::new(deputy));
+            }
+            role => self.role = role,
+        }
+    }
+
     fn drop_role(&mut self) -> Standing {
         self.role = Role::Idle;
         Standing::Dropped
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -9,7 +9,7 @@
 use crate::claim::{Claim, ClaimAnswer, Pin, PinAnswer};
 use crate::evidence::Report;
 use crate::gossip::{Delta, Digest};
-use crate::shard::{Append, Appended, Place, Reply};
+use crate::shard::{Append, Appended, Home, Reply};
 use crate::view::{Ask, View};
 
 /// Served by each control.
@@ -34,13 +34,15 @@
     /// The document of the generation in force here, if it is at least that one.
     async fn document(generation: u64) -> Option<String>;
     /// A claim for a shard that the asked one owns.
-    async fn owner_claim(place: Place, claim: Claim) -> Reply<ClaimAnswer>;
+    async fn owner_claim(home: Home, claim: Claim) -> Reply<ClaimAnswer>;
     /// A pin for a shard that the asked one owns.
-    async fn owner_pin(place: Place, pin: Pin) -> Reply<PinAnswer>;
+    async fn owner_pin(home: Home, pin: Pin) -> Reply<PinAnswer>;
     /// An abandoned claim for a shard that the asked one owns; true once recorded.
-    async fn owner_abandon(place: Place, claim: Claim) -> Reply<bool>;
+    async fn owner_abandon(home: Home, claim: Claim) -> Reply<bool>;
     /// Records for a shard that the asked one is deputy of.
     async fn append(append: Append) -> Appended;
+    /// The row of a shard may name the asked one as owner now; also a sign of life.
+    async fn changed(home: Home);
     /// Bills to be held for another control; false at the memory bound.
     async fn hold(hold: Hold) -> bool;
     /// Bills of a log that are in the object store now.
--- a/crates/wire/src/shard.rs
+++ b/crates/wire/src/shard.rs
@@ -1,8 +1,8 @@
 //! What controls say to each other about shards.
 
+pub use coordination::home::Home;
 pub use coordination::message::{Append, Appended, Holder, Record};
 use policy::domain;
-use policy::name::Name;
 
 domain! {
     /// An owner's answer, or where else to ask.
@@ -15,13 +15,4 @@
             holder: Holder,
         },
     }
-
-    /// The name of a shard in messages.
-    #[derive(Eq)]
-    pub struct Place {
-        /// The failure domain.
-        pub failure_domain: Name,
-        /// The shard.
-        pub shard: u32,
-    }
 }
