Command line: control

The controllers run as a process: settings checked first, addresses printed as one JSON line, a stop by SIGTERM.

--- a/crates/chestnutspur/src/command.rs
+++ b/crates/chestnutspur/src/command.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod bills;
 mod check;
+mod control;
 mod report;
 mod status;
 
@@ -18,6 +19,16 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 pub enum Command {
+    /// Run the controllers of one entry host: configuration, shards, bills, console
+    ///
+    /// Prints one JSON line with the addresses it listens on, then logs on standard error until
+    /// SIGTERM, upon which it hands over what it holds and exits 0.
+    #[bpaf(command)]
+    Control {
+        /// JSON file with the process's settings
+        #[bpaf(long, argument("FILE"))]
+        settings: PathBuf,
+    },
     /// Check a settings file or a configuration document, whichever it is
     ///
     /// Prints every fault with its path in the file; exit code 2 if there is one.
@@ -53,6 +64,7 @@
 /// Runs one subcommand to its end.
 pub fn run(command: Command) -> Exit {
     match command {
+        Command::Control { settings } => control::run(&settings),
         Command::Check { file } => check::run(&file),
         Command::Apply(arguments) => apply::run(arguments),
         Command::Status(arguments) => status::run(&arguments),
@@ -72,7 +84,6 @@
         .ok()
 }
 
-#[expect(dead_code, reason = "for entry and control, which come next")]
 /// Reads a settings file, or prints every fault found.
 fn load(file: &Path) -> Option<Settings> {
     let text = read(file)?;
--- a/crates/chestnutspur/src/main.rs
+++ b/crates/chestnutspur/src/main.rs
@@ -3,9 +3,7 @@
 mod command;
 mod exit;
 mod http;
-#[expect(dead_code, reason = "for entry and control, which come next")]
 mod logging;
-#[expect(dead_code, reason = "for entry and control, which come next")]
 mod process;
 
 use bpaf::{Args, ParseFailure};
