--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -5,6 +5,8 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -75,6 +77,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     control: watch::Sender<Control>,
+    passed: Arc<AtomicU64>,
 }
 
 /// Starts a proxy on the current runtime, without a target yet.
@@ -85,8 +88,9 @@
     let listener = TcpListener::bind(listen).await?;
     let address = listener.local_addr()?;
     let (control, _) = watch::channel(Control::default());
-    tokio::spawn(accept(listener, control.clone()));
-    Ok(Proxy { address, control })
+    let passed = Arc::new(AtomicU64::new(0));
+    tokio::spawn(accept(listener, control.clone(), Arc::clone(&passed)));
+    Ok(Proxy { address, control, passed })
 }
 
 impl Proxy {
@@ -121,6 +125,12 @@
         self.control.send_modify(|control| control.reset_below = control.next);
     }
 
+    /// Bytes passed on so far, both ways together.
+    #[must_use]
+    pub fn passed(&self) -> u64 {
+        self.passed.load(Ordering::Relaxed)
+    }
+
     /// Connections accepted so far.
     #[must_use]
     pub fn accepted(&self) -> u64 {
@@ -134,7 +144,7 @@
     }
 }
 
-async fn accept(listener: TcpListener, control: watch::Sender<Control>) {
+async fn accept(listener: TcpListener, control: watch::Sender<Control>, passed: Arc<AtomicU64>) {
     let mut watching = control.subscribe();
     loop {
         let accepted = tokio::select! {
@@ -148,7 +158,8 @@
                     number = control.next;
                     control.next += 1;
                 });
-                tokio::spawn(connection(stream, number, control.subscribe()));
+                let passed = Arc::clone(&passed);
+                tokio::spawn(connection(stream, number, control.subscribe(), passed));
             }
             Err(error) => log::warn!("proxy: accepting failed: {error}"),
         }
@@ -161,7 +172,12 @@
     let _ = stream.set_zero_linger();
 }
 
-async fn connection(caller: TcpStream, number: u64, mut control: watch::Receiver<Control>) {
+async fn connection(
+    caller: TcpStream,
+    number: u64,
+    mut control: watch::Receiver<Control>,
+    all: Arc<AtomicU64>,
+) {
     let mut watching = control.clone();
     let target = tokio::select! {
         target = connect(number, &mut control) => target,
@@ -176,8 +192,8 @@
     let _ = target.set_nodelay(true);
     let (from_caller, to_caller) = caller.into_split();
     let (from_target, to_target) = target.into_split();
-    let mut up = Pump::new(from_caller, to_target, Direction::Request, number, &control);
-    let mut down = Pump::new(from_target, to_caller, Direction::Answer, number, &control);
+    let mut up = Pump::new(from_caller, to_target, Direction::Request, number, &control, &all);
+    let mut down = Pump::new(from_target, to_caller, Direction::Answer, number, &control, &all);
     let ended_well = tokio::select! {
         both = async { tokio::try_join!(up.run(), down.run()) } => both.is_ok(),
         () = broken(&mut watching, number) => false,
@@ -216,6 +232,8 @@
     number: u64,
     control: watch::Receiver<Control>,
     passed: u64,
+    /// What all connections of the proxy passed.
+    all: Arc<AtomicU64>,
 }
 
 impl Pump {
@@ -225,8 +243,10 @@
         direction: Direction,
         number: u64,
         control: &watch::Receiver<Control>,
+        all: &Arc<AtomicU64>,
     ) -> Self {
-        Self { from, to, direction, number, control: control.clone(), passed: 0 }
+        let (control, all) = (control.clone(), Arc::clone(all));
+        Self { from, to, direction, number, control, passed: 0, all }
     }
 
     async fn run(&mut self) -> Result<(), Broken> {
@@ -271,6 +291,7 @@
         let bytes = &bytes[..bytes.len().min(room)];
         self.to.write_all(bytes).await?;
         self.passed += bytes.len() as u64;
+        self.all.fetch_add(bytes.len() as u64, Ordering::Relaxed);
         if self.passed >= limit { Err(Broken) } else { Ok(()) }
     }
 }
