entry: the data plane, thin: callers in, backend servers out, a filter chain

Cause: nothing served a request yet. A request now passes account, task, session, version, admission, backend server, key claim, dispatch, check of the answer and bill, each in a module of its own; session tokens are a pure module of coordination.

Ruled out: hyper-util's pooled client, which does not say whether a request was written, so 'ran: no' could not be told; connections are kept per backend server over hyper's own client connection, whose try_send_request gives an unwritten request back. Ruled out: claiming a key before a backend server is found. A key granted and then not used would stay taken although its request never ran, so the connection comes first.

--- /dev/null
+++ b/crates/entry/src/chain.rs
@@ -0,0 +1,123 @@
+//! The filter chain: what a request passes, in order.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderName, HeaderValue};
+use hyper::{Request, Response};
+use policy::name::Name;
+use wire::refusal::{Code, Refusal};
+
+use crate::answer::Answer;
+use crate::call::{self, Call, Route};
+use crate::filter::{account, open};
+use crate::state::State;
+use crate::{chat, ending, refuse, service};
+
+/// Echo of the caller's own `X-Request-Id`.
+pub const CALLER_REQUEST: HeaderName = HeaderName::from_static("chestnutspur-caller-request");
+const CALLER_REQUEST_BYTES_MAX: usize = 128;
+
+/// What is known of a request so far, for its outcome should it be refused.
+#[derive(Default)]
+pub struct Trace {
+    /// The client account.
+    pub account: Option<Name>,
+    /// The task, or the service's name.
+    pub task: Option<Name>,
+}
+
+/// Answers a request, or refuses it.
+pub async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Answer> {
+    let started = Instant::now();
+    let id = state.request_id();
+    let caller_id = caller_id(&request);
+    let mut trace = Trace::default();
+    let result = serve(&state, &id, started, request, &mut trace).await;
+    let mut response = match result {
+        Ok(response) => response,
+        Err(refusal) => refused(&state, &id, started, refusal, trace),
+    };
+    let headers = response.headers_mut();
+    if let Ok(id) = HeaderValue::from_str(&id) {
+        headers.insert(HeaderName::from_static(wire::backend::REQUEST_ID), id);
+    }
+    if let Some(caller_id) = caller_id {
+        headers.insert(CALLER_REQUEST, caller_id);
+    }
+    if state.stop.is_cancelled() {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+fn caller_id(request: &Request<Incoming>) -> Option<HeaderValue> {
+    let value = request.headers().get(wire::backend::REQUEST_ID)?;
+    (value.len() <= CALLER_REQUEST_BYTES_MAX).then(|| value.clone())
+}
+
+async fn serve(
+    state: &Arc<State>,
+    id: &Name,
+    started: Instant,
+    request: Request<Incoming>,
+    trace: &mut Trace,
+) -> Result<Response<Answer>, Refusal> {
+    let (head, body) = request.into_parts();
+    let bounds = &state.settings.bounds;
+    call::check_headers(&head.headers, bounds)?;
+    let route = call::route(&head.method, &head.uri)?;
+    let snapshot = state.snapshot.load_full();
+    let slot = open::enter(state, &snapshot)?;
+    let (account_name, account) = account::identify(&snapshot, &head.headers)?;
+    trace.account = Some(account_name.clone());
+    let call = Call { id: id.clone(), started, method: head.method, headers: head.headers, route };
+    let body = call::read_body(body, bounds).await?;
+    let from = From { state, snapshot: &snapshot, account_name, account, call: &call };
+    match &call.route {
+        Route::Chat => chat::serve(&from, body, slot, trace).await,
+        Route::Service { name, path } => service::serve(&from, name, path, body, slot, trace).await,
+    }
+}
+
+/// Where a request comes from, and what it is decided by.
+pub struct From<'a> {
+    /// The process.
+    pub state: &'a Arc<State>,
+    /// The world when it came in.
+    pub snapshot: &'a crate::snapshot::Snapshot,
+    /// Its account's name.
+    pub account_name: &'a Name,
+    /// Its account.
+    pub account: &'a wire::configuration::Account,
+    /// The request.
+    pub call: &'a Call,
+}
+
+fn refused(
+    state: &State,
+    id: &Name,
+    started: Instant,
+    mut refusal: Refusal,
+    trace: Trace,
+) -> Response<Answer> {
+    refusal.request = Some(id.clone());
+    let code = code_name(refusal.code);
+    log::debug!("entry: request {id} refused: {code}");
+    metrics::counter!("entry_refusals_total", "code" => code).increment(1);
+    // A caller's own mistake says nothing of the service level it gets.
+    if let (Some(account), Some(task), 500..) = (trace.account, trace.task, refusal.code.status()) {
+        state.reports.outcome(ending::outcome(account, task, started, started.elapsed()));
+    }
+    refuse::response(refusal)
+}
+
+/// A code as in the refusal's body.
+#[must_use]
+pub fn code_name(code: Code) -> String {
+    match serde_json::to_value(code) {
+        Ok(serde_json::Value::String(name)) => name,
+        _ => String::new(),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/dispatch.rs
@@ -0,0 +1,297 @@
+//! Sends a request to a backend server, and elsewhere after a failure if that can't double it.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{HOST, HeaderValue};
+use hyper::{HeaderMap, Method, Request};
+use policy::name::Name;
+use policy::retry::{self, Attempt};
+use wire::backend::REQUEST_ID;
+use wire::claim::Claim;
+use wire::refusal::{Code, Refusal};
+
+use crate::clock;
+use crate::connection::{Cause, Connection, Failure};
+use crate::filter::{claim, place};
+use crate::reply::{self, Reply};
+use crate::server::{IDLE, JUST_PROVEN, Lease, Server};
+use crate::snapshot::Snapshot;
+use crate::state::State;
+
+/// Longest wait for a new connection.
+const CONNECT: Duration = Duration::from_millis(1000);
+/// Tries of one request at most, those that wrote nothing included.
+const TRIES_MAX: u32 = 6;
+const FAILED_RETRY_MS: u64 = 1_000;
+const NO_SERVER_RETRY_MS: u64 = 1_000;
+
+/// One call to make.
+pub struct Job {
+    /// The request's id.
+    pub id: Name,
+    /// The client account.
+    pub account: Name,
+    /// The task, or the service's name.
+    pub task: Name,
+    /// The version; none for a plain service.
+    pub version: Option<Name>,
+    /// The pool that serves it.
+    pub pool: Name,
+    /// Whether it may run more than once.
+    pub may_repeat: bool,
+    /// When the caller no longer waits.
+    pub deadline: Instant,
+    /// Longest wait for the first byte of an answer.
+    pub first_byte: Duration,
+    /// The same on a connection that has carried answers before.
+    pub reused_first_byte: Duration,
+    /// Longest wait between two pieces of it.
+    pub between_bytes: Duration,
+    /// What decides which backend server's cache fits.
+    pub affinity: Option<u64>,
+    /// What must be granted before the first byte goes out.
+    pub claim: Option<Claim>,
+    /// Whether the answer must be read to its end before it is looked at.
+    pub whole: bool,
+    /// Whether the answer's text is wanted.
+    pub text: bool,
+    /// For the backend server.
+    pub method: Method,
+    /// For the backend server.
+    pub path: String,
+    /// For the backend server.
+    pub headers: HeaderMap,
+    /// For the backend server.
+    pub body: Bytes,
+}
+
+/// What the tries so far have come to.
+#[derive(Default)]
+struct Tries {
+    count: u32,
+    /// A byte of the request may have been written.
+    sent: bool,
+    claimed: bool,
+    tried: Vec<Name>,
+    last: Option<Cause>,
+}
+
+/// Why a try gave no reply.
+enum Stop {
+    Failed(Failure),
+    Refused(Refusal),
+}
+
+impl From<Failure> for Stop {
+    fn from(failure: Failure) -> Self {
+        Self::Failed(failure)
+    }
+}
+
+impl From<Refusal> for Stop {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+impl Job {
+    /// Time that the caller still waits.
+    #[must_use]
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    fn servers<'a>(&self, snapshot: &'a Snapshot) -> &'a [Arc<Server>] {
+        let servers = match &self.version {
+            Some(version) => snapshot.versions.get(version),
+            None => snapshot.pools.get(&self.pool),
+        };
+        servers.map(Vec::as_slice).unwrap_or_default()
+    }
+
+    fn request(&self, server: &Server) -> Result<Request<Full<Bytes>>, Failure> {
+        let broken = Failure::not_sent(Cause::Broken);
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.path.parse().map_err(|_| broken)?;
+        *request.headers_mut() = self.headers.clone();
+        let host = HeaderValue::from_str(&server.address.to_string()).map_err(|_| broken)?;
+        request.headers_mut().insert(HOST, host);
+        let id = HeaderValue::from_str(&self.id).map_err(|_| broken)?;
+        request.headers_mut().insert(REQUEST_ID, id);
+        Ok(request)
+    }
+
+    fn note(&self, state: &State, failed: bool) {
+        if let Some(version) = &self.version {
+            state.reports.call(version, &self.task, failed);
+        }
+    }
+}
+
+/// Makes a call.
+///
+/// Each try takes the newest snapshot, so a backend server that has left in the meantime, or a
+/// version that was stopped, gets nothing.
+///
+/// # Errors
+/// A refusal; `ran: "no"` only if no try can have written a byte.
+pub async fn dispatch(state: &Arc<State>, job: &Job) -> Result<Reply, Refusal> {
+    let mut tries = Tries::default();
+    state.budgets.with(&job.account, retry::Budget::fill);
+    state.pool_budgets.with(&job.pool, retry::Budget::fill);
+    loop {
+        let snapshot = state.snapshot.load_full();
+        check_version(&snapshot, job, &tries)?;
+        let servers = job.servers(&snapshot);
+        let Some(server) = place::choose(servers, &tries.tried, job.affinity, clock::now()) else {
+            return Err(no_server(job, &tries));
+        };
+        tries.count += 1;
+        match attempt(state, job, &server, &mut tries).await {
+            Ok(reply) => return Ok(reply),
+            Err(Stop::Refused(refusal)) => return Err(refusal),
+            Err(Stop::Failed(failure)) => {
+                tries.sent |= failure.sent;
+                tries.last = Some(failure.cause);
+                log::debug!("entry: request {} at {}: {failure:?}", job.id, server.name);
+                metrics::counter!("entry_tries_failed_total", "cause" => failure.cause.label())
+                    .increment(1);
+            }
+        }
+        if !may_go_on(state, job, &tries) {
+            return Err(given_up(job, &tries));
+        }
+    }
+}
+
+/// A version withdrawn or put under quarantine while a request waited for its place, or between
+/// two of its tries, gets no new work either.
+fn check_version(snapshot: &Snapshot, job: &Job, tries: &Tries) -> Result<(), Refusal> {
+    let stopped = job.version.as_ref().is_some_and(|name| {
+        snapshot.quarantined.contains(name)
+            || !snapshot.version(name).is_some_and(wire::configuration::Version::takes_work)
+    });
+    match stopped {
+        true => Err(no_server(job, tries)),
+        false => Ok(()),
+    }
+}
+
+async fn attempt(
+    state: &Arc<State>,
+    job: &Job,
+    server: &Arc<Server>,
+    tries: &mut Tries,
+) -> Result<Reply, Stop> {
+    let idle = server.take_idle(if job.may_repeat { IDLE } else { JUST_PROVEN });
+    let mut connection = match idle {
+        Some(connection) => connection,
+        None => open(job, server, tries).await?,
+    };
+    // The claim comes last before the first byte. A key that is granted and then not used, for
+    // want of a backend server, would stay taken though its request never ran.
+    if let Some(wanted) = job.claim.as_ref().filter(|_| !tries.claimed) {
+        claim::claim(state, wanted, job.deadline).await?;
+        tries.claimed = true;
+    }
+    let reused = connection.reused();
+    let lease = Lease::new(Arc::clone(server));
+    let request = job.request(server)?;
+    let limit = if reused { job.reused_first_byte } else { job.first_byte };
+    let first_byte = limit.min(job.left());
+    let sent_at = Instant::now();
+    let result = match connection.send(request, first_byte).await {
+        Ok(response) => reply::read(job, response, connection, lease, sent_at).await,
+        Err(failure) => Err(failure),
+    };
+    match result {
+        Ok(reply) => {
+            server.note_success();
+            job.note(state, false);
+            Ok(reply)
+        }
+        Err(failure) => {
+            blame(state, job, server, tries, failure, reused);
+            Err(failure.into())
+        }
+    }
+}
+
+async fn open(job: &Job, server: &Server, tries: &mut Tries) -> Result<Connection, Failure> {
+    let opened = Connection::open(server.address, CONNECT.min(job.left())).await;
+    if opened.is_err() && !job.left().is_zero() {
+        server.note_failure(clock::now());
+        tries.tried.push(server.name.clone());
+    }
+    opened
+}
+
+/// Who is to blame for a failure: an old connection, the backend server, or nobody.
+fn blame(
+    state: &State,
+    job: &Job,
+    server: &Server,
+    tries: &mut Tries,
+    failure: Failure,
+    reused: bool,
+) {
+    match failure.cause {
+        // The caller's time was over; that says nothing of the server.
+        _ if job.left().is_zero() => {}
+        Cause::Deadline => {}
+        Cause::Silent | Cause::Broken if reused => server.note_suspicion(),
+        Cause::Silent | Cause::Broken | Cause::Refused => {
+            server.note_failure(clock::now());
+            tries.tried.push(server.name.clone());
+            job.note(state, true);
+        }
+        // It works, but not for this request.
+        Cause::Crossed | Cause::Truncated | Cause::Failed(_) => {
+            tries.tried.push(server.name.clone());
+            job.note(state, true);
+        }
+    }
+}
+
+fn may_go_on(state: &State, job: &Job, tries: &Tries) -> bool {
+    let attempt = Attempt {
+        may_repeat: job.may_repeat,
+        first_byte_written: tries.sent,
+        answer_begun: false,
+        left_ms: u64::try_from(job.left().as_millis()).unwrap_or(u64::MAX),
+        expected_ms: 1,
+    };
+    // A try that wrote nothing made no work, so it costs nothing of the budget.
+    let paid = || {
+        !tries.sent
+            || (state.budgets.with(&job.account, retry::Budget::take)
+                && state.pool_budgets.with(&job.pool, retry::Budget::take))
+    };
+    tries.count < TRIES_MAX && retry::may_try_elsewhere(&attempt) && paid()
+}
+
+fn refusal(code: Code, message: String, tries: &Tries) -> Refusal {
+    match tries.sent {
+        true => Refusal::may_have_run(code, message),
+        false => Refusal::not_run(code, message),
+    }
+}
+
+fn no_server(job: &Job, tries: &Tries) -> Refusal {
+    let what = job.version.as_ref().unwrap_or(&job.task);
+    let message = format!("no backend server takes new work for {what} now");
+    refusal(Code::NoBackend, message, tries).retry_after(NO_SERVER_RETRY_MS)
+}
+
+fn given_up(job: &Job, tries: &Tries) -> Refusal {
+    let cause = tries.last.map_or("failed", Cause::message);
+    match job.left().is_zero() {
+        true => refusal(Code::DeadlinePassed, "the deadline passed".to_owned(), tries),
+        false => refusal(Code::BackendFailed, format!("the backend server {cause}"), tries)
+            .retry_after(FAILED_RETRY_MS),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/filter/chat.rs
@@ -0,0 +1,67 @@
+//! Bodies of chat completions.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use bytes::Bytes;
+use serde_json::{Map, Value};
+use wire::refusal::{Code, Refusal};
+
+/// How much of the prompt decides which backend server's prefix cache fits.
+const AFFINITY_BYTES: usize = 1024;
+
+/// A body, read.
+pub struct Chat {
+    members: Map<String, Value>,
+    /// The model or version asked for.
+    pub model: String,
+}
+
+impl Chat {
+    /// Reads a body. Members that we don't know are the model engine's and pass untouched.
+    ///
+    /// # Errors
+    /// [`Code::BadRequest`]; the message never quotes the body.
+    pub fn parse(body: &[u8]) -> Result<Self, Refusal> {
+        let bad = |message: &str| Refusal::not_run(Code::BadRequest, message);
+        let value: Value = serde_json::from_slice(body).map_err(|error| {
+            bad(&format!("the body is not JSON: line {}, column {}", error.line(), error.column()))
+        })?;
+        let Value::Object(members) = value else { return Err(bad("the body is not an object")) };
+        let model = match members.get("model") {
+            Some(Value::String(model)) if !model.is_empty() => model.clone(),
+            _ => return Err(bad("model must be a text")),
+        };
+        match members.get("messages") {
+            Some(Value::Array(messages)) if !messages.is_empty() => {}
+            _ => return Err(bad("messages must be a list that is not empty")),
+        }
+        match members.get("stream") {
+            None | Some(Value::Bool(_) | Value::Null) => {}
+            Some(_) => return Err(bad("stream must be true or false")),
+        }
+        Ok(Self { members, model })
+    }
+
+    /// Whether the answer is wanted piece by piece.
+    #[must_use]
+    pub fn stream(&self) -> bool {
+        matches!(self.members.get("stream"), Some(Value::Bool(true)))
+    }
+
+    /// Alike for requests whose prompts begin alike.
+    #[must_use]
+    pub fn affinity(&self) -> u64 {
+        let messages = self.members.get("messages").map(Value::to_string).unwrap_or_default();
+        let prefix = &messages.as_bytes()[..messages.len().min(AFFINITY_BYTES)];
+        let mut hasher = DefaultHasher::new();
+        prefix.hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// The body for a backend server.
+    #[must_use]
+    pub fn body_for(&mut self, version: &str) -> Bytes {
+        self.members.insert("model".to_owned(), Value::from(version));
+        serde_json::to_vec(&self.members).unwrap_or_default().into()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/loads.rs
@@ -0,0 +1,66 @@
+//! Asks backend servers for their load, a few at a time, spread out.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Request;
+use hyper::header::{HOST, HeaderValue};
+use wire::backend::Load;
+
+use crate::clock;
+use crate::connection::{Connection, Failure};
+use crate::server::Server;
+use crate::state::State;
+
+/// Questions a second at most, however many backend servers there are: with many entry hosts
+/// each server is asked by all of them.
+const PER_SECOND_MAX: u64 = 20;
+/// Each server is asked this often at most.
+const EACH: Duration = Duration::from_millis(400);
+/// Longest wait for an answer.
+const WITHIN: Duration = Duration::from_secs(1);
+const LOAD_BYTES_MAX: usize = 16 << 10;
+
+/// Asks one server after another until the process ends.
+pub async fn run(state: Arc<State>) {
+    loop {
+        let snapshot = state.snapshot.load_full();
+        let servers: Vec<Arc<Server>> = snapshot.pools.values().flatten().cloned().collect();
+        let pause = pause(servers.len());
+        for server in servers {
+            tokio::time::sleep(pause).await;
+            tokio::spawn(async move { ask(&server).await });
+        }
+        if snapshot.pools.is_empty() {
+            tokio::time::sleep(EACH).await;
+        }
+    }
+}
+
+fn pause(servers: usize) -> Duration {
+    let spread = EACH / u32::try_from(servers.max(1)).unwrap_or(u32::MAX);
+    spread.max(Duration::from_millis(1000 / PER_SECOND_MAX))
+}
+
+/// Always on a new connection: the answer then proves that new connections work, which is what
+/// a server held ill must show, and no old connection is kept from being retired.
+async fn ask(server: &Server) {
+    server.retire(false);
+    match tokio::time::timeout(WITHIN, load(server)).await {
+        Ok(Ok(load)) => server.note_load(load, clock::now()),
+        Ok(Err(_)) | Err(_) => server.note_failure(clock::now()),
+    }
+}
+
+async fn load(server: &Server) -> Result<Load, Failure> {
+    let mut connection = Connection::open(server.address, WITHIN).await?;
+    let broken = Failure::sent(crate::connection::Cause::Broken);
+    let host = HeaderValue::from_str(&server.address.to_string()).map_err(|_| broken)?;
+    let request = Request::get("/load").header(HOST, host).body(Full::new(Bytes::new()));
+    let response = connection.send(request.map_err(|_| broken)?, WITHIN).await?;
+    let body = Limited::new(response.into_body(), LOAD_BYTES_MAX).collect().await;
+    let body = body.map_err(|_| broken)?.to_bytes();
+    serde_json::from_slice(&body).map_err(|_| broken)
+}
--- /dev/null
+++ b/crates/entry/src/operators.rs
@@ -0,0 +1,74 @@
+//! Health and metrics for operators and the balancer.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::net::TcpListener;
+
+use crate::answer::Answer;
+use crate::state::State;
+
+/// Serves until the process ends.
+pub async fn serve(listener: TcpListener, state: Arc<State>, metrics: PrometheusHandle) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let (state, metrics) = (Arc::clone(&state), metrics.clone());
+        let service = service_fn(move |request| {
+            let response = answer(&state, &metrics, &request);
+            async move { Ok::<_, Infallible>(response) }
+        });
+        tokio::spawn(async move {
+            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = served.await {
+                log::debug!("entry: an operator's connection: {error}");
+            }
+        });
+    }
+}
+
+fn answer(
+    state: &State,
+    metrics: &PrometheusHandle,
+    request: &Request<Incoming>,
+) -> Response<Answer> {
+    let (status, text) = match (request.method(), request.uri().path()) {
+        (&Method::GET, "/live") => (StatusCode::OK, "live\n".to_owned()),
+        (&Method::GET, "/ready") => ready(state),
+        (&Method::GET, "/metrics") => (StatusCode::OK, render(state, metrics)),
+        (_, "/live" | "/ready" | "/metrics") => {
+            (StatusCode::METHOD_NOT_ALLOWED, "only GET\n".to_owned())
+        }
+        _ => (StatusCode::NOT_FOUND, "/live, /ready or /metrics\n".to_owned()),
+    };
+    let mut response = Response::new(Answer::whole(text));
+    *response.status_mut() = status;
+    response
+}
+
+fn ready(state: &State) -> (StatusCode, String) {
+    match () {
+        () if state.stop.is_cancelled() => {
+            (StatusCode::SERVICE_UNAVAILABLE, "shutting down\n".to_owned())
+        }
+        () if !state.snapshot.load().is_ready() => {
+            (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n".to_owned())
+        }
+        () => (StatusCode::OK, "ready\n".to_owned()),
+    }
+}
+
+fn render(state: &State, metrics: &PrometheusHandle) -> String {
+    let snapshot = state.snapshot.load();
+    metrics::gauge!("entry_generation").set(snapshot.document.generation as f64);
+    metrics::gauge!("entry_unconfirmed_seconds").set(snapshot.unconfirmed_ms() as f64 / 1000.0);
+    metrics::gauge!("entry_bills_pending").set(state.bills.pending() as f64);
+    let in_flight = state.in_flight.load(std::sync::atomic::Ordering::Relaxed);
+    metrics::gauge!("entry_requests_in_flight").set(in_flight as f64);
+    metrics.render()
+}
--- /dev/null
+++ b/crates/entry/src/rating.rs
@@ -0,0 +1,154 @@
+//! Ratings of answers: which are asked for, and asking.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Request;
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use policy::exposure::cusum::Cusum;
+use policy::exposure::rating::{Interest, Sampler};
+use policy::exposure::{Hypotheses, Test};
+use policy::name::Name;
+use wire::backend::{Rate, Rating};
+use wire::configuration::VersionState;
+
+use crate::clock;
+use crate::connection::Connection;
+use crate::filter::place;
+use crate::server::{IDLE, Lease, Server};
+use crate::snapshot::Snapshot;
+use crate::state::State;
+
+/// Longest wait for a rating.
+const WITHIN: Duration = Duration::from_secs(2);
+/// Ratings under way at a time; past it answers go unrated.
+const UNDER_WAY_MAX: usize = 64;
+const SAMPLERS: usize = 8;
+const RATING_BYTES_MAX: usize = 64 << 10;
+
+/// Which answers are rated, and how many ratings are under way.
+pub struct Ratings {
+    samplers: Vec<Mutex<Sampler>>,
+    next: AtomicUsize,
+    under_way: AtomicUsize,
+    /// This host's own test of each version. It only raises the share that is rated; the
+    /// verdict is reached on the counts of all hosts.
+    tests: crate::sharded::Sharded<Cusum>,
+}
+
+impl Ratings {
+    /// For a share of answers, 0 to 1.
+    #[must_use]
+    pub fn new(share: f64) -> Self {
+        let samplers = (0..SAMPLERS).map(|_| Mutex::new(Sampler::new(share))).collect();
+        Self {
+            samplers,
+            next: AtomicUsize::new(0),
+            under_way: AtomicUsize::new(0),
+            tests: crate::sharded::Sharded::default(),
+        }
+    }
+
+    /// Whether an answer of a version is to be rated.
+    #[must_use]
+    pub fn wants(&self, snapshot: &Snapshot, version: &Name) -> bool {
+        let is_candidate =
+            snapshot.version(version).is_some_and(|v| v.state == VersionState::Candidate);
+        let verdict = self.tests.with(version, |test| test.verdict());
+        let interest = Interest::of(is_candidate, verdict);
+        let index = self.next.fetch_add(1, Ordering::Relaxed) % SAMPLERS;
+        let mut sampler = self.samplers[index].lock().unwrap_or_else(PoisonError::into_inner);
+        !snapshot.raters.is_empty() && sampler.rates(interest, rand::random())
+    }
+}
+
+/// Has an answer rated beside the traffic.
+pub fn start(state: &Arc<State>, request: Name, version: Name, task: Name, text: String) {
+    let ratings = &state.ratings;
+    if ratings.under_way.fetch_add(1, Ordering::Relaxed) >= UNDER_WAY_MAX {
+        ratings.under_way.fetch_sub(1, Ordering::Relaxed);
+        metrics::counter!("entry_ratings_skipped_total").increment(1);
+        return;
+    }
+    let state = Arc::clone(state);
+    tokio::spawn(async move {
+        rate(&state, &request, &version, &task, text, Instant::now() + WITHIN).await;
+        state.ratings.under_way.fetch_sub(1, Ordering::Relaxed);
+    });
+}
+
+/// Asks for a rating and notes it; none if no rating service answered in time.
+pub async fn rate(
+    state: &Arc<State>,
+    request: &Name,
+    version: &Name,
+    task: &Name,
+    text: String,
+    deadline: Instant,
+) -> Option<bool> {
+    let question = Rate {
+        request: request.to_string(),
+        version: version.to_string(),
+        task: task.to_string(),
+        answer: text,
+    };
+    let body = Bytes::from(serde_json::to_vec(&question).unwrap_or_default());
+    let deadline = deadline.min(Instant::now() + WITHIN);
+    let snapshot = state.snapshot.load_full();
+    let server = place::choose(&snapshot.raters, &[], None, clock::now())?;
+    let asked = tokio::time::timeout_at(deadline.into(), ask(&server, request, body)).await;
+    let good = match asked {
+        Ok(Some(rating)) => rating.good,
+        Ok(None) | Err(_) => {
+            metrics::counter!("entry_ratings_failed_total").increment(1);
+            server.note_failure(clock::now());
+            return None;
+        }
+    };
+    let prior = snapshot.version(version).and_then(|v| v.quality.get(task)).copied();
+    let expecting = Hypotheses::expecting(prior.unwrap_or(policy::estimate::UNKNOWN_MEAN));
+    state.ratings.tests.with(version, |test| test.observe(good, &expecting));
+    state.reports.rated(version, task, good);
+    Some(good)
+}
+
+async fn ask(server: &Arc<Server>, request: &Name, body: Bytes) -> Option<Rating> {
+    let mut connection = match server.take_idle(IDLE) {
+        Some(connection) => connection,
+        None => Connection::open(server.address, WITHIN).await.ok()?,
+    };
+    let lease = Lease::new(Arc::clone(server));
+    let host = HeaderValue::from_str(&server.address.to_string()).ok()?;
+    let question = Request::post("/rate")
+        .header(HOST, host)
+        .header(CONTENT_TYPE, "application/json")
+        .header(wire::backend::REQUEST_ID, request.as_str())
+        .body(Full::new(body))
+        .ok()?;
+    let response = connection.send(question, WITHIN).await.ok()?;
+    let body = Limited::new(response.into_body(), RATING_BYTES_MAX).collect().await.ok()?;
+    if connection.proved(WITHIN).await {
+        server.put_idle(connection);
+    }
+    drop(lease);
+    serde_json::from_slice(&body.to_bytes()).ok()
+}
+
+/// The text of a whole answer that the rating service is asked about.
+#[must_use]
+pub fn text_of(answer: &[u8]) -> Option<String> {
+    let value: serde_json::Value = serde_json::from_slice(answer).ok()?;
+    value["choices"][0]["message"]["content"].as_str().map(str::to_owned)
+}
+
+/// The text of a whole stream of events.
+#[must_use]
+pub fn text_of_events(answer: &[u8]) -> Option<String> {
+    let mut watch = crate::sse::Watch::default().with_text(answer.len());
+    watch.feed(answer);
+    watch.into_text()
+}
--- /dev/null
+++ b/crates/entry/src/respond.rs
@@ -0,0 +1,82 @@
+//! Turns a backend server's reply into the caller's answer.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::Response;
+use hyper::body::Body;
+use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
+use hyper::http::response::Parts;
+use wire::refusal::{Code, Refusal};
+
+use crate::answer::Answer;
+use crate::ending::Ending;
+use crate::filter::service::passed_on;
+use crate::reply::{Content, Reply};
+use crate::state::State;
+use crate::{rating, relay};
+
+/// Headers of ours on an answer.
+#[derive(Default)]
+pub struct Extra {
+    /// The signed token of the session that began with this request.
+    pub session: Option<String>,
+}
+
+/// The answer, its bill on the way or held.
+///
+/// # Errors
+/// [`Code::BillsFull`] if no control held the bill of a whole answer in time.
+pub async fn respond(
+    state: &Arc<State>,
+    reply: Reply,
+    ending: Ending,
+    extra: Extra,
+) -> Result<Response<Answer>, Refusal> {
+    let head = head(&reply.head, &ending, extra);
+    match reply.content {
+        Content::Whole(bytes) => {
+            let text = ending.rate.then(|| text(&reply.head, &bytes)).flatten();
+            match ending.whole(text).await {
+                true => Ok(Response::from_parts(head, Answer::whole(bytes))),
+                false => Err(Refusal::may_have_run(
+                    Code::BillsFull,
+                    "the answer is withheld: its bill could not be kept safe",
+                )),
+            }
+        }
+        Content::Stream(stream) => {
+            let mut head = head;
+            if let Some(rest) = stream.body.size_hint().exact() {
+                let length = HeaderValue::from(rest + stream.begun.len() as u64);
+                head.headers.insert(CONTENT_LENGTH, length);
+            }
+            Ok(Response::from_parts(head, relay::start(state, stream, ending)))
+        }
+    }
+}
+
+/// The text of a whole answer, whichever way it came.
+#[must_use]
+pub fn text(head: &Parts, bytes: &Bytes) -> Option<String> {
+    match crate::reply::is_event_stream(head) {
+        true => rating::text_of_events(bytes),
+        false => rating::text_of(bytes),
+    }
+}
+
+fn head(from: &Parts, ending: &Ending, extra: Extra) -> Parts {
+    let (mut head, ()) = Response::new(()).into_parts();
+    head.status = from.status;
+    head.headers = passed_on(&from.headers);
+    let ours = [
+        (wire::backend::VERSION, ending.version.as_ref().map(ToString::to_string)),
+        (wire::backend::SESSION, extra.session),
+    ];
+    for (name, value) in ours {
+        if let Some(value) = value.and_then(|value| HeaderValue::try_from(value).ok()) {
+            head.headers.insert(HeaderName::from_static(name), value);
+        }
+    }
+    head
+}
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,172 @@
+//! Backend servers as this process knows them: idle connections, health, load reports.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use policy::name::Name;
+use policy::time::Millis;
+use policy::{place, probe};
+use wire::backend::Load;
+
+use crate::connection::Connection;
+
+/// An idle connection older than this is retired: something between the two ends may have lost
+/// track of it, and then the next request on it would wait for nothing.
+pub const IDLE: Duration = Duration::from_millis(probe::IDLE_MS);
+/// A connection that ended a whole answer this recently counts as just proven, good enough for a
+/// request that may not be repeated.
+pub const JUST_PROVEN: Duration = Duration::from_millis(probe::FRESH_MS);
+/// Idle connections kept for one backend server.
+const IDLE_MAX: usize = 64;
+
+/// What this process saw of a backend server's health; the newest evidence wins.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    /// Whether it is believed to work.
+    pub probe: probe::Health,
+    /// Its last load report.
+    pub load: Load,
+    /// When that came; 0 for never.
+    pub load_at: Millis,
+}
+
+/// One backend server, kept across views for as long as the host list names it.
+pub struct Server {
+    /// Its name.
+    pub name: Name,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub failure_domain: Name,
+    /// Requests of this process under way there.
+    pub in_flight: AtomicU32,
+    hash: u64,
+    idle: Mutex<Vec<Connection>>,
+    health: Mutex<Health>,
+}
+
+impl Server {
+    /// One that nothing is known of yet.
+    #[must_use]
+    pub fn new(name: Name, address: SocketAddr, failure_domain: Name) -> Self {
+        Self {
+            hash: place::hash(name.as_bytes()),
+            name,
+            address,
+            failure_domain,
+            in_flight: AtomicU32::new(0),
+            idle: Mutex::default(),
+            health: Mutex::default(),
+        }
+    }
+
+    /// An idle connection that proved to work within a time, the most recently used first.
+    pub fn take_idle(&self, within: Duration) -> Option<Connection> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|connection| connection.usable(IDLE));
+        match idle.last() {
+            Some(last) if last.usable(within) => idle.pop(),
+            _ => None,
+        }
+    }
+
+    /// Keeps a connection for later.
+    pub fn put_idle(&self, connection: Connection) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        if idle.len() < IDLE_MAX {
+            idle.push(connection);
+        }
+    }
+
+    /// Closes the idle connections that are too old, or all of them.
+    pub fn retire(&self, all: bool) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|connection| !all && connection.usable(IDLE));
+    }
+
+    /// What is known of its health.
+    #[must_use]
+    pub fn health(&self) -> Health {
+        self.lock().clone()
+    }
+
+    /// Whether new work may go there.
+    #[must_use]
+    pub fn takes_work(&self, now: Millis) -> bool {
+        let health = self.lock();
+        !health.load.draining && health.probe.ill_until <= now
+    }
+
+    /// As placement sees it.
+    #[must_use]
+    pub fn placed(&self) -> place::Server {
+        let health = self.lock();
+        let known = health.load_at > Millis(0);
+        place::Server {
+            name: self.name.clone(),
+            in_flight: self.in_flight.load(Ordering::Relaxed),
+            report: known.then_some(place::Report {
+                in_flight: health.load.in_flight,
+                slots: health.load.slots,
+                at: health.load_at,
+            }),
+            draining: health.load.draining,
+            ill_until: health.probe.ill_until,
+            hash: self.hash,
+        }
+    }
+
+    /// It answered on a connection that works.
+    pub fn note_success(&self) {
+        self.lock().probe.proven();
+    }
+
+    /// An old connection of it went silent or broke: that speaks against the connection, so
+    /// the others of its age are closed too, and the server is tried on a new one.
+    pub fn note_suspicion(&self) {
+        self.lock().probe.suspected();
+        self.retire(true);
+    }
+
+    /// It refused a connection, or failed on a new one.
+    pub fn note_failure(&self, now: Millis) {
+        self.lock().probe.failed(now);
+        self.retire(true);
+    }
+
+    /// Its own report. A server that answers is reachable again, so it is no longer held ill;
+    /// its own `draining` is newer than any list.
+    pub fn note_load(&self, load: Load, now: Millis) {
+        let mut health = self.lock();
+        health.load = load;
+        health.load_at = now;
+        health.probe.proven();
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Health> {
+        self.health.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// One request under way at a backend server; counted until dropped.
+pub struct Lease {
+    /// Where.
+    pub server: Arc<Server>,
+}
+
+impl Lease {
+    /// Counts one in.
+    #[must_use]
+    pub fn new(server: Arc<Server>) -> Self {
+        server.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self { server }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.server.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/service.rs
@@ -0,0 +1,99 @@
+//! Calls of plain services.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::Response;
+use policy::name::Name;
+use wire::claim::Claim;
+use wire::refusal::Refusal;
+
+use crate::answer::Answer;
+use crate::chain::{From, Trace};
+use crate::clock;
+use crate::dispatch::{self, Job};
+use crate::ending::{Ending, Held};
+use crate::filter::bill::Billing;
+use crate::filter::open::Slot;
+use crate::filter::{admit, claim, service};
+use crate::respond::{self, Extra};
+
+/// Priority of plain services in their pool.
+const PRIORITY: u8 = 0;
+/// Longest wait between two pieces of an answer.
+const BETWEEN_BYTES: Duration = Duration::from_secs(5);
+
+/// Passes a call on.
+///
+/// # Errors
+/// A refusal.
+pub async fn serve(
+    from: &From<'_>,
+    name: &Name,
+    path: &str,
+    body: Bytes,
+    slot: Slot,
+    trace: &mut Trace,
+) -> Result<Response<Answer>, Refusal> {
+    let From { state, snapshot, account_name, account, call } = *from;
+    let held = service::find(snapshot, account, name)?;
+    trace.task = Some(name.clone());
+    let deadline = call.deadline(held.deadline_ms)?;
+    let granted = admit::grant(state, snapshot, account_name, account)?;
+    let left = deadline.saturating_duration_since(Instant::now());
+    let until = clock::now() + u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    let ask = policy::admit::Ask::new(account_name.clone(), PRIORITY, until);
+    let place = admit::enter(state, snapshot, &held.pool, &ask).await?;
+    let may_repeat = held.repeatable.iter().any(|method| method.as_str() == call.method.as_str());
+    let key = call.named(wire::backend::IDEMPOTENCY_KEY)?.filter(|_| !may_repeat);
+    let job = Job {
+        id: call.id.clone(),
+        account: account_name.clone(),
+        task: name.clone(),
+        version: None,
+        pool: held.pool.clone(),
+        may_repeat,
+        deadline,
+        first_byte: left,
+        // An old connection may have gone silent; half of the time is left to try a new one.
+        reused_first_byte: left / 2,
+        between_bytes: BETWEEN_BYTES,
+        affinity: None,
+        claim: key.map(|key| Claim {
+            account: account_name.clone(),
+            key,
+            request: call.id.clone(),
+            keep_ms: claim::KEEP_MS,
+            home: None,
+        }),
+        whole: false,
+        text: false,
+        method: call.method.clone(),
+        path: path.to_owned(),
+        headers: service::passed_on(&call.headers),
+        body,
+    };
+    let reply = dispatch::dispatch(state, &job).await?;
+    let mut billing = Billing::new(
+        state.clone(),
+        call.id.clone(),
+        account_name.clone(),
+        name.clone(),
+        Name::default(),
+    );
+    billing.add(held.cost);
+    let ending = Ending {
+        state: state.clone(),
+        id: call.id.clone(),
+        account: account_name.clone(),
+        task: name.clone(),
+        version: None,
+        started: call.started,
+        first_byte: call.started.elapsed(),
+        deadline,
+        rate: false,
+        billing,
+        held: Held { slot, granted, place: Some(place) },
+    };
+    respond::respond(state, reply, ending, Extra::default()).await
+}
