--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod backend;
 pub mod client;
+pub mod deployment;
 pub mod draw;
 pub mod engine;
 pub mod fault;
