--- a/crates/chestnutspur/src/command.rs
+++ b/crates/chestnutspur/src/command.rs
@@ -4,6 +4,7 @@
 mod bills;
 mod check;
 mod report;
+mod standin;
 mod status;
 
 use std::path::{Path, PathBuf};
@@ -39,6 +40,9 @@
     /// Reports on a running deployment
     #[bpaf(command)]
     Report(#[bpaf(external(report::report))] report::Report),
+    /// Stand-ins for the platform and the backend servers, each its own process
+    #[bpaf(command)]
+    Standin(#[bpaf(external(standin::standin))] standin::Standin),
     /// Print the version of this program
     #[bpaf(command)]
     Version,
@@ -58,6 +62,7 @@
         Command::Status(arguments) => status::run(&arguments),
         Command::Bills(arguments) => bills::run(&arguments),
         Command::Report(report) => report::run(report),
+        Command::Standin(standin) => standin::run(standin),
         Command::Version => {
             println!("chestnutspur {}", env!("CARGO_PKG_VERSION"));
             Exit::Done
--- a/crates/chestnutspur/src/main.rs
+++ b/crates/chestnutspur/src/main.rs
@@ -3,7 +3,6 @@
 mod command;
 mod exit;
 mod http;
-#[expect(dead_code, reason = "for entry and control, which come next")]
 mod logging;
 #[expect(dead_code, reason = "for entry and control, which come next")]
 mod process;
