wire: the configuration check finds every fault, each with its path

The derived reader stops at its first fault, so one wrong kind hid all others. Weighed: a hand-written reader for each type (the schema would stand twice) and mending: note the fault, put a placeholder in its place, read again. Members given twice are found while the JSON is read.

--- a/crates/wire/src/configuration/check.rs
+++ b/crates/wire/src/configuration/check.rs
@@ -1,17 +1,41 @@
 //! Reading and checking the document: every fault found, each with its path.
 
+mod read;
+mod rules;
+
 use super::Document;
-use crate::fault::{self, Fault};
+use crate::fault::Fault;
 
 /// Reads a document and checks all of it.
 ///
+/// A `generation` of 0 is right for the first document of a deployment: it was made from none.
+///
 /// # Errors
-/// Every fault found.
+/// Every fault found, in the order of their paths.
 pub fn parse(text: &str) -> Result<Document, Vec<Fault>> {
-    let value = serde_json::from_str(text).map_err(|e| vec![Fault::at("", e.to_string())])?;
     let mut faults = Vec::new();
-    match fault::read(value, "", &mut faults) {
+    let value = match read::value(text, &mut faults) {
+        Ok(value) => value,
+        Err(error) => return Err(vec![Fault::at("", error.to_string())]),
+    };
+    let (document, repaired) = read::document(value, &mut faults);
+    if let Some(document) = &document {
+        let mut broken = Vec::new();
+        rules::check(document, &mut broken);
+        // What stands where a fault was mended is ours, not the operator's.
+        broken.retain(|fault| !repaired.iter().any(|path| is_within(&fault.path, path)));
+        faults.extend(broken);
+    }
+    faults.sort_by(|one, other| one.path.cmp(&other.path));
+    match document {
         Some(document) if faults.is_empty() => Ok(document),
         _ => Err(faults),
     }
 }
+
+fn is_within(path: &str, outer: &str) -> bool {
+    match path.strip_prefix(outer) {
+        Some(rest) => outer.is_empty() || rest.is_empty() || rest.starts_with(['.', '[']),
+        None => false,
+    }
+}
