The whole path, with every part a process of its own

entry, control, the platform, a model engine and a plain service, joined by sockets only: a chat completion, plain and streamed, and a plain service's call come back whole.

The test deployment starts real processes between stand-ins, every path that a fault can cut behind a proxy of its own.

--- a/crates/chestnutspur/src/command.rs
+++ b/crates/chestnutspur/src/command.rs
@@ -4,6 +4,7 @@
 mod bills;
 mod check;
 mod control;
+mod entry;
 mod report;
 mod standin;
 mod status;
@@ -20,6 +21,16 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 pub enum Command {
+    /// Run the data plane of one entry host: callers in, backend servers out
+    ///
+    /// Prints one JSON line with the addresses it listens on, then logs on standard error until
+    /// SIGTERM, upon which it finishes the requests under way and exits 0.
+    #[bpaf(command)]
+    Entry {
+        /// JSON file with the process's settings
+        #[bpaf(long, argument("FILE"))]
+        settings: PathBuf,
+    },
     /// Run the controllers of one entry host: configuration, shards, bills, console
     ///
     /// Prints one JSON line with the addresses it listens on, then logs on standard error until
@@ -68,6 +79,7 @@
 /// Runs one subcommand to its end.
 pub fn run(command: Command) -> Exit {
     match command {
+        Command::Entry { settings } => entry::run(&settings),
         Command::Control { settings } => control::run(&settings),
         Command::Check { file } => check::run(&file),
         Command::Apply(arguments) => apply::run(arguments),
--- /dev/null
+++ b/crates/chestnutspur/tests/support/process.rs
@@ -0,0 +1,116 @@
+//! One process of ours, started by a test and ended with it.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+
+use serde_json::Value;
+
+use super::call::Call;
+use super::{PATIENCE, until};
+
+/// A started process; dropping it kills it.
+pub struct Process {
+    child: Child,
+    listening: Value,
+    log: PathBuf,
+}
+
+/// An empty directory for a test's files.
+pub fn directory(name: &str) -> PathBuf {
+    let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&directory);
+    std::fs::create_dir_all(&directory).expect("directory");
+    directory
+}
+
+impl Process {
+    /// Starts `chestnutspur COMMAND --settings FILE` and waits for the line with its addresses.
+    pub fn spawn(directory: &Path, name: &str, command: &str, settings: &Value) -> Self {
+        let file = directory.join(format!("{name}.json"));
+        std::fs::write(&file, settings.to_string()).expect("settings");
+        let arguments = [command, "--settings", &file.display().to_string()].map(String::from);
+        Self::spawn_with(directory, name, &arguments)
+    }
+
+    /// Starts a subcommand that prints its addresses.
+    pub fn spawn_with(directory: &Path, name: &str, arguments: &[String]) -> Self {
+        let log = directory.join(format!("{name}.log"));
+        let append = std::fs::OpenOptions::new().create(true).append(true).open(&log);
+        let mut child = Command::new(env!("CARGO_BIN_EXE_chestnutspur"))
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .stderr(append.expect("log file"))
+            .spawn()
+            .expect("process");
+        let mut line = String::new();
+        let stdout = child.stdout.take().expect("standard output");
+        BufReader::new(stdout).read_line(&mut line).expect("a line");
+        let Ok(mut value) = serde_json::from_str::<Value>(&line) else {
+            let text = std::fs::read_to_string(&log).unwrap_or_default();
+            panic!("{name} did not start: {line}{text}");
+        };
+        Self { child, listening: value["listening"].take(), log }
+    }
+
+    /// An address that it listens on.
+    pub fn address(&self, port: &str) -> SocketAddr {
+        let text = self.listening[port].as_str().unwrap_or_default();
+        text.parse().unwrap_or_else(|_| panic!("no address {port} in {}", self.listening))
+    }
+
+    /// The system's id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// What it has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Sends a signal by name.
+    pub fn signal(&self, signal: &str) {
+        let status = Command::new("kill")
+            .args([&format!("-{signal}"), &self.child.id().to_string()])
+            .status()
+            .expect("kill");
+        assert!(status.success());
+    }
+
+    /// Ends it at once, without a word.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for its own end.
+    pub async fn exit(&mut self) -> ExitStatus {
+        let start = std::time::Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("status") {
+                return status;
+            }
+            assert!(start.elapsed() < PATIENCE, "the process did not end");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Waits until its operators' port says that it is ready.
+    pub async fn ready(&self) {
+        let operators = self.address("operators");
+        until("ready", async || {
+            Call::get("/ready").send(operators).await.is_some_and(|reply| reply.status == 200)
+        })
+        .await;
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // A stopped process would not die of SIGTERM; SIGKILL always works.
+        self.kill();
+    }
+}
