--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod owner;
 pub mod records;
 pub mod shard;
+pub mod token;
