--- /dev/null
+++ b/crates/coordination/tests/shard.rs
@@ -0,0 +1,325 @@
+//! One shard among three controls: owners paused, taken over and back, messages lost, late, twice.
+
+mod model;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use coordination::home::Home;
+use coordination::message::{Append, Appended, Holder};
+use coordination::owner::{Owner, Verdict};
+use coordination::records::Records;
+use coordination::shard::{Role, Shard};
+use model::Dice;
+use policy::name::Name;
+use policy::time::Millis;
+
+const NOW: Millis = Millis(1_000);
+const KEEP_MS: u64 = 60_000;
+const CONTROLS: usize = 3;
+
+/// A change of hands under way: deputy loaded, then the row swapped.
+#[derive(Clone)]
+struct Change {
+    whole: Append,
+    row: (u64, Holder),
+    to: Name,
+    loaded: bool,
+    /// The swap, once sent: only an answer decides it.
+    swap: Option<Holder>,
+}
+
+#[derive(Default)]
+struct Control {
+    name: Name,
+    shard: Shard,
+    change: Option<Change>,
+}
+
+#[derive(Clone)]
+enum Message {
+    /// To a deputy.
+    Append(Name, Append),
+    /// Back to an owner, with the epoch it was for.
+    Appended(Name, Name, u64, Appended),
+    /// To the platform, from a control.
+    Swap(Name, u64, Holder),
+}
+
+struct World {
+    controls: Vec<Control>,
+    row: (u64, Holder),
+    messages: Vec<Message>,
+    /// Requests that wait for the answer of a control.
+    waiting: BTreeSet<(Name, Name, Name)>,
+    granted: BTreeMap<Name, Name>,
+    abandoned: BTreeSet<Name>,
+    serial: u64,
+}
+
+fn home() -> Home {
+    Home { failure_domain: Name::from("a"), shard: 0 }
+}
+
+impl World {
+    fn new() -> Self {
+        let mut controls = Vec::new();
+        for index in 0..CONTROLS {
+            controls
+                .push(Control { name: Name::from(format!("c{index}.0")), ..Control::default() });
+        }
+        let (owner, deputy) = (controls[0].name.clone(), controls[1].name.clone());
+        let row =
+            Holder { epoch: 1, owner: owner.clone(), deputy: deputy.clone(), closed_until_ms: 0 };
+        controls[0].shard.own(Owner::new(1, deputy, Records::default(), 1));
+        let records = Vec::new();
+        controls[1].shard.receive(&Append {
+            home: home(),
+            epoch: 1,
+            owner,
+            first: 1,
+            records,
+            whole: true,
+        });
+        let (messages, waiting) = (Vec::new(), BTreeSet::new());
+        let (granted, abandoned) = (BTreeMap::new(), BTreeSet::new());
+        Self { controls, row: (1, row), messages, waiting, granted, abandoned, serial: 0 }
+    }
+
+    fn find(&mut self, name: &Name) -> Option<&mut Control> {
+        self.controls.iter_mut().find(|control| control.name == *name)
+    }
+
+    fn claim(&mut self, index: usize, dice: &mut Dice) {
+        let key = Name::from(format!("k{}", dice.below(4)));
+        // A new request, or one that asks again, perhaps elsewhere.
+        let serial = match dice.once_in(3) {
+            true => self.serial.saturating_sub(dice.below(3) as u64),
+            false => self.serial + 1,
+        };
+        self.serial = self.serial.max(serial);
+        let request = Name::from(format!("{key}.{serial}"));
+        let control = &mut self.controls[index];
+        let Some(owner) = control.shard.owner() else { return };
+        if owner.claim(&key, &request, KEEP_MS, NOW).is_ok() && !self.abandoned.contains(&request) {
+            self.waiting.insert((control.name.clone(), key, request));
+        }
+    }
+
+    /// An entry host gives up on a request that it has no grant for.
+    fn abandon(&mut self, index: usize, dice: &mut Dice) {
+        let open: Vec<_> = self.waiting.iter().cloned().collect();
+        if open.is_empty() {
+            return;
+        }
+        let (_, key, request) = open[dice.below(open.len())].clone();
+        self.waiting.retain(|(_, _, other)| *other != request);
+        self.abandoned.insert(request.clone());
+        if let Some(owner) = self.controls[index].shard.owner() {
+            owner.abandon(&key, &request, NOW);
+        }
+    }
+
+    /// The owner sends what is not safe; nothing while a change of hands is under way.
+    fn save(&mut self, index: usize) {
+        let control = &mut self.controls[index];
+        if control.change.is_some() {
+            return;
+        }
+        let name = control.name.clone();
+        let Some(owner) = control.shard.owner() else { return };
+        let deputy = owner.deputy.clone();
+        if let Some(append) = owner.unsafe_records(&home(), &name, 2) {
+            self.messages.push(Message::Append(deputy, append));
+        }
+    }
+
+    /// Owner: another deputy, or a hand-over. Deputy: takeover, fenced first.
+    fn begin(&mut self, index: usize, dice: &mut Dice) {
+        let row = self.row.clone();
+        let to = self.controls[dice.below(CONTROLS)].name.clone();
+        let hand_over = dice.once_in(4);
+        let control = &mut self.controls[index];
+        let me = control.name.clone();
+        if control.change.is_some() || to == me {
+            return;
+        }
+        let fits = match &mut control.shard.role {
+            Role::Owner(owner) if owner.epoch != row.1.epoch => false,
+            Role::Owner(owner) if hand_over && owner.is_safe() => {
+                owner.leaving = true;
+                let (epoch, owner, deputy) = (row.1.epoch + 1, row.1.deputy.clone(), me.clone());
+                let swap = Holder { epoch, owner, deputy, closed_until_ms: 0 };
+                let whole = control.shard.whole(&home(), &me).expect("it has a role");
+                control.change = Some(Change {
+                    whole,
+                    row: row.clone(),
+                    to: me,
+                    loaded: true,
+                    swap: Some(swap.clone()),
+                });
+                self.messages.push(Message::Swap(control.name.clone(), row.0, swap));
+                return;
+            }
+            Role::Owner(_) => true,
+            Role::Deputy(_) => row.1.deputy == me && control.shard.fence(&row.1),
+            Role::Idle => false,
+        };
+        if let Some(whole) = control.shard.whole(&home(), &me).filter(|_| fits) {
+            self.messages.push(Message::Append(to.clone(), whole.clone()));
+            control.change = Some(Change { whole, row, to, loaded: false, swap: None });
+        }
+    }
+
+    /// Goes on with a change: swaps once the deputy is loaded, again if no answer came; or gives
+    /// it up while no swap was sent.
+    fn proceed(&mut self, index: usize, dice: &mut Dice) {
+        let control = &mut self.controls[index];
+        let Some(change) = &mut control.change else { return };
+        if !change.loaded {
+            if dice.once_in(3) {
+                control.change = None;
+                control.shard.unfence();
+            } else {
+                self.messages.push(Message::Append(change.to.clone(), change.whole.clone()));
+            }
+            return;
+        }
+        let swap = change.swap.get_or_insert_with(|| {
+            let (epoch, owner) = (change.whole.epoch, control.name.clone());
+            Holder { epoch, owner, deputy: change.to.clone(), closed_until_ms: 0 }
+        });
+        self.messages.push(Message::Swap(control.name.clone(), change.row.0, swap.clone()));
+    }
+
+    /// The platform's compare-and-swap, whose answer may be lost.
+    fn swap(&mut self, from: &Name, version: u64, holder: Holder, answered: bool) {
+        if self.row.0 == version {
+            self.row = (version + 1, holder.clone());
+        }
+        let row = self.row.clone();
+        let done = row.1 == holder;
+        let Some(control) = self.find(from) else { return };
+        let Some(change) = control.change.clone() else { return };
+        if !answered || change.swap != Some(holder.clone()) {
+            return;
+        }
+        control.change = None;
+        let me = control.name.clone();
+        match &mut control.shard.role {
+            Role::Owner(owner) if done && holder.owner == me => {
+                owner.moved(holder.epoch, holder.deputy, change.whole.first);
+            }
+            Role::Owner(_) if done => control.shard.hand_over(holder.epoch, holder.owner),
+            Role::Owner(owner) => {
+                owner.leaving = false;
+                control.shard.observe(&me, &row.1);
+            }
+            _ => _ = control.shard.observe(&me, &row.1),
+        }
+    }
+
+    fn deliver(&mut self, message: Message, dice: &mut Dice) {
+        match message {
+            Message::Append(to, append) => {
+                let Some(control) = self.find(&to) else { return };
+                let appended = control.shard.receive(&append);
+                self.messages.push(Message::Appended(append.owner, to, append.epoch, appended));
+            }
+            Message::Appended(to, from, epoch, Appended::Up { to: number }) => {
+                let Some(control) = self.find(&to) else { return };
+                match &mut control.change {
+                    Some(change) if change.whole.epoch == epoch && change.to == from => {
+                        change.loaded |= number == change.whole.first;
+                    }
+                    _ => {}
+                }
+                match control.shard.owner() {
+                    Some(owner) if owner.epoch == epoch => owner.saved(number),
+                    _ => {}
+                }
+            }
+            Message::Appended(..) => {}
+            Message::Swap(from, version, holder) => {
+                self.swap(&from, version, holder, !dice.once_in(3));
+            }
+        }
+    }
+
+    fn step(&mut self, dice: &mut Dice) {
+        let index = dice.below(CONTROLS);
+        match dice.below(16) {
+            0..=2 => self.claim(index, dice),
+            3 | 4 => self.save(index),
+            5 if dice.once_in(3) => self.begin(index, dice),
+            6 => self.proceed(index, dice),
+            7 if self.controls[index].change.is_none() => {
+                let (me, row) = (self.controls[index].name.clone(), self.row.1.clone());
+                self.controls[index].shard.observe(&me, &row);
+            }
+            8 if dice.once_in(3) => self.abandon(index, dice),
+            9 if dice.once_in(30) => {
+                self.serial += 1;
+                let name = Name::from(format!("c{index}.{}", self.serial));
+                self.controls[index] = Control { name, ..Control::default() };
+            }
+            _ if self.messages.is_empty() => {}
+            _ => {
+                let at = dice.below(self.messages.len());
+                let message = match dice.below(6) {
+                    // Delivered and kept, to come again later.
+                    0 => self.messages[at].clone(),
+                    _ => self.messages.swap_remove(at),
+                };
+                if !dice.once_in(8) {
+                    self.deliver(message, dice);
+                }
+            }
+        }
+    }
+
+    /// No key has two requests that were told that it is theirs.
+    fn check(&mut self) {
+        let mut told = Vec::new();
+        for (name, key, request) in &self.waiting {
+            let control = self.controls.iter_mut().find(|control| control.name == *name);
+            let owner = control.and_then(|control| control.shard.owner());
+            let verdict = owner.and_then(|owner| owner.verdict(key, request, NOW));
+            if verdict == Some(Verdict::Granted) {
+                told.push((key.clone(), request.clone()));
+            }
+        }
+        for (key, request) in told {
+            let first = self.granted.entry(key.clone()).or_insert_with(|| request.clone());
+            assert_eq!(*first, request, "key {key} was granted twice");
+            self.waiting.retain(|(_, _, other)| *other != request);
+        }
+    }
+}
+
+fn run(seed: u64) -> usize {
+    let mut dice = Dice::new(seed);
+    let mut world = World::new();
+    for _ in 0..600 {
+        world.step(&mut dice);
+        world.check();
+    }
+    world.granted.len() * 100 + usize::try_from(world.row.1.epoch).unwrap_or(0)
+}
+
+/// A caller's letter would be drafted twice: two requests of one key are both told that it is
+/// theirs. Owners are paused and come back, deputies take over, shards are handed on, messages are
+/// lost, late and repeated, answers of the platform are lost, controls lose their memory. A grant
+/// needs the record of the one deputy that could take over, so two owners can't both grant.
+#[test]
+fn shard_random_events() {
+    let reached: Vec<_> = (0..4000).map(run).collect();
+    let grants: usize = reached.iter().map(|reached| reached / 100).sum();
+    let changes: usize = reached.iter().map(|reached| reached % 100).sum();
+    // The runs must get somewhere, or the check above says nothing.
+    assert!(grants > 400 && changes > 800, "{grants} grants, {changes} changes of hands");
+    bolero::check!()
+        .with_type::<u64>()
+        .with_iterations(300)
+        .cloned()
+        .for_each(|seed| _ = run(seed));
+}
