--- a/crates/control/src/shards/change.rs
+++ b/crates/control/src/shards/change.rs
@@ -36,8 +36,8 @@
         found.map(|p| p.incarnation.clone()).filter(|name| **name != *without).collect()
     }
 
-    /// Loads all records into a deputy for the next epoch, before the row names it: a deputy that
-    /// is named and has nothing would take over with nothing.
+    /// Loads all records into a deputy for the next epoch, before the row names it: grants made
+    /// in between would rest on a deputy that does not have them.
     ///
     /// If none of the candidates takes the load it goes to the object store, if `or_alone`.
     pub async fn load(
--- a/crates/coordination/src/shard.rs
+++ b/crates/coordination/src/shard.rs
@@ -60,9 +60,6 @@
             Role::Deputy(deputy) if deputy.serves(append) => deputy.append(append),
             // Two owners can prepare the same epoch, and only one swap succeeds. The first load
             // keeps its place; the other owner is told so and picks another deputy.
-            Role::Deputy(deputy) if append.epoch <= deputy.epoch => {
-                Appended::Fenced { epoch: deputy.epoch }
-            }
             _ if append.epoch <= self.seen => Appended::Fenced { epoch: self.seen },
             _ if append.whole => {
                 self.seen = append.epoch;
