--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -218,6 +218,7 @@
             let interval = self.interval();
             self.node.peers.expect(interval);
             self.log().expire(node::now());
+            self.node.peers.expire(node::now());
             if round.is_empty() {
                 round = self.node.peers.all().into_iter().map(|member| member.host).collect();
                 round.shuffle(&mut rand::rng());
--- a/crates/control/src/hosts.rs
+++ b/crates/control/src/hosts.rs
@@ -118,6 +118,12 @@
         ours.map(|host| host.name.clone()).collect()
     }
 
+    /// Whether the list says anything of controls.
+    #[must_use]
+    pub fn lists_controls(&self) -> bool {
+        self.hosts().list.hosts.iter().any(|host| host.role == Role::Control)
+    }
+
     /// Names of live hosts that run entry.
     #[must_use]
     pub fn entry_hosts(&self) -> BTreeSet<Name> {
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -17,6 +17,8 @@
 pub const QUIET_MS: u64 = 2_000;
 /// Longest time that one exchange with a peer may take.
 pub const CALL: Duration = Duration::from_secs(1);
+/// A control known by gossip alone is forgotten after such a silence.
+const FORGET_MS: u64 = 600_000;
 /// Rounds of gossip that a member may be silent for.
 const ROUNDS: u64 = 2;
 
@@ -95,6 +97,13 @@
         }
     }
 
+    /// Forgets who is known by gossip alone and has been silent for long.
+    pub fn expire(&self, now: Millis) {
+        self.write().retain(|_, member| {
+            member.source != Source::Gossip || now.since(member.heard) < FORGET_MS
+        });
+    }
+
     /// Forgets a host that is gone for good.
     pub fn forget(&self, host: &str) {
         self.write().remove(host);
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -98,8 +98,14 @@
         digest.wants_entries = true;
         (member.clone(), process.gossip.call(&member, digest).await)
     });
+    // Once the platform lists our controls, one that is neither listed nor reached is not waited
+    // for: a replaced host would stand as waiting for ever.
+    let listed: BTreeSet<Name> = hosts.keys().cloned().collect();
     let mut answers = futures::stream::iter(asked).buffer_unordered(ASKED_AT_ONCE);
     while let Some((member, delta)) = answers.next().await {
+        if delta.is_none() && process.hosts.lists_controls() && !listed.contains(&member.host) {
+            continue;
+        }
         let row = entry(&mut hosts, &member.host);
         row.failure_domain = member.failure_domain;
         if let Some(delta) = delta {
