--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -15,12 +15,14 @@
 use rand::seq::{IndexedRandom, SliceRandom};
 use wire::gossip::{Counts, Delta, Digest, News};
 
+use crate::burn;
 use crate::configuration;
 use crate::hosts;
 use crate::marks::Marks;
 use crate::news::Log;
 use crate::node::{self, Node};
 use crate::peers::{CALL, Member, Source};
+use crate::rollout;
 
 /// Members told at once of what is urgent.
 const FANOUT: usize = 4;
@@ -39,6 +41,10 @@
     pub hosts: Arc<hosts::Controller>,
     /// Quarantines.
     pub marks: Arc<Marks>,
+    /// Where roll-outs stand.
+    pub rollouts: Arc<rollout::Controller>,
+    /// Counts of service levels.
+    pub burn: Arc<burn::Controller>,
     log: Mutex<Log>,
     arrived: tokio::sync::broadcast::Sender<News>,
 }
@@ -50,10 +56,19 @@
         node: Arc<Node>,
         configuration: Arc<configuration::Controller>,
         hosts: Arc<hosts::Controller>,
-        marks: Arc<Marks>,
     ) -> Self {
+        let rollouts = Arc::new(rollout::Controller::new(node.clone(), configuration.clone()));
         let (arrived, _) = tokio::sync::broadcast::channel(1024);
-        Self { node, configuration, hosts, marks, log: Mutex::default(), arrived }
+        Self {
+            node,
+            configuration,
+            hosts,
+            marks: Arc::default(),
+            rollouts,
+            burn: Arc::default(),
+            log: Mutex::default(),
+            arrived,
+        }
     }
 
     /// Each piece of news once, own ones too.
@@ -86,8 +101,9 @@
             hosts: hosts.hash,
             hosts_as_of: hosts.list.as_of.0,
             marks: self.marks.hash(),
+            rollouts: self.rollouts.hash(),
             news: self.log().held(),
-            wants_entries: false,
+            ..Digest::default()
         }
     }
 
@@ -99,6 +115,14 @@
             true => Vec::new(),
             false => self.marks.all(),
         };
+        let rollouts = match ours.rollouts == theirs.rollouts {
+            true => Vec::new(),
+            false => self.rollouts.standings(),
+        };
+        let levels = match theirs.wants_levels {
+            true => self.burn.all(),
+            false => Vec::new(),
+        };
         let news = self.log().lacking(&theirs.news);
         if self.lacks(&ours, theirs) {
             let (gossip, theirs) = (self.clone(), theirs.clone());
@@ -108,12 +132,14 @@
                 }
             });
         }
-        Delta { digest: ours, news, marks, entries: Vec::new() }
+        Delta { digest: ours, news, marks, rollouts, levels, entries: Vec::new() }
     }
 
     /// Whether the urgent parts of another's digest are ahead of ours.
     fn lacks(&self, ours: &Digest, theirs: &Digest) -> bool {
-        theirs.generation > ours.generation || theirs.marks != ours.marks
+        theirs.generation > ours.generation
+            || theirs.marks != ours.marks
+            || theirs.rollouts != ours.rollouts
     }
 
     fn meet(&self, theirs: &Digest, now: Millis) {
@@ -132,7 +158,7 @@
         if theirs.generation > self.configuration.in_force().generation {
             self.configuration.fetch_from(&member.link, theirs.generation).await;
         }
-        if theirs.marks != self.marks.hash() {
+        if theirs.marks != self.marks.hash() || theirs.rollouts != self.rollouts.hash() {
             self.ask(member).await;
         }
     }
@@ -173,6 +199,8 @@
         for mark in &delta.marks {
             self.marks.add(mark);
         }
+        self.rollouts.take(&delta.rollouts);
+        self.burn.join(&delta.levels);
         for news in &delta.news {
             if self.log().take(news, node::now()) {
                 let _ = self.arrived.send(news.clone());
@@ -232,14 +260,16 @@
         }
     }
 
-    /// Pushes each new generation and quarantine to a few members for ever.
+    /// Pushes each new generation, quarantine and roll-out's step to a few members for ever.
     pub async fn push(self: Arc<Self>) {
         let mut generations = self.configuration.watch();
         let mut marks = self.marks.watch();
+        let mut rollouts = self.rollouts.watch();
         loop {
             tokio::select! {
                 changed = generations.changed() => if changed.is_err() { return },
                 changed = marks.changed() => if changed.is_err() { return },
+                changed = rollouts.changed() => if changed.is_err() { return },
             }
             let members = self.node.peers.all();
             for member in members.choose_multiple(&mut rand::rng(), FANOUT) {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here is on disk and no control is special. What must last is in the platform's
 //! service; the rest is soft and comes back from peers.
 
+pub mod burn;
 pub mod configuration;
 pub mod daemon;
 pub mod exposure;
@@ -15,6 +16,8 @@
 pub mod peers;
 pub mod platform;
 pub mod process;
+pub mod quarantine;
+pub mod rollout;
 pub mod seam;
 pub mod server;
 pub mod status;
--- a/crates/control/src/operators/api.rs
+++ b/crates/control/src/operators/api.rs
@@ -12,6 +12,7 @@
 use super::answer::{Answer, error, json, text};
 use super::token;
 use crate::configuration::accept::Refused;
+use crate::node;
 use crate::process::Process;
 use crate::status;
 
@@ -42,9 +43,13 @@
         (&Method::PUT, "/configuration") => put(asked, process).await,
         (&Method::GET, "/status") => json(StatusCode::OK, &status::status(process).await),
         (&Method::GET, "/bills") => json(StatusCode::OK, &process.ledger.audit().await),
-        (_, "/live" | "/ready" | "/metrics" | "/configuration" | "/status" | "/bills") => {
-            error(StatusCode::METHOD_NOT_ALLOWED, "no such method here")
-        }
+        (&Method::GET, "/burn") => json(StatusCode::OK, &burn(process)),
+        (&Method::GET, "/burn.svg") => picture(asked, process),
+        (
+            _,
+            "/live" | "/ready" | "/metrics" | "/configuration" | "/status" | "/bills" | "/burn"
+            | "/burn.svg",
+        ) => error(StatusCode::METHOD_NOT_ALLOWED, "no such method here"),
         _ => error(StatusCode::NOT_FOUND, "no such page"),
     }
 }
@@ -89,6 +94,24 @@
     }
 }
 
+fn burn(process: &Process) -> crate::burn::Report {
+    process.gossip.burn.report(&process.configuration.in_force().document, node::now())
+}
+
+/// The picture of one service level, named by the query `level=NAME`.
+fn picture(asked: &Asked, process: &Process) -> Answer {
+    let in_force = process.configuration.in_force();
+    let name = asked.query.strip_prefix("level=").unwrap_or_default();
+    let Some(level) = in_force.document.service_levels.get(name) else {
+        return error(StatusCode::NOT_FOUND, "no such service level");
+    };
+    let series = process.gossip.burn.of(name);
+    match crate::burn::svg(name, &series, level.objective, node::now()) {
+        Ok(svg) => text(StatusCode::OK, "image/svg+xml", svg),
+        Err(why) => error(StatusCode::INTERNAL_SERVER_ERROR, &why),
+    }
+}
+
 /// How each refusal is told.
 #[must_use]
 pub fn answer(refused: Refused) -> Answer {
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -7,10 +7,11 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use wire::gossip::Digest;
 
-use crate::node::Node;
+use crate::node::{self, Node};
 use crate::seam::{Ledger, Shards};
-use crate::{configuration, exposure, gossip, hosts, marks, view};
+use crate::{configuration, exposure, gossip, hosts, quarantine, view};
 
 /// The controllers.
 pub struct Process {
@@ -40,13 +41,9 @@
     pub fn new(node: Arc<Node>, metrics: PrometheusHandle) -> Arc<Self> {
         let configuration = Arc::new(configuration::Controller::new(node.clone()));
         let hosts = Arc::new(hosts::Controller::new(node.clone()));
-        let gossip = Arc::new(gossip::Controller::new(
-            node.clone(),
-            configuration.clone(),
-            hosts.clone(),
-            Arc::new(marks::Marks::default()),
-        ));
-        let exposure = Arc::new(exposure::Controller::new(gossip.clone()));
+        let gossip =
+            Arc::new(gossip::Controller::new(node.clone(), configuration.clone(), hosts.clone()));
+        let exposure = Arc::new(exposure::Controller::new(gossip.clone(), gossip.burn.clone()));
         let shards = Shards::start(node.clone());
         let ledger = Ledger::start(node.clone());
         let views =
@@ -66,10 +63,15 @@
 
     /// Runs all loops until told to stop.
     pub fn run(self: &Arc<Self>, tasks: &TaskTracker, stop: &CancellationToken) {
+        // Before anything can arrive.
+        let arrivals = self.gossip.arrivals();
         let loops = [
             tasks.spawn(until(stop.clone(), self.gossip.clone().run())),
             tasks.spawn(until(stop.clone(), self.gossip.clone().push())),
             tasks.spawn(until(stop.clone(), self.views.clone().run())),
+            tasks.spawn(until(stop.clone(), self.exposure.clone().run())),
+            tasks.spawn(until(stop.clone(), self.exposure.clone().judge(arrivals))),
+            tasks.spawn(until(stop.clone(), step(self.clone()))),
             tasks.spawn(until(stop.clone(), poll(self.clone()))),
         ];
         // The tracker waits for them.
@@ -87,10 +89,17 @@
 /// Asks the platform and all peers once, so that the highest generation in reach is served first.
 async fn start(process: &Arc<Process>) {
     let members = process.node.peers.all();
-    let peers = members.iter().map(|member| process.gossip.exchange(member));
+    let peers = members.iter().map(|member| async move {
+        process.gossip.exchange(member).await;
+        let digest = Digest { wants_levels: true, ..process.gossip.digest(node::now()) };
+        process.gossip.call(member, digest).await
+    });
     let peers = futures::future::join_all(peers);
+    let marks = quarantine::sync(&process.gossip.marks, &process.node.platform);
+    let platform =
+        futures::future::join3(process.configuration.poll(), process.hosts.poll(), marks);
     // Failures are met again by the loops, and told there.
-    let _ = futures::future::join3(process.configuration.poll(), process.hosts.poll(), peers).await;
+    let _ = futures::future::join(platform, peers).await;
     process.configuration.settle();
 }
 
@@ -107,11 +116,29 @@
             metrics::counter!("platform_reads_failed_total").increment(1);
             warn!("hosts: {error}");
         }
-        let pace = match process.node.is_reporter() {
-            true => 1,
-            false => process.node.domain_size() as u64,
-        };
-        let poll_ms = process.node.settings.poll_ms.saturating_mul(pace);
-        tokio::time::sleep(Duration::from_millis(poll_ms)).await;
+        pause(&process).await;
+    }
+}
+
+async fn pause(process: &Process) {
+    let pace = match process.node.is_reporter() {
+        true => 1,
+        false => process.node.domain_size() as u64,
+    };
+    let poll_ms = process.node.settings.poll_ms.saturating_mul(pace);
+    tokio::time::sleep(Duration::from_millis(poll_ms)).await;
+}
+
+/// Writes quarantines and takes the steps of roll-outs, for ever. Of its own, so that a platform
+/// that keeps a call waiting does not hold up the reading of generations.
+async fn step(process: Arc<Process>) {
+    loop {
+        if let Err(error) = process.gossip.rollouts.step(&process.exposure).await {
+            warn!("rollout: {error}");
+        }
+        if let Err(error) = quarantine::sync(&process.gossip.marks, &process.node.platform).await {
+            warn!("exposure: the table of quarantines: {error}");
+        }
+        pause(&process).await;
     }
 }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -50,6 +50,9 @@
 
     async fn gossip(self, _: Context, digest: Digest) -> Delta {
         let now = node::now();
+        if let Some(forwarded) = digest.forwarded.clone() {
+            self.process.exposure.forwarded(&digest.from, forwarded);
+        }
         let mut delta = self.process.gossip.answer(&digest, now);
         if digest.wants_entries {
             delta.entries = self.process.views.standing(now);
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -139,7 +139,7 @@
         bills_full: process.ledger.full(),
         hosts: hosts(process).await,
         quarantined: process.gossip.marks.in_force(&in_force.document),
-        shares: process.exposure.shares(&in_force.document),
+        shares: process.gossip.rollouts.shares(&in_force.document),
     }
 }
 
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -59,15 +59,19 @@
         let mut hosts = self.gossip.hosts.watch();
         let mut marks = self.gossip.marks.watch();
         let mut exposure = self.exposure.watch();
+        let mut rollouts = self.gossip.rollouts.watch();
         let mut settled = self.gossip.configuration.watch_settled();
         let mut bills = tokio::time::interval(BILLS);
         let mut full = false;
+        // For what changed before this loop looked.
+        self.revision.send_modify(|revision| *revision += 1);
         loop {
             let changed = tokio::select! {
                 changed = generations.changed() => changed.is_ok(),
                 changed = hosts.changed() => changed.is_ok(),
                 changed = marks.changed() => changed.is_ok(),
                 changed = exposure.changed() => changed.is_ok(),
+                changed = rollouts.changed() => changed.is_ok(),
                 changed = settled.changed() => changed.is_ok(),
                 _ = bills.tick() => std::mem::replace(&mut full, self.ledger.full()) != full,
             };
@@ -113,7 +117,7 @@
             document,
             unconfirmed_ms: self.gossip.configuration.unconfirmed_ms(now),
             quarantined: marks.into_iter().map(|mark| mark.version).collect(),
-            shares: self.exposure.shares(&in_force.document),
+            shares: self.gossip.rollouts.shares(&in_force.document),
             estimates: self.exposure.estimates(now),
             hosts: self.gossip.hosts.hosts().list.clone(),
             entries: self.gossip.hosts.entries(),
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -3,6 +3,7 @@
 //! Only one control of each failure domain, its reporter, is an origin of counts. So a digest
 //! names as many origins as there are failure domains, however many hosts each of them has.
 
+use policy::burn::Series;
 use policy::domain;
 use policy::name::Name;
 
@@ -29,10 +30,17 @@
         pub hosts_as_of: u64,
         /// Hash of the quarantine marks held.
         pub marks: u64,
+        /// Hash of where the roll-outs stand.
+        pub rollouts: u64,
         /// For each origin, the number of its newest piece of news held.
         pub news: Vec<(Name, u64)>,
         /// Whether the answer shall say where the entries asking there stand.
         pub wants_entries: bool,
+        /// Whether the answer shall hold the counts of service levels so far, as a starting
+        /// control asks.
+        pub wants_levels: bool,
+        /// What the asker's entries saw, for the reporter of its failure domain to publish.
+        pub forwarded: Option<Forwarded>,
     }
 
     /// What the asked has and the asker lacks.
@@ -45,8 +53,30 @@
         pub news: Vec<News>,
         /// All marks held, if the asker's hash differs.
         pub marks: Vec<Mark>,
+        /// Where all roll-outs stand, if the asker's hash differs.
+        pub rollouts: Vec<Standing>,
         /// The entries asking there and the generation in force in each, if the asker wants them.
         pub entries: Vec<(Name, u64)>,
+        /// Counts of service levels so far, if the asker wants them.
+        pub levels: Vec<(Name, Series)>,
+    }
+
+    /// Counts on their way to a reporter.
+    pub struct Forwarded {
+        /// Rises with each piece of this incarnation, so a repeated one counts once.
+        pub number: u64,
+        /// The counts.
+        pub counts: Counts,
+    }
+
+    /// A roll-out's row of the platform's table.
+    pub struct Standing {
+        /// The roll-out.
+        pub rollout: Name,
+        /// The row's version; the higher is the newer.
+        pub version: u64,
+        /// The row's value.
+        pub value: String,
     }
 
     /// One numbered piece of news of one control incarnation.
