--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,7 @@
 //! service; the rest is soft and comes back from peers.
 
 pub mod bills;
+pub mod burn;
 pub mod configuration;
 pub mod daemon;
 pub mod exposure;
@@ -16,6 +17,8 @@
 pub mod peers;
 pub mod platform;
 pub mod process;
+pub mod quarantine;
+pub mod rollout;
 pub mod server;
 pub mod shards;
 pub mod status;
