--- a/crates/control/tests/gossip.rs
+++ b/crates/control/tests/gossip.rs
@@ -96,22 +96,34 @@
     async fn document(self, _: tarpc::context::Context, _: u64) -> Option<String> {
         Some(self.text)
     }
+    async fn abandon(self, _: tarpc::context::Context, _: wire::claim::Claim) -> bool {
+        false
+    }
     async fn owner_claim(
         self,
         _: tarpc::context::Context,
-        _: u32,
+        _: wire::shard::Home,
         _: wire::claim::Claim,
-    ) -> wire::claim::ClaimAnswer {
-        wire::claim::ClaimAnswer::Granted
+    ) -> wire::shard::Reply<wire::claim::ClaimAnswer> {
+        wire::shard::Reply::Answer(wire::claim::ClaimAnswer::Granted)
     }
     async fn owner_pin(
         self,
         _: tarpc::context::Context,
-        _: u32,
+        _: wire::shard::Home,
         pin: wire::claim::Pin,
-    ) -> wire::claim::PinAnswer {
-        wire::claim::PinAnswer::Pinned { version: pin.version }
+    ) -> wire::shard::Reply<wire::claim::PinAnswer> {
+        wire::shard::Reply::Answer(wire::claim::PinAnswer::Pinned { version: pin.version })
     }
+    async fn owner_abandon(
+        self,
+        _: tarpc::context::Context,
+        _: wire::shard::Home,
+        _: wire::claim::Claim,
+    ) -> wire::shard::Reply<bool> {
+        wire::shard::Reply::Answer(false)
+    }
+    async fn changed(self, _: tarpc::context::Context, _: wire::shard::Home) {}
     async fn append(
         self,
         _: tarpc::context::Context,
@@ -119,12 +131,7 @@
     ) -> wire::shard::Appended {
         wire::shard::Appended::Behind
     }
-    async fn hold(
-        self,
-        _: tarpc::context::Context,
-        _: policy::name::Name,
-        _: Vec<wire::bill::Bill>,
-    ) -> bool {
+    async fn hold(self, _: tarpc::context::Context, _: wire::bill::Hold) -> bool {
         false
     }
     async fn release(
