--- a/crates/chestnutspur/src/command.rs
+++ b/crates/chestnutspur/src/command.rs
@@ -4,7 +4,9 @@
 mod bills;
 mod check;
 mod control;
+mod entry;
 mod report;
+mod standin;
 mod status;
 
 use std::path::{Path, PathBuf};
@@ -19,6 +21,16 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 pub enum Command {
+    /// Run the data plane of one entry host: callers in, backend servers out
+    ///
+    /// Prints one JSON line with the addresses it listens on, then logs on standard error until
+    /// SIGTERM, upon which it finishes the requests under way and exits 0.
+    #[bpaf(command)]
+    Entry {
+        /// JSON file with the process's settings
+        #[bpaf(long, argument("FILE"))]
+        settings: PathBuf,
+    },
     /// Run the controllers of one entry host: configuration, shards, bills, console
     ///
     /// Prints one JSON line with the addresses it listens on, then logs on standard error until
@@ -50,6 +62,9 @@
     /// Reports on a running deployment
     #[bpaf(command)]
     Report(#[bpaf(external(report::report))] report::Report),
+    /// Stand-ins for the platform and the backend servers, each its own process
+    #[bpaf(command)]
+    Standin(#[bpaf(external(standin::standin))] standin::Standin),
     /// Print the version of this program
     #[bpaf(command)]
     Version,
@@ -64,12 +79,14 @@
 /// Runs one subcommand to its end.
 pub fn run(command: Command) -> Exit {
     match command {
+        Command::Entry { settings } => entry::run(&settings),
         Command::Control { settings } => control::run(&settings),
         Command::Check { file } => check::run(&file),
         Command::Apply(arguments) => apply::run(arguments),
         Command::Status(arguments) => status::run(&arguments),
         Command::Bills(arguments) => bills::run(&arguments),
         Command::Report(report) => report::run(report),
+        Command::Standin(standin) => standin::run(standin),
         Command::Version => {
             println!("chestnutspur {}", env!("CARGO_PKG_VERSION"));
             Exit::Done
