--- a/crates/entry/src/bills.rs
+++ b/crates/entry/src/bills.rs
@@ -34,7 +34,8 @@
     added: Notify,
     /// Queued or on their way.
     pending: AtomicUsize,
-    full: AtomicBool,
+    /// No control held the last bills.
+    unsafe_now: AtomicBool,
 }
 
 impl Bills {
@@ -56,10 +57,10 @@
         self.pending.load(Ordering::Relaxed)
     }
 
-    /// Whether new work must be refused: controls are at their bound, or this process is.
+    /// Whether new work must be refused: no control holds bills, or this process has too many.
     #[must_use]
     pub fn full(&self) -> bool {
-        self.full.load(Ordering::Relaxed) || self.pending() >= PENDING_MAX
+        self.unsafe_now.load(Ordering::Relaxed) || self.pending() >= PENDING_MAX
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Pending>> {
@@ -111,7 +112,9 @@
             async move { client.bill(context, bills).await }
         };
         let held = state.controls.ask(ROUND, call).await;
-        state.bills.full.store(matches!(held, Ok(Held::Full)), Ordering::Relaxed);
+        // Without a control that holds bills no answer could end, so no more work is begun.
+        let safe = matches!(held, Ok(Held::Twice | Held::Once));
+        state.bills.unsafe_now.store(!safe, Ordering::Relaxed);
         match held {
             Ok(Held::Twice) => break,
             Ok(Held::Once) => {
--- /dev/null
+++ b/crates/entry/tests/leaving.rs
@@ -0,0 +1,155 @@
+//! Backend servers that leave, and the process's own shutdown.
+
+mod common;
+
+use std::time::Duration;
+
+use common::bench::{Bench, KEY, chat_body, header, refused, send, text};
+use common::{until, until_async};
+use hyper::Request;
+use standin::backend::Faults;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use wire::host::HostState;
+use wire::refusal::{Code, Ran};
+
+const TAG: (&str, &str) = ("chestnutspur-task", "tag");
+
+#[tokio::test(flavor = "multi_thread")]
+async fn draining_report_stops_new_work() {
+    // The list still says live, but the server's own report says that it is leaving. The report
+    // is the newer evidence.
+    let bench = Bench::start().await;
+    bench.engines[0].set_faults(Faults { draining: true, ..Faults::default() });
+    until_async("nothing goes to the leaving server", async || {
+        let before = bench.engines[0].runs().len();
+        for _ in 0..10 {
+            assert_eq!(bench.chat(&[TAG], false).await.unwrap().status(), 200);
+        }
+        bench.engines[0].runs().len() == before
+    })
+    .await;
+    let before = bench.engines[0].runs().len();
+    for _ in 0..20 {
+        assert_eq!(bench.chat(&[TAG], false).await.unwrap().status(), 200);
+    }
+    assert_eq!(bench.engines[0].runs().len(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn listed_as_leaving_gets_nothing_new() {
+    let bench = Bench::start().await;
+    bench.control.change(|view| view.hosts.hosts[0].state = HostState::Leaving);
+    bench.settled().await;
+    for _ in 0..20 {
+        assert_eq!(bench.chat(&[TAG], false).await.unwrap().status(), 200);
+    }
+    assert!(bench.engines[0].runs().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn recovered_server_gets_work_again() {
+    let bench = Bench::start().await;
+    bench.engines[0].close();
+    for _ in 0..10 {
+        assert_eq!(bench.chat(&[TAG], false).await.unwrap().status(), 200);
+    }
+    bench.engines[0].open();
+    until_async("the server gets work again", async || {
+        assert_eq!(bench.chat(&[TAG], false).await.unwrap().status(), 200);
+        !bench.engines[0].runs().is_empty()
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn view_that_falls_back_is_not_adopted() {
+    // A control that restarted from an old peer gives a lower generation, in which a withdrawn
+    // version is live. Taking it would put the version back to work.
+    let bench = Bench::start().await;
+    let old = bench.control.view.borrow().clone();
+    bench
+        .change_document(|document| document["versions"]["feed-1"]["state"] = "withdrawn".into())
+        .await;
+    bench.control.change(|view| {
+        *view = wire::view::View { incarnation: "control/2".into(), revision: 900, ..old.clone() };
+    });
+    for _ in 0..40 {
+        let answer = bench.chat(&[TAG], false).await.unwrap();
+        assert_eq!(text(&answer).version.as_str(), "feed-2");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn control_gone_leaves_the_view_in_force() {
+    // The only control goes away. The process goes on with its last view until bills can't be
+    // kept safe any more; then it says so, and nothing runs that no bill would follow.
+    let mut bench = Bench::start().await;
+    assert_eq!(bench.chat(&[TAG], false).await.unwrap().status(), 200);
+    drop(bench.running.take());
+    let deadline = ("chestnutspur-deadline", "300");
+    let answer = bench.chat(&[TAG, deadline], false).await.unwrap();
+    assert_eq!(refused(&answer), (Code::BillsFull, Ran::Unknown));
+    let before = bench.runs().len();
+    until_async("new work is refused", async || {
+        let answer = bench.chat(&[TAG, deadline], false).await.unwrap();
+        refused(&answer) == (Code::BillsFull, Ran::No)
+    })
+    .await;
+    let runs = bench.runs().len();
+    let answer = bench.chat(&[TAG], false).await.unwrap();
+    assert_eq!(refused(&answer), (Code::BillsFull, Ran::No));
+    assert_eq!(bench.runs().len(), runs);
+    assert!(runs >= before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_cuts_off_no_request() {
+    // A long stream is under way when the process is told to stop. It is not ready at once, goes
+    // on with the stream to its end, hands over the bill, and ends without an error.
+    let bench = Bench::start().await;
+    bench.fault(&Faults { delay_ms: 300, ..Faults::default() });
+    let body = chat_body("feed", true);
+    let request = Request::post("/v1/chat/completions")
+        .header("authorization", format!("Bearer {KEY}"))
+        .header("chestnutspur-task", "tag")
+        .body(bytes::Bytes::from(body))
+        .unwrap();
+    let under_way = tokio::spawn(send(bench.callers, request));
+    until("the request is at an engine", || bench.runs().len() == 1).await;
+    bench.stop.cancel();
+    until_async("not ready", async || {
+        let ready = Request::get("/ready").body(bytes::Bytes::new()).unwrap();
+        send(bench.operators, ready).await.is_ok_and(|answer| answer.status() == 503)
+    })
+    .await;
+    let answer = under_way.await.unwrap().unwrap();
+    assert!(answer.body().ends_with(b"data: [DONE]\n\n"));
+    bench.process.await.unwrap().unwrap();
+    assert_eq!(bench.control.bills_of(header(&answer, "x-request-id")).len(), 1);
+    assert!(TcpStream::connect(bench.callers).await.is_err());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_still_serves_what_the_balancer_sends() {
+    // Between the stop and the moment the balancer sees it, new connections come in. They are
+    // served, and told to close.
+    let bench = Bench::start().await;
+    bench.stop.cancel();
+    let answer = bench.chat(&[TAG], false).await.unwrap();
+    assert_eq!(answer.status(), 200);
+    assert_eq!(header(&answer, "connection"), "close");
+    bench.process.await.unwrap().unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_closes_idle_connections() {
+    let bench = Bench::start().await;
+    let mut idle = TcpStream::connect(bench.callers).await.unwrap();
+    idle.write_all(b"GET /none HTTP/1.1\r\nhost: a\r\n\r\n").await.unwrap();
+    let mut piece = [0; 16];
+    idle.read_exact(&mut piece).await.unwrap();
+    bench.stop.cancel();
+    let ended = tokio::time::timeout(Duration::from_secs(20), bench.process).await;
+    ended.unwrap().unwrap().unwrap();
+}
