entry: the test of a caller that leaves no longer passes by a limit's doing

Without the safeguard the between-bytes limit of 400 ms ended the run as well, so the test could not fail. Its version now has a limit longer than the test.

--- a/crates/entry/tests/answers.rs
+++ b/crates/entry/tests/answers.rs
@@ -167,11 +167,15 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn caller_gone_stops_the_backend_server() {
     // The caller reads the beginning of a long stream and goes away. The backend server must not
-    // go on working for nobody: its connection is closed, and it sees that.
-    let bench = Bench::start().await;
+    // go on working for nobody: its connection is closed, and it sees that. No limit of ours
+    // would end the run within the test's time.
+    let mut document = common::bench::document();
+    document["versions"]["feed-1"]["between_bytes_ms"] = 100_000.into();
+    document["accounts"]["mill"]["tasks"]["tag"]["deadline_ms"] = 100_000.into();
+    let bench = Bench::with(document, |_| {}).await;
     bench.fault(&Faults { silent_after: Some(400), ..Faults::default() });
     let mut stream = TcpStream::connect(bench.callers).await.unwrap();
-    let body = common::bench::chat_body("feed", true);
+    let body = common::bench::chat_body("feed-1", true);
     let request = format!(
         "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {}\r\n\
          chestnutspur-task: tag\r\ncontent-length: {}\r\n\r\n{body}",
