chestnutspur load: open-loop load driver

Requests alternate between the targets, so that a busy moment of the machine falls on all of them alike; only ratios within a run mean anything. The pacing is a sleeping thread: the runtime's timer counts whole milliseconds, more than what is to be measured.

--- a/crates/chestnutspur/src/command.rs
+++ b/crates/chestnutspur/src/command.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod bills;
 mod check;
+mod load;
 mod report;
 mod standin;
 mod status;
@@ -40,6 +41,12 @@
     /// Reports on a running deployment
     #[bpaf(command)]
     Report(#[bpaf(external(report::report))] report::Report),
+    /// Send requests at a steady rate to one or several targets and compare their latency
+    ///
+    /// Open loop: requests are sent at their intended times whether or not earlier ones were
+    /// answered, and latency counts from the intended time.
+    #[bpaf(command)]
+    Load(#[bpaf(external(load::arguments))] load::Arguments),
     /// Stand-ins for the platform and the backend servers, each its own process
     #[bpaf(command)]
     Standin(#[bpaf(external(standin::standin))] standin::Standin),
@@ -62,6 +69,7 @@
         Command::Status(arguments) => status::run(&arguments),
         Command::Bills(arguments) => bills::run(&arguments),
         Command::Report(report) => report::run(report),
+        Command::Load(arguments) => load::run(&arguments),
         Command::Standin(standin) => standin::run(standin),
         Command::Version => {
             println!("chestnutspur {}", env!("CARGO_PKG_VERSION"));
