--- a/crates/chestnutspur/src/main.rs
+++ b/crates/chestnutspur/src/main.rs
@@ -4,7 +4,6 @@
 mod exit;
 mod http;
 mod logging;
-#[expect(dead_code, reason = "for entry and control, which come next")]
 mod process;
 
 use bpaf::{Args, ParseFailure};
