chestnutspur demo: a deployment on loopback, with an audit from records

All processes are tasks over real sockets, none is replaced by a fake. The audit joins what callers sent, by the digest of each request's text, with the runs that backend servers recorded and the bills in the object store; the system's own counters are not read. Session conversations wait for each other, since each request needs the token the one before got.

--- a/crates/chestnutspur/src/command.rs
+++ b/crates/chestnutspur/src/command.rs
@@ -4,6 +4,7 @@
 mod bills;
 mod check;
 mod control;
+mod demo;
 mod load;
 mod report;
 mod standin;
@@ -52,6 +53,13 @@
     /// Reports on a running deployment
     #[bpaf(command)]
     Report(#[bpaf(external(report::report))] report::Report),
+    /// A whole deployment on loopback with faults, and an audit of what came of it
+    ///
+    /// Requests of mixed tasks to all entry hosts; half way the cheapest version turns bad, later
+    /// the platform is down for a while. The audit is made from the records of the stand-ins for
+    /// backend servers and platform. Exit code 1 if a number that must be 0 is not.
+    #[bpaf(command)]
+    Demo(#[bpaf(external(demo::arguments))] demo::Arguments),
     /// Send requests at a steady rate to one or several targets and compare their latency
     ///
     /// Open loop: requests are sent at their intended times whether or not earlier ones were
@@ -81,6 +89,7 @@
         Command::Status(arguments) => status::run(&arguments),
         Command::Bills(arguments) => bills::run(&arguments),
         Command::Report(report) => report::run(report),
+        Command::Demo(arguments) => demo::run(&arguments),
         Command::Load(arguments) => load::run(&arguments),
         Command::Standin(standin) => standin::run(standin),
         Command::Version => {
--- /dev/null
+++ b/crates/chestnutspur/src/command/demo/world.rs
@@ -0,0 +1,307 @@
+//! Everything the demo runs, as tasks of one process that speak over real sockets.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::{Method, StatusCode};
+use metrics_exporter_prometheus::PrometheusHandle;
+use policy::name::Name;
+use standin::client::{Client, request};
+use standin::deployment::Deployment;
+use standin::engine::Engine;
+use standin::platform::Platform;
+use standin::rater::Rater;
+use standin::run::Run;
+use standin::server::Running;
+use standin::service::Service;
+use standin::{engine, platform, rater, service};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use wire::host::{Host, Role};
+use wire::settings::{self, Bounds, Peer, Secret};
+
+use super::drive::Journal;
+use crate::process;
+
+/// Longest wait for all entry hosts to be ready.
+const START: Duration = Duration::from_secs(20);
+/// Longest wait for the last bills to reach the object store.
+const SETTLE: Duration = Duration::from_secs(15);
+const PAUSE: Duration = Duration::from_millis(50);
+const PEER_KEY: &str = "the demo's shared key: on loopback only";
+/// Share of answers rated.
+const RATED_SHARE: f64 = 0.1;
+
+/// Why the world did not start.
+#[derive(Debug)]
+pub enum Error {
+    /// A port could not be listened on.
+    Listen(std::io::Error),
+    /// Control could not start.
+    Control(control::Error),
+    /// Entry could not start.
+    Entry(entry::Error),
+    /// Metrics can't be recorded.
+    Metrics(String),
+    /// An entry host did not get ready in time.
+    NotReady(Name),
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Listen(error) => write!(f, "listening: {error}"),
+            Self::Control(error) => write!(f, "control: {error}"),
+            Self::Entry(error) => write!(f, "entry: {error}"),
+            Self::Metrics(message) => f.write_str(message),
+            Self::NotReady(host) => write!(f, "{host} did not get ready"),
+        }
+    }
+}
+
+impl From<std::io::Error> for Error {
+    fn from(error: std::io::Error) -> Self {
+        Self::Listen(error)
+    }
+}
+
+impl From<control::Error> for Error {
+    fn from(error: control::Error) -> Self {
+        Self::Control(error)
+    }
+}
+
+impl From<entry::Error> for Error {
+    fn from(error: entry::Error) -> Self {
+        Self::Entry(error)
+    }
+}
+
+/// One of our processes, as a task.
+struct Process {
+    host: Name,
+    stop: CancellationToken,
+    task: JoinHandle<Result<(), String>>,
+}
+
+/// All that runs.
+pub struct World {
+    /// The platform.
+    pub platform: Running<Platform>,
+    /// The model engines.
+    pub engines: Vec<Running<Engine>>,
+    /// The plain services' workers.
+    pub services: Vec<Running<Service>>,
+    /// Where callers come in, for each entry host.
+    pub entries: Vec<SocketAddr>,
+    /// What went wrong in stopping, for the summary.
+    pub unclean: Vec<String>,
+    raters: Vec<Running<Rater>>,
+    controls: Vec<Process>,
+    entry_processes: Vec<Process>,
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+impl World {
+    /// Starts everything and waits until all entry hosts are ready.
+    ///
+    /// # Errors
+    /// Any [`Error`].
+    pub async fn start(deployment: &Deployment, seed: u64) -> Result<Self, Error> {
+        let metrics = process::metrics().map_err(Error::Metrics)?;
+        let platform = platform::start(any_port(), deployment.platform())?;
+        let mut world = Self {
+            platform,
+            engines: Vec::new(),
+            services: Vec::new(),
+            entries: Vec::new(),
+            unclean: Vec::new(),
+            raters: Vec::new(),
+            controls: Vec::new(),
+            entry_processes: Vec::new(),
+        };
+        let mut hosts = world.start_backends(deployment, seed)?;
+        let peers = world.start_controls(deployment, &metrics).await?;
+        let operators = world.start_entries(deployment, &peers, &metrics).await?;
+        let controls = deployment.of_role(Role::Control).zip(&peers);
+        hosts.extend(controls.map(|(host, peer)| at(host, peer.address)));
+        let entries = deployment.of_role(Role::Entry).zip(&operators);
+        hosts.extend(entries.map(|(host, (_, address))| at(host, *address)));
+        world.platform.set_hosts(hosts);
+        for (host, address) in operators {
+            ready(host, address).await?;
+        }
+        Ok(world)
+    }
+
+    fn start_backends(&mut self, deployment: &Deployment, seed: u64) -> Result<Vec<Host>, Error> {
+        let mut hosts = Vec::new();
+        for host in deployment.of_role(Role::Backend) {
+            let address = match host.versions.is_empty() {
+                true => {
+                    let service = service::start(any_port(), deployment.service(host, seed))?;
+                    let address = service.address;
+                    self.services.push(service);
+                    address
+                }
+                false => {
+                    let engine = engine::start(any_port(), deployment.engine(host, seed))?;
+                    let address = engine.address;
+                    self.engines.push(engine);
+                    address
+                }
+            };
+            hosts.push(at(host, address));
+        }
+        for host in deployment.of_role(Role::Rater) {
+            let rater = rater::start(any_port(), rater::Faults::default())?;
+            hosts.push(at(host, rater.address));
+            self.raters.push(rater);
+        }
+        Ok(hosts)
+    }
+
+    async fn start_controls(
+        &mut self,
+        deployment: &Deployment,
+        metrics: &PrometheusHandle,
+    ) -> Result<Vec<Peer>, Error> {
+        let mut bound = Vec::new();
+        let mut peers = Vec::new();
+        for host in deployment.of_role(Role::Control) {
+            let settings = control_settings(host, self.platform.address);
+            let listeners = control::Listeners::bind(&settings).await?;
+            let address = listeners.peers.local_addr()?;
+            let (name, failure_domain) = (host.name.clone(), host.failure_domain.clone());
+            peers.push(Peer { name, failure_domain, address });
+            bound.push((settings, listeners));
+        }
+        for (mut settings, listeners) in bound {
+            settings.peers = peers.iter().filter(|p| p.name != settings.name).cloned().collect();
+            let (host, stop) = (settings.name.clone(), CancellationToken::new());
+            let running = control::run(settings, listeners, metrics.clone(), stop.clone());
+            let task = tokio::spawn(async { running.await.map_err(|error| error.to_string()) });
+            self.controls.push(Process { host, stop, task });
+        }
+        Ok(peers)
+    }
+
+    /// Starts all entries; gives their operators' addresses.
+    async fn start_entries(
+        &mut self,
+        deployment: &Deployment,
+        controls: &[Peer],
+        metrics: &PrometheusHandle,
+    ) -> Result<Vec<(Name, SocketAddr)>, Error> {
+        let mut operators = Vec::new();
+        for host in deployment.of_role(Role::Entry) {
+            let settings = entry_settings(host, controls);
+            let listeners = entry::Listeners::bind(&settings).await?;
+            self.entries.push(listeners.callers.local_addr()?);
+            operators.push((host.name.clone(), listeners.operators.local_addr()?));
+            let stop = CancellationToken::new();
+            let running = entry::run(settings, listeners, metrics.clone(), stop.clone());
+            let task = tokio::spawn(async { running.await.map_err(|error| error.to_string()) });
+            self.entry_processes.push(Process { host: host.name.clone(), stop, task });
+        }
+        Ok(operators)
+    }
+
+    /// Waits for the last bills, then stops all processes gracefully: entries first.
+    pub async fn stop(&mut self, journal: &Journal) {
+        let answered: BTreeSet<Name> = journal.answered().collect();
+        let deadline = tokio::time::Instant::now() + SETTLE;
+        while tokio::time::Instant::now() < deadline {
+            let billed = self.platform.bills().ids();
+            if answered.is_subset(&billed) {
+                break;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        let entries = std::mem::take(&mut self.entry_processes);
+        self.unclean.extend(stop_all(entries).await);
+        let controls = std::mem::take(&mut self.controls);
+        self.unclean.extend(stop_all(controls).await);
+    }
+
+    /// Everything that any backend server recorded.
+    #[must_use]
+    pub fn runs(&self) -> Vec<Run> {
+        let engines = self.engines.iter().flat_map(|engine| engine.runs());
+        engines.chain(self.services.iter().flat_map(|service| service.runs())).collect()
+    }
+}
+
+async fn stop_all(processes: Vec<Process>) -> Vec<String> {
+    for process in &processes {
+        process.stop.cancel();
+    }
+    let mut unclean = Vec::new();
+    for Process { host, task, .. } in processes {
+        match task.await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => unclean.push(format!("{host}: {error}")),
+            Err(error) => unclean.push(format!("{host}: {error}")),
+        }
+    }
+    unclean
+}
+
+fn at(host: &Host, address: SocketAddr) -> Host {
+    Host { address: address.to_string().into(), ..host.clone() }
+}
+
+fn control_settings(host: &Host, platform: SocketAddr) -> settings::Control {
+    settings::Control {
+        name: host.name.clone(),
+        failure_domain: host.failure_domain.clone(),
+        listen: any_port(),
+        operators: any_port(),
+        platform,
+        advertise: None,
+        peers: Vec::new(),
+        peer_key: Secret::Text(PEER_KEY.to_owned()),
+        operator_token_hashes: Vec::new(),
+        log: "error".into(),
+        bills_max: 200_000,
+        poll_ms: 1_000,
+        gossip_ms: 250,
+        shards: 16,
+    }
+}
+
+fn entry_settings(host: &Host, controls: &[Peer]) -> settings::Entry {
+    settings::Entry {
+        name: host.name.clone(),
+        failure_domain: host.failure_domain.clone(),
+        listen: any_port(),
+        operators: any_port(),
+        controls: controls.to_vec(),
+        peer_key: Secret::Text(PEER_KEY.to_owned()),
+        log: "error".into(),
+        bounds: Bounds::default(),
+        rated_share: RATED_SHARE,
+        drain_ms: 10_000,
+    }
+}
+
+async fn ready(host: Name, operators: SocketAddr) -> Result<(), Error> {
+    let client = Client::new(operators);
+    let deadline = tokio::time::Instant::now() + START;
+    while tokio::time::Instant::now() < deadline {
+        let asked = request(Method::GET, "/ready", "");
+        let answer = match asked {
+            Ok(asked) => client.call(asked).await.ok(),
+            Err(_) => None,
+        };
+        if answer.is_some_and(|answer| answer.status() == StatusCode::OK) {
+            return Ok(());
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    Err(Error::NotReady(host))
+}
