--- a/crates/chestnutspur/src/command/standin.rs
+++ b/crates/chestnutspur/src/command/standin.rs
@@ -5,9 +5,10 @@
 
 use bpaf::Bpaf;
 use serde::de::DeserializeOwned;
-use standin::deployment::Deployment;
+use standin::deployment::{self, Deployment};
 use standin::server::Running;
 use standin::{engine, passthrough, platform, rater, service};
+use wire::configuration::{Document, check};
 use wire::host::{Host, Role};
 
 use crate::exit::Exit;
@@ -28,6 +29,12 @@
         /// JSON file with hosts, rows and faults; instead of --deployment
         #[bpaf(argument("FILE"))]
         settings: Option<PathBuf>,
+        /// Configuration document to start with
+        #[bpaf(argument("FILE"))]
+        configuration: Option<PathBuf>,
+        /// JSON file with the host list to start with
+        #[bpaf(argument("FILE"))]
+        hosts: Option<PathBuf>,
     },
     /// A model engine: chat completions in JSON and as a stream
     #[bpaf(command)]
@@ -87,15 +94,15 @@
     /// Said on standard error already.
     Told,
     /// The deployment can't be used.
-    Deployment(standin::deployment::Error),
+    Deployment(deployment::Error),
     /// An address can't be listened on, or signals not be waited for.
     Io(std::io::Error),
     /// An address of the host list is none.
     Address(std::net::AddrParseError),
 }
 
-impl From<standin::deployment::Error> for Error {
-    fn from(error: standin::deployment::Error) -> Self {
+impl From<deployment::Error> for Error {
+    fn from(error: deployment::Error) -> Self {
         Self::Deployment(error)
     }
 }
@@ -129,11 +136,17 @@
 
 async fn serve(standin: Standin) -> Result<(), Error> {
     match standin {
-        Standin::Platform { listen, deployment, settings } => {
-            let settings = match deployment {
+        Standin::Platform { listen, deployment, settings, configuration, hosts } => {
+            let mut settings = match deployment {
                 Some(name) => Deployment::named(&name)?.platform(),
                 None => read(settings.as_deref())?,
             };
+            if let Some(file) = configuration {
+                settings.rows = deployment::rows(&document(&file)?);
+            }
+            if hosts.is_some() {
+                settings.hosts = read(hosts.as_deref())?;
+            }
             until_stopped(&platform::start(listen, settings)?).await
         }
         Standin::Engine(Backend { listen, settings }) => {
@@ -164,6 +177,14 @@
     })
 }
 
+fn document(file: &Path) -> Result<Document, Error> {
+    let text = command::read(file).ok_or(Error::Told)?;
+    check::parse(&text).map_err(|faults| {
+        command::print_faults(file, &faults);
+        Error::Told
+    })
+}
+
 async fn until_stopped<H>(running: &Running<H>) -> Result<(), Error> {
     let stop = process::stop_on_signal()?;
     process::print_listening(&[("address", running.address)]);
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -125,29 +125,12 @@
         self.hosts.iter().map(|host| host.failure_domain.clone()).collect()
     }
 
-    /// The platform's rows, as if an operator had put the document in force.
-    #[must_use]
-    pub fn rows(&self) -> Vec<Row> {
-        let change = "first";
-        let generation = self.document.generation;
-        let text = serde_json::to_string(&self.document).unwrap_or_default();
-        let current = json!({"generation": generation, "change": change});
-        let kept = json!({"change": change, "text": text});
-        let row = |key: String, value: serde_json::Value| Row {
-            table: TABLE.into(),
-            key: key.into(),
-            version: 1,
-            value: value.to_string(),
-        };
-        vec![row(format!("document/{generation}"), kept), row("current".to_owned(), current)]
-    }
-
     /// Settings of a platform with the document in force and the hosts listed.
     #[must_use]
     pub fn platform(&self) -> platform::Settings {
         platform::Settings {
             hosts: self.hosts.clone(),
-            rows: self.rows(),
+            rows: rows(&self.document),
             ..platform::Settings::default()
         }
     }
@@ -191,6 +174,23 @@
     }
 }
 
+/// The platform's rows, as if an operator had put a document in force.
+#[must_use]
+pub fn rows(document: &Document) -> Vec<Row> {
+    let change = "first";
+    let generation = document.generation;
+    let text = serde_json::to_string(document).unwrap_or_default();
+    let current = json!({"generation": generation, "change": change});
+    let kept = json!({"change": change, "text": text});
+    let row = |key: String, value: serde_json::Value| Row {
+        table: TABLE.into(),
+        key: key.into(),
+        version: 1,
+        value: value.to_string(),
+    };
+    vec![row(format!("document/{generation}"), kept), row("current".to_owned(), current)]
+}
+
 fn engine_version(version: &wire::configuration::Version) -> engine::Version {
     engine::Version {
         service_ms: SERVICE_MS + (version.cost * SERVICE_MS_PER_COST) as u64,
