--- a/crates/standin/src/platform/fault.rs
+++ b/crates/standin/src/platform/fault.rs
@@ -16,7 +16,8 @@
         pub down: Down,
         /// It takes requests and never answers; they have no effect.
         pub silent: bool,
-        /// Time each request waits before its effect, in milliseconds.
+        /// Time each request waits before its effect, in milliseconds. The effect comes even if the
+        /// caller has gone meanwhile.
         pub delay_ms: u64,
         /// The answers of this many next writes are lost: each takes effect (or conflicts), then
         /// its connection breaks. Counts down.
--- a/crates/standin/src/platform/http.rs
+++ b/crates/standin/src/platform/http.rs
@@ -9,6 +9,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use wire::platform::{Committed, Transaction};
 
+use super::fault::Faults;
 use super::{Platform, Records};
 use crate::fault::Down;
 use crate::reply;
@@ -40,7 +41,7 @@
         let call = Call::read(request).await?;
         match self.administer(&call) {
             Some(response) => Ok(response),
-            None => self.serve(&call).await,
+            None => self.serve(call).await,
         }
     }
 }
@@ -62,7 +63,7 @@
         }
     }
 
-    async fn serve(&self, call: &Call) -> Result<Response<Body>, Cut> {
+    async fn serve(self: Arc<Self>, call: Call) -> Result<Response<Body>, Cut> {
         let faults = self.faults();
         match faults.down {
             Down::Cut => return Err(Cut),
@@ -70,9 +71,18 @@
             Down::No if faults.silent => std::future::pending().await,
             Down::No => {}
         }
-        if faults.delay_ms > 0 {
-            tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        if faults.delay_ms == 0 {
+            return self.answer(&call, &faults);
         }
+        // A task of its own: a slow write takes effect also when its caller has given up.
+        let slow = tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+            self.answer(&call, &faults)
+        });
+        slow.await.unwrap_or(Err(Cut))
+    }
+
+    fn answer(&self, call: &Call, faults: &Faults) -> Result<Response<Body>, Cut> {
         let write = call.method != Method::GET;
         let allowed = match write {
             true => self.writes.take(faults.writes_per_second, Instant::now()),
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use bytes::Bytes;
-use common::{any_port, request};
+use common::{any_port, request, until};
 use hyper::{Method, Request, StatusCode};
 use policy::name::Name;
 use standin::client::Client;
@@ -118,6 +118,16 @@
     assert_eq!(again.status(), StatusCode::PRECONDITION_FAILED);
 }
 
+#[tokio::test]
+async fn slow_write_takes_effect_after_its_caller_left() {
+    let platform = platform::start(any_port(), Settings::default()).unwrap();
+    let client = Client::new(platform.address);
+    platform.set_faults(Faults { delay_ms: 1000, ..Faults::default() });
+    let put = client.call(put_absent("x", "late"));
+    assert!(tokio::time::timeout(std::time::Duration::from_millis(20), put).await.is_err());
+    until(|| platform.objects("").len() == 1).await;
+}
+
 #[tokio::test]
 async fn faults_have_no_effect_on_rows() {
     let platform = platform::start(any_port(), Settings::default()).unwrap();
