--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -40,6 +40,8 @@
         pub slots: u32,
         /// Requests believed to be worked on, of all entry hosts.
         pub in_flight: u32,
+        /// Of these, requests of this entry host.
+        pub own: u32,
         /// Entry hosts that share it.
         pub entries: u32,
     }
@@ -82,10 +84,15 @@
 }
 
 impl Load {
-    /// Places believed to be free.
+    /// Places believed to be free. Up to its part of all slots an entry host need not ask what the
+    /// others do: a lagging report of a full pool must not keep it from using what is its own.
     #[must_use]
     pub fn free(&self) -> u32 {
-        self.slots.saturating_sub(self.in_flight)
+        let unused_part = (self.part() as u32).saturating_sub(self.own);
+        match self.slots {
+            0 => 0,
+            slots => slots.saturating_sub(self.in_flight).max(unused_part),
+        }
     }
 
     /// The slots that this entry host can count on: its part of all of them.
--- a/crates/policy/src/select.rs
+++ b/crates/policy/src/select.rs
@@ -52,6 +52,8 @@
     pub struct Candidate {
         /// The version.
         pub version: Name,
+        /// Its model; a roll-out's candidate takes its share from live versions of its model.
+        pub model: Name,
         /// Cost of one call.
         pub cost: f64,
         /// What is known of its quality on the task.
@@ -107,7 +109,15 @@
     #[must_use]
     pub fn live(version: impl Into<Name>, cost: f64, quality: Estimate) -> Self {
         let version = version.into();
-        Self { version, cost, quality, standing: Standing::Live, latency_ms: 0.0 }
+        let model = version.clone();
+        Self { version, model, cost, quality, standing: Standing::Live, latency_ms: 0.0 }
+    }
+
+    /// Sets its model.
+    #[must_use]
+    pub fn with_model(mut self, model: impl Into<Name>) -> Self {
+        self.model = model.into();
+        self
     }
 
     /// Gives it a roll-out's share instead of full use.
@@ -155,8 +165,7 @@
         let mut left = 1.0;
         for (candidate, share) in candidate_shares(candidates) {
             let share = share.min(left);
-            let with: Vec<Outlook> =
-                outlooks.iter().filter(|o| o.introduces(candidates, candidate)).cloned().collect();
+            let with = outlook::introducing(&outlooks, candidates, candidate);
             table.add_mix(&hull::cheapest(&with, goal.target), share, candidates);
             left -= share;
         }
--- a/crates/policy/src/select/outlook.rs
+++ b/crates/policy/src/select/outlook.rs
@@ -25,13 +25,6 @@
         self.live
     }
 
-    /// Whether it runs a roll-out's candidate first, with no other candidate behind it.
-    #[must_use]
-    pub fn introduces(&self, candidates: &[Candidate], candidate: usize) -> bool {
-        let then_live = self.then.is_none_or(|then| is_live(&candidates[then]));
-        self.first == candidate && then_live
-    }
-
     /// The plan by names.
     #[must_use]
     pub fn plan(&self, candidates: &[Candidate]) -> Plan {
@@ -47,6 +40,28 @@
     matches!(candidate.standing, Standing::Live)
 }
 
+/// Plans for a roll-out's share: the candidate stands in for the live versions of its model. One
+/// that has none to stand in for runs first in every plan, or it would never be tried.
+#[must_use]
+pub fn introducing(
+    outlooks: &[Outlook],
+    candidates: &[Candidate],
+    candidate: usize,
+) -> Vec<Outlook> {
+    let model = &candidates[candidate].model;
+    let replaced = |index: usize| is_live(&candidates[index]) && candidates[index].model == *model;
+    let replaces = (0..candidates.len()).any(replaced);
+    let may = |index: usize| match index {
+        index if index == candidate => true,
+        index => is_live(&candidates[index]) && !replaced(index),
+    };
+    let fits = |outlook: &&Outlook| {
+        let introduced = replaces || outlook.first == candidate;
+        introduced && may(outlook.first) && outlook.then.is_none_or(may)
+    };
+    outlooks.iter().filter(fits).cloned().collect()
+}
+
 /// All plans: each version alone and, where a request may be repeated, each cascade.
 #[must_use]
 pub fn all(candidates: &[Candidate], goal: &Goal, now: Millis) -> Vec<Outlook> {
--- /dev/null
+++ b/crates/replay/src/generate.rs
@@ -0,0 +1,88 @@
+//! Generated traces: a kind of trouble and a seed give a trace, always the same one.
+
+pub mod deployment;
+pub mod draw;
+pub mod kind;
+
+use std::collections::BTreeMap;
+
+use policy::name::Name;
+use serde_json::json;
+
+use crate::trace::{Event, Request, Trace};
+use draw::Draw;
+pub use kind::Kind;
+
+/// Requests of a trace.
+const REQUESTS: u64 = 2400;
+/// Of a version's answers, this share depends on the request's difficulty, which all versions
+/// share; the rest is the version's own luck.
+const COMMON_LUCK: f64 = 0.6;
+/// Spread of times, as the standard deviation of their logarithm.
+const TIME_SPREAD: f64 = 0.35;
+/// Requests of one session.
+const SESSION_REQUESTS: u64 = 4;
+
+/// Makes a trace.
+#[must_use]
+pub fn trace(kind: Kind, seed: u64) -> Trace {
+    let scenario = kind.scenario();
+    let mut header = scenario.deployment.header(seed);
+    scenario.arrange(&mut header);
+    let mut draw = Draw::new(seed);
+    let times = scenario.times(REQUESTS, &mut draw);
+    let requests = times
+        .iter()
+        .enumerate()
+        .map(|(number, at)| request(&scenario, number as u64, *at, &mut draw))
+        .collect();
+    Trace { header, requests, events: scenario.events }
+}
+
+/// The trace as JSON lines, events among requests by time.
+#[must_use]
+pub fn lines(trace: &Trace) -> String {
+    let mut text = json!(trace.header).to_string() + "\n";
+    let mut events = trace.events.iter().peekable();
+    let mut push = |line: String| {
+        text.push_str(&line);
+        text.push('\n');
+    };
+    for request in &trace.requests {
+        while let Some(event) = events.next_if(|event: &&Event| event.at_ms <= request.at_ms) {
+            push(json!(event).to_string());
+        }
+        push(json!(request).to_string());
+    }
+    events.for_each(|event| push(json!(event).to_string()));
+    text
+}
+
+fn request(scenario: &kind::Scenario, number: u64, at_ms: u64, draw: &mut Draw) -> Request {
+    let deployment = &scenario.deployment;
+    let account = scenario.account(at_ms, draw);
+    let task = deployment.task(draw);
+    let difficulty = draw.unit();
+    let mut good = BTreeMap::new();
+    let mut ms = BTreeMap::new();
+    for version in &deployment.versions {
+        let luck = if draw.unit() < COMMON_LUCK { difficulty } else { draw.unit() };
+        let quality = scenario.quality(version, task, at_ms);
+        let time = version.ms * task.size * (TIME_SPREAD * draw.normal()).exp();
+        good.insert(Name::from(version.name), luck < quality);
+        ms.insert(Name::from(version.name), time.round().max(1.0) as u64);
+    }
+    let in_session = task.in_session;
+    let session = number / (SESSION_REQUESTS * 10) * 10 + draw.below(10);
+    Request {
+        at_ms,
+        id: format!("r{number}").into(),
+        account: account.clone(),
+        task: task.name.into(),
+        session: in_session.then(|| format!("{account}-{session}").into()),
+        may_repeat: None,
+        deadline_ms: None,
+        good,
+        ms,
+    }
+}
--- /dev/null
+++ b/crates/replay/src/generate/kind.rs
@@ -0,0 +1,290 @@
+//! The kinds of trouble, each with the outcomes stated for it.
+
+use policy::domain;
+use policy::name::Name;
+use wire::configuration::Rollout;
+
+use super::deployment::{self, Deployment, Work};
+use super::draw::Draw;
+use crate::trace::{Event, Happening, Header};
+
+domain! {
+    /// What a trace is about.
+    #[derive(Copy, Eq)]
+    pub enum Kind {
+        /// The benefit office on an ordinary day.
+        SteadyBenefit,
+        /// The feed cooperative on an ordinary day.
+        SteadyFeed,
+        /// A version turns bad at once.
+        Sudden,
+        /// A version turns bad by and by.
+        Slow,
+        /// A good candidate's roll-out, interrupted twice.
+        Rollout,
+        /// A candidate turns bad on its second step.
+        BadCandidate,
+        /// The pool loses most of its backend servers for a while.
+        Capacity,
+        /// One large account sends many times its usual traffic.
+        Flood,
+        /// The cheap version becomes a little worse than its document says.
+        Drift,
+        /// Ratings come late, then not at all, then again.
+        Ratings,
+        /// The evening's peak.
+        Peak,
+    }
+}
+
+/// All kinds, by the names that `--kind` takes.
+pub const KINDS: [(&str, Kind); 11] = [
+    ("steady-benefit", Kind::SteadyBenefit),
+    ("steady-feed", Kind::SteadyFeed),
+    ("sudden", Kind::Sudden),
+    ("slow", Kind::Slow),
+    ("rollout", Kind::Rollout),
+    ("bad-candidate", Kind::BadCandidate),
+    ("capacity", Kind::Capacity),
+    ("flood", Kind::Flood),
+    ("drift", Kind::Drift),
+    ("ratings", Kind::Ratings),
+    ("peak", Kind::Peak),
+];
+
+/// A change of a version's quality: from one time to another it moves by so much.
+#[derive(Clone, Copy, Debug)]
+struct Turn {
+    version: usize,
+    from_ms: u64,
+    to_ms: u64,
+    by: f64,
+}
+
+/// Traffic over time: the rate is multiplied between two times.
+#[derive(Clone, Copy, Debug)]
+struct Surge {
+    from_ms: u64,
+    to_ms: u64,
+    times: f64,
+    /// Whether all of the surplus is the first account's.
+    one_account: bool,
+}
+
+/// All that makes a trace of one kind.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    /// Where.
+    pub deployment: Deployment,
+    /// What happens.
+    pub events: Vec<Event>,
+    kind: Kind,
+    requests_per_second: f64,
+    turn: Option<Turn>,
+    surge: Option<Surge>,
+}
+
+impl Kind {
+    /// By its name in [`KINDS`].
+    #[must_use]
+    pub fn by_name(name: &str) -> Option<Self> {
+        KINDS.iter().find(|(known, _)| *known == name).map(|(_, kind)| *kind)
+    }
+
+    pub(super) fn scenario(self) -> Scenario {
+        let quiet = |deployment| Scenario {
+            deployment,
+            events: Vec::new(),
+            kind: self,
+            requests_per_second: 8.0,
+            turn: None,
+            surge: None,
+        };
+        let benefit = || quiet(Deployment::benefit());
+        let feed = || quiet(Deployment::feed());
+        let turn = |version, from_ms, to_ms, by| Some(Turn { version, from_ms, to_ms, by });
+        match self {
+            Self::SteadyBenefit => benefit(),
+            Self::SteadyFeed => feed(),
+            Self::Sudden => Scenario {
+                turn: turn(0, 100_000, 100_000, -0.35),
+                events: vec![turned_bad(100_000, "dossier-small-1")],
+                ..benefit()
+            },
+            Self::Slow => Scenario {
+                turn: turn(0, 60_000, 180_000, -0.30),
+                events: vec![turned_bad(60_000, "feed-small-1")],
+                ..feed()
+            },
+            Self::Rollout => Scenario {
+                events: vec![
+                    at(60_000, Happening::ControlDown),
+                    at(90_000, Happening::ControlUp),
+                    at(130_000, Happening::PlatformDown),
+                    at(160_000, Happening::PlatformUp),
+                ],
+                ..quiet(Deployment::feed().with_candidate())
+            },
+            Self::BadCandidate => Scenario {
+                turn: turn(3, 80_000, 80_000, -0.35),
+                events: vec![turned_bad(80_000, "dossier-small-2")],
+                ..quiet(Deployment::benefit().with_candidate())
+            },
+            Self::Capacity => Scenario {
+                events: vec![
+                    at(20_000, pool_down("dossier-models", 7)),
+                    at(35_000, Happening::PoolUp { pool: "dossier-models".into() }),
+                ],
+                requests_per_second: 48.0,
+                ..benefit()
+            },
+            Self::Flood => Scenario {
+                requests_per_second: 20.0,
+                surge: surge(10_000, 18_000, 12.0, true),
+                ..feed()
+            },
+            Self::Drift => Scenario { turn: turn(0, 60_000, 120_000, -0.06), ..feed() },
+            Self::Ratings => Scenario {
+                events: vec![
+                    at(60_000, Happening::RaterSlow { ms: 1_500 }),
+                    at(140_000, Happening::RaterDown),
+                    at(200_000, Happening::RaterUp),
+                    at(200_000, Happening::RaterSlow { ms: 50 }),
+                ],
+                ..benefit()
+            },
+            Self::Peak => Scenario {
+                requests_per_second: 20.0,
+                surge: surge(10_000, 30_000, 5.0, false),
+                ..feed()
+            },
+        }
+    }
+}
+
+impl Scenario {
+    /// Sets what this kind's header has beyond the deployment's, stated outcomes included.
+    pub fn arrange(&self, header: &mut Header) {
+        let expect = &mut header.expect;
+        let others = &self.deployment.accounts[1..];
+        match self.kind {
+            Kind::SteadyBenefit | Kind::SteadyFeed | Kind::Drift => {}
+            Kind::Sudden => {
+                expect.exposure_max = Some(120);
+                expect.exposure_over_one_host_max = Some(1.5);
+            }
+            Kind::Slow => {
+                expect.exposure_max = Some(500);
+                expect.exposure_over_one_host_max = Some(1.5);
+            }
+            Kind::Rollout => {
+                expect.rollout_share_min = [(Name::from("feed-small-2"), 1.0)].into();
+                self.roll_out(header, "feed-small-2");
+            }
+            Kind::BadCandidate => {
+                expect.exposure_max = Some(60);
+                expect.exposure_over_one_host_max = Some(1.5);
+                self.roll_out(header, "dossier-small-2");
+            }
+            Kind::Ratings => expect.p95_ms_max = Some(3_500),
+            Kind::Capacity => {
+                expect.refused_share_max = Some(0.25);
+                expect.p95_ms_max = Some(5_500);
+                self.slots(header, 2);
+            }
+            Kind::Flood => {
+                expect.refused_share_max = Some(0.40);
+                expect.p95_ms_max = Some(5_000);
+                expect.account_refused_share_max =
+                    others.iter().map(|name| (Name::from(*name), 0.02)).collect();
+                self.slots(header, 2);
+            }
+            Kind::Peak => {
+                expect.refused_share_max = Some(0.05);
+                expect.p95_ms_max = Some(4_000);
+                self.slots(header, 2);
+            }
+        }
+    }
+
+    fn roll_out(&self, header: &mut Header, version: &str) {
+        let rollout = Rollout {
+            version: version.into(),
+            steps: vec![0.1, 0.3, 0.6, 1.0],
+            step_ms: 30_000,
+            min_rated: 12,
+            guard: 0.8,
+        };
+        header.configuration.rollouts.insert("next-small".into(), rollout);
+    }
+
+    fn slots(&self, header: &mut Header, slots: u32) {
+        header.pools.values_mut().for_each(|pool| pool.slots = slots);
+        header.configuration.pools.values_mut().for_each(|pool| pool.slots = slots);
+    }
+
+    /// When requests come.
+    #[must_use]
+    pub fn times(&self, requests: u64, draw: &mut Draw) -> Vec<u64> {
+        let mut at = 0.0;
+        let mut times = Vec::new();
+        for _ in 0..requests {
+            let rate = self.requests_per_second * self.surge_at(at as u64).map_or(1.0, |s| s.times);
+            at += draw.exponential(1000.0 / rate);
+            times.push(at as u64);
+        }
+        times
+    }
+
+    /// Whose a request is: three accounts in ten send seven requests in ten.
+    pub fn account(&self, at_ms: u64, draw: &mut Draw) -> Name {
+        let accounts = &self.deployment.accounts;
+        let surplus = match self.surge_at(at_ms) {
+            Some(surge) if surge.one_account => 1.0 - 1.0 / surge.times,
+            _ => 0.0,
+        };
+        let index = match draw.unit() {
+            unit if unit < surplus => 0,
+            _ if draw.unit() < 0.7 => draw.below(3),
+            _ => 3 + draw.below(7),
+        };
+        accounts[index as usize].into()
+    }
+
+    /// A version's share of good answers on a task at a time.
+    #[must_use]
+    pub fn quality(&self, version: &deployment::Kind, task: &Work, at_ms: u64) -> f64 {
+        let index = self.deployment.tasks.iter().position(|known| known.name == task.name);
+        let quality = version.quality[index.unwrap_or(0)];
+        let turn = self.turn.filter(|t| self.deployment.versions[t.version].name == version.name);
+        quality + turn.map_or(0.0, |turn| turn.at(at_ms))
+    }
+
+    fn surge_at(&self, at_ms: u64) -> Option<Surge> {
+        self.surge.filter(|surge| (surge.from_ms..surge.to_ms).contains(&at_ms))
+    }
+}
+
+impl Turn {
+    fn at(&self, at_ms: u64) -> f64 {
+        let length = (self.to_ms - self.from_ms).max(1) as f64;
+        let gone = (at_ms as f64 - self.from_ms as f64) / length;
+        self.by * gone.clamp(0.0, 1.0)
+    }
+}
+
+fn surge(from_ms: u64, to_ms: u64, times: f64, one_account: bool) -> Option<Surge> {
+    Some(Surge { from_ms, to_ms, times, one_account })
+}
+
+fn at(at_ms: u64, what: Happening) -> Event {
+    Event { at_ms, what }
+}
+
+fn turned_bad(at_ms: u64, version: &str) -> Event {
+    at(at_ms, Happening::TurnedBad { version: version.into() })
+}
+
+fn pool_down(pool: &str, workers: u32) -> Happening {
+    Happening::PoolDown { pool: pool.into(), workers: Some(workers) }
+}
--- /dev/null
+++ b/crates/replay/src/oracle.rs
@@ -0,0 +1,140 @@
+//! What the best fixed plans would have cost, in hindsight.
+//!
+//! For each task: the cheapest of all single versions and, where its requests may be repeated and
+//! are in no session, cascades, whose answers on this very trace reach the target. The versions
+//! are those that were in full use all the time.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use policy::domain;
+use policy::name::Name;
+use policy::select::Plan;
+use wire::configuration::VersionState;
+
+use crate::trace::{Happening, Request, Trace};
+
+domain! {
+    /// Costs of fixed plans, over the requests that the replay answered.
+    #[derive(Copy, Default)]
+    pub struct Costs {
+        /// Of the cheapest plan that meets the target, for each task.
+        pub oracle: f64,
+        /// Of the cheapest mix of two plans that meets it.
+        pub oracle_mix: f64,
+        /// Of the version with most good answers, for each task.
+        pub always_best: f64,
+        /// Of the cheapest version.
+        pub always_cheapest: f64,
+    }
+}
+
+/// A plan on one task's requests.
+#[derive(Clone, Debug)]
+struct Hindsight {
+    plan: Plan,
+    good: u64,
+    cost: f64,
+}
+
+/// Works out all four.
+#[must_use]
+pub fn costs(trace: &Trace, answered: &[usize]) -> Costs {
+    let answered: BTreeSet<usize> = answered.iter().copied().collect();
+    let mut by_task: BTreeMap<(&Name, bool), Vec<&Request>> = BTreeMap::new();
+    for index in answered {
+        let request = &trace.requests[index];
+        by_task.entry((&request.task, may_cascade(trace, request))).or_default().push(request);
+    }
+    let mut sum = Costs::default();
+    for ((_, cascades), requests) in by_task {
+        add_task(&mut sum, trace, &requests, cascades);
+    }
+    sum
+}
+
+fn may_cascade(trace: &Trace, request: &Request) -> bool {
+    let task = trace.task(request).is_some_and(|task| task.may_repeat);
+    task && request.may_repeat.unwrap_or(true) && request.session.is_none()
+}
+
+fn add_task(sum: &mut Costs, trace: &Trace, requests: &[&Request], cascades: bool) {
+    let plans = plans(trace, requests, cascades);
+    let target = requests.first().and_then(|request| trace.task(request));
+    let needed = target.map_or(0.0, |task| task.quality_target) * requests.len() as f64;
+    let single = |plan: &&Hindsight| matches!(plan.plan, Plan::Single(_));
+    let by_cost = |a: &&Hindsight, b: &&Hindsight| a.cost.total_cmp(&b.cost);
+    let best = plans.iter().max_by_key(|plan| plan.good).map_or(0.0, |plan| plan.cost);
+    let meets = |plan: &&Hindsight| plan.good as f64 >= needed;
+    let oracle = plans.iter().filter(meets).min_by(by_cost).map_or(best, |plan| plan.cost);
+    sum.oracle += oracle;
+    sum.oracle_mix += mix(&plans, needed).min(oracle);
+    let best = plans.iter().filter(single).max_by_key(|plan| plan.good);
+    sum.always_best += best.map_or(0.0, |plan| plan.cost);
+    let cheapest = plans.iter().filter(single).min_by(by_cost);
+    sum.always_cheapest += cheapest.map_or(0.0, |plan| plan.cost);
+}
+
+/// The cheapest share of a plan that misses the target beside one that meets it.
+fn mix(plans: &[Hindsight], needed: f64) -> f64 {
+    let meeting = || plans.iter().filter(|plan| plan.good as f64 >= needed);
+    let missing = || plans.iter().filter(|plan| (plan.good as f64) < needed);
+    let pairs = meeting().flat_map(|above| missing().map(move |below| (above, below)));
+    let cost = |(above, below): (&Hindsight, &Hindsight)| {
+        let share = (above.good as f64 - needed) / (above.good as f64 - below.good as f64);
+        share * below.cost + (1.0 - share) * above.cost
+    };
+    pairs.map(cost).fold(f64::INFINITY, f64::min)
+}
+
+fn plans(trace: &Trace, requests: &[&Request], cascades: bool) -> Vec<Hindsight> {
+    let versions = versions(trace, requests);
+    let mut plans: Vec<Hindsight> = versions
+        .iter()
+        .map(|version| hindsight(trace, requests, Plan::Single(version.clone())))
+        .collect();
+    let pairs = versions.iter().flat_map(|first| versions.iter().map(move |then| (first, then)));
+    for (first, then) in pairs.filter(|(first, then)| cascades && first != then) {
+        let plan = Plan::Cascade { first: first.clone(), then: then.clone() };
+        plans.push(hindsight(trace, requests, plan));
+    }
+    plans
+}
+
+/// Versions in full use from beginning to end that every account of the task may use.
+fn versions(trace: &Trace, requests: &[&Request]) -> Vec<Name> {
+    let document = &trace.header.configuration;
+    let withdrawn = |version: &Name| {
+        let is =
+            |what: &Happening| matches!(what, Happening::Withdraw { version: v } if v == version);
+        trace.events.iter().any(|event| is(&event.what))
+    };
+    let accounts: BTreeSet<&Name> = requests.iter().map(|request| &request.account).collect();
+    let allowed = |version: &Name| {
+        accounts.iter().all(|name| document.accounts[*name].versions.contains(version))
+    };
+    let live = document.versions.iter().filter(|(_, v)| v.state == VersionState::Live);
+    live.map(|(name, _)| name.clone()).filter(|name| allowed(name) && !withdrawn(name)).collect()
+}
+
+fn hindsight(trace: &Trace, requests: &[&Request], plan: Plan) -> Hindsight {
+    let cost = |version: &Name| trace.header.configuration.versions[version].cost;
+    let good = |request: &Request, version: &Name| request.good.get(version) == Some(&true);
+    let mut sum = Hindsight { plan: plan.clone(), good: 0, cost: 0.0 };
+    for request in requests {
+        match &plan {
+            Plan::Single(version) => {
+                sum.good += u64::from(good(request, version));
+                sum.cost += cost(version);
+            }
+            Plan::Cascade { first, .. } if good(request, first) => {
+                sum.good += 1;
+                sum.cost += cost(first) + trace.header.rate_cost;
+            }
+            Plan::Cascade { first, then } => {
+                sum.good += u64::from(good(request, then));
+                sum.cost += cost(first) + trace.header.rate_cost + cost(then);
+            }
+        }
+    }
+    sum
+}
--- /dev/null
+++ b/crates/replay/src/run/clock.rs
@@ -0,0 +1,65 @@
+//! What happens next: by time, then in the order it was put in.
+
+use std::cmp::{Ordering, Reverse};
+use std::collections::BinaryHeap;
+
+use policy::time::Millis;
+
+/// Things to come.
+#[derive(Debug)]
+pub struct Clock<T> {
+    heap: BinaryHeap<Reverse<Entry<T>>>,
+    number: u64,
+}
+
+#[derive(Debug)]
+struct Entry<T> {
+    at: Millis,
+    number: u64,
+    item: T,
+}
+
+impl<T> Default for Clock<T> {
+    fn default() -> Self {
+        Self { heap: BinaryHeap::new(), number: 0 }
+    }
+}
+
+impl<T> Clock<T> {
+    /// Puts in one.
+    pub fn push(&mut self, at: Millis, item: T) {
+        self.number += 1;
+        self.heap.push(Reverse(Entry { at, number: self.number, item }));
+    }
+
+    /// Takes out the next.
+    pub fn pop(&mut self) -> Option<(Millis, T)> {
+        self.heap.pop().map(|Reverse(entry)| (entry.at, entry.item))
+    }
+}
+
+impl<T> Entry<T> {
+    fn key(&self) -> (Millis, u64) {
+        (self.at, self.number)
+    }
+}
+
+impl<T> Ord for Entry<T> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.key().cmp(&other.key())
+    }
+}
+
+impl<T> PartialOrd for Entry<T> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<T> PartialEq for Entry<T> {
+    fn eq(&self, other: &Self) -> bool {
+        self.key() == other.key()
+    }
+}
+
+impl<T> Eq for Entry<T> {}
--- /dev/null
+++ b/crates/replay/src/run/knowledge.rs
@@ -0,0 +1,252 @@
+//! What one entry host knows of the versions: ratings, verdicts, shares, times.
+
+use std::collections::BTreeMap;
+
+use policy::domain;
+use policy::estimate::Estimate;
+use policy::exposure::cusum::Cusum;
+use policy::exposure::likelihood::Likelihood;
+use policy::exposure::rating::Interest;
+use policy::exposure::{Hypotheses, Test, Verdict};
+use policy::name::Name;
+use policy::select::{Candidate, Goal, Rater, Table, baseline};
+use policy::time::Millis;
+use wire::configuration::{Document, Version, VersionState};
+
+use crate::variant::{Detection, Selection, Variant};
+
+/// How much one answer's time moves the mean.
+const TIME_GAIN: f64 = 0.1;
+/// Times are planned with this multiple of the mean, so that most answers are within.
+const TIME_MARGIN: f64 = 2.0;
+/// A table is planned again after this time at the soonest, in milliseconds.
+const TABLE_MS: u64 = 1_000;
+
+domain! {
+    /// One rated answer.
+    #[derive(Eq)]
+    pub struct Rated {
+        /// The version that gave it.
+        pub version: Name,
+        /// Its task.
+        pub task: Name,
+        /// Whether it is good.
+        pub good: bool,
+    }
+}
+
+/// One version.
+#[derive(Clone, Debug)]
+struct Known {
+    model: Name,
+    cost: f64,
+    takes_work: bool,
+    share: Option<f64>,
+    test: Detector,
+    rated: u64,
+    good: u64,
+}
+
+/// The test of one version.
+#[derive(Clone, Copy, Debug)]
+enum Detector {
+    Cusum(Cusum),
+    Likelihood(Likelihood),
+    None,
+}
+
+/// All versions.
+#[derive(Clone, Debug)]
+pub struct Knowledge {
+    variant: Variant,
+    versions: BTreeMap<Name, Known>,
+    estimates: BTreeMap<(Name, Name), Estimate>,
+    times: BTreeMap<(Name, Name), f64>,
+    tables: BTreeMap<(Name, Name, bool), (Millis, Table)>,
+    /// Whether the rating service answered when last asked.
+    pub rater_up: bool,
+    rate_ms: f64,
+    rate_cost: f64,
+}
+
+impl Knowledge {
+    /// What the document says.
+    #[must_use]
+    pub fn new(document: &Document, variant: Variant, rate_cost: f64, rate_ms: u64) -> Self {
+        let mut estimates = BTreeMap::new();
+        for (name, version) in &document.versions {
+            for (task, quality) in &version.quality {
+                estimates.insert((name.clone(), task.clone()), Estimate::prior(*quality));
+            }
+        }
+        let known = |version: &Version| Known {
+            model: version.model.clone(),
+            cost: version.cost,
+            takes_work: version.takes_new_sessions(),
+            share: (version.state == VersionState::Candidate).then_some(0.0),
+            test: Detector::new(variant.detection),
+            rated: 0,
+            good: 0,
+        };
+        Self {
+            variant,
+            versions: document.versions.iter().map(|(n, v)| (n.clone(), known(v))).collect(),
+            estimates,
+            times: BTreeMap::new(),
+            tables: BTreeMap::new(),
+            rater_up: true,
+            rate_ms: rate_ms as f64,
+            rate_cost,
+        }
+    }
+
+    /// The plans for requests of an account's task.
+    pub fn table(
+        &mut self,
+        document: &Document,
+        (account, task): (&Name, &Name),
+        may_repeat: bool,
+        now: Millis,
+    ) -> &Table {
+        let key = (account.clone(), task.clone(), may_repeat);
+        let fresh = |(built, _): &(Millis, Table)| now.since(*built) < TABLE_MS;
+        if !self.tables.get(&key).is_some_and(fresh) {
+            let table = self.plan(document, (account, task), may_repeat, now);
+            self.tables.insert(key.clone(), (now, table));
+        }
+        &self.tables[&key].1
+    }
+
+    fn plan(
+        &self,
+        document: &Document,
+        (account, task): (&Name, &Name),
+        may_repeat: bool,
+        now: Millis,
+    ) -> Table {
+        let Some(account) = document.accounts.get(account) else { return Table::default() };
+        let Some(rules) = account.tasks.get(task) else { return Table::default() };
+        let allowed = account.versions.iter();
+        let candidates: Vec<Candidate> =
+            allowed.filter_map(|version| self.candidate(version, task)).collect();
+        let rater = Rater { cost: self.rate_cost, latency_ms: self.rate_ms };
+        let goal = Goal {
+            target: rules.quality_target,
+            may_repeat,
+            deadline_ms: rules.deadline_ms as f64,
+            rater: self.rater_up.then_some(rater),
+            ..Goal::default()
+        };
+        match self.variant.selection {
+            Selection::Planned => Table::build(&candidates, &goal, now),
+            Selection::Best => baseline::best(&candidates, now),
+            Selection::Cheapest => baseline::cheapest(&candidates, now),
+            Selection::Split => baseline::fixed_split(&candidates, now),
+        }
+    }
+
+    fn candidate(&self, version: &Name, task: &Name) -> Option<Candidate> {
+        let known = self.versions.get(version).filter(|known| known.takes_work)?;
+        let key = (version.clone(), task.clone());
+        let quality = self.estimates.get(&key).copied().unwrap_or_default();
+        let time = self.times.get(&key).copied().unwrap_or(0.0);
+        let candidate = Candidate::live(version.clone(), known.cost, quality)
+            .with_model(known.model.clone())
+            .with_latency(time * TIME_MARGIN);
+        Some(match known.share {
+            Some(share) => candidate.with_share(share),
+            None => candidate,
+        })
+    }
+
+    /// Takes in a rating, of this host or another; true if the version has just turned out bad.
+    pub fn observe(&mut self, rated: &Rated, now: Millis) -> bool {
+        let key = (rated.version.clone(), rated.task.clone());
+        let estimate = self.estimates.entry(key).or_default();
+        let expecting = Hypotheses::expecting(estimate.prior_mean);
+        estimate.observe(rated.good, now);
+        let Some(known) = self.versions.get_mut(&rated.version) else { return false };
+        known.rated += 1;
+        known.good += u64::from(rated.good);
+        known.test.observe(rated.good, &expecting) == Verdict::Bad && known.takes_work
+    }
+
+    /// The version gets no new work: quarantine or withdrawal.
+    pub fn stop(&mut self, version: &Name) {
+        if let Some(known) = self.versions.get_mut(version) {
+            known.takes_work = false;
+            self.tables.clear();
+        }
+    }
+
+    /// Whether the version takes work.
+    #[must_use]
+    pub fn takes_work(&self, version: &Name) -> bool {
+        self.versions.get(version).is_some_and(|known| known.takes_work)
+    }
+
+    /// A roll-out's share comes in force.
+    pub fn share(&mut self, version: &Name, share: f64) {
+        if let Some(known) = self.versions.get_mut(version) {
+            known.share = Some(share);
+            self.tables.clear();
+        }
+    }
+
+    /// An answer took this long.
+    pub fn took(&mut self, version: &Name, task: &Name, ms: f64) {
+        let time = self.times.entry((version.clone(), task.clone())).or_insert(ms);
+        *time += TIME_GAIN * (ms - *time);
+    }
+
+    /// A rating took this long.
+    pub fn rating_took(&mut self, ms: u64) {
+        self.rate_ms += TIME_GAIN * (ms as f64 - self.rate_ms);
+    }
+
+    /// How much the ratings of a version matter.
+    #[must_use]
+    pub fn interest(&self, version: &Name) -> Interest {
+        match self.versions.get(version) {
+            Some(known) => Interest::of(known.share.is_some(), known.test.verdict()),
+            None => Interest::Steady,
+        }
+    }
+
+    /// Ratings of a version so far: good ones, all, and whether it was found bad.
+    #[must_use]
+    pub fn ratings(&self, version: &Name) -> policy::rollout::Ratings {
+        let known = self.versions.get(version);
+        policy::rollout::Ratings {
+            good: known.map_or(0, |known| known.good),
+            rated: known.map_or(0, |known| known.rated),
+            quarantined: known.is_some_and(|known| known.test.verdict() == Verdict::Bad),
+        }
+    }
+}
+
+impl Detector {
+    fn new(detection: Detection) -> Self {
+        match detection {
+            Detection::Cusum => Self::Cusum(Cusum::default()),
+            Detection::Likelihood => Self::Likelihood(Likelihood::default()),
+            Detection::None => Self::None,
+        }
+    }
+
+    fn observe(&mut self, good: bool, expecting: &Hypotheses) -> Verdict {
+        match self {
+            Self::Cusum(test) => test.observe(good, expecting),
+            Self::Likelihood(test) => test.observe(good, expecting),
+            Self::None => Verdict::Good,
+        }
+    }
+
+    fn verdict(&self) -> Verdict {
+        match self {
+            Self::Cusum(test) => test.verdict(),
+            Self::Likelihood(test) => test.verdict(),
+            Self::None => Verdict::Good,
+        }
+    }
+}
--- /dev/null
+++ b/crates/replay/src/run/news.rs
@@ -0,0 +1,149 @@
+//! Events of the trace, reports, ratings and roll-outs: all that is not a request's own life.
+
+use policy::name::Name;
+use policy::place;
+use policy::rollout::{self, Step as Next};
+use policy::time::Millis;
+
+use super::knowledge::Rated;
+use super::{REPORT_EVERY_MS, ROLLOUT_EVERY_MS, SWEEP_EVERY_MS, Step, World};
+use crate::trace::Happening;
+
+impl World<'_> {
+    pub(super) fn happen(&mut self, index: usize) {
+        match &self.trace.events[index].what {
+            Happening::TurnedBad { version } => {
+                self.bad.insert(version.clone(), 0);
+            }
+            Happening::Withdraw { version } => self.withdraw(version),
+            Happening::PoolDown { pool, workers } => self.pool_down(pool, *workers),
+            Happening::PoolUp { pool } => {
+                if let Some(pool) = self.pools.get_mut(pool) {
+                    pool.up();
+                }
+            }
+            Happening::PlatformDown => self.platform_up = false,
+            Happening::PlatformUp => self.platform_up = true,
+            Happening::RaterDown => self.rater_up = false,
+            Happening::RaterUp => self.rater_up = true,
+            Happening::RaterSlow { ms } => self.rate_ms = *ms,
+            Happening::ControlDown => self.control_up = false,
+            Happening::ControlUp => self.control_up = true,
+        }
+    }
+
+    /// A document that withdraws a version: each host has it after the same delay as evidence.
+    fn withdraw(&mut self, version: &Name) {
+        self.withdrawn.push(version.clone());
+        let at = self.now + self.trace.header.evidence_delay_ms;
+        for host in 0..self.hosts.len() {
+            self.clock.push(at, Step::Stopped { host, version: version.clone() });
+        }
+    }
+
+    fn pool_down(&mut self, name: &Name, workers: Option<u32>) {
+        let Some(pool) = self.pools.get_mut(name) else { return };
+        for call in pool.down(workers) {
+            self.broken(call);
+        }
+    }
+
+    /// A rating comes back to the host that asked: it learns now, the others a little later.
+    pub(super) fn rated(&mut self, host: usize, rated: &Rated) {
+        self.tally.rated += 1;
+        self.tally.cost += self.trace.header.rate_cost;
+        self.tally.rate_cost += self.trace.header.rate_cost;
+        match self.bad.get_mut(&rated.version) {
+            Some(count) if !self.found.contains_key(&rated.version) => *count += 1,
+            _ => {}
+        }
+        self.observe(host, rated);
+        self.tell_others(host, |host| Step::Heard { host, rated: rated.clone() });
+    }
+
+    pub(super) fn observe(&mut self, host: usize, rated: &Rated) {
+        let now = self.now;
+        if !self.hosts[host].knowledge.observe(rated, now) {
+            return;
+        }
+        let version = rated.version.clone();
+        if !self.found.contains_key(&version) {
+            self.found.insert(version.clone(), now);
+            match self.bad.get(&version) {
+                Some(rated) => self.tally.exposure.rated += rated,
+                None => self.tally.false_alarms += 1,
+            }
+        }
+        self.stop(host, &version);
+        self.tell_others(host, |host| Step::Stopped { host, version: version.clone() });
+    }
+
+    pub(super) fn stop(&mut self, host: usize, version: &Name) {
+        if !self.hosts[host].knowledge.takes_work(version) {
+            return;
+        }
+        self.hosts[host].knowledge.stop(version);
+        let exposed = |call: &&super::Call| {
+            call.host == host && call.exposed && !call.over && call.version == *version
+        };
+        self.tally.exposure.in_flight += self.calls.iter().filter(exposed).count() as u64;
+    }
+
+    pub(super) fn report(&mut self) {
+        for (name, pool) in &self.pools {
+            let step = Step::Reports { pool: name.clone(), loads: pool.loads(), at: self.now };
+            self.clock.push(self.now + pool.settings.report_lag_ms, step);
+        }
+        self.again(REPORT_EVERY_MS, Step::Report);
+    }
+
+    pub(super) fn reports(&mut self, pool: &Name, loads: &[Option<u32>], at: Millis) {
+        for host in &mut self.hosts {
+            if let Some(known) = host.pools.get_mut(pool) {
+                known.reported(loads, at);
+            }
+        }
+        for host in 0..self.hosts.len() {
+            self.pump(host, pool);
+        }
+    }
+
+    pub(super) fn rollouts(&mut self) {
+        if self.platform_up && self.control_up {
+            (0..self.rollouts.len()).for_each(|index| self.rollout(index));
+        }
+        self.again(ROLLOUT_EVERY_MS, Step::Rollouts);
+    }
+
+    fn rollout(&mut self, index: usize) {
+        let row = &mut self.rollouts[index];
+        // Any control decides alike, so the first host's stands for whichever looks.
+        let ratings = self.hosts[0].knowledge.ratings(&row.version);
+        match rollout::next(&row.course, &row.progress, &ratings, self.now) {
+            Next::Raise(progress) | Next::Stop(progress) => row.progress = progress,
+            Next::Hold | Next::Done => {}
+        }
+        let (version, share) = (row.version.clone(), row.progress.share(&row.course));
+        let at = self.now + self.trace.header.evidence_delay_ms;
+        for host in 0..self.hosts.len() {
+            self.clock.push(at, Step::Share { host, version: version.clone(), share });
+        }
+    }
+
+    pub(super) fn sweep(&mut self) {
+        let names: Vec<Name> = self.pools.keys().cloned().collect();
+        for host in 0..self.hosts.len() {
+            for name in &names {
+                self.sweep_queue(host, name);
+                self.pump(host, name);
+            }
+        }
+        self.again(SWEEP_EVERY_MS, Step::Sweep);
+    }
+
+    /// Hash that a session's requests are placed by: they share a prompt's prefix.
+    pub(super) fn affinity(&self, request: usize) -> Option<u64> {
+        let session = self.trace.requests[request].session.as_ref()?;
+        Some(place::hash(session.as_bytes()))
+    }
+}
