--- a/crates/chestnutspur/src/command.rs
+++ b/crates/chestnutspur/src/command.rs
@@ -3,7 +3,9 @@
 mod apply;
 mod bills;
 mod check;
+mod control;
 mod report;
+mod standin;
 mod status;
 
 use std::path::{Path, PathBuf};
@@ -18,6 +20,16 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 pub enum Command {
+    /// Run the controllers of one entry host: configuration, shards, bills, console
+    ///
+    /// Prints one JSON line with the addresses it listens on, then logs on standard error until
+    /// SIGTERM, upon which it hands over what it holds and exits 0.
+    #[bpaf(command)]
+    Control {
+        /// JSON file with the process's settings
+        #[bpaf(long, argument("FILE"))]
+        settings: PathBuf,
+    },
     /// Check a settings file or a configuration document, whichever it is
     ///
     /// Prints every fault with its path in the file; exit code 2 if there is one.
@@ -39,6 +51,9 @@
     /// Reports on a running deployment
     #[bpaf(command)]
     Report(#[bpaf(external(report::report))] report::Report),
+    /// Stand-ins for the platform and the backend servers, each its own process
+    #[bpaf(command)]
+    Standin(#[bpaf(external(standin::standin))] standin::Standin),
     /// Print the version of this program
     #[bpaf(command)]
     Version,
@@ -53,11 +68,13 @@
 /// Runs one subcommand to its end.
 pub fn run(command: Command) -> Exit {
     match command {
+        Command::Control { settings } => control::run(&settings),
         Command::Check { file } => check::run(&file),
         Command::Apply(arguments) => apply::run(arguments),
         Command::Status(arguments) => status::run(&arguments),
         Command::Bills(arguments) => bills::run(&arguments),
         Command::Report(report) => report::run(report),
+        Command::Standin(standin) => standin::run(standin),
         Command::Version => {
             println!("chestnutspur {}", env!("CARGO_PKG_VERSION"));
             Exit::Done
@@ -72,7 +89,6 @@
         .ok()
 }
 
-#[expect(dead_code, reason = "for entry and control, which come next")]
 /// Reads a settings file, or prints every fault found.
 fn load(file: &Path) -> Option<Settings> {
     let text = read(file)?;
