replay: eleven traces with their outcomes stated, the command line

entry: the load of a pool now says how many of its requests are one's own, so that a host may always use its part of the slots; one line there.

--- a/crates/chestnutspur/src/command.rs
+++ b/crates/chestnutspur/src/command.rs
@@ -4,9 +4,11 @@
 mod bills;
 mod check;
 mod control;
+mod replay;
 mod report;
 mod standin;
 mod status;
+mod trace;
 
 use std::path::{Path, PathBuf};
 
@@ -54,6 +56,12 @@
     /// Stand-ins for the platform and the backend servers, each its own process
     #[bpaf(command)]
     Standin(#[bpaf(external(standin::standin))] standin::Standin),
+    /// Replay recorded traces and check their stated outcomes
+    #[bpaf(command)]
+    Replay(#[bpaf(external(replay::arguments))] replay::Arguments),
+    /// Print a generated trace
+    #[bpaf(command)]
+    Trace(#[bpaf(external(trace::arguments))] trace::Arguments),
     /// Print the version of this program
     #[bpaf(command)]
     Version,
@@ -75,6 +83,8 @@
         Command::Bills(arguments) => bills::run(&arguments),
         Command::Report(report) => report::run(report),
         Command::Standin(standin) => standin::run(standin),
+        Command::Replay(arguments) => replay::run(&arguments),
+        Command::Trace(arguments) => trace::run(&arguments),
         Command::Version => {
             println!("chestnutspur {}", env!("CARGO_PKG_VERSION"));
             Exit::Done
--- /dev/null
+++ b/crates/chestnutspur/src/command/trace.rs
@@ -0,0 +1,33 @@
+//! `chestnutspur trace`.
+
+use bpaf::Bpaf;
+use replay::generate::{self, Kind, kind::KINDS};
+
+use crate::exit::Exit;
+
+/// Arguments of `trace`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Arguments {
+    /// What the trace is about: steady-benefit, steady-feed, sudden, slow, rollout, bad-candidate,
+    /// capacity, flood, drift, ratings or peak
+    #[bpaf(argument("KIND"))]
+    pub kind: String,
+    /// The same kind and seed give the same trace
+    #[bpaf(argument("SEED"), fallback(1))]
+    pub seed: u64,
+}
+
+/// Prints a generated trace.
+pub fn run(arguments: &Arguments) -> Exit {
+    match Kind::by_name(&arguments.kind) {
+        Some(kind) => {
+            print!("{}", generate::lines(&generate::trace(kind, arguments.seed)));
+            Exit::Done
+        }
+        None => {
+            let names: Vec<&str> = KINDS.iter().map(|(name, _)| *name).collect();
+            eprintln!("chestnutspur: --kind must be one of {}", names.join(", "));
+            Exit::Usage
+        }
+    }
+}
--- a/crates/entry/src/filter/admit.rs
+++ b/crates/entry/src/filter/admit.rs
@@ -155,7 +155,7 @@
         }
     }
     let in_flight = admitted.saturating_add(others.round() as u32);
-    Load { slots, in_flight, entries: snapshot.entries }
+    Load { slots, in_flight, own: admitted, entries: snapshot.entries }
 }
 
 /// Waits for a place in a pool.
--- a/crates/replay/src/generate.rs
+++ b/crates/replay/src/generate.rs
@@ -14,7 +14,7 @@
 pub use kind::Kind;
 
 /// Requests of a trace.
-const REQUESTS: u64 = 2400;
+const REQUESTS: u64 = 1500;
 /// Of a version's answers, this share depends on the request's difficulty, which all versions
 /// share; the rest is the version's own luck.
 const COMMON_LUCK: f64 = 0.6;
--- a/crates/replay/src/generate/deployment.rs
+++ b/crates/replay/src/generate/deployment.rs
@@ -95,7 +95,7 @@
                 task("summarise", 0.25, 1.5, 0.92),
                 Work { may_repeat: false, in_session: true, ..task("draft", 0.15, 1.0, 0.92) },
             ],
-            versions: versions("dossier"),
+            versions: versions(),
         }
     }
 
@@ -133,7 +133,7 @@
                 task("plan", 0.25, 1.5, 0.92),
                 Work { may_repeat: false, ..task("order", 0.15, 1.0, 0.92) },
             ],
-            versions: versions("feed"),
+            versions: versions(),
         }
     }
 
@@ -141,8 +141,7 @@
     #[must_use]
     pub fn with_candidate(mut self) -> Self {
         let small = self.versions[0];
-        let name = if small.model == "dossier-small" { "dossier-small-2" } else { "feed-small-2" };
-        self.versions.push(Kind { name, candidate: true, ..small });
+        self.versions.push(Kind { name: "small-2", candidate: true, ..small });
         self
     }
 
@@ -206,6 +205,7 @@
             first_byte_ms: 10_000,
             between_bytes_ms: 5_000,
             stale_limit_ms: 300_000,
+            cleared: 0,
         }
     }
 
@@ -236,26 +236,12 @@
     }
 }
 
-fn versions(deployment: &'static str) -> Vec<Kind> {
-    let names = match deployment {
-        "dossier" => [
-            ("dossier-small", "dossier-small-1"),
-            ("dossier-medium", "dossier-medium-1"),
-            ("dossier-large", "dossier-large-1"),
-        ],
-        _ => [
-            ("feed-small", "feed-small-1"),
-            ("feed-medium", "feed-medium-1"),
-            ("feed-large", "feed-large-1"),
-        ],
-    };
-    let kind = |index: usize, cost, ms, quality| {
-        let (model, name) = names[index];
-        Kind { name, model, cost, ms, quality, candidate: false }
-    };
+fn versions() -> Vec<Kind> {
+    let kind =
+        |name, model, cost, ms, quality| Kind { name, model, cost, ms, quality, candidate: false };
     vec![
-        kind(0, 1.0, 250.0, [0.95, 0.85, 0.88]),
-        kind(1, 3.0, 450.0, [0.96, 0.93, 0.95]),
-        kind(2, 10.0, 900.0, [0.98, 0.97, 0.97]),
+        kind("small-1", "small", 1.0, 250.0, [0.95, 0.85, 0.88]),
+        kind("mid-1", "mid", 3.0, 450.0, [0.96, 0.93, 0.95]),
+        kind("large-1", "large", 10.0, 900.0, [0.98, 0.97, 0.97]),
     ]
 }
--- a/crates/replay/src/generate/kind.rs
+++ b/crates/replay/src/generate/kind.rs
@@ -108,12 +108,12 @@
             Self::SteadyFeed => feed(),
             Self::Sudden => Scenario {
                 turn: turn(0, 100_000, 100_000, -0.35),
-                events: vec![turned_bad(100_000, "dossier-small-1")],
+                events: vec![turned_bad(100_000, "small-1")],
                 ..benefit()
             },
             Self::Slow => Scenario {
                 turn: turn(0, 60_000, 180_000, -0.30),
-                events: vec![turned_bad(60_000, "feed-small-1")],
+                events: vec![turned_bad(60_000, "small-1")],
                 ..feed()
             },
             Self::Rollout => Scenario {
@@ -127,35 +127,35 @@
             },
             Self::BadCandidate => Scenario {
                 turn: turn(3, 80_000, 80_000, -0.35),
-                events: vec![turned_bad(80_000, "dossier-small-2")],
+                events: vec![turned_bad(80_000, "small-2")],
                 ..quiet(Deployment::benefit().with_candidate())
             },
             Self::Capacity => Scenario {
                 events: vec![
-                    at(20_000, pool_down("dossier-models", 7)),
-                    at(35_000, Happening::PoolUp { pool: "dossier-models".into() }),
+                    at(8_000, pool_down("dossier-models", 7)),
+                    at(18_000, Happening::PoolUp { pool: "dossier-models".into() }),
                 ],
                 requests_per_second: 48.0,
                 ..benefit()
             },
             Self::Flood => Scenario {
                 requests_per_second: 20.0,
-                surge: surge(10_000, 18_000, 12.0, true),
+                surge: surge(10_000, 14_000, 12.0, true),
                 ..feed()
             },
             Self::Drift => Scenario { turn: turn(0, 60_000, 120_000, -0.06), ..feed() },
             Self::Ratings => Scenario {
                 events: vec![
-                    at(60_000, Happening::RaterSlow { ms: 1_500 }),
-                    at(140_000, Happening::RaterDown),
-                    at(200_000, Happening::RaterUp),
-                    at(200_000, Happening::RaterSlow { ms: 50 }),
+                    at(40_000, Happening::RaterSlow { ms: 1_500 }),
+                    at(90_000, Happening::RaterDown),
+                    at(140_000, Happening::RaterUp),
+                    at(140_000, Happening::RaterSlow { ms: 50 }),
                 ],
                 ..benefit()
             },
             Self::Peak => Scenario {
                 requests_per_second: 20.0,
-                surge: surge(10_000, 30_000, 5.0, false),
+                surge: surge(10_000, 20_000, 5.0, false),
                 ..feed()
             },
         }
@@ -178,13 +178,13 @@
                 expect.exposure_over_one_host_max = Some(1.5);
             }
             Kind::Rollout => {
-                expect.rollout_share_min = [(Name::from("feed-small-2"), 1.0)].into();
-                self.roll_out(header, "feed-small-2");
+                expect.rollout_share_min = [(Name::from("small-2"), 1.0)].into();
+                self.roll_out(header, "small-2");
             }
             Kind::BadCandidate => {
                 expect.exposure_max = Some(60);
                 expect.exposure_over_one_host_max = Some(1.5);
-                self.roll_out(header, "dossier-small-2");
+                self.roll_out(header, "small-2");
             }
             Kind::Ratings => expect.p95_ms_max = Some(3_500),
             Kind::Capacity => {
