--- a/crates/replay/src/oracle.rs
+++ b/crates/replay/src/oracle.rs
@@ -26,6 +26,14 @@
         /// Of the cheapest version.
         pub always_cheapest: f64,
     }
+
+    /// The oracle's cost by task.
+    pub struct Hindsights {
+        /// Over all tasks.
+        pub sum: Costs,
+        /// By task; a task whose requests may only in part be cascaded counts as one.
+        pub tasks: BTreeMap<Name, Costs>,
+    }
 }
 
 /// A plan on one task's requests.
@@ -38,18 +46,29 @@
 
 /// Works out all four.
 #[must_use]
-pub fn costs(trace: &Trace, answered: &[usize]) -> Costs {
+pub fn costs(trace: &Trace, answered: &[usize]) -> Hindsights {
     let answered: BTreeSet<usize> = answered.iter().copied().collect();
     let mut by_task: BTreeMap<(&Name, bool), Vec<&Request>> = BTreeMap::new();
     for index in answered {
         let request = &trace.requests[index];
         by_task.entry((&request.task, may_cascade(trace, request))).or_default().push(request);
     }
-    let mut sum = Costs::default();
-    for ((_, cascades), requests) in by_task {
-        add_task(&mut sum, trace, &requests, cascades);
+    let mut costs = Hindsights { sum: Costs::default(), tasks: BTreeMap::new() };
+    for ((task, cascades), requests) in by_task {
+        let of_task = task_costs(trace, &requests, cascades);
+        costs.sum.add(&of_task);
+        costs.tasks.entry(task.clone()).or_default().add(&of_task);
+    }
+    costs
+}
+
+impl Costs {
+    fn add(&mut self, other: &Self) {
+        self.oracle += other.oracle;
+        self.oracle_mix += other.oracle_mix;
+        self.always_best += other.always_best;
+        self.always_cheapest += other.always_cheapest;
     }
-    sum
 }
 
 fn may_cascade(trace: &Trace, request: &Request) -> bool {
@@ -57,7 +76,7 @@
     task && request.may_repeat.unwrap_or(true) && request.session.is_none()
 }
 
-fn add_task(sum: &mut Costs, trace: &Trace, requests: &[&Request], cascades: bool) {
+fn task_costs(trace: &Trace, requests: &[&Request], cascades: bool) -> Costs {
     let plans = plans(trace, requests, cascades);
     let target = requests.first().and_then(|request| trace.task(request));
     let needed = target.map_or(0.0, |task| task.quality_target) * requests.len() as f64;
@@ -66,12 +85,14 @@
     let best = plans.iter().max_by_key(|plan| plan.good).map_or(0.0, |plan| plan.cost);
     let meets = |plan: &&Hindsight| plan.good as f64 >= needed;
     let oracle = plans.iter().filter(meets).min_by(by_cost).map_or(best, |plan| plan.cost);
-    sum.oracle += oracle;
-    sum.oracle_mix += mix(&plans, needed).min(oracle);
     let best = plans.iter().filter(single).max_by_key(|plan| plan.good);
-    sum.always_best += best.map_or(0.0, |plan| plan.cost);
     let cheapest = plans.iter().filter(single).min_by(by_cost);
-    sum.always_cheapest += cheapest.map_or(0.0, |plan| plan.cost);
+    Costs {
+        oracle,
+        oracle_mix: mix(&plans, needed).min(oracle),
+        always_best: best.map_or(0.0, |plan| plan.cost),
+        always_cheapest: cheapest.map_or(0.0, |plan| plan.cost),
+    }
 }
 
 /// The cheapest share of a plan that misses the target beside one that meets it.
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -1,16 +1,34 @@
 //! What a replay came to, checked against what was stated.
 
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 
 use policy::domain;
 use policy::name::Name;
 
-use crate::oracle::{self, Costs};
-use crate::run::tally::{Exposure, Refusals, Tally, percentile};
+use crate::oracle::{self, Hindsights};
+use crate::run::tally::{Exposure, Refusals, Served, Tally, percentile};
 use crate::run::{self, Options};
 use crate::trace::{Expect, Trace};
 
 domain! {
+    /// One task's figures.
+    #[derive(Copy, Default)]
+    pub struct Task {
+        /// Answered in time.
+        pub answered: u64,
+        /// Share of good answers.
+        pub quality: f64,
+        /// The highest share that any account was promised.
+        pub target: f64,
+        /// Cost of all calls and ratings.
+        pub cost: f64,
+        /// Of the best fixed plan in hindsight.
+        pub cost_oracle: f64,
+        /// Of the best mix of two plans in hindsight.
+        pub cost_oracle_mix: f64,
+    }
+
     /// One trace's figures.
     pub struct Report {
         /// The trace's file.
@@ -59,6 +77,8 @@
         pub refused_share_worst_account: f64,
         /// Why.
         pub refusals: Refusals,
+        /// By task.
+        pub tasks: BTreeMap<Name, Task>,
         /// Stated outcomes that were not held, in words.
         pub missed: Vec<String>,
         /// Whether all stated outcomes were held.
@@ -85,7 +105,8 @@
     report
 }
 
-fn figures(trace: &Trace, tally: &Tally, costs: &Costs) -> Report {
+fn figures(trace: &Trace, tally: &Tally, costs: &Hindsights) -> Report {
+    let tasks = tasks(trace, tally, costs);
     let accounts = tally.accounts.values().map(|served| served.refused_share());
     Report {
         trace: String::new(),
@@ -93,12 +114,12 @@
         requests: trace.requests.len() as u64,
         quality: tally.quality(),
         target: target(trace, tally),
-        quality_margin: margin(trace, tally),
+        quality_margin: tasks.values().map(|t| t.quality - t.target).fold(1.0, f64::min),
         cost: tally.cost,
-        cost_oracle: costs.oracle,
-        cost_oracle_mix: costs.oracle_mix,
-        cost_always_best: costs.always_best,
-        cost_always_cheapest: costs.always_cheapest,
+        cost_oracle: costs.sum.oracle,
+        cost_oracle_mix: costs.sum.oracle_mix,
+        cost_always_best: costs.sum.always_best,
+        cost_always_cheapest: costs.sum.always_cheapest,
         exposure: tally.exposure.test + tally.exposure.spread,
         exposure_parts: tally.exposure,
         exposure_one_host: None,
@@ -111,6 +132,7 @@
         refused_share: tally.refused_share(),
         refused_share_worst_account: accounts.fold(0.0, f64::max),
         refusals: tally.refusals,
+        tasks,
         missed: Vec::new(),
         held: false,
     }
@@ -123,14 +145,25 @@
 }
 
 /// Tasks of one name are judged together, each against the highest target that any account has.
-fn margin(trace: &Trace, tally: &Tally) -> f64 {
-    let targets = |task: &Name| {
+fn tasks(trace: &Trace, tally: &Tally, costs: &Hindsights) -> BTreeMap<Name, Task> {
+    let target = |task: &Name| {
         let accounts = trace.header.configuration.accounts.values();
         let tasks = accounts.filter_map(|account| account.tasks.get(task));
         tasks.map(|task| task.quality_target).fold(0.0, f64::max)
     };
-    let margins = tally.tasks.iter().map(|(task, served)| served.quality() - targets(task));
-    margins.fold(1.0, f64::min)
+    let hindsight = |task: &Name| costs.tasks.get(task).copied().unwrap_or_default();
+    let figures = |(task, served): (&Name, &Served)| {
+        let figures = Task {
+            answered: served.answered,
+            quality: served.quality(),
+            target: target(task),
+            cost: served.cost,
+            cost_oracle: hindsight(task).oracle,
+            cost_oracle_mix: hindsight(task).oracle_mix,
+        };
+        (task.clone(), figures)
+    };
+    tally.tasks.iter().map(figures).collect()
 }
 
 fn missed(report: &Report, expect: &Expect, tally: &Tally) -> Vec<String> {
--- a/crates/replay/src/run/life.rs
+++ b/crates/replay/src/run/life.rs
@@ -187,7 +187,8 @@
         let allowed = document.accounts.get(&request.account);
         let allowed = allowed.is_some_and(|account| account.versions.contains(&version));
         self.tally.violations += u64::from(!allowed);
-        self.tally.cost += document.versions.get(&version).map_or(0.0, |version| version.cost);
+        let cost = document.versions.get(&version).map_or(0.0, |version| version.cost);
+        self.tally.spend(&request.task, cost);
         let (host, sent) = (self.lives[life].host, self.now);
         let call =
             Call { life, host, version, pool, worker, sent, started: sent, exposed, over: false };
--- a/crates/replay/src/run/news.rs
+++ b/crates/replay/src/run/news.rs
@@ -51,8 +51,8 @@
     /// A rating comes back to the host that asked: it learns now, the others a little later.
     pub(super) fn rated(&mut self, host: usize, rated: &Rated) {
         self.tally.rated += 1;
-        self.tally.cost += self.trace.header.rate_cost;
         self.tally.rate_cost += self.trace.header.rate_cost;
+        self.tally.spend(&rated.task, self.trace.header.rate_cost);
         match self.bad.get_mut(&rated.version) {
             Some(count) if !self.found.contains_key(&rated.version) => *count += 1,
             _ => {}
--- a/crates/replay/src/run/tally.rs
+++ b/crates/replay/src/run/tally.rs
@@ -15,6 +15,8 @@
         pub good: u64,
         /// Refused, failed or late.
         pub refused: u64,
+        /// Cost of all calls and ratings, those of refused requests too.
+        pub cost: f64,
     }
 
     /// Requests that reached versions turned bad, in parts.
@@ -82,6 +84,12 @@
 }
 
 impl Tally {
+    /// A call or a rating was paid for.
+    pub fn spend(&mut self, task: &Name, cost: f64) {
+        self.cost += cost;
+        self.tasks.entry(task.clone()).or_default().cost += cost;
+    }
+
     /// Requests that got no answer in time, over all.
     #[must_use]
     pub fn refused_share(&self) -> f64 {
