exposure: rarer false alarms

The test's bound for 95 to 60 rises from 16 to 18 with the threshold it follows; its false-alarm bound stays.

--- a/crates/policy/src/exposure.rs
+++ b/crates/policy/src/exposure.rs
@@ -10,15 +10,18 @@
 
 use crate::domain;
 
-/// Rated answers between two false alarms, of a version that stays as good as expected.
-pub const FALSE_ALARM_EVERY: f64 = 20_000.0;
+/// Rated answers between two false alarms of one test, of a version that stays as good as
+/// expected. Each host tests on its own and sees the newest ratings in its own order, and the first
+/// verdict counts for all: with seven hosts that doubles false alarms, so one test is kept well
+/// under the goal of one in 10,000.
+pub const FALSE_ALARM_EVERY: f64 = 50_000.0;
 /// Expected shares are kept below this: a document that claims more would make one bad answer
 /// weigh as much as a verdict.
 pub const EXPECTED_MAX: f64 = 0.98;
 /// And above this: a version that is expected to be bad can't be told to have turned bad.
 pub const EXPECTED_MIN: f64 = 0.2;
 /// A version is bad when its odds of a good answer have fallen to this part of the expected.
-pub const BAD_ODDS: f64 = 0.16;
+pub const BAD_ODDS: f64 = 0.13;
 
 domain! {
     /// What "good" and "bad" mean for a version on a task.
--- a/crates/replay/src/run/life.rs
+++ b/crates/replay/src/run/life.rs
@@ -236,7 +236,9 @@
         let in_time = self.now + self.rate_ms < deadline;
         let unit = self.draw.unit();
         let interest = self.hosts[host].knowledge.interest(&version);
-        let wanted = cascade || self.hosts[host].sampler.rates(interest, unit);
+        // What a cascade's second version is asked is what the first one failed at. Its ratings
+        // would make it look worse than it is, and in the end get it quarantined.
+        let wanted = cascade || !escalated && self.hosts[host].sampler.rates(interest, unit);
         if wanted {
             self.hosts[host].knowledge.rater_up = self.rater_up;
         }
