--- a/crates/chestnutspur/src/command.rs
+++ b/crates/chestnutspur/src/command.rs
@@ -7,9 +7,11 @@
 mod demo;
 mod entry;
 mod load;
+mod replay;
 mod report;
 mod standin;
 mod status;
+mod trace;
 
 use std::path::{Path, PathBuf};
 
@@ -80,6 +82,12 @@
     /// Stand-ins for the platform and the backend servers, each its own process
     #[bpaf(command)]
     Standin(#[bpaf(external(standin::standin))] standin::Standin),
+    /// Replay recorded traces and check their stated outcomes
+    #[bpaf(command)]
+    Replay(#[bpaf(external(replay::arguments))] replay::Arguments),
+    /// Print a generated trace
+    #[bpaf(command)]
+    Trace(#[bpaf(external(trace::arguments))] trace::Arguments),
     /// Print the version of this program
     #[bpaf(command)]
     Version,
@@ -104,6 +112,8 @@
         Command::Demo(arguments) => demo::run(&arguments),
         Command::Load(arguments) => load::run(&arguments),
         Command::Standin(standin) => standin::run(standin),
+        Command::Replay(arguments) => replay::run(&arguments),
+        Command::Trace(arguments) => trace::run(&arguments),
         Command::Version => {
             println!("chestnutspur {}", env!("CARGO_PKG_VERSION"));
             Exit::Done
