The demo's audit as a part of its own, shown to find what it is for

An audit that had only ever said 0 would prove nothing. It is a pure function now, and a test alters a faultless record in each way it must find: wrong answers, doubled runs under another id, versions not allowed or withdrawn, moved sessions, bills missing, doubled, without a run, gaps in logs, refusals that were not true. Two new numbers: bills without a run, and untrue refusals.

--- a/crates/chestnutspur/src/command/demo.rs
+++ b/crates/chestnutspur/src/command/demo.rs
@@ -1,7 +1,6 @@
 //! `chestnutspur demo`: a whole deployment on loopback, with faults, and an audit of what came
 //! of it from the stand-ins' own records.
 
-mod audit;
 mod caller;
 mod drive;
 mod summary;
@@ -14,7 +13,6 @@
 use crate::exit::Exit;
 use crate::{logging, process};
 
-use audit::Audit;
 use summary::Summary;
 use world::World;
 
@@ -119,8 +117,7 @@
     let journal = drive::drive(&world, &deployment, plan).await;
     eprintln!("demo: stopping all processes gracefully");
     world.stop(&journal).await;
-    let audit = Audit::new(&world, &deployment, &journal);
-    Ok(Summary::new(&world, &deployment, &journal, audit))
+    Ok(Summary::new(&world, &deployment, &journal))
 }
 
 fn print(summary: &Summary, json: bool) -> Exit {
@@ -131,7 +128,7 @@
     for wrong in &summary.wrong {
         eprintln!("demo: wrong answer: {wrong}");
     }
-    let faults = summary.audit.faults();
+    let faults = summary.faults();
     for fault in &faults {
         eprintln!("demo: must be 0: {fault}");
     }
--- a/crates/chestnutspur/src/command/demo/caller.rs
+++ b/crates/chestnutspur/src/command/demo/caller.rs
@@ -12,7 +12,7 @@
 use standin::client::Client;
 use standin::{draw, service};
 use wire::backend::{IDEMPOTENCY_KEY, SESSION, TASK};
-use wire::refusal::{self, Ran};
+use wire::refusal;
 
 use super::traffic::{self, Kind};
 
@@ -166,9 +166,3 @@
     let service::Echo { service, digest, request, .. } = echo;
     Some(Some(Answer { good: true, version: service, request, digest }))
 }
-
-/// Whether a refusal says that the request did not run.
-#[must_use]
-pub fn says_not_run(outcome: &Outcome) -> bool {
-    matches!(outcome, Outcome::Refused(refusal) if refusal.ran == Ran::No)
-}
--- a/crates/chestnutspur/src/command/demo/drive.rs
+++ b/crates/chestnutspur/src/command/demo/drive.rs
@@ -9,10 +9,11 @@
 use standin::backend::Faults;
 use standin::client::Client;
 use standin::deployment::Deployment;
+use standin::{audit, draw};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use wire::configuration::VersionState;
-use wire::refusal::Code;
+use wire::refusal::{Code, Ran};
 
 use super::caller::{Caller, Outcome, Token};
 use super::traffic::{Kind, Request, Session};
@@ -37,6 +38,27 @@
     pub outcome: Outcome,
 }
 
+impl Sent {
+    /// What the audit needs of it.
+    #[must_use]
+    pub fn record(&self) -> audit::Sent {
+        let end = match &self.outcome {
+            Outcome::Answered { request, .. } => audit::End::Answered { request: request.clone() },
+            Outcome::Wrong(_) => audit::End::Wrong,
+            Outcome::Refused(refusal) if refusal.ran == Ran::No => audit::End::NotRun,
+            Outcome::Refused(_) | Outcome::Broken(_) => audit::End::Unknown,
+        };
+        audit::Sent {
+            digest: draw::digest(self.request.text()).into(),
+            account: self.request.account.clone(),
+            service: !is_chat(&self.request),
+            may_repeat: self.request.may_repeat,
+            session: self.session.clone(),
+            end,
+        }
+    }
+}
+
 /// All that callers saw, and where the faults came.
 #[derive(Debug, Default)]
 pub struct Journal {
--- a/crates/chestnutspur/src/command/demo/summary.rs
+++ b/crates/chestnutspur/src/command/demo/summary.rs
@@ -6,12 +6,12 @@
 
 use policy::domain;
 use policy::name::Name;
+use standin::audit::Audit;
 use standin::deployment::Deployment;
 use standin::platform::audit::Bills;
 
-use super::audit::Audit;
 use super::caller::Outcome;
-use super::drive::{self, Journal};
+use super::drive::{self, Journal, Sent};
 use super::world::World;
 
 domain! {
@@ -44,6 +44,8 @@
 pub struct Summary {
     /// What must be 0.
     pub audit: Audit,
+    /// Processes that did not stop as they should.
+    pub unclean: Vec<String>,
     /// Each wrong answer: whose, and what it was.
     pub wrong: Vec<String>,
     answered: u64,
@@ -59,7 +61,7 @@
 impl Summary {
     /// Adds up everything.
     #[must_use]
-    pub fn new(world: &World, deployment: &Deployment, journal: &Journal, audit: Audit) -> Self {
+    pub fn new(world: &World, deployment: &Deployment, journal: &Journal) -> Self {
         let mut refused: BTreeMap<String, u64> = BTreeMap::new();
         let mut latencies = Vec::new();
         let mut wrong = Vec::new();
@@ -79,13 +81,16 @@
             }
         }
         latencies.sort_unstable();
+        let bills = world.platform.bills();
+        let sent: Vec<_> = journal.sent.iter().map(Sent::record).collect();
         Self {
-            audit,
+            audit: Audit::new(&deployment.document, &sent, &world.runs(), &bills),
+            unclean: world.unclean.clone(),
             wrong,
             answered,
             refused,
             good,
-            cost_ratio_to_best: cost_ratio(&world.platform.bills(), deployment, journal),
+            cost_ratio_to_best: cost_ratio(&bills, deployment, journal),
             turned_bad: journal.turned_bad.clone(),
             exposure: exposure(world, journal),
             latencies,
@@ -109,6 +114,16 @@
         }
     }
 
+    /// Everything that must not be.
+    #[must_use]
+    pub fn faults(&self) -> Vec<String> {
+        let numbers = self.audit.numbers();
+        let numbers = numbers.iter().filter(|(_, number)| *number > 0);
+        let numbers = numbers.map(|(name, number)| format!("{name}: {number}"));
+        let unclean = self.unclean.iter().map(|why| format!("unclean stop: {why}"));
+        numbers.chain(unclean).collect()
+    }
+
     fn percentile(&self, share: f64) -> f64 {
         let index = (self.latencies.len() as f64 * share) as usize;
         let found = self.latencies.get(index).or(self.latencies.last());
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! both in memory and over HTTP (`GET /records`, `PUT /faults`).
 
 pub mod answer;
+pub mod audit;
 pub mod backend;
 pub mod client;
 pub mod deployment;
