--- a/crates/entry/src/filter/bill.rs
+++ b/crates/entry/src/filter/bill.rs
@@ -23,7 +23,8 @@
     #[must_use]
     pub fn new(state: Arc<State>, request: Name, account: Name, task: Name, version: Name) -> Self {
         let at = clock::now();
-        let bill = Bill { request, account, task, version, cost: 0.0, at, whole: false };
+        let log = state.snapshot.load().control.clone();
+        let bill = Bill { request, log, account, task, version, cost: 0.0, at, whole: false };
         Self { state, bill: Some(bill) }
     }
 
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -36,6 +36,7 @@
 fn batch(incarnation: &str, number: u64, requests: &[&str]) -> Request<Bytes> {
     let bill = |request: &&str| Bill {
         request: (*request).into(),
+        log: Name::from("h1.a"),
         account: "a".into(),
         task: "t".into(),
         version: "v".into(),
