--- a/crates/standin/tests/audit.rs
+++ b/crates/standin/tests/audit.rs
@@ -51,6 +51,7 @@
         cost: 8.0,
         at: policy::time::Millis(1),
         whole: true,
+        log: Name::default(),
     }
 }
 
