--- a/crates/chestnutspur/tests/demo.rs
+++ b/crates/chestnutspur/tests/demo.rs
@@ -46,3 +46,33 @@
     }
     assert_eq!(checked, 2 + 14 + 12);
 }
+
+/// What the caller of the demo sees: one object with the agreed keys, and exit 0, although a
+/// version turns bad half way and the platform is down for a fifth of the run. An audited number
+/// that is not 0 makes it exit 1, and names itself on standard error.
+#[test]
+fn demo_keeps_its_promises_on_both_deployments() {
+    let keys = [
+        "answered",
+        "refused",
+        "wrong_answers",
+        "doubled_runs",
+        "disallowed_runs",
+        "sessions_moved",
+        "bills_missing",
+        "bills_doubled",
+        "cost_ratio_to_best",
+        "exposure",
+    ];
+    for deployment in standin::deployment::Deployment::NAMES {
+        let arguments = ["demo", "--deployment", deployment, "--requests", "400", "--json"];
+        let output = chestnutspur(&arguments);
+        let errors = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(0), "{deployment}: {errors}");
+        let printed: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+        let printed = printed.as_object().unwrap();
+        assert_eq!(printed.len(), keys.len());
+        assert!(keys.iter().all(|key| printed[*key].is_number()), "{printed:?}");
+        assert!(printed["answered"].as_u64() > Some(0), "{printed:?}");
+    }
+}
--- a/examples/latency/run.sh
+++ b/examples/latency/run.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Measures what entry adds: direct, through the plain pass-through and through entry, alternating
 # within one run. Run from the root of the repository after `cargo build --release`.
-# Usage: examples/latency/run.sh RATE SECONDS [further options of `chestnutspur load`]
+# Usage: [TARGETS="direct passthrough entry"] examples/latency/run.sh RATE SECONDS [further options
+# of `chestnutspur load`]
 set -euo pipefail
 program=${PROGRAM:-target/release/chestnutspur}
 here=examples/latency
@@ -37,6 +38,17 @@
 entry=$!
 until curl -sf http://127.0.0.1:9200/ready >/dev/null; do sleep 0.1; done
 
-"$program" load --to 127.0.0.1:9001 --compare 127.0.0.1:9003 --compare 127.0.0.1:9100 \
-    --pid 0 --pid "$passthrough" --pid "$entry" \
-    --model bench-1 --key demo-latency-bench-key --rate "$1" --seconds "$2" "${@:3}"
+# The first target is what the others are compared with.
+compare=--to
+options=()
+for target in ${TARGETS:-direct passthrough entry}; do
+    case $target in
+        direct) options+=("$compare" 127.0.0.1:9001 --pid 0) ;;
+        passthrough) options+=("$compare" 127.0.0.1:9003 --pid "$passthrough") ;;
+        entry) options+=("$compare" 127.0.0.1:9100 --pid "$entry") ;;
+        *) echo "TARGETS: direct, passthrough, entry" >&2; exit 2 ;;
+    esac
+    compare=--compare
+done
+"$program" load "${options[@]}" --model bench-1 --key demo-latency-bench-key \
+    --rate "$1" --seconds "$2" "${@:3}"
