--- a/crates/chestnutspur/src/command/demo.rs
+++ b/crates/chestnutspur/src/command/demo.rs
@@ -3,6 +3,7 @@
 
 mod caller;
 mod drive;
+mod settings;
 mod summary;
 mod traffic;
 mod world;
--- a/crates/chestnutspur/src/command/demo/world.rs
+++ b/crates/chestnutspur/src/command/demo/world.rs
@@ -19,9 +19,10 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use wire::host::{Host, Role};
-use wire::settings::{self, Bounds, Peer, Secret};
+use wire::settings::Peer;
 
 use super::drive::Journal;
+use super::settings;
 use crate::process;
 
 /// Longest wait for all entry hosts to be ready.
@@ -29,9 +30,6 @@
 /// Longest wait for the last bills to reach the object store.
 const SETTLE: Duration = Duration::from_secs(15);
 const PAUSE: Duration = Duration::from_millis(50);
-const PEER_KEY: &str = "the demo's shared key: on loopback only";
-/// Share of answers rated.
-const RATED_SHARE: f64 = 0.1;
 
 /// Why the world did not start.
 #[derive(Debug)]
@@ -102,10 +100,6 @@
     entry_processes: Vec<Process>,
 }
 
-fn any_port() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
-
 impl World {
     /// Starts everything and waits until all entry hosts are ready.
     ///
@@ -113,7 +107,7 @@
     /// Any [`Error`].
     pub async fn start(deployment: &Deployment, seed: u64) -> Result<Self, Error> {
         let metrics = process::metrics().map_err(Error::Metrics)?;
-        let platform = platform::start(any_port(), deployment.platform())?;
+        let platform = platform::start(settings::any_port(), deployment.platform())?;
         let mut world = Self {
             platform,
             engines: Vec::new(),
@@ -143,13 +137,15 @@
         for host in deployment.of_role(Role::Backend) {
             let address = match host.versions.is_empty() {
                 true => {
-                    let service = service::start(any_port(), deployment.service(host, seed))?;
+                    let service =
+                        service::start(settings::any_port(), deployment.service(host, seed))?;
                     let address = service.address;
                     self.services.push(service);
                     address
                 }
                 false => {
-                    let engine = engine::start(any_port(), deployment.engine(host, seed))?;
+                    let engine =
+                        engine::start(settings::any_port(), deployment.engine(host, seed))?;
                     let address = engine.address;
                     self.engines.push(engine);
                     address
@@ -158,7 +154,7 @@
             hosts.push(at(host, address));
         }
         for host in deployment.of_role(Role::Rater) {
-            let rater = rater::start(any_port(), rater::Faults::default())?;
+            let rater = rater::start(settings::any_port(), rater::Faults::default())?;
             hosts.push(at(host, rater.address));
             self.raters.push(rater);
         }
@@ -173,7 +169,7 @@
         let mut bound = Vec::new();
         let mut peers = Vec::new();
         for host in deployment.of_role(Role::Control) {
-            let settings = control_settings(host, self.platform.address);
+            let settings = settings::control(host, self.platform.address);
             let listeners = control::Listeners::bind(&settings).await?;
             let address = listeners.peers.local_addr()?;
             let (name, failure_domain) = (host.name.clone(), host.failure_domain.clone());
@@ -199,7 +195,7 @@
     ) -> Result<Vec<(Name, SocketAddr)>, Error> {
         let mut operators = Vec::new();
         for host in deployment.of_role(Role::Entry) {
-            let settings = entry_settings(host, controls);
+            let settings = settings::entry(host, controls);
             let listeners = entry::Listeners::bind(&settings).await?;
             self.entries.push(listeners.callers.local_addr()?);
             operators.push((host.name.clone(), listeners.operators.local_addr()?));
@@ -255,40 +251,6 @@
     Host { address: address.to_string().into(), ..host.clone() }
 }
 
-fn control_settings(host: &Host, platform: SocketAddr) -> settings::Control {
-    settings::Control {
-        name: host.name.clone(),
-        failure_domain: host.failure_domain.clone(),
-        listen: any_port(),
-        operators: any_port(),
-        platform,
-        advertise: None,
-        peers: Vec::new(),
-        peer_key: Secret::Text(PEER_KEY.to_owned()),
-        operator_token_hashes: Vec::new(),
-        log: "error".into(),
-        bills_max: 200_000,
-        poll_ms: 1_000,
-        gossip_ms: 250,
-        shards: 16,
-    }
-}
-
-fn entry_settings(host: &Host, controls: &[Peer]) -> settings::Entry {
-    settings::Entry {
-        name: host.name.clone(),
-        failure_domain: host.failure_domain.clone(),
-        listen: any_port(),
-        operators: any_port(),
-        controls: controls.to_vec(),
-        peer_key: Secret::Text(PEER_KEY.to_owned()),
-        log: "error".into(),
-        bounds: Bounds::default(),
-        rated_share: RATED_SHARE,
-        drain_ms: 10_000,
-    }
-}
-
 async fn ready(host: Name, operators: SocketAddr) -> Result<(), Error> {
     let client = Client::new(operators);
     let deadline = tokio::time::Instant::now() + START;
