--- a/crates/policy/src/estimate.rs
+++ b/crates/policy/src/estimate.rs
@@ -7,7 +7,7 @@
 use crate::time::Millis;
 
 /// Ratings that the document's word is worth.
-pub const PRIOR_WEIGHT: f64 = 20.0;
+pub const PRIOR_WEIGHT: f64 = 80.0;
 /// After this time a rating counts half, in milliseconds.
 pub const HALF_LIFE_MS: u64 = 600_000;
 /// Expected share of good answers where the document says nothing.
