select: aim a little above the target, with less doubt about each version

A plan that meets the target exactly is below it half of the time on the few hundred requests that a promise is judged on; doubt about the versions is another thing. So the aim is the target plus one standard deviation of 400 requests' luck, and a version's quality counts at half a deviation below its mean.

--- a/crates/policy/src/select.rs
+++ b/crates/policy/src/select.rs
@@ -15,12 +15,14 @@
 use outlook::Outlook;
 
 /// Deviations below the mean at which a quality counts as reached.
-pub const CONFIDENCE: f64 = 1.0;
+pub const CONFIDENCE: f64 = 0.5;
 /// Share of requests spent on finding out about cheaper versions, at most.
 pub const EXPLORED_SHARE: f64 = 0.02;
 /// Of the answers that the first version of a cascade gets wrong, the second is worse than on
 /// average: hard requests are hard for both. Its share of good answers is multiplied by this.
 pub const RESCUE: f64 = 0.85;
+/// Requests on which a quality target is judged.
+const JUDGED_REQUESTS: f64 = 400.0;
 /// Deviations above the mean that a version must be able to reach to be worth exploring.
 const OPTIMISM: f64 = 1.5;
 
@@ -160,16 +162,17 @@
     #[must_use]
     pub fn build(candidates: &[Candidate], goal: &Goal, now: Millis) -> Self {
         let outlooks = outlook::all(candidates, goal, now);
+        let target = aim(goal.target);
         let live: Vec<Outlook> = outlooks.iter().filter(|o| o.is_live()).cloned().collect();
         let mut table = Self::default();
         let mut left = 1.0;
         for (candidate, share) in candidate_shares(candidates) {
             let share = share.min(left);
             let with = outlook::introducing(&outlooks, candidates, candidate);
-            table.add_mix(&hull::cheapest(&with, goal.target), share, candidates);
+            table.add_mix(&hull::cheapest(&with, target), share, candidates);
             left -= share;
         }
-        let main = hull::cheapest(&live, goal.target);
+        let main = hull::cheapest(&live, target);
         let explored = exploration(&live, &main, candidates, goal, now);
         for index in &explored {
             let share = left * goal.explored_share / explored.len() as f64;
@@ -230,6 +233,12 @@
     }
 }
 
+/// The share to plan for: a promise is judged on some hundreds of requests, in which luck alone
+/// takes a plan that only just meets it below it half of the time.
+fn aim(target: f64) -> f64 {
+    target + (target * (1.0 - target) / JUDGED_REQUESTS).sqrt()
+}
+
 fn candidate_shares(candidates: &[Candidate]) -> Vec<(usize, f64)> {
     let share = |candidate: &Candidate| match candidate.standing {
         Standing::Candidate(share) => Some(share),
