replay: traces whose oracle is not decided by luck; a wrong document

Now kinds share no draws, tasks are of more equal size and the cheap version is clearly below the two tasks' targets.

--- a/crates/chestnutspur/src/command/trace.rs
+++ b/crates/chestnutspur/src/command/trace.rs
@@ -9,7 +9,7 @@
 #[derive(Clone, Debug, Bpaf)]
 pub struct Arguments {
     /// What the trace is about: steady-benefit, steady-feed, sudden, slow, rollout, bad-candidate,
-    /// capacity, flood, drift, ratings or peak
+    /// capacity, flood, drift, ratings, peak or misjudged
     #[bpaf(argument("KIND"))]
     pub kind: String,
     /// The same kind and seed give the same trace
--- a/crates/replay/src/generate.rs
+++ b/crates/replay/src/generate.rs
@@ -14,7 +14,7 @@
 pub use kind::Kind;
 
 /// Requests of a trace.
-const REQUESTS: u64 = 1500;
+const REQUESTS: u64 = 1400;
 /// Of a version's answers, this share depends on the request's difficulty, which all versions
 /// share; the rest is the version's own luck.
 const COMMON_LUCK: f64 = 0.6;
@@ -29,7 +29,7 @@
     let scenario = kind.scenario();
     let mut header = scenario.deployment.header(seed);
     scenario.arrange(&mut header);
-    let mut draw = Draw::new(seed);
+    let mut draw = Draw::new(scenario.seed(seed));
     let times = scenario.times(REQUESTS, &mut draw);
     let requests = times
         .iter()
--- a/crates/replay/src/generate/deployment.rs
+++ b/crates/replay/src/generate/deployment.rs
@@ -26,6 +26,8 @@
     pub ms: f64,
     /// Share of good answers by task, in the order of [`Deployment::tasks`].
     pub quality: [f64; 3],
+    /// What the document says of it, less what is true.
+    pub misjudged: [f64; 3],
     /// Whether it is still a candidate.
     pub candidate: bool,
 }
@@ -91,9 +93,9 @@
                 "hoorn", "venlo",
             ],
             tasks: [
-                Work { deadline_ms: 4_000, priority: 0, ..task("tag", 0.6, 0.6, 0.90) },
-                task("summarise", 0.25, 1.5, 0.92),
-                Work { may_repeat: false, in_session: true, ..task("draft", 0.15, 1.0, 0.92) },
+                Work { deadline_ms: 4_000, priority: 0, ..task("tag", 0.4, 0.6, 0.90) },
+                task("summarise", 0.3, 1.5, 0.92),
+                Work { may_repeat: false, in_session: true, ..task("draft", 0.3, 1.0, 0.92) },
             ],
             versions: versions(),
         }
@@ -129,9 +131,9 @@
                 "grange",
             ],
             tasks: [
-                Work { in_session: true, priority: 0, ..task("question", 0.6, 0.6, 0.90) },
-                task("plan", 0.25, 1.5, 0.92),
-                Work { may_repeat: false, ..task("order", 0.15, 1.0, 0.92) },
+                Work { in_session: true, priority: 0, ..task("question", 0.4, 0.6, 0.90) },
+                task("plan", 0.3, 1.5, 0.92),
+                Work { may_repeat: false, ..task("order", 0.3, 1.0, 0.92) },
             ],
             versions: versions(),
         }
@@ -145,6 +147,14 @@
         self
     }
 
+    /// Has the document praise the cheap version's worst task and blame the next one's.
+    #[must_use]
+    pub fn misjudged(mut self) -> Self {
+        self.versions[0].misjudged = [-0.04, 0.06, 0.06];
+        self.versions[1].misjudged = [0.0, -0.03, 0.02];
+        self
+    }
+
     /// A task by its part of all requests.
     pub fn task(&self, draw: &mut Draw) -> &Work {
         let unit = draw.unit();
@@ -195,7 +205,8 @@
     }
 
     fn version(&self, kind: &Kind) -> Version {
-        let tasks = self.tasks.iter().zip(kind.quality);
+        let stated = [0, 1, 2].map(|index| kind.quality[index] + kind.misjudged[index]);
+        let tasks = self.tasks.iter().zip(stated);
         Version {
             model: kind.model.into(),
             state: if kind.candidate { VersionState::Candidate } else { VersionState::Live },
@@ -237,11 +248,18 @@
 }
 
 fn versions() -> Vec<Kind> {
-    let kind =
-        |name, model, cost, ms, quality| Kind { name, model, cost, ms, quality, candidate: false };
+    let kind = |name, model, cost, ms, quality| Kind {
+        name,
+        model,
+        cost,
+        ms,
+        quality,
+        misjudged: [0.0; 3],
+        candidate: false,
+    };
     vec![
-        kind("small-1", "small", 1.0, 250.0, [0.95, 0.85, 0.88]),
-        kind("mid-1", "mid", 3.0, 450.0, [0.96, 0.93, 0.95]),
+        kind("small-1", "small", 1.0, 250.0, [0.95, 0.82, 0.82]),
+        kind("mid-1", "mid", 3.0, 450.0, [0.96, 0.94, 0.95]),
         kind("large-1", "large", 10.0, 900.0, [0.98, 0.97, 0.97]),
     ]
 }
--- a/crates/replay/src/generate/kind.rs
+++ b/crates/replay/src/generate/kind.rs
@@ -34,11 +34,13 @@
         Ratings,
         /// The evening's peak.
         Peak,
+        /// The document is wrong about what the versions are good for.
+        Misjudged,
     }
 }
 
 /// All kinds, by the names that `--kind` takes.
-pub const KINDS: [(&str, Kind); 11] = [
+pub const KINDS: [(&str, Kind); 12] = [
     ("steady-benefit", Kind::SteadyBenefit),
     ("steady-feed", Kind::SteadyFeed),
     ("sudden", Kind::Sudden),
@@ -50,6 +52,7 @@
     ("drift", Kind::Drift),
     ("ratings", Kind::Ratings),
     ("peak", Kind::Peak),
+    ("misjudged", Kind::Misjudged),
 ];
 
 /// A change of a version's quality: from one time to another it moves by so much.
@@ -153,6 +156,7 @@
                 ],
                 ..benefit()
             },
+            Self::Misjudged => quiet(Deployment::benefit().misjudged()),
             Self::Peak => Scenario {
                 requests_per_second: 20.0,
                 surge: surge(10_000, 20_000, 5.0, false),
@@ -163,6 +167,12 @@
 }
 
 impl Scenario {
+    /// The seed of its draws: traces of different kinds share none.
+    #[must_use]
+    pub fn seed(&self, seed: u64) -> u64 {
+        policy::place::mix(seed.wrapping_mul(KINDS.len() as u64) + self.kind as u64)
+    }
+
     /// Sets what this kind's header has beyond the deployment's, stated outcomes included.
     pub fn arrange(&self, header: &mut Header) {
         let expect = &mut header.expect;
@@ -186,6 +196,7 @@
                 expect.exposure_over_one_host_max = Some(1.5);
                 self.roll_out(header, "small-2");
             }
+            Kind::Misjudged => expect.cost_over_oracle_max = Some(1.25),
             Kind::Ratings => expect.p95_ms_max = Some(3_500),
             Kind::Capacity => {
                 expect.refused_share_max = Some(0.25);
