admit: a request that work was spent on goes before all others

In an overload, cascades were refused their second version and the first one's answers, which had been found bad, went out as final. Ruled out: giving the second call a place past the queue, which would overfill the backend servers.

--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -31,6 +31,10 @@
         pub deadline: Millis,
         /// The account's weight among those of the same priority; 1 is usual.
         pub weight: f64,
+        /// Whether work was spent on the request already, as for a cascade's second version. Such
+        /// a request goes before all others: else an overload would waste the work, and turn the
+        /// first version's answers, which were found bad, into the final ones.
+        pub continued: bool,
     }
 
     /// The pool as this entry host knows it.
@@ -79,7 +83,20 @@
     /// One of usual weight.
     #[must_use]
     pub fn new(account: impl Into<Name>, priority: u8, deadline: Millis) -> Self {
-        Self { account: account.into(), priority, deadline, weight: 1.0 }
+        Self { account: account.into(), priority, deadline, weight: 1.0, continued: false }
+    }
+
+    /// Says that work was spent on the request already.
+    #[must_use]
+    pub fn continued(mut self) -> Self {
+        self.continued = true;
+        self
+    }
+
+    /// Where it stands in the line: lower goes first.
+    #[must_use]
+    pub fn rank(&self) -> u16 {
+        if self.continued { 0 } else { u16::from(self.priority) + 1 }
     }
 }
 
@@ -134,7 +151,7 @@
 
     /// A request comes; `jitter` is a uniform draw from 0 to 1 that spreads the later tries.
     pub fn offer(&mut self, ask: &Ask, load: Load, jitter: f64, now: Millis) -> Verdict {
-        let ahead = self.line.ahead_of(&ask.account, ask.priority);
+        let ahead = self.line.ahead_of(&ask.account, ask.rank());
         let left_ms = ask.deadline.since(now) as f64;
         match load.free() {
             free if free > 0 && ahead == 0 => Verdict::Admit,
--- a/crates/policy/src/admit/line.rs
+++ b/crates/policy/src/admit/line.rs
@@ -16,7 +16,7 @@
 /// Waiting requests of one pool.
 #[derive(Clone, Debug, Default)]
 pub struct Line {
-    classes: BTreeMap<u8, Class>,
+    classes: BTreeMap<u16, Class>,
     waiting: usize,
 }
 
@@ -47,12 +47,12 @@
         self.waiting == 0
     }
 
-    /// Requests that go before a new one of an account: all of higher priorities, its own, and of
+    /// Requests that go before a new one of an account: all of lower ranks, its own, and of
     /// each other account as many as its own, since they take turns.
     #[must_use]
-    pub fn ahead_of(&self, account: &str, priority: u8) -> usize {
-        let higher: usize = self.classes.range(..priority).map(|(_, class)| class.len()).sum();
-        let Some(class) = self.classes.get(&priority) else {
+    pub fn ahead_of(&self, account: &str, rank: u16) -> usize {
+        let higher: usize = self.classes.range(..rank).map(|(_, class)| class.len()).sum();
+        let Some(class) = self.classes.get(&rank) else {
             return higher;
         };
         let own = class.accounts.get(account).map_or(0, |turn| turn.waiting.len());
@@ -63,7 +63,7 @@
 
     /// Puts a request at the end of its account's.
     pub fn push(&mut self, ticket: Ticket, ask: &Ask) {
-        let class = self.classes.entry(ask.priority).or_default();
+        let class = self.classes.entry(ask.rank()).or_default();
         let clock = class.clock;
         let turn = class.accounts.entry(ask.account.clone()).or_default();
         if turn.waiting.is_empty() {
@@ -103,10 +103,10 @@
     /// Makes room for a request: takes out the last one of a lower priority or, within its own,
     /// of the account that has most waiting, if that is more than the newcomer's account has.
     pub fn evict_for(&mut self, ask: &Ask) -> Option<Ticket> {
-        let (&priority, class) = self.classes.iter_mut().next_back()?;
+        let (&rank, class) = self.classes.iter_mut().next_back()?;
         let own = class.accounts.get(&ask.account).map_or(0, |turn| turn.waiting.len());
         let fullest = class.accounts.values_mut().max_by_key(|turn| turn.waiting.len())?;
-        let allowed = match priority.cmp(&ask.priority) {
+        let allowed = match rank.cmp(&ask.rank()) {
             std::cmp::Ordering::Greater => true,
             std::cmp::Ordering::Equal => fullest.waiting.len() > own + 1,
             std::cmp::Ordering::Less => false,
--- a/crates/replay/src/run/life.rs
+++ b/crates/replay/src/run/life.rs
@@ -129,12 +129,14 @@
         let Some(pool) = self.pool_of(&self.version(life)) else {
             return self.refuse(life, no_version);
         };
-        let (host, deadline) = (self.lives[life].host, self.lives[life].deadline);
+        let Life { host, deadline, escalated, .. } = self.lives[life];
         let account = self.trace.requests[self.lives[life].request].account.clone();
         let (jitter, entries, now) = (self.draw.unit(), self.entries(), self.now);
         let Some(known) = self.hosts[host].pools.get_mut(&pool) else { return };
         let load = known.load(entries, now);
-        match known.queue.offer(&Ask::new(account, priority, deadline), load, jitter, now) {
+        let ask = Ask::new(account, priority, deadline);
+        let ask = if escalated { ask.continued() } else { ask };
+        match known.queue.offer(&ask, load, jitter, now) {
             Verdict::Admit => self.launch(life),
             Verdict::Wait { ticket, evicted } => {
                 known.waiting.insert(ticket, life);
