admit: refuse at half of the time left; try: reports that don't fade

Kept: a request is refused when it would take more than half of its time left to wait and be served.

--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -12,6 +12,9 @@
 
 use line::Line;
 
+/// Part of the time left that a request may be expected to wait and be served in. While a pool is
+/// full a longer queue serves no request more; it only makes all of them late together.
+const WAIT_SHARE: f64 = 0.5;
 /// How much one answer's time moves the mean.
 const SERVICE_GAIN: f64 = 0.1;
 
@@ -155,7 +158,9 @@
         let left_ms = ask.deadline.since(now) as f64;
         match load.free() {
             free if free > 0 && ahead == 0 => Verdict::Admit,
-            _ if self.wait_ms(ahead, load) + self.service_ms > left_ms => self.refuse(load, jitter),
+            _ if self.wait_ms(ahead, load) > left_ms * WAIT_SHARE - self.service_ms => {
+                self.refuse(load, jitter)
+            }
             _ if self.line.len() < self.limit => self.wait(ask, None),
             _ => self.make_room(ask, load, jitter),
         }
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -76,6 +76,13 @@
             }
         }
     }
+
+    /// Requests it works on as far as is known, however old the report. For admission: a pool that
+    /// was full a second ago is likely full now, and fading would let every host overfill it.
+    #[must_use]
+    pub fn occupied(&self) -> u32 {
+        self.report.map_or(self.in_flight, |report| report.in_flight.max(self.in_flight))
+    }
 }
 
 /// Weight of a report of this age: 1 when new, 1/2 at the half-life, then ever less.
