--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -17,6 +17,8 @@
 pub const AFFINITY_FACTOR: f64 = 1.25;
 /// Requests that a preferred server may have over the mean in any case.
 pub const AFFINITY_SLACK: f64 = 2.0;
+/// Servers drawn, of which the least busy is used.
+const CHOICES: u64 = 2;
 /// Draws tried before all servers are looked through.
 const DRAWS_TRIED: u64 = 4;
 
@@ -76,13 +78,6 @@
             }
         }
     }
-
-    /// Requests it works on as far as is known, however old the report. For admission: a pool that
-    /// was full a second ago is likely full now, and fading would let every host overfill it.
-    #[must_use]
-    pub fn occupied(&self) -> u32 {
-        self.report.map_or(self.in_flight, |report| report.in_flight.max(self.in_flight))
-    }
 }
 
 /// Weight of a report of this age: 1 when new, 1/2 at the half-life, then ever less.
@@ -141,10 +136,9 @@
 }
 
 fn two_choices(servers: &[Server], except: Option<usize>, draw: u64, now: Millis) -> Option<usize> {
-    let one = drawn(servers, except, mix(draw), now)?;
-    let two = drawn(servers, except.or(Some(one)), mix(draw ^ u64::MAX), now).unwrap_or(one);
-    let (one_load, two_load) = (servers[one].load(now), servers[two].load(now));
-    Some(if two_load < one_load { two } else { one })
+    let drawn = |choice: u64| drawn(servers, except, mix(draw.wrapping_add(choice << 32)), now);
+    let load = |index: &usize| servers[*index].load(now);
+    (0..CHOICES).filter_map(drawn).min_by(|a, b| load(a).total_cmp(&load(b)))
 }
 
 /// A usable server by draw; looks through all from a drawn one if a few draws find none.
--- a/crates/replay/src/run/host.rs
+++ b/crates/replay/src/run/host.rs
@@ -85,7 +85,7 @@
         let usable = || self.servers.iter().filter(|server| server.takes_work(now));
         Load {
             slots: usable().count() as u32 * self.slots,
-            in_flight: usable().map(Server::occupied).sum(),
+            in_flight: usable().map(|server| server.load(now)).sum::<f64>().round() as u32,
             own: usable().map(|server| server.in_flight).sum(),
             entries,
         }
