--- a/crates/chestnutspur/src/command.rs
+++ b/crates/chestnutspur/src/command.rs
@@ -4,6 +4,9 @@
 mod bills;
 mod check;
 mod control;
+mod demo;
+mod entry;
+mod load;
 mod replay;
 mod report;
 mod standin;
@@ -22,6 +25,16 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 pub enum Command {
+    /// Run the data plane of one entry host: callers in, backend servers out
+    ///
+    /// Prints one JSON line with the addresses it listens on, then logs on standard error until
+    /// SIGTERM, upon which it finishes the requests under way and exits 0.
+    #[bpaf(command)]
+    Entry {
+        /// JSON file with the process's settings
+        #[bpaf(long, argument("FILE"))]
+        settings: PathBuf,
+    },
     /// Run the controllers of one entry host: configuration, shards, bills, console
     ///
     /// Prints one JSON line with the addresses it listens on, then logs on standard error until
@@ -53,6 +66,19 @@
     /// Reports on a running deployment
     #[bpaf(command)]
     Report(#[bpaf(external(report::report))] report::Report),
+    /// A whole deployment on loopback with faults, and an audit of what came of it
+    ///
+    /// Requests of mixed tasks to all entry hosts; half way the cheapest version turns bad, later
+    /// the platform is down for a while. The audit is made from the records of the stand-ins for
+    /// backend servers and platform. Exit code 1 if a number that must be 0 is not.
+    #[bpaf(command)]
+    Demo(#[bpaf(external(demo::arguments))] demo::Arguments),
+    /// Send requests at a steady rate to one or several targets and compare their latency
+    ///
+    /// Open loop: requests are sent at their intended times whether or not earlier ones were
+    /// answered, and latency counts from the intended time.
+    #[bpaf(command)]
+    Load(#[bpaf(external(load::arguments))] load::Arguments),
     /// Stand-ins for the platform and the backend servers, each its own process
     #[bpaf(command)]
     Standin(#[bpaf(external(standin::standin))] standin::Standin),
@@ -76,12 +102,15 @@
 /// Runs one subcommand to its end.
 pub fn run(command: Command) -> Exit {
     match command {
+        Command::Entry { settings } => entry::run(&settings),
         Command::Control { settings } => control::run(&settings),
         Command::Check { file } => check::run(&file),
         Command::Apply(arguments) => apply::run(arguments),
         Command::Status(arguments) => status::run(&arguments),
         Command::Bills(arguments) => bills::run(&arguments),
         Command::Report(report) => report::run(report),
+        Command::Demo(arguments) => demo::run(&arguments),
+        Command::Load(arguments) => load::run(&arguments),
         Command::Standin(standin) => standin::run(standin),
         Command::Replay(arguments) => replay::run(&arguments),
         Command::Trace(arguments) => trace::run(&arguments),
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -20,6 +20,8 @@
 /// What a request's decisions need.
 #[derive(Default)]
 pub struct Snapshot {
+    /// The control incarnation that gave the view: its log takes the bills made under it.
+    pub control: Name,
     /// The document in force; its generation is 0 before there is one.
     pub document: Arc<Document>,
     /// Account names by key hash.
@@ -75,6 +77,7 @@
             .iter()
             .map(|e| ((e.version.clone(), e.task.clone()), (e.good, e.rated)))
             .collect();
+        next.control = view.incarnation.clone();
         next.entries = view.entries.max(1);
         next.bills_full = view.bills_full;
         next.received = Some(Instant::now());
