--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -12,6 +12,9 @@
 
 use line::Line;
 
+/// Part of the time left that a request may be expected to wait and be served in. While a pool is
+/// full a longer queue serves no request more; it only makes all of them late together.
+const WAIT_SHARE: f64 = 0.5;
 /// How much one answer's time moves the mean.
 const SERVICE_GAIN: f64 = 0.1;
 
@@ -31,6 +34,10 @@
         pub deadline: Millis,
         /// The account's weight among those of the same priority; 1 is usual.
         pub weight: f64,
+        /// Whether work was spent on the request already, as for a cascade's second version. Such
+        /// a request goes before all others: else an overload would waste the work, and turn the
+        /// first version's answers, which were found bad, into the final ones.
+        pub continued: bool,
     }
 
     /// The pool as this entry host knows it.
@@ -81,7 +88,20 @@
     /// One of usual weight.
     #[must_use]
     pub fn new(account: impl Into<Name>, priority: u8, deadline: Millis) -> Self {
-        Self { account: account.into(), priority, deadline, weight: 1.0 }
+        Self { account: account.into(), priority, deadline, weight: 1.0, continued: false }
+    }
+
+    /// Says that work was spent on the request already.
+    #[must_use]
+    pub fn continued(mut self) -> Self {
+        self.continued = true;
+        self
+    }
+
+    /// Where it stands in the line: lower goes first.
+    #[must_use]
+    pub fn rank(&self) -> u16 {
+        if self.continued { 0 } else { u16::from(self.priority) + 1 }
     }
 }
 
@@ -136,11 +156,13 @@
 
     /// A request comes; `jitter` is a uniform draw from 0 to 1 that spreads the later tries.
     pub fn offer(&mut self, ask: &Ask, load: Load, jitter: f64, now: Millis) -> Verdict {
-        let ahead = self.line.ahead_of(&ask.account, ask.priority);
+        let ahead = self.line.ahead_of(&ask.account, ask.rank());
         let left_ms = ask.deadline.since(now) as f64;
         match load.free() {
             free if free > 0 && ahead == 0 => Verdict::Admit,
-            _ if self.wait_ms(ahead, load) + self.service_ms > left_ms => self.refuse(load, jitter),
+            _ if self.wait_ms(ahead, load) > left_ms * WAIT_SHARE - self.service_ms => {
+                self.refuse(load, jitter)
+            }
             _ if self.line.len() < self.limit => self.wait(ask, None),
             _ => self.make_room(ask, load, jitter),
         }
