--- a/crates/control/tests/exposure.rs
+++ b/crates/control/tests/exposure.rs
@@ -174,7 +174,9 @@
         report.outcomes = vec![outcome(true, 500), outcome(true, 1_500), outcome(false, 10)];
         send(&deployment, host, report).await;
     }
-    wait_for("six requests on host 0", || async { total(&deployment, 0).await == 6 }).await;
+    for host in 0..2 {
+        wait_for("six requests", || async { total(&deployment, host).await == 6 }).await;
+    }
     wait_for("three requests on host 2", || async { total(&deployment, 2).await == 3 }).await;
     let burn = http::get(deployment.hosts[0].operators, "/burn").await.json();
     assert_eq!(burn["levels"][0]["burns"][0]["short"], json!({"good": 2, "total": 6}));
