--- a/crates/chestnutspur/src/command.rs
+++ b/crates/chestnutspur/src/command.rs
@@ -4,10 +4,14 @@
 mod bills;
 mod check;
 mod control;
+mod demo;
 mod entry;
+mod load;
+mod replay;
 mod report;
 mod standin;
 mod status;
+mod trace;
 
 use std::path::{Path, PathBuf};
 
@@ -62,9 +66,28 @@
     /// Reports on a running deployment
     #[bpaf(command)]
     Report(#[bpaf(external(report::report))] report::Report),
+    /// A whole deployment on loopback with faults, and an audit of what came of it
+    ///
+    /// Requests of mixed tasks to all entry hosts; half way the cheapest version turns bad, later
+    /// the platform is down for a while. The audit is made from the records of the stand-ins for
+    /// backend servers and platform. Exit code 1 if a number that must be 0 is not.
+    #[bpaf(command)]
+    Demo(#[bpaf(external(demo::arguments))] demo::Arguments),
+    /// Send requests at a steady rate to one or several targets and compare their latency
+    ///
+    /// Open loop: requests are sent at their intended times whether or not earlier ones were
+    /// answered, and latency counts from the intended time.
+    #[bpaf(command)]
+    Load(#[bpaf(external(load::arguments))] load::Arguments),
     /// Stand-ins for the platform and the backend servers, each its own process
     #[bpaf(command)]
     Standin(#[bpaf(external(standin::standin))] standin::Standin),
+    /// Replay recorded traces and check their stated outcomes
+    #[bpaf(command)]
+    Replay(#[bpaf(external(replay::arguments))] replay::Arguments),
+    /// Print a generated trace
+    #[bpaf(command)]
+    Trace(#[bpaf(external(trace::arguments))] trace::Arguments),
     /// Print the version of this program
     #[bpaf(command)]
     Version,
@@ -86,7 +109,11 @@
         Command::Status(arguments) => status::run(&arguments),
         Command::Bills(arguments) => bills::run(&arguments),
         Command::Report(report) => report::run(report),
+        Command::Demo(arguments) => demo::run(&arguments),
+        Command::Load(arguments) => load::run(&arguments),
         Command::Standin(standin) => standin::run(standin),
+        Command::Replay(arguments) => replay::run(&arguments),
+        Command::Trace(arguments) => trace::run(&arguments),
         Command::Version => {
             println!("chestnutspur {}", env!("CARGO_PKG_VERSION"));
             Exit::Done
--- a/crates/control/src/operators/api.rs
+++ b/crates/control/src/operators/api.rs
@@ -42,7 +42,7 @@
         (&Method::GET, "/configuration") => configuration(asked, process),
         (&Method::PUT, "/configuration") => put(asked, process).await,
         (&Method::GET, "/status") => json(StatusCode::OK, &status::status(process).await),
-        (&Method::GET, "/bills") => json(StatusCode::OK, &process.ledger.audit().await),
+        (&Method::GET, "/bills") => bills(process).await,
         (&Method::GET, "/burn") => json(StatusCode::OK, &burn(process)),
         (&Method::GET, "/burn.svg") => picture(asked, process),
         (
@@ -54,6 +54,13 @@
     }
 }
 
+async fn bills(process: &Process) -> Answer {
+    match process.ledger.audit().await {
+        Ok(audit) => json(StatusCode::OK, &audit),
+        Err(why) => later(&format!("the logs can't be read: {why}")),
+    }
+}
+
 fn ready(process: &Process) -> Answer {
     match process.configuration.ready() {
         true => text(StatusCode::OK, "text/plain", "ready\n"),
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -163,6 +163,13 @@
         self.read().values().filter(|member| member.alive(now, quiet_ms)).cloned().collect()
     }
 
+    /// Whether an incarnation was heard from lately.
+    #[must_use]
+    pub fn is_alive(&self, incarnation: &str, now: Millis) -> bool {
+        let quiet_ms = self.quiet_ms.load(Ordering::Relaxed);
+        self.by_incarnation(incarnation).is_some_and(|member| member.alive(now, quiet_ms))
+    }
+
     /// The host that an incarnation runs on, if it was the last one heard there.
     #[must_use]
     pub fn by_incarnation(&self, incarnation: &str) -> Option<Member> {
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -9,8 +9,9 @@
 use tokio_util::task::TaskTracker;
 use wire::gossip::Digest;
 
+use crate::bills::Ledger;
 use crate::node::{self, Node};
-use crate::seam::{Ledger, Shards};
+use crate::shards::Shards;
 use crate::{configuration, exposure, gossip, hosts, quarantine, view};
 
 /// The controllers.
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -9,10 +9,10 @@
 use tokio::sync::watch;
 use wire::view::{Ask, View};
 
+use crate::bills::Ledger;
 use crate::exposure;
 use crate::gossip;
 use crate::node;
-use crate::seam::Ledger;
 
 /// Longest wait for a change that an entry may ask for.
 const WAIT_MS_MAX: u64 = 5_000;
