--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -189,6 +189,16 @@
         }
     }
 
+    /// The document of an earlier generation, while the platform keeps it.
+    pub async fn document_of(&self, generation: u64) -> Option<Document> {
+        let in_force = self.in_force();
+        if in_force.generation == generation {
+            return Some(in_force.document.clone());
+        }
+        let row = self.node.platform.row(TABLE, &document_key(generation)).await.ok()??;
+        check::parse(&decode::<Kept>(&row.value).ok()?.text).ok()
+    }
+
     /// Fetches from a peer that has a newer generation.
     pub async fn fetch_from(&self, link: &wire::peer::Link, generation: u64) {
         let answer = link.call(crate::peers::CALL, |client, context| async move {
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 pub mod api;
+pub mod console;
 pub mod token;
 
 use std::convert::Infallible;
@@ -104,5 +105,8 @@
         headers: parts.headers,
         body,
     };
-    api::route(&asked, process).await
+    match asked.path.starts_with("/console/") {
+        true => console::route(&asked, process).await,
+        false => api::route(&asked, process).await,
+    }
 }
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -11,6 +11,7 @@
 
 use crate::bills::Ledger;
 use crate::node::{self, Node};
+use crate::operators::console::session::Sessions;
 use crate::shards::Shards;
 use crate::{configuration, exposure, gossip, hosts, quarantine, view};
 
@@ -32,6 +33,8 @@
     pub shards: Arc<Shards>,
     /// Bills.
     pub ledger: Arc<Ledger>,
+    /// Signed-in operators.
+    pub sessions: Sessions,
     /// Metrics of the process.
     pub metrics: PrometheusHandle,
 }
@@ -58,6 +61,7 @@
             views,
             shards,
             ledger,
+            sessions: Sessions::default(),
             metrics,
         })
     }
