--- a/crates/control/src/operators/console/diff.rs
+++ b/crates/control/src/operators/console/diff.rs
@@ -6,6 +6,8 @@
 /// Differences shown at most.
 const SHOWN_MAX: usize = 50;
 
+const REDACTED: &str = "redacted";
+
 /// One difference.
 #[derive(Debug, PartialEq)]
 pub struct Change {
@@ -36,6 +38,12 @@
                 walk(&join(path, key), old.get(key), new.get(key), found);
             }
         }
+        // The value is the secret itself; that it changed is all to be told.
+        (before, after) if path.ends_with(".secret") => found.push(Change {
+            path: path.to_owned(),
+            before: before.map(|_| REDACTED.to_owned()).unwrap_or_default(),
+            after: after.map(|_| REDACTED.to_owned()).unwrap_or_default(),
+        }),
         (before, after) => found.push(Change {
             path: path.to_owned(),
             before: before.map(short).unwrap_or_default(),
--- a/crates/control/tests/console.rs
+++ b/crates/control/tests/console.rs
@@ -214,6 +214,18 @@
     assert_eq!(deployment.platform.accepted().len(), 1);
 }
 
+#[test]
+fn changes_tell_no_secret() {
+    let key = |secret: &str| json!({"generation": 1, "session_keys": {"1": {"secret": secret}}});
+    let old = key("0f0f");
+    for new in [key("1e1e"), json!({"generation": 2, "session_keys": {}})] {
+        let changes = control::operators::console::diff::changes(&old, &new);
+        assert_eq!(changes.len(), 1);
+        let told = format!("{changes:?}");
+        assert!(!told.contains("0f0f") && !told.contains("1e1e"), "{told}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn save_adds_an_account_with_a_task() {
     let (deployment, browser) = signed_in().await;
