--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! between two of them, and from each to the platform, leads through a proxy of its own.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod claims;
 pub mod http;
 
 use std::collections::BTreeMap;
@@ -146,6 +147,21 @@
         }
     }
 
+    /// Stops a host in its tracks, as SIGSTOP would, until what is returned is dropped. Its
+    /// connections stay open and take in what is sent.
+    pub fn pause(&self, number: usize) -> std::sync::mpsc::Sender<()> {
+        let (resume, paused) = std::sync::mpsc::channel::<()>();
+        let (begun, begins) = std::sync::mpsc::channel::<()>();
+        let runtime = self.hosts[number].runtime.as_ref().expect("it runs");
+        // The runtime has one worker, which this keeps.
+        runtime.spawn(async move {
+            drop(begun);
+            _ = paused.recv();
+        });
+        _ = begins.recv();
+        resume
+    }
+
     /// Starts a host again, which remembers nothing.
     pub async fn restart(&mut self, number: usize) {
         self.kill(number);
