control: shard tests seen failing with their safeguards off

- an answer before the deputy has the record: claim_paused_owner, key granted twice (the first form of the test did not meet it: a new connection to a paused host times out in its handshake, so the claim now goes over a connection that was open before)
- a pin told before it is safe: claim_paused_owner, a session told two versions
- no end mark in the log of a control alone: claim_paused_alone, Granted after resume
- a deputy loaded with nothing: claim_killed_deputy_then_owner, key granted twice
- a grant though the deputy did not answer: claim_in_a_platform_outage
- a cold takeover that is not closed: claim_both_gone, key granted twice
- abandon without effect: abandon_lets_a_retry_run
- no hand-over at a shutdown: stop_hands_over, the row still names the stopped host
- alone and nothing stored: claim_alone_outlives_a_crash, key granted twice Not seen failing here: a lost swap taken as refused (claim_takeover_with_lost_answers passes all the same; the pure test shard_random_events fails for it).

--- a/crates/control/tests/common/claims.rs
+++ b/crates/control/tests/common/claims.rs
@@ -6,6 +6,7 @@
 use coordination::message::Holder;
 use policy::name::Name;
 use wire::claim::{Claim, ClaimAnswer, Pin, PinAnswer};
+use wire::peer::Link;
 
 use super::{Deployment, domain, wait_for};
 
@@ -23,13 +24,25 @@
     control::node::host_of(incarnation).strip_prefix("host-")?.parse().ok()
 }
 
+/// A claim over a connection that may be open already.
+pub async fn claim_over(link: &Link, key: &str, request: &str) -> Option<ClaimAnswer> {
+    let claim = claim_of(key, request);
+    let call =
+        link.call(WITHIN, |client, context| async move { client.claim(context, claim).await });
+    call.await.ok()
+}
+
+/// A pin over a connection that may be open already.
+pub async fn pin_over(link: &Link, session: &str, version: &str) -> Option<PinAnswer> {
+    let (session, version) = (Name::from(session), Name::from(version));
+    let pin = Pin { account: Name::from(ACCOUNT), session, version, keep_ms: 3_600_000 };
+    let call = link.call(WITHIN, |client, context| async move { client.pin(context, pin).await });
+    call.await.ok()
+}
+
 impl Deployment {
     pub async fn claim(&self, number: usize, key: &str, request: &str) -> Option<ClaimAnswer> {
-        let claim = claim_of(key, request);
-        let link = self.link(number);
-        link.call(WITHIN, |client, context| async move { client.claim(context, claim).await })
-            .await
-            .ok()
+        claim_over(&self.link(number), key, request).await
     }
 
     pub async fn abandon(&self, number: usize, key: &str, request: &str) -> bool {
@@ -41,12 +54,7 @@
     }
 
     pub async fn pin(&self, number: usize, session: &str, version: &str) -> Option<PinAnswer> {
-        let (session, version) = (Name::from(session), Name::from(version));
-        let pin = Pin { account: Name::from(ACCOUNT), session, version, keep_ms: 3_600_000 };
-        let link = self.link(number);
-        link.call(WITHIN, |client, context| async move { client.pin(context, pin).await })
-            .await
-            .ok()
+        pin_over(&self.link(number), session, version).await
     }
 
     /// Claims again and again, as a caller that retries, until the key is granted.
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -32,6 +32,7 @@
     pub peers: SocketAddr,
     runtime: Option<Runtime>,
     stop: CancellationToken,
+    task: Option<tokio::task::JoinHandle<()>>,
 }
 
 /// Hosts by number, two to a failure domain.
@@ -114,7 +115,7 @@
         let stop = CancellationToken::new();
         let stopping = stop.clone();
         let (bound, addresses) = tokio::sync::oneshot::channel();
-        runtime.spawn(async move {
+        let task = runtime.spawn(async move {
             let listeners = control::Listeners::bind(&settings).await.expect("ports");
             let peers = listeners.peers.local_addr().expect("bound");
             let operators = listeners.operators.local_addr().expect("bound");
@@ -128,7 +129,8 @@
                 way.set_target(peers);
             }
         }
-        Host { name: name(number), operators, peers, runtime: Some(runtime), stop }
+        let task = Some(task);
+        Host { name: name(number), operators, peers, runtime: Some(runtime), stop, task }
     }
 
     fn list_hosts(&self) {
@@ -230,6 +232,13 @@
     pub fn stop(&self, number: usize) {
         self.hosts[number].stop.cancel();
     }
+
+    /// Waits until a stopped host's process would exit.
+    pub async fn stopped(&mut self, number: usize) {
+        if let Some(task) = self.hosts[number].task.take() {
+            task.await.expect("it ends without a panic");
+        }
+    }
 }
 
 impl Drop for Deployment {
--- a/crates/control/tests/shards.rs
+++ b/crates/control/tests/shards.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::claims::host_number;
+use common::claims::{claim_over, host_number, pin_over};
 use common::{Deployment, wait_for};
 use standin::fault::Down;
 use standin::platform::fault::Faults;
@@ -94,7 +94,7 @@
     }
 }
 
-// A caller retries while its first try's owner is paused. The deputy fences itself, swaps the row
+// A caller retries while its first try's owner is paused; another keeps its session meanwhile. The deputy fences itself, swaps the row
 // and grants the retry. The owner resumes with the first try in its socket; it still thinks that
 // it owns the shard, but no deputy records for it, so it grants nothing.
 #[tokio::test(flavor = "multi_thread")]
@@ -102,21 +102,30 @@
     let deployment = start().await;
     let old = deployment.keys_owned_by(0, 10);
     grant(&deployment, &old[..5]).await;
+    let link = deployment.link(0);
+    assert_eq!(claim_over(&link, &old[0], "one").await, Some(ClaimAnswer::Granted));
     let paused = deployment.pause(0);
     let firsts =
-        futures::future::join_all(old[5..].iter().map(|key| deployment.claim(0, key, "one")));
+        futures::future::join_all(old[5..].iter().map(|key| claim_over(&link, key, "one")));
+    let pins = futures::future::join_all(old.iter().map(|key| pin_over(&link, key, "small-1")));
     let retries = async {
         for key in &old[5..] {
             deployment.claim_until_granted(3, key, "two").await;
         }
+        for key in &old {
+            let pinned = deployment.pin(2, key, "small-2").await;
+            assert_eq!(pinned, Some(PinAnswer::Pinned { version: "small-2".into() }));
+        }
         still_taken(&deployment, 3, &old[..5]).await;
         drop(paused);
     };
-    let (firsts, ()) = tokio::join!(firsts, retries);
+    let (firsts, pins, ()) = tokio::join!(firsts, pins, retries);
     for (key, first) in old[5..].iter().zip(firsts) {
         assert_ne!(first, Some(ClaimAnswer::Granted), "{key} was granted twice");
         assert_eq!(deployment.claim(1, key, "three").await, taken_by("two"));
     }
+    let moved = Some(PinAnswer::Pinned { version: "small-1".into() });
+    assert!(!pins.contains(&moved), "a session was told two versions: {pins:?}");
 }
 
 // An owner dies with its memory; every key it granted is in its deputy's.
@@ -192,7 +201,8 @@
     for key in &keys[3..] {
         deployment.claim_until_granted(2, key, "one").await;
     }
-    assert_eq!(deployment.platform.faults().lose_answers, 0);
+    let met = 20 - deployment.platform.faults().lose_answers;
+    assert!(met >= 3, "answers were lost only {met} times");
 }
 
 // Owner and deputy die together. Which keys they granted is lost, so no key of theirs may be
@@ -228,11 +238,11 @@
     let keys = deployment.keys_owned_by(0, 6);
     grant(&deployment, &keys[..3]).await;
     deployment.stop(0);
-    wait_for("shards handed over", || async {
-        keys.iter()
-            .all(|key| host_number(&deployment.holder(&deployment.home(key)).owner) != Some(0))
-    })
-    .await;
+    deployment.stopped(0).await;
+    for key in &keys {
+        let holder = deployment.holder(&deployment.home(key));
+        assert_eq!(host_number(&holder.owner), Some(1), "handed over before the exit");
+    }
     for key in &keys[3..] {
         deployment.claim_until_granted(3, key, "one").await;
     }
