--- a/crates/control/tests/bills.rs
+++ b/crates/control/tests/bills.rs
@@ -128,6 +128,26 @@
     deployment.wait_billed_once(&all).await;
 }
 
+// In an outage the second holder dies first; a third one must have a copy before the control that
+// took the bills dies too.
+#[tokio::test(flavor = "multi_thread")]
+async fn bill_outlives_its_holder_in_an_outage() {
+    let mut deployment = start().await;
+    platform(&deployment, Faults { down: Down::Cut, ..Faults::default() });
+    let log = deployment.log(0).await;
+    let all = requests("holder", 20);
+    assert_eq!(deployment.bill(0, &log, &all).await, Some(Held::Twice));
+    assert_eq!(deployment.held(1).await, 20);
+    deployment.kill(1);
+    wait_for("a third holder", || async {
+        deployment.held(2).await + deployment.held(3).await >= 20
+    })
+    .await;
+    deployment.kill(0);
+    platform(&deployment, Faults::default());
+    deployment.wait_billed_once(&all).await;
+}
+
 // A control is paused with bills pending; its peer takes it for gone and puts them into its log.
 // It resumes and goes on where it thinks its log is, finds the number taken, and reads it first.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -187,6 +187,15 @@
         self.to_platform[number].set_mode(mode);
     }
 
+    /// Holds back what goes between failure domains, each way.
+    pub fn delay_between_domains(&self, delay: Duration) {
+        for ((from, to), way) in &self.links {
+            if domain(*from) != domain(*to) {
+                way.set_delay(delay);
+            }
+        }
+    }
+
     /// Cuts both ways between one host and all others.
     pub fn cut_from_peers(&self, number: usize, mode: Mode) {
         for ((from, to), way) in &self.links {
