entry: a claimed key whose request did not run is given back

Cause: the claim's answer can be lost, or the deadline pass between grant and first byte; the caller is told ran:no, and its retry was then refused as one that may have run, for as long as keys are kept. key_of_an_unheard_claim_is_given_back fails without it (waited in vain: the key is free). The refusal is not held up for it.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -11,7 +11,7 @@
 use policy::retry::{self, Attempt};
 use wire::backend::REQUEST_ID;
 use wire::claim::Claim;
-use wire::refusal::{Code, Refusal};
+use wire::refusal::{Code, Ran, Refusal};
 
 use crate::clock;
 use crate::connection::{Cause, Connection, Failure};
@@ -75,6 +75,8 @@
     /// A byte of the request may have been written.
     sent: bool,
     claimed: bool,
+    /// The key's home was asked, and may have granted the key whether or not that was heard.
+    asked: bool,
     tried: Vec<Name>,
     last: Option<Cause>,
 }
@@ -141,16 +143,28 @@
 /// A refusal; `ran: "no"` only if no try can have written a byte.
 pub async fn dispatch(state: &Arc<State>, job: &Job) -> Result<Reply, Refusal> {
     let mut tries = Tries::default();
+    let reply = try_all(state, job, &mut tries).await;
+    match (&reply, &job.claim) {
+        // Nothing ran, so a retry of the key must be able to.
+        (Err(refusal), Some(claim)) if tries.asked && refusal.ran == Ran::No => {
+            claim::give_back(state, claim.clone());
+        }
+        _ => {}
+    }
+    reply
+}
+
+async fn try_all(state: &Arc<State>, job: &Job, tries: &mut Tries) -> Result<Reply, Refusal> {
     state.budgets.with(&job.account, retry::Budget::fill);
     state.pool_budgets.with(&job.pool, retry::Budget::fill);
     loop {
         let snapshot = state.snapshot.load_full();
-        check_version(&snapshot, job, &tries)?;
-        let Some(server) = choose(&snapshot, job, &mut tries) else {
-            return Err(no_server(job, &tries));
+        check_version(&snapshot, job, tries)?;
+        let Some(server) = choose(&snapshot, job, tries) else {
+            return Err(no_server(job, tries));
         };
         tries.count += 1;
-        match attempt(state, job, &server, &mut tries).await {
+        match attempt(state, job, &server, tries).await {
             Ok(reply) => return Ok(reply),
             Err(Stop::Refused(refusal)) => return Err(refusal),
             Err(Stop::Failed(failure)) => {
@@ -161,8 +175,8 @@
                     .increment(1);
             }
         }
-        if !may_go_on(state, job, &tries) {
-            return Err(given_up(job, &tries));
+        if !may_go_on(state, job, tries) {
+            return Err(given_up(job, tries));
         }
     }
 }
@@ -205,6 +219,7 @@
     // The claim comes last before the first byte. A key that is granted and then not used, for
     // want of a backend server, would stay taken though its request never ran.
     if let Some(wanted) = job.claim.as_ref().filter(|_| !tries.claimed) {
+        tries.asked = true;
         claim::claim(state, wanted, job.deadline).await?;
         tries.claimed = true;
     }
--- a/crates/entry/src/filter/claim.rs
+++ b/crates/entry/src/filter/claim.rs
@@ -1,5 +1,6 @@
 //! Claims of idempotency keys: the one run of a key is granted before the first byte goes out.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use wire::claim::{Claim, ClaimAnswer};
@@ -13,6 +14,22 @@
 const WITHIN: Duration = Duration::from_secs(3);
 const HOME_RETRY_MS: u64 = 1_000;
 
+/// Gives a key back whose request never ran and never will. The caller is answered meanwhile; its
+/// retry comes later than this, by what it was told.
+pub fn give_back(state: &Arc<State>, claim: Claim) {
+    let state = Arc::clone(state);
+    tokio::spawn(async move {
+        let call = |client: wire::rpc::ControlClient, context| {
+            let claim = claim.clone();
+            async move { client.abandon(context, claim).await }
+        };
+        let told = state.controls.ask(WITHIN, call).await;
+        if !matches!(told, Ok(true)) {
+            log::info!("entry: a key whose request did not run could not be given back");
+        }
+    });
+}
+
 /// Claims a key for a request. Asking again is safe: the home knows the request by its id.
 ///
 /// # Errors
--- a/crates/entry/tests/common/control.rs
+++ b/crates/entry/tests/common/control.rs
@@ -44,6 +44,8 @@
     pub keys: Mutex<HashMap<(Name, Name), Name>>,
     /// Whether the homes of keys and sessions are out of reach.
     pub home_gone: Mutex<bool>,
+    /// Claims take effect, and their answers say that the home is out of reach.
+    pub claims_unheard: Mutex<bool>,
     /// Sessions by account, and their versions.
     pub pins: Mutex<HashMap<(Name, Name), Name>>,
     /// Every report.
@@ -87,6 +89,9 @@
         }
         let mut keys = self.0.keys.lock().unwrap();
         let holder = keys.entry((claim.account, claim.key)).or_insert(claim.request.clone());
+        if *self.0.claims_unheard.lock().unwrap() {
+            return ClaimAnswer::Unavailable { home, may_have_run: false, retry_after_ms: 1500 };
+        }
         match *holder == claim.request {
             true => ClaimAnswer::Granted,
             false => ClaimAnswer::Taken { request: holder.clone() },
@@ -199,6 +204,7 @@
         says: Mutex::new(Bills::Twice),
         keys: Mutex::default(),
         home_gone: Mutex::new(false),
+        claims_unheard: Mutex::new(false),
         pins: Mutex::default(),
         reports: Mutex::default(),
     })
--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -169,6 +169,21 @@
     assert!(bench.service.runs().is_empty());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn key_of_an_unheard_claim_is_given_back() {
+    // The home grants the key and its answer is lost on the way. The caller is told that nothing
+    // ran, and sends the key again: told now that it may have run, it could never order.
+    let bench = Bench::start().await;
+    let headers = [ORDER, ("idempotency-key", "order-9")];
+    *bench.control.claims_unheard.lock().unwrap() = true;
+    let answer = bench.chat(&headers, false).await.unwrap();
+    assert_eq!(refused(&answer), (Code::HomeUnavailable, Ran::No));
+    until("the key is free", || bench.control.keys.lock().unwrap().is_empty()).await;
+    *bench.control.claims_unheard.lock().unwrap() = false;
+    assert_eq!(bench.chat(&headers, false).await.unwrap().status(), 200);
+    assert_eq!(bench.runs().len(), 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn key_is_not_claimed_when_no_backend_server_takes_it() {
     // Every engine is down. A key claimed now would stay taken though its order never ran, and
