--- a/crates/control/src/shards.rs
+++ b/crates/control/src/shards.rs
@@ -31,6 +31,9 @@
 
 /// Longest time that one call from owner to deputy, or on the way to a home, may take.
 const CALL: Duration = Duration::from_millis(400);
+/// Longest wait for an owner's answer before its deputy is asked: time for the owner to find its own
+/// deputy silent and take another, and not much more.
+const ANSWER: Duration = Duration::from_millis(700);
 /// Longest time that a first load of a deputy may take.
 const LOAD: Duration = Duration::from_secs(1);
 /// Longest time that a claim waits at its owner until it is safe.
--- a/crates/control/src/shards/route.rs
+++ b/crates/control/src/shards/route.rs
@@ -15,7 +15,7 @@
 use wire::shard::{Holder, Reply};
 
 use crate::node::now;
-use crate::shards::{CALL, Inner, RETRY_AFTER_MS, ROUTE, SAFE};
+use crate::shards::{ANSWER, CALL, Inner, RETRY_AFTER_MS, ROUTE, SAFE};
 
 /// Something that is asked of a key's home.
 pub trait Ask: Clone + Send + Sync + 'static {
@@ -148,7 +148,13 @@
         };
         let deadline = Instant::now() + ROUTE;
         while Instant::now() < deadline {
-            for target in self.targets(&home) {
+            let targets = self.targets(&home);
+            // Nobody of the failure domain was heard from lately. The caller is told at once
+            // rather than kept waiting; a home that is back is heard from within a moment.
+            if targets.is_empty() {
+                break;
+            }
+            for target in targets {
                 match self.ask(&target, &home, &ask).await {
                     Some(Reply::Answer(answer)) => return answer,
                     Some(Reply::Elsewhere { holder }) => self.table.learn(&home, &holder),
@@ -175,7 +181,7 @@
             targets.push(self.node.incarnation.clone());
         }
         let mut seen = std::collections::HashSet::new();
-        targets.retain(|name| !name.is_empty() && seen.insert(name.clone()));
+        targets.retain(|name| self.is_alive(name) && seen.insert(name.clone()));
         targets
     }
 
@@ -190,10 +196,8 @@
         }
         let peer = self.node.peers.by_incarnation(target)?;
         let (ask, home) = (ask.clone(), home.clone());
-        // An owner that can't make a claim safe says so in time; silence means it can't be reached.
-        let within = if self.is_alive(target) { SAFE + CALL } else { CALL };
         let asked =
-            peer.link.call(within, async |client, context| ask.call(client, context, home).await);
+            peer.link.call(ANSWER, async |client, context| ask.call(client, context, home).await);
         asked.await.ok()
     }
 
