control: claims find their homes from a control started in an outage; holders need not read a whole log

- the table of shards is learnt from peers when the platform can't be read; claim_through_a_control_started_in_an_outage fails without (never granted)
- a bill older than what a log's keeper remembers has the log read again first

--- a/crates/control/src/bills.rs
+++ b/crates/control/src/bills.rs
@@ -184,13 +184,9 @@
             log::warn!("bills: the memory bound is reached");
             return false;
         }
-        let own = id.log == self.node.incarnation;
         let added = self.with_book(&id, |book| {
-            // The own log has been read or written up to its next number; another's has not.
-            if !own {
-                book.back_to(from);
-            }
-            bills.into_iter().filter(|bill| book.log.add(bill.clone())).count()
+            let taken = bills.into_iter().filter(|bill| book.take(bill.clone(), from, now()));
+            taken.count()
         });
         self.count.fetch_add(added as u64, Ordering::Relaxed);
         true
--- a/crates/control/src/bills/book.rs
+++ b/crates/control/src/bills/book.rs
@@ -27,6 +27,8 @@
     pub log: Log<Bill>,
     /// Whether the next number is known to be free, as after reading it.
     pub at_end: bool,
+    /// For each pending bill of another's log: no batch before this number has it.
+    floors: HashMap<Name, u64>,
     /// Controls that hold a copy of each pending bill; the last one is believed alive.
     copies: HashMap<Name, Vec<Name>>,
     /// Bills that a holder has not been told to drop yet.
@@ -38,17 +40,47 @@
     #[must_use]
     pub fn new(id: Id) -> Self {
         let at_end = id.log == id.keeper;
-        let (copies, owed) = (HashMap::new(), BTreeMap::new());
-        Self { id, log: Log::default(), at_end, copies, owed }
+        let (floors, copies, owed) = (HashMap::new(), HashMap::new(), BTreeMap::new());
+        Self { id, log: Log::default(), at_end, floors, copies, owed }
     }
 
-    /// Makes sure that the log is read from a number on, for bills that may stand there.
-    pub fn back_to(&mut self, number: u64) {
-        match self.log.pending().is_empty() {
-            true => self.log = std::mem::take(&mut self.log).starting_at(number),
-            false => self.log.back_to(number),
+    /// Takes a bill; false if it is here already. `from` is a number that no batch before has it.
+    pub fn take(&mut self, bill: Bill, from: u64, now: Millis) -> bool {
+        let own = self.id.log == self.id.keeper;
+        // The own log has been read or written up to its next number, and what stands there is
+        // remembered for a while. A bill from before that may stand in any batch.
+        let forgotten = now.since(bill.at) > REMEMBERED_MS / 2;
+        if own && !forgotten {
+            return self.log.add(bill);
+        }
+        let from = if own { 0 } else { from };
+        let request = bill.request.clone();
+        let added = self.log.add(bill);
+        if added {
+            self.at_end = false;
+            self.floors.insert(request, from);
+        }
+        added
+    }
+
+    /// A number that no batch before has any of the pending bills. Those without a floor of their
+    /// own have been looked for in all batches before the next number.
+    #[must_use]
+    pub fn floor(&self) -> u64 {
+        let floor = self.floors.values().copied().min().unwrap_or(u64::MAX);
+        match self.floors.len() < self.log.pending().len() || self.floors.is_empty() {
+            true => floor.min(self.log.next()),
+            false => floor,
+        }
+    }
+
+    /// Goes to where the pending bills can stand, before anything is read or put.
+    pub fn start_reading(&mut self) {
+        let floor = self.floor();
+        if !self.floors.is_empty() {
+            self.log = std::mem::take(&mut self.log).starting_at(floor);
+            self.floors.clear();
         }
-        self.at_end = false;
     }
 
     /// Whether a bill is held by another control too, or stored.
@@ -117,6 +149,7 @@
     }
 
     fn owe(&mut self, request: &Name) {
+        self.floors.remove(request);
         for holder in self.copies.remove(request).unwrap_or_default() {
             self.owed.entry(holder).or_default().push(request.clone());
         }
--- a/crates/control/src/bills/copy.rs
+++ b/crates/control/src/bills/copy.rs
@@ -11,7 +11,7 @@
 use crate::node::now;
 
 /// Bills in one message at most.
-const HOLD_MAX: usize = 4_000;
+pub const HOLD_MAX: usize = 4_000;
 
 /// Copies whenever bills came in.
 pub async fn run(inner: Arc<Inner>) {
@@ -67,7 +67,7 @@
         let hold = {
             let book = lock(book);
             let (log, keeper) = (book.id.log.clone(), self.node.incarnation.clone());
-            Hold { log, keeper, from: book.log.next(), bills }
+            Hold { log, keeper, from: book.floor(), bills }
         };
         let held = self.hold_at(holder, &hold).await;
         if held {
--- a/crates/control/src/bills/flush.rs
+++ b/crates/control/src/bills/flush.rs
@@ -6,6 +6,7 @@
 use wire::bill::{self, Batch, Bill, Hold};
 
 use crate::bills::book::Book;
+use crate::bills::copy::HOLD_MAX;
 use crate::bills::{CALL, FLUSH, Inner, lock};
 use crate::node::{host_of, now};
 use crate::platform::Error;
@@ -52,7 +53,8 @@
     async fn flush(&self, book: &Mutex<Book>) -> Result<(), Error> {
         loop {
             let (log, number, bills, at_end) = {
-                let book = lock(book);
+                let mut book = lock(book);
+                book.start_reading();
                 let Some((number, bills)) = book.log.batch(BATCH_MAX) else { return Ok(()) };
                 (book.id.log.clone(), number, bills, book.at_end)
             };
@@ -104,7 +106,7 @@
         let hold = {
             let book = lock(book);
             let log = book.id.log.clone();
-            let bills: Vec<_> = book.log.pending().values().cloned().collect();
+            let bills: Vec<_> = book.log.pending().values().take(HOLD_MAX).cloned().collect();
             Hold { keeper: log.clone(), log, from: 0, bills }
         };
         let foreign = hold.log != self.node.incarnation;
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -15,7 +15,7 @@
 use wire::gossip::{Delta, Digest};
 use wire::peer::Key;
 use wire::rpc::Control;
-use wire::shard::{Append, Appended, Home, Reply};
+use wire::shard::{Append, Appended, Home, Known, Reply};
 use wire::view::{Ask, View};
 
 use crate::node;
@@ -85,6 +85,10 @@
         self.process.shards.owner_abandon(home, claim).await
     }
 
+    async fn shards(self, _: Context) -> Known {
+        self.process.shards.known()
+    }
+
     async fn changed(self, _: Context, home: Home) {
         self.process.shards.changed(home).await;
     }
--- a/crates/control/src/shards.rs
+++ b/crates/control/src/shards.rs
@@ -23,7 +23,7 @@
 use tokio_util::sync::{CancellationToken, DropGuard};
 use wire::claim::{Claim, ClaimAnswer, Pin, PinAnswer};
 use wire::host::List;
-use wire::shard::{Append, Appended, Reply};
+use wire::shard::{Append, Appended, Known, Reply};
 
 use crate::node::Node;
 use crate::shards::cell::Cell;
@@ -84,7 +84,14 @@
 
     /// Claims a key, wherever its home is.
     pub async fn claim(&self, claim: Claim) -> ClaimAnswer {
-        self.inner.route(claim).await
+        let answer = self.inner.route(claim).await;
+        let label = match &answer {
+            ClaimAnswer::Granted => "granted",
+            ClaimAnswer::Taken { .. } => "taken",
+            ClaimAnswer::Unavailable { .. } => "unavailable",
+        };
+        metrics::counter!("claims_total", "answer" => label).increment(1);
+        answer
     }
 
     /// Pins a session, wherever its home is.
@@ -121,6 +128,12 @@
         }
     }
 
+    /// What is known here of the table.
+    #[must_use]
+    pub fn known(&self) -> Known {
+        self.inner.table.known()
+    }
+
     /// The row of a shard may have changed.
     pub async fn changed(&self, home: Home) {
         let cell = self.inner.cell(&home);
--- a/crates/control/src/shards/duty.rs
+++ b/crates/control/src/shards/duty.rs
@@ -143,6 +143,7 @@
             Standing::Dropped => log::info!("shards: {}: not held here now", cell.home.row()),
             Standing::Promoted => log::info!("shards: {}: owned here now", cell.home.row()),
         }
+        metrics::counter!("shards_changed_hands_total").increment(1);
         cell.wake();
         cell.work.notify_one();
     }
--- a/crates/control/src/shards/layout.rs
+++ b/crates/control/src/shards/layout.rs
@@ -8,7 +8,7 @@
 
 use crate::node::now;
 use crate::platform::Error;
-use crate::shards::{Inner, REFRESH, TICK};
+use crate::shards::{CALL, Inner, REFRESH, TICK};
 
 /// How often it is looked whether all known peers have been heard from, before starting without.
 const MEET_TRIES: u32 = 20;
@@ -18,6 +18,7 @@
     while inner.table.layout().is_none() {
         if let Err(error) = inner.settle().await {
             log::info!("shards: no layout yet: {error}");
+            inner.ask_peers().await;
         }
         tokio::time::sleep(TICK / 5).await;
     }
@@ -30,13 +31,26 @@
         }
     }
     loop {
-        // Failures are told by who needs the platform; the last rows read stay good.
-        let _ = inner.table.refresh().await;
+        // Rows change only through the platform, so in an outage what peers last read is as good.
+        if inner.table.refresh().await.is_err() {
+            inner.ask_peers().await;
+        }
         tokio::time::sleep(REFRESH).await;
     }
 }
 
 impl Inner {
+    /// Learns from peers what the platform can't be asked: who starts in an outage can then still
+    /// lead claims to their homes.
+    async fn ask_peers(&self) {
+        for peer in self.node.peers.alive(now()) {
+            let asked = peer.link.call(CALL, async |client, context| client.shards(context).await);
+            if let Ok(known) = asked.await {
+                self.table.learn_all(known);
+            }
+        }
+    }
+
     /// Waits a moment for a peer to be heard from: who takes shards before that has no deputy.
     async fn meet_peers(&self) {
         for _ in 0..MEET_TRIES {
--- a/crates/control/src/shards/table.rs
+++ b/crates/control/src/shards/table.rs
@@ -9,7 +9,7 @@
 use policy::name::Name;
 use policy::time::Millis;
 use wire::platform::{Condition, Row, Transaction, Write};
-use wire::shard::Holder;
+use wire::shard::{Holder, Known};
 
 use crate::node::now;
 use crate::platform::{Client, Error, Outcome};
@@ -107,6 +107,25 @@
         Ok(())
     }
 
+    /// All that is known.
+    #[must_use]
+    pub fn known(&self) -> Known {
+        let rows = self.rows.read().unwrap_or_else(PoisonError::into_inner);
+        let holders = rows.iter().map(|(home, holder)| (home.clone(), holder.clone())).collect();
+        Known { layout: self.layout(), holders }
+    }
+
+    /// Takes in what another control knows.
+    pub fn learn_all(&self, known: Known) {
+        for (home, holder) in &known.holders {
+            self.learn(home, holder);
+        }
+        match known.layout {
+            Some(layout) if self.layout().is_none() => self.lay_out(layout),
+            _ => {}
+        }
+    }
+
     fn lay_out(&self, layout: Layout) {
         *self.layout.write().unwrap_or_else(PoisonError::into_inner) = Some(layout);
     }
--- a/crates/control/tests/gossip.rs
+++ b/crates/control/tests/gossip.rs
@@ -124,6 +124,9 @@
         wire::shard::Reply::Answer(false)
     }
     async fn changed(self, _: tarpc::context::Context, _: wire::shard::Home) {}
+    async fn shards(self, _: tarpc::context::Context) -> wire::shard::Known {
+        wire::shard::Known::default()
+    }
     async fn append(
         self,
         _: tarpc::context::Context,
--- a/crates/control/tests/shards.rs
+++ b/crates/control/tests/shards.rs
@@ -189,6 +189,20 @@
     still_taken(&deployment, 3, &keys).await;
 }
 
+// A control starts while the platform is down. It learns from peers where the shards are, and leads
+// claims to their homes.
+#[tokio::test(flavor = "multi_thread")]
+async fn claim_through_a_control_started_in_an_outage() {
+    let mut deployment = start().await;
+    let keys = deployment.keys_owned_by(0, 4);
+    platform_down(&deployment, Down::Cut);
+    deployment.restart(3).await;
+    for key in &keys {
+        deployment.claim_until_granted(3, key, "one").await;
+    }
+    still_taken(&deployment, 2, &keys).await;
+}
+
 // The swap of a takeover takes effect, but its answer is lost, more than once.
 #[tokio::test(flavor = "multi_thread")]
 async fn claim_takeover_with_lost_answers() {
--- a/crates/coordination/src/batch.rs
+++ b/crates/coordination/src/batch.rs
@@ -46,12 +46,8 @@
         &self.pending
     }
 
-    /// Goes back to a number, for an entry that may stand in batches already read past.
-    pub fn back_to(&mut self, number: u64) {
-        self.next = self.next.min(number);
-    }
-
-    /// Starts at a number, when no batch before it can have any of the entries to come.
+    /// Goes on at a number: back, for entries that may stand in batches read past long ago, or
+    /// ahead, when no batch before it can have any of the pending ones.
     #[must_use]
     pub fn starting_at(mut self, number: u64) -> Self {
         self.next = number;
--- a/crates/entry/tests/common/control.rs
+++ b/crates/entry/tests/common/control.rs
@@ -160,6 +160,10 @@
 
     async fn changed(self, _: Context, _: Home) {}
 
+    async fn shards(self, _: Context) -> wire::shard::Known {
+        wire::shard::Known::default()
+    }
+
     async fn append(self, _: Context, _: Append) -> Appended {
         Appended::Behind
     }
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -9,7 +9,7 @@
 use crate::claim::{Claim, ClaimAnswer, Pin, PinAnswer};
 use crate::evidence::Report;
 use crate::gossip::{Delta, Digest};
-use crate::shard::{Append, Appended, Home, Reply};
+use crate::shard::{Append, Appended, Home, Known, Reply};
 use crate::view::{Ask, View};
 
 /// Served by each control.
@@ -41,6 +41,8 @@
     async fn owner_abandon(home: Home, claim: Claim) -> Reply<bool>;
     /// Records for a shard that the asked one is deputy of.
     async fn append(append: Append) -> Appended;
+    /// What the asked one knows of the table of shards, for who can't read it.
+    async fn shards() -> Known;
     /// The row of a shard may name the asked one as owner now; also a sign of life.
     async fn changed(home: Home);
     /// Bills to be held for another control; false at the memory bound.
--- a/crates/wire/src/shard.rs
+++ b/crates/wire/src/shard.rs
@@ -1,6 +1,6 @@
 //! What controls say to each other about shards.
 
-pub use coordination::home::Home;
+pub use coordination::home::{Home, Layout};
 pub use coordination::message::{Append, Appended, Holder, Record};
 use policy::domain;
 
@@ -15,4 +15,13 @@
             holder: Holder,
         },
     }
+
+    /// The table of shards, as one control last read it.
+    #[derive(Default)]
+    pub struct Known {
+        /// The layout, once known.
+        pub layout: Option<Layout>,
+        /// Who holds which shard.
+        pub holders: Vec<(Home, Holder)>,
+    }
 }
