control: all controls stopped at once lose no shard; a swap undecided gets more patience

- a fenced deputy takes no load either: one preparing the same epoch would have taken away the records it was about to serve (found by reading, not seen)
- a platform slower than a second left an undecided swap undecided for ever

--- a/crates/control/src/shards.rs
+++ b/crates/control/src/shards.rs
@@ -45,6 +45,9 @@
 /// How often the table of shards is read when nothing happens. Changes are noticed earlier, by
 /// calls that fail or are answered by another.
 const REFRESH: Duration = Duration::from_secs(5);
+/// How long a stopping control looks whether shards are handed to it: longer than another takes from
+/// asking it to the swap.
+const LINGER: Duration = Duration::from_millis(1_500);
 /// When a refused claim may be tried again.
 const RETRY_AFTER_MS: u64 = 1_000;
 
@@ -123,7 +126,10 @@
     pub async fn append(&self, append: Append) -> Appended {
         let leaving = self.inner.leaving.load(Ordering::Relaxed);
         match append {
-            load if load.whole && leaving => Appended::Fenced { epoch: 0 },
+            // No records is a question: whether this control would take the shard over now.
+            load if leaving && (load.whole || load.records.is_empty()) => {
+                Appended::Fenced { epoch: 0 }
+            }
             append => self.inner.cell(&append.home).lock().receive(&append),
         }
     }
@@ -143,8 +149,10 @@
     /// Hands all shards owned here to their deputies, before a shutdown.
     pub async fn hand_over(&self) {
         self.inner.leaving.store(true, Ordering::Relaxed);
-        let cells = self.inner.all_cells();
-        futures::future::join_all(cells.iter().map(|cell| self.inner.leave(cell))).await;
+        self.inner.leave_all().await;
+        // A control that stops at the same time may have handed shards here just before.
+        tokio::time::sleep(LINGER).await;
+        self.inner.leave_all().await;
         log::info!("shards: handed over");
     }
 }
@@ -171,6 +179,11 @@
         Arc::clone(cell)
     }
 
+    async fn leave_all(&self) {
+        let cells = self.all_cells();
+        futures::future::join_all(cells.iter().map(|cell| self.leave(cell))).await;
+    }
+
     fn all_cells(&self) -> Vec<Arc<Cell>> {
         let cells = self.cells.read().unwrap_or_else(PoisonError::into_inner);
         cells.values().cloned().collect()
--- a/crates/control/src/shards/alone.rs
+++ b/crates/control/src/shards/alone.rs
@@ -3,6 +3,7 @@
 //! The pieces are numbered and put if absent, as a log. Who takes over puts the end mark at the
 //! next number, so a paused owner that comes back can put, and so grant, nothing more.
 
+use coordination::owner::Owner;
 use policy::domain;
 use policy::name::Name;
 use wire::shard::{Append, Record};
@@ -117,6 +118,16 @@
         matches!(stored, Ok(true))
     }
 
+    /// Whether all records of an owned shard are in the object store.
+    pub async fn is_stored(&self, cell: &Cell) -> bool {
+        let pieces = cell.pieces.lock().await;
+        let mut shard = cell.lock();
+        let stored = |owner: &mut Owner| {
+            owner.deputy.is_empty() && owner.is_safe() && pieces.epoch == owner.epoch
+        };
+        pieces.whole && shard.owner().is_some_and(stored)
+    }
+
     /// Saves records of a shard without a deputy; gets it one first, if there is any now.
     ///
     /// The epoch's log must begin with all records, or reading it would not give all grants. It
--- a/crates/control/src/shards/change.rs
+++ b/crates/control/src/shards/change.rs
@@ -183,16 +183,27 @@
         let _ = told.await;
     }
 
-    /// At a shutdown: hands an owned shard to its deputy.
+    /// At a shutdown: hands an owned shard to its deputy, or to another that is not stopping too;
+    /// if there is none, all its records go to the object store.
     pub async fn leave(&self, cell: &Cell) {
         let _change = cell.change.lock().await;
-        if cell.lock().owner().is_none() {
-            return;
-        }
-        let deputy = cell.lock().owner().map(|owner| owner.deputy.clone()).unwrap_or_default();
-        if !self.is_alive(&deputy) {
+        self.save(cell).await;
+        let Some((deputy, question)) = self.question(cell) else { return };
+        let willing = !deputy.is_empty()
+            && matches!(self.send(&deputy, &question).await, Some(Appended::Up { .. }));
+        if !willing && !self.is_stored(cell).await {
             self.replace_deputy(cell, self.candidates(cell, &deputy), true).await;
         }
         self.hand_over(cell).await;
     }
+
+    /// An owner's deputy, and a message without records to it.
+    fn question(&self, cell: &Cell) -> Option<(Name, Append)> {
+        let mut shard = cell.lock();
+        let owner = shard.owner()?;
+        let (home, me) = (cell.home.clone(), self.node.incarnation.clone());
+        let (epoch, first) = (owner.epoch, owner.safe_to());
+        let question = Append { home, epoch, owner: me, first, records: Vec::new(), whole: false };
+        Some((owner.deputy.clone(), question))
+    }
 }
--- a/crates/control/src/shards/table.rs
+++ b/crates/control/src/shards/table.rs
@@ -22,6 +22,8 @@
 const AGAIN: Duration = Duration::from_millis(200);
 /// Longest time that one call may take: claims of the shard wait meanwhile.
 const CALL: Duration = Duration::from_secs(1);
+/// The same for a swap that is undecided: nothing can be answered before it is decided.
+const PATIENT: Duration = Duration::from_secs(5);
 /// So long after a failure the platform is not asked for what can wait.
 const FAILED_MS: u64 = 3_000;
 /// Shortest time between two reads of the whole table.
@@ -50,6 +52,7 @@
 /// The table.
 pub struct Table {
     platform: Client,
+    patient: Client,
     layout: RwLock<Option<Layout>>,
     rows: RwLock<HashMap<Home, Holder>>,
     read: Mutex<Millis>,
@@ -61,7 +64,15 @@
     #[must_use]
     pub fn new(platform: Client) -> Self {
         let (layout, rows, read) = (RwLock::default(), RwLock::default(), Mutex::default());
-        Self { platform: platform.within(CALL), layout, rows, read, failed: AtomicU64::new(0) }
+        let patient = platform.clone().within(PATIENT);
+        Self {
+            platform: platform.within(CALL),
+            patient,
+            layout,
+            rows,
+            read,
+            failed: AtomicU64::new(0),
+        }
     }
 
     /// The layout, once known.
@@ -148,7 +159,11 @@
     /// # Errors
     /// Any of the platform's.
     pub async fn read(&self, home: &Home) -> Result<Versioned, Error> {
-        let row = self.platform.row(TABLE, &home.row()).await;
+        self.read_by(&self.platform, home).await
+    }
+
+    async fn read_by(&self, platform: &Client, home: &Home) -> Result<Versioned, Error> {
+        let row = platform.row(TABLE, &home.row()).await;
         let Some(row) = row.inspect_err(|_| self.failed.store(now().0, Ordering::Relaxed))? else {
             return Ok(Versioned::default());
         };
@@ -172,9 +187,10 @@
         let swap = transaction(&home.row(), version, value);
         let mut lost = false;
         loop {
-            match self.platform.commit(&swap).await {
+            let platform = if lost { &self.patient } else { &self.platform };
+            match platform.commit(&swap).await {
                 Ok(Outcome::Committed(_)) => return self.done(home, holder),
-                Ok(Outcome::Conflict(_)) => match self.read(home).await {
+                Ok(Outcome::Conflict(_)) => match self.read_by(&self.patient, home).await {
                     Ok(row) if row.holder == *holder => return self.done(home, holder),
                     Ok(row) => return Swap::Beaten(row),
                     Err(_) => lost = true,
--- a/crates/control/tests/shards.rs
+++ b/crates/control/tests/shards.rs
@@ -265,6 +265,28 @@
     still_taken(&deployment, 2, &keys).await;
 }
 
+// Everything is stopped at the same moment, and started again. Controls that are stopping too take
+// no shards; the records are in the object store, and nothing is lost or closed.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_of_all_at_once() {
+    let mut deployment = start().await;
+    let keys: Vec<String> = (0..12).map(|index| format!("key-{index}")).collect();
+    grant(&deployment, &keys[..6]).await;
+    for number in ALL {
+        deployment.stop(number);
+    }
+    for number in ALL {
+        deployment.stopped(number).await;
+    }
+    for number in ALL {
+        deployment.restart(number).await;
+    }
+    still_taken(&deployment, 1, &keys[..6]).await;
+    for key in &keys[6..] {
+        deployment.claim_until_granted(2, key, "one").await;
+    }
+}
+
 // One control is all there is: its records go to the object store before it answers, and it finds
 // them there after a crash.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/coordination/src/deputy.rs
+++ b/crates/coordination/src/deputy.rs
@@ -43,7 +43,6 @@
     /// Records what its owner sent.
     pub fn append(&mut self, append: &Append) -> Appended {
         match append {
-            _ if self.fenced => Appended::Fenced { epoch: self.epoch },
             // A whole load that was delayed must not undo what was acknowledged after it.
             whole if whole.whole && whole.first >= self.next => {
                 *self = Self::new(whole);
--- a/crates/coordination/src/shard.rs
+++ b/crates/coordination/src/shard.rs
@@ -57,6 +57,9 @@
         match &mut self.role {
             // A live owner gives way only to the row, never to another's word.
             Role::Owner(owner) => Appended::Fenced { epoch: owner.epoch },
+            // About to be owner. A load by another that prepares the same epoch would take away the
+            // records it is about to serve.
+            Role::Deputy(deputy) if deputy.fenced => Appended::Fenced { epoch: deputy.epoch },
             Role::Deputy(deputy) if deputy.serves(append) => deputy.append(append),
             // Two owners can prepare the same epoch, and only one swap succeeds. The first load
             // keeps its place; the other owner is told so and picks another deputy.
--- a/crates/coordination/tests/deputy.rs
+++ b/crates/coordination/tests/deputy.rs
@@ -73,6 +73,8 @@
     assert!(shard.fence(&row));
     let late = append("one", 1, 1, &["a"], false);
     assert_eq!(shard.receive(&late), Appended::Fenced { epoch: 1 });
+    let load = append("two", 2, 1, &[], true);
+    assert_eq!(shard.receive(&load), Appended::Fenced { epoch: 1 });
     shard.unfence();
     assert_eq!(shard.receive(&late), Appended::Up { to: 2 });
 }
