--- a/crates/control/src/shards.rs
+++ b/crates/control/src/shards.rs
@@ -23,7 +23,7 @@
 use tokio_util::sync::{CancellationToken, DropGuard};
 use wire::claim::{Claim, ClaimAnswer, Pin, PinAnswer};
 use wire::host::List;
-use wire::shard::{Append, Appended, Reply};
+use wire::shard::{Append, Appended, Known, Reply};
 
 use crate::node::Node;
 use crate::shards::cell::Cell;
@@ -31,6 +31,9 @@
 
 /// Longest time that one call from owner to deputy, or on the way to a home, may take.
 const CALL: Duration = Duration::from_millis(400);
+/// Longest wait for an owner's answer before its deputy is asked: time for the owner to find its own
+/// deputy silent and take another, and not much more.
+const ANSWER: Duration = Duration::from_millis(700);
 /// Longest time that a first load of a deputy may take.
 const LOAD: Duration = Duration::from_secs(1);
 /// Longest time that a claim waits at its owner until it is safe.
@@ -42,6 +45,9 @@
 /// How often the table of shards is read when nothing happens. Changes are noticed earlier, by
 /// calls that fail or are answered by another.
 const REFRESH: Duration = Duration::from_secs(5);
+/// How long a stopping control looks whether shards are handed to it: longer than another takes from
+/// asking it to the swap.
+const LINGER: Duration = Duration::from_millis(1_500);
 /// When a refused claim may be tried again.
 const RETRY_AFTER_MS: u64 = 1_000;
 
@@ -81,7 +87,14 @@
 
     /// Claims a key, wherever its home is.
     pub async fn claim(&self, claim: Claim) -> ClaimAnswer {
-        self.inner.route(claim).await
+        let answer = self.inner.route(claim).await;
+        let label = match &answer {
+            ClaimAnswer::Granted => "granted",
+            ClaimAnswer::Taken { .. } => "taken",
+            ClaimAnswer::Unavailable { .. } => "unavailable",
+        };
+        metrics::counter!("claims_total", "answer" => label).increment(1);
+        answer
     }
 
     /// Pins a session, wherever its home is.
@@ -113,11 +126,20 @@
     pub async fn append(&self, append: Append) -> Appended {
         let leaving = self.inner.leaving.load(Ordering::Relaxed);
         match append {
-            load if load.whole && leaving => Appended::Fenced { epoch: 0 },
+            // No records is a question: whether this control would take the shard over now.
+            load if leaving && (load.whole || load.records.is_empty()) => {
+                Appended::Fenced { epoch: 0 }
+            }
             append => self.inner.cell(&append.home).lock().receive(&append),
         }
     }
 
+    /// What is known here of the table.
+    #[must_use]
+    pub fn known(&self) -> Known {
+        self.inner.table.known()
+    }
+
     /// The row of a shard may have changed.
     pub async fn changed(&self, home: Home) {
         let cell = self.inner.cell(&home);
@@ -127,8 +149,10 @@
     /// Hands all shards owned here to their deputies, before a shutdown.
     pub async fn hand_over(&self) {
         self.inner.leaving.store(true, Ordering::Relaxed);
-        let cells = self.inner.all_cells();
-        futures::future::join_all(cells.iter().map(|cell| self.inner.leave(cell))).await;
+        self.inner.leave_all().await;
+        // A control that stops at the same time may have handed shards here just before.
+        tokio::time::sleep(LINGER).await;
+        self.inner.leave_all().await;
         log::info!("shards: handed over");
     }
 }
@@ -155,6 +179,11 @@
         Arc::clone(cell)
     }
 
+    async fn leave_all(&self) {
+        let cells = self.all_cells();
+        futures::future::join_all(cells.iter().map(|cell| self.leave(cell))).await;
+    }
+
     fn all_cells(&self) -> Vec<Arc<Cell>> {
         let cells = self.cells.read().unwrap_or_else(PoisonError::into_inner);
         cells.values().cloned().collect()
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! between two of them, and from each to the platform, leads through a proxy of its own.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod claims;
 pub mod http;
 
 use std::collections::BTreeMap;
@@ -31,6 +32,7 @@
     pub peers: SocketAddr,
     runtime: Option<Runtime>,
     stop: CancellationToken,
+    task: Option<tokio::task::JoinHandle<()>>,
 }
 
 /// Hosts by number, two to a failure domain.
@@ -40,6 +42,7 @@
     to_platform: Vec<Proxy>,
     links: BTreeMap<(usize, usize), Proxy>,
     poll_ms: u64,
+    change: fn(&mut Control),
 }
 
 fn local() -> SocketAddr {
@@ -61,6 +64,15 @@
     }
 
     pub async fn start_polling(count: usize, poll_ms: u64) -> Self {
+        Self::start_all(count, poll_ms, |_| {}).await
+    }
+
+    /// Starts with changed settings.
+    pub async fn start_with(count: usize, change: fn(&mut Control)) -> Self {
+        Self::start_all(count, 100, change).await
+    }
+
+    async fn start_all(count: usize, poll_ms: u64, change: fn(&mut Control)) -> Self {
         let platform = standin::platform::start(local(), Settings::default()).expect("a port");
         let mut to_platform = Vec::new();
         let mut links = BTreeMap::new();
@@ -72,7 +84,8 @@
                 links.insert((from, to), proxy::start(local()).await.expect("a port"));
             }
         }
-        let mut deployment = Self { platform, hosts: Vec::new(), to_platform, links, poll_ms };
+        let mut deployment =
+            Self { platform, hosts: Vec::new(), to_platform, links, poll_ms, change };
         for number in 0..count {
             let host = deployment.host(number).await;
             deployment.hosts.push(host);
@@ -100,7 +113,9 @@
             "poll_ms": self.poll_ms,
             "gossip_ms": 100
         });
-        serde_json::from_value(settings).expect("settings")
+        let mut settings = serde_json::from_value(settings).expect("settings");
+        (self.change)(&mut settings);
+        settings
     }
 
     async fn host(&self, number: usize) -> Host {
@@ -113,7 +128,7 @@
         let stop = CancellationToken::new();
         let stopping = stop.clone();
         let (bound, addresses) = tokio::sync::oneshot::channel();
-        runtime.spawn(async move {
+        let task = runtime.spawn(async move {
             let listeners = control::Listeners::bind(&settings).await.expect("ports");
             let peers = listeners.peers.local_addr().expect("bound");
             let operators = listeners.operators.local_addr().expect("bound");
@@ -127,7 +142,8 @@
                 way.set_target(peers);
             }
         }
-        Host { name: name(number), operators, peers, runtime: Some(runtime), stop }
+        let task = Some(task);
+        Host { name: name(number), operators, peers, runtime: Some(runtime), stop, task }
     }
 
     fn list_hosts(&self) {
@@ -146,6 +162,21 @@
         }
     }
 
+    /// Stops a host in its tracks, as SIGSTOP would, until what is returned is dropped. Its
+    /// connections stay open and take in what is sent.
+    pub fn pause(&self, number: usize) -> std::sync::mpsc::Sender<()> {
+        let (resume, paused) = std::sync::mpsc::channel::<()>();
+        let (begun, begins) = std::sync::mpsc::channel::<()>();
+        let runtime = self.hosts[number].runtime.as_ref().expect("it runs");
+        // The runtime has one worker, which this keeps.
+        runtime.spawn(async move {
+            drop(begun);
+            _ = paused.recv();
+        });
+        _ = begins.recv();
+        resume
+    }
+
     /// Starts a host again, which remembers nothing.
     pub async fn restart(&mut self, number: usize) {
         self.kill(number);
@@ -156,6 +187,15 @@
         self.to_platform[number].set_mode(mode);
     }
 
+    /// Holds back what goes between failure domains, each way.
+    pub fn delay_between_domains(&self, delay: Duration) {
+        for ((from, to), way) in &self.links {
+            if domain(*from) != domain(*to) {
+                way.set_delay(delay);
+            }
+        }
+    }
+
     /// Cuts both ways between one host and all others.
     pub fn cut_from_peers(&self, number: usize, mode: Mode) {
         for ((from, to), way) in &self.links {
@@ -214,6 +254,13 @@
     pub fn stop(&self, number: usize) {
         self.hosts[number].stop.cancel();
     }
+
+    /// Waits until a stopped host's process would exit.
+    pub async fn stopped(&mut self, number: usize) {
+        if let Some(task) = self.hosts[number].task.take() {
+            task.await.expect("it ends without a panic");
+        }
+    }
 }
 
 impl Drop for Deployment {
