--- a/crates/entry/src/filter/claim.rs
+++ b/crates/entry/src/filter/claim.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use wire::claim::{Claim, ClaimAnswer};
-use wire::peer::Error;
 use wire::refusal::{Code, Refusal};
 
 use crate::state::State;
@@ -19,9 +18,10 @@
 /// Pause between two tries.
 const ABANDON_PAUSE: Duration = Duration::from_millis(500);
 
-/// Gives a key back that was granted to a request which then wrote no byte, without waiting for
-/// it: otherwise the caller's next try of the key would be told that it may have run.
-pub fn abandon(state: &Arc<State>, claim: Claim) {
+/// Gives a key back whose request wrote no byte and never will: otherwise the caller's next try of
+/// the key would be told that it may have run. The caller is answered meanwhile; its next try
+/// comes later than this, by what it was told.
+pub fn give_back(state: &Arc<State>, claim: Claim) {
     let state = Arc::clone(state);
     tokio::spawn(async move {
         for _ in 0..ABANDON_TRIES {
@@ -42,7 +42,7 @@
 ///
 /// # Errors
 /// [`Code::KeyTaken`] if another request has it, [`Code::HomeUnavailable`] if nobody knows.
-pub async fn claim(state: &Arc<State>, claim: &Claim, deadline: Instant) -> Result<(), Refusal> {
+pub async fn claim(state: &State, claim: &Claim, deadline: Instant) -> Result<(), Refusal> {
     let within = deadline.saturating_duration_since(Instant::now()).min(WITHIN);
     let call = |client: wire::rpc::ControlClient, context| {
         let claim = claim.clone();
@@ -62,11 +62,7 @@
             };
             Err(refusal.retry_after(retry_after_ms))
         }
-        Err(error) => {
-            // It may have been granted, and only the answer lost.
-            if matches!(error, Error::Lost(_)) {
-                abandon(state, claim.clone());
-            }
+        Err(_) => {
             let message = "no control is in reach to claim the idempotency key";
             Err(Refusal::not_run(Code::HomeUnavailable, message).retry_after(HOME_RETRY_MS))
         }
