--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -130,9 +130,8 @@
     /// # Errors
     /// When it is not a whole document.
     pub fn adopt(&self, text: &str) -> Result<bool, Error> {
-        let document = check::parse(text).map_err(|faults| {
-            Error::Malformed(faults.first().map(ToString::to_string).unwrap_or_default())
-        })?;
+        let document =
+            check::accepted(text).map_err(|fault| Error::Malformed(fault.to_string()))?;
         let generation = document.generation;
         let next = Arc::new(InForce { generation, document, text: text.to_owned() });
         // The comparison is under the channel's lock: two adoptions at once end with the higher.
@@ -196,7 +195,7 @@
             return Some(in_force.document.clone());
         }
         let row = self.node.platform.row(TABLE, &document_key(generation)).await.ok()??;
-        check::parse(&decode::<Kept>(&row.value).ok()?.text).ok()
+        check::accepted(&decode::<Kept>(&row.value).ok()?.text).ok()
     }
 
     /// Fetches from a peer that has a newer generation.
--- a/crates/entry/src/chain.rs
+++ b/crates/entry/src/chain.rs
@@ -124,8 +124,10 @@
 /// the order would run twice. Only the key's home knows, so until it has granted the key to this
 /// try the answer is "unknown". It costs nothing: to send the same key again is always safe.
 fn ran(refusal: &Refusal, keyed: bool) -> Ran {
+    // What can't be read now could not be read before.
+    let unreadable = matches!(refusal.code, Code::BadRequest | Code::TooLarge | Code::WrongMethod);
     match refusal.ran {
-        Ran::No if keyed && !refusal.key_granted => Ran::Unknown,
+        Ran::No if keyed && !unreadable && !refusal.key_granted => Ran::Unknown,
         ran => ran,
     }
 }
--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -90,11 +90,10 @@
     let document = match view.document.as_str() {
         _ if view.generation == held.document.generation => None,
         "" => return None,
-        text => match check::parse(text) {
+        text => match check::accepted(text) {
             Ok(document) => Some(document),
-            Err(faults) => {
-                let first = faults.first().map(ToString::to_string).unwrap_or_default();
-                log::error!("entry: document of generation {}: {first}", view.generation);
+            Err(fault) => {
+                log::error!("entry: document of generation {}: {fault}", view.generation);
                 return None;
             }
         },
--- a/crates/wire/src/configuration/check.rs
+++ b/crates/wire/src/configuration/check.rs
@@ -33,6 +33,18 @@
     }
 }
 
+/// Reads a document that was accepted, without checking it again.
+///
+/// While hosts are replaced one by one by those of a newer release, its stricter rules must not
+/// keep out what an older one accepted: the host would stay on a lower generation for good, and
+/// nobody who could mend the document would be told.
+///
+/// # Errors
+/// What is not the form of a document.
+pub fn accepted(text: &str) -> Result<Document, Fault> {
+    serde_json::from_str(text).map_err(|error| Fault::at("", error.to_string()))
+}
+
 fn is_within(path: &str, outer: &str) -> bool {
     match path.strip_prefix(outer) {
         Some(rest) => outer.is_empty() || rest.is_empty() || rest.starts_with(['.', '[']),
