--- a/crates/chestnutspur/src/command/load/driver.rs
+++ b/crates/chestnutspur/src/command/load/driver.rs
@@ -1,5 +1,6 @@
 //! Sends requests at their intended times, whether or not earlier ones were answered.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -11,7 +12,7 @@
 use hyper::http::request;
 use hyper::{Request, http};
 use serde_json::json;
-use standin::client::Client;
+use standin::client::{self, Client};
 use tokio::sync::mpsc;
 use wire::backend::{REQUEST_ID, TASK};
 
@@ -61,14 +62,13 @@
     pub address: SocketAddr,
     /// Latencies of whole answers from the intended send time, in microseconds.
     pub latency: Histogram<u64>,
-    /// Requests without a whole answer, or with another status than 2xx.
-    pub failed: u64,
+    /// Requests without a whole answer, or with another status than 2xx, by what went wrong.
+    pub failed: BTreeMap<String, u64>,
     /// Processor time of its process over the counted time.
     pub processor: Option<Duration>,
 }
 
 struct Target {
-    address: SocketAddr,
     client: Client,
     in_flight: AtomicUsize,
 }
@@ -76,7 +76,7 @@
 /// One request's end.
 struct End {
     target: usize,
-    latency: Option<Duration>,
+    latency: std::result::Result<Duration, String>,
 }
 
 /// Makes the load's requests; each has its own id and prompt.
@@ -123,12 +123,12 @@
     let mut results = Vec::new();
     for address in arguments.targets() {
         let latency = Histogram::new_with_bounds(1, LONGEST_US, DIGITS)?;
-        results.push(Result { address, latency, failed: 0, processor: None });
+        results.push(Result { address, latency, failed: BTreeMap::new(), processor: None });
     }
     let targets: Arc<[Target]> = arguments
         .targets()
         .into_iter()
-        .map(|address| Target { address, client: Client::new(address), in_flight: 0.into() })
+        .map(|address| Target { client: Client::new(address), in_flight: 0.into() })
         .collect();
     let counted = Duration::from_secs_f64(arguments.seconds);
     send(&template, &targets, WARM_UP, |_| {}).await;
@@ -143,12 +143,12 @@
 
 fn record(results: &mut [Result], end: &End) {
     let Some(result) = results.get_mut(end.target) else { return };
-    match end.latency {
-        Some(latency) => {
+    match &end.latency {
+        Ok(latency) => {
             let us = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
             result.latency.saturating_record(us.max(1));
         }
-        None => result.failed += 1,
+        Err(why) => *result.failed.entry(why.clone()).or_default() += 1,
     }
 }
 
@@ -194,14 +194,18 @@
         let limit = template.arguments.in_flight;
         runtime.spawn(async move {
             let answered = one(&targets[index], request, limit).await;
-            let latency = answered.then(|| intended.elapsed());
+            let latency = answered.map(|()| intended.elapsed());
             // The collector is gone once it has waited long enough.
             let _ = ends.send(End { target: index, latency });
         });
     }
 }
 
-async fn one(target: &Target, request: Request<Bytes>, limit: usize) -> bool {
+async fn one(
+    target: &Target,
+    request: Request<Bytes>,
+    limit: usize,
+) -> std::result::Result<(), String> {
     let under_way = target.in_flight.fetch_add(1, Ordering::Relaxed);
     let answer = match under_way < limit {
         true => Some(target.client.call(request).await),
@@ -209,15 +213,10 @@
     };
     target.in_flight.fetch_sub(1, Ordering::Relaxed);
     match answer {
-        Some(Ok(answer)) if answer.status().is_success() => true,
-        Some(Ok(answer)) => {
-            log::debug!("load: {}: {}", target.address, answer.status());
-            false
-        }
-        Some(Err(error)) => {
-            log::debug!("load: {}: {error}", target.address);
-            false
-        }
-        None => false,
+        Some(Ok(answer)) if answer.status().is_success() => Ok(()),
+        Some(Ok(answer)) => Err(format!("status {}", answer.status().as_u16())),
+        Some(Err(client::Error::Connect(error))) => Err(format!("no connection: {error}")),
+        Some(Err(client::Error::Http(_))) => Err("broken off".to_owned()),
+        None => Err("not sent: too many under way".to_owned()),
     }
 }
--- a/crates/chestnutspur/src/command/load/summary.rs
+++ b/crates/chestnutspur/src/command/load/summary.rs
@@ -1,5 +1,6 @@
 //! What the load driver prints.
 
+use std::collections::BTreeMap;
 use std::fmt;
 
 use policy::domain;
@@ -26,6 +27,8 @@
         pub answered: u64,
         /// Requests without one.
         pub failed: u64,
+        /// What went wrong with those.
+        pub failures: BTreeMap<String, u64>,
         /// Median latency from the intended send time, in milliseconds.
         pub p50_ms: f64,
         /// 90 in 100 are no longer.
@@ -63,7 +66,8 @@
         Self {
             address: result.address.to_string(),
             answered,
-            failed: result.failed,
+            failed: result.failed.values().sum(),
+            failures: result.failed.clone(),
             p50_ms: ms(latency.value_at_quantile(0.5)),
             p90_ms: ms(latency.value_at_quantile(0.9)),
             p99_ms: ms(latency.value_at_quantile(0.99)),
@@ -105,6 +109,9 @@
                 target.added_p50_ms,
                 processor
             )?;
+            for (why, count) in &target.failures {
+                writeln!(f, "  {count} {why}")?;
+            }
         }
         Ok(())
     }
