--- a/crates/chestnutspur/src/command/demo/summary.rs
+++ b/crates/chestnutspur/src/command/demo/summary.rs
@@ -14,6 +14,9 @@
 use super::drive::{self, Journal, Sent};
 use super::world::World;
 
+/// The platform's table of quarantines.
+const QUARANTINE: &str = "quarantine";
+
 domain! {
     /// What `--json` prints.
     pub struct Figures {
@@ -54,6 +57,8 @@
     cost_ratio_to_best: f64,
     turned_bad: Name,
     exposure: u64,
+    /// Keys of the platform's table of quarantines.
+    quarantined: Vec<Name>,
     /// Sorted.
     latencies: Vec<Duration>,
 }
@@ -93,6 +98,7 @@
             cost_ratio_to_best: cost_ratio(&bills, deployment, journal),
             turned_bad: journal.turned_bad.clone(),
             exposure: exposure(world, journal),
+            quarantined: world.platform.rows(QUARANTINE).into_iter().map(|row| row.key).collect(),
             latencies,
         }
     }
@@ -175,6 +181,9 @@
         writeln!(f, "{:<34}{:>10.3}", "cost against always-best", self.cost_ratio_to_best)?;
         let exposure = format!("exposure to {}", self.turned_bad);
         writeln!(f, "{exposure:<34}{:>10}", self.exposure)?;
+        for version in &self.quarantined {
+            writeln!(f, "{:<34}{version:>10}", "under quarantine")?;
+        }
         for (name, share) in [("p50", 0.5), ("p95", 0.95), ("p99", 0.99)] {
             writeln!(f, "{:<34}{:>10.1}", format!("latency {name}, ms"), self.percentile(share))?;
         }
