exposure: ratings lower what is expected of a version, until the first bad sign

Measured against a document that praises it too much, a version that is merely a little worse ends under quarantine. The expectation follows the estimate down, and is held while the test has anything against the version.

--- a/crates/policy/src/exposure.rs
+++ b/crates/policy/src/exposure.rs
@@ -33,6 +33,17 @@
         pub bad: f64,
     }
 
+    /// What is expected of a version on one task.
+    ///
+    /// The document may praise a version too much; measured by its word, one that is merely a
+    /// little worse would be put under quarantine in the end. So ratings lower what is expected,
+    /// but not while there is a bad sign: a version turning bad must not drag it down.
+    #[derive(Copy, Default)]
+    pub struct Expectation {
+        /// Share of good answers that was believed in before the bad sign.
+        pub believed: Option<f64>,
+    }
+
     /// What a test says after an answer.
     #[derive(Copy, Eq)]
     pub enum Verdict {
@@ -64,6 +75,17 @@
     }
 }
 
+impl Expectation {
+    /// What the next rated answer is tested against, given what the test says so far, the
+    /// document's word and the mean of the estimate before that answer.
+    pub fn hypotheses(&mut self, verdict: Verdict, prior: f64, mean: f64) -> Hypotheses {
+        if verdict == Verdict::Good {
+            self.believed = Some(mean.min(prior));
+        }
+        Hypotheses::expecting(self.believed.unwrap_or(prior))
+    }
+}
+
 /// A sequential test of one version.
 pub trait Test: Default {
     /// Takes in one rated answer, given what was expected of the version on its task.
--- a/crates/replay/src/run/knowledge.rs
+++ b/crates/replay/src/run/knowledge.rs
@@ -7,7 +7,7 @@
 use policy::exposure::cusum::Cusum;
 use policy::exposure::likelihood::Likelihood;
 use policy::exposure::rating::Interest;
-use policy::exposure::{Hypotheses, Test, Verdict};
+use policy::exposure::{Expectation, Hypotheses, Test, Verdict};
 use policy::name::Name;
 use policy::select::{Candidate, Goal, Rater, Table, baseline};
 use policy::time::Millis;
@@ -43,6 +43,8 @@
     takes_work: bool,
     share: Option<f64>,
     test: Detector,
+    /// What is expected of it by task.
+    expected: BTreeMap<Name, Expectation>,
     rated: u64,
     good: u64,
 }
@@ -85,6 +87,7 @@
             takes_work: version.takes_new_sessions(),
             share: (version.state == VersionState::Candidate).then_some(0.0),
             test: Detector::new(variant.detection),
+            expected: BTreeMap::new(),
             rated: 0,
             good: 0,
         };
@@ -163,9 +166,11 @@
     pub fn observe(&mut self, rated: &Rated, now: Millis) -> bool {
         let key = (rated.version.clone(), rated.task.clone());
         let estimate = self.estimates.entry(key).or_default();
-        let expecting = Hypotheses::expecting(estimate.prior_mean);
-        estimate.observe(rated.good, now);
         let Some(known) = self.versions.get_mut(&rated.version) else { return false };
+        let expected = known.expected.entry(rated.task.clone()).or_default();
+        let (verdict, prior) = (known.test.verdict(), estimate.prior_mean);
+        let expecting = expected.hypotheses(verdict, prior, estimate.mean(now));
+        estimate.observe(rated.good, now);
         known.rated += 1;
         known.good += u64::from(rated.good);
         known.test.observe(rated.good, &expecting) == Verdict::Bad && known.takes_work
