--- /dev/null
+++ b/crates/policy/tests/burn.rs
@@ -0,0 +1,69 @@
+//! Error budgets: windows, alerts, and counts that are never doubled.
+
+use policy::burn::{BUCKET_MS, Series, WINDOWS};
+use policy::time::Millis;
+
+const HOUR: u64 = 3_600_000;
+
+fn series(errors_every: u64, until: u64) -> Series {
+    let mut series = Series::default();
+    (0..until / 1000).for_each(|n| series.count(n % errors_every != 0, Millis(n * 1000)));
+    series
+}
+
+#[test]
+fn burn_rate_one_uses_budget_exactly() {
+    let burn = series(100, HOUR).burn(0.99, WINDOWS[0], Millis(HOUR - 1));
+    assert!((burn.long_rate - 1.0).abs() < 0.05, "{burn:?}");
+    assert!(!burn.alert);
+}
+
+#[test]
+fn burn_alert_needs_both_windows() {
+    let now = Millis(HOUR - 1);
+    assert!(series(5, HOUR).burn(0.99, WINDOWS[0], now).alert);
+    let mut recent = series(1_000_000, HOUR);
+    (0..60).for_each(|n| recent.count(false, Millis(HOUR - 60_000 + n * 1000)));
+    let burn = recent.burn(0.99, WINDOWS[0], now);
+    assert!(burn.short_rate > 14.4 && !burn.alert, "{burn:?}");
+}
+
+#[test]
+fn add_and_join() {
+    let one = series(10, 60_000);
+    let mut two = one.clone();
+    two.add(&one);
+    assert_eq!(two.window(HOUR, Millis(60_000)).total, 120);
+    let mut copy = one.clone();
+    copy.join(&one);
+    assert_eq!(copy, one);
+}
+
+#[test]
+fn prune_keeps_windows() {
+    let mut series = series(10, 60_000);
+    series.prune(Millis(6 * HOUR));
+    assert_eq!(series.buckets.len(), 6);
+    series.prune(Millis(6 * HOUR + 3 * BUCKET_MS));
+    assert_eq!(series.buckets.len(), 3);
+}
+
+/// Joining copies in any order gives the same, and never more than the fullest copy.
+#[test]
+fn join_any_order() {
+    bolero::check!().with_iterations(1000).with_type::<Vec<(bool, u16)>>().for_each(|counts| {
+        let mut whole = Series::default();
+        let mut part = Series::default();
+        for (index, (good, at)) in counts.iter().enumerate() {
+            whole.count(*good, Millis(u64::from(*at) * 100));
+            if index < counts.len() / 2 {
+                part = whole.clone();
+            }
+        }
+        let (mut one, mut two) = (whole.clone(), part.clone());
+        one.join(&part);
+        two.join(&whole);
+        assert_eq!(one, whole);
+        assert_eq!(two, whole);
+    });
+}
--- /dev/null
+++ b/crates/policy/tests/estimate.rs
@@ -0,0 +1,45 @@
+//! Estimates: from the document's word to what ratings say, and back as they fade.
+
+use policy::estimate::Estimate;
+use policy::time::Millis;
+
+#[test]
+fn mean_moves_from_prior_to_ratings() {
+    let mut estimate = Estimate::prior(0.9).with_prior_weight(20.0);
+    assert!((estimate.mean(Millis(0)) - 0.9).abs() < 1e-9);
+    (0..2000).for_each(|n| estimate.observe(n % 2 == 0, Millis(0)));
+    assert!((estimate.mean(Millis(0)) - 0.5).abs() < 0.01);
+}
+
+#[test]
+fn mean_returns_as_ratings_fade() {
+    let estimate = Estimate::prior(0.9).with_counts(0.0, 50.0, Millis(0)).with_half_life(1_000);
+    assert!(estimate.mean(Millis(0)) < 0.6);
+    assert!(estimate.mean(Millis(20_000)) > 0.89);
+}
+
+#[test]
+fn lower_and_upper_close_in() {
+    let few = Estimate::prior(0.9);
+    let many = few.with_counts(900.0, 1000.0, Millis(0));
+    let now = Millis(0);
+    assert!(few.lower(1.0, now) < many.lower(1.0, now));
+    assert!(few.upper(1.0, now) > many.upper(1.0, now));
+    assert!(many.lower(1.0, now) < many.mean(now) && many.mean(now) < many.upper(1.0, now));
+}
+
+/// Whatever is observed, the share stays a share.
+#[test]
+fn observe_any() {
+    bolero::check!().with_iterations(1000).with_type::<(u8, Vec<(bool, u16)>)>().for_each(
+        |(prior, ratings)| {
+            let mut estimate = Estimate::prior(f64::from(*prior) / 255.0);
+            for (good, at) in ratings {
+                let now = Millis(u64::from(*at));
+                estimate.observe(*good, now);
+                let (lower, upper) = (estimate.lower(3.0, now), estimate.upper(3.0, now));
+                assert!(0.0 <= lower && lower <= upper && upper <= 1.0, "{estimate:?}");
+            }
+        },
+    );
+}
--- a/crates/replay/src/generate/deployment.rs
+++ b/crates/replay/src/generate/deployment.rs
@@ -205,7 +205,7 @@
     }
 
     fn version(&self, kind: &Kind) -> Version {
-        let stated = [0, 1, 2].map(|index| kind.quality[index] + kind.misjudged[index]);
+        let stated = [0, 1, 2].map(|i| hundredths(kind.quality[i] + kind.misjudged[i]));
         let tasks = self.tasks.iter().zip(stated);
         Version {
             model: kind.model.into(),
@@ -232,6 +232,11 @@
     }
 }
 
+/// Rounded, so that a document says 0.88 and not 0.8799999999999999.
+fn hundredths(share: f64) -> f64 {
+    (share * 100.0).round() / 100.0
+}
+
 /// A hash of its own for each account, from the bytes of its name.
 fn key_hash(name: &str) -> Name {
     let digits: String = name.bytes().map(|byte| format!("{byte:02x}")).collect();
--- /dev/null
+++ b/crates/replay/tests/trace.rs
@@ -0,0 +1,81 @@
+//! Traces: every malformed line is told by file and line; generated ones are always the same.
+
+use replay::generate::{self, Kind, kind::KINDS};
+use replay::trace::parse;
+
+fn text() -> String {
+    generate::lines(&generate::trace(Kind::Sudden, 7))
+}
+
+fn fault(text: &str) -> String {
+    parse("t.jsonl", text).unwrap_err().to_string()
+}
+
+#[test]
+fn parse_generated_comes_back() {
+    for (name, kind) in KINDS {
+        let trace = generate::trace(kind, 3);
+        let read = parse(name, &generate::lines(&trace)).unwrap();
+        assert!(read == trace, "{name}");
+    }
+}
+
+#[test]
+fn parse_malformed_names_line() {
+    let good = text();
+    let with = |line: &str| {
+        let mut lines: Vec<&str> = good.lines().take(3).collect();
+        lines.push(line);
+        fault(&lines.join("\n"))
+    };
+    assert!(with("{").starts_with("t.jsonl:4: "));
+    assert!(with(r#"{"at_ms":0,"event":"nonsense"}"#).contains("t.jsonl:4: unknown variant"));
+    assert!(with(r#"{"at_ms":99999,"event":"withdraw","version":"x"}"#).contains("no version x"));
+    assert!(
+        with(r#"{"at_ms":99999,"id":"r","account":"x","task":"tag","good":{},"ms":{}}"#)
+            .contains("no account x")
+    );
+    assert!(
+        with(r#"{"at_ms":99999,"id":"r","account":"claims","task":"tag","good":{},"ms":{}}"#)
+            .contains("lacks version")
+    );
+    assert!(with(r#"{"at_ms":99999,"id":"r","extra":1}"#).contains("t.jsonl:4: unknown field"));
+}
+
+#[test]
+fn parse_header_faults() {
+    assert_eq!(fault(""), "t.jsonl:1: the file is empty");
+    assert!(fault("{}").contains("t.jsonl:1: no `configuration`"));
+    let good = text();
+    let first = good.lines().next().unwrap();
+    assert!(
+        fault(&first.replace("\"entry_hosts\":6", "\"entry_hosts\":0")).contains("entry_hosts")
+    );
+    assert!(
+        fault(&first.replace("\"pools\":{\"dossier-models\":{\"r", "\"pools\":{\"x\":{\"r"))
+            .contains("`pools` has no dossier-models")
+    );
+}
+
+#[test]
+fn parse_time_runs_backwards() {
+    let good = text();
+    let mut lines: Vec<&str> = good.lines().take(6).collect();
+    lines.swap(2, 5);
+    assert!(fault(&lines.join("\n")).contains("is earlier than"));
+}
+
+/// Whatever bytes stand in a line, the parser gives a trace or a fault with a line number.
+#[test]
+fn parse_any() {
+    let header = text().lines().next().unwrap().to_owned();
+    bolero::check!().with_iterations(2000).with_type::<(bool, Vec<u8>)>().for_each(
+        |(after_header, bytes)| {
+            let noise = String::from_utf8_lossy(bytes);
+            let text = if *after_header { format!("{header}\n{noise}") } else { noise.into() };
+            if let Err(fault) = parse("t", &text) {
+                assert!(fault.line >= 1 && fault.line <= text.lines().count().max(1));
+            }
+        },
+    );
+}
