--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -196,6 +196,11 @@
         }
     }
 
+    /// Bytes that went between controls so far, both ways, without headers of TCP and IP.
+    pub fn bytes(&self) -> u64 {
+        self.links.values().map(Proxy::passed).sum()
+    }
+
     /// Cuts both ways between one host and all others.
     pub fn cut_from_peers(&self, number: usize, mode: Mode) {
         for ((from, to), way) in &self.links {
