--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -17,7 +17,7 @@
 use crate::connection::{Cause, Connection, Failure};
 use crate::filter::{claim, place};
 use crate::reply::{self, Reply};
-use crate::server::{IDLE, JUST_PROVEN, Lease, Server};
+use crate::server::{Lease, Server};
 use crate::snapshot::Snapshot;
 use crate::state::State;
 
@@ -79,6 +79,10 @@
     asked: bool,
     tried: Vec<Name>,
     last: Option<Cause>,
+    /// The last try failed on a connection that had carried answers before.
+    old_failed: bool,
+    /// Only new connections from now on.
+    new_only: bool,
 }
 
 /// Why a try gave no reply.
@@ -144,14 +148,14 @@
 pub async fn dispatch(state: &Arc<State>, job: &Job) -> Result<Reply, Refusal> {
     let mut tries = Tries::default();
     let reply = try_all(state, job, &mut tries).await;
-    match (&reply, &job.claim) {
+    match (reply, &job.claim) {
         // Nothing ran, so a retry of the key must be able to.
         (Err(refusal), Some(claim)) if tries.asked && refusal.ran == Ran::No => {
             claim::give_back(state, claim.clone());
+            Err(Refusal { key_granted: tries.claimed, ..refusal })
         }
-        _ => {}
+        (reply, _) => reply,
     }
-    reply
 }
 
 async fn try_all(state: &Arc<State>, job: &Job, tries: &mut Tries) -> Result<Reply, Refusal> {
@@ -164,6 +168,7 @@
             return Err(no_server(job, tries));
         };
         tries.count += 1;
+        tries.old_failed = false;
         match attempt(state, job, &server, tries).await {
             Ok(reply) => return Ok(reply),
             Err(Stop::Refused(refusal)) => return Err(refusal),
@@ -211,7 +216,10 @@
     server: &Arc<Server>,
     tries: &mut Tries,
 ) -> Result<Reply, Stop> {
-    let idle = server.take_idle(if job.may_repeat { IDLE } else { JUST_PROVEN });
+    // A connection can go silent for good while new ones work. One that answered a moment ago may
+    // be silent now, and a request that may not be repeated could not leave it: it would end as
+    // "may have run". So such a request always gets a new connection, at the price of its opening.
+    let idle = if job.may_repeat && !tries.new_only { server.take_idle() } else { None };
     let mut connection = match idle {
         Some(connection) => connection,
         None => open(job, server, tries).await?,
@@ -271,7 +279,11 @@
         // The caller's time was over; that says nothing of the server.
         _ if job.left().is_zero() => {}
         Cause::Deadline => {}
-        Cause::Silent | Cause::Broken if reused => server.note_suspicion(),
+        Cause::Silent | Cause::Broken if reused => {
+            server.note_suspicion();
+            tries.old_failed = true;
+            tries.new_only = true;
+        }
         Cause::Silent | Cause::Broken | Cause::Refused => {
             server.note_failure(clock::now());
             tries.tried.push(server.name.clone());
@@ -293,9 +305,13 @@
         left_ms: u64::try_from(job.left().as_millis()).unwrap_or(u64::MAX),
         expected_ms: 1,
     };
-    // A try that wrote nothing made no work, so it costs nothing of the budget.
+    // A try that wrote nothing made no work, so it costs nothing of the budget. Nor does one that
+    // an old connection failed: when many go silent at once the budget would be gone before all
+    // their requests were tried on new ones. The next try is on a new one, so this is met once
+    // by a request at most.
     let paid = || {
         !tries.sent
+            || tries.old_failed
             || (state.budgets.with(&job.account, retry::Budget::take)
                 && state.pool_budgets.with(&job.pool, retry::Budget::take))
     };
--- a/crates/entry/src/filter/claim.rs
+++ b/crates/entry/src/filter/claim.rs
@@ -13,20 +13,28 @@
 /// Longest wait for a key's home.
 const WITHIN: Duration = Duration::from_secs(3);
 const HOME_RETRY_MS: u64 = 1_000;
+/// How often giving a key back is tried.
+const ABANDON_TRIES: u32 = 5;
+/// Pause between two tries.
+const ABANDON_PAUSE: Duration = Duration::from_millis(500);
 
-/// Gives a key back whose request never ran and never will. The caller is answered meanwhile; its
-/// retry comes later than this, by what it was told.
+/// Gives a key back whose request wrote no byte and never will: otherwise the caller's next try of
+/// the key would be told that it may have run. The caller is answered meanwhile; its next try
+/// comes later than this, by what it was told.
 pub fn give_back(state: &Arc<State>, claim: Claim) {
     let state = Arc::clone(state);
     tokio::spawn(async move {
-        let call = |client: wire::rpc::ControlClient, context| {
-            let claim = claim.clone();
-            async move { client.abandon(context, claim).await }
-        };
-        let told = state.controls.ask(WITHIN, call).await;
-        if !matches!(told, Ok(true)) {
-            log::info!("entry: a key whose request did not run could not be given back");
+        for _ in 0..ABANDON_TRIES {
+            let call = |client: wire::rpc::ControlClient, context| {
+                let claim = claim.clone();
+                async move { client.abandon(context, claim).await }
+            };
+            match state.controls.ask(WITHIN, call).await {
+                Ok(true) => return,
+                _ => tokio::time::sleep(ABANDON_PAUSE).await,
+            }
         }
+        log::warn!("entry: request {} did not run, but its key stays claimed", claim.request);
     });
 }
 
@@ -54,10 +62,9 @@
             };
             Err(refusal.retry_after(retry_after_ms))
         }
-        Err(_) => Err(Refusal::not_run(
-            Code::HomeUnavailable,
-            "no control is in reach to claim the idempotency key",
-        )
-        .retry_after(HOME_RETRY_MS)),
+        Err(_) => {
+            let message = "no control is in reach to claim the idempotency key";
+            Err(Refusal::not_run(Code::HomeUnavailable, message).retry_after(HOME_RETRY_MS))
+        }
     }
 }
--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -12,6 +12,9 @@
 
 use line::Line;
 
+/// Part of the time left that a request may be expected to wait and be served in. While a pool is
+/// full a longer queue serves no request more; it only makes all of them late together.
+const WAIT_SHARE: f64 = 0.5;
 /// How much one answer's time moves the mean.
 const SERVICE_GAIN: f64 = 0.1;
 
@@ -31,6 +34,10 @@
         pub deadline: Millis,
         /// The account's weight among those of the same priority; 1 is usual.
         pub weight: f64,
+        /// Whether work was spent on the request already, as for a cascade's second version. Such
+        /// a request goes before all others: else an overload would waste the work, and turn the
+        /// first version's answers, which were found bad, into the final ones.
+        pub continued: bool,
     }
 
     /// The pool as this entry host knows it.
@@ -44,6 +51,8 @@
         pub own: u32,
         /// Entry hosts that share it.
         pub entries: u32,
+        /// While no backend server takes work: how long until one may again, in milliseconds.
+        pub closed_ms: u64,
     }
 
     /// What becomes of a request.
@@ -79,7 +88,20 @@
     /// One of usual weight.
     #[must_use]
     pub fn new(account: impl Into<Name>, priority: u8, deadline: Millis) -> Self {
-        Self { account: account.into(), priority, deadline, weight: 1.0 }
+        Self { account: account.into(), priority, deadline, weight: 1.0, continued: false }
+    }
+
+    /// Says that work was spent on the request already.
+    #[must_use]
+    pub fn continued(mut self) -> Self {
+        self.continued = true;
+        self
+    }
+
+    /// Where it stands in the line: lower goes first.
+    #[must_use]
+    pub fn rank(&self) -> u16 {
+        if self.continued { 0 } else { u16::from(self.priority) + 1 }
     }
 }
 
@@ -134,11 +156,13 @@
 
     /// A request comes; `jitter` is a uniform draw from 0 to 1 that spreads the later tries.
     pub fn offer(&mut self, ask: &Ask, load: Load, jitter: f64, now: Millis) -> Verdict {
-        let ahead = self.line.ahead_of(&ask.account, ask.priority);
+        let ahead = self.line.ahead_of(&ask.account, ask.rank());
         let left_ms = ask.deadline.since(now) as f64;
         match load.free() {
             free if free > 0 && ahead == 0 => Verdict::Admit,
-            _ if self.wait_ms(ahead, load) + self.service_ms > left_ms => self.refuse(load, jitter),
+            _ if self.wait_ms(ahead, load) > left_ms * WAIT_SHARE - self.service_ms => {
+                self.refuse(load, jitter)
+            }
             _ if self.line.len() < self.limit => self.wait(ask, None),
             _ => self.make_room(ask, load, jitter),
         }
@@ -157,7 +181,7 @@
     /// Removes every waiting request that can't be answered in time any more, to be refused now.
     pub fn hopeless(&mut self, load: Load, jitter: f64, now: Millis) -> Vec<Evicted> {
         let retry_after_ms = self.retry_after_ms(load, jitter);
-        let latest = now + self.service_ms as u64;
+        let latest = now + load.closed_ms + self.service_ms as u64;
         let tickets = self.line.remove_due(latest);
         tickets.into_iter().map(|ticket| Evicted { ticket, retry_after_ms }).collect()
     }
@@ -172,7 +196,7 @@
     pub fn wait_ms(&self, ahead: usize, load: Load) -> f64 {
         match load.free() {
             free if free as usize > ahead => 0.0,
-            _ => (ahead + 1) as f64 * self.service_ms / load.part(),
+            _ => load.closed_ms as f64 + (ahead + 1) as f64 * self.service_ms / load.part(),
         }
     }
 
