control: estimates alone wake entries every 2 s at most; a change's answer asks less often

A view carries all hosts, so waking entries with each piece of evidence cost more than the evidence. A host that stays away made the answer to a change ask all controls 40 times in 2 s; pauses double now, 6 times.

--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -16,6 +16,8 @@
 const ASKED_AT_ONCE: usize = 32;
 /// How long an accepted change's answer waits for hosts that have not got it.
 const IN_FORCE: Duration = Duration::from_secs(2);
+/// First pause between two rounds of asking; each is twice as long as the one before, so that a
+/// host that stays away costs few rounds.
 const PAUSE: Duration = Duration::from_millis(50);
 
 domain! {
@@ -149,16 +151,18 @@
 /// Waits until a generation is in force on all hosts, but not for long.
 pub async fn reach(process: &Arc<Process>, generation: u64) -> Reach {
     let started = tokio::time::Instant::now();
+    let mut pause = PAUSE;
     loop {
         let expected: BTreeSet<Name> = process.hosts.entry_hosts();
         let hosts = hosts(process).await;
         let (has, lacks): (Vec<Host>, Vec<Host>) =
             hosts.into_iter().partition(|host| host.has(generation, expected.contains(&host.host)));
-        let late = started.elapsed() > IN_FORCE;
+        let late = started.elapsed() >= IN_FORCE;
         if lacks.is_empty() || late {
             let names = |hosts: Vec<Host>| hosts.into_iter().map(|host| host.host).collect();
             return Reach { generation, in_force: names(has), waiting: names(lacks) };
         }
-        tokio::time::sleep(PAUSE).await;
+        tokio::time::sleep(pause.min(IN_FORCE.saturating_sub(started.elapsed()))).await;
+        pause *= 2;
     }
 }
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -20,6 +20,8 @@
 const ENTRY_QUIET_MS: u64 = 3 * WAIT_MS_MAX;
 /// Changes within this time make one revision.
 const GATHER: Duration = Duration::from_millis(5);
+/// Estimates alone make a revision at most this often: a view carries all hosts with it.
+const ESTIMATES: Duration = Duration::from_secs(2);
 /// How often the bill bound is looked at; it has nothing to wake us by.
 const BILLS: Duration = Duration::from_millis(100);
 
@@ -62,6 +64,8 @@
         let mut rollouts = self.gossip.rollouts.watch();
         let mut settled = self.gossip.configuration.watch_settled();
         let mut bills = tokio::time::interval(BILLS);
+        let mut estimates = tokio::time::interval(ESTIMATES);
+        let mut judged = false;
         let mut full = false;
         // For what changed before this loop looked.
         self.revision.send_modify(|revision| *revision += 1);
@@ -70,7 +74,11 @@
                 changed = generations.changed() => changed.is_ok(),
                 changed = hosts.changed() => changed.is_ok(),
                 changed = marks.changed() => changed.is_ok(),
-                changed = exposure.changed() => changed.is_ok(),
+                changed = exposure.changed() => {
+                    judged |= changed.is_ok();
+                    false
+                }
+                _ = estimates.tick() => std::mem::take(&mut judged),
                 changed = rollouts.changed() => changed.is_ok(),
                 changed = settled.changed() => changed.is_ok(),
                 _ = bills.tick() => std::mem::replace(&mut full, self.ledger.full()) != full,
