--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,8 @@
 //! Nothing here is on disk and no control is special. What must last is in the platform's
 //! service; the rest is soft and comes back from peers.
 
+pub mod bills;
+pub mod burn;
 pub mod configuration;
 pub mod daemon;
 pub mod exposure;
@@ -15,8 +17,10 @@
 pub mod peers;
 pub mod platform;
 pub mod process;
-pub mod seam;
+pub mod quarantine;
+pub mod rollout;
 pub mod server;
+pub mod shards;
 pub mod status;
 pub mod view;
 
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -17,6 +17,8 @@
 pub const QUIET_MS: u64 = 2_000;
 /// Longest time that one exchange with a peer may take.
 pub const CALL: Duration = Duration::from_secs(1);
+/// A control known by gossip alone is forgotten after such a silence.
+const FORGET_MS: u64 = 600_000;
 /// Rounds of gossip that a member may be silent for.
 const ROUNDS: u64 = 2;
 
@@ -95,6 +97,13 @@
         }
     }
 
+    /// Forgets who is known by gossip alone and has been silent for long.
+    pub fn expire(&self, now: Millis) {
+        self.write().retain(|_, member| {
+            member.source != Source::Gossip || now.since(member.heard) < FORGET_MS
+        });
+    }
+
     /// Forgets a host that is gone for good.
     pub fn forget(&self, host: &str) {
         self.write().remove(host);
@@ -154,6 +163,13 @@
         self.read().values().filter(|member| member.alive(now, quiet_ms)).cloned().collect()
     }
 
+    /// Whether an incarnation was heard from lately.
+    #[must_use]
+    pub fn is_alive(&self, incarnation: &str, now: Millis) -> bool {
+        let quiet_ms = self.quiet_ms.load(Ordering::Relaxed);
+        self.by_incarnation(incarnation).is_some_and(|member| member.alive(now, quiet_ms))
+    }
+
     /// The host that an incarnation runs on, if it was the last one heard there.
     #[must_use]
     pub fn by_incarnation(&self, incarnation: &str) -> Option<Member> {
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -9,13 +9,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
-use wire::bill::{Bill, Held};
+use wire::bill::{Bill, Held, Hold};
 use wire::claim::{Claim, ClaimAnswer, Pin, PinAnswer};
 use wire::evidence::Report;
 use wire::gossip::{Delta, Digest};
 use wire::peer::Key;
 use wire::rpc::Control;
-use wire::shard::{Append, Appended};
+use wire::shard::{Append, Appended, Home, Reply};
 use wire::view::{Ask, View};
 
 use crate::node;
@@ -36,6 +36,10 @@
         self.process.shards.claim(claim).await
     }
 
+    async fn abandon(self, _: Context, claim: Claim) -> bool {
+        self.process.shards.abandon(claim).await
+    }
+
     async fn pin(self, _: Context, pin: Pin) -> PinAnswer {
         self.process.shards.pin(pin).await
     }
@@ -50,6 +54,9 @@
 
     async fn gossip(self, _: Context, digest: Digest) -> Delta {
         let now = node::now();
+        if let Some(forwarded) = digest.forwarded.clone() {
+            self.process.exposure.forwarded(&digest.from, forwarded);
+        }
         let mut delta = self.process.gossip.answer(&digest, now);
         if digest.wants_entries {
             delta.entries = self.process.views.standing(now);
@@ -66,24 +73,32 @@
         }
     }
 
-    async fn owner_claim(self, _: Context, shard: u32, claim: Claim) -> ClaimAnswer {
-        self.process.shards.owner_claim(shard, claim).await
+    async fn owner_claim(self, _: Context, home: Home, claim: Claim) -> Reply<ClaimAnswer> {
+        self.process.shards.owner_claim(home, claim).await
+    }
+
+    async fn owner_pin(self, _: Context, home: Home, pin: Pin) -> Reply<PinAnswer> {
+        self.process.shards.owner_pin(home, pin).await
+    }
+
+    async fn owner_abandon(self, _: Context, home: Home, claim: Claim) -> Reply<bool> {
+        self.process.shards.owner_abandon(home, claim).await
     }
 
-    async fn owner_pin(self, _: Context, shard: u32, pin: Pin) -> PinAnswer {
-        self.process.shards.owner_pin(shard, pin).await
+    async fn changed(self, _: Context, home: Home) {
+        self.process.shards.changed(home).await;
     }
 
     async fn append(self, _: Context, append: Append) -> Appended {
         self.process.shards.append(append).await
     }
 
-    async fn hold(self, _: Context, incarnation: Name, bills: Vec<Bill>) -> bool {
-        self.process.ledger.hold(incarnation, bills).await
+    async fn hold(self, _: Context, hold: Hold) -> bool {
+        self.process.ledger.hold(hold).await
     }
 
-    async fn release(self, _: Context, incarnation: Name, requests: Vec<Name>) {
-        self.process.ledger.release(incarnation, requests).await;
+    async fn release(self, _: Context, log: Name, requests: Vec<Name>) {
+        self.process.ledger.release(log, requests).await;
     }
 }
 
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -245,17 +245,12 @@
     }
 
     fn claim(&self) -> Result<Option<Claim>, Refusal> {
-        let home = match &self.session {
-            Session::Token(token) => Some(token.home.clone()),
-            _ => None,
-        };
         let key = self.from.call.named(wire::backend::IDEMPOTENCY_KEY)?;
         Ok(key.filter(|_| !self.task.may_repeat).map(|key| Claim {
             account: self.from.account_name.clone(),
             key,
             request: self.from.call.id.clone(),
             keep_ms: claim::KEEP_MS,
-            home,
         }))
     }
 
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -64,7 +64,6 @@
             key,
             request: call.id.clone(),
             keep_ms: claim::KEEP_MS,
-            home: None,
         }),
         whole: false,
         text: false,
--- a/crates/entry/tests/common/control.rs
+++ b/crates/entry/tests/common/control.rs
@@ -12,13 +12,13 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::task::AbortOnDropHandle;
-use wire::bill::{Bill, Held};
+use wire::bill::{Bill, Held, Hold};
 use wire::claim::{Claim, ClaimAnswer, Pin, PinAnswer};
 use wire::evidence::Report;
 use wire::gossip::{Delta, Digest};
 use wire::peer::Key;
 use wire::rpc::Control;
-use wire::shard::{Append, Appended};
+use wire::shard::{Append, Appended, Holder, Home, Reply};
 use wire::view::{Ask, View};
 
 /// What it says of bills.
@@ -131,19 +131,35 @@
         None
     }
 
-    async fn owner_claim(self, context: Context, _: u32, claim: Claim) -> ClaimAnswer {
-        self.claim(context, claim).await
+    async fn abandon(self, _: Context, claim: Claim) -> bool {
+        let mut keys = self.0.keys.lock().unwrap();
+        let key = (claim.account, claim.key);
+        let held = keys.get(&key) == Some(&claim.request);
+        if held {
+            keys.remove(&key);
+        }
+        held
+    }
+
+    async fn owner_claim(self, _: Context, _: Home, _: Claim) -> Reply<ClaimAnswer> {
+        Reply::Elsewhere { holder: Holder::default() }
     }
 
-    async fn owner_pin(self, context: Context, _: u32, pin: Pin) -> PinAnswer {
-        self.pin(context, pin).await
+    async fn owner_pin(self, _: Context, _: Home, _: Pin) -> Reply<PinAnswer> {
+        Reply::Elsewhere { holder: Holder::default() }
     }
 
+    async fn owner_abandon(self, _: Context, _: Home, _: Claim) -> Reply<bool> {
+        Reply::Elsewhere { holder: Holder::default() }
+    }
+
+    async fn changed(self, _: Context, _: Home) {}
+
     async fn append(self, _: Context, _: Append) -> Appended {
         Appended::Behind
     }
 
-    async fn hold(self, _: Context, _: Name, _: Vec<Bill>) -> bool {
+    async fn hold(self, _: Context, _: Hold) -> bool {
         false
     }
 
