--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -15,7 +15,8 @@
 
 use crate::clock;
 use crate::connection::{Cause, Connection, Failure};
-use crate::filter::{claim, place};
+use crate::filter::claim::{self, Claimed};
+use crate::filter::place;
 use crate::reply::{self, Reply};
 use crate::server::{IDLE, JUST_PROVEN, Lease, Server};
 use crate::snapshot::Snapshot;
@@ -74,7 +75,7 @@
     count: u32,
     /// A byte of the request may have been written.
     sent: bool,
-    claimed: bool,
+    claimed: Option<Claimed>,
     tried: Vec<Name>,
     last: Option<Cause>,
 }
@@ -204,9 +205,8 @@
     };
     // The claim comes last before the first byte. A key that is granted and then not used, for
     // want of a backend server, would stay taken though its request never ran.
-    if let Some(wanted) = job.claim.as_ref().filter(|_| !tries.claimed) {
-        claim::claim(state, wanted, job.deadline).await?;
-        tries.claimed = true;
+    if let Some(wanted) = job.claim.as_ref().filter(|_| tries.claimed.is_none()) {
+        tries.claimed = Some(claim::claim(state, wanted, job.deadline).await?);
     }
     if job.left().is_zero() {
         return Err(Failure::not_sent(Cause::Deadline).into());
@@ -217,6 +217,9 @@
     let limit = if reused { job.reused_first_byte } else { job.first_byte };
     let first_byte = limit.min(job.left());
     let sent_at = Instant::now();
+    if let Some(claimed) = &mut tries.claimed {
+        claimed.use_up();
+    }
     let result = match connection.send(request, first_byte).await {
         Ok(response) => reply::read(job, response, connection, lease, sent_at).await,
         Err(failure) => Err(failure),
@@ -228,6 +231,9 @@
             Ok(reply)
         }
         Err(failure) => {
+            if let Some(claimed) = tries.claimed.as_mut().filter(|_| !failure.sent) {
+                claimed.not_used();
+            }
             blame(state, job, server, tries, failure, reused);
             Err(failure.into())
         }
--- a/crates/entry/tests/common/control.rs
+++ b/crates/entry/tests/common/control.rs
@@ -42,6 +42,8 @@
     pub says: Mutex<Bills>,
     /// Keys by account, and the requests that hold them.
     pub keys: Mutex<HashMap<(Name, Name), Name>>,
+    /// Whether claims take effect and their answers get lost.
+    pub claims_lost: Mutex<bool>,
     /// Whether the homes of keys and sessions are out of reach.
     pub home_gone: Mutex<bool>,
     /// Sessions by account, and their versions.
@@ -85,11 +87,16 @@
         if *self.0.home_gone.lock().unwrap() {
             return ClaimAnswer::Unavailable { home, may_have_run: false, retry_after_ms: 1500 };
         }
-        let mut keys = self.0.keys.lock().unwrap();
-        let holder = keys.entry((claim.account, claim.key)).or_insert(claim.request.clone());
-        match *holder == claim.request {
-            true => ClaimAnswer::Granted,
-            false => ClaimAnswer::Taken { request: holder.clone() },
+        let (request, answer) = {
+            let mut keys = self.0.keys.lock().unwrap();
+            let holder = keys.entry((claim.account, claim.key)).or_insert(claim.request.clone());
+            (claim.request, holder.clone())
+        };
+        let lost = *self.0.claims_lost.lock().unwrap();
+        match answer {
+            _ if lost => std::future::pending().await,
+            holder if holder == request => ClaimAnswer::Granted,
+            holder => ClaimAnswer::Taken { request: holder },
         }
     }
 
@@ -198,6 +205,7 @@
         bills: Mutex::default(),
         says: Mutex::new(Bills::Twice),
         keys: Mutex::default(),
+        claims_lost: Mutex::new(false),
         home_gone: Mutex::new(false),
         pins: Mutex::default(),
         reports: Mutex::default(),
--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -187,6 +187,22 @@
     assert_eq!(bench.runs().len(), 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn key_is_given_back_when_the_homes_answer_is_lost() {
+    // The home grants the key, but its answer gets lost. Nothing is sent, and the caller is told
+    // so; the key is given back, or the caller's next try would be told that it may have run.
+    let bench = Bench::start().await;
+    *bench.control.claims_lost.lock().unwrap() = true;
+    let key = ("idempotency-key", "order-9");
+    let hasty = [ORDER, key, ("chestnutspur-deadline", "300")];
+    let answer = bench.chat(&hasty, false).await.unwrap();
+    assert_eq!(refused(&answer), (Code::HomeUnavailable, Ran::No));
+    until("the key is given back", || bench.control.keys.lock().unwrap().is_empty()).await;
+    *bench.control.claims_lost.lock().unwrap() = false;
+    assert_eq!(bench.chat(&[ORDER, key], false).await.unwrap().status(), 200);
+    assert_eq!(bench.runs().len(), 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn service_order_runs_once_whatever_fails() {
     // A mix of faults at the order desk. Its own records say how often each order took effect.
