--- a/crates/entry/src/filter/claim.rs
+++ b/crates/entry/src/filter/claim.rs
@@ -82,8 +82,9 @@
         async move { client.claim(context, claim).await }
     };
     let answer = state.controls.ask(within, call).await;
-    if matches!(answer, Ok(ClaimAnswer::Taken { .. } | ClaimAnswer::Unavailable { .. })) {
-        // There is nothing to give back.
+    if matches!(answer, Ok(ClaimAnswer::Taken { .. })) {
+        // There is nothing to give back. After any other answer there may be: one control may
+        // have lost the home's grant before another said that it can't reach it.
         claimed.use_up();
     }
     match answer {
@@ -100,10 +101,9 @@
             };
             Err(refusal.retry_after(retry_after_ms))
         }
-        Err(_) => Err(Refusal::not_run(
-            Code::HomeUnavailable,
-            "no control is in reach to claim the idempotency key",
-        )
-        .retry_after(HOME_RETRY_MS)),
+        Err(_) => {
+            let message = "no control is in reach to claim the idempotency key";
+            Err(Refusal::not_run(Code::HomeUnavailable, message).retry_after(HOME_RETRY_MS))
+        }
     }
 }
--- a/crates/entry/tests/common/control.rs
+++ b/crates/entry/tests/common/control.rs
@@ -46,6 +46,8 @@
     pub claims_lost: Mutex<bool>,
     /// Whether the homes of keys and sessions are out of reach.
     pub home_gone: Mutex<bool>,
+    /// Claims take effect, and their answers say that the home is out of reach.
+    pub claims_unheard: Mutex<bool>,
     /// Sessions by account, and their versions.
     pub pins: Mutex<HashMap<(Name, Name), Name>>,
     /// Every report.
@@ -93,8 +95,12 @@
             (claim.request, holder.clone())
         };
         let lost = *self.0.claims_lost.lock().unwrap();
+        let unheard = *self.0.claims_unheard.lock().unwrap();
         match answer {
             _ if lost => std::future::pending().await,
+            _ if unheard => {
+                ClaimAnswer::Unavailable { home, may_have_run: false, retry_after_ms: 1500 }
+            }
             holder if holder == request => ClaimAnswer::Granted,
             holder => ClaimAnswer::Taken { request: holder },
         }
@@ -162,6 +168,10 @@
 
     async fn changed(self, _: Context, _: Home) {}
 
+    async fn shards(self, _: Context) -> wire::shard::Known {
+        wire::shard::Known::default()
+    }
+
     async fn append(self, _: Context, _: Append) -> Appended {
         Appended::Behind
     }
@@ -207,6 +217,7 @@
         keys: Mutex::default(),
         claims_lost: Mutex::new(false),
         home_gone: Mutex::new(false),
+        claims_unheard: Mutex::new(false),
         pins: Mutex::default(),
         reports: Mutex::default(),
     })
