--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Uri};
 use policy::name::Name;
 use wire::refusal::{Code, Refusal};
@@ -91,6 +92,13 @@
     }
 }
 
+/// Whether a header's value can be a name of the caller's own.
+#[must_use]
+pub fn can_name(value: &HeaderValue) -> bool {
+    let text = value.to_str().map(str::trim).unwrap_or_default();
+    (1..=NAME_BYTES_MAX).contains(&text.len())
+}
+
 /// Where a path leads.
 ///
 /// # Errors
--- a/crates/entry/src/chain.rs
+++ b/crates/entry/src/chain.rs
@@ -35,7 +35,8 @@
     let started = Instant::now();
     let id = state.request_id();
     let caller_id = caller_id(&request);
-    let keyed = request.headers().contains_key(wire::backend::IDEMPOTENCY_KEY);
+    // A key that is always refused as malformed can't have run before.
+    let keyed = request.headers().get(wire::backend::IDEMPOTENCY_KEY).is_some_and(call::can_name);
     let mut trace = Trace { keyed, ..Trace::default() };
     let result = serve(&state, &id, started, request, &mut trace).await;
     let mut response = match result {
