--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use wire::configuration::Document;
+use wire::configuration::check;
 use wire::view::{Ask, View};
 
 use crate::snapshot::Snapshot;
@@ -92,12 +92,10 @@
     let document = match view.document.as_str() {
         _ if view.generation == held.document.generation => None,
         "" => return None,
-        // It was checked whole when it was accepted. Checking it again could refuse it on hosts of
-        // a release that is stricter, and what is accepted must be in force everywhere.
-        text => match serde_json::from_str::<Document>(text) {
+        text => match check::accepted(text) {
             Ok(document) => Some(document),
-            Err(error) => {
-                log::error!("entry: document of generation {}: {error}", view.generation);
+            Err(fault) => {
+                log::error!("entry: document of generation {}: {fault}", view.generation);
                 return None;
             }
         },
