--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -171,13 +171,15 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn key_of_an_unheard_claim_is_given_back() {
-    // The home grants the key and its answer is lost on the way. The caller is refused, nothing
-    // has run, and it sends the key again: told that it is taken, it could never order.
+    // The home grants the key and its answer is lost on the way. Nothing is sent; but whether an
+    // earlier try of the key ran was not heard either, so the caller is told "unknown" and sends
+    // the same key again. Were the key still taken then, it could never order.
     let bench = Bench::start().await;
     let headers = [ORDER, ("idempotency-key", "order-9")];
     *bench.control.claims_unheard.lock().unwrap() = true;
     let answer = bench.chat(&headers, false).await.unwrap();
     assert_eq!(refused(&answer), (Code::HomeUnavailable, Ran::Unknown));
+    assert!(bench.runs().is_empty());
     until("the key is free", || bench.control.keys.lock().unwrap().is_empty()).await;
     *bench.control.claims_unheard.lock().unwrap() = false;
     assert_eq!(bench.chat(&headers, false).await.unwrap().status(), 200);
@@ -203,6 +205,22 @@
     assert_eq!(bench.runs().len(), 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn key_is_given_back_when_the_homes_answer_is_lost() {
+    // The home grants the key, but its answer gets lost. Nothing is sent. The key is given back,
+    // or the caller's next try would be refused for a request that never ran.
+    let bench = Bench::start().await;
+    *bench.control.claims_lost.lock().unwrap() = true;
+    let key = ("idempotency-key", "order-9");
+    let hasty = [ORDER, key, ("chestnutspur-deadline", "300")];
+    let answer = bench.chat(&hasty, false).await.unwrap();
+    assert_eq!(refused(&answer), (Code::HomeUnavailable, Ran::Unknown));
+    until("the key is given back", || bench.control.keys.lock().unwrap().is_empty()).await;
+    *bench.control.claims_lost.lock().unwrap() = false;
+    assert_eq!(bench.chat(&[ORDER, key], false).await.unwrap().status(), 200);
+    assert_eq!(bench.runs().len(), 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn service_order_runs_once_whatever_fails() {
     // A mix of faults at the order desk. Its own records say how often each order took effect.
