--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -15,7 +15,8 @@
 
 use crate::clock;
 use crate::connection::{Cause, Connection, Failure};
-use crate::filter::{claim, place};
+use crate::filter::claim::{self, Claimed};
+use crate::filter::place;
 use crate::reply::{self, Reply};
 use crate::server::{Lease, Server};
 use crate::snapshot::Snapshot;
@@ -74,9 +75,8 @@
     count: u32,
     /// A byte of the request may have been written.
     sent: bool,
-    claimed: bool,
-    /// The key's home was asked, and may have granted the key whether or not that was heard.
-    asked: bool,
+    /// The key, for as long as the request may not have run.
+    claimed: Option<Claimed>,
     tried: Vec<Name>,
     last: Option<Cause>,
     /// The last try failed on a connection that had carried answers before.
@@ -148,14 +148,11 @@
 pub async fn dispatch(state: &Arc<State>, job: &Job) -> Result<Reply, Refusal> {
     let mut tries = Tries::default();
     let reply = try_all(state, job, &mut tries).await;
-    match (reply, &job.claim) {
-        // Nothing ran, so a retry of the key must be able to.
-        (Err(refusal), Some(claim)) if tries.asked && refusal.ran == Ran::No => {
-            claim::give_back(state, claim.clone());
-            Err(Refusal { key_granted: tries.claimed, ..refusal })
-        }
-        (reply, _) => reply,
-    }
+    let granted = tries.claimed.is_some();
+    reply.map_err(|refusal| match refusal.ran {
+        Ran::No => Refusal { key_granted: granted, ..refusal },
+        Ran::Unknown => refusal,
+    })
 }
 
 async fn try_all(state: &Arc<State>, job: &Job, tries: &mut Tries) -> Result<Reply, Refusal> {
@@ -226,10 +223,8 @@
     };
     // The claim comes last before the first byte. A key that is granted and then not used, for
     // want of a backend server, would stay taken though its request never ran.
-    if let Some(wanted) = job.claim.as_ref().filter(|_| !tries.claimed) {
-        tries.asked = true;
-        claim::claim(state, wanted, job.deadline).await?;
-        tries.claimed = true;
+    if let Some(wanted) = job.claim.as_ref().filter(|_| tries.claimed.is_none()) {
+        tries.claimed = Some(claim::claim(state, wanted, job.deadline).await?);
     }
     if job.left().is_zero() {
         return Err(Failure::not_sent(Cause::Deadline).into());
@@ -240,6 +235,9 @@
     let limit = if reused { job.reused_first_byte } else { job.first_byte };
     let first_byte = limit.min(job.left());
     let sent_at = Instant::now();
+    if let Some(claimed) = &mut tries.claimed {
+        claimed.use_up();
+    }
     let result = match connection.send(request, first_byte).await {
         Ok(response) => reply::read(job, response, connection, lease, sent_at).await,
         Err(failure) => Err(failure),
@@ -251,6 +249,9 @@
             Ok(reply)
         }
         Err(failure) => {
+            if let Some(claimed) = tries.claimed.as_mut().filter(|_| !failure.sent) {
+                claimed.not_used();
+            }
             blame(state, job, server, tries, failure, reused);
             Err(failure.into())
         }
