control: two faults at once for claims and bills

claim_cut_owner_with_lost_answers (cut from all peers, platform slow and losing answers, callers on both sides) was seen failing with a grant though no deputy answered (a key granted on both sides). It does not fail with the fence off, nor with a beaten swap taken as done; the former is caught by shard_random_events. bill_paused_control_returns now also loses answers.

--- a/crates/control/tests/bills.rs
+++ b/crates/control/tests/bills.rs
@@ -147,7 +147,8 @@
     deployment.wait_billed_once(&all).await;
 }
 
-// A control is paused with bills pending; its peer takes it for gone and puts them into its log.
+// A control is paused with bills pending; its peer takes it for gone and puts them into its log,
+// while the platform loses answers.
 // It resumes and goes on where it thinks its log is, finds the number taken, and reads it first.
 #[tokio::test(flavor = "multi_thread")]
 async fn bill_paused_control_returns() {
@@ -157,7 +158,7 @@
     let all = requests("paused", 30);
     assert_eq!(deployment.bill(0, &log, &all).await, Some(Held::Twice));
     let paused = deployment.pause(0);
-    platform(&deployment, Faults::default());
+    platform(&deployment, Faults { lose_answers: 6, ..Faults::default() });
     deployment.wait_billed_once(&all).await;
     drop(paused);
     let more = requests("resumed", 10);
--- a/crates/control/tests/shards.rs
+++ b/crates/control/tests/shards.rs
@@ -6,6 +6,7 @@
 use common::{Deployment, wait_for};
 use standin::fault::Down;
 use standin::platform::fault::Faults;
+use standin::proxy::Mode;
 use wire::claim::{ClaimAnswer, PinAnswer};
 use wire::host::HostState;
 
@@ -128,6 +129,40 @@
     assert!(!pins.contains(&moved), "a session was told two versions: {pins:?}");
 }
 
+// A host is cut from all others, and both sides still reach a platform that is slow and loses
+// answers. The cut owner tries to replace its deputy, the deputy tries to take over, and callers
+// on both sides claim the same keys: each key is granted on one side at most.
+#[tokio::test(flavor = "multi_thread")]
+async fn claim_cut_owner_with_lost_answers() {
+    let deployment = start().await;
+    let keys = deployment.keys_owned_by(0, 16);
+    grant(&deployment, &keys[..4]).await;
+    let faults = Faults { lose_answers: 12, delay_ms: 30, ..Faults::default() };
+    deployment.platform.set_faults(faults);
+    deployment.cut_from_peers(0, Mode::Silent);
+    let inside = async {
+        let claims = keys[4..].iter().map(|key| deployment.claim(0, key, "one"));
+        futures::future::join_all(claims).await
+    };
+    let outside = async {
+        let claims = keys[4..].iter().map(|key| deployment.claim(3, key, "two"));
+        futures::future::join_all(claims).await
+    };
+    let (inside, outside) = tokio::join!(inside, outside);
+    deployment.cut_from_peers(0, Mode::Pass);
+    let granted = Some(ClaimAnswer::Granted);
+    for ((key, one), two) in keys[4..].iter().zip(inside).zip(outside) {
+        assert!(one != granted || two != granted, "{key} was granted on both sides");
+        // Whoever was told so keeps it when the sides meet again.
+        for (request, answer) in [("one", one), ("two", two)] {
+            if answer == granted {
+                deployment.claim_until_granted(2, key, request).await;
+            }
+        }
+    }
+    still_taken(&deployment, 3, &keys[..4]).await;
+}
+
 // An owner dies with its memory; every key it granted is in its deputy's.
 #[tokio::test(flavor = "multi_thread")]
 async fn claim_killed_owner() {
