entry: an older host list is not followed; control is ready only with a host list

An entry that changed to a control with an older list, or none yet, would have sent new work to a backend server that had left, or had none at all: the list in the view was taken as it came.

--- a/crates/control/src/operators/api.rs
+++ b/crates/control/src/operators/api.rs
@@ -62,7 +62,7 @@
 }
 
 fn ready(process: &Process) -> Answer {
-    match process.configuration.ready() {
+    match process.ready() {
         true => text(StatusCode::OK, "text/plain", "ready\n"),
         false => text(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "no configuration yet\n"),
     }
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -66,6 +66,13 @@
         })
     }
 
+    /// Whether entries may follow it: a generation to serve, and a host list, without which an
+    /// entry that has just started would know of no backend server.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        self.configuration.ready() && self.hosts.as_of().0 > 0
+    }
+
     /// Runs all loops until told to stop.
     pub fn run(self: &Arc<Self>, tasks: &TaskTracker, stop: &CancellationToken) {
         // Before anything can arrive.
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -137,7 +137,7 @@
         host: process.node.host().clone(),
         failure_domain: process.node.failure_domain().clone(),
         incarnation: process.node.incarnation.clone(),
-        ready: process.configuration.ready(),
+        ready: process.ready(),
         generation: in_force.generation,
         unconfirmed_ms: process.configuration.unconfirmed_ms(node::now()),
         bills_full: process.ledger.full(),
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -7,7 +7,7 @@
 use coordination::token::Keyring;
 use policy::name::Name;
 use wire::configuration::{Account, Document, Pool, Version, VersionState};
-use wire::host::{Host, HostState, Role};
+use wire::host::{Host, HostState, List, Role};
 use wire::view::View;
 
 use crate::clock;
@@ -42,6 +42,8 @@
     pub tables: select::Index,
     /// Rating services.
     pub raters: Vec<Arc<Server>>,
+    /// The newest host list seen.
+    pub hosts: Arc<List>,
     /// Every backend server that the list names.
     pub servers: HashMap<Name, Arc<Server>>,
     /// Entry hosts alive, this one included.
@@ -82,7 +84,13 @@
         next.bills_full = view.bills_full;
         next.received = Some(Instant::now());
         next.unconfirmed_ms = view.unconfirmed_ms;
-        for host in &view.hosts.hosts {
+        // Another control may hold an older list, or none yet. Followed, it would bring back a
+        // backend server that has left, or take away all of them.
+        next.hosts = match view.hosts.as_of < previous.hosts.as_of {
+            true => Arc::clone(&previous.hosts),
+            false => Arc::new(view.hosts.clone()),
+        };
+        for host in &Arc::clone(&next.hosts).hosts {
             next.add_host(previous, host);
         }
         next.tables = select::index(&next, clock::now());
--- a/crates/entry/tests/leaving.rs
+++ b/crates/entry/tests/leaving.rs
@@ -47,6 +47,27 @@
     assert!(bench.engines[0].runs().is_empty());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn list_of_a_control_that_lags_brings_no_server_back() {
+    // An engine has left. The control that said so dies, and the entry asks another one that is
+    // cut off from the platform: its list is older and still says live. Nothing may go there.
+    let bench = Bench::start().await;
+    bench.control.change(|view| {
+        view.hosts.as_of = policy::time::Millis(2_000);
+        view.hosts.hosts[0].state = HostState::Leaving;
+    });
+    bench.settled().await;
+    bench.control.change(|view| {
+        view.hosts.as_of = policy::time::Millis(1_000);
+        view.hosts.hosts[0].state = HostState::Live;
+    });
+    bench.settled().await;
+    for _ in 0..20 {
+        assert_eq!(bench.chat(&[TAG], false).await.unwrap().status(), 200);
+    }
+    assert!(bench.engines[0].runs().is_empty());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn recovered_server_gets_work_again() {
     let bench = Bench::start().await;
--- a/crates/policy/tests/admit.rs
+++ b/crates/policy/tests/admit.rs
@@ -6,7 +6,7 @@
 use policy::time::Millis;
 
 const NOW: Millis = Millis(1_000);
-const FULL: Load = Load { slots: 4, in_flight: 4, own: 4, entries: 1 };
+const FULL: Load = Load { slots: 4, in_flight: 4, own: 4, entries: 1, closed_ms: 0 };
 
 fn ask(account: &str) -> Ask {
     Ask::new(account, 1, NOW + 60_000)
@@ -37,7 +37,7 @@
 #[test]
 fn offer_own_part_despite_full_report() {
     let mut queue = Queue::new(8, 100.0);
-    let load = Load { slots: 12, in_flight: 12, own: 1, entries: 6 };
+    let load = Load { slots: 12, in_flight: 12, own: 1, entries: 6, closed_ms: 0 };
     assert_eq!(queue.offer(&ask("a"), load, 0.5, NOW), Verdict::Admit);
 }
 
