--- a/crates/coordination/src/owner.rs
+++ b/crates/coordination/src/owner.rs
@@ -136,7 +136,15 @@
     }
 
     /// Records that a request never ran and never will, if it holds the key.
+    ///
+    /// Not while the shard is being handed over: the next owner would not have the record, but
+    /// this control, its deputy then, would, and their numbers would differ by one. The deputy
+    /// would skip the next owner's first claim as one it knows, and grant it again after a
+    /// takeover. The key stays claimed until the abandoning is tried again.
     pub fn abandon(&mut self, key: &Name, request: &Name, now: Millis) {
+        if self.leaving {
+            return;
+        }
         match self.records.claimed(key, now) {
             Some(claimed) if claimed.request == *request && !claimed.abandoned => {}
             _ => return,
