admit: turns before priority, waits by Little's law; probe: a report proves a server

One account's flood of high priority starved the others' ordinary requests: turns are now taken among accounts first, and priority counts within an account and in the length of a turn. A server that is back was left unused until its last illness was over; a newer report now ends that.

--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -1,8 +1,7 @@
 //! One pool's queue on one entry host: who goes now, who waits, who is refused at once.
 //!
 //! A request that can't be answered before its deadline is refused while the caller still has
-//! time to go elsewhere. Accounts of one priority take turns, by weight, and a full queue makes
-//! room at the cost of the account that fills it most: one large account can't starve the rest.
+//! time to go elsewhere. Accounts take turns, by weight and priority, and a full queue makes room at the cost of the account that fills it most: one large account can't starve the rest.
 
 pub mod line;
 
@@ -14,7 +13,7 @@
 
 /// Part of the time left that a request may be expected to wait and be served in. While a pool is
 /// full a longer queue serves no request more; it only makes all of them late together.
-const WAIT_SHARE: f64 = 0.5;
+const WAIT_SHARE: f64 = 1.0;
 /// How much one answer's time moves the mean.
 const SERVICE_GAIN: f64 = 0.1;
 
@@ -96,10 +95,10 @@
         self
     }
 
-    /// Where it stands in the line: lower goes first.
+    /// Where it stands in the line: lower goes first, before all turns.
     #[must_use]
-    pub fn rank(&self) -> u16 {
-        if self.continued { 0 } else { u16::from(self.priority) + 1 }
+    pub fn rank(&self) -> u8 {
+        u8::from(!self.continued)
     }
 }
 
@@ -127,7 +126,7 @@
 pub struct Queue {
     /// Requests that may wait at most.
     pub limit: usize,
-    /// Mean time that the pool takes for a request, in milliseconds.
+    /// Mean time from sending a request to its end, in milliseconds.
     pub service_ms: f64,
     line: Line,
     next_ticket: u64,
@@ -154,7 +153,7 @@
 
     /// A request comes; `jitter` is a uniform draw from 0 to 1 that spreads the later tries.
     pub fn offer(&mut self, ask: &Ask, load: Load, jitter: f64, now: Millis) -> Verdict {
-        let ahead = self.line.ahead_of(&ask.account, ask.rank());
+        let ahead = self.line.ahead_of(ask);
         let left_ms = ask.deadline.since(now) as f64;
         match load.free() {
             free if free > 0 && ahead == 0 => Verdict::Admit,
@@ -184,17 +183,18 @@
         tickets.into_iter().map(|ticket| Evicted { ticket, retry_after_ms }).collect()
     }
 
-    /// A request of the pool ended after this long, queueing not counted.
+    /// A request of the pool ended this long after it was sent to its backend server.
     pub fn served(&mut self, ms: f64) {
         self.service_ms += SERVICE_GAIN * (ms - self.service_ms);
     }
 
-    /// Milliseconds until a request behind `ahead` others gets its place.
+    /// Milliseconds until a request behind `ahead` others gets its place: by Little's law, requests
+    /// leave at the rate of those under way over the time that each takes.
     #[must_use]
     pub fn wait_ms(&self, ahead: usize, load: Load) -> f64 {
         match load.free() {
             free if free as usize > ahead => 0.0,
-            _ => (ahead + 1) as f64 * self.service_ms / load.part(),
+            _ => (ahead + 1) as f64 * self.service_ms / f64::from(load.own).max(load.part()),
         }
     }
 
--- a/crates/policy/src/admit/line.rs
+++ b/crates/policy/src/admit/line.rs
@@ -1,10 +1,14 @@
-//! Waiting requests: by priority, then by turns among accounts.
+//! Waiting requests: by turns among accounts, and by priority within each account.
 //!
-//! Turns are kept by virtual time: each start moves its account's clock on by one over its
-//! weight, and the account with the earliest clock goes next. An account that comes back after a
-//! pause starts at the present, so it can't save up turns.
+//! Turns are kept by virtual time: each start moves its account's clock on, the less the higher
+//! its priority and weight, and the account with the earliest clock goes next. An account that
+//! comes back after a pause starts at the present, so it can't save up turns.
+//!
+//! Priority does not go before turns: one account's flood of high priority would starve all
+//! others' ordinary requests.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
 
 use super::{Ask, Ticket};
 use crate::name::Name;
@@ -12,11 +16,15 @@
 
 /// Weights are kept above this, so that no account waits for ever.
 const WEIGHT_MIN: f64 = 0.01;
+/// A start of the next lower priority counts this many times as much.
+const PRIORITY_FACTOR: f64 = 8.0;
+/// Priorities beyond this count no more.
+const PRIORITY_MAX: u8 = 3;
 
 /// Waiting requests of one pool.
 #[derive(Clone, Debug, Default)]
 pub struct Line {
-    classes: BTreeMap<u16, Class>,
+    classes: BTreeMap<u8, Class>,
     waiting: usize,
 }
 
@@ -29,7 +37,8 @@
 
 #[derive(Clone, Debug, Default)]
 struct Turn {
-    waiting: VecDeque<(Ticket, Millis)>,
+    /// By priority, then in order of arrival.
+    waiting: BTreeMap<(u8, Ticket), Millis>,
     clock: f64,
     weight: f64,
 }
@@ -47,21 +56,20 @@
         self.waiting == 0
     }
 
-    /// Requests that go before a new one of an account: all of lower ranks, its own, and of
-    /// each other account as many as its own, since they take turns.
+    /// Requests that go before a new one: all of lower ranks, its own account's of the same or a
+    /// higher priority, and of each other account as many as that, since they take turns.
     #[must_use]
-    pub fn ahead_of(&self, account: &str, rank: u16) -> usize {
-        let higher: usize = self.classes.range(..rank).map(|(_, class)| class.len()).sum();
-        let Some(class) = self.classes.get(&rank) else {
-            return higher;
+    pub fn ahead_of(&self, ask: &Ask) -> usize {
+        let before: usize = self.classes.range(..ask.rank()).map(|(_, class)| class.len()).sum();
+        let Some(class) = self.classes.get(&ask.rank()) else {
+            return before;
         };
-        let own = class.accounts.get(account).map_or(0, |turn| turn.waiting.len());
-        let others = class.accounts.iter().filter(|(name, _)| name.as_str() != account);
-        let before: usize = others.map(|(_, turn)| turn.waiting.len().min(own + 1)).sum();
-        higher + own + before
+        let own = class.accounts.get(&ask.account).map_or(0, |turn| turn.before(ask.priority));
+        let others = class.accounts.iter().filter(|(name, _)| **name != ask.account);
+        before + own + others.map(|(_, turn)| turn.waiting.len().min(own + 1)).sum::<usize>()
     }
 
-    /// Puts a request at the end of its account's.
+    /// Puts a request behind its account's of the same priority.
     pub fn push(&mut self, ticket: Ticket, ask: &Ask) {
         let class = self.classes.entry(ask.rank()).or_default();
         let clock = class.clock;
@@ -70,7 +78,7 @@
             turn.clock = turn.clock.max(clock);
         }
         turn.weight = ask.weight.max(WEIGHT_MIN);
-        turn.waiting.push_back((ticket, ask.deadline));
+        turn.waiting.insert((ask.priority, ticket), ask.deadline);
         self.waiting += 1;
     }
 
@@ -100,18 +108,24 @@
         due
     }
 
-    /// Makes room for a request: takes out the last one of a lower priority or, within its own,
-    /// of the account that has most waiting, if that is more than the newcomer's account has.
+    /// Makes room for a request: takes out the last one of the account that has most waiting, if
+    /// that is more than the newcomer's account has, or if it is the newcomer's own and of lower
+    /// priority.
     pub fn evict_for(&mut self, ask: &Ask) -> Option<Ticket> {
         let (&rank, class) = self.classes.iter_mut().next_back()?;
         let own = class.accounts.get(&ask.account).map_or(0, |turn| turn.waiting.len());
-        let fullest = class.accounts.values_mut().max_by_key(|turn| turn.waiting.len())?;
+        let (name, fullest) = class.accounts.iter_mut().max_by_key(|(_, t)| t.waiting.len())?;
+        let (&(priority, ticket), _) = fullest.waiting.last_key_value()?;
         let allowed = match rank.cmp(&ask.rank()) {
-            std::cmp::Ordering::Greater => true,
-            std::cmp::Ordering::Equal => fullest.waiting.len() > own + 1,
-            std::cmp::Ordering::Less => false,
+            Ordering::Greater => true,
+            Ordering::Equal if *name == ask.account => priority > ask.priority,
+            Ordering::Equal => fullest.waiting.len() > own + 1,
+            Ordering::Less => false,
         };
-        let (ticket, _) = if allowed { fullest.waiting.pop_back()? } else { return None };
+        if !allowed {
+            return None;
+        }
+        fullest.waiting.pop_last();
         self.waiting -= 1;
         self.tidy();
         Some(ticket)
@@ -121,7 +135,7 @@
         let before = self.waiting;
         for class in self.classes.values_mut() {
             for turn in class.accounts.values_mut() {
-                turn.waiting.retain(|(ticket, deadline)| stays(*ticket, *deadline));
+                turn.waiting.retain(|(_, ticket), deadline| stays(*ticket, *deadline));
             }
         }
         self.waiting = self.classes.values().map(Class::len).sum();
@@ -147,9 +161,15 @@
     fn pop(&mut self) -> Option<Ticket> {
         let waiting = self.accounts.values_mut().filter(|turn| !turn.waiting.is_empty());
         let turn = waiting.min_by(|a, b| a.clock.total_cmp(&b.clock))?;
-        let (ticket, _) = turn.waiting.pop_front()?;
+        let ((priority, ticket), _) = turn.waiting.pop_first()?;
         self.clock = turn.clock;
-        turn.clock += 1.0 / turn.weight;
+        turn.clock += PRIORITY_FACTOR.powi(i32::from(priority.min(PRIORITY_MAX))) / turn.weight;
         Some(ticket)
     }
 }
+
+impl Turn {
+    fn before(&self, priority: u8) -> usize {
+        self.waiting.keys().filter(|(known, _)| *known <= priority).count()
+    }
+}
--- a/crates/policy/src/probe.rs
+++ b/crates/policy/src/probe.rs
@@ -74,6 +74,8 @@
         pub ill_until: Millis,
         /// Failed proofs in a row.
         pub failures: u32,
+        /// When the last of them failed.
+        pub failed_at: Millis,
     }
 }
 
@@ -149,11 +151,21 @@
         *self = Self::default();
     }
 
+    /// It reported its load at `at`. A report made after the last failure proves it as well as an
+    /// answer does; without that a server that is back would stay unused for as long as it was
+    /// last judged ill.
+    pub fn reported(&mut self, at: Millis) {
+        if self.failures > 0 && at > self.failed_at {
+            self.proven();
+        }
+    }
+
     /// A new connection failed too: it is ill, for longer each time.
     pub fn failed(&mut self, now: Millis) {
         let ill_ms = ILL_MS.saturating_mul(1 << self.failures.min(16)).min(ILL_MAX_MS);
         self.suspect = false;
         self.failures += 1;
+        self.failed_at = now;
         self.ill_until = now + ill_ms;
     }
 }
--- a/crates/policy/tests/probe.rs
+++ b/crates/policy/tests/probe.rs
@@ -61,3 +61,13 @@
     health.proven();
     assert_eq!(health, Health::default());
 }
+
+#[test]
+fn health_report_after_failure_proves() {
+    let mut health = Health::default();
+    health.failed(Millis(500));
+    health.reported(Millis(500));
+    assert_eq!(health.ill_until, Millis(1_500), "an old report proves nothing");
+    health.reported(Millis(501));
+    assert_eq!(health, Health::default());
+}
--- a/crates/replay/src/run/host.rs
+++ b/crates/replay/src/run/host.rs
@@ -93,9 +93,12 @@
 
     /// A report arrives, made at `at`.
     pub fn reported(&mut self, loads: &[Option<u32>], at: Millis) {
-        for (server, load) in self.servers.iter_mut().zip(loads) {
+        let servers = self.servers.iter_mut().zip(&mut self.health);
+        for ((server, health), load) in servers.zip(loads) {
             if let Some(in_flight) = *load {
                 server.report = Some(Report { in_flight, slots: self.slots, at });
+                health.reported(at);
+                server.ill_until = health.ill_until;
             }
         }
     }
--- a/crates/replay/src/run/life.rs
+++ b/crates/replay/src/run/life.rs
@@ -41,7 +41,6 @@
     pool: Name,
     worker: usize,
     sent: Millis,
-    started: Millis,
     /// Whether the version had turned bad when it was made.
     pub exposed: bool,
     /// Ended or broken.
@@ -192,8 +191,7 @@
         let cost = document.versions.get(&version).map_or(0.0, |version| version.cost);
         self.tally.spend(&request.task, cost);
         let (host, sent) = (self.lives[life].host, self.now);
-        let call =
-            Call { life, host, version, pool, worker, sent, started: sent, exposed, over: false };
+        let call = Call { life, host, version, pool, worker, sent, exposed, over: false };
         self.calls.push(call);
         if taken == Taken::Running {
             self.started(self.calls.len() - 1);
@@ -202,8 +200,7 @@
 
     fn started(&mut self, call: usize) {
         let now = self.now;
-        let started = &mut self.calls[call];
-        started.started = now;
+        let started = &self.calls[call];
         self.tally.server_waits.push(now.since(started.sent));
         let request = &self.trace.requests[self.lives[started.life].request];
         let ms = request.ms.get(&started.version).copied().unwrap_or(0);
@@ -214,8 +211,7 @@
         if self.calls[call].over {
             return;
         }
-        let Call { life, host, version, pool, worker, sent, started, .. } =
-            self.calls[call].clone();
+        let Call { life, host, version, pool, worker, sent, .. } = self.calls[call].clone();
         self.calls[call].over = true;
         let next = self.pools.get_mut(&pool).and_then(|pool| pool.end(worker, call));
         next.into_iter().for_each(|next| self.started(next));
@@ -225,7 +221,7 @@
         known.knowledge.took(&version, &task, took);
         if let Some(known) = known.pools.get_mut(&pool) {
             known.servers[worker].in_flight -= 1;
-            known.queue.served(self.now.since(started) as f64);
+            known.queue.served(took);
         }
         self.pump(host, &pool);
         self.answered(life, version);
