admit: each request by its own expected time

A request was refused, or given up while waiting, by the pool's mean time, which is four times a short task's.

--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -11,9 +11,6 @@
 
 use line::Line;
 
-/// Part of the time left that a request may be expected to wait and be served in. While a pool is
-/// full a longer queue serves no request more; it only makes all of them late together.
-const WAIT_SHARE: f64 = 1.0;
 /// How much one answer's time moves the mean.
 const SERVICE_GAIN: f64 = 0.1;
 
@@ -33,6 +30,8 @@
         pub deadline: Millis,
         /// The account's weight among those of the same priority; 1 is usual.
         pub weight: f64,
+        /// Time that it is expected to take once sent, in milliseconds; the pool's mean if 0.
+        pub service_ms: f64,
         /// Whether work was spent on the request already, as for a cascade's second version. Such
         /// a request goes before all others: else an overload would waste the work, and turn the
         /// first version's answers, which were found bad, into the final ones.
@@ -85,7 +84,21 @@
     /// One of usual weight.
     #[must_use]
     pub fn new(account: impl Into<Name>, priority: u8, deadline: Millis) -> Self {
-        Self { account: account.into(), priority, deadline, weight: 1.0, continued: false }
+        Self {
+            account: account.into(),
+            priority,
+            deadline,
+            weight: 1.0,
+            service_ms: 0.0,
+            continued: false,
+        }
+    }
+
+    /// Sets the time that it is expected to take once sent, in milliseconds.
+    #[must_use]
+    pub fn with_service(mut self, ms: f64) -> Self {
+        self.service_ms = ms;
+        self
     }
 
     /// Says that work was spent on the request already.
@@ -154,12 +167,10 @@
     /// A request comes; `jitter` is a uniform draw from 0 to 1 that spreads the later tries.
     pub fn offer(&mut self, ask: &Ask, load: Load, jitter: f64, now: Millis) -> Verdict {
         let ahead = self.line.ahead_of(ask);
-        let left_ms = ask.deadline.since(now) as f64;
+        let latest = self.latest(ask);
         match load.free() {
             free if free > 0 && ahead == 0 => Verdict::Admit,
-            _ if self.wait_ms(ahead, load) > left_ms * WAIT_SHARE - self.service_ms => {
-                self.refuse(load, jitter)
-            }
+            _ if now + self.wait_ms(ahead, load) as u64 > latest => self.refuse(load, jitter),
             _ if self.line.len() < self.limit => self.wait(ask, None),
             _ => self.make_room(ask, load, jitter),
         }
@@ -178,8 +189,7 @@
     /// Removes every waiting request that can't be answered in time any more, to be refused now.
     pub fn hopeless(&mut self, load: Load, jitter: f64, now: Millis) -> Vec<Evicted> {
         let retry_after_ms = self.retry_after_ms(load, jitter);
-        let latest = now + self.service_ms as u64;
-        let tickets = self.line.remove_due(latest);
+        let tickets = self.line.remove_due(now);
         tickets.into_iter().map(|ticket| Evicted { ticket, retry_after_ms }).collect()
     }
 
@@ -198,10 +208,17 @@
         }
     }
 
+    /// When a request must be sent at the latest.
+    fn latest(&self, ask: &Ask) -> Millis {
+        let service_ms = if ask.service_ms > 0.0 { ask.service_ms } else { self.service_ms };
+        ask.deadline - service_ms as u64
+    }
+
     fn wait(&mut self, ask: &Ask, evicted: Option<Evicted>) -> Verdict {
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
-        self.line.push(ticket, ask);
+        let latest = self.latest(ask);
+        self.line.push(ticket, ask, latest);
         Verdict::Wait { ticket, evicted }
     }
 
--- a/crates/policy/src/admit/line.rs
+++ b/crates/policy/src/admit/line.rs
@@ -37,7 +37,7 @@
 
 #[derive(Clone, Debug, Default)]
 struct Turn {
-    /// By priority, then in order of arrival.
+    /// When each must start, by priority, then in order of arrival.
     waiting: BTreeMap<(u8, Ticket), Millis>,
     clock: f64,
     weight: f64,
@@ -69,8 +69,8 @@
         before + own + others.map(|(_, turn)| turn.waiting.len().min(own + 1)).sum::<usize>()
     }
 
-    /// Puts a request behind its account's of the same priority.
-    pub fn push(&mut self, ticket: Ticket, ask: &Ask) {
+    /// Puts a request behind its account's of the same priority; `latest` is when it must start.
+    pub fn push(&mut self, ticket: Ticket, ask: &Ask, latest: Millis) {
         let class = self.classes.entry(ask.rank()).or_default();
         let clock = class.clock;
         let turn = class.accounts.entry(ask.account.clone()).or_default();
@@ -78,7 +78,7 @@
             turn.clock = turn.clock.max(clock);
         }
         turn.weight = ask.weight.max(WEIGHT_MIN);
-        turn.waiting.insert((ask.priority, ticket), ask.deadline);
+        turn.waiting.insert((ask.priority, ticket), latest);
         self.waiting += 1;
     }
 
@@ -95,11 +95,11 @@
         self.retain(|known, _| known != ticket) > 0
     }
 
-    /// Takes out all whose deadline is not after `latest`.
-    pub fn remove_due(&mut self, latest: Millis) -> Vec<Ticket> {
+    /// Takes out all that must have started by now.
+    pub fn remove_due(&mut self, now: Millis) -> Vec<Ticket> {
         let mut due = Vec::new();
-        self.retain(|ticket, deadline| {
-            let stays = deadline > latest;
+        self.retain(|ticket, latest| {
+            let stays = latest > now;
             if !stays {
                 due.push(ticket);
             }
@@ -135,7 +135,7 @@
         let before = self.waiting;
         for class in self.classes.values_mut() {
             for turn in class.accounts.values_mut() {
-                turn.waiting.retain(|(_, ticket), deadline| stays(*ticket, *deadline));
+                turn.waiting.retain(|(_, ticket), latest| stays(*ticket, *latest));
             }
         }
         self.waiting = self.classes.values().map(Class::len).sum();
--- a/crates/replay/src/run/knowledge.rs
+++ b/crates/replay/src/run/knowledge.rs
@@ -204,6 +204,12 @@
         *time += TIME_GAIN * (ms - *time);
     }
 
+    /// Mean time of a version's answers on a task, in milliseconds; 0 if unknown.
+    #[must_use]
+    pub fn time(&self, version: &Name, task: &Name) -> f64 {
+        self.times.get(&(version.clone(), task.clone())).copied().unwrap_or(0.0)
+    }
+
     /// A rating took this long.
     pub fn rating_took(&mut self, ms: u64) {
         self.rate_ms += TIME_GAIN * (ms as f64 - self.rate_ms);
--- a/crates/replay/src/run/life.rs
+++ b/crates/replay/src/run/life.rs
@@ -125,16 +125,17 @@
 
     /// Asks for a place in the version's pool.
     fn ask(&mut self, life: usize, priority: u8) {
-        let Some(pool) = self.pool_of(&self.version(life)) else {
-            return self.refuse(life, no_version);
-        };
+        let version = self.version(life);
+        let Some(pool) = self.pool_of(&version) else { return self.refuse(life, no_version) };
+        let task = self.trace.requests[self.lives[life].request].task.clone();
         let Life { host, deadline, escalated, .. } = self.lives[life];
         let account = self.trace.requests[self.lives[life].request].account.clone();
         let (jitter, entries, now) = (self.draw.unit(), self.entries(), self.now);
+        let service_ms = self.hosts[host].knowledge.time(&version, &task);
+        let ask = Ask::new(account, priority, deadline).with_service(service_ms);
+        let ask = if escalated { ask.continued() } else { ask };
         let Some(known) = self.hosts[host].pools.get_mut(&pool) else { return };
         let load = known.load(entries, now);
-        let ask = Ask::new(account, priority, deadline);
-        let ask = if escalated { ask.continued() } else { ask };
         match known.queue.offer(&ask, load, jitter, now) {
             Verdict::Admit => self.launch(life),
             Verdict::Wait { ticket, evicted } => {
