--- a/crates/control/tests/patch.rs
+++ b/crates/control/tests/patch.rs
@@ -63,7 +63,7 @@
 #[test]
 fn apply_any_edits_without_panic() {
     let before = in_force(&document(1));
-    bolero::check!().with_iterations(1_000).with_type().for_each(
+    fuzz::check(1_000,
         |edits: &Vec<(Vec<u8>, Option<u8>)>| {
             let names = ["generation", "pools", "engines", "slots", "accounts", "", "versions"];
             let values = ["9", "{}", "[]", "\"x\"", "nonsense", "null"];
--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -1,8 +1,7 @@
 //! One pool's queue on one entry host: who goes now, who waits, who is refused at once.
 //!
 //! A request that can't be answered before its deadline is refused while the caller still has
-//! time to go elsewhere. Accounts of one priority take turns, by weight, and a full queue makes
-//! room at the cost of the account that fills it most: one large account can't starve the rest.
+//! time to go elsewhere. Accounts take turns, by weight and priority, and a full queue makes room at the cost of the account that fills it most: one large account can't starve the rest.
 
 pub mod line;
 
@@ -12,9 +11,6 @@
 
 use line::Line;
 
-/// Part of the time left that a request may be expected to wait and be served in. While a pool is
-/// full a longer queue serves no request more; it only makes all of them late together.
-const WAIT_SHARE: f64 = 0.5;
 /// How much one answer's time moves the mean.
 const SERVICE_GAIN: f64 = 0.1;
 
@@ -34,6 +30,8 @@
         pub deadline: Millis,
         /// The account's weight among those of the same priority; 1 is usual.
         pub weight: f64,
+        /// Time that it is expected to take once sent, in milliseconds; the pool's mean if 0.
+        pub service_ms: f64,
         /// Whether work was spent on the request already, as for a cascade's second version. Such
         /// a request goes before all others: else an overload would waste the work, and turn the
         /// first version's answers, which were found bad, into the final ones.
@@ -88,7 +86,21 @@
     /// One of usual weight.
     #[must_use]
     pub fn new(account: impl Into<Name>, priority: u8, deadline: Millis) -> Self {
-        Self { account: account.into(), priority, deadline, weight: 1.0, continued: false }
+        Self {
+            account: account.into(),
+            priority,
+            deadline,
+            weight: 1.0,
+            service_ms: 0.0,
+            continued: false,
+        }
+    }
+
+    /// Sets the time that it is expected to take once sent, in milliseconds.
+    #[must_use]
+    pub fn with_service(mut self, ms: f64) -> Self {
+        self.service_ms = ms;
+        self
     }
 
     /// Says that work was spent on the request already.
@@ -98,10 +110,10 @@
         self
     }
 
-    /// Where it stands in the line: lower goes first.
+    /// Where it stands in the line: lower goes first, before all turns.
     #[must_use]
-    pub fn rank(&self) -> u16 {
-        if self.continued { 0 } else { u16::from(self.priority) + 1 }
+    pub fn rank(&self) -> u8 {
+        u8::from(!self.continued)
     }
 }
 
@@ -129,7 +141,7 @@
 pub struct Queue {
     /// Requests that may wait at most.
     pub limit: usize,
-    /// Mean time that the pool takes for a request, in milliseconds.
+    /// Mean time from sending a request to its end, in milliseconds.
     pub service_ms: f64,
     line: Line,
     next_ticket: u64,
@@ -156,13 +168,11 @@
 
     /// A request comes; `jitter` is a uniform draw from 0 to 1 that spreads the later tries.
     pub fn offer(&mut self, ask: &Ask, load: Load, jitter: f64, now: Millis) -> Verdict {
-        let ahead = self.line.ahead_of(&ask.account, ask.rank());
-        let left_ms = ask.deadline.since(now) as f64;
+        let ahead = self.line.ahead_of(ask);
+        let latest = self.latest(ask);
         match load.free() {
             free if free > 0 && ahead == 0 => Verdict::Admit,
-            _ if self.wait_ms(ahead, load) > left_ms * WAIT_SHARE - self.service_ms => {
-                self.refuse(load, jitter)
-            }
+            _ if now + self.wait_ms(ahead, load) as u64 > latest => self.refuse(load, jitter),
             _ if self.line.len() < self.limit => self.wait(ask, None),
             _ => self.make_room(ask, load, jitter),
         }
@@ -181,29 +191,39 @@
     /// Removes every waiting request that can't be answered in time any more, to be refused now.
     pub fn hopeless(&mut self, load: Load, jitter: f64, now: Millis) -> Vec<Evicted> {
         let retry_after_ms = self.retry_after_ms(load, jitter);
-        let latest = now + load.closed_ms + self.service_ms as u64;
-        let tickets = self.line.remove_due(latest);
+        let tickets = self.line.remove_due(now + load.closed_ms);
         tickets.into_iter().map(|ticket| Evicted { ticket, retry_after_ms }).collect()
     }
 
-    /// A request of the pool ended after this long, queueing not counted.
+    /// A request of the pool ended this long after it was sent to its backend server.
     pub fn served(&mut self, ms: f64) {
         self.service_ms += SERVICE_GAIN * (ms - self.service_ms);
     }
 
-    /// Milliseconds until a request behind `ahead` others gets its place.
+    /// Milliseconds until a request behind `ahead` others gets its place: by Little's law, requests
+    /// leave at the rate of those under way over the time that each takes.
     #[must_use]
     pub fn wait_ms(&self, ahead: usize, load: Load) -> f64 {
         match load.free() {
             free if free as usize > ahead => 0.0,
-            _ => load.closed_ms as f64 + (ahead + 1) as f64 * self.service_ms / load.part(),
+            _ => {
+                let leaving = f64::from(load.own).max(load.part());
+                load.closed_ms as f64 + (ahead + 1) as f64 * self.service_ms / leaving
+            }
         }
     }
 
+    /// When a request must be sent at the latest.
+    fn latest(&self, ask: &Ask) -> Millis {
+        let service_ms = if ask.service_ms > 0.0 { ask.service_ms } else { self.service_ms };
+        ask.deadline - service_ms as u64
+    }
+
     fn wait(&mut self, ask: &Ask, evicted: Option<Evicted>) -> Verdict {
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
-        self.line.push(ticket, ask);
+        let latest = self.latest(ask);
+        self.line.push(ticket, ask, latest);
         Verdict::Wait { ticket, evicted }
     }
 
--- a/crates/policy/tests/select.rs
+++ b/crates/policy/tests/select.rs
@@ -86,8 +86,8 @@
 /// Whatever the versions, shares sum to one, and an unrepeatable request has no cascade.
 #[test]
 fn build_any() {
-    bolero::check!().with_iterations(2000).with_type::<(Vec<(u8, u8, u8)>, u8, bool)>().for_each(
-        |(versions, target, may_repeat)| {
+    fuzz::check(2000,
+        |(versions, target, may_repeat): &(Vec<(u8, u8, u8)>, u8, bool)| {
             let versions: Vec<Candidate> = versions
                 .iter()
                 .take(8)
--- a/crates/replay/tests/trace.rs
+++ b/crates/replay/tests/trace.rs
@@ -69,8 +69,8 @@
 #[test]
 fn parse_any() {
     let header = text().lines().next().unwrap().to_owned();
-    bolero::check!().with_iterations(2000).with_type::<(bool, Vec<u8>)>().for_each(
-        |(after_header, bytes)| {
+    fuzz::check(2000,
+        |(after_header, bytes): &(bool, Vec<u8>)| {
             let noise = String::from_utf8_lossy(bytes);
             let text = if *after_header { format!("{header}\n{noise}") } else { noise.into() };
             if let Err(fault) = parse("t", &text) {
