entry: a server that works is not held ill for one silent report or request

On a machine with load 22 load reports took over a second, their servers were held ill, and requests that they could have served were refused. A report or an answer that stays away now speaks against the server only if nothing else of it was answered since; a refused connection does at once. An answer to the load question that is no report counts as a sign of life.

slow_report_of_a_working_server_closes_nothing fails without: 503 for 200 once reports go silent.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -234,7 +234,7 @@
     let request = job.request(server)?;
     let limit = if reused { job.reused_first_byte } else { job.first_byte };
     let first_byte = limit.min(job.left());
-    let sent_at = Instant::now();
+    let (sent_at, began) = (Instant::now(), clock::now());
     if let Some(claimed) = &mut tries.claimed {
         claimed.use_up();
     }
@@ -244,7 +244,7 @@
     };
     match result {
         Ok(reply) => {
-            server.note_success();
+            server.note_success(clock::now());
             job.note(state, false);
             Ok(reply)
         }
@@ -252,7 +252,8 @@
             if let Some(claimed) = tries.claimed.as_mut().filter(|_| !failure.sent) {
                 claimed.not_used();
             }
-            blame(state, job, server, tries, failure, reused);
+            let alone = failure.cause == Cause::Silent && server.worked_since(began);
+            blame(state, job, server, tries, failure, Blame { reused, alone });
             Err(failure.into())
         }
     }
@@ -267,6 +268,14 @@
     opened
 }
 
+/// What else is known of a try that failed.
+struct Blame {
+    /// Its connection had carried answers before.
+    reused: bool,
+    /// The backend server answered others meanwhile.
+    alone: bool,
+}
+
 /// Who is to blame for a failure: an old connection, the backend server, or nobody.
 fn blame(
     state: &State,
@@ -274,24 +283,24 @@
     server: &Server,
     tries: &mut Tries,
     failure: Failure,
-    reused: bool,
+    blame: Blame,
 ) {
     match failure.cause {
         // The caller's time was over; that says nothing of the server.
         _ if job.left().is_zero() => {}
         Cause::Deadline => {}
-        Cause::Silent | Cause::Broken if reused => {
+        Cause::Silent | Cause::Broken if blame.reused => {
             server.note_suspicion();
             tries.old_failed = true;
             tries.new_only = true;
         }
-        Cause::Silent | Cause::Broken | Cause::Refused => {
+        Cause::Silent | Cause::Broken | Cause::Refused if !blame.alone => {
             server.note_failure(clock::now());
             tries.tried.push(server.name.clone());
             job.note(state, true);
         }
         // It works, but not for this request.
-        Cause::Crossed | Cause::Truncated | Cause::Failed(_) => {
+        _ => {
             tries.tried.push(server.name.clone());
             job.note(state, true);
         }
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -10,7 +10,7 @@
 use wire::backend::Load;
 
 use crate::clock;
-use crate::connection::{Connection, Failure};
+use crate::connection::{Cause, Connection, Failure};
 use crate::server::Server;
 use crate::state::State;
 
@@ -20,7 +20,7 @@
 /// Each server is asked this often at most.
 const EACH: Duration = Duration::from_millis(400);
 /// Longest wait for an answer.
-const WITHIN: Duration = Duration::from_secs(1);
+const WITHIN: Duration = Duration::from_secs(2);
 const LOAD_BYTES_MAX: usize = 16 << 10;
 
 /// Asks one server after another until the process ends.
@@ -48,19 +48,26 @@
 /// a server held ill must show, and no old connection is kept from being retired.
 async fn ask(server: &Server) {
     server.retire(false);
+    let asked = clock::now();
     match tokio::time::timeout(WITHIN, load(server)).await {
-        Ok(Ok(load)) => server.note_load(load, clock::now()),
+        Ok(Ok(Some(load))) => server.note_load(load, clock::now()),
+        // It answers, if not with a report.
+        Ok(Ok(None)) => server.note_success(clock::now()),
+        Ok(Err(failure)) if failure.cause == Cause::Refused => server.note_failure(clock::now()),
+        // A busy server can be slow with its report and serve requests all the same: refusing
+        // those for it would make a slow pool a closed one.
+        Ok(Err(_)) | Err(_) if server.worked_since(asked) => {}
         Ok(Err(_)) | Err(_) => server.note_failure(clock::now()),
     }
 }
 
-async fn load(server: &Server) -> Result<Load, Failure> {
+async fn load(server: &Server) -> Result<Option<Load>, Failure> {
     let mut connection = Connection::open(server.address, WITHIN).await?;
-    let broken = Failure::sent(crate::connection::Cause::Broken);
+    let broken = Failure::sent(Cause::Broken);
     let host = HeaderValue::from_str(&server.address.to_string()).map_err(|_| broken)?;
     let request = Request::get("/load").header(HOST, host).body(Full::new(Bytes::new()));
     let response = connection.send(request.map_err(|_| broken)?, WITHIN).await?;
     let body = Limited::new(response.into_body(), LOAD_BYTES_MAX).collect().await;
     let body = body.map_err(|_| broken)?.to_bytes();
-    serde_json::from_slice(&body).map_err(|_| broken)
+    Ok(serde_json::from_slice(&body).ok())
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -29,6 +29,8 @@
     pub others: u32,
     /// When that came; 0 for never.
     pub load_at: Millis,
+    /// When it last answered anything else.
+    pub worked_at: Millis,
 }
 
 /// One backend server, kept across views for as long as the host list names it.
@@ -119,8 +121,16 @@
     }
 
     /// It answered on a connection that works.
-    pub fn note_success(&self) {
-        self.lock().probe.proven();
+    pub fn note_success(&self, now: Millis) {
+        let mut health = self.lock();
+        health.probe.proven();
+        health.worked_at = now;
+    }
+
+    /// Whether it answered anything since then.
+    #[must_use]
+    pub fn worked_since(&self, since: Millis) -> bool {
+        self.lock().worked_at >= since
     }
 
     /// An old connection of it went silent or broke: that speaks against the connection, so
--- a/crates/entry/tests/leaving.rs
+++ b/crates/entry/tests/leaving.rs
@@ -2,14 +2,16 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use common::bench::{Bench, KEY, chat_body, header, refused, send, text};
 use common::{until, until_async};
-use hyper::Request;
+use hyper::{Method, Request};
 use standin::backend::Faults;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio_util::task::AbortOnDropHandle;
 use wire::host::HostState;
 use wire::refusal::{Code, Ran};
 
@@ -47,6 +49,61 @@
     assert!(bench.engines[0].runs().is_empty());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_report_of_a_working_server_closes_nothing() {
+    // Both servers answer requests but never their load reports. Held ill for that, they would
+    // be refused work that they can do.
+    let bench = Bench::start().await;
+    let mut proxies = Vec::new();
+    for engine in &bench.engines {
+        proxies.push(no_reports(engine.address).await);
+    }
+    bench.control.change(|view| {
+        for (host, proxy) in view.hosts.hosts.iter_mut().zip(&proxies) {
+            host.address = proxy.0.to_string().into();
+        }
+    });
+    bench.settled().await;
+    // Long enough for reports to be found silent; the prompts differ, so both servers are used.
+    let started = std::time::Instant::now();
+    let mut late = Vec::new();
+    for number in 0.. {
+        let body = chat_body("feed-1", false).replace("plan the", &format!("{number}: plan the"));
+        let answer = bench.call(Method::POST, "/v1/chat/completions", &[TAG], &body).await.unwrap();
+        assert_eq!(answer.status(), 200);
+        match started.elapsed().as_millis() {
+            ..3_000 => {}
+            3_000..4_500 => late.push(header(&answer, "x-request-id").to_owned()),
+            _ => break,
+        }
+    }
+    for engine in &bench.engines {
+        let runs = engine.runs();
+        assert!(runs.iter().any(|run| late.iter().any(|id| *id == *run.request)));
+    }
+}
+
+/// Passes connections on, but not those that ask for a load report: these stay silent.
+async fn no_reports(to: SocketAddr) -> (SocketAddr, AbortOnDropHandle<()>) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let accepts = tokio::spawn(async move {
+        let mut connections = tokio::task::JoinSet::new();
+        while let Ok((mut from, _)) = listener.accept().await {
+            connections.spawn(async move {
+                let mut first = [0; 9];
+                let peeked = from.peek(&mut first).await;
+                if peeked.is_ok() && first.starts_with(b"GET /load") {
+                    std::future::pending::<()>().await;
+                }
+                let mut to = TcpStream::connect(to).await.unwrap();
+                let _ = tokio::io::copy_bidirectional(&mut from, &mut to).await;
+            });
+        }
+    });
+    (address, AbortOnDropHandle::new(accepts))
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn recovered_server_gets_work_again() {
     let bench = Bench::start().await;
