--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -7,7 +7,7 @@
 use std::panic::{AssertUnwindSafe, catch_unwind, resume_unwind};
 
 use bolero::generator::TypeGenerator;
-use bolero::generator::driver::{Options, Rng};
+use bolero::generator::bolero_generator::driver::{Options, Rng};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 
--- a/crates/policy/tests/admit.rs
+++ b/crates/policy/tests/admit.rs
@@ -126,7 +126,7 @@
 /// Whatever comes, in whatever order: each ticket leaves the queue exactly once.
 #[test]
 fn queue_any_order() {
-    fuzz::check(2000,|steps: &Vec<(u8, u8, u8)>| {
+    fuzz::check(2000, |steps: &Vec<(u8, u8, u8)>| {
         let mut queue = Queue::new(6, 50.0);
         let mut waiting = BTreeSet::new();
         let mut now = NOW;
