--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -27,7 +27,7 @@
 /// Members told at once of what is urgent.
 const FANOUT: usize = 4;
 /// Members up to which the interval of settings is kept; beyond, it grows in proportion.
-const MEMBERS_SMALL: u64 = 8;
+const MEMBERS_SMALL: u64 = 5;
 /// It grows no further than this.
 const INTERVAL_MS_MAX: u64 = 2_000;
 
