--- a/crates/coordination/tests/shard.rs
+++ b/crates/coordination/tests/shard.rs
@@ -339,7 +339,7 @@
     owner.saved(2);
     owner.leaving = true;
     owner.abandon(&key, &first, NOW);
-    let row = Holder { epoch: 2, owner: two.clone(), deputy: one.clone(), closed_until_ms: 0 };
+    let row = Holder { epoch: 2, owner: two.clone(), deputy: one, closed_until_ms: 0 };
     world.controls[0].shard.hand_over(2, two.clone());
     world.controls[1].shard.observe(&two, &row);
 
