admit: of other accounts only requests of the same or a higher priority are ahead

Requests of a high priority were refused for waiting behind ordinary ones of other accounts, whose turns come seldom.

--- a/crates/policy/src/admit/line.rs
+++ b/crates/policy/src/admit/line.rs
@@ -57,7 +57,8 @@
     }
 
     /// Requests that go before a new one: all of lower ranks, its own account's of the same or a
-    /// higher priority, and of each other account as many as that, since they take turns.
+    /// higher priority, and of each other account's as many at most, since they take turns and
+    /// turns of lower priorities come seldom.
     #[must_use]
     pub fn ahead_of(&self, ask: &Ask) -> usize {
         let before: usize = self.classes.range(..ask.rank()).map(|(_, class)| class.len()).sum();
@@ -66,7 +67,7 @@
         };
         let own = class.accounts.get(&ask.account).map_or(0, |turn| turn.before(ask.priority));
         let others = class.accounts.iter().filter(|(name, _)| **name != ask.account);
-        before + own + others.map(|(_, turn)| turn.waiting.len().min(own + 1)).sum::<usize>()
+        before + own + others.map(|(_, turn)| turn.before(ask.priority).min(own + 1)).sum::<usize>()
     }
 
     /// Puts a request behind its account's of the same priority; `latest` is when it must start.
