admit: the test of a hopeless request from both sides

It asked for a refusal of a request that can be answered in time: 250 ms of wait and 1,000 ms of work before a deadline of 1,500 ms; that held only while half of the time left was asked for. Now a deadline of 1,200 ms must be refused, 1,300 ms must not, and a request known to be short must not either.

--- a/crates/policy/tests/admit.rs
+++ b/crates/policy/tests/admit.rs
@@ -48,11 +48,15 @@
     assert_ne!(queue.offer(&ask("a"), load, 0.5, NOW), Verdict::Admit);
 }
 
+/// Four are under way, a second each: a place is free in a quarter of a second, so an answer takes
+/// a second and a quarter.
 #[test]
 fn offer_hopeless_is_refused_at_once() {
-    let mut queue = Queue::new(1000, 1_000.0);
-    let soon = Ask::new("a", 1, NOW + 1_500);
-    assert!(matches!(queue.offer(&soon, FULL, 0.0, NOW), Verdict::Refuse { .. }));
+    let offer = |ask: Ask| Queue::new(1000, 1_000.0).offer(&ask, FULL, 0.0, NOW);
+    assert!(matches!(offer(Ask::new("a", 1, NOW + 1_200)), Verdict::Refuse { .. }));
+    assert!(matches!(offer(Ask::new("a", 1, NOW + 1_300)), Verdict::Wait { .. }));
+    let short = Ask::new("a", 1, NOW + 1_200).with_service(100.0);
+    assert!(matches!(offer(short), Verdict::Wait { .. }));
 }
 
 #[test]
