--- a/crates/chestnutspur/src/command/demo/summary.rs
+++ b/crates/chestnutspur/src/command/demo/summary.rs
@@ -6,14 +6,17 @@
 
 use policy::domain;
 use policy::name::Name;
+use standin::audit::Audit;
 use standin::deployment::Deployment;
 use standin::platform::audit::Bills;
 
-use super::audit::Audit;
 use super::caller::Outcome;
-use super::drive::{self, Journal};
+use super::drive::{self, Journal, Sent};
 use super::world::World;
 
+/// The platform's table of quarantines.
+const QUARANTINE: &str = "quarantine";
+
 domain! {
     /// What `--json` prints.
     pub struct Figures {
@@ -44,6 +47,8 @@
 pub struct Summary {
     /// What must be 0.
     pub audit: Audit,
+    /// Processes that did not stop as they should.
+    pub unclean: Vec<String>,
     /// Each wrong answer: whose, and what it was.
     pub wrong: Vec<String>,
     answered: u64,
@@ -52,6 +57,8 @@
     cost_ratio_to_best: f64,
     turned_bad: Name,
     exposure: u64,
+    /// Keys of the platform's table of quarantines.
+    quarantined: Vec<Name>,
     /// Sorted.
     latencies: Vec<Duration>,
 }
@@ -59,7 +66,7 @@
 impl Summary {
     /// Adds up everything.
     #[must_use]
-    pub fn new(world: &World, deployment: &Deployment, journal: &Journal, audit: Audit) -> Self {
+    pub fn new(world: &World, deployment: &Deployment, journal: &Journal) -> Self {
         let mut refused: BTreeMap<String, u64> = BTreeMap::new();
         let mut latencies = Vec::new();
         let mut wrong = Vec::new();
@@ -79,15 +86,19 @@
             }
         }
         latencies.sort_unstable();
+        let bills = world.platform.bills();
+        let sent: Vec<_> = journal.sent.iter().map(Sent::record).collect();
         Self {
-            audit,
+            audit: Audit::new(&deployment.document, &sent, &world.runs(), &bills),
+            unclean: world.unclean.clone(),
             wrong,
             answered,
             refused,
             good,
-            cost_ratio_to_best: cost_ratio(&world.platform.bills(), deployment, journal),
+            cost_ratio_to_best: cost_ratio(&bills, deployment, journal),
             turned_bad: journal.turned_bad.clone(),
             exposure: exposure(world, journal),
+            quarantined: world.platform.rows(QUARANTINE).into_iter().map(|row| row.key).collect(),
             latencies,
         }
     }
@@ -109,6 +120,16 @@
         }
     }
 
+    /// Everything that must not be.
+    #[must_use]
+    pub fn faults(&self) -> Vec<String> {
+        let numbers = self.audit.numbers();
+        let numbers = numbers.iter().filter(|(_, number)| *number > 0);
+        let numbers = numbers.map(|(name, number)| format!("{name}: {number}"));
+        let unclean = self.unclean.iter().map(|why| format!("unclean stop: {why}"));
+        numbers.chain(unclean).collect()
+    }
+
     fn percentile(&self, share: f64) -> f64 {
         let index = (self.latencies.len() as f64 * share) as usize;
         let found = self.latencies.get(index).or(self.latencies.last());
@@ -160,6 +181,9 @@
         writeln!(f, "{:<34}{:>10.3}", "cost against always-best", self.cost_ratio_to_best)?;
         let exposure = format!("exposure to {}", self.turned_bad);
         writeln!(f, "{exposure:<34}{:>10}", self.exposure)?;
+        for version in &self.quarantined {
+            writeln!(f, "{:<34}{version:>10}", "under quarantine")?;
+        }
         for (name, share) in [("p50", 0.5), ("p95", 0.95), ("p99", 0.99)] {
             writeln!(f, "{:<34}{:>10.1}", format!("latency {name}, ms"), self.percentile(share))?;
         }
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -11,6 +11,7 @@
 
 use crate::bills::Ledger;
 use crate::node::{self, Node};
+use crate::operators::console::session::Sessions;
 use crate::shards::Shards;
 use crate::{configuration, exposure, gossip, hosts, quarantine, view};
 
@@ -32,6 +33,8 @@
     pub shards: Arc<Shards>,
     /// Bills.
     pub ledger: Arc<Ledger>,
+    /// Signed-in operators.
+    pub sessions: Sessions,
     /// Metrics of the process.
     pub metrics: PrometheusHandle,
 }
@@ -58,10 +61,18 @@
             views,
             shards,
             ledger,
+            sessions: Sessions::default(),
             metrics,
         })
     }
 
+    /// Whether entries may follow it: a generation to serve, and a host list, without which an
+    /// entry that has just started would know of no backend server.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        self.configuration.ready() && self.hosts.as_of().0 > 0
+    }
+
     /// Runs all loops until told to stop.
     pub fn run(self: &Arc<Self>, tasks: &TaskTracker, stop: &CancellationToken) {
         // Before anything can arrive.
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -11,13 +11,14 @@
 use policy::retry::{self, Attempt};
 use wire::backend::REQUEST_ID;
 use wire::claim::Claim;
-use wire::refusal::{Code, Refusal};
+use wire::refusal::{Code, Ran, Refusal};
 
 use crate::clock;
 use crate::connection::{Cause, Connection, Failure};
-use crate::filter::{claim, place};
+use crate::filter::claim::{self, Claimed};
+use crate::filter::place;
 use crate::reply::{self, Reply};
-use crate::server::{IDLE, JUST_PROVEN, Lease, Server};
+use crate::server::{Lease, Server};
 use crate::snapshot::Snapshot;
 use crate::state::State;
 
@@ -74,9 +75,14 @@
     count: u32,
     /// A byte of the request may have been written.
     sent: bool,
-    claimed: bool,
+    /// The key, for as long as the request may not have run.
+    claimed: Option<Claimed>,
     tried: Vec<Name>,
     last: Option<Cause>,
+    /// The last try failed on a connection that had carried answers before.
+    old_failed: bool,
+    /// Only new connections from now on.
+    new_only: bool,
 }
 
 /// Why a try gave no reply.
@@ -141,16 +147,26 @@
 /// A refusal; `ran: "no"` only if no try can have written a byte.
 pub async fn dispatch(state: &Arc<State>, job: &Job) -> Result<Reply, Refusal> {
     let mut tries = Tries::default();
+    let reply = try_all(state, job, &mut tries).await;
+    let granted = tries.claimed.is_some();
+    reply.map_err(|refusal| match refusal.ran {
+        Ran::No => Refusal { key_granted: granted, ..refusal },
+        Ran::Unknown => refusal,
+    })
+}
+
+async fn try_all(state: &Arc<State>, job: &Job, tries: &mut Tries) -> Result<Reply, Refusal> {
     state.budgets.with(&job.account, retry::Budget::fill);
     state.pool_budgets.with(&job.pool, retry::Budget::fill);
     loop {
         let snapshot = state.snapshot.load_full();
-        check_version(&snapshot, job, &tries)?;
-        let Some(server) = choose(&snapshot, job, &mut tries) else {
-            return Err(no_server(job, &tries));
+        check_version(&snapshot, job, tries)?;
+        let Some(server) = choose(&snapshot, job, tries) else {
+            return Err(no_server(job, tries));
         };
         tries.count += 1;
-        match attempt(state, job, &server, &mut tries).await {
+        tries.old_failed = false;
+        match attempt(state, job, &server, tries).await {
             Ok(reply) => return Ok(reply),
             Err(Stop::Refused(refusal)) => return Err(refusal),
             Err(Stop::Failed(failure)) => {
@@ -161,8 +177,8 @@
                     .increment(1);
             }
         }
-        if !may_go_on(state, job, &tries) {
-            return Err(given_up(job, &tries));
+        if !may_go_on(state, job, tries) {
+            return Err(given_up(job, tries));
         }
     }
 }
@@ -197,16 +213,18 @@
     server: &Arc<Server>,
     tries: &mut Tries,
 ) -> Result<Reply, Stop> {
-    let idle = server.take_idle(if job.may_repeat { IDLE } else { JUST_PROVEN });
+    // A connection can go silent for good while new ones work. One that answered a moment ago may
+    // be silent now, and a request that may not be repeated could not leave it: it would end as
+    // "may have run". So such a request always gets a new connection, at the price of its opening.
+    let idle = if job.may_repeat && !tries.new_only { server.take_idle() } else { None };
     let mut connection = match idle {
         Some(connection) => connection,
         None => open(job, server, tries).await?,
     };
     // The claim comes last before the first byte. A key that is granted and then not used, for
     // want of a backend server, would stay taken though its request never ran.
-    if let Some(wanted) = job.claim.as_ref().filter(|_| !tries.claimed) {
-        claim::claim(state, wanted, job.deadline).await?;
-        tries.claimed = true;
+    if let Some(wanted) = job.claim.as_ref().filter(|_| tries.claimed.is_none()) {
+        tries.claimed = Some(claim::claim(state, wanted, job.deadline).await?);
     }
     if job.left().is_zero() {
         return Err(Failure::not_sent(Cause::Deadline).into());
@@ -216,19 +234,26 @@
     let request = job.request(server)?;
     let limit = if reused { job.reused_first_byte } else { job.first_byte };
     let first_byte = limit.min(job.left());
-    let sent_at = Instant::now();
+    let (sent_at, began) = (Instant::now(), clock::now());
+    if let Some(claimed) = &mut tries.claimed {
+        claimed.use_up();
+    }
     let result = match connection.send(request, first_byte).await {
         Ok(response) => reply::read(job, response, connection, lease, sent_at).await,
         Err(failure) => Err(failure),
     };
     match result {
         Ok(reply) => {
-            server.note_success();
+            server.note_success(clock::now());
             job.note(state, false);
             Ok(reply)
         }
         Err(failure) => {
-            blame(state, job, server, tries, failure, reused);
+            if let Some(claimed) = tries.claimed.as_mut().filter(|_| !failure.sent) {
+                claimed.not_used();
+            }
+            let alone = failure.cause == Cause::Silent && server.worked_since(began);
+            blame(state, job, server, tries, failure, Blame { reused, alone });
             Err(failure.into())
         }
     }
@@ -243,6 +268,14 @@
     opened
 }
 
+/// What else is known of a try that failed.
+struct Blame {
+    /// Its connection had carried answers before.
+    reused: bool,
+    /// The backend server answered others meanwhile.
+    alone: bool,
+}
+
 /// Who is to blame for a failure: an old connection, the backend server, or nobody.
 fn blame(
     state: &State,
@@ -250,20 +283,24 @@
     server: &Server,
     tries: &mut Tries,
     failure: Failure,
-    reused: bool,
+    blame: Blame,
 ) {
     match failure.cause {
         // The caller's time was over; that says nothing of the server.
         _ if job.left().is_zero() => {}
         Cause::Deadline => {}
-        Cause::Silent | Cause::Broken if reused => server.note_suspicion(),
-        Cause::Silent | Cause::Broken | Cause::Refused => {
+        Cause::Silent | Cause::Broken if blame.reused => {
+            server.note_suspicion();
+            tries.old_failed = true;
+            tries.new_only = true;
+        }
+        Cause::Silent | Cause::Broken | Cause::Refused if !blame.alone => {
             server.note_failure(clock::now());
             tries.tried.push(server.name.clone());
             job.note(state, true);
         }
         // It works, but not for this request.
-        Cause::Crossed | Cause::Truncated | Cause::Failed(_) => {
+        _ => {
             tries.tried.push(server.name.clone());
             job.note(state, true);
         }
@@ -278,9 +315,13 @@
         left_ms: u64::try_from(job.left().as_millis()).unwrap_or(u64::MAX),
         expected_ms: 1,
     };
-    // A try that wrote nothing made no work, so it costs nothing of the budget.
+    // A try that wrote nothing made no work, so it costs nothing of the budget. Nor does one that
+    // an old connection failed: when many go silent at once the budget would be gone before all
+    // their requests were tried on new ones. The next try is on a new one, so this is met once
+    // by a request at most.
     let paid = || {
         !tries.sent
+            || tries.old_failed
             || (state.budgets.with(&job.account, retry::Budget::take)
                 && state.pool_budgets.with(&job.pool, retry::Budget::take))
     };
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -15,9 +15,6 @@
 /// An idle connection older than this is retired: something between the two ends may have lost
 /// track of it, and then the next request on it would wait for nothing.
 pub const IDLE: Duration = Duration::from_millis(probe::IDLE_MS);
-/// A connection that ended a whole answer this recently counts as just proven, good enough for a
-/// request that may not be repeated.
-pub const JUST_PROVEN: Duration = Duration::from_millis(probe::FRESH_MS);
 /// Idle connections kept for one backend server.
 const IDLE_MAX: usize = 64;
 
@@ -28,8 +25,12 @@
     pub probe: probe::Health,
     /// Its last load report.
     pub load: Load,
+    /// What the report counted beyond this process's own requests at that moment.
+    pub others: u32,
     /// When that came; 0 for never.
     pub load_at: Millis,
+    /// When it last answered anything else.
+    pub worked_at: Millis,
 }
 
 /// One backend server, kept across views for as long as the host list names it.
@@ -62,14 +63,12 @@
         }
     }
 
-    /// An idle connection that proved to work within a time, the most recently used first.
-    pub fn take_idle(&self, within: Duration) -> Option<Connection> {
+    /// An idle connection, the most recently used first.
+    pub fn take_idle(&self) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|connection| connection.usable(IDLE));
-        match idle.last() {
-            Some(last) if last.usable(within) => idle.pop(),
-            _ => None,
-        }
+        let ready = idle.iter().rposition(Connection::is_ready)?;
+        Some(idle.remove(ready))
     }
 
     /// Keeps a connection for later.
@@ -104,11 +103,14 @@
     pub fn placed(&self) -> place::Server {
         let health = self.lock();
         let known = health.load_at > Millis(0);
+        let own = self.in_flight.load(Ordering::Relaxed);
         place::Server {
             name: self.name.clone(),
-            in_flight: self.in_flight.load(Ordering::Relaxed),
+            in_flight: own,
             report: known.then_some(place::Report {
-                in_flight: health.load.in_flight,
+                // Placement takes its own count off again. Taking today's off an old report would
+                // make others' load of every request of ours that ended since.
+                in_flight: own + health.others,
                 slots: health.load.slots,
                 at: health.load_at,
             }),
@@ -119,8 +121,16 @@
     }
 
     /// It answered on a connection that works.
-    pub fn note_success(&self) {
-        self.lock().probe.proven();
+    pub fn note_success(&self, now: Millis) {
+        let mut health = self.lock();
+        health.probe.proven();
+        health.worked_at = now;
+    }
+
+    /// Whether it answered anything since then.
+    #[must_use]
+    pub fn worked_since(&self, since: Millis) -> bool {
+        self.lock().worked_at >= since
     }
 
     /// An old connection of it went silent or broke: that speaks against the connection, so
@@ -140,6 +150,7 @@
     /// its own `draining` is newer than any list.
     pub fn note_load(&self, load: Load, now: Millis) {
         let mut health = self.lock();
+        health.others = load.in_flight.saturating_sub(self.in_flight.load(Ordering::Relaxed));
         health.load = load;
         health.load_at = now;
         health.probe.proven();
