control: a starting control serves nothing before all were asked, tested

Seen failing: with the guard off, the view that a restarted control gave had generation 1, from a peer that had been cut off, while the platform had 2.

--- a/crates/control/tests/configuration.rs
+++ b/crates/control/tests/configuration.rs
@@ -88,6 +88,30 @@
     assert_eq!(view.hosts.hosts.len(), 3, "the host list comes from peers as well");
 }
 
+// A host restarts. A peer that was cut off answers at once with an old generation, the platform
+// slowly with the newest. Entries must not be given the old one in between: a version withdrawn
+// since then would get new work from this host.
+#[tokio::test(flavor = "multi_thread")]
+async fn start_serves_nothing_before_all_were_asked() {
+    let mut deployment = Deployment::start(2).await;
+    deployment.first_document().await;
+    deployment.cut_from_platform(0, Mode::Silent);
+    deployment.cut_from_peers(0, Mode::Cut);
+    let answer = deployment.put(1, &document_with_slots(1, 9), "second").await;
+    assert_eq!(answer.json()["waiting"], json!(["host-0"]), "{}", answer.text());
+    deployment.platform.set_faults(Faults { delay_ms: 400, ..Faults::default() });
+    deployment.kill(1);
+    deployment.cut_from_peers(0, Mode::Pass);
+    deployment.restart(1).await;
+    loop {
+        let view = deployment.view(1, wire::view::Ask::default()).await;
+        match view.generation {
+            0 => tokio::task::yield_now().await,
+            generation => break assert_eq!(generation, 2),
+        }
+    }
+}
+
 // A withdrawn version would come back into use: the platform answers with an older row, as a
 // lagging replica or a restored backup would. What is in force must stay, and must age, because
 // nothing has confirmed it.
