control: the cut owner is asked until it has found that nobody takes its records

With a beaten swap taken as done claim_cut_owner_with_lost_answers now fails: a key granted on both sides. Before, its callers gave up too early to meet it.

--- a/crates/control/tests/shards.rs
+++ b/crates/control/tests/shards.rs
@@ -140,14 +140,19 @@
     let faults = Faults { lose_answers: 12, delay_ms: 30, ..Faults::default() };
     deployment.platform.set_faults(faults);
     deployment.cut_from_peers(0, Mode::Silent);
-    let inside = async {
-        let claims = keys[4..].iter().map(|key| deployment.claim(0, key, "one"));
-        futures::future::join_all(claims).await
-    };
-    let outside = async {
-        let claims = keys[4..].iter().map(|key| deployment.claim(3, key, "two"));
-        futures::future::join_all(claims).await
+    // Long enough for the cut owner to find that nobody takes its records.
+    let insist = async |number, key: &String, request| {
+        let mut answer = None;
+        for _ in 0..4 {
+            answer = deployment.claim(number, key, request).await;
+            if !matches!(answer, Some(ClaimAnswer::Unavailable { .. })) {
+                break;
+            }
+        }
+        answer
     };
+    let inside = futures::future::join_all(keys[4..].iter().map(|key| insist(0, key, "one")));
+    let outside = futures::future::join_all(keys[4..].iter().map(|key| insist(3, key, "two")));
     let (inside, outside) = tokio::join!(inside, outside);
     deployment.cut_from_peers(0, Mode::Pass);
     let granted = Some(ClaimAnswer::Granted);
