--- a/crates/control/tests/patch.rs
+++ b/crates/control/tests/patch.rs
@@ -63,18 +63,16 @@
 #[test]
 fn apply_any_edits_without_panic() {
     let before = in_force(&document(1));
-    bolero::check!().with_iterations(1_000).with_type().for_each(
-        |edits: &Vec<(Vec<u8>, Option<u8>)>| {
-            let names = ["generation", "pools", "engines", "slots", "accounts", "", "versions"];
-            let values = ["9", "{}", "[]", "\"x\"", "nonsense", "null"];
-            let edits = edits.iter().map(|(path, value)| wire::gossip::Edit {
-                path: path.iter().map(|at| names[usize::from(*at) % names.len()].into()).collect(),
-                value: value.map(|at| values[usize::from(at) % values.len()].into()),
-            });
-            let change = wire::gossip::Change { from: 1, hash: 7, edits: edits.collect() };
-            assert_eq!(patch::apply(&before, &change), None, "no text has that hash");
-        },
-    );
+    fuzz::check(1_000, |edits: &Vec<(Vec<u8>, Option<u8>)>| {
+        let names = ["generation", "pools", "engines", "slots", "accounts", "", "versions"];
+        let values = ["9", "{}", "[]", "\"x\"", "nonsense", "null"];
+        let edits = edits.iter().map(|(path, value)| wire::gossip::Edit {
+            path: path.iter().map(|at| names[usize::from(*at) % names.len()].into()).collect(),
+            value: value.map(|at| values[usize::from(at) % values.len()].into()),
+        });
+        let change = wire::gossip::Change { from: 1, hash: 7, edits: edits.collect() };
+        assert_eq!(patch::apply(&before, &change), None, "no text has that hash");
+    });
 }
 
 // Hosts that are one generation behind get the change alone; one that was cut off for several
--- a/crates/coordination/tests/shard.rs
+++ b/crates/coordination/tests/shard.rs
@@ -360,9 +360,5 @@
     let changes: usize = reached.iter().map(|reached| reached % 100).sum();
     // The runs must get somewhere, or the check above says nothing.
     assert!(grants > 400 && changes > 800, "{grants} grants, {changes} changes of hands");
-    bolero::check!()
-        .with_type::<u64>()
-        .with_iterations(300)
-        .cloned()
-        .for_each(|seed| _ = run(seed));
+    fuzz::check(300, |seed: &u64| _ = run(*seed));
 }
--- a/crates/policy/tests/burn.rs
+++ b/crates/policy/tests/burn.rs
@@ -51,7 +51,7 @@
 /// Joining copies in any order gives the same, and never more than the fullest copy.
 #[test]
 fn join_any_order() {
-    bolero::check!().with_iterations(1000).with_type::<Vec<(bool, u16)>>().for_each(|counts| {
+    fuzz::check(1000, |counts: &Vec<(bool, u16)>| {
         let mut whole = Series::default();
         let mut part = Series::default();
         for (index, (good, at)) in counts.iter().enumerate() {
--- a/crates/wire/tests/check.rs
+++ b/crates/wire/tests/check.rs
@@ -186,7 +186,7 @@
 
 #[test]
 fn parse_any_text_without_panic() {
-    bolero::check!().with_iterations(5_000).for_each(|bytes: &[u8]| {
+    fuzz::check(5_000, |bytes: &Vec<u8>| {
         if let Ok(text) = std::str::from_utf8(bytes) {
             assert!(parse(text).is_err_and(|faults| !faults.is_empty()));
         }
@@ -208,7 +208,7 @@
         json!({"": {}}),
         json!(true),
     ];
-    bolero::check!().with_iterations(2_000).with_type().for_each(|(place, value): &(usize, u8)| {
+    fuzz::check(2_000, |(place, value): &(usize, u8)| {
         let mut document = document();
         let place = &places[place % places.len()];
         let value = &values[usize::from(*value) % values.len()];
