coordination: an abandoned claim during a hand-over is sent on to the next owner

Before, it was refused for good and its key stayed taken. And a hand-over with a record that the next owner lacks leaves no deputy behind, whatever put it there: the numbers of the two would differ by one.

--- a/crates/control/src/shards/route.rs
+++ b/crates/control/src/shards/route.rs
@@ -114,8 +114,7 @@
     }
 
     fn begin(&self, owner: &mut Owner, now: Millis) -> Result<(), Refused> {
-        owner.abandon(&self.key(), &self.0.request, now);
-        Ok(())
+        owner.abandon(&self.key(), &self.0.request, now)
     }
 
     fn finish(&self, _: &Home, owner: &Owner, now: Millis) -> Option<bool> {
--- a/crates/coordination/src/owner.rs
+++ b/crates/coordination/src/owner.rs
@@ -140,17 +140,21 @@
     /// Not while the shard is being handed over: the next owner would not have the record, but
     /// this control, its deputy then, would, and their numbers would differ by one. The deputy
     /// would skip the next owner's first claim as one it knows, and grant it again after a
-    /// takeover. The key stays claimed until the abandoning is tried again.
-    pub fn abandon(&mut self, key: &Name, request: &Name, now: Millis) {
-        if self.leaving {
-            return;
-        }
+    /// takeover.
+    ///
+    /// # Errors
+    /// [`Refused::Leaving`] during a hand-over: the next owner is to be asked.
+    pub fn abandon(&mut self, key: &Name, request: &Name, now: Millis) -> Result<(), Refused> {
         match self.records.claimed(key, now) {
             Some(claimed) if claimed.request == *request && !claimed.abandoned => {}
-            _ => return,
+            _ => return Ok(()),
+        }
+        if self.leaving {
+            return Err(Refused::Leaving);
         }
         let (key, request) = (key.clone(), request.clone());
         self.push(Record::Abandon { key, request });
+        Ok(())
     }
 
     /// Pins a session, or keeps the pin it has. The answer is [`Self::version`].
--- a/crates/coordination/src/shard.rs
+++ b/crates/coordination/src/shard.rs
@@ -130,6 +130,8 @@
     /// records. Only after the swap took effect.
     pub fn hand_over(&mut self, epoch: u64, to: Name) {
         match std::mem::take(&mut self.role) {
+            // A record that the next owner does not have would shift the numbers of all after it.
+            Role::Owner(owner) if !owner.is_safe() => {}
             Role::Owner(owner) => {
                 let (records, next) = owner.into_records();
                 let deputy = Deputy { epoch, owner: to, fenced: false, records, next };
--- a/crates/coordination/tests/owner.rs
+++ b/crates/coordination/tests/owner.rs
@@ -39,10 +39,10 @@
 fn abandon_frees_the_key() {
     let mut owner = owner();
     assert_eq!(claim(&mut owner, "one", NOW), Ok(()));
-    owner.abandon(&name("k"), &name("two"), NOW);
+    assert_eq!(owner.abandon(&name("k"), &name("two"), NOW), Ok(()));
     owner.saved(2);
     assert_eq!(owner.verdict("k", "one", NOW), Some(Verdict::Granted));
-    owner.abandon(&name("k"), &name("one"), NOW);
+    assert_eq!(owner.abandon(&name("k"), &name("one"), NOW), Ok(()));
     assert_eq!(owner.verdict("k", "one", NOW), None);
     assert_eq!(claim(&mut owner, "one", NOW), Ok(()));
     assert_eq!(claim(&mut owner, "two", NOW), Ok(()));
--- a/crates/coordination/tests/shard.rs
+++ b/crates/coordination/tests/shard.rs
@@ -6,7 +6,7 @@
 
 use coordination::home::Home;
 use coordination::message::{Append, Appended, Holder};
-use coordination::owner::{Owner, Verdict};
+use coordination::owner::{Owner, Refused, Verdict};
 use coordination::records::Records;
 use coordination::shard::{Role, Shard};
 use model::Dice;
@@ -122,7 +122,7 @@
         self.waiting.retain(|(_, _, other)| *other != request);
         self.abandoned.insert(request.clone());
         if let Some(owner) = self.controls[index].shard.owner() {
-            owner.abandon(&key, &request, NOW);
+            _ = owner.abandon(&key, &request, NOW);
         }
     }
 
@@ -313,10 +313,6 @@
     world.granted.len() * 100 + usize::try_from(world.row.1.epoch).unwrap_or(0)
 }
 
-/// A caller's letter would be drafted twice: two requests of one key are both told that it is
-/// theirs. Owners are paused and come back, deputies take over, shards are handed on, messages are
-/// lost, late and repeated, answers of the platform are lost, controls lose their memory. A grant
-/// needs the record of the one deputy that could take over, so two owners can't both grant.
 /// A seed that failed: a request that had been granted was abandoned by its own repeated claim.
 #[test]
 fn shard_granted_request_asked_again() {
@@ -338,8 +334,8 @@
     let owner = world.controls[0].shard.owner().expect("the owner");
     owner.saved(2);
     owner.leaving = true;
-    owner.abandon(&key, &first, NOW);
-    let row = Holder { epoch: 2, owner: two.clone(), deputy: one.clone(), closed_until_ms: 0 };
+    assert_eq!(owner.abandon(&key, &first, NOW), Err(Refused::Leaving));
+    let row = Holder { epoch: 2, owner: two.clone(), deputy: one, closed_until_ms: 0 };
     world.controls[0].shard.hand_over(2, two.clone());
     world.controls[1].shard.observe(&two, &row);
 
@@ -353,6 +349,10 @@
     assert_eq!(claimed, Some(second));
 }
 
+/// A caller's letter would be drafted twice: two requests of one key are both told that it is
+/// theirs. Owners are paused and come back, deputies take over, shards are handed on, messages are
+/// lost, late and repeated, answers of the platform are lost, controls lose their memory. A grant
+/// needs the record of the one deputy that could take over, so two owners can't both grant.
 #[test]
 fn shard_random_events() {
     let reached: Vec<_> = (0..4000).map(run).collect();
