--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -3,20 +3,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::header::{HOST, HeaderValue};
-use hyper::{HeaderMap, Method, Request};
 use policy::name::Name;
 use policy::retry::{self, Attempt};
-use wire::backend::REQUEST_ID;
-use wire::claim::Claim;
 use wire::refusal::{Code, Ran, Refusal};
 
 use crate::clock;
 use crate::connection::{Cause, Connection, Failure};
 use crate::filter::claim::{self, Claimed};
 use crate::filter::place;
+use crate::job::Job;
 use crate::reply::{self, Reply};
 use crate::server::{Lease, Server};
 use crate::snapshot::Snapshot;
@@ -29,46 +24,6 @@
 const FAILED_RETRY_MS: u64 = 1_000;
 const NO_SERVER_RETRY_MS: u64 = 1_000;
 
-/// One call to make.
-pub struct Job {
-    /// The request's id.
-    pub id: Name,
-    /// The client account.
-    pub account: Name,
-    /// The task, or the service's name.
-    pub task: Name,
-    /// The version; none for a plain service.
-    pub version: Option<Name>,
-    /// The pool that serves it.
-    pub pool: Name,
-    /// Whether it may run more than once.
-    pub may_repeat: bool,
-    /// When the caller no longer waits.
-    pub deadline: Instant,
-    /// Longest wait for the first byte of an answer.
-    pub first_byte: Duration,
-    /// The same on a connection that has carried answers before.
-    pub reused_first_byte: Duration,
-    /// Longest wait between two pieces of it.
-    pub between_bytes: Duration,
-    /// What decides which backend server's cache fits.
-    pub affinity: Option<u64>,
-    /// What must be granted before the first byte goes out.
-    pub claim: Option<Claim>,
-    /// Whether the answer must be read to its end before it is looked at.
-    pub whole: bool,
-    /// Whether the answer's text is wanted.
-    pub text: bool,
-    /// For the backend server.
-    pub method: Method,
-    /// For the backend server.
-    pub path: String,
-    /// For the backend server.
-    pub headers: HeaderMap,
-    /// For the backend server.
-    pub body: Bytes,
-}
-
 /// What the tries so far have come to.
 #[derive(Default)]
 struct Tries {
@@ -103,41 +58,6 @@
     }
 }
 
-impl Job {
-    /// Time that the caller still waits.
-    #[must_use]
-    pub fn left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
-    }
-
-    fn servers<'a>(&self, snapshot: &'a Snapshot) -> &'a [Arc<Server>] {
-        let servers = match &self.version {
-            Some(version) => snapshot.versions.get(version),
-            None => snapshot.pools.get(&self.pool),
-        };
-        servers.map(Vec::as_slice).unwrap_or_default()
-    }
-
-    fn request(&self, server: &Server) -> Result<Request<Full<Bytes>>, Failure> {
-        let broken = Failure::not_sent(Cause::Broken);
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.path.parse().map_err(|_| broken)?;
-        *request.headers_mut() = self.headers.clone();
-        let host = HeaderValue::from_str(&server.address.to_string()).map_err(|_| broken)?;
-        request.headers_mut().insert(HOST, host);
-        let id = HeaderValue::from_str(&self.id).map_err(|_| broken)?;
-        request.headers_mut().insert(REQUEST_ID, id);
-        Ok(request)
-    }
-
-    fn note(&self, state: &State, failed: bool) {
-        if let Some(version) = &self.version {
-            state.reports.call(version, &self.task, failed);
-        }
-    }
-}
-
 /// Makes a call.
 ///
 /// Each try takes the newest snapshot, so a backend server that has left in the meantime, or a
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod error;
 pub mod feed;
 pub mod filter;
+pub mod job;
 pub mod loads;
 pub mod operators;
 pub mod pins;
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -11,7 +11,7 @@
 use wire::backend::REQUEST_ID;
 
 use crate::connection::{Cause, Connection, Failure};
-use crate::dispatch::Job;
+use crate::job::Job;
 use crate::server::Lease;
 use crate::sse::Watch;
 
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -11,11 +11,12 @@
 use crate::answer::Answer;
 use crate::chain::{From, Trace};
 use crate::clock;
-use crate::dispatch::{self, Job};
+use crate::dispatch;
 use crate::ending::{Ending, Held};
 use crate::filter::bill::Billing;
 use crate::filter::open::Slot;
 use crate::filter::{admit, claim, service};
+use crate::job::Job;
 use crate::respond::{self, Extra};
 
 /// Priority of plain services in their pool.
