--- a/crates/control/tests/console.rs
+++ b/crates/control/tests/console.rs
@@ -249,7 +249,7 @@
 /// Whatever bytes come as a form are read without a panic, and what we encode reads back.
 #[test]
 fn form_any_bytes() {
-    bolero::check!().with_iterations(5_000).with_type().for_each(|bytes: &Vec<u8>| {
+    fuzz::check(5_000, |bytes: &Vec<u8>| {
         let form = Form::parse(bytes);
         assert!(form.all("csrf").count() <= bytes.len());
         let text = String::from_utf8_lossy(bytes).into_owned();
--- a/crates/entry/tests/sse.rs
+++ b/crates/entry/tests/sse.rs
@@ -52,7 +52,7 @@
 
 #[test]
 fn feed_cut_anywhere_finds_the_same_end() {
-    bolero::check!().with_iterations(5_000).with_type::<Vec<u8>>().for_each(|cuts| {
+    fuzz::check(5_000, |cuts: &Vec<u8>| {
         let mut watch = Watch::default().with_text(1000);
         let mut rest = STREAM;
         let mut pieces = Vec::new();
@@ -69,7 +69,7 @@
 
 #[test]
 fn feed_any_bytes() {
-    bolero::check!().with_iterations(20_000).with_type::<Vec<Vec<u8>>>().for_each(|pieces| {
+    fuzz::check(20_000, |pieces: &Vec<Vec<u8>>| {
         let mut watch = Watch::default().with_text(8);
         for piece in pieces {
             let end = watch.feed(piece);
--- a/crates/policy/tests/estimate.rs
+++ b/crates/policy/tests/estimate.rs
@@ -31,15 +31,13 @@
 /// Whatever is observed, the share stays a share.
 #[test]
 fn observe_any() {
-    bolero::check!().with_iterations(1000).with_type::<(u8, Vec<(bool, u16)>)>().for_each(
-        |(prior, ratings)| {
-            let mut estimate = Estimate::prior(f64::from(*prior) / 255.0);
-            for (good, at) in ratings {
-                let now = Millis(u64::from(*at));
-                estimate.observe(*good, now);
-                let (lower, upper) = (estimate.lower(3.0, now), estimate.upper(3.0, now));
-                assert!(0.0 <= lower && lower <= upper && upper <= 1.0, "{estimate:?}");
-            }
-        },
-    );
+    fuzz::check(1000, |(prior, ratings): &(u8, Vec<(bool, u16)>)| {
+        let mut estimate = Estimate::prior(f64::from(*prior) / 255.0);
+        for (good, at) in ratings {
+            let now = Millis(u64::from(*at));
+            estimate.observe(*good, now);
+            let (lower, upper) = (estimate.lower(3.0, now), estimate.upper(3.0, now));
+            assert!(0.0 <= lower && lower <= upper && upper <= 1.0, "{estimate:?}");
+        }
+    });
 }
--- a/crates/replay/tests/trace.rs
+++ b/crates/replay/tests/trace.rs
@@ -69,13 +69,11 @@
 #[test]
 fn parse_any() {
     let header = text().lines().next().unwrap().to_owned();
-    bolero::check!().with_iterations(2000).with_type::<(bool, Vec<u8>)>().for_each(
-        |(after_header, bytes)| {
-            let noise = String::from_utf8_lossy(bytes);
-            let text = if *after_header { format!("{header}\n{noise}") } else { noise.into() };
-            if let Err(fault) = parse("t", &text) {
-                assert!(fault.line >= 1 && fault.line <= text.lines().count().max(1));
-            }
-        },
-    );
+    fuzz::check(2000, |(after_header, bytes): &(bool, Vec<u8>)| {
+        let noise = String::from_utf8_lossy(bytes);
+        let text = if *after_header { format!("{header}\n{noise}") } else { noise.into() };
+        if let Err(fault) = parse("t", &text) {
+            assert!(fault.line >= 1 && fault.line <= text.lines().count().max(1));
+        }
+    });
 }
