--- a/crates/policy/src/select.rs
+++ b/crates/policy/src/select.rs
@@ -6,7 +6,6 @@
 pub mod baseline;
 pub mod hull;
 pub mod outlook;
-pub mod walk;
 
 use crate::domain;
 use crate::estimate::Estimate;
@@ -170,10 +169,10 @@
         for (candidate, share) in candidate_shares(candidates) {
             let share = share.min(left);
             let with = outlook::introducing(&outlooks, candidates, candidate);
-            table.add_mix(&walk::cheapest(&with, target), share, candidates);
+            table.add_mix(&hull::cheapest(&with, target), share, candidates);
             left -= share;
         }
-        let main = walk::cheapest(&live, target);
+        let main = hull::cheapest(&live, target);
         let explored = exploration(&live, &main, candidates, goal, now);
         for index in &explored {
             let share = left * goal.explored_share / explored.len() as f64;
