--- a/crates/chestnutspur/benches/cut_off.rs
+++ b/crates/chestnutspur/benches/cut_off.rs
@@ -111,6 +111,7 @@
     let begin = Call::chat("tag", "begin").header("chestnutspur-session", "new");
     let token = begin.send(deployment.callers(1)).await.expect("a session");
     let token = token.header("chestnutspur-session");
+    deployment.shards_held().await;
     fault.bring_about(&mut deployment);
     tokio::time::sleep(SETTLED).await;
     for kind in KINDS {
--- a/crates/chestnutspur/tests/claims.rs
+++ b/crates/chestnutspur/tests/claims.rs
@@ -103,6 +103,7 @@
     // The platform goes down altogether. Owner and deputy of each shard are both there, so keyed
     // requests go on being answered, once each.
     let deployment = Deployment::start("claims-outage", Plan::default()).await;
+    deployment.shards_held().await;
     race(&deployment, &[0, 1, 2, 3], "before").await;
     let faults =
         standin::platform::fault::Faults { down: standin::fault::Down::Cut, ..Default::default() };
--- a/crates/chestnutspur/tests/support/mod.rs
+++ b/crates/chestnutspur/tests/support/mod.rs
@@ -8,7 +8,7 @@
 pub mod configuration;
 pub mod process;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -24,6 +24,7 @@
 use standin::server::Running;
 use standin::service::{self, Service};
 use wire::host::{Host, HostState, Role};
+use wire::shard::Holder;
 
 use process::Process;
 
@@ -31,6 +32,8 @@
 pub const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 /// Longest wait for a condition; a test that needs all of it has failed.
 pub const PATIENCE: Duration = Duration::from_secs(40);
+/// Shards of each failure domain.
+const SHARDS: usize = 4;
 /// Shared by all processes of a test.
 const PEER_KEY: &str = "a key for tests and nothing else";
 
@@ -246,7 +249,7 @@
             "operator_token_hashes": [configuration::sha256("operator token")],
             "poll_ms": 200,
             "gossip_ms": 100,
-            "shards": 4,
+            "shards": SHARDS,
         });
         merge(&mut settings, &self.plan.control);
         let name = format!("control-{index}");
@@ -324,6 +327,19 @@
         }
     }
 
+    /// Waits until each shard of each failure domain has an owner and a deputy in the platform's
+    /// table: with the platform down nobody could become either.
+    pub async fn shards_held(&self) {
+        let domains: BTreeSet<_> = self.plan.hosts.iter().collect();
+        until("an owner and a deputy for each shard", async || {
+            let rows = self.platform.rows("shards");
+            let holders =
+                rows.iter().filter_map(|row| serde_json::from_str::<Holder>(&row.value).ok());
+            holders.filter(|holder| !holder.deputy.is_empty()).count() == SHARDS * domains.len()
+        })
+        .await;
+    }
+
     /// Where callers of a host come in.
     pub fn callers(&self, host: usize) -> SocketAddr {
         self.hosts[host].entry.address("callers")
--- a/crates/control/src/exposure/knowledge.rs
+++ b/crates/control/src/exposure/knowledge.rs
@@ -4,7 +4,7 @@
 
 use policy::estimate::{self, HALF_LIFE_MS, UNKNOWN_MEAN};
 use policy::exposure::cusum::Cusum;
-use policy::exposure::{Hypotheses, Test, Verdict};
+use policy::exposure::{Expectation, Hypotheses, Test, Verdict};
 use policy::name::Name;
 use policy::rollout::Ratings;
 use policy::time::Millis;
@@ -28,6 +28,8 @@
     /// The clearing generation that the tests began under; a later one begins new tests.
     cleared: u64,
     rated: Cusum,
+    /// What is expected on each task.
+    expected: BTreeMap<Name, Expectation>,
     calls: Cusum,
     ratings: Ratings,
 }
@@ -63,12 +65,16 @@
             *judged = Judged { cleared: version.cleared, ..Judged::default() };
         }
         let prior = version.quality.get(&piece.task).copied().unwrap_or(UNKNOWN_MEAN);
-        let expecting = Hypotheses::expecting(prior);
+        let expected = judged.expected.entry(piece.task.clone()).or_default();
         let key = (piece.version.clone(), piece.task.clone());
         let estimate = self.estimates.entry(key).or_default();
         for good in &piece.rated {
             judged.ratings.rated += 1;
             judged.ratings.good += u64::from(*good);
+            let believed = estimate::Estimate::prior(prior)
+                .with_counts(estimate.good, estimate.rated, estimate.at)
+                .mean(now);
+            let expecting = expected.hypotheses(judged.rated.verdict(), prior, believed);
             judged.rated.observe(*good, &expecting);
             estimate.observe(*good, now);
         }
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -39,6 +39,17 @@
     deadline: Instant,
 }
 
+/// Which call of a request's plan.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Step {
+    /// The one of a plan without a cascade.
+    Only,
+    /// A cascade's cheap one, rated before anything is passed on.
+    First,
+    /// A cascade's better one.
+    Second,
+}
+
 /// What the calls of a request came to.
 struct Done {
     reply: Reply,
@@ -149,26 +160,21 @@
 
     async fn run(&mut self, plan: Plan) -> Result<Done, Refusal> {
         match plan {
-            Plan::Single(version) => self.single(version).await,
+            Plan::Single(version) => self.call(version, Step::Only).await,
             Plan::Cascade { first, then } => self.cascade(first, then).await,
         }
     }
 
-    async fn single(&mut self, version: Name) -> Result<Done, Refusal> {
-        let rate = self.from.state.ratings.wants(self.from.snapshot, &version);
-        self.call(version, rate, false).await
-    }
-
     /// The cheap version answers, its answer is rated, and the better one answers if it is bad.
     ///
     /// Without a rating in time the better one answers too: the cheap one alone does not reach
     /// the task's target. If the better one can't, the answer at hand is better than none.
     async fn cascade(&mut self, first: Name, then: Name) -> Result<Done, Refusal> {
-        let mut cheap = match self.call(first, true, true).await {
+        let mut cheap = match self.call(first, Step::First).await {
             Ok(cheap) => cheap,
             // What the caller is told of the second must stay true of the first.
             Err(first) => {
-                let result = self.single(then).await;
+                let result = self.call(then, Step::Second).await;
                 return result
                     .map_err(|then| if first.ran == Ran::No { then } else { unsure(then) });
             }
@@ -179,7 +185,7 @@
         }
         // The second call may need the very place that the first one held.
         cheap.place = None;
-        match self.single(then).await {
+        match self.call(then, Step::Second).await {
             Ok(better) => Ok(Done { cost: cheap.cost + better.cost, ..better }),
             Err(_) => Ok(Done { rate: false, ..cheap }),
         }
@@ -192,7 +198,9 @@
         rating::rate(state, &call.id, &done.version, self.task_name, text, self.deadline).await
     }
 
-    async fn place(&self, version: &Name) -> Result<Place, Refusal> {
+    /// `continued` is a second call: were it refused under load, the first one's work would be lost
+    /// and its poor answer passed on.
+    async fn place(&self, version: &Name, continued: bool) -> Result<Place, Refusal> {
         let From { state, snapshot, account_name, .. } = *self.from;
         let left = self.deadline.saturating_duration_since(Instant::now());
         let ask = policy::admit::Ask::new(
@@ -200,6 +208,7 @@
             self.task.priority,
             clock::now() + u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         );
+        let ask = if continued { ask.continued() } else { ask };
         admit::enter(state, snapshot, &self.version(version)?.pool, &ask).await
     }
 
@@ -209,8 +218,14 @@
         })
     }
 
-    async fn call(&mut self, version: Name, rate: bool, whole: bool) -> Result<Done, Refusal> {
-        let place = self.place(&version).await?;
+    async fn call(&mut self, version: Name, step: Step) -> Result<Done, Refusal> {
+        let place = self.place(&version, step == Step::Second).await?;
+        let (rate, whole) = match step {
+            Step::Only => (self.from.state.ratings.wants(self.from.snapshot, &version), false),
+            Step::First => (true, true),
+            // It answers what the first could not: rated, it would look worse than it is.
+            Step::Second => (false, false),
+        };
         let job = self.job(&version, rate, whole)?;
         let reply = dispatch::dispatch(self.from.state, &job).await?;
         // The model engine refused the request itself, so there is no work to pay for or rate.
--- a/crates/entry/src/filter/select.rs
+++ b/crates/entry/src/filter/select.rs
@@ -109,7 +109,8 @@
     let counts = snapshot.estimates.get(&(name.clone(), task.clone())).copied();
     let (good, rated) = counts.unwrap_or_default();
     let candidate =
-        Candidate::live(name.clone(), version.cost, prior.with_counts(good, rated, now));
+        Candidate::live(name.clone(), version.cost, prior.with_counts(good, rated, now))
+            .with_model(version.model.clone());
     match version.state {
         VersionState::Candidate => {
             let share = snapshot.shares.get(name).copied().unwrap_or_default();
