control: reads of the platform that bring nothing new cost a header

Each poll carried whole rows, and the host list of the size designed for would have been about 150 KB a second for each reader. Rows and host list now have tags; an unchanged one is answered by 304.

--- a/crates/chestnutspur/benches/capacity.rs
+++ b/crates/chestnutspur/benches/capacity.rs
@@ -24,8 +24,6 @@
 const FAILURE_DOMAINS: usize = 8;
 const REST: Duration = Duration::from_secs(15);
 const CHANGES: u64 = 20;
-/// Clock ticks a second in `/proc`.
-const TICKS: f64 = 100.0;
 const ENOUGH: Duration = Duration::from_secs(30);
 
 struct Fleet {
@@ -41,7 +39,7 @@
     peer_bytes: u64,
     platform_bytes: u64,
     platform_calls: u64,
-    ticks: u64,
+    cpu_seconds: f64,
 }
 
 impl Fleet {
@@ -70,12 +68,12 @@
             peer_bytes: self.controls.iter().map(|(_, proxy)| proxy.passed()).sum(),
             platform_bytes: self.to_platform.passed(),
             platform_calls: self.to_platform.accepted(),
-            ticks: self.controls.iter().map(|(control, _)| ticks(control)).sum(),
+            cpu_seconds: self.controls.iter().map(|(control, _)| control.cpu_seconds()).sum(),
         }
     }
 
     fn memory_mb(&self) -> f64 {
-        let most = self.controls.iter().map(|(control, _)| memory_kb(control)).max();
+        let most = self.controls.iter().map(|(control, _)| control.memory_kb()).max();
         most.unwrap_or(0) as f64 / 1024.0
     }
 
@@ -137,23 +135,6 @@
     Process::spawn(directory, &format!("control-{index}"), "control", &settings)
 }
 
-fn ticks(process: &Process) -> u64 {
-    let stat = std::fs::read_to_string(format!("/proc/{}/stat", process.id())).unwrap_or_default();
-    // The command's name may hold spaces, and ends with the last bracket.
-    let after = stat.rsplit(')').next().unwrap_or_default();
-    let fields: Vec<_> = after.split_whitespace().collect();
-    let field = |at: usize| fields.get(at).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
-    // User and system time are fields 14 and 15 of the line, 11 and 12 after the name.
-    field(11) + field(12)
-}
-
-fn memory_kb(process: &Process) -> u64 {
-    let file = format!("/proc/{}/status", process.id());
-    let status = std::fs::read_to_string(file).unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    line.and_then(|rest| rest.split_whitespace().next()?.parse().ok()).unwrap_or(0)
-}
-
 fn per_node(size: usize, before: &Usage, after: &Usage) -> String {
     let seconds = (after.at - before.at).as_secs_f64();
     let nodes = size as f64;
@@ -161,7 +142,7 @@
     let peers = 2.0 * (after.peer_bytes - before.peer_bytes) as f64 / nodes / seconds;
     let platform = (after.platform_bytes - before.platform_bytes) as f64 / nodes / seconds;
     let calls = (after.platform_calls - before.platform_calls) as f64 / seconds;
-    let core = (after.ticks - before.ticks) as f64 / TICKS / nodes / seconds * 100.0;
+    let core = (after.cpu_seconds - before.cpu_seconds) / nodes / seconds * 100.0;
     format!("{peers:.0} | {platform:.0} | {calls:.1} | {core:.2} %")
 }
 
--- a/crates/chestnutspur/tests/support/process.rs
+++ b/crates/chestnutspur/tests/support/process.rs
@@ -11,6 +11,9 @@
 use super::call::Call;
 use super::{PATIENCE, until};
 
+/// Clock ticks a second in `/proc`.
+const TICKS: f64 = 100.0;
+
 /// A started process; dropping it kills it.
 pub struct Process {
     child: Child,
@@ -66,6 +69,25 @@
         self.child.id()
     }
 
+    /// Processor time used so far, in seconds.
+    pub fn cpu_seconds(&self) -> f64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.id())).unwrap_or_default();
+        // The command's name may hold spaces, and ends with the last bracket. User and system time
+        // are fields 14 and 15 of the line, 11 and 12 after the name.
+        let after = stat.rsplit(')').next().unwrap_or_default();
+        let fields: Vec<_> = after.split_whitespace().collect();
+        let ticks = |at: usize| fields.get(at).and_then(|text| text.parse::<f64>().ok());
+        (ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0)) / TICKS
+    }
+
+    /// The most memory it has used so far, in KiB.
+    pub fn memory_kb(&self) -> u64 {
+        let file = format!("/proc/{}/status", self.id());
+        let status = std::fs::read_to_string(file).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        line.and_then(|rest| rest.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+    }
+
     /// What it has logged.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
--- a/crates/control/src/platform.rs
+++ b/crates/control/src/platform.rs
@@ -3,18 +3,21 @@
 //! Each call uses a connection of its own. Calls are few (a poll a second, batches), and a kept
 //! connection can go silent while new ones work, which would look like an outage.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::header::{CONTENT_TYPE, HOST, IF_NONE_MATCH};
+use hyper::header::{CONTENT_TYPE, ETAG, HOST, HeaderValue, IF_NONE_MATCH};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use policy::time::Millis;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
 use wire::host::List;
-use wire::platform::{Committed, Conflict, Row, Transaction};
+use wire::platform::{AS_OF, Committed, Conflict, Row, Transaction};
 
 /// Longest time one call may take, unless the caller says otherwise.
 const CALL: Duration = Duration::from_secs(3);
@@ -50,14 +53,31 @@
 }
 
 /// The client.
+///
+/// It keeps the last answer of each read that has a tag. Most polls bring nothing new, and a host
+/// list of a thousand lines read each second would be a hundred times what a node may spend.
 #[derive(Clone, Debug)]
 pub struct Client {
     address: SocketAddr,
     within: Duration,
+    known: Arc<Mutex<HashMap<String, Known>>>,
+}
+
+/// Reads that are remembered at most; more than are polled.
+const KNOWN_MAX: usize = 64;
+
+/// An answer and the tag that it came with.
+#[derive(Clone, Debug)]
+struct Known {
+    tag: HeaderValue,
+    body: Bytes,
 }
 
 struct Answer {
     status: StatusCode,
+    tag: Option<HeaderValue>,
+    /// When a host list was made.
+    as_of: Option<u64>,
     body: Bytes,
 }
 
@@ -65,7 +85,7 @@
     /// For the platform at an address.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, within: CALL }
+        Self { address, within: CALL, known: Arc::default() }
     }
 
     /// Sets the longest time one call may take.
@@ -102,8 +122,11 @@
         let result = async {
             let response = sender.send_request(request).await.map_err(|e| lost(&e))?;
             let status = response.status();
+            let tag = response.headers().get(ETAG).cloned();
+            let as_of = response.headers().get(AS_OF).and_then(|value| value.to_str().ok());
+            let as_of = as_of.and_then(|text| text.parse().ok());
             let body = response.into_body().collect().await.map_err(|e| lost(&e))?;
-            Ok(Answer { status, body: body.to_bytes() })
+            Ok(Answer { status, tag, as_of, body: body.to_bytes() })
         }
         .await;
         connection.abort();
@@ -126,7 +149,37 @@
     }
 
     async fn get(&self, path: &str) -> Result<Answer, Error> {
-        self.call(self.request(Method::GET, path, Bytes::new())?).await
+        let known = self.lock().get(path).cloned();
+        let mut request = self.request(Method::GET, path, Bytes::new())?;
+        if let Some(known) = &known {
+            request.headers_mut().insert(IF_NONE_MATCH, known.tag.clone());
+        }
+        let answer = self.call(request).await?;
+        match (answer.status, known) {
+            (StatusCode::NOT_MODIFIED, Some(known)) => {
+                let Known { tag, body } = known;
+                Ok(Answer { status: StatusCode::OK, tag: Some(tag), body, ..answer })
+            }
+            _ => {
+                self.remember(path, &answer);
+                Ok(answer)
+            }
+        }
+    }
+
+    fn remember(&self, path: &str, answer: &Answer) {
+        let mut known = self.lock();
+        match &answer.tag {
+            Some(tag) if known.len() < KNOWN_MAX || known.contains_key(path) => {
+                let (tag, body) = (tag.clone(), answer.body.clone());
+                known.insert(path.to_owned(), Known { tag, body });
+            }
+            _ => drop(known.remove(path)),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, Known>> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// One row, if it exists.
@@ -170,7 +223,7 @@
     /// Any [`Error`]; after [`Error::Lost`] it may have taken effect.
     pub async fn put_if_absent(&self, name: &str, bytes: Bytes) -> Result<bool, Error> {
         let mut request = self.request(Method::PUT, &format!("/objects/{name}"), bytes)?;
-        request.headers_mut().insert(IF_NONE_MATCH, hyper::header::HeaderValue::from_static("*"));
+        request.headers_mut().insert(IF_NONE_MATCH, HeaderValue::from_static("*"));
         let answer = self.call(request).await?;
         match answer.status {
             StatusCode::PRECONDITION_FAILED => Ok(false),
@@ -205,7 +258,12 @@
     /// # Errors
     /// Any [`Error`]; reading has no effect.
     pub async fn hosts(&self) -> Result<List, Error> {
-        decode(&self.get("/hosts").await?)
+        let answer = self.get("/hosts").await?;
+        let mut list: List = decode(&answer)?;
+        // An unchanged list is as new as the answer that said so. Without that a list that changed
+        // and changed back would lose to what a peer had seen in between.
+        list.as_of = answer.as_of.map_or(list.as_of, Millis);
+        Ok(list)
     }
 }
 
--- a/crates/standin/src/platform/http.rs
+++ b/crates/standin/src/platform/http.rs
@@ -5,12 +5,14 @@
 
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::IF_NONE_MATCH;
+use hyper::header::{ETAG, HeaderValue, IF_NONE_MATCH};
 use hyper::{Method, Request, Response, StatusCode};
-use wire::platform::{Committed, Transaction};
+use serde::Serialize;
+use wire::platform::{AS_OF, Committed, Transaction};
 
 use super::fault::Faults;
 use super::{Platform, Records};
+use crate::draw;
 use crate::fault::Down;
 use crate::reply;
 use crate::server::{Body, Cut, Handler};
@@ -20,7 +22,8 @@
     method: Method,
     path: String,
     query: String,
-    only_if_absent: bool,
+    /// `If-None-Match`.
+    known: String,
     body: Bytes,
 }
 
@@ -30,12 +33,28 @@
             method: request.method().clone(),
             path: reply::decode(request.uri().path()),
             query: request.uri().query().unwrap_or_default().to_owned(),
-            only_if_absent: reply::header(&request, IF_NONE_MATCH.as_str()) == "*",
+            known: reply::header(&request, IF_NONE_MATCH.as_str()).to_owned(),
             body: reply::body(request).await?,
         })
     }
 }
 
+impl Call {
+    /// The value, or 304 if the caller knows what its tag was made from.
+    fn unless_known(&self, tagged: &impl Serialize, value: &impl Serialize) -> Response<Body> {
+        let tag = draw::digest(serde_json::to_vec(tagged).unwrap_or_default());
+        let tag = format!("\"{tag}\"");
+        let mut response = match self.known == tag {
+            true => reply::status(StatusCode::NOT_MODIFIED),
+            false => reply::json(StatusCode::OK, value),
+        };
+        if let Ok(tag) = HeaderValue::from_str(&tag) {
+            response.headers_mut().insert(ETAG, tag);
+        }
+        response
+    }
+}
+
 impl Handler for Platform {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
         let call = Call::read(request).await?;
@@ -107,11 +126,17 @@
 
     fn take_effect(&self, call: &Call) -> Response<Body> {
         match (&call.method, call.path.as_str()) {
-            (&Method::GET, "/hosts") => reply::json(StatusCode::OK, &self.lagging_hosts()),
+            (&Method::GET, "/hosts") => {
+                let list = self.lagging_hosts();
+                // Of the hosts alone: when the list was made is no news.
+                let mut response = call.unless_known(&list.hosts, &list);
+                response.headers_mut().insert(AS_OF, HeaderValue::from(list.as_of.0));
+                response
+            }
             (&Method::GET, "/objects") => self.names(&call.query),
             (&Method::POST, "/transactions") => self.transact(&call.body),
             (method, path) => match (method, split(path)) {
-                (&Method::GET, Some(("rows", rest))) => self.get_rows(rest),
+                (&Method::GET, Some(("rows", rest))) => self.get_rows(rest, call),
                 (&Method::GET, Some(("objects", name))) => self.get_object(name),
                 (&Method::PUT, Some(("objects", name))) => self.put_object(name, call),
                 _ => reply::status(StatusCode::NOT_FOUND),
@@ -119,12 +144,13 @@
         }
     }
 
-    fn get_rows(&self, path: &str) -> Response<Body> {
+    fn get_rows(&self, path: &str, call: &Call) -> Response<Body> {
         let Some((table, key)) = path.split_once('/') else {
-            return reply::json(StatusCode::OK, &self.rows(path));
+            let rows = self.rows(path);
+            return call.unless_known(&rows, &rows);
         };
         match self.row(table, key) {
-            Some(row) => reply::json(StatusCode::OK, &row),
+            Some(row) => call.unless_known(&row, &row),
             None => reply::status(StatusCode::NOT_FOUND),
         }
     }
@@ -154,7 +180,7 @@
     }
 
     fn put_object(&self, name: &str, call: &Call) -> Response<Body> {
-        if !call.only_if_absent {
+        if call.known != "*" {
             return reply::status(StatusCode::PRECONDITION_REQUIRED);
         }
         match self.store().put(name, call.body.clone()) {
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -10,11 +10,18 @@
 //! | `GET /objects?prefix=P` | 200 and a sorted list of names |
 //! | `GET /hosts` | 200 and a [`crate::host::List`] |
 //!
+//! Reads of rows and of the host list carry an `ETag`; with it in `If-None-Match` the answer is 304
+//! while nothing has changed. The host list's answer says in [`AS_OF`] when it was made, unchanged
+//! or not.
+//!
 //! 429 and 503 say that nothing took effect; any broken connection leaves it unknown.
 
 use policy::domain;
 use policy::name::Name;
 
+/// When the host list was made, in milliseconds since the epoch.
+pub const AS_OF: &str = "platform-as-of";
+
 domain! {
     /// One row.
     pub struct Row {
