Capacity bench: a fleet settles for one round of gossip before it is measured

At 16 controls the first 18 s were measured: controls had not heard from all others, and several of a failure domain read the platform for it (56 calls a second, where 3 for each domain's reader and less for the others are due).

--- a/crates/chestnutspur/benches/capacity.rs
+++ b/crates/chestnutspur/benches/capacity.rs
@@ -146,11 +146,18 @@
     format!("{peers:.0} | {platform:.0} | {calls:.1} | {core:.2} %")
 }
 
+/// Time in which each control has heard from every other: a round of gossip slows down with their
+/// number. Until then several controls of a failure domain read the platform for it.
+fn settled(size: usize) -> Duration {
+    let interval_ms = (250 * size as u64 / 6).clamp(250, 2_000);
+    Duration::from_millis(3_000 + interval_ms * size as u64)
+}
+
 async fn measure(size: usize) {
     let fleet = Fleet::start(size).await;
     fleet.apply(0).await;
     fleet.in_force(1).await;
-    tokio::time::sleep(Duration::from_secs(3)).await;
+    tokio::time::sleep(settled(size)).await;
     let before = fleet.usage();
     tokio::time::sleep(REST).await;
     let after = fleet.usage();
