Process tests: a session's name is asked for with two versions; letters meet the cut

Two tests passed with their safeguard off. sessions_by_name drew the same version at every host, so the pin was never needed; half of the requests now name another version. answers_cut_short sent its later letters while the engines were held ill from the first cut, so none reached an engine; each cut now comes when both engines are in use, and some letter must have run.

--- a/crates/chestnutspur/tests/answers.rs
+++ b/crates/chestnutspur/tests/answers.rs
@@ -72,19 +72,31 @@
     let to = [deployment.callers(0)];
     let cuts = [(Direction::Request, 40), (Direction::Answer, 10), (Direction::Answer, 400)];
     for (cut, (direction, bytes)) in cuts.into_iter().enumerate() {
+        // Both engines must be in use when the cut comes, or nothing would be sent to them.
+        deployment.engines.iter().for_each(|(_, proxy)| proxy.set_cut_after(None));
+        for engine in [0, 1] {
+            until("work at each engine", async || {
+                let before = deployment.engines[engine].0.runs().len();
+                burst(&to, (0..8).map(|index| Call::chat("tag", &format!("{index}"))).collect())
+                    .await;
+                deployment.engines[engine].0.runs().len() > before
+            })
+            .await;
+        }
         for (_, proxy) in &deployment.engines {
-            proxy.reset_existing();
             proxy.set_cut_after(Some((direction, bytes)));
         }
-        for index in 0..6 {
-            let prompt = format!("cut {cut} {index}");
-            let call = match index % 2 {
-                0 => Call::chat("letter", &prompt),
-                _ => Call::stream("letter", &prompt),
-            };
-            let replies = burst(&to, vec![call]).await;
-            check_once(&deployment, &prompt, replies[0].as_ref());
+        let prompts: Vec<_> = (0..6).map(|index| format!("cut {cut} {index}")).collect();
+        let calls = prompts.iter().enumerate().map(|(index, prompt)| match index % 2 {
+            0 => Call::chat("letter", prompt),
+            _ => Call::stream("letter", prompt),
+        });
+        let replies = burst(&to, calls.collect()).await;
+        for (prompt, reply) in prompts.iter().zip(&replies) {
+            check_once(&deployment, prompt, reply.as_ref());
         }
+        let ran = prompts.iter().filter(|prompt| !deployment.runs_of(prompt).is_empty()).count();
+        assert!(direction == Direction::Request || ran > 0, "no letter met the cut");
     }
 }
 
--- a/crates/chestnutspur/tests/sessions.rs
+++ b/crates/chestnutspur/tests/sessions.rs
@@ -53,17 +53,28 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn sessions_by_name_are_pinned_once_for_all_hosts() {
-    // Callers of all hosts use the same session name for the first time at the same moment. Each
-    // host draws a version of its own; the home must make them one. Later the home's failure
-    // domain is cut off from the other: hosts that know the pin go on, and none opens another.
+    // Callers of all hosts use the same session name for the first time at the same moment, half
+    // of them asking for one version and half for another. The home must make them one: the others
+    // are refused, not run. Later the home's failure domain is cut off from the other: hosts that
+    // know the pin go on, and none opens another.
     let deployment = Deployment::start("session-name", Plan::default()).await;
     let name = "dossier-17";
-    let replies = futures::future::join_all(
-        (0..16).map(|index| in_session(&deployment, index % 4, name, "together")),
-    )
+    let asked = |index: usize| if index.is_multiple_of(2) { "small-1" } else { "large-1" };
+    let replies = futures::future::join_all((0..16).map(|index| {
+        let messages = serde_json::json!([{"role": "user", "content": "together"}]);
+        let body = serde_json::json!({"model": asked(index), "messages": messages});
+        let call = Call::new(hyper::Method::POST, "/v1/chat/completions", body.to_string())
+            .header("authorization", "Bearer first key")
+            .header("chestnutspur-session", name);
+        call.send(deployment.callers(index / 2 % 4))
+    }))
     .await;
-    let held = version(&replies[0]);
-    assert!(replies.iter().all(|reply| version(reply) == held));
+    let replies: Vec<Reply> = replies.into_iter().flatten().collect();
+    let answered: Vec<_> = replies.iter().filter(|reply| reply.status == 200).collect();
+    let held = version(answered.first().expect("one of them is answered"));
+    assert!(answered.iter().all(|reply| version(reply) == held));
+    let refused = replies.iter().filter(|reply| reply.status != 200);
+    assert!(refused.clone().all(|reply| reply.ran() == "no"), "{replies:?}");
 
     deployment.cut_domain("north", false, Mode::Silent);
     for host in 0..4 {
