--- a/crates/chestnutspur/src/command.rs
+++ b/crates/chestnutspur/src/command.rs
@@ -62,7 +62,7 @@
     Status(#[bpaf(external(status::arguments))] status::Arguments),
     /// Count the bills in the object store: ids, doubles, gaps
     #[bpaf(command)]
-    Bills(#[bpaf(external(bills::arguments))] bills::Arguments),
+    Bills(#[bpaf(external(status::arguments))] status::Arguments),
     /// Reports on a running deployment
     #[bpaf(command)]
     Report(#[bpaf(external(report::report))] report::Report),
--- a/crates/chestnutspur/src/command/apply.rs
+++ b/crates/chestnutspur/src/command/apply.rs
@@ -10,7 +10,7 @@
 use crate::http::{Answer, Call};
 use crate::{command, process};
 
-/// Arguments of `apply`.
+/// What to send, and where
 #[derive(Clone, Debug, Bpaf)]
 pub struct Arguments {
     /// A control's operators' address
--- a/crates/chestnutspur/src/command/bills.rs
+++ b/crates/chestnutspur/src/command/bills.rs
@@ -1,24 +1,12 @@
 //! `chestnutspur bills`.
 
-use std::net::SocketAddr;
-
-use bpaf::Bpaf;
 use wire::bill::Audit;
 
+use super::status::Arguments;
 use crate::exit::Exit;
 use crate::http::Call;
 use crate::{command, process};
 
-/// Arguments of `bills`.
-#[derive(Clone, Debug, Bpaf)]
-pub struct Arguments {
-    /// A control's operators' address
-    #[bpaf(argument("ADDR"))]
-    pub from: SocketAddr,
-    /// Print one JSON line
-    pub json: bool,
-}
-
 /// Has the control read every log, and prints what it counted; doubles and gaps are exit 1.
 pub fn run(arguments: &Arguments) -> Exit {
     process::block_on(audit(arguments))
--- a/crates/chestnutspur/src/command/demo.rs
+++ b/crates/chestnutspur/src/command/demo.rs
@@ -17,7 +17,7 @@
 use summary::Summary;
 use world::World;
 
-/// Arguments of `demo`.
+/// What to run, and how to tell of it
 #[derive(Clone, Debug, Bpaf)]
 pub struct Arguments {
     /// nl-centraal or midlands
--- a/crates/chestnutspur/src/command/load.rs
+++ b/crates/chestnutspur/src/command/load.rs
@@ -11,7 +11,7 @@
 use crate::exit::Exit;
 use crate::process;
 
-/// Arguments of `load`.
+/// What to send, and where
 #[derive(Clone, Debug, Bpaf)]
 pub struct Arguments {
     /// Where requests go
--- a/crates/chestnutspur/src/command/replay.rs
+++ b/crates/chestnutspur/src/command/replay.rs
@@ -10,7 +10,7 @@
 
 use crate::exit::Exit;
 
-/// Arguments of `replay`.
+/// Which traces, and by which policy
 #[derive(Clone, Debug, Bpaf)]
 pub struct Arguments {
     /// Replay with a policy to measure against: best, cheapest, split, likelihood, undetected,
--- a/crates/chestnutspur/src/command/standin.rs
+++ b/crates/chestnutspur/src/command/standin.rs
@@ -74,7 +74,7 @@
     },
 }
 
-/// Arguments of one backend server.
+/// One backend server
 #[derive(Clone, Debug, Bpaf)]
 pub struct Backend {
     /// Where to listen
--- a/crates/chestnutspur/src/command/status.rs
+++ b/crates/chestnutspur/src/command/status.rs
@@ -8,7 +8,7 @@
 use crate::http::Call;
 use crate::{command, process};
 
-/// Arguments of `status`.
+/// Which control to ask, and how to print its answer
 #[derive(Clone, Debug, Bpaf)]
 pub struct Arguments {
     /// A control's operators' address
--- a/crates/chestnutspur/src/command/trace.rs
+++ b/crates/chestnutspur/src/command/trace.rs
@@ -5,7 +5,7 @@
 
 use crate::exit::Exit;
 
-/// Arguments of `trace`.
+/// What to make
 #[derive(Clone, Debug, Bpaf)]
 pub struct Arguments {
     /// What the trace is about: steady-benefit, steady-feed, sudden, slow, rollout, bad-candidate,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here is on disk and no control is special. What must last is in the platform's
 //! service; the rest is soft and comes back from peers.
 
+pub mod accept;
 pub mod bills;
 pub mod burn;
 pub mod configuration;
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -15,12 +15,13 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use log::{debug, warn};
+use log::debug;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use self::answer::Answer;
+use crate::accept;
 use crate::process::Process;
 
 /// Longest document, in bytes.
@@ -49,21 +50,8 @@
     tasks: TaskTracker,
     stop: CancellationToken,
 ) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = stop.cancelled() => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                tasks.spawn(connection(stream, process.clone(), stop.clone()));
-            }
-            Err(error) => {
-                warn!("operators: accept: {error}");
-                tokio::time::sleep(Duration::from_millis(50)).await;
-            }
-        }
-    }
+    let serve = |stream| connection(stream, process.clone(), stop.clone());
+    accept::each(listener, tasks, stop.clone(), serve).await;
 }
 
 async fn connection(stream: TcpStream, process: Arc<Process>, stop: CancellationToken) {
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use log::{info, warn};
+use log::info;
 use policy::name::Name;
 use tarpc::context::Context;
 use tarpc::server::Channel;
@@ -18,6 +18,7 @@
 use wire::shard::{Append, Appended, Home, Known, Reply};
 use wire::view::{Ask, View};
 
+use crate::accept;
 use crate::node;
 use crate::process::Process;
 
@@ -114,22 +115,8 @@
     tasks: TaskTracker,
     stop: CancellationToken,
 ) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = stop.cancelled() => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                tasks.spawn(connection(stream, key.clone(), process.clone(), stop.clone()));
-            }
-            Err(error) => {
-                warn!("control: accept: {error}");
-                // Out of file descriptors, most likely; without a pause this would spin.
-                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-            }
-        }
-    }
+    let serve = |stream| connection(stream, key.clone(), process.clone(), stop.clone());
+    accept::each(listener, tasks, stop.clone(), serve).await;
 }
 
 async fn connection(stream: TcpStream, key: Key, process: Arc<Process>, stop: CancellationToken) {
