control: bill batches keep within the platform's writes however many controls there are

Each control put a batch four times a second. Worked out for 400 controls that is 1,600 writes a second, against several hundred; at 7 it is 28. The round now grows with the number of controls, to 200 puts a second of all together. Bills have two holders meanwhile. Ruled out: one writer for each failure domain, which would be a host set aside.

--- a/crates/chestnutspur/benches/capacity.rs
+++ b/crates/chestnutspur/benches/capacity.rs
@@ -20,10 +20,13 @@
 use support::{ANY, configuration};
 use wire::host::{Host, HostState, Role};
 
+/// Numbers of controls; named on the command line they replace these.
 const SIZES: [usize; 4] = [4, 8, 16, 32];
 const FAILURE_DOMAINS: usize = 8;
 const REST: Duration = Duration::from_secs(15);
 const CHANGES: u64 = 20;
+/// Changes of the host list.
+const HOST_CHANGES: usize = 15;
 const ENOUGH: Duration = Duration::from_secs(30);
 
 struct Fleet {
@@ -188,6 +191,47 @@
     assert_eq!(fleet.platform.accepted().len() as u64, CHANGES + 1);
 }
 
+/// What the host list costs: at rest, and when one of many backend servers goes each second.
+async fn measure_hosts(size: usize, workers: usize) {
+    let fleet = Fleet::start(size).await;
+    let mut hosts = fleet.platform.hosts();
+    hosts.extend((0..workers).map(worker));
+    fleet.platform.set_hosts(hosts.clone());
+    fleet.apply(0).await;
+    fleet.in_force(1).await;
+    tokio::time::sleep(settled(size)).await;
+    let before = fleet.usage();
+    tokio::time::sleep(REST).await;
+    let after = fleet.usage();
+    let usage = per_node(size, &before, &after);
+    println!("| {size} | rest, {workers} workers | {usage} | {:.0} | |", fleet.memory_mb());
+    let before = fleet.usage();
+    for change in 0..HOST_CHANGES {
+        hosts[size + change].state = HostState::Leaving;
+        fleet.platform.set_hosts(hosts.clone());
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    let after = fleet.usage();
+    let usage = per_node(size, &before, &after);
+    println!(
+        "| {size} | a worker of {workers} goes a second | {usage} | {:.0} | |",
+        fleet.memory_mb()
+    );
+}
+
+fn worker(index: usize) -> Host {
+    let versions = (1..=4).map(|version| Name::from(format!("version-{version}"))).collect();
+    Host {
+        name: format!("worker-{index:04}").into(),
+        role: Role::Backend,
+        address: format!("127.1.{}.{}:8000", index / 250, index % 250).into(),
+        failure_domain: domain(index),
+        pool: "models".into(),
+        versions,
+        state: HostState::Live,
+    }
+}
+
 fn main() {
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
     println!(
@@ -195,7 +239,10 @@
          platform calls/s, all | core, a node | MB, most | in force, median / worst |"
     );
     println!("|---|---|---|---|---|---|---|---|");
-    for size in SIZES {
+    let named: Vec<usize> = std::env::args().filter_map(|text| text.parse().ok()).collect();
+    let sizes = if named.is_empty() { SIZES.to_vec() } else { named };
+    for size in sizes {
         runtime.block_on(measure(size));
     }
+    runtime.block_on(measure_hosts(8, 890));
 }
--- a/crates/control/src/bills.rs
+++ b/crates/control/src/bills.rs
@@ -7,7 +7,7 @@
 mod audit;
 mod book;
 mod copy;
-mod flush;
+pub mod flush;
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -25,7 +25,7 @@
 
 /// Longest time a call to another control may take.
 const CALL: Duration = Duration::from_millis(500);
-/// How often batches are put, and what is left over is looked after.
+/// How often batches are put, and what is left over is looked after, among few controls.
 const FLUSH: Duration = Duration::from_millis(250);
 /// Longest time a shutdown waits for the platform to take what is pending.
 const HAND_OVER: Duration = Duration::from_secs(5);
--- a/crates/control/src/bills/flush.rs
+++ b/crates/control/src/bills/flush.rs
@@ -1,6 +1,7 @@
 //! Puts what is pending into the logs, and tells holders to drop what is stored.
 
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use policy::name::Name;
 use wire::bill::{self, Batch, Bill, Hold};
@@ -14,10 +15,24 @@
 /// Bills of one batch at most.
 const BATCH_MAX: usize = 4_000;
 
+/// Puts a second, of all controls together, that the platform is given at most at rest. It takes
+/// several hundred, and other things are written as well.
+const PUTS_PER_SECOND: u64 = 200;
+
+/// Time between two rounds, by the number of controls.
+///
+/// Each control puts one batch a round. At a fixed pace four hundred of them would ask more of the
+/// platform than it takes, whatever the requests; bills are safe with two holders meanwhile.
+#[must_use]
+pub fn interval(controls: usize) -> Duration {
+    let shared_ms = (controls as u64).saturating_mul(1_000) / PUTS_PER_SECOND;
+    FLUSH.max(Duration::from_millis(shared_ms))
+}
+
 /// Looks after all books, now and then.
-pub async fn run(inner: Arc<Inner>) {
+pub(super) async fn run(inner: Arc<Inner>) {
     loop {
-        tokio::time::sleep(FLUSH).await;
+        tokio::time::sleep(interval(1 + inner.node.peers.len())).await;
         inner.look_after().await;
     }
 }
--- a/crates/control/tests/bills.rs
+++ b/crates/control/tests/bills.rs
@@ -210,6 +210,14 @@
 }
 
 // In an outage that outlasts the memory bound new work is refused; no bill that was taken is lost.
+#[test]
+fn interval_keeps_all_controls_within_the_platforms_writes() {
+    for controls in [1, 7, 49, 51, 400, 2_000] {
+        let seconds = control::bills::flush::interval(controls).as_secs_f64();
+        assert!(seconds >= 0.25 && controls as f64 / seconds <= 200.0, "{controls}: {seconds}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn bill_at_the_memory_bound() {
     let deployment = Deployment::start_with(2, |settings| settings.bills_max = 100).await;
