--- a/crates/chestnutspur/tests/configuration.rs
+++ b/crates/chestnutspur/tests/configuration.rs
@@ -90,14 +90,18 @@
             let watching = Arc::clone(&watching);
             tokio::spawn(async move {
                 let highest = AtomicU64::new(0);
-                while watching.load(Ordering::Relaxed) {
+                loop {
+                    // Read once more after the end is called, or the last change may go unseen.
+                    let last = !watching.load(Ordering::Relaxed);
                     let reply = Call::get("/ready").send(operators).await;
                     let seen = reply.and_then(|reply| reply.json()["generation"].as_u64());
                     let before = highest.fetch_max(seen.unwrap_or(0), Ordering::Relaxed);
                     assert!(seen.is_none_or(|seen| seen >= before), "{before} back to {seen:?}");
+                    if last {
+                        return highest.into_inner();
+                    }
                     tokio::time::sleep(Duration::from_millis(5)).await;
                 }
-                highest.into_inner()
             })
         })
         .collect();
