control: a round of copying bills no longer looks through all that wait

Bills without a copy now stand in a set of their own. Settling what a holder dropped compared every pair of ids, a hundred thousand squared after a long outage; it looks them up in a set.

Not measured.

--- a/crates/control/src/bills/book.rs
+++ b/crates/control/src/bills/book.rs
@@ -1,6 +1,6 @@
 //! The bills of one log that one control keeps, and where their copies are.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use coordination::batch::Log;
 use policy::name::Name;
@@ -31,6 +31,10 @@
     floors: HashMap<Name, u64>,
     /// Controls that hold a copy of each pending bill; the last one is believed alive.
     copies: HashMap<Name, Vec<Name>>,
+    /// Pending bills without a copy. Kept apart, so that a round of copying does not look through
+    /// all that wait: after an hour of outage these are a hundred thousand, and a round comes with
+    /// every answer.
+    alone: BTreeSet<Name>,
     /// Bills that a holder has not been told to drop yet.
     owed: BTreeMap<Name, Vec<Name>>,
 }
@@ -40,8 +44,9 @@
     #[must_use]
     pub fn new(id: Id) -> Self {
         let at_end = id.log == id.keeper;
-        let (floors, copies, owed) = (HashMap::new(), HashMap::new(), BTreeMap::new());
-        Self { id, log: Log::default(), at_end, floors, copies, owed }
+        let (floors, copies) = (HashMap::new(), HashMap::new());
+        let (alone, owed) = (BTreeSet::new(), BTreeMap::new());
+        Self { id, log: Log::default(), at_end, floors, copies, alone, owed }
     }
 
     /// Takes a bill; false if it is here already. `from` is a number that no batch before has it.
@@ -50,15 +55,14 @@
         // The own log has been read or written up to its next number, and what stands there is
         // remembered for a while. A bill from before that may stand in any batch.
         let forgotten = now.since(bill.at) > REMEMBERED_MS / 2;
-        if own && !forgotten {
-            return self.log.add(bill);
-        }
-        let from = if own { 0 } else { from };
         let request = bill.request.clone();
         let added = self.log.add(bill);
         if added {
+            self.alone.insert(request.clone());
+        }
+        if added && (!own || forgotten) {
             self.at_end = false;
-            self.floors.insert(request, from);
+            self.floors.insert(request, if own { 0 } else { from });
         }
         added
     }
@@ -92,8 +96,8 @@
     /// Bills that no other control holds.
     #[must_use]
     pub fn without_copy(&self) -> Vec<Bill> {
-        let pending = self.log.pending().iter();
-        pending.filter(|(id, _)| !self.copies.contains_key(*id)).map(|(_, b)| b.clone()).collect()
+        let pending = self.log.pending();
+        self.alone.iter().filter_map(|id| pending.get(id)).cloned().collect()
     }
 
     /// Bills with fewer copies than that, none of them at a control.
@@ -108,6 +112,7 @@
     /// Notes who holds bills now.
     pub fn copied(&mut self, bills: &[Bill], holder: &Name) {
         for bill in bills {
+            self.alone.remove(&bill.request);
             match self.log.pending().contains_key(&bill.request) {
                 true => self.copies.entry(bill.request.clone()).or_default().push(holder.clone()),
                 // Stored while the copy was on its way.
@@ -123,6 +128,7 @@
         self.copies.retain(|id, holders| {
             let kept = holders.last().is_some_and(&alive);
             if !kept {
+                self.alone.insert(id.clone());
                 lost.extend(holders.drain(..).map(|holder| (holder, id.clone())));
             }
             kept
@@ -150,6 +156,7 @@
 
     fn owe(&mut self, request: &Name) {
         self.floors.remove(request);
+        self.alone.remove(request);
         for holder in self.copies.remove(request).unwrap_or_default() {
             self.owed.entry(holder).or_default().push(request.clone());
         }
@@ -167,7 +174,8 @@
     /// A holder has dropped bills, or is gone with them.
     pub fn settled(&mut self, holder: &Name, requests: &[Name]) {
         if let Some(owed) = self.owed.get_mut(holder) {
-            owed.retain(|id| !requests.contains(id));
+            let settled: HashSet<&Name> = requests.iter().collect();
+            owed.retain(|id| !settled.contains(id));
             if owed.is_empty() {
                 self.owed.remove(holder);
             }
