--- a/crates/chestnutspur/benches/capacity.rs
+++ b/crates/chestnutspur/benches/capacity.rs
@@ -156,20 +156,20 @@
     Duration::from_millis(3_000 + interval_ms * size as u64)
 }
 
-async fn measure(size: usize) {
-    let fleet = Fleet::start(size).await;
-    fleet.apply(0).await;
-    fleet.in_force(1).await;
+async fn at_rest(fleet: &Fleet, state: &str) {
+    let size = fleet.controls.len();
     tokio::time::sleep(settled(size)).await;
     let before = fleet.usage();
     tokio::time::sleep(REST).await;
-    let after = fleet.usage();
-    println!(
-        "| {size} | rest | {} | {:.0} | |",
-        per_node(size, &before, &after),
-        fleet.memory_mb()
-    );
+    let usage = per_node(size, &before, &fleet.usage());
+    println!("| {size} | {state} | {usage} | {:.0} | |", fleet.memory_mb());
+}
 
+async fn measure(size: usize) {
+    let fleet = Fleet::start(size).await;
+    fleet.apply(0).await;
+    fleet.in_force(1).await;
+    at_rest(&fleet, "rest").await;
     let before = fleet.usage();
     let mut spread = Vec::new();
     for change in 1..=CHANGES {
@@ -199,12 +199,7 @@
     fleet.platform.set_hosts(hosts.clone());
     fleet.apply(0).await;
     fleet.in_force(1).await;
-    tokio::time::sleep(settled(size)).await;
-    let before = fleet.usage();
-    tokio::time::sleep(REST).await;
-    let after = fleet.usage();
-    let usage = per_node(size, &before, &after);
-    println!("| {size} | rest, {workers} workers | {usage} | {:.0} | |", fleet.memory_mb());
+    at_rest(&fleet, &format!("rest, {workers} workers")).await;
     let before = fleet.usage();
     for change in 0..HOST_CHANGES {
         hosts[size + change].state = HostState::Leaving;
--- a/crates/chestnutspur/src/command/control.rs
+++ b/crates/chestnutspur/src/command/control.rs
@@ -3,6 +3,8 @@
 use std::path::Path;
 
 use control::Listeners;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio_util::sync::CancellationToken;
 use wire::settings::{self, Settings};
 
 use crate::exit::Exit;
@@ -13,7 +15,7 @@
     match super::load(file) {
         Some(Settings::Control(settings)) => {
             logging::start(&settings.log);
-            process::block_on(serve(settings))
+            process::supervise("control", |metrics, stop| start(settings, metrics, stop))
         }
         Some(Settings::Entry(_)) => {
             eprintln!("{}: role: these are settings of entry", file.display());
@@ -23,23 +25,14 @@
     }
 }
 
-async fn serve(settings: settings::Control) -> Exit {
-    match start(settings).await {
-        Ok(()) => Exit::Done,
-        Err(message) => {
-            log::error!("control: {message}");
-            Exit::Refused
-        }
-    }
-}
-
-async fn start(settings: settings::Control) -> Result<(), String> {
-    let metrics = process::metrics()?;
-    let stop = process::stop_on_signal().map_err(|e| e.to_string())?;
+async fn start(
+    settings: settings::Control,
+    metrics: PrometheusHandle,
+    stop: CancellationToken,
+) -> Result<(), String> {
     let listeners = Listeners::bind(&settings).await.map_err(|e| e.to_string())?;
-    let address = |listener: &tokio::net::TcpListener| listener.local_addr();
-    let peers = address(&listeners.peers).map_err(|e| e.to_string())?;
-    let operators = address(&listeners.operators).map_err(|e| e.to_string())?;
+    let peers = listeners.peers.local_addr().map_err(|e| e.to_string())?;
+    let operators = listeners.operators.local_addr().map_err(|e| e.to_string())?;
     process::print_listening(&[("peers", peers), ("operators", operators)]);
     control::run(settings, listeners, metrics, stop).await.map_err(|e| e.to_string())
 }
--- a/crates/chestnutspur/src/command/entry.rs
+++ b/crates/chestnutspur/src/command/entry.rs
@@ -3,6 +3,8 @@
 use std::path::Path;
 
 use entry::Listeners;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio_util::sync::CancellationToken;
 use wire::settings::{self, Settings};
 
 use crate::exit::Exit;
@@ -13,7 +15,7 @@
     match super::load(file) {
         Some(Settings::Entry(settings)) => {
             logging::start(&settings.log);
-            process::block_on(serve(settings))
+            process::supervise("entry", |metrics, stop| start(settings, metrics, stop))
         }
         Some(Settings::Control(_)) => {
             eprintln!("{}: role: these are settings of control", file.display());
@@ -23,23 +25,14 @@
     }
 }
 
-async fn serve(settings: settings::Entry) -> Exit {
-    match start(settings).await {
-        Ok(()) => Exit::Done,
-        Err(message) => {
-            log::error!("entry: {message}");
-            Exit::Refused
-        }
-    }
-}
-
-async fn start(settings: settings::Entry) -> Result<(), String> {
-    let metrics = process::metrics()?;
-    let stop = process::stop_on_signal().map_err(|e| e.to_string())?;
+async fn start(
+    settings: settings::Entry,
+    metrics: PrometheusHandle,
+    stop: CancellationToken,
+) -> Result<(), String> {
     let listeners = Listeners::bind(&settings).await.map_err(|e| e.to_string())?;
-    let address = |listener: &tokio::net::TcpListener| listener.local_addr();
-    let callers = address(&listeners.callers).map_err(|e| e.to_string())?;
-    let operators = address(&listeners.operators).map_err(|e| e.to_string())?;
+    let callers = listeners.callers.local_addr().map_err(|e| e.to_string())?;
+    let operators = listeners.operators.local_addr().map_err(|e| e.to_string())?;
     process::print_listening(&[("callers", callers), ("operators", operators)]);
     entry::run(settings, listeners, metrics, stop).await.map_err(|e| e.to_string())
 }
--- a/crates/chestnutspur/src/process.rs
+++ b/crates/chestnutspur/src/process.rs
@@ -25,6 +25,28 @@
     }
 }
 
+/// Runs a process's work, which ends by itself once it is told to stop; `part` prefixes its logs.
+pub fn supervise<W>(part: &str, work: impl FnOnce(PrometheusHandle, CancellationToken) -> W) -> Exit
+where
+    W: Future<Output = Result<(), String>>,
+{
+    block_on(async {
+        let prepared = metrics()
+            .and_then(|metrics| Ok((metrics, stop_on_signal().map_err(|e| e.to_string())?)));
+        let result = match prepared {
+            Ok((metrics, stop)) => work(metrics, stop).await,
+            Err(message) => Err(message),
+        };
+        match result {
+            Ok(()) => Exit::Done,
+            Err(message) => {
+                log::error!("{part}: {message}");
+                Exit::Refused
+            }
+        }
+    })
+}
+
 /// Installs the process's metrics recorder.
 ///
 /// # Errors
