Settings: every fault at once, as for the document

A settings file with nothing but its role was told of one missing member; the derived reader stops at the first. The reader that mends a fault and goes on, made for the document, now reads settings too and stands in a module of its own. Members given twice are faults here as well.

--- a/crates/wire/src/configuration/check.rs
+++ b/crates/wire/src/configuration/check.rs
@@ -1,10 +1,10 @@
 //! Reading and checking the document: every fault found, each with its path.
 
-mod read;
 mod rules;
 
 use super::Document;
-use crate::fault::Fault;
+use crate::fault::{Fault, is_within};
+use crate::read;
 
 /// Reads a document and checks all of it.
 ///
@@ -18,7 +18,7 @@
         Ok(value) => value,
         Err(error) => return Err(vec![Fault::at("", error.to_string())]),
     };
-    let (document, repaired) = read::document(value, &mut faults);
+    let (document, repaired) = read::mended::<Document>(value, &mut faults);
     if let Some(document) = &document {
         let mut broken = Vec::new();
         rules::check(document, &mut broken);
@@ -44,10 +44,3 @@
 pub fn accepted(text: &str) -> Result<Document, Fault> {
     serde_json::from_str(text).map_err(|error| Fault::at("", error.to_string()))
 }
-
-fn is_within(path: &str, outer: &str) -> bool {
-    match path.strip_prefix(outer) {
-        Some(rest) => outer.is_empty() || rest.is_empty() || rest.starts_with(['.', '[']),
-        None => false,
-    }
-}
--- a/crates/wire/src/fault.rs
+++ b/crates/wire/src/fault.rs
@@ -31,26 +31,12 @@
     }
 }
 
-/// Reads one value, collecting every unknown member under `path`.
-///
-/// # Errors
-/// The first value of a wrong kind, with its path; unknown members go to `faults` either way.
-pub fn read<T: serde::de::DeserializeOwned>(
-    value: serde_json::Value,
-    path: &str,
-    faults: &mut Vec<Fault>,
-) -> Option<T> {
-    let mut unknown = Vec::new();
-    let mut track = serde_path_to_error::Track::new();
-    let tracked = serde_path_to_error::Deserializer::new(value, &mut track);
-    let result = serde_ignored::deserialize(tracked, |member| unknown.push(member.to_string()));
-    faults.extend(unknown.iter().map(|member| Fault::at(join(path, member), "unknown member")));
-    match result {
-        Ok(value) => Some(value),
-        Err(error) => {
-            faults.push(Fault::at(join(path, &track.path().to_string()), error.to_string()));
-            None
-        }
+/// Whether a path is another one, or inside it.
+#[must_use]
+pub fn is_within(path: &str, outer: &str) -> bool {
+    match path.strip_prefix(outer) {
+        Some(rest) => outer.is_empty() || rest.is_empty() || rest.starts_with(['.', '[']),
+        None => false,
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod host;
 pub mod peer;
 pub mod platform;
+pub mod read;
 pub mod refusal;
 pub mod rpc;
 pub mod settings;
--- a/crates/wire/src/configuration/check/read.rs
+++ b/crates/wire/src/read.rs
@@ -1,4 +1,4 @@
-//! From text to a document, past members given twice, unknown ones and values of wrong kinds.
+//! From text to what operators write, past members given twice, unknown ones and wrong kinds.
 //!
 //! The derived reader stops at its first fault. So each fault it finds is noted and mended with a
 //! placeholder, and the reading starts over, until it comes through: the operator sees all faults
@@ -6,12 +6,14 @@
 
 use std::fmt;
 
-use serde::de::{DeserializeSeed, Deserializer, Error, MapAccess, SeqAccess, Visitor};
+use serde::Serialize;
+use serde::de::{
+    DeserializeOwned, DeserializeSeed, Deserializer, Error, MapAccess, SeqAccess, Visitor,
+};
 use serde_json::{Map, Value, json};
 use serde_path_to_error::Segment;
 
-use crate::configuration::Document;
-use crate::fault::{Fault, join};
+use crate::fault::{Fault, is_within, join};
 
 /// Faults of kind that are mended; a document with more is not worth going on with.
 const MENDED_MAX: usize = 100;
@@ -99,8 +101,8 @@
 }
 
 /// What the derived reader made of a value.
-enum Outcome {
-    Read(Document, Vec<String>),
+enum Outcome<T> {
+    Read(T, Vec<String>),
     Fault { segments: Vec<Step>, path: String, message: String },
 }
 
@@ -110,11 +112,14 @@
     Member(String),
 }
 
-/// The document, and the paths of what had to be mended; none if it was past mending.
-pub fn document(mut value: Value, faults: &mut Vec<Fault>) -> (Option<Document>, Vec<String>) {
+/// What was written, and the paths of what had to be mended; none if it was past mending.
+pub fn mended<T>(mut value: Value, faults: &mut Vec<Fault>) -> (Option<T>, Vec<String>)
+where
+    T: DeserializeOwned + Serialize,
+{
     let mut mended = Vec::new();
     for _ in 0..MENDED_MAX {
-        match attempt(&value) {
+        match attempt::<T>(&value) {
             Outcome::Read(document, unknown) => {
                 faults.extend(unknown.into_iter().map(|path| Fault::at(path, "unknown member")));
                 if let Ok(read) = serde_json::to_value(&document) {
@@ -125,10 +130,10 @@
             Outcome::Fault { segments, path, message } => {
                 let (segments, path, message) = missing(segments, path, message);
                 // What a placeholder lacks is ours, not the operator's.
-                if !mended.iter().any(|outer| super::is_within(&path, outer)) {
+                if !mended.iter().any(|outer| is_within(&path, outer)) {
                     faults.push(Fault::at(&path, message));
                 }
-                let repaired = mend(&value, &segments);
+                let repaired = mend::<T>(&value, &segments);
                 mended.push(path);
                 match repaired {
                     Some(repaired) => value = repaired,
@@ -156,7 +161,7 @@
     }
 }
 
-fn attempt(value: &Value) -> Outcome {
+fn attempt<T: DeserializeOwned>(value: &Value) -> Outcome<T> {
     let mut unknown = Vec::new();
     let mut track = serde_path_to_error::Track::new();
     let tracked = serde_path_to_error::Deserializer::new(value, &mut track);
@@ -197,12 +202,13 @@
 }
 
 /// Puts the first placeholder in place after which the reader comes past it.
-fn mend(value: &Value, segments: &[Step]) -> Option<Value> {
-    let placeholders = [json!(0), json!("live"), json!(false), json!([]), json!({}), json!("0")];
-    placeholders.into_iter().find_map(|placeholder| {
+fn mend<T: DeserializeOwned>(value: &Value, segments: &[Step]) -> Option<Value> {
+    let plain = [json!(0), json!("live"), json!(false), json!([]), json!({}), json!("0")];
+    let of_settings = [json!("127.0.0.1:0"), json!({"text": "mended by the check"})];
+    plain.into_iter().chain(of_settings).find_map(|placeholder| {
         let mut mended = value.clone();
         put(&mut mended, segments, placeholder)?;
-        passes(&mended, segments).then_some(mended)
+        passes::<T>(&mended, segments).then_some(mended)
     })
 }
 
@@ -219,8 +225,8 @@
 }
 
 /// Whether the next fault, if any, is another one: inside the placeholder counts as another.
-fn passes(value: &Value, segments: &[Step]) -> bool {
-    match attempt(value) {
+fn passes<T: DeserializeOwned>(value: &Value, segments: &[Step]) -> bool {
+    match attempt::<T>(value) {
         Outcome::Read(..) => true,
         Outcome::Fault { segments: next, message, .. } => {
             next.len() != segments.len()
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -5,7 +5,8 @@
 use policy::domain;
 use policy::name::Name;
 
-use crate::fault::{self, Fault};
+use crate::fault::{Fault, is_within};
+use crate::read;
 
 domain! {
     /// Settings of either process.
@@ -162,23 +163,33 @@
 /// # Errors
 /// Every fault found.
 pub fn parse(text: &str) -> Result<Settings, Vec<Fault>> {
-    let mut value: serde_json::Value =
-        serde_json::from_str(text).map_err(|e| vec![Fault::at("", e.to_string())])?;
-    let role = value.as_object_mut().and_then(|members| members.remove("role"));
     let mut faults = Vec::new();
-    let settings = match role.as_ref().and_then(|role| role.as_str()) {
-        Some("entry") => fault::read(value, "", &mut faults).map(Settings::Entry),
-        Some("control") => fault::read(value, "", &mut faults).map(Settings::Control),
+    let mut value =
+        read::value(text, &mut faults).map_err(|e| vec![Fault::at("", e.to_string())])?;
+    let role = value.as_object_mut().and_then(|members| members.remove("role"));
+    let (settings, mended) = match role.as_ref().and_then(|role| role.as_str()) {
+        Some("entry") => {
+            let (entry, mended) = read::mended(value, &mut faults);
+            (entry.map(Settings::Entry), mended)
+        }
+        Some("control") => {
+            let (control, mended) = read::mended(value, &mut faults);
+            (control.map(Settings::Control), mended)
+        }
         _ => {
             faults.push(Fault::at("role", "must be \"entry\" or \"control\""));
-            None
+            (None, Vec::new())
         }
     };
+    let mut broken = Vec::new();
     match &settings {
-        Some(Settings::Entry(entry)) => check_entry(entry, &mut faults),
-        Some(Settings::Control(control)) => check_control(control, &mut faults),
+        Some(Settings::Entry(entry)) => check_entry(entry, &mut broken),
+        Some(Settings::Control(control)) => check_control(control, &mut broken),
         None => {}
     }
+    // What stands where a fault was mended is ours, not the operator's.
+    broken.retain(|fault| !mended.iter().any(|path| is_within(&fault.path, path)));
+    faults.extend(broken);
     match settings {
         Some(settings) if faults.is_empty() => Ok(settings),
         _ => Err(faults),
--- /dev/null
+++ b/crates/wire/tests/settings.rs
@@ -0,0 +1,68 @@
+//! Settings: every fault at once, each with its path.
+
+use wire::settings::{self, Settings};
+
+fn paths(text: &str) -> Vec<String> {
+    let faults = settings::parse(text).expect_err("faults");
+    faults.into_iter().map(|fault| fault.path).collect()
+}
+
+const ENTRY: &str = r#"{"role": "entry", "name": "e1", "failure_domain": "north",
+    "listen": "127.0.0.1:0", "operators": "127.0.0.1:0", "peer_key": {"text": "0123456789abcdef"},
+    "controls": [{"name": "c1", "failure_domain": "north", "address": "127.0.0.1:1"}]}"#;
+
+#[test]
+fn parse_whole_settings() {
+    assert!(matches!(settings::parse(ENTRY), Ok(Settings::Entry(_))));
+}
+
+#[test]
+fn parse_tells_every_missing_member() {
+    let missing = ["name", "failure_domain", "listen", "operators", "controls", "peer_key"];
+    let told = paths(r#"{"role": "entry"}"#);
+    for member in missing {
+        assert!(told.iter().any(|path| path == member), "{member} is not in {told:?}");
+    }
+    assert!(paths(r#"{"role": "control"}"#).contains(&"platform".to_owned()));
+}
+
+#[test]
+fn parse_tells_faults_of_several_kinds() {
+    let text = ENTRY
+        .replace("\"e1\"", "\"no name\"")
+        .replace(
+            "\"listen\": \"127.0.0.1:0\"",
+            "\"listen\": 80, \"listne\": 1, \"drain_ms\": \"x\"",
+        )
+        .replace("0123456789abcdef", "short");
+    let mut told = paths(&text);
+    told.sort();
+    assert_eq!(told, ["drain_ms", "listen", "listne", "name", "peer_key"]);
+}
+
+#[test]
+fn parse_no_settings_at_all() {
+    assert_eq!(paths("{}"), ["role"]);
+    assert_eq!(paths("[]"), ["role"]);
+    assert_eq!(paths("no JSON"), [""]);
+}
+
+/// A fault never tells the secret that it is about.
+#[test]
+fn parse_hides_secrets() {
+    let faults = settings::parse(&ENTRY.replace("0123456789abcdef", "tooshort")).expect_err("one");
+    assert!(faults.iter().all(|fault| !fault.to_string().contains("tooshort")));
+}
+
+#[test]
+fn parse_any_text() {
+    fuzz::check(3_000, |edits: &Vec<(u16, u8)>| {
+        let mut bytes = ENTRY.as_bytes().to_vec();
+        for (at, byte) in edits.iter().take(6) {
+            let at = usize::from(*at) % bytes.len();
+            bytes[at] = *byte;
+        }
+        // Whatever it says, it says it without a panic.
+        let _ = settings::parse(&String::from_utf8_lossy(&bytes));
+    });
+}
