check does not quote a secret that stands in the wrong place

The derived reader's message quotes the value it can't read: a peer_key written as plain text was printed. Without the safeguard parse_hides_secrets fails with the text in the fault.

--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -155,6 +155,8 @@
     16
 }
 
+const SECRET_FORM: &str = "must be {\"file\": PATH}, {\"env\": NAME} or {\"text\": SECRET}";
+
 /// Shortest accepted shared key, in bytes.
 pub const KEY_BYTES_MIN: usize = 16;
 
@@ -181,6 +183,10 @@
             (None, Vec::new())
         }
     };
+    // The derived reader quotes what it can't read, and that may be the secret itself.
+    for fault in faults.iter_mut().filter(|fault| is_within(&fault.path, "peer_key")) {
+        fault.message = SECRET_FORM.to_owned();
+    }
     let mut broken = Vec::new();
     match &settings {
         Some(Settings::Entry(entry)) => check_entry(entry, &mut broken),
--- a/crates/wire/tests/settings.rs
+++ b/crates/wire/tests/settings.rs
@@ -50,8 +50,13 @@
 /// A fault never tells the secret that it is about.
 #[test]
 fn parse_hides_secrets() {
-    let faults = settings::parse(&ENTRY.replace("0123456789abcdef", "tooshort")).expect_err("one");
-    assert!(faults.iter().all(|fault| !fault.to_string().contains("tooshort")));
+    let bare = ENTRY.replace(r#"{"text": "0123456789abcdef"}"#, r#""tooshort""#);
+    let listed = ENTRY.replace(r#"{"text": "0123456789abcdef"}"#, r#"{"txt": "tooshort"}"#);
+    for text in [ENTRY.replace("0123456789abcdef", "tooshort"), bare, listed] {
+        let faults = settings::parse(&text).expect_err("a fault");
+        assert!(faults.iter().all(|fault| !fault.to_string().contains("tooshort")), "{faults:?}");
+        assert!(faults.iter().any(|fault| fault.path.starts_with("peer_key")), "{faults:?}");
+    }
 }
 
 #[test]
