--- a/crates/chestnutspur/benches/capacity.rs
+++ b/crates/chestnutspur/benches/capacity.rs
@@ -13,7 +13,7 @@
 use policy::name::Name;
 use serde_json::{Value, json};
 use standin::platform::{self, Platform};
-use standin::proxy::{self, Proxy};
+use standin::proxy::{self, Mode, Proxy};
 use standin::server::Running;
 use support::call::Call;
 use support::process::{self, Process};
@@ -214,6 +214,18 @@
     );
 }
 
+/// What a cut costs the others: nobody gets through to the controls of one failure domain.
+async fn measure_cut(size: usize) {
+    let fleet = Fleet::start(size).await;
+    fleet.apply(0).await;
+    fleet.in_force(1).await;
+    at_rest(&fleet, "rest, before the cut").await;
+    for (_, proxy) in fleet.controls.iter().step_by(FAILURE_DOMAINS) {
+        proxy.set_mode(Mode::Silent);
+    }
+    at_rest(&fleet, "one of 8 failure domains silent").await;
+}
+
 fn worker(index: usize) -> Host {
     let versions = (1..=4).map(|version| Name::from(format!("version-{version}"))).collect();
     Host {
@@ -239,5 +251,6 @@
     for size in sizes {
         runtime.block_on(measure(size));
     }
+    runtime.block_on(measure_cut(16));
     runtime.block_on(measure_hosts(8, 890));
 }
