policy: a request that may not repeat is carried by new connections only; one way to describe a task

Read through: probe::may_carry still held the rule that entry gave up, that a connection proven within a second is good enough. It was disproved by answers_come_although_open_connections_went_silent; whoever embeds policy would have met it again. The test is replaced by a stricter one: a connection that answered at this very moment is refused too. Ruled out: to drop may_carry, which states the rule for embedders.

replay: the same closure stood in both deployments.

--- a/crates/policy/src/probe.rs
+++ b/crates/policy/src/probe.rs
@@ -9,9 +9,6 @@
 
 /// A connection that has been unused for this long is closed, in milliseconds.
 pub const IDLE_MS: u64 = 30_000;
-/// A connection unused for this long carries no request that may not be repeated, in
-/// milliseconds: nothing proves that it still works.
-pub const FRESH_MS: u64 = 1_000;
 /// How long a server is first judged ill, in milliseconds; doubled each time.
 pub const ILL_MS: u64 = 1_000;
 /// How long it is judged ill at most, in milliseconds.
@@ -49,6 +46,8 @@
         pub since: Millis,
         /// When the server last answered on it, or when it was opened.
         pub proven: Millis,
+        /// Whether it has carried a request.
+        pub used: bool,
     }
 
     /// What to do with a connection.
@@ -89,12 +88,13 @@
     /// A new one.
     #[must_use]
     pub fn open(now: Millis) -> Self {
-        Self { phase: Phase::Idle, since: now, proven: now }
+        Self { phase: Phase::Idle, since: now, proven: now, used: false }
     }
 
     /// A request was written to it.
     pub fn sent(&mut self, now: Millis) {
         self.phase = Phase::FirstByte;
+        self.used = true;
         self.since = now;
     }
 
@@ -127,14 +127,15 @@
         }
     }
 
-    /// Whether it may carry a request: one that may not be repeated needs a connection that is
-    /// new or has just been proven, since it can't be tried again once it is written.
+    /// Whether it may carry a request: one that may not be repeated needs a new connection, since
+    /// it can't be tried again once it is written. That a connection answered a moment ago proves
+    /// nothing: it may have gone silent since.
     #[must_use]
     pub fn may_carry(&self, may_repeat: bool, limits: &Limits, now: Millis) -> bool {
         let unproven_ms = now.since(self.proven);
         match self.phase {
             Phase::Idle if may_repeat => unproven_ms < limits.idle_ms,
-            Phase::Idle => unproven_ms < FRESH_MS,
+            Phase::Idle => !self.used && unproven_ms < limits.idle_ms,
             Phase::FirstByte | Phase::NextBytes => false,
         }
     }
--- a/crates/policy/tests/probe.rs
+++ b/crates/policy/tests/probe.rs
@@ -32,13 +32,14 @@
 
 /// A letter is drafted twice. A connection went silent while idle; the request written to it can't
 /// be told from one that ran, so it must not be tried again, and the caller is left without. So
-/// such a request gets only a connection that has just been proven.
+/// such a request gets only a new connection, not even one that answered a moment ago.
 #[test]
-fn may_carry_unrepeatable_needs_fresh() {
+fn may_carry_unrepeatable_needs_a_new_one() {
     let mut connection = Connection::open(Millis(0));
-    connection.ended(Millis(0));
     assert!(connection.may_carry(false, &LIMITS, Millis(500)));
-    assert!(!connection.may_carry(false, &LIMITS, Millis(1_500)));
+    connection.sent(Millis(500));
+    connection.ended(Millis(600));
+    assert!(!connection.may_carry(false, &LIMITS, Millis(600)));
     assert!(connection.may_carry(true, &LIMITS, Millis(1_500)));
     connection.sent(Millis(1_500));
     assert!(!connection.may_carry(true, &LIMITS, Millis(1_500)));
--- a/crates/replay/src/generate/deployment.rs
+++ b/crates/replay/src/generate/deployment.rs
@@ -70,20 +70,24 @@
     pub versions: Vec<Kind>,
 }
 
+/// A task that may be repeated, without a session and without haste.
+fn work(name: &'static str, part: f64, size: f64, target: f64) -> Work {
+    Work {
+        name,
+        part,
+        size,
+        target,
+        may_repeat: true,
+        deadline_ms: 6_000,
+        priority: 1,
+        in_session: false,
+    }
+}
+
 impl Deployment {
     /// The benefit office: latency and exposure weigh most.
     #[must_use]
     pub fn benefit() -> Self {
-        let task = |name, part, size, target| Work {
-            name,
-            part,
-            size,
-            target,
-            may_repeat: true,
-            deadline_ms: 6_000,
-            priority: 1,
-            in_session: false,
-        };
         Self {
             entry_hosts: 6,
             pool: "dossier-models",
@@ -93,9 +97,9 @@
                 "hoorn", "venlo",
             ],
             tasks: [
-                Work { deadline_ms: 4_000, priority: 0, ..task("tag", 0.4, 0.6, 0.90) },
-                task("summarise", 0.3, 1.5, 0.92),
-                Work { may_repeat: false, in_session: true, ..task("draft", 0.3, 1.0, 0.92) },
+                Work { deadline_ms: 4_000, priority: 0, ..work("tag", 0.4, 0.6, 0.90) },
+                work("summarise", 0.3, 1.5, 0.92),
+                Work { may_repeat: false, in_session: true, ..work("draft", 0.3, 1.0, 0.92) },
             ],
             versions: versions(),
         }
@@ -104,16 +108,6 @@
     /// The feed cooperative: cost weighs most.
     #[must_use]
     pub fn feed() -> Self {
-        let task = |name, part, size, target| Work {
-            name,
-            part,
-            size,
-            target,
-            may_repeat: true,
-            deadline_ms: 6_000,
-            priority: 1,
-            in_session: false,
-        };
         Self {
             entry_hosts: 7,
             pool: "feed-planning",
@@ -131,9 +125,9 @@
                 "grange",
             ],
             tasks: [
-                Work { in_session: true, priority: 0, ..task("question", 0.4, 0.6, 0.90) },
-                task("plan", 0.3, 1.5, 0.92),
-                Work { may_repeat: false, ..task("order", 0.3, 1.0, 0.92) },
+                Work { in_session: true, priority: 0, ..work("question", 0.4, 0.6, 0.90) },
+                work("plan", 0.3, 1.5, 0.92),
+                Work { may_repeat: false, ..work("order", 0.3, 1.0, 0.92) },
             ],
             versions: versions(),
         }
