--- a/crates/chestnutspur/src/command.rs
+++ b/crates/chestnutspur/src/command.rs
@@ -7,6 +7,7 @@
 mod demo;
 mod entry;
 mod load;
+mod node;
 mod replay;
 mod report;
 mod standin;
@@ -45,6 +46,16 @@
         #[bpaf(long, argument("FILE"))]
         settings: PathBuf,
     },
+    /// Run one entry host whole: routed requests, by what the platform's store says
+    ///
+    /// Logs JSON lines on standard output until SIGTERM, upon which it finishes the requests under
+    /// way and exits 0. Reads its settings again when the file changes, or on SIGHUP.
+    #[bpaf(command)]
+    Node {
+        /// JSON file with the process's settings
+        #[bpaf(long, argument("FILE"), env("CHESTNUTSPUR_NODE_FILE"))]
+        settings: PathBuf,
+    },
     /// Check a settings file or a configuration document, whichever it is
     ///
     /// Prints every fault with its path in the file; exit code 2 if there is one.
@@ -104,6 +115,7 @@
     match command {
         Command::Entry { settings } => entry::run(&settings),
         Command::Control { settings } => control::run(&settings),
+        Command::Node { settings } => node::run(&settings),
         Command::Check { file } => check::run(&file),
         Command::Apply(arguments) => apply::run(arguments),
         Command::Status(arguments) => status::run(&arguments),
--- a/crates/chestnutspur/src/command/control.rs
+++ b/crates/chestnutspur/src/command/control.rs
@@ -15,10 +15,10 @@
     match super::load(file) {
         Some(Settings::Control(settings)) => {
             logging::start(&settings.log);
-            process::supervise("control", |metrics, stop| start(settings, metrics, stop))
+            process::supervise("control", None, |metrics, stop| start(settings, metrics, stop))
         }
-        Some(Settings::Entry(_)) => {
-            eprintln!("{}: role: these are settings of entry", file.display());
+        Some(_) => {
+            eprintln!("{}: role: these are not settings of control", file.display());
             Exit::Usage
         }
         None => Exit::Usage,
--- a/crates/chestnutspur/src/command/entry.rs
+++ b/crates/chestnutspur/src/command/entry.rs
@@ -15,10 +15,10 @@
     match super::load(file) {
         Some(Settings::Entry(settings)) => {
             logging::start(&settings.log);
-            process::supervise("entry", |metrics, stop| start(settings, metrics, stop))
+            process::supervise("entry", None, |metrics, stop| start(settings, metrics, stop))
         }
-        Some(Settings::Control(_)) => {
-            eprintln!("{}: role: these are settings of control", file.display());
+        Some(_) => {
+            eprintln!("{}: role: these are not settings of entry", file.display());
             Exit::Usage
         }
         None => Exit::Usage,
--- a/crates/chestnutspur/src/logging.rs
+++ b/crates/chestnutspur/src/logging.rs
@@ -1,4 +1,6 @@
-//! Logs: short sentences on standard error.
+//! Logs: short sentences on standard error, or JSON lines on standard output.
+
+mod json;
 
 use log::LevelFilter;
 use simplelog::{ConfigBuilder, WriteLogger};
@@ -18,3 +20,10 @@
     // Only a logger that is set already makes this fail, and then logs go on.
     let _ = WriteLogger::init(level, config, std::io::stderr());
 }
+
+/// Starts logging as JSON lines on standard output; a second call changes only the level.
+pub fn start_json(level: &str) {
+    let level: LevelFilter = level.parse().unwrap_or(LevelFilter::Info);
+    json::start();
+    log::set_max_level(level);
+}
--- /dev/null
+++ b/crates/chestnutspur/src/logging/json.rs
@@ -0,0 +1,108 @@
+//! JSON lines through a bounded queue and one writer.
+//!
+//! A request never waits for its log line. When the reader of standard output falls behind, the
+//! queue fills and further lines are dropped and counted; the count is told as soon as a line can
+//! be written again.
+
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use log::kv::{Error, Key, Value, VisitSource};
+use log::{Log, Metadata, Record};
+use serde_json::{Map, Value as Json};
+
+/// Lines that wait to be written; at some 300 bytes each, about a megabyte.
+const QUEUE: usize = 4_096;
+/// Lines written at once.
+const BATCH_BYTES: usize = 32 << 10;
+
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+struct Logger {
+    lines: SyncSender<String>,
+}
+
+/// Starts the logger and its writer; does nothing if a logger is set already.
+pub fn start() {
+    let (lines, queue) = sync_channel(QUEUE);
+    let writer = std::thread::Builder::new().name("log".to_owned());
+    if let Err(error) = writer.spawn(move || write(&queue)) {
+        eprintln!("chestnutspur: no thread to write logs: {error}");
+        return;
+    }
+    // Fails only if a logger is set already, and then logs go on.
+    let _ = log::set_boxed_logger(Box::new(Logger { lines }));
+}
+
+impl Log for Logger {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        // These log each of their own steps, which says nothing of a request.
+        !["tarpc", "hyper"].iter().any(|noisy| metadata.target().starts_with(noisy))
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        match self.lines.try_send(line(record)) {
+            Ok(()) | Err(TrySendError::Disconnected(_)) => {}
+            Err(TrySendError::Full(_)) => drop(DROPPED.fetch_add(1, Ordering::Relaxed)),
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+struct Members(Map<String, Json>);
+
+impl<'kvs> VisitSource<'kvs> for Members {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let json = match (value.to_u64(), value.to_f64(), value.to_bool()) {
+            (Some(number), _, _) => Json::from(number),
+            (_, Some(number), _) => Json::from(number),
+            (_, _, Some(flag)) => Json::from(flag),
+            _ => Json::from(value.to_string()),
+        };
+        self.0.insert(key.to_string(), json);
+        Ok(())
+    }
+}
+
+fn line(record: &Record<'_>) -> String {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let mut members = Members(Map::new());
+    members.0.insert("at".to_owned(), Json::from(now.as_secs_f64()));
+    members.0.insert("level".to_owned(), Json::from(record.level().as_str()));
+    members.0.insert("part".to_owned(), Json::from(record.target()));
+    members.0.insert("event".to_owned(), Json::from(record.args().to_string()));
+    if let Err(error) = record.key_values().visit(&mut members) {
+        members.0.insert("unreadable".to_owned(), Json::from(error.to_string()));
+    }
+    let mut text = Json::Object(members.0).to_string();
+    text.push('\n');
+    text
+}
+
+fn write(queue: &Receiver<String>) {
+    let mut batch = String::new();
+    while let Ok(first) = queue.recv() {
+        batch.clear();
+        batch.push_str(&first);
+        while batch.len() < BATCH_BYTES {
+            let Ok(next) = queue.try_recv() else { break };
+            batch.push_str(&next);
+        }
+        let dropped = DROPPED.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            let told = serde_json::json!({
+                "level": "WARN", "part": "log", "event": "lines dropped", "count": dropped,
+            });
+            batch.push_str(&format!("{told}\n"));
+        }
+        let mut out = std::io::stdout().lock();
+        // A closed standard output is no reason not to serve.
+        let _ = out.write_all(batch.as_bytes()).and_then(|()| out.flush());
+    }
+}
--- a/crates/chestnutspur/src/process.rs
+++ b/crates/chestnutspur/src/process.rs
@@ -14,9 +14,17 @@
 const BUCKETS: [f64; 14] =
     [0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
 
-/// Runs one future to its end on several threads.
+/// Runs one future to its end, on as many threads as there are cores.
 pub fn block_on(job: impl Future<Output = Exit>) -> Exit {
-    match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+    block_on_threads(None, job)
+}
+
+fn block_on_threads(threads: Option<usize>, job: impl Future<Output = Exit>) -> Exit {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    if let Some(threads) = threads {
+        builder.worker_threads(threads);
+    }
+    match builder.enable_all().build() {
         Ok(runtime) => runtime.block_on(job),
         Err(error) => {
             eprintln!("chestnutspur: no runtime: {error}");
@@ -26,11 +34,16 @@
 }
 
 /// Runs a process's work, which ends by itself once it is told to stop; `part` prefixes its logs.
-pub fn supervise<W>(part: &str, work: impl FnOnce(PrometheusHandle, CancellationToken) -> W) -> Exit
+/// No threads means as many as there are cores.
+pub fn supervise<W>(
+    part: &str,
+    threads: impl Into<Option<usize>>,
+    work: impl FnOnce(PrometheusHandle, CancellationToken) -> W,
+) -> Exit
 where
     W: Future<Output = Result<(), String>>,
 {
-    block_on(async {
+    block_on_threads(threads.into(), async {
         let prepared = metrics()
             .and_then(|metrics| Ok((metrics, stop_on_signal().map_err(|e| e.to_string())?)));
         let result = match prepared {
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -4,13 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::answer::Answer;
 use crate::chain;
 use crate::state::State;
 
@@ -22,10 +25,43 @@
 /// Connections that were made before the listener closes are still taken, for this long.
 const BACKLOG: Duration = Duration::from_millis(50);
 
+/// What answers callers' requests.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request. Dropped when its caller leaves.
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<Answer>> + Send;
+
+    /// Bounds for a connection that begins now.
+    fn bounds(&self) -> Bounds;
+}
+
+/// Bounds on one connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Bytes of all headers of a request.
+    pub header_bytes: usize,
+    /// Longest time from the end of one request to the end of the next one's headers.
+    pub idle: Duration,
+}
+
+impl Handler for State {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Answer> {
+        chain::handle(self, request).await
+    }
+
+    fn bounds(&self) -> Bounds {
+        let bounds = &self.settings.bounds;
+        let idle = Duration::from_millis(bounds.slow_ms);
+        Bounds { header_bytes: bounds.header_bytes, idle }
+    }
+}
+
 /// Accepts until `close`; each connection then ends after the requests under way on it.
-pub async fn serve(
+pub async fn serve<H: Handler>(
     listener: TcpListener,
-    state: Arc<State>,
+    state: Arc<H>,
     close: CancellationToken,
     connections: TaskTracker,
 ) {
@@ -40,9 +76,9 @@
     }
 }
 
-async fn take(
+async fn take<H: Handler>(
     accepted: std::io::Result<(TcpStream, std::net::SocketAddr)>,
-    state: &Arc<State>,
+    state: &Arc<H>,
     close: &CancellationToken,
     connections: &TaskTracker,
 ) {
@@ -57,20 +93,20 @@
     }
 }
 
-async fn connection(stream: TcpStream, state: Arc<State>, close: CancellationToken) {
+async fn connection<H: Handler>(stream: TcpStream, state: Arc<H>, close: CancellationToken) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("entry: a caller's connection: {error}");
         return;
     }
-    let bounds = state.settings.bounds.clone();
+    let bounds = state.bounds();
     let service = service_fn(move |request| {
         let state = Arc::clone(&state);
-        async move { Ok::<_, Infallible>(chain::handle(state, request).await) }
+        async move { Ok::<_, Infallible>(state.handle(request).await) }
     });
     let mut connection = std::pin::pin!(
         http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(Duration::from_millis(bounds.slow_ms))
+            .header_read_timeout(bounds.idle)
             .max_buf_size((bounds.header_bytes * BUFFER_FACTOR).max(64 << 10))
             .serve_connection(TokioIo::new(stream), service)
     );
--- a/crates/entry/src/filter/service.rs
+++ b/crates/entry/src/filter/service.rs
@@ -11,10 +11,8 @@
 
 use crate::snapshot::Snapshot;
 
-/// Headers that speak of one connection only, and those that we set or keep to ourselves: the
-/// caller's key must never reach a backend server.
-const DROPPED: [HeaderName; 9] = [
-    AUTHORIZATION,
+/// Headers that speak of one connection only.
+const DROPPED: [HeaderName; 8] = [
     CONNECTION,
     HOST,
     PROXY_AUTHENTICATE,
@@ -24,6 +22,7 @@
     TRANSFER_ENCODING,
     UPGRADE,
 ];
+/// Headers that we set ourselves, or keep to ourselves, begin so.
 const OURS: &str = "chestnutspur-";
 
 /// The service that a path names.
@@ -45,9 +44,23 @@
     }
 }
 
-/// Headers to pass on, in either direction.
+/// Headers to pass on, in either direction, without the caller's key and those that are ours.
 #[must_use]
 pub fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = end_to_end(headers);
+    kept.remove(AUTHORIZATION);
+    kept.remove(wire::backend::REQUEST_ID);
+    let ours: Vec<HeaderName> =
+        kept.keys().filter(|name| name.as_str().starts_with(OURS)).cloned().collect();
+    for name in ours {
+        kept.remove(name);
+    }
+    kept
+}
+
+/// Headers without those that speak of one connection only, or of one message's framing.
+#[must_use]
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let connection = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
     let named: Vec<String> = connection
         .flat_map(|value| value.split(','))
@@ -57,8 +70,6 @@
         !DROPPED.contains(name)
             && *name != CONTENT_LENGTH
             && *name != "keep-alive"
-            && *name != wire::backend::REQUEST_ID
-            && !name.as_str().starts_with(OURS)
             && !named.iter().any(|listed| listed == name.as_str())
     };
     let kept = headers.iter().filter(|(name, _)| keeps(name));
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,157 @@
+//! One try of a request at one backend server.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use entry::clock;
+use entry::connection::{Cause, Connection};
+use entry::server::Lease;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::http::response::Parts;
+
+use crate::backend::Backend;
+use crate::carry::Job;
+use crate::codec::{Codec, Head, Sending};
+
+/// Longest wait for a new connection. Within a region one opens in a few milliseconds; past this
+/// the server is dark or its queue of new connections full, and the kernel tries again only after
+/// a second.
+const CONNECT: Duration = Duration::from_millis(250);
+/// Part of the time left that one connection attempt may use.
+const CONNECT_PART: u32 = 4;
+/// An idle connection is used again within this time. Longer ones may have gone silent, and
+/// backend servers close theirs after some seconds.
+const REUSE: Duration = Duration::from_secs(3);
+
+/// What a backend server answered; its body is still to come.
+pub struct Reply {
+    /// Status and headers.
+    pub head: Parts,
+    /// What they say.
+    pub said: Head,
+    /// The rest.
+    pub body: Incoming,
+    /// Closed when dropped, which stops the backend server's work.
+    pub connection: Connection,
+    /// Counts the request at the backend server.
+    pub lease: Lease,
+    /// Who answered.
+    pub backend: Arc<Backend>,
+    /// When the request was sent.
+    pub sent_at: Instant,
+    /// From then to the head of the answer, in milliseconds.
+    pub first_ms: f64,
+}
+
+/// Why a try gave no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// Not one byte was written.
+    Unsent(Cause),
+    /// The backend server says that it did not run the request.
+    NotRun {
+        /// It is not the one that the request was for.
+        misdirected: bool,
+    },
+    /// The request may have run.
+    Lost(Cause),
+}
+
+/// Prompt tokens that a backend server has still to read; given back when dropped.
+struct Unread {
+    backend: Arc<Backend>,
+    tokens: f64,
+}
+
+impl Drop for Unread {
+    fn drop(&mut self) {
+        self.backend.begun(self.tokens);
+    }
+}
+
+/// Sends the request and waits for the head of its answer.
+///
+/// # Errors
+/// [`Failure`]; the connection is closed by then.
+pub async fn send<C: Codec>(
+    job: &Job<C>,
+    backend: &Arc<Backend>,
+    sending: &Sending<'_>,
+    limit: Duration,
+) -> Result<Reply, Failure> {
+    let mut connection = open(job, backend).await?;
+    let request = request(job, sending).ok_or(Failure::Unsent(Cause::Broken))?;
+    let model = job.model_hash();
+    let seen = backend.seen(model, &job.ask.parts, clock::steady());
+    let tokens = (f64::from(job.ask.prompt_tokens) - seen.cached).max(0.0);
+    backend.sent(model, &job.ask.parts, tokens, clock::steady());
+    let unread = Unread { backend: Arc::clone(backend), tokens };
+    let lease = Lease::new(Arc::clone(&backend.server));
+    let sent_at = Instant::now();
+    let response = connection.send(request, limit).await.map_err(|failure| match failure.sent {
+        true => Failure::Lost(failure.cause),
+        false => Failure::Unsent(failure.cause),
+    })?;
+    drop(unread);
+    let first_ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
+    let (head, body) = response.into_parts();
+    let said = job.state.codec.head(head.status, &head.headers);
+    backend.heard(clock::steady());
+    if let Some(load) = said.load {
+        backend.note_load(load, clock::steady());
+    }
+    check(job, &head, &said)?;
+    if job.timed(backend) {
+        let tokens = tokens + seen.unread;
+        job.state.timings.with(job.timing(), |timing| timing.note_first(first_ms, tokens));
+    }
+    let backend = Arc::clone(backend);
+    Ok(Reply { head, said, body, connection, lease, backend, sent_at, first_ms })
+}
+
+/// Only an idempotent request may use a connection that has carried others. An old connection can
+/// go silent or bring a late answer, and a request that may not be repeated could not leave it.
+async fn open<C: Codec>(job: &Job<C>, backend: &Backend) -> Result<Connection, Failure> {
+    let reuse = job.route().kind == wire::routing::Kind::Idempotent && !job.tries.new_only;
+    let idle = if reuse { backend.server.take_idle() } else { None };
+    if let Some(connection) = idle.filter(|connection| connection.usable(REUSE)) {
+        return Ok(connection);
+    }
+    let within = CONNECT.min(job.left() / CONNECT_PART);
+    Connection::open(backend.server.address, within)
+        .await
+        .map_err(|failure| Failure::Unsent(failure.cause))
+}
+
+fn request<C: Codec>(job: &Job<C>, sending: &Sending<'_>) -> Option<Request<Full<bytes::Bytes>>> {
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.method.clone();
+    *request.uri_mut() = job.path.clone();
+    *request.headers_mut() = job.state.codec.forward(&job.headers, sending);
+    request.headers_mut().insert(HOST, job.headers.get(HOST)?.clone());
+    Some(request)
+}
+
+/// Whether an answer belongs to its request, and is one that may be passed on.
+fn check<C: Codec>(job: &Job<C>, head: &Parts, said: &Head) -> Result<(), Failure> {
+    let status = head.status;
+    match () {
+        () if said.not_run || said.misdirected => {
+            Err(Failure::NotRun { misdirected: said.misdirected })
+        }
+        // Something on the way has mixed up answers; whatever else comes on this connection is
+        // suspect as well, so it is closed.
+        () if said.id.as_ref().is_some_and(|id| *id != job.ask.id) => {
+            Err(Failure::Lost(Cause::Crossed))
+        }
+        // Without the signature or the id nobody answers for it; with an encoding the body is
+        // not the one that was signed.
+        () if !said.is_signed || said.id.is_none() || said.is_encoded => {
+            Err(Failure::Lost(Cause::Failed(status.as_u16())))
+        }
+        () => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/backend.rs
@@ -0,0 +1,180 @@
+//! One start of a backend server, and what this host believes of it.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use entry::server::Server;
+use policy::name::Name;
+use policy::place;
+use policy::suspicion::Suspicion;
+use policy::time::Millis;
+use wire::backend;
+
+use crate::codec::{Load, Part};
+
+/// Connection attempts in a row that must time out before the server is held ill. A lost packet
+/// delays one attempt past its time; two in a row are rare on a link that works.
+const TIMEOUTS_TO_ILL: u32 = 2;
+/// How long a prompt's part is believed to stay in an engine's cache, in milliseconds.
+const CACHED_MS: u64 = 30_000;
+/// Parts remembered for one engine at most.
+const PARTS_MAX: usize = 4_096;
+
+/// A backend server.
+pub struct Backend {
+    /// Of this start.
+    pub id: Name,
+    /// Of its software or weights.
+    pub version: Name,
+    /// Requests that it works on at once, as listed.
+    pub slots: u32,
+    /// Whether it stands in this host's failure domain.
+    pub near: bool,
+    /// Hash of its id, which preferences are worked out from.
+    pub hash: u64,
+    /// Connections, requests under way, health.
+    pub server: Arc<Server>,
+    belief: Mutex<Belief>,
+}
+
+#[derive(Default)]
+struct Belief {
+    suspicion: Suspicion,
+    timeouts: u32,
+    /// Tokens of prompts sent there whose answers have not begun.
+    unread: f64,
+    reported: u32,
+    own_then: u32,
+    reported_at: Millis,
+    heard_at: Millis,
+    /// Parts of prompts by model and part, and when they were last used.
+    parts: HashMap<(u64, u64), Millis>,
+}
+
+/// What placement needs of it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Seen {
+    /// Requests there by its last report.
+    pub reported: u32,
+    /// This host's at that time.
+    pub own_then: u32,
+    /// When it came; 0 for never.
+    pub reported_at: Millis,
+    /// Prompt tokens of this host not yet read.
+    pub unread: f64,
+    /// Leading tokens of the prompt believed to be cached.
+    pub cached: f64,
+    /// Share of requests that it is expected to fail.
+    pub suspicion: f64,
+}
+
+impl Backend {
+    /// One that nothing is known of yet.
+    #[must_use]
+    pub fn new(row: &wire::routing::Backend, near: bool) -> Self {
+        let domain = row.failure_domain.clone();
+        Self {
+            id: row.id.clone(),
+            version: row.version.clone(),
+            slots: row.slots,
+            near,
+            hash: place::hash(row.id.as_bytes()),
+            server: Arc::new(Server::new(row.id.clone(), row.address, domain)),
+            belief: Mutex::default(),
+        }
+    }
+
+    /// What is believed of it, for a prompt.
+    #[must_use]
+    pub fn seen(&self, model: u64, parts: &[Part], now: Millis) -> Seen {
+        let belief = self.lock();
+        let is_cached = |part: &&Part| {
+            let used = belief.parts.get(&(model, part.id));
+            used.is_some_and(|used| now.since(*used) < CACHED_MS)
+        };
+        let cached = parts.iter().take_while(is_cached);
+        Seen {
+            reported: belief.reported,
+            own_then: belief.own_then,
+            reported_at: belief.reported_at,
+            unread: belief.unread,
+            cached: cached.map(|part| f64::from(part.tokens)).sum(),
+            suspicion: belief.suspicion.share(now),
+        }
+    }
+
+    /// A prompt was sent there; the tokens that it must read are given back by [`Self::begun`].
+    pub fn sent(&self, model: u64, parts: &[Part], unread: f64, now: Millis) {
+        let mut belief = self.lock();
+        belief.unread += unread;
+        if belief.parts.len() > PARTS_MAX {
+            belief.parts.retain(|_, used| now.since(*used) < CACHED_MS);
+        }
+        for part in parts {
+            belief.parts.insert((model, part.id), now);
+        }
+    }
+
+    /// The prompt was read, or will not be.
+    pub fn begun(&self, unread: f64) {
+        let mut belief = self.lock();
+        belief.unread = (belief.unread - unread).max(0.0);
+    }
+
+    /// Its load as told with an answer.
+    pub fn note_load(&self, load: Load, now: Millis) {
+        let own = self.server.in_flight.load(std::sync::atomic::Ordering::Relaxed);
+        let mut belief = self.lock();
+        belief.reported = load.requests;
+        belief.own_then = own;
+        belief.reported_at = now;
+        drop(belief);
+        let in_flight = load.requests;
+        self.server.note_load(backend::Load { in_flight, slots: load.slots, draining: false }, now);
+    }
+
+    /// It said anything at all.
+    pub fn heard(&self, now: Millis) {
+        self.lock().heard_at = now;
+    }
+
+    /// When it last said anything.
+    #[must_use]
+    pub fn heard_at(&self) -> Millis {
+        self.lock().heard_at
+    }
+
+    /// A request that it worked on ended well, or did not.
+    pub fn note(&self, failed: bool, now: Millis) {
+        let mut belief = self.lock();
+        belief.suspicion.note(failed, now);
+        if !failed {
+            belief.timeouts = 0;
+            drop(belief);
+            self.server.note_success(now);
+        }
+    }
+
+    /// It refuses connections.
+    pub fn note_refused(&self, now: Millis) {
+        self.lock().suspicion.note(true, now);
+        self.server.note_failure(now);
+    }
+
+    /// A connection to it timed out; true if it is now held ill.
+    pub fn note_timeout(&self, now: Millis) -> bool {
+        let mut belief = self.lock();
+        belief.suspicion.note(true, now);
+        belief.timeouts += 1;
+        let ill = belief.timeouts >= TIMEOUTS_TO_ILL;
+        drop(belief);
+        if ill {
+            self.server.note_failure(now);
+        }
+        ill
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Belief> {
+        self.belief.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/events.rs
@@ -0,0 +1,114 @@
+//! A stream of events, cut at the ends of events however it arrives.
+
+use bytes::{Bytes, BytesMut};
+
+/// Longest event taken; a longer one is no event but a runaway.
+const EVENT_BYTES_MAX: usize = 1 << 20;
+const BLANK_LINE: &[u8] = b"\n\n";
+const ID: &[u8] = b"id:";
+
+/// Why a stream can't go on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// An event does not end.
+    TooLong,
+}
+
+/// Passes on whole events only, each once and in order.
+///
+/// A backend server that breaks off may do so in the middle of an event. Half an event that was
+/// passed on could not be taken back when the stream goes on elsewhere, so it is kept here until
+/// its end has come. After a resumption the new run may begin with events that the caller has;
+/// those are dropped.
+#[derive(Clone, Debug, Default)]
+pub struct Splitter {
+    pending: BytesMut,
+    last: Option<u64>,
+}
+
+impl Splitter {
+    /// Behind an event that the caller has.
+    #[must_use]
+    pub fn behind(last: Option<u64>) -> Self {
+        Self { pending: BytesMut::new(), last }
+    }
+
+    /// The last event passed on.
+    #[must_use]
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Whether no part of an event is held back.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    /// Takes the next piece; gives what may be passed on, which may be nothing, and how many
+    /// events that is.
+    ///
+    /// # Errors
+    /// [`Fault`]; nothing more can be made of the stream.
+    pub fn feed(&mut self, piece: &Bytes) -> Result<(Bytes, u32), Fault> {
+        if self.pending.is_empty() && piece.ends_with(BLANK_LINE) {
+            return Ok(self.sift(piece));
+        }
+        self.pending.extend_from_slice(piece);
+        let Some(end) = last_end(&self.pending) else {
+            return match self.pending.len() > EVENT_BYTES_MAX {
+                true => Err(Fault::TooLong),
+                false => Ok((Bytes::new(), 0)),
+            };
+        };
+        let whole = self.pending.split_to(end).freeze();
+        Ok(self.sift(&whole))
+    }
+
+    /// Of whole events, those that the caller has not got.
+    fn sift(&mut self, whole: &Bytes) -> (Bytes, u32) {
+        let mut kept = 0;
+        let mut dropped = false;
+        let mut out = BytesMut::new();
+        let mut at = 0;
+        while let Some(length) = first_end(&whole[at..]) {
+            let event = &whole[at..at + length];
+            let id = event_id(event);
+            let is_new = id.is_none_or(|id| self.last.is_none_or(|last| id > last));
+            match (is_new, dropped) {
+                (true, false) => kept += 1,
+                (true, true) => {
+                    kept += 1;
+                    out.extend_from_slice(event);
+                }
+                (false, false) => {
+                    dropped = true;
+                    out.extend_from_slice(&whole[..at]);
+                }
+                (false, true) => {}
+            }
+            if is_new {
+                self.last = id.or(self.last);
+            }
+            at += length;
+        }
+        match dropped {
+            true => (out.freeze(), kept),
+            false => (whole.slice(..at), kept),
+        }
+    }
+}
+
+fn first_end(bytes: &[u8]) -> Option<usize> {
+    bytes.windows(BLANK_LINE.len()).position(|two| two == BLANK_LINE).map(|at| at + 2)
+}
+
+fn last_end(bytes: &[u8]) -> Option<usize> {
+    bytes.windows(BLANK_LINE.len()).rposition(|two| two == BLANK_LINE).map(|at| at + 2)
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    let id = lines.find_map(|line| line.strip_prefix(ID))?;
+    std::str::from_utf8(id.trim_ascii()).ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/gateway/src/evidence.rs
@@ -0,0 +1,38 @@
+//! How versions under roll-out answer, counted on this host.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, PoisonError};
+
+use policy::canary::Evidence;
+use policy::name::Name;
+
+/// Counts by service and route, for roll-outs under way.
+#[derive(Default)]
+pub struct Tally(Mutex<BTreeMap<Name, BTreeMap<Name, Evidence>>>);
+
+impl Tally {
+    /// Counts an answer; `is_new` if the version under trial gave it.
+    pub fn note(&self, service: &Name, route: &Name, is_new: bool, bad: bool) {
+        let mut tally = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let of_service = tally.entry(service.clone()).or_default();
+        let evidence = of_service
+            .entry(route.clone())
+            .or_insert_with(|| Evidence { route: route.clone(), ..Evidence::default() });
+        match is_new {
+            true => evidence.new.note(bad),
+            false => evidence.old.note(bad),
+        }
+    }
+
+    /// What was counted for a service.
+    #[must_use]
+    pub fn of(&self, service: &Name) -> Vec<Evidence> {
+        let tally = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        tally.get(service).map(|routes| routes.values().cloned().collect()).unwrap_or_default()
+    }
+
+    /// A roll-out begins or has ended: counts start anew.
+    pub fn clear(&self, service: &Name) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).remove(service);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/handle.rs
@@ -0,0 +1,167 @@
+//! The way in: route, account, body, then the request is carried.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use entry::answer::Answer;
+use entry::call;
+use entry::callers::{Bounds, Handler};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::{HeaderMap, Request, Response};
+use policy::name::Name;
+use policy::place::{hash, mix};
+use wire::refusal::Refusal;
+use wire::routing::{Route, Target};
+
+use crate::carry::{Accepted, Job, Tries};
+use crate::codec::{Ask, Codec};
+use crate::end::{self, End};
+use crate::index::{Index, Known};
+use crate::state::State;
+use crate::{refuse, relay};
+
+/// A connection is kept for this much longer than callers may leave it idle, so that a request
+/// that is sent in the last moment does not cross its close.
+const IDLE_SLACK: Duration = Duration::from_secs(1);
+/// Callers that send a body slower than this between two pieces are cut off, in milliseconds.
+const BODY_SLOW_MS: u64 = 3_000;
+
+/// A request counted as under way until dropped.
+struct Counted<C>(Arc<State<C>>);
+
+impl<C> Drop for Counted<C> {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// What is known of a request before its body is read.
+struct Entered {
+    known: Arc<Known>,
+    account: Option<Name>,
+    priority: u8,
+    body_bytes: usize,
+}
+
+impl<C: Codec> Handler for State<C> {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Answer> {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        let _counted = Counted(Arc::clone(&self));
+        let ask = self.codec.ask(request.headers());
+        let id = ask.id.clone();
+        let mut response = match serve(&self, ask, request).await {
+            Ok(response) => response,
+            Err(refusal) => {
+                let code = refusal.code.status();
+                log::info!(target: "route", request:% = id, status = code,
+                    why:% = refusal.message, ran:? = refusal.ran,
+                    retry_after_ms:? = refusal.retry_after_ms; "request refused");
+                metrics::counter!("gateway_refusals_total", "status" => code.to_string())
+                    .increment(1);
+                refuse::response(&self.codec, &id, refusal)
+            }
+        };
+        if self.stop.is_cancelled() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    fn bounds(&self) -> Bounds {
+        let limits = &self.world.load().index.limits;
+        Bounds {
+            header_bytes: limits.header_bytes,
+            idle: Duration::from_millis(limits.idle_ms) + IDLE_SLACK,
+        }
+    }
+}
+
+async fn serve<C: Codec>(
+    state: &Arc<State<C>>,
+    ask: Ask,
+    request: Request<Incoming>,
+) -> Result<Response<Answer>, Refusal> {
+    let started = Instant::now();
+    let (head, body) = request.into_parts();
+    let entered = enter(&state.world.load().index, &ask, &head.headers, head.uri.path())?;
+    let bounds = wire::settings::Bounds {
+        body_bytes: entered.body_bytes,
+        slow_ms: BODY_SLOW_MS,
+        ..wire::settings::Bounds::default()
+    };
+    let body = call::read_body(body, &bounds).await?;
+    let route = &entered.known.route;
+    let wait_ms = ask.patience_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+    let subject = ask.session.as_ref().unwrap_or(&ask.id);
+    let service = service(route, subject);
+    let mut job = Job {
+        state: Arc::clone(state),
+        service,
+        ask,
+        method: head.method,
+        path: head.uri,
+        headers: head.headers,
+        body,
+        account: entered.account,
+        priority: entered.priority,
+        started,
+        until: started + Duration::from_millis(wait_ms),
+        known: entered.known,
+        tries: Tries::default(),
+    };
+    match job.answer().await {
+        Ok(Accepted::Whole(head, bytes)) => {
+            end::log(&job, End::Answered, 0);
+            let mut response = Response::new(Answer::whole(bytes));
+            *response.status_mut() = head.status;
+            *response.headers_mut() = state.codec.answer(&head);
+            Ok(response)
+        }
+        Ok(Accepted::Stream(head, live)) => {
+            let mut response = Response::new(relay::start(job, live));
+            *response.status_mut() = head.status;
+            *response.headers_mut() = state.codec.answer(&head);
+            Ok(response)
+        }
+        Err(refusal) => {
+            end::log(&job, End::Refused(refusal.code.status()), 0);
+            Err(refusal)
+        }
+    }
+}
+
+fn enter(index: &Index, ask: &Ask, headers: &HeaderMap, path: &str) -> Result<Entered, Refusal> {
+    if index.version == 0 {
+        return Err(refuse::not_ready());
+    }
+    let host = headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let host = host.split(':').next().unwrap_or_default();
+    let known = index.route(host, path).ok_or_else(refuse::no_route)?;
+    let account = ask.key.as_ref().and_then(|key| index.account(key));
+    if account.is_none() && index.has_accounts() && !known.route.anonymous {
+        return Err(refuse::unknown_key());
+    }
+    let priority = account.and_then(|account| account.priority).unwrap_or(known.route.priority);
+    Ok(Entered {
+        known: Arc::clone(known),
+        account: account.map(|account| account.name.clone()),
+        priority,
+        body_bytes: index.limits.body_bytes,
+    })
+}
+
+/// One of a route's services, by weight; requests of one session go to the same.
+fn service(route: &Route, subject: &Name) -> Name {
+    let total: u64 = route.targets.iter().map(|target| u64::from(target.weight)).sum();
+    let mut place = mix(hash(subject.as_bytes())) % total.max(1);
+    let holds = |target: &&Target| {
+        let weight = u64::from(target.weight);
+        let here = place < weight;
+        place = place.saturating_sub(weight);
+        here
+    };
+    let target = route.targets.iter().find(holds).or(route.targets.first());
+    target.map(|target| target.service.clone()).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/gateway/src/index.rs
@@ -0,0 +1,90 @@
+//! The table of routes, indexed for the request path.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use policy::name::Name;
+use wire::routing::{Account, Limits, Route, Service, Table};
+
+/// A route, and what is worked out of it once.
+#[derive(Clone, Debug)]
+pub struct Known {
+    /// The route.
+    pub route: Route,
+    /// Names under which the times of its answers are kept, by model; one if it has no models.
+    pub timings: Vec<Name>,
+}
+
+/// One version of the table.
+#[derive(Debug, Default)]
+pub struct Index {
+    /// Its version.
+    pub version: u64,
+    /// Bounds on what callers send.
+    pub limits: Limits,
+    /// Services by name.
+    pub services: HashMap<Name, Service>,
+    /// By host, longest prefix first.
+    routes: HashMap<Name, Vec<Arc<Known>>>,
+    accounts: HashMap<Name, Arc<Account>>,
+}
+
+impl Index {
+    /// Indexes a table.
+    #[must_use]
+    pub fn new(table: Table) -> Self {
+        let mut routes: HashMap<Name, Vec<Arc<Known>>> = HashMap::new();
+        for route in table.routes {
+            let known = Known { timings: timings(&route), route };
+            routes.entry(known.route.host.clone()).or_default().push(Arc::new(known));
+        }
+        for of_host in routes.values_mut() {
+            of_host.sort_by_key(|known| std::cmp::Reverse(known.route.prefix.len()));
+        }
+        let mut accounts = HashMap::new();
+        for account in table.accounts.into_iter().map(Arc::new) {
+            let keys = account.keys.iter().cloned();
+            accounts.extend(keys.map(|key| (key, Arc::clone(&account))));
+        }
+        let services = table.services.into_iter();
+        let services = services.map(|service| (service.name.clone(), service)).collect();
+        Self { version: table.version, limits: table.limits, services, routes, accounts }
+    }
+
+    /// The route of a host and path: of those whose prefix begins the path, the longest.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Known>> {
+        let of_host = match self.routes.get(host) {
+            Some(of_host) => of_host,
+            None => self.routes.get(host.to_ascii_lowercase().as_str())?,
+        };
+        of_host.iter().find(|known| path.starts_with(known.route.prefix.as_str()))
+    }
+
+    /// The account that a key belongs to.
+    #[must_use]
+    pub fn account(&self, key: &str) -> Option<&Arc<Account>> {
+        self.accounts.get(key)
+    }
+
+    /// Whether requests need a key at all.
+    #[must_use]
+    pub fn has_accounts(&self) -> bool {
+        !self.accounts.is_empty()
+    }
+
+    /// Routes that a service serves, for the loss of one.
+    #[must_use]
+    pub fn route_count(&self) -> usize {
+        self.routes.values().map(Vec::len).sum()
+    }
+}
+
+fn timings(route: &Route) -> Vec<Name> {
+    match route.models.as_slice() {
+        [] => vec![route.name.clone()],
+        models => {
+            models.iter().map(|model| Name::from(format!("{}/{model}", route.name))).collect()
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pick.rs
@@ -0,0 +1,100 @@
+//! Which backend server of a pool takes a request: what is believed of each, put to the policy.
+
+use std::sync::Arc;
+
+use entry::clock;
+use policy::engine::{self, Ask, Engine};
+use policy::name::Name;
+use policy::place::mix;
+use policy::time::Millis;
+
+use crate::backend::Backend;
+use crate::carry::Job;
+use crate::codec::Codec;
+use crate::pool::Pool;
+
+/// Another failure domain costs an engine's request this part of its objective: the bytes between
+/// failure domains have a price, and a near answer is soon enough until its queue is that long.
+const FAR_ENGINE: f64 = 1.0 / 8.0;
+/// The same for a plain service, whose requests are small and short.
+const FAR_PLAIN: f64 = 1.0 / 4.0;
+
+/// A backend server of a version that was not tried yet; none if there is none.
+///
+/// Servers held ill are used only when no other is left: refusing outright would turn a moment's
+/// bad luck with all of them into an outage.
+pub fn choose<C: Codec>(job: &Job<C>, pool: &Pool, version: &Name) -> Option<Arc<Backend>> {
+    let now = clock::steady();
+    let untried = pool.of(version).filter(|backend| !job.tries.tried.contains(&backend.id));
+    let (well, ill): (Vec<_>, Vec<_>) = untried.partition(|backend| backend.server.takes_work(now));
+    match well.as_slice() {
+        [] => ill.into_iter().min_by_key(|b| b.server.health().probe.ill_until).cloned(),
+        well => best(job, well, now),
+    }
+}
+
+fn best<C: Codec>(job: &Job<C>, backends: &[&Arc<Backend>], now: Millis) -> Option<Arc<Backend>> {
+    let model = job.model_hash();
+    let preferred = preferred(job, backends);
+    let engines: Vec<Engine> = backends
+        .iter()
+        .enumerate()
+        .map(|(index, backend)| {
+            let seen = backend.seen(model, &job.ask.parts, now);
+            Engine {
+                own: backend.server.in_flight.load(std::sync::atomic::Ordering::Relaxed),
+                reported: seen.reported,
+                own_then: seen.own_then,
+                report_age_ms: engine::age(seen.reported_at, now),
+                slots: backend.slots,
+                unread: seen.unread,
+                cached: seen.cached,
+                preferred: preferred == Some(index),
+                near: backend.near,
+                suspicion: seen.suspicion,
+            }
+        })
+        .collect();
+    let index = engine::choose(&engines, &ask(job), rand::random())?;
+    backends.get(index).map(|backend| Arc::clone(backend))
+}
+
+fn ask<C: Codec>(job: &Job<C>) -> Ask {
+    let timing = job.state.timings.with(job.timing(), |timing| *timing);
+    let objective = job.route().objective_ms as f64;
+    let is_engine = !job.ask.parts.is_empty();
+    let shared = job.ask.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    Ask {
+        prompt: f64::from(job.ask.prompt_tokens),
+        shared: shared.iter().map(|part| f64::from(part.tokens)).sum(),
+        tokens_per_ms: timing.tokens_per_ms,
+        service_ms: timing.whole.mean_ms(objective),
+        far_ms: objective * if is_engine { FAR_ENGINE } else { FAR_PLAIN },
+        failure_ms: objective,
+    }
+}
+
+/// The near engine that all hosts of the failure domain prefer for the prompt's last shared part.
+fn preferred<C: Codec>(job: &Job<C>, backends: &[&Arc<Backend>]) -> Option<usize> {
+    let (_, shared) = job.ask.parts.split_last()?;
+    let subject = shared.last()?.id;
+    let near = backends.iter().enumerate().filter(|(_, backend)| backend.near);
+    near.max_by_key(|(_, backend)| mix(backend.hash ^ subject)).map(|(index, _)| index)
+}
+
+/// Requests at a version's backend servers, as a part of their places.
+#[must_use]
+pub fn load(pool: &Pool, version: &Name, now: Millis) -> f64 {
+    let (load, slots) = pool.of(version).fold((0.0, 0.0), |(load, slots), backend| {
+        let seen = backend.seen(0, &[], now);
+        let engine = Engine {
+            own: backend.server.in_flight.load(std::sync::atomic::Ordering::Relaxed),
+            reported: seen.reported,
+            own_then: seen.own_then,
+            report_age_ms: engine::age(seen.reported_at, now),
+            ..Engine::default()
+        };
+        (load + engine.load(), slots + f64::from(backend.slots))
+    });
+    load / f64::max(slots, 1.0)
+}
--- /dev/null
+++ b/crates/gateway/src/pool.rs
@@ -0,0 +1,93 @@
+//! The backend servers of one service, by version, and the roll-out under way among them.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use policy::canary::{self, Stage};
+use policy::name::Name;
+use policy::time::Millis;
+
+use crate::backend::Backend;
+
+/// A roll-out as this host knows it.
+#[derive(Debug)]
+pub struct Rollout {
+    /// The version wanted.
+    pub target: Name,
+    /// How far it has come.
+    pub stage: Stage,
+    /// When it began, by this host's clock.
+    pub began: Millis,
+    /// How long it may take, in milliseconds.
+    pub within_ms: u64,
+    /// This host's own answers speak against the new version: it stops at once, before the other
+    /// hosts know.
+    pub halted: Arc<AtomicBool>,
+}
+
+impl Rollout {
+    /// The time since it began, as a part of the time allowed.
+    #[must_use]
+    pub fn elapsed(&self, now: Millis) -> f64 {
+        now.since(self.began) as f64 / self.within_ms.max(1) as f64
+    }
+
+    /// The share of requests that the new version gets.
+    #[must_use]
+    pub fn share(&self, now: Millis) -> f64 {
+        match self.halted.load(Ordering::Relaxed) {
+            true => 0.0,
+            false => canary::share(self.stage, self.elapsed(now)),
+        }
+    }
+
+    /// Whether answers are counted for a verdict.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        matches!(self.stage, Stage::Trial | Stage::Moving)
+    }
+}
+
+/// One service's backend servers that take new work.
+#[derive(Default)]
+pub struct Pool {
+    /// The version that requests go to but for a roll-out.
+    pub base: Name,
+    /// All that take new work, of every version.
+    pub backends: Vec<Arc<Backend>>,
+    /// The roll-out under way or last decided.
+    pub rollout: Option<Rollout>,
+}
+
+impl Pool {
+    /// The version for a request; `subject` is its session, or the request itself.
+    #[must_use]
+    pub fn version(&self, subject: &str, now: Millis) -> &Name {
+        match &self.rollout {
+            Some(rollout) if canary::is_moved(subject, &rollout.target, rollout.share(now)) => {
+                &rollout.target
+            }
+            _ => &self.base,
+        }
+    }
+
+    /// Backend servers of a version.
+    pub fn of<'a>(&'a self, version: &'a Name) -> impl Iterator<Item = &'a Arc<Backend>> {
+        self.backends.iter().filter(move |backend| backend.version == *version)
+    }
+
+    /// The version that a request may go to instead when this one has no server left for it.
+    ///
+    /// From a trial it falls back on the version before. Never the other way round while the
+    /// version before has servers: trouble there would flood a version that is not yet trusted.
+    #[must_use]
+    pub fn fallback(&self, version: &Name, now: Millis) -> Option<&Name> {
+        let rollout = self.rollout.as_ref()?;
+        let is_base_gone = || self.of(&self.base).next().is_none();
+        match () {
+            () if *version == rollout.target => Some(&self.base),
+            () if rollout.share(now) > 0.0 && is_base_gone() => Some(&rollout.target),
+            () => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/refuse.rs
@@ -0,0 +1,57 @@
+//! Refusals of routed requests.
+
+use entry::answer::Answer;
+use hyper::Response;
+use policy::name::Name;
+use wire::refusal::{Code, Refusal};
+
+use crate::codec::Codec;
+
+/// While no backend server can be reached; a restart of one takes about as long.
+const NO_BACKEND_RETRY_MS: u64 = 500;
+/// Before there is a table of routes.
+const NOT_READY_RETRY_MS: u64 = 500;
+/// Least time after which a caller of a full service comes back.
+const BUSY_RETRY_MS: f64 = 100.0;
+
+/// There is no table of routes yet.
+#[must_use]
+pub fn not_ready() -> Refusal {
+    Refusal::not_run(Code::NotReady, "no configuration yet").retry_after(NOT_READY_RETRY_MS)
+}
+
+/// No route has the host and path.
+#[must_use]
+pub fn no_route() -> Refusal {
+    Refusal::not_run(Code::NotFound, "no route for this host and path")
+}
+
+/// The key belongs to no account.
+#[must_use]
+pub fn unknown_key() -> Refusal {
+    Refusal::not_run(Code::UnknownAccount, "the key belongs to no client account")
+}
+
+/// Every backend server tried was full. `service_ms` is how long one request takes, `draw` a
+/// uniform draw that keeps callers refused together from coming back together.
+#[must_use]
+pub fn busy(service_ms: f64, draw: f64) -> Refusal {
+    let ms = service_ms.max(BUSY_RETRY_MS) * (1.0 + draw);
+    Refusal::not_run(Code::Overloaded, "every backend server is full").retry_after(ms as u64)
+}
+
+/// No backend server could be reached.
+#[must_use]
+pub fn no_backend() -> Refusal {
+    Refusal::not_run(Code::NoBackend, "no backend server can be reached")
+        .retry_after(NO_BACKEND_RETRY_MS)
+}
+
+/// The response that tells a caller.
+#[must_use]
+pub fn response<C: Codec>(codec: &C, id: &Name, mut refusal: Refusal) -> Response<Answer> {
+    refusal.request = Some(id.clone());
+    let mut response = entry::refuse::response(refusal.clone());
+    codec.refuse(response.headers_mut(), id, &refusal);
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,215 @@
+//! Passes a stream on to its caller as it comes, and goes on with it elsewhere if it breaks.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use entry::answer::{Answer, Broken};
+use entry::clock;
+use entry::connection::{Cause, Connection};
+use entry::server::Lease;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::mpsc;
+
+use crate::attempt::{Failure, Reply};
+use crate::backend::Backend;
+use crate::carry::Job;
+use crate::codec::Codec;
+use crate::end::{self, End};
+use crate::events::Splitter;
+
+/// Pieces on their way to a caller that reads slowly; then the backend server waits as well.
+const AHEAD: usize = 16;
+/// A pause of this part of the longest useful one makes a stream suspect.
+const PAUSE_PART: f64 = 0.6;
+/// A backend server that said something else within this time is alive, only busy.
+const ALIVE_MS: u64 = 250;
+/// A pause of this many times the longest useful one breaks a stream even of a live server.
+const PAUSE_MAX: f64 = 1.5;
+
+type Pieces = mpsc::Sender<Result<Bytes, Broken>>;
+
+/// A stream that is coming.
+pub struct Live {
+    body: Incoming,
+    splitter: Splitter,
+    /// Events that have come and are not yet passed on.
+    begun: Bytes,
+    ended: bool,
+    backend: Arc<Backend>,
+    sent_at: Instant,
+    events: u32,
+    // Dropped with the stream: closes the connection, which stops the backend server's work.
+    _connection: Connection,
+    _lease: Lease,
+}
+
+enum Piece {
+    Events(Bytes),
+    End,
+}
+
+impl Live {
+    /// Reads up to the first whole event. Until then the caller has got nothing, and the request
+    /// can still be answered otherwise.
+    ///
+    /// # Errors
+    /// The stream broke before; the connection is closed by then.
+    pub async fn begin<C: Codec>(
+        job: &Job<C>,
+        reply: Reply,
+        last: Option<u64>,
+    ) -> Result<Self, Failure> {
+        let Reply { body, connection, lease, backend, sent_at, .. } = reply;
+        let mut live = Self {
+            body,
+            splitter: Splitter::behind(last),
+            begun: Bytes::new(),
+            ended: false,
+            backend,
+            sent_at,
+            events: 0,
+            _connection: connection,
+            _lease: lease,
+        };
+        match live.next(job).await.map_err(Failure::Lost)? {
+            Piece::Events(events) => live.begun = events,
+            // A run that goes on behind the last event has nothing more to say.
+            Piece::End if last.is_some() => live.ended = true,
+            Piece::End => return Err(Failure::Lost(Cause::Truncated)),
+        }
+        Ok(live)
+    }
+
+    /// Whole events, or the end.
+    async fn next<C: Codec>(&mut self, job: &Job<C>) -> Result<Piece, Cause> {
+        loop {
+            let data = match self.frame(job).await? {
+                None if self.splitter.is_empty() => return Ok(Piece::End),
+                None => return Err(Cause::Truncated),
+                Some(data) => data,
+            };
+            self.backend.heard(clock::steady());
+            let (events, count) = self.splitter.feed(&data).map_err(|_| Cause::Broken)?;
+            self.events += count;
+            if !events.is_empty() {
+                return Ok(Piece::Events(events));
+            }
+        }
+    }
+
+    /// The next bytes, none at a clean end.
+    ///
+    /// A silent stream is left sooner if its backend server says nothing else either: that one is
+    /// dark, while a live one may only be busy with long prompts.
+    async fn frame<C: Codec>(&mut self, job: &Job<C>) -> Result<Option<Bytes>, Cause> {
+        let route = job.route();
+        let useful = Duration::from_millis(route.gap_ms.unwrap_or(route.objective_ms));
+        let since = tokio::time::Instant::now();
+        let until = tokio::time::Instant::from(job.until);
+        let elsewhere = route.kind.may_repeat() && job.tries.sent < route.attempts_max;
+        let mut limit = if elsewhere { since + useful.mul_f64(PAUSE_PART) } else { until };
+        loop {
+            match tokio::time::timeout_at(limit.min(until), self.body.frame()).await {
+                Ok(None) => return Ok(None),
+                Ok(Some(Err(_))) => return Err(Cause::Truncated),
+                Ok(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(data) => return Ok(Some(data)),
+                    // Trailers are not passed on.
+                    Err(_) => continue,
+                },
+                Err(_) if limit >= until => return Err(Cause::Deadline),
+                Err(_) if self.is_alive() && limit < since + useful.mul_f64(PAUSE_MAX) => {
+                    limit = since + useful.mul_f64(PAUSE_MAX);
+                }
+                Err(_) => return Err(Cause::Silent),
+            }
+        }
+    }
+
+    fn is_alive(&self) -> bool {
+        clock::steady().since(self.backend.heard_at()) < ALIVE_MS
+    }
+}
+
+/// Starts a relay; the answer is what the caller reads from it.
+#[must_use]
+pub fn start<C: Codec>(job: Job<C>, live: Box<Live>) -> Answer {
+    let (pieces, answer) = mpsc::channel(AHEAD);
+    let relays = job.state.relays.clone();
+    relays.spawn(run(job, live, pieces));
+    Answer::Pieces(answer)
+}
+
+async fn run<C: Codec>(mut job: Job<C>, live: Box<Live>, pieces: Pieces) {
+    let mut live = live;
+    loop {
+        let end = tokio::select! {
+            // Also while nothing comes: the caller's leaving must stop the work at once.
+            () = pieces.closed() => Err(End::CallerGone),
+            end = pass_on(&mut live, &job, &pieces) => end,
+        };
+        let cause = match end {
+            Ok(()) => return finish(&job, &live, End::Answered),
+            Err(End::Broken(cause)) => cause,
+            Err(end) => return finish(&job, &live, end),
+        };
+        let backend = Arc::clone(&live.backend);
+        job.failed(&backend, Failure::Lost(cause));
+        let last = live.splitter.last();
+        let events = live.events;
+        // Closes the old run's connection before another run begins.
+        drop(live);
+        let resumed = match last {
+            Some(last) => tokio::select! {
+                () = pieces.closed() => return end::log(&job, End::CallerGone, events),
+                resumed = job.resume(last) => resumed,
+            },
+            None => None,
+        };
+        match resumed {
+            Some(next) => live = Box::new(next),
+            None => {
+                end::log(&job, End::Broken(cause), events);
+                // The caller is told by a connection that closes before the stream's end.
+                let _ = pieces.send(Err(Broken)).await;
+                return;
+            }
+        }
+    }
+}
+
+fn finish<C: Codec>(job: &Job<C>, live: &Live, end: End) {
+    if end == End::Answered {
+        live.backend.note(false, clock::steady());
+        let ms = live.sent_at.elapsed().as_secs_f64() * 1_000.0;
+        if job.timed(&live.backend) {
+            job.state.timings.with(job.timing(), |timing| timing.whole.note(ms));
+        }
+    }
+    end::log(job, end, live.events);
+}
+
+async fn pass_on<C: Codec>(live: &mut Live, job: &Job<C>, pieces: &Pieces) -> Result<(), End> {
+    let begun = std::mem::take(&mut live.begun);
+    if !begun.is_empty() {
+        send(pieces, begun, job).await?;
+    }
+    while !live.ended {
+        match live.next(job).await {
+            Ok(Piece::Events(events)) => send(pieces, events, job).await?,
+            Ok(Piece::End) => live.ended = true,
+            Err(cause) => return Err(End::Broken(cause)),
+        }
+    }
+    Ok(())
+}
+
+async fn send<C: Codec>(pieces: &Pieces, data: Bytes, job: &Job<C>) -> Result<(), End> {
+    match tokio::time::timeout_at(job.until.into(), pieces.send(Ok(data))).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(_)) => Err(End::CallerGone),
+        Err(_) => Err(End::Broken(Cause::Deadline)),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,53 @@
+//! What all requests share.
+
+use std::sync::atomic::AtomicUsize;
+
+use arc_swap::ArcSwap;
+use entry::sharded::Sharded;
+use policy::repeat::{Allowance, Window};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::evidence::Tally;
+use crate::timing::Timing;
+use crate::world::World;
+
+/// Shared by every request.
+pub struct State<C> {
+    /// How the wire spells what requests say.
+    pub codec: C,
+    /// What requests are decided by.
+    pub world: ArcSwap<World>,
+    /// How often requests may be sent again.
+    pub allowance: ArcSwap<Allowance>,
+    /// What was sent again lately, by service.
+    pub windows: Sharded<Window>,
+    /// Times of answers, by route and model.
+    pub timings: Sharded<Timing>,
+    /// How versions under roll-out answer.
+    pub tally: Tally,
+    /// Streams on their way to callers.
+    pub relays: TaskTracker,
+    /// Requests under way.
+    pub in_flight: AtomicUsize,
+    /// Cancelled when the process is to take no new connections.
+    pub stop: CancellationToken,
+}
+
+impl<C> State<C> {
+    /// At the start of the process.
+    #[must_use]
+    pub fn new(codec: C, allowance: Allowance, stop: CancellationToken) -> Self {
+        Self {
+            codec,
+            world: ArcSwap::default(),
+            allowance: ArcSwap::from_pointee(allowance),
+            windows: Sharded::default(),
+            timings: Sharded::default(),
+            tally: Tally::default(),
+            relays: TaskTracker::new(),
+            in_flight: AtomicUsize::new(0),
+            stop,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/timing.rs
@@ -0,0 +1,48 @@
+//! Times of answers, by route and model, as requests and roll-outs are judged by.
+
+use policy::patience::Patience;
+
+/// First guess of how fast an engine reads a prompt, in tokens a millisecond.
+const TOKENS_PER_MS: f64 = 50.0;
+/// Weight of a new sample of that.
+const GAIN: f64 = 0.1;
+/// Shorter prompts say too little of it.
+const TOKENS_MIN: f64 = 1_000.0;
+/// Bounds on the estimate.
+const RATE_MIN: f64 = 1.0;
+const RATE_MAX: f64 = 1_000.0;
+
+/// Times of one route's answers by one model.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// From sending a request to the beginning of its answer.
+    pub first: Patience,
+    /// From sending a request to the end of its answer.
+    pub whole: Patience,
+    /// Between two events of a stream.
+    pub gap: Patience,
+    /// Prompt tokens that an engine reads in a millisecond.
+    pub tokens_per_ms: f64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            first: Patience::default(),
+            whole: Patience::default(),
+            gap: Patience::default(),
+            tokens_per_ms: TOKENS_PER_MS,
+        }
+    }
+}
+
+impl Timing {
+    /// An answer began: so many tokens stood before it when the request was sent.
+    pub fn note_first(&mut self, ms: f64, tokens: f64) {
+        self.first.note(ms);
+        if tokens >= TOKENS_MIN {
+            let rate = (tokens / ms.max(1.0)).clamp(RATE_MIN, RATE_MAX);
+            self.tokens_per_ms += GAIN * (rate - self.tokens_per_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/facts.rs
@@ -0,0 +1,214 @@
+//! All that is known from the store, and the world made of it.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use entry::clock;
+use gateway::backend::Backend;
+use gateway::index::Index;
+use gateway::pool::{Pool, Rollout};
+use gateway::world::World;
+use policy::canary::Stage;
+use policy::name::Name;
+use policy::roster::Roster;
+use policy::time::Millis;
+use wire::routing::{Order, Table};
+
+use crate::record::Record;
+
+/// A roll-out as this host knows it.
+#[derive(Clone, Debug)]
+pub struct Known {
+    /// The order.
+    pub order: Order,
+    /// Its revision.
+    pub revision: u64,
+    /// How it stands, once that was read or written.
+    pub record: Option<Record>,
+    /// When it began, by this host's clock.
+    pub began: Millis,
+    /// This host's own answers speak against the new version.
+    pub halted: Arc<AtomicBool>,
+}
+
+/// What was read.
+#[derive(Default)]
+struct Inner {
+    index: Arc<Index>,
+    roster: Roster<wire::routing::Backend>,
+    has_roster: bool,
+    backends: HashMap<Name, Arc<Backend>>,
+    rollouts: BTreeMap<Name, Known>,
+    bases: HashMap<Name, Name>,
+}
+
+/// Everything known, under one lock; requests see only the worlds made of it.
+pub struct Facts {
+    failure_domain: Name,
+    inner: Mutex<Inner>,
+}
+
+impl Facts {
+    /// Nothing known yet.
+    #[must_use]
+    pub fn new(failure_domain: Name) -> Self {
+        Self { failure_domain, inner: Mutex::default() }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether everything that requests need has been read once.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        let inner = self.lock();
+        let known = inner.rollouts.values().all(|known| known.record.is_some());
+        inner.index.version > 0 && inner.has_roster && known
+    }
+
+    /// Takes a table of routes; false if it is not newer. An old one read from a stale list would
+    /// bring back dropped routes and keys.
+    pub fn take_table(&self, table: Table) -> bool {
+        let mut inner = self.lock();
+        if table.version <= inner.index.version {
+            return false;
+        }
+        inner.index = Arc::new(Index::new(table));
+        true
+    }
+
+    /// Changes the list of backend servers.
+    pub fn with_roster<T>(
+        &self,
+        change: impl FnOnce(&mut Roster<wire::routing::Backend>) -> T,
+    ) -> T {
+        change(&mut self.lock().roster)
+    }
+
+    /// The list of backend servers was read whole.
+    pub fn set_roster_read(&self) {
+        self.lock().has_roster = true;
+    }
+
+    /// Takes an order; false if it is known.
+    pub fn take_order(&self, order: Order, revision: u64) -> bool {
+        let mut inner = self.lock();
+        let held = inner.rollouts.get(&order.service);
+        if held.is_some_and(|known| known.revision >= revision) {
+            return false;
+        }
+        let known = Known {
+            revision,
+            record: None,
+            began: clock::steady(),
+            halted: Arc::default(),
+            order: order.clone(),
+        };
+        inner.rollouts.insert(order.service, known);
+        true
+    }
+
+    /// A roll-out.
+    #[must_use]
+    pub fn rollout(&self, service: &Name) -> Option<Known> {
+        self.lock().rollouts.get(service).cloned()
+    }
+
+    /// Notes how a roll-out stands; `began` by this host's clock.
+    pub fn set_record(&self, service: &Name, record: Record, began: Millis) {
+        if let Some(known) = self.lock().rollouts.get_mut(service) {
+            known.record = Some(record);
+            known.began = began;
+        }
+    }
+
+    /// The version that requests for a service go to, but for a roll-out.
+    #[must_use]
+    pub fn base(&self, service: &Name) -> Name {
+        self.lock().bases.get(service).cloned().unwrap_or_default()
+    }
+
+    /// The world as it is now.
+    pub fn world(&self, now: Millis) -> World {
+        let mut inner = self.lock();
+        let entries = inner.roster.entries(now);
+        let mut backends = HashMap::new();
+        let mut pools: HashMap<Name, Pool> = HashMap::new();
+        for row in &entries {
+            let near = row.failure_domain == self.failure_domain;
+            let known = inner.backends.remove(&row.id);
+            let known = known.filter(|known| known.server.address == row.address);
+            let backend = known.unwrap_or_else(|| Arc::new(Backend::new(row, near)));
+            backends.insert(row.id.clone(), Arc::clone(&backend));
+            if !row.draining {
+                pools.entry(row.service.clone()).or_default().backends.push(backend);
+            }
+        }
+        inner.backends = backends;
+        for service in inner.index.services.keys() {
+            pools.entry(service.clone()).or_default();
+        }
+        for (service, pool) in &mut pools {
+            pool.base = inner.choose_base(service, pool);
+            pool.rollout = inner.rollouts.get(service).map(rollout);
+        }
+        World {
+            index: Arc::clone(&inner.index),
+            revision: inner.roster.revision,
+            pools: pools.into_iter().map(|(service, pool)| (service, Arc::new(pool))).collect(),
+        }
+    }
+
+    /// When the world changes by itself, if it does.
+    #[must_use]
+    pub fn next_lapse(&self) -> Option<Millis> {
+        self.lock().roster.next_lapse()
+    }
+}
+
+impl Inner {
+    /// A version that nobody ordered gets no requests: servers of a new version may be listed
+    /// before the order to try it has come.
+    fn choose_base(&mut self, service: &Name, pool: &Pool) -> Name {
+        let known = self.rollouts.get(service);
+        let record = known.and_then(|known| known.record.as_ref());
+        let exists = |version: &Name| pool.of(version).next().is_some();
+        let held = self.bases.get(service).filter(|held| exists(held)).cloned();
+        let chosen = match record {
+            Some(record) if record.stage == Stage::Done => Some(record.target.clone()),
+            Some(record) if !record.base.is_empty() => Some(record.base.clone()),
+            _ => held,
+        };
+        let target = known.map(|known| &known.order.target);
+        let chosen = chosen.filter(|chosen| exists(chosen));
+        let base = chosen.or_else(|| commonest(pool, target)).unwrap_or_default();
+        if !base.is_empty() {
+            self.bases.insert(service.clone(), base.clone());
+        }
+        base
+    }
+}
+
+/// The version that most servers have, but for one on trial.
+fn commonest(pool: &Pool, target: Option<&Name>) -> Option<Name> {
+    let mut counts: BTreeMap<&Name, usize> = BTreeMap::new();
+    for backend in &pool.backends {
+        *counts.entry(&backend.version).or_default() += 1;
+    }
+    let usual = counts.iter().filter(|(version, _)| Some(**version) != target);
+    usual
+        .max_by_key(|(version, count)| (**count, std::cmp::Reverse(**version)))
+        .map(|(version, _)| (*version).clone())
+}
+
+fn rollout(known: &Known) -> Rollout {
+    Rollout {
+        target: known.order.target.clone(),
+        stage: known.record.as_ref().map(|record| record.stage).unwrap_or_default(),
+        began: known.began,
+        within_ms: known.order.within_ms,
+        halted: Arc::clone(&known.halted),
+    }
+}
--- /dev/null
+++ b/crates/node/src/process.rs
@@ -0,0 +1,157 @@
+//! The process: what it listens on, what it runs, how it stops.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use entry::callers;
+use gateway::{Codec, State};
+use metrics_exporter_prometheus::PrometheusHandle;
+use policy::repeat::Allowance;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::{AbortOnDropHandle, TaskTracker};
+use wire::settings;
+
+use crate::error::Error;
+use crate::facts::Facts;
+use crate::operators::{self, Subject};
+use crate::rollout::Rollouts;
+use crate::store::{List, Store};
+use crate::watch::Watch;
+
+/// Hosts that share the repeats beyond the share, at most. A host does not count the others: a
+/// wrong count would break the bound, and so few are lost by assuming many.
+const HOSTS_MAX: f64 = 16.0;
+/// After the signal to stop new connections are still taken for a while: the balancer goes on
+/// sending them until it has seen twice, a second apart, that the process is not ready.
+const LINGER: Duration = Duration::from_millis(2_600);
+/// Kept of the time to stop, for the process's own end.
+const RESERVE: Duration = Duration::from_millis(500);
+
+/// Sockets that the process listens on.
+pub struct Listeners {
+    /// Callers come in here.
+    pub callers: TcpListener,
+    /// Readiness and metrics.
+    pub operators: TcpListener,
+    /// Metrics on an address of their own.
+    pub metrics: Option<TcpListener>,
+}
+
+impl Listeners {
+    /// Opens them; port 0 lets the system choose.
+    ///
+    /// # Errors
+    /// [`Error::Listen`].
+    pub async fn bind(settings: &settings::Node) -> Result<Self, Error> {
+        let metrics = match settings.metrics {
+            Some(address) => Some(bind(address).await?),
+            None => None,
+        };
+        let callers = bind(settings.listen).await?;
+        Ok(Self { callers, operators: bind(settings.operators).await?, metrics })
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).await.map_err(|error| Error::Listen(address, error))
+}
+
+/// How often this host may send requests again.
+#[must_use]
+pub fn allowance(settings: &settings::Node) -> Allowance {
+    let settings::Repeats { share, slack, window_ms } = settings.repeats;
+    Allowance { share, spare: slack / HOSTS_MAX, window_ms }
+}
+
+/// Runs until `stop`, then shuts down without cutting off a request that can still end in time.
+///
+/// New settings that come while it runs take effect where they can: how often requests may be sent
+/// again. The others are told of in the log and need a restart.
+pub async fn run<S: Store, C: Codec>(
+    settings: settings::Node,
+    mut changes: mpsc::UnboundedReceiver<settings::Node>,
+    listeners: Listeners,
+    (store, codec): (S, C),
+    metrics: PrometheusHandle,
+    stop: CancellationToken,
+) {
+    let state = Arc::new(State::new(codec, allowance(&settings), stop.clone()));
+    let facts = Arc::new(Facts::new(settings.failure_domain.clone()));
+    let (orders, ordered) = mpsc::unbounded_channel();
+    let watch = Arc::new(Watch {
+        store: Arc::new(store),
+        facts: Arc::clone(&facts),
+        state: Arc::clone(&state),
+        orders,
+    });
+    let rollouts = Rollouts { host: settings.name.clone(), watch: Arc::clone(&watch) };
+    let subject = Arc::new(Subject { state: Arc::clone(&state), facts, metrics });
+    let mut background = vec![
+        spawn(Arc::clone(&watch).run(List::Operators)),
+        spawn(Arc::clone(&watch).run(List::Backends)),
+        spawn(Arc::clone(&watch).settle()),
+        spawn(Arc::new(rollouts).run(ordered)),
+        spawn(operators::serve(listeners.operators, Arc::clone(&subject))),
+    ];
+    if let Some(listener) = listeners.metrics {
+        background.push(spawn(operators::serve(listener, subject)));
+    }
+    let close = CancellationToken::new();
+    let connections = TaskTracker::new();
+    let accepts =
+        callers::serve(listeners.callers, Arc::clone(&state), close.clone(), connections.clone());
+    let accepts = spawn(accepts);
+    log::info!(target: "process", host:% = settings.name, domain:% = settings.failure_domain;
+        "started");
+    let mut current = settings;
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => break,
+            Some(changed) = changes.recv() => current = reload(&state, current, changed),
+        }
+    }
+    let deadline = Instant::now() + Duration::from_millis(current.drain_ms).saturating_sub(RESERVE);
+    log::info!(target: "process", connections = connections.len(),
+        requests = state.in_flight.load(std::sync::atomic::Ordering::Relaxed); "stopping, not ready");
+    tokio::time::sleep_until(deadline.min(Instant::now() + LINGER)).await;
+    close.cancel();
+    drop(accepts.await);
+    finish(&state, &connections, deadline).await;
+    drop(background);
+}
+
+fn spawn(task: impl Future<Output = ()> + Send + 'static) -> AbortOnDropHandle<()> {
+    AbortOnDropHandle::new(tokio::spawn(task))
+}
+
+fn reload<C>(state: &State<C>, current: settings::Node, changed: settings::Node) -> settings::Node {
+    state.allowance.store(Arc::new(allowance(&changed)));
+    let same = settings::Node {
+        repeats: current.repeats.clone(),
+        drain_ms: current.drain_ms,
+        log: current.log.clone(),
+        ..changed.clone()
+    };
+    let needs_restart = same != current;
+    log::info!(target: "process", needs_restart, drain_ms = changed.drain_ms;
+        "settings read again");
+    changed
+}
+
+async fn finish<C>(state: &State<C>, connections: &TaskTracker, deadline: Instant) {
+    connections.close();
+    state.relays.close();
+    let ended = async {
+        connections.wait().await;
+        state.relays.wait().await;
+    };
+    match tokio::time::timeout_at(deadline, ended).await {
+        Ok(()) => log::info!(target: "process", "stopped, nothing cut off"),
+        Err(_) => log::warn!(target: "process", connections = connections.len(),
+            streams = state.relays.len(); "stopped, the time was over"),
+    }
+}
--- /dev/null
+++ b/crates/node/src/record.rs
@@ -0,0 +1,76 @@
+//! Rows of our own about roll-outs.
+
+use bytes::Bytes;
+use policy::canary::{Evidence, Stage};
+use policy::domain;
+use policy::name::Name;
+
+domain! {
+    /// How a service's roll-out stands; one row, changed only under its revision.
+    #[derive(Default)]
+    pub struct Record {
+        /// Revision of the order that it belongs to.
+        pub order: u64,
+        /// The version wanted.
+        pub target: Name,
+        /// The version before.
+        pub base: Name,
+        /// How far it has come.
+        pub stage: Stage,
+        /// When it began, by the store's clock in milliseconds.
+        pub began_ms: u64,
+    }
+
+    /// What one host counted; its own row.
+    #[derive(Default)]
+    pub struct Counted {
+        /// Revision of the order that it was counted for.
+        pub order: u64,
+        /// By route.
+        pub routes: Vec<Evidence>,
+    }
+}
+
+/// Key of a service's record.
+#[must_use]
+pub fn key(service: &Name) -> Name {
+    Name::from(format!("{service}/record"))
+}
+
+/// Key of a host's counts.
+#[must_use]
+pub fn counted_key(service: &Name, host: &Name) -> Name {
+    Name::from(format!("{service}/host/{host}"))
+}
+
+/// What all rows of a service begin with.
+#[must_use]
+pub fn prefix(service: &Name) -> String {
+    format!("{service}/")
+}
+
+/// Reads a row.
+///
+/// # Errors
+/// Why it can't be read.
+pub fn read<T: serde::de::DeserializeOwned>(value: &Bytes) -> Result<T, String> {
+    serde_json::from_slice(value).map_err(|error| error.to_string())
+}
+
+/// Writes a row.
+///
+/// # Errors
+/// Why it can't be written.
+pub fn write<T: serde::Serialize>(value: &T) -> Result<Bytes, String> {
+    serde_json::to_vec(value).map(Bytes::from).map_err(|error| error.to_string())
+}
+
+/// The version before, when an order comes on top of an earlier roll-out.
+#[must_use]
+pub fn base(before: Option<&Record>, seen: &Name) -> Name {
+    match before {
+        Some(record) if record.stage == Stage::Done => record.target.clone(),
+        Some(record) if !record.base.is_empty() => record.base.clone(),
+        _ => seen.clone(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/rollout.rs
@@ -0,0 +1,284 @@
+//! Carries out orders to change a version, together with all other hosts.
+//!
+//! No host leads. The share of requests that goes to the new version follows from the store's
+//! clock, so all hosts know it; what they must agree on is one row, changed only under its
+//! revision. Any host that sees enough makes the change, and a host that is lost in the middle is
+//! not missed.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use entry::clock;
+use gateway::{Codec, State};
+use policy::canary::{self, Evidence, Stage, Verdict};
+use policy::name::Name;
+use policy::time::Millis;
+use tokio::sync::mpsc;
+use tokio_util::task::AbortOnDropHandle;
+use wire::routing::Progress;
+
+use crate::facts::Known;
+use crate::record::{self, Counted, Record};
+use crate::store::{Change, Error, Outcome, Rows, Store};
+use crate::watch::Watch;
+
+/// Between two looks at all hosts' counts. A bad version gets requests for as long.
+const EVERY: Duration = Duration::from_millis(900);
+/// Between two looks at this host's own counts.
+const LOOK: Duration = Duration::from_millis(150);
+/// A host's clock and the store's may part by this much, in milliseconds, before it is set right.
+const DRIFT_MS: u64 = 100;
+/// Pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// What a roll-out is carried out with.
+pub struct Rollouts<S, C> {
+    /// The host's name.
+    pub host: Name,
+    /// The store, and what was read from it.
+    pub watch: Arc<Watch<S, C>>,
+}
+
+impl<S: Store, C: Codec> Rollouts<S, C> {
+    /// Carries out orders as they come; runs until the process ends. A new order for a service
+    /// takes the place of the one under way.
+    pub async fn run(self: Arc<Self>, mut orders: mpsc::UnboundedReceiver<Name>) {
+        let mut under_way: HashMap<Name, AbortOnDropHandle<()>> = HashMap::new();
+        while let Some(service) = orders.recv().await {
+            under_way.remove(&service);
+            self.state().tally.clear(&service);
+            let task = Arc::clone(&self).carry_out(service.clone());
+            under_way.insert(service, AbortOnDropHandle::new(tokio::spawn(task)));
+        }
+    }
+
+    fn state(&self) -> &State<C> {
+        &self.watch.state
+    }
+
+    async fn carry_out(self: Arc<Self>, service: Name) {
+        let Some(known) = self.watch.facts.rollout(&service) else { return };
+        let mut revision = self.begin(&service, &known).await;
+        let mut counted = Vec::new();
+        let mut next = tokio::time::Instant::now();
+        loop {
+            let Some(known) = self.watch.facts.rollout(&service) else { return };
+            let Some(record) = &known.record else { return };
+            if matches!(record.stage, Stage::Done | Stage::Stopped) {
+                return;
+            }
+            let elapsed = elapsed(&known, clock::steady());
+            if !canary::is_watched(record.stage, elapsed) {
+                tokio::time::sleep(LOOK).await;
+                continue;
+            }
+            self.look(&service, &known);
+            if tokio::time::Instant::now() >= next {
+                next =
+                    tokio::time::Instant::now() + EVERY.mul_f64(0.9 + rand::random::<f64>() / 5.0);
+                self.decide(&service, &known, &mut revision, &mut counted).await;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// Stops at once what this host's own answers speak against, before the others know.
+    fn look(&self, service: &Name, known: &Known) {
+        let own = self.state().tally.of(service);
+        let is_bad = canary::verdict(&own) == Verdict::Bad;
+        if is_bad && !known.halted.swap(true, Ordering::Relaxed) {
+            log::warn!(target: "rollout", service:% = service, version:% = known.order.target,
+                evidence:? = own; "this host stops sending to a bad version");
+        }
+    }
+
+    /// Reads the record of the order, or makes it; its revision.
+    async fn begin(&self, service: &Name, known: &Known) -> u64 {
+        loop {
+            match self.try_begin(service, known).await {
+                Ok(Some(revision)) => return revision,
+                Ok(None) => {}
+                Err(error) => {
+                    log::warn!(target: "rollout", service:% = service, error:% = error;
+                        "roll-out not begun, tried again");
+                }
+            }
+            tokio::time::sleep(PAUSE.mul_f64(0.5 + rand::random::<f64>())).await;
+        }
+    }
+
+    async fn try_begin(&self, service: &Name, known: &Known) -> Result<Option<u64>, Error> {
+        let rows = self.watch.store.rows(&record::prefix(service)).await?;
+        let held = find_record(&rows, service);
+        if let Some((record, revision)) = held.as_ref().filter(|(r, _)| is_of(r, known)) {
+            self.adopt(service, record.clone(), rows.now_ms);
+            return Ok(Some(*revision));
+        }
+        let seen = self.watch.facts.base(service);
+        let made = Record {
+            order: known.revision,
+            target: known.order.target.clone(),
+            base: record::base(held.as_ref().map(|(record, _)| record), &seen),
+            stage: Stage::Trial,
+            began_ms: rows.now_ms.saturating_sub(clock::steady().since(known.began)),
+        };
+        let expected = held.map_or(0, |(_, revision)| revision);
+        let made_at = self.write(service, known, &made, expected, Progress::Running).await?;
+        if made_at.is_some() {
+            self.adopt(service, made, rows.now_ms);
+        }
+        Ok(made_at)
+    }
+
+    async fn write(
+        &self,
+        service: &Name,
+        known: &Known,
+        record: &Record,
+        expected: u64,
+        progress: Progress,
+    ) -> Result<Option<u64>, Error> {
+        let key = record::key(service);
+        let value = record::write(record).map_err(Error::Malformed)?;
+        let change = Change {
+            expected: vec![(key.clone(), expected)],
+            writes: vec![(key, value)],
+            progress: Some((known.order.clone(), progress)),
+        };
+        match self.watch.store.commit(&change).await? {
+            Outcome::Made(revision) => Ok(Some(revision)),
+            Outcome::Conflict => Ok(None),
+        }
+    }
+
+    /// Takes over how the roll-out stands; `now_ms` is the store's clock.
+    fn adopt(&self, service: &Name, record: Record, now_ms: u64) {
+        let began = clock::steady() - now_ms.saturating_sub(record.began_ms);
+        log::info!(target: "rollout", service:% = service, version:% = record.target,
+            base:% = record.base, stage:? = record.stage, since_ms = now_ms.saturating_sub(record.began_ms);
+            "roll-out stands");
+        self.watch.facts.set_record(service, record, began);
+        self.watch.publish();
+    }
+
+    /// Tells the other hosts what this one counted, reads what they did, and makes the step that
+    /// follows.
+    async fn decide(
+        &self,
+        service: &Name,
+        known: &Known,
+        revision: &mut u64,
+        counted: &mut Vec<Evidence>,
+    ) {
+        if let Err(error) = self.try_decide(service, known, revision, counted).await {
+            log::warn!(target: "rollout", service:% = service, error:% = error;
+                "roll-out undecided, tried again");
+        }
+    }
+
+    async fn try_decide(
+        &self,
+        service: &Name,
+        known: &Known,
+        revision: &mut u64,
+        counted: &mut Vec<Evidence>,
+    ) -> Result<(), Error> {
+        let own = self.state().tally.of(service);
+        if own != *counted {
+            self.tell(service, known, &own).await?;
+            counted.clone_from(&own);
+        }
+        let rows = self.watch.store.rows(&record::prefix(service)).await?;
+        let Some((record, at)) = find_record(&rows, service).filter(|(r, _)| is_of(r, known))
+        else {
+            return Ok(());
+        };
+        let stage = record.stage;
+        *revision = at;
+        // Also when only the clocks have parted: a host that stood still for a while must not go
+        // on as if no time had passed.
+        let began = clock::steady() - rows.now_ms.saturating_sub(record.began_ms);
+        let parted = began.since(known.began).max(known.began.since(began)) > DRIFT_MS;
+        if parted || known.record.as_ref() != Some(&record) {
+            self.adopt(service, record.clone(), rows.now_ms);
+        }
+        let elapsed = elapsed(known, clock::steady());
+        let evidence = gather(&rows, service, &self.host, known.revision, own);
+        let verdict = canary::verdict(&evidence);
+        let Some(next) = canary::next(stage, elapsed, verdict) else { return Ok(()) };
+        let progress = match next {
+            Stage::Done => Progress::Succeeded,
+            Stage::Stopped => Progress::RolledBack,
+            Stage::Trial | Stage::Moving => Progress::Running,
+        };
+        log::info!(target: "rollout", service:% = service, version:% = record.target,
+            stage:? = stage, next:? = next, verdict:? = verdict, elapsed, evidence:? = evidence;
+            "step decided");
+        let changed = Record { stage: next, ..record };
+        if let Some(at) = self.write(service, known, &changed, *revision, progress).await? {
+            *revision = at;
+            self.adopt(service, changed, rows.now_ms);
+        }
+        Ok(())
+    }
+
+    async fn tell(&self, service: &Name, known: &Known, own: &[Evidence]) -> Result<(), Error> {
+        let counted = Counted { order: known.revision, routes: own.to_vec() };
+        let value = record::write(&counted).map_err(Error::Malformed)?;
+        let writes = vec![(record::counted_key(service, &self.host), value)];
+        self.watch.store.commit(&Change { writes, ..Change::default() }).await.map(drop)
+    }
+}
+
+fn elapsed(known: &Known, now: Millis) -> f64 {
+    now.since(known.began) as f64 / known.order.within_ms.max(1) as f64
+}
+
+fn is_of(record: &Record, known: &Known) -> bool {
+    record.order == known.revision && record.target == known.order.target
+}
+
+fn find_record(rows: &Rows, service: &Name) -> Option<(Record, u64)> {
+    let key = record::key(service);
+    let row = rows.rows.iter().find(|row| row.key == key)?;
+    match record::read(&row.value) {
+        Ok(record) => Some((record, row.revision)),
+        Err(why) => {
+            log::error!(target: "rollout", key:% = key, why:% = why; "record unreadable, made anew");
+            Some((Record::default(), row.revision))
+        }
+    }
+}
+
+/// All hosts' counts, this one's as they are now.
+fn gather(
+    rows: &Rows,
+    service: &Name,
+    host: &Name,
+    order: u64,
+    own: Vec<Evidence>,
+) -> Vec<Evidence> {
+    let own_key = record::counted_key(service, host);
+    let record_key = record::key(service);
+    let others = rows.rows.iter().filter(|row| row.key != own_key && row.key != record_key);
+    let others = others.filter_map(|row| match record::read::<Counted>(&row.value) {
+        Ok(counted) => (counted.order == order).then_some(counted.routes),
+        Err(why) => {
+            log::error!(target: "rollout", key:% = row.key, why:% = why; "counts unreadable");
+            None
+        }
+    });
+    let mut sum: Vec<Evidence> = own;
+    for one in others.flatten() {
+        match sum.iter_mut().find(|held| held.route == one.route) {
+            Some(held) => {
+                held.old.add(one.old);
+                held.new.add(one.new);
+            }
+            None => sum.push(one),
+        }
+    }
+    sum
+}
--- /dev/null
+++ b/crates/policy/src/escalate.rs
@@ -0,0 +1,58 @@
+//! Which model answers when the choice is ours: a small one first, a larger one where the small
+//! one doubts its answer.
+//!
+//! An engine's confidence comes with the head of its answer, before the caller has got anything,
+//! so a doubtful answer costs the prompt read by the small model and little else. The load this
+//! answers: at the peak there is not room for the large model on every request. Then more doubt is
+//! accepted, since an answer that is late for everybody is worth less than a few poor ones.
+
+use crate::domain;
+
+/// Confidence at which an answer is as likely right as wrong. Measured: the large model, which is
+/// always right, never reports less than 40, and the share of the small model's reports above 50
+/// is its stated share of right answers.
+const EVEN: f64 = 50.0;
+/// Confidence more or less that is asked for each step of urgency: the price of the large model
+/// weighs more where an answer is worth less.
+const URGENCY_STEP: f64 = 5.0;
+/// Part of the objective by which the large model's answer must begin.
+const IN_TIME: f64 = 0.9;
+/// Load, as a part of all places, from which more doubt is accepted.
+const BUSY: f64 = 0.6;
+/// Load at which no answer is asked for again.
+const FULL: f64 = 1.2;
+
+domain! {
+    /// What is known when a small model's answer begins.
+    #[derive(Copy)]
+    pub struct Doubt {
+        /// The model's opinion of its answer, 0 to 100; none if it said nothing.
+        pub confidence: Option<u8>,
+        /// The request's urgency; 0 is the highest.
+        pub priority: u8,
+        /// Time since the request came in, in milliseconds.
+        pub waited_ms: f64,
+        /// Time until the larger model's answer would begin, in milliseconds.
+        pub larger_ms: f64,
+        /// Time within which the answer is of full use, in milliseconds.
+        pub objective_ms: f64,
+        /// Requests at the service's engines, as a part of their places.
+        pub load: f64,
+    }
+}
+
+/// Confidence below which a larger model is asked.
+#[must_use]
+pub fn threshold(priority: u8, load: f64) -> f64 {
+    let wanted = EVEN + URGENCY_STEP * (2.0 - f64::from(priority.min(4)));
+    let room = ((FULL - load) / (FULL - BUSY)).clamp(0.0, 1.0);
+    wanted * room
+}
+
+/// Whether the answer is dropped and a larger model asked.
+#[must_use]
+pub fn escalate(doubt: &Doubt) -> bool {
+    let Some(confidence) = doubt.confidence else { return false };
+    let in_time = doubt.waited_ms + doubt.larger_ms <= doubt.objective_ms * IN_TIME;
+    in_time && f64::from(confidence) < threshold(doubt.priority, doubt.load)
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,14 +5,21 @@
 
 pub mod admit;
 pub mod burn;
+pub mod canary;
 pub mod derive;
+pub mod engine;
+pub mod escalate;
 pub mod estimate;
 pub mod exposure;
 pub mod limit;
 pub mod name;
+pub mod patience;
 pub mod place;
 pub mod probe;
+pub mod repeat;
 pub mod retry;
 pub mod rollout;
+pub mod roster;
 pub mod select;
+pub mod suspicion;
 pub mod time;
--- /dev/null
+++ b/crates/policy/src/repeat.rs
@@ -0,0 +1,87 @@
+//! How often requests may be sent again, kept by each host alone.
+//!
+//! All hosts together may send a service so many repeats in any window: a share of the requests
+//! for it, and a few more. A host that keeps to the share of its own requests, and to its part of
+//! the few more, keeps the sum within the bound without asking anybody, also while it is cut off.
+
+use crate::domain;
+use crate::time::Millis;
+
+/// Counting cells of one window; a cell is as exact as the window's edge is kept.
+const CELLS: usize = 20;
+/// Part of the allowed share that is used. What one host counts as sent, a backend server may
+/// count a moment later, in the next window.
+const SAFETY: f64 = 0.85;
+
+domain! {
+    /// What all hosts together may do.
+    #[derive(Copy)]
+    pub struct Allowance {
+        /// Repeats for each request.
+        pub share: f64,
+        /// Repeats beyond that, of this host.
+        pub spare: f64,
+        /// Length of the window, in milliseconds.
+        pub window_ms: u64,
+    }
+
+    /// What this host sent one service lately.
+    #[derive(Default)]
+    pub struct Window {
+        cells: Vec<Cell>,
+    }
+
+    /// Counts of a part of the window.
+    #[derive(Copy, Default)]
+    struct Cell {
+        number: u64,
+        requests: u32,
+        repeats: u32,
+    }
+}
+
+impl Default for Allowance {
+    /// One repeat for five requests; no spare ones.
+    fn default() -> Self {
+        Self { share: 0.2, spare: 0.0, window_ms: 10_000 }
+    }
+}
+
+impl Window {
+    /// A request came in for the service.
+    pub fn request(&mut self, allowance: &Allowance, now: Millis) {
+        self.cell(allowance, now).requests += 1;
+    }
+
+    /// Takes one repeat if it is allowed.
+    pub fn take(&mut self, allowance: &Allowance, now: Millis) -> bool {
+        let allowed = self.left(allowance, now) >= 1.0;
+        self.cell(allowance, now).repeats += u32::from(allowed);
+        allowed
+    }
+
+    /// Repeats that are left now.
+    #[must_use]
+    pub fn left(&self, allowance: &Allowance, now: Millis) -> f64 {
+        let oldest = number(allowance, now).saturating_sub(CELLS as u64);
+        let recent = self.cells.iter().filter(|cell| cell.number >= oldest);
+        let (requests, repeats) =
+            recent.fold((0, 0), |sum, cell| (sum.0 + cell.requests, sum.1 + cell.repeats));
+        f64::from(requests) * allowance.share * SAFETY + allowance.spare - f64::from(repeats)
+    }
+
+    fn cell(&mut self, allowance: &Allowance, now: Millis) -> &mut Cell {
+        let number = number(allowance, now);
+        self.cells.resize(CELLS + 1, Cell::default());
+        let cell = &mut self.cells[(number % (CELLS as u64 + 1)) as usize];
+        if cell.number != number {
+            *cell = Cell { number, ..Cell::default() };
+        }
+        cell
+    }
+}
+
+fn number(allowance: &Allowance, now: Millis) -> u64 {
+    // From 1, so that a cell never used is not taken for one in use.
+    1 + now.0 / (allowance.window_ms / CELLS as u64).max(1)
+}
--- /dev/null
+++ b/crates/policy/src/roster.rs
@@ -0,0 +1,184 @@
+//! Which backend servers exist, from a list that may be late, stale, or empty after an outage.
+//!
+//! Three things must not happen. A server that is leaving must not come back because an old list
+//! is read afresh: each id's newest row wins, and a leaving or removed id never returns to work.
+//! Servers whose entries lapsed because the list was out of their reach must not be taken for
+//! dead: they are kept for a moment after the outage. And a server that is really gone must not
+//! be kept for long.
+
+use std::collections::BTreeMap;
+
+use crate::domain;
+use crate::name::Name;
+use crate::time::Millis;
+
+/// How long an entry that lapsed during an outage is waited for after it, in milliseconds. Live
+/// servers renew theirs within about two seconds of the list's return.
+pub const LAPSE_MS: u64 = 2_000;
+/// How long a removed id is remembered, in milliseconds; no stale list is as old.
+const REMEMBER_MS: u64 = 120_000;
+
+/// One entry of the list, as the roster sees it.
+pub trait Entry: Clone {
+    /// Names one start of one server.
+    fn id(&self) -> &Name;
+    /// Whether it is leaving.
+    fn is_leaving(&self) -> bool;
+    /// The same, leaving.
+    #[must_use]
+    fn leaving(self) -> Self;
+}
+
+domain! {
+    /// Where an entry stands.
+    #[derive(Copy, Eq)]
+    enum Standing {
+        /// Listed.
+        Listed,
+        /// Lapsed while the list was away; kept until then.
+        Lapsed(Millis),
+        /// Removed then.
+        Removed(Millis),
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Known<T> {
+    entry: Option<T>,
+    revision: u64,
+    standing: Standing,
+    left: bool,
+}
+
+/// The list as this host believes it.
+#[derive(Clone, Debug)]
+pub struct Roster<T> {
+    known: BTreeMap<Name, Known<T>>,
+    /// Newest revision of the list that was taken in.
+    pub revision: u64,
+    /// When the list was last out of reach.
+    away_at: Option<Millis>,
+    /// When it was first reached after that.
+    back_at: Option<Millis>,
+}
+
+impl<T> Default for Roster<T> {
+    fn default() -> Self {
+        Self { known: BTreeMap::new(), revision: 0, away_at: None, back_at: None }
+    }
+}
+
+impl<T: Entry> Roster<T> {
+    /// The list could not be read.
+    pub fn away(&mut self, now: Millis) {
+        self.away_at = Some(now);
+        self.back_at = None;
+    }
+
+    /// The list was reached.
+    pub fn reached(&mut self, now: Millis) {
+        if self.away_at.is_some() && self.back_at.is_none() {
+            self.back_at = Some(now);
+        }
+    }
+
+    /// One entry as of a revision.
+    pub fn put(&mut self, entry: T, revision: u64) {
+        let id = entry.id().clone();
+        let before = self.known.get(&id);
+        let left = before.is_some_and(|known| known.left) || entry.is_leaving();
+        if before.is_some_and(|known| known.revision >= revision) {
+            return;
+        }
+        let removed = before.is_some_and(|known| matches!(known.standing, Standing::Removed(_)));
+        // A lapsed entry that comes back is the same start of the same server. One that was
+        // removed and comes back had left in between or was given up; it serves on, unless it
+        // had said that it was leaving.
+        let entry = if left { entry.leaving() } else { entry };
+        let standing = match (removed, left) {
+            (true, true) => return,
+            _ => Standing::Listed,
+        };
+        self.known.insert(id, Known { entry: Some(entry), revision, standing, left });
+        self.revision = self.revision.max(revision);
+    }
+
+    /// An entry was removed as of a revision.
+    pub fn remove(&mut self, id: &Name, revision: u64, now: Millis) {
+        self.revision = self.revision.max(revision);
+        let lapsing = self.lapsing_until(now);
+        let Some(known) = self.known.get_mut(id) else { return };
+        if known.revision >= revision {
+            return;
+        }
+        known.revision = revision;
+        known.standing = match (lapsing, known.left) {
+            (Some(until), false) => Standing::Lapsed(until),
+            _ => Standing::Removed(now),
+        };
+    }
+
+    /// The whole list as of a revision; false if it is older than what is known.
+    pub fn replace(&mut self, entries: Vec<(T, u64)>, revision: u64, now: Millis) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        let listed: Vec<Name> = entries.iter().map(|(entry, _)| entry.id().clone()).collect();
+        for (entry, revision) in entries {
+            self.put(entry, revision);
+        }
+        let held = self.known.iter().filter(|(_, known)| known.standing == Standing::Listed);
+        let missing: Vec<Name> =
+            held.map(|(id, _)| id.clone()).filter(|id| !listed.contains(id)).collect();
+        for id in missing {
+            self.remove(&id, revision.max(1), now);
+        }
+        self.revision = revision;
+        true
+    }
+
+    /// Servers that exist now, leaving ones included.
+    pub fn entries(&mut self, now: Millis) -> Vec<T> {
+        self.settle(now);
+        self.known
+            .values()
+            .filter_map(|known| match known.standing {
+                Standing::Listed | Standing::Lapsed(_) => known.entry.clone(),
+                Standing::Removed(_) => None,
+            })
+            .collect()
+    }
+
+    /// When the next lapsed entry is given up, if any is waited for.
+    #[must_use]
+    pub fn next_lapse(&self) -> Option<Millis> {
+        let lapses = self.known.values().filter_map(|known| match known.standing {
+            Standing::Lapsed(until) => Some(until),
+            _ => None,
+        });
+        lapses.min()
+    }
+
+    fn lapsing_until(&self, now: Millis) -> Option<Millis> {
+        match (self.away_at, self.back_at) {
+            (Some(_), Some(back)) if now < back + LAPSE_MS => Some(back + LAPSE_MS),
+            (Some(_), None) => Some(now + LAPSE_MS),
+            _ => None,
+        }
+    }
+
+    fn settle(&mut self, now: Millis) {
+        for known in self.known.values_mut() {
+            match known.standing {
+                Standing::Lapsed(until) if until <= now => {
+                    known.standing = Standing::Removed(now);
+                }
+                _ => {}
+            }
+        }
+        self.known.retain(|_, known| match known.standing {
+            Standing::Removed(at) => now.since(at) < REMEMBER_MS,
+            _ => true,
+        });
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod platform;
 pub mod read;
 pub mod refusal;
+pub mod routing;
 pub mod rpc;
 pub mod settings;
 pub mod shard;
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -16,6 +16,8 @@
         Entry(Entry),
         /// Of the controllers.
         Control(Control),
+        /// Of both in one process, for routed requests.
+        Node(Node),
     }
 
     /// Settings of `entry`.
@@ -86,6 +88,46 @@
         pub shards: u32,
     }
 
+    /// Settings of `node`.
+    pub struct Node {
+        /// The host's name.
+        pub name: Name,
+        /// Where the host stands.
+        pub failure_domain: Name,
+        /// Where callers come in.
+        pub listen: SocketAddr,
+        /// Readiness for the balancer.
+        pub operators: SocketAddr,
+        /// Metrics; on `operators` as well.
+        #[serde(default)]
+        pub metrics: Option<SocketAddr>,
+        /// `IP:PORT` of the platform's store.
+        pub platform: SocketAddr,
+        /// `off`, `error`, `warn`, `info`, `debug` or `trace`.
+        #[serde(default = "default_log")]
+        pub log: Name,
+        /// Worker threads; as many as the host has cores.
+        #[serde(default = "default_threads")]
+        pub threads: u32,
+        /// From the signal to stop until the process must have ended, in milliseconds.
+        #[serde(default = "default_drain_ms")]
+        pub drain_ms: u64,
+        /// How often requests may be sent to another backend server, on all hosts together.
+        #[serde(default)]
+        pub repeats: Repeats,
+    }
+
+    /// Bounds on requests sent again.
+    #[serde(default)]
+    pub struct Repeats {
+        /// For each request.
+        pub share: f64,
+        /// Beyond that, in each window, on all hosts together.
+        pub slack: f64,
+        /// Length of the window, in milliseconds.
+        pub window_ms: u64,
+    }
+
     /// A control's address.
     pub struct Peer {
         /// The host's name.
@@ -127,6 +169,16 @@
     }
 }
 
+impl Default for Repeats {
+    fn default() -> Self {
+        Self { share: 0.2, slack: 0.0, window_ms: 10_000 }
+    }
+}
+
+fn default_threads() -> u32 {
+    1
+}
+
 fn default_log() -> Name {
     Name::from("info")
 }
@@ -178,8 +230,12 @@
             let (control, mended) = read::mended(value, &mut faults);
             (control.map(Settings::Control), mended)
         }
+        Some("node") => {
+            let (node, mended) = read::mended(value, &mut faults);
+            (node.map(Settings::Node), mended)
+        }
         _ => {
-            faults.push(Fault::at("role", "must be \"entry\" or \"control\""));
+            faults.push(Fault::at("role", "must be \"entry\", \"control\" or \"node\""));
             (None, Vec::new())
         }
     };
@@ -191,6 +247,7 @@
     match &settings {
         Some(Settings::Entry(entry)) => check_entry(entry, &mut broken),
         Some(Settings::Control(control)) => check_control(control, &mut broken),
+        Some(Settings::Node(node)) => check_node(node, &mut broken),
         None => {}
     }
     // What stands where a fault was mended is ours, not the operator's.
@@ -244,6 +301,25 @@
     }
 }
 
+fn check_node(node: &Node, faults: &mut Vec<Fault>) {
+    check_common(&node.name, &node.failure_domain, &node.log, faults);
+    if !(0.0..=10.0).contains(&node.repeats.share) {
+        faults.push(Fault::at("repeats.share", "must be from 0 to 10"));
+    }
+    if !(0.0..=1e6).contains(&node.repeats.slack) {
+        faults.push(Fault::at("repeats.slack", "must be from 0 to 1000000"));
+    }
+    for (member, wrong) in [
+        ("repeats.window_ms", node.repeats.window_ms < 100),
+        ("drain_ms", node.drain_ms < 1_000),
+        ("threads", !(1..=256).contains(&node.threads)),
+    ] {
+        if wrong {
+            faults.push(Fault::at(member, "is out of bounds: at least 100, 1000 and 1"));
+        }
+    }
+}
+
 fn check_common(name: &Name, failure_domain: &Name, log: &Name, faults: &mut Vec<Fault>) {
     for (member, text) in [("name", name), ("failure_domain", failure_domain)] {
         if !is_name(text) {
