An estimate without samples fades: the larger model is asked again after one slow answer

Cause: one slow first answer of the larger model kept doubtful answers from it for good, and so its estimate had no sample to lower it; in the worst zone 10 of 250 doubtful answers went on, in others half. Ruled out: confidence missing, budget of repeats (logs show both present). Change: the estimate halves every two seconds without samples; with room to spare a late right answer is preferred to a poor one.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -106,7 +106,9 @@
     check(job, &head, &said)?;
     if job.timed(backend) {
         let tokens = tokens + seen.unread;
-        job.state.timings.with(job.timing(), |timing| timing.note_first(first_ms, tokens));
+        job.state
+            .timings
+            .with(job.timing(), |timing| timing.note_first(first_ms, tokens, clock::steady()));
     }
     let backend = Arc::clone(backend);
     Ok(Reply { head, said, body, connection, lease, backend, sent_at, first_ms })
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -328,7 +328,7 @@
         }
         if self.timed(&backend) {
             let ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
-            self.state.timings.with(self.timing(), |timing| timing.whole.note(ms));
+            self.state.timings.with(self.timing(), |timing| timing.whole.note(ms, clock::steady()));
         }
         if self.route().kind == Kind::Idempotent {
             connection.mark_proven();
@@ -357,7 +357,7 @@
             confidence: reply.said.confidence,
             priority: self.priority,
             waited_ms: self.started.elapsed().as_secs_f64() * 1_000.0,
-            larger_ms: first.mean_ms(objective_ms / 4.0),
+            larger_ms: first.faded_ms(objective_ms / 4.0, clock::steady()),
             objective_ms,
             load,
         };
@@ -399,7 +399,8 @@
                 }
                 if failure == Failure::Lost(Cause::Silent) {
                     let first = self.first_limit().as_secs_f64() * 1_000.0;
-                    let cut = |timing: &mut crate::timing::Timing| timing.first.note_cut(first);
+                    let cut =
+                        |timing: &mut crate::timing::Timing| timing.first.note_cut(first, now);
                     if self.timed(backend) {
                         self.state.timings.with(self.timing(), cut);
                     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -185,7 +185,7 @@
         live.backend.note(false, clock::steady());
         let ms = live.sent_at.elapsed().as_secs_f64() * 1_000.0;
         if job.timed(&live.backend) {
-            job.state.timings.with(job.timing(), |timing| timing.whole.note(ms));
+            job.state.timings.with(job.timing(), |timing| timing.whole.note(ms, clock::steady()));
         }
     }
     end::log(job, end, live.events);
--- a/crates/gateway/src/timing.rs
+++ b/crates/gateway/src/timing.rs
@@ -1,6 +1,7 @@
 //! Times of answers, by route and model, as requests and roll-outs are judged by.
 
 use policy::patience::Patience;
+use policy::time::Millis;
 
 /// First guess of how fast an engine reads a prompt, in tokens a millisecond.
 const TOKENS_PER_MS: f64 = 50.0;
@@ -38,8 +39,8 @@
 
 impl Timing {
     /// An answer began: so many tokens stood before it when the request was sent.
-    pub fn note_first(&mut self, ms: f64, tokens: f64) {
-        self.first.note(ms);
+    pub fn note_first(&mut self, ms: f64, tokens: f64, now: Millis) {
+        self.first.note(ms, now);
         if tokens >= TOKENS_MIN {
             let rate = (tokens / ms.max(1.0)).clamp(RATE_MIN, RATE_MAX);
             self.tokens_per_ms += GAIN * (rate - self.tokens_per_ms);
--- a/crates/policy/src/escalate.rs
+++ b/crates/policy/src/escalate.rs
@@ -19,6 +19,8 @@
 const IN_TIME: f64 = 0.9;
 /// Load, as a part of all places, from which more doubt is accepted.
 const BUSY: f64 = 0.6;
+/// Load under which a larger model is asked even if its answer will be late.
+const IDLE: f64 = 0.3;
 /// Load at which no answer is asked for again.
 const FULL: f64 = 1.2;
 
@@ -54,5 +56,7 @@
 pub fn escalate(doubt: &Doubt) -> bool {
     let Some(confidence) = doubt.confidence else { return false };
     let in_time = doubt.waited_ms + doubt.larger_ms <= doubt.objective_ms * IN_TIME;
-    in_time && f64::from(confidence) < threshold(doubt.priority, doubt.load)
+    // With room to spare a late right answer is still better than a poor one.
+    let has_room = doubt.load < IDLE;
+    (in_time || has_room) && f64::from(confidence) < threshold(doubt.priority, doubt.load)
 }
--- a/crates/policy/src/patience.rs
+++ b/crates/policy/src/patience.rs
@@ -5,6 +5,7 @@
 //! are merely slow.
 
 use crate::domain;
+use crate::time::Millis;
 
 /// Weight of a new sample in the mean (RFC 6298).
 const MEAN_GAIN: f64 = 0.125;
@@ -15,6 +16,9 @@
 /// A wait that was cut short says only that the answer takes longer: it counts as this many times
 /// the wait, so that the estimate grows until it is met.
 const CUT_FACTOR: f64 = 1.5;
+/// Time in which the mean halves without samples, in milliseconds. Where a high mean keeps requests
+/// away there are no samples to lower it, and one slow answer would rule for good.
+const HALF_LIFE_MS: f64 = 2_000.0;
 
 domain! {
     /// Times of one kind of request.
@@ -23,12 +27,14 @@
         mean_ms: f64,
         deviation_ms: f64,
         samples: u32,
+        at: Millis,
     }
 }
 
 impl Patience {
     /// An answer took this long, in milliseconds.
-    pub fn note(&mut self, ms: f64) {
+    pub fn note(&mut self, ms: f64, now: Millis) {
+        self.at = now;
         match self.samples {
             0 => {
                 self.mean_ms = ms;
@@ -44,8 +50,8 @@
     }
 
     /// No answer came for this long, in milliseconds, and then it was no longer waited for.
-    pub fn note_cut(&mut self, ms: f64) {
-        self.note(ms * CUT_FACTOR);
+    pub fn note_cut(&mut self, ms: f64, now: Millis) {
+        self.note(ms * CUT_FACTOR, now);
     }
 
     /// The mean, in milliseconds; `first` while nothing is known.
@@ -54,6 +60,12 @@
         if self.samples == 0 { first } else { self.mean_ms }
     }
 
+    /// The mean as it may be believed now, in milliseconds; `first` while nothing is known.
+    #[must_use]
+    pub fn faded_ms(&self, first: f64, now: Millis) -> f64 {
+        self.mean_ms(first) * (-(now.since(self.at) as f64) / HALF_LIFE_MS).exp2()
+    }
+
     /// How long to wait, in milliseconds, within two bounds.
     #[must_use]
     pub fn wait_ms(&self, least: f64, most: f64) -> f64 {
