--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use entry::clock;
-use entry::connection::{Cause, Connection};
+use entry::connection::{Cause, Connection, Failure as Sent};
 use entry::server::Lease;
 use http_body_util::Full;
 use hyper::Request;
@@ -80,7 +80,6 @@
     job: &Job<C>,
     backend: &Arc<Backend>,
     sending: &Sending<'_>,
-    limit: Duration,
 ) -> Result<Reply, Failure> {
     let mut connection = open(job, backend).await?;
     let request = request(job, sending).ok_or(Failure::Unsent(Cause::Broken))?;
@@ -91,10 +90,7 @@
     let unread = Unread { backend: Arc::clone(backend), tokens };
     let lease = Lease::new(Arc::clone(&backend.server));
     let sent_at = Instant::now();
-    let response = connection.send(request, limit).await.map_err(|failure| match failure.sent {
-        true => Failure::Lost(failure.cause),
-        false => Failure::Unsent(failure.cause),
-    })?;
+    let response = patient(job, backend, connection.send(request, job.left())).await?;
     drop(unread);
     let first_ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
     let (head, body) = response.into_parts();
@@ -114,6 +110,33 @@
     Ok(Reply { head, said, body, connection, lease, backend, sent_at, first_ms })
 }
 
+/// Waits for the head of an answer, and leaves the backend server if it is silent for too long and
+/// the request has another way to be answered.
+async fn patient<C: Codec, T>(
+    job: &Job<C>,
+    backend: &Backend,
+    answer: impl Future<Output = Result<T, Sent>>,
+) -> Result<T, Failure> {
+    let mut answer = std::pin::pin!(answer);
+    let since = Instant::now();
+    let mut wait = job.first_wait(backend, since);
+    loop {
+        tokio::select! {
+            answered = answer.as_mut() => return answered.map_err(|failure| match failure {
+                Sent { sent: true, .. } if job.left().is_zero() => Failure::Lost(Cause::Deadline),
+                Sent { sent: true, cause } => Failure::Lost(cause),
+                Sent { sent: false, cause } => Failure::Unsent(cause),
+            }),
+            () = tokio::time::sleep(wait.unwrap_or_default()) => match job.first_wait(backend, since) {
+                None if job.leave(backend) => return Err(Failure::Lost(Cause::Silent)),
+                // No way on: its answer is the only hope left.
+                None => wait = Some(job.left()),
+                still => wait = still,
+            },
+        }
+    }
+}
+
 /// Only an idempotent request may use a connection that has carried others. An old connection can
 /// go silent or bring a late answer, and a request that may not be repeated could not leave it.
 async fn open<C: Codec>(job: &Job<C>, backend: &Backend) -> Result<Connection, Failure> {
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -1,11 +1,15 @@
 //! One start of a backend server, and what this host believes of it.
 
 use std::collections::HashMap;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
+use entry::clock;
 use entry::server::Server;
 use policy::name::Name;
 use policy::place;
+use policy::silence::{self, Action, Bounds, Silence};
 use policy::suspicion::Suspicion;
 use policy::time::Millis;
 use wire::backend;
@@ -123,7 +127,7 @@
 
     /// Its load as told with an answer.
     pub fn note_load(&self, load: Load, now: Millis) {
-        let own = self.server.in_flight.load(std::sync::atomic::Ordering::Relaxed);
+        let own = self.server.in_flight.load(Ordering::Relaxed);
         let mut belief = self.lock();
         belief.reported = load.requests;
         belief.own_then = own;
@@ -174,6 +178,22 @@
         ill
     }
 
+    /// How long its silence is still borne; none if it is to be left.
+    #[must_use]
+    pub fn bears(&self, bounds: &Bounds, silent: Duration, useful_ms: f64) -> Option<Duration> {
+        let own = self.server.in_flight.load(Ordering::Relaxed);
+        let silence = Silence {
+            silent_ms: silent.as_secs_f64() * 1_000.0,
+            useful_ms,
+            heard_ms: clock::steady().since(self.heard_at()),
+            others: own.saturating_sub(1),
+        };
+        match silence::act(bounds, &silence) {
+            Action::Wait(ms) => Some(Duration::from_secs_f64(ms / 1_000.0)),
+            Action::Leave => None,
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Belief> {
         self.belief.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -1,6 +1,7 @@
 //! Carries one request to an answer: which backend server, again or not, which model.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use policy::name::Name;
 use policy::place;
 use policy::repeat::Window;
+use policy::silence;
 use wire::refusal::{Code, Refusal};
 use wire::routing::{Kind, Route};
 
@@ -34,12 +36,12 @@
 const PLAIN_WAIT_MS: f64 = 60.0;
 /// Most of the time left that is waited before that.
 const PLAIN_PART: f64 = 0.5;
-/// Least and most wait for the beginning of a stream before that, as parts of the objective.
-const STREAM_LEAST: f64 = 0.35;
-const STREAM_MOST: f64 = 0.8;
 /// Mean wait, as a part of the objective, from which slow beginnings are the load's doing. To
 /// leave a busy engine then would only read the prompt twice.
 const STREAM_BUSY: f64 = 0.4;
+/// Repeats that are left to requests whose backend server fails; a doubtful answer is not dropped
+/// for one of them.
+const REPEATS_KEPT: f64 = 4.0;
 /// An answer that begins within this time is never counted as too slow, in milliseconds.
 const SLOW_LEAST_MS: f64 = 200.0;
 /// What an engine is told of the most urgent requests; 0 is left for what must go on.
@@ -101,6 +103,10 @@
     failure: Option<(Parts, Bytes)>,
     /// Why the last try failed.
     pub last: Option<Failure>,
+    /// The next try has been paid for.
+    pub paid: AtomicBool,
+    /// The last try has begun to answer, and counts as sent.
+    pub answering: bool,
     /// The confidence with which a smaller model's answer was dropped.
     pub doubted: Option<u8>,
 }
@@ -230,6 +236,7 @@
         backend: &Arc<Backend>,
         last_event: Option<u64>,
     ) -> Result<Reply, Failure> {
+        self.tries.answering = false;
         let sending = Sending {
             backend: &backend.id,
             account: self.account.as_ref(),
@@ -238,7 +245,8 @@
             last_event,
             priority: self.engine_priority(),
         };
-        let reply = attempt::send(self, backend, &sending, self.first_limit()).await;
+        let reply = attempt::send(self, backend, &sending).await;
+        self.tries.answering = reply.is_ok();
         if !matches!(reply, Err(Failure::Unsent(_))) {
             self.tries.sent += 1;
         }
@@ -252,24 +260,45 @@
         is_engine.then_some(own - again)
     }
 
-    /// How long the head of an answer is waited for.
-    fn first_limit(&self) -> Duration {
-        let left = self.left();
+    /// How long the head of an answer is still waited for before the backend server is left; none
+    /// if the time has come.
+    pub fn first_wait(&self, backend: &Backend, since: Instant) -> Option<Duration> {
         let route = self.route();
-        let last_try = self.tries.sent + 1 >= route.attempts_max;
-        let repeats = self.window(|window, allowance| window.left(allowance, clock::steady()));
-        if last_try || !route.kind.may_repeat() || repeats < 1.0 {
-            return left;
+        if !route.kind.may_repeat() || self.tries.sent + 1 >= route.attempts_max {
+            return Some(self.left());
         }
         let first = self.state.timings.with(self.timing(), |timing| timing.first);
         let objective = route.objective_ms as f64;
-        let left_ms = left.as_secs_f64() * 1_000.0;
-        let wait = match route.kind {
-            Kind::Stream { .. } if first.mean_ms(0.0) > objective * STREAM_BUSY => left_ms,
-            Kind::Stream { .. } => first.wait_ms(objective * STREAM_LEAST, objective * STREAM_MOST),
-            _ => first.wait_ms(PLAIN_WAIT_MS, left_ms * PLAIN_PART),
+        let silent = since.elapsed();
+        if route.kind == Kind::Idempotent {
+            let left_ms = (silent + self.left()).as_secs_f64() * 1_000.0;
+            let wait = first.wait_ms(PLAIN_WAIT_MS, left_ms * PLAIN_PART);
+            return Duration::from_secs_f64(wait / 1_000.0).checked_sub(silent);
+        }
+        let bounds = match first.mean_ms(0.0) > objective * STREAM_BUSY {
+            true => silence::FIRST_BUSY,
+            false => silence::FIRST,
         };
-        left.min(Duration::from_secs_f64(wait / 1_000.0))
+        backend.bears(&bounds, silent, objective)
+    }
+
+    /// Whether a silent backend server is left: only if the request can be sent to another one.
+    /// The repeat is paid for then, so that the next try can't be refused for want of it.
+    pub fn leave(&self, backend: &Backend) -> bool {
+        let world = self.state.world.load();
+        let Some(pool) = world.pools.get(&self.service) else { return false };
+        let is_other = |other: &&Arc<Backend>| {
+            other.id != backend.id
+                && !self.tries.tried.contains(&other.id)
+                && other.server.takes_work(clock::steady())
+        };
+        let sent = self.tries.sent + u32::from(!self.tries.answering);
+        let way_on = self.route().kind.may_repeat()
+            && sent < self.route().attempts_max
+            && pool.of(&backend.version).any(|other| is_other(&other));
+        let paid = way_on && self.window(|w, allowance| w.take(allowance, clock::steady()));
+        self.tries.paid.fetch_or(paid, Ordering::Relaxed);
+        paid
     }
 
     /// What becomes of an answer: passed on, or none yet.
@@ -315,7 +344,7 @@
         }
     }
 
-    async fn read_whole(&mut self, reply: Reply) -> Result<(Parts, Bytes), Failure> {
+    async fn read_whole(&self, reply: Reply) -> Result<(Parts, Bytes), Failure> {
         let Reply { head, body, mut connection, lease, backend, sent_at, .. } = reply;
         let collected = Limited::new(body, ANSWER_BYTES_MAX).collect();
         let body = match tokio::time::timeout_at(self.until.into(), collected).await {
@@ -362,7 +391,7 @@
             load,
         };
         let repeats = self.window(|window, allowance| window.left(allowance, clock::steady()));
-        escalate::escalate(&doubt) && repeats >= 1.0
+        escalate::escalate(&doubt) && repeats >= REPEATS_KEPT
     }
 
     /// A try failed: who is to blame, and what is known of the request now.
@@ -397,13 +426,11 @@
                     backend.note(true, now);
                     self.note_version(backend, None);
                 }
-                if failure == Failure::Lost(Cause::Silent) {
-                    let first = self.first_limit().as_secs_f64() * 1_000.0;
-                    let cut =
-                        |timing: &mut crate::timing::Timing| timing.first.note_cut(first, now);
-                    if self.timed(backend) {
-                        self.state.timings.with(self.timing(), cut);
-                    }
+                if failure == Failure::Lost(Cause::Silent) && self.timed(backend) {
+                    let waited = self.route().objective_ms as f64 * STREAM_BUSY;
+                    self.state.timings.with(self.timing(), |timing| {
+                        timing.first.note_cut(waited, now);
+                    });
                 }
             }
         }
@@ -420,6 +447,7 @@
         safe && room
             && !self.left().is_zero()
             && (tries.sent == 0
+                || tries.paid.swap(false, Ordering::Relaxed)
                 || self.window(|window, allowance| window.take(allowance, clock::steady())))
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,6 +10,7 @@
 use entry::server::Lease;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use policy::silence;
 use tokio::sync::mpsc;
 
 use crate::attempt::{Failure, Reply};
@@ -21,12 +22,6 @@
 
 /// Pieces on their way to a caller that reads slowly; then the backend server waits as well.
 const AHEAD: usize = 16;
-/// A pause of this part of the longest useful one makes a stream suspect.
-const PAUSE_PART: f64 = 0.6;
-/// A backend server that said something else within this time is alive, only busy.
-const ALIVE_MS: u64 = 250;
-/// A pause of this many times the longest useful one breaks a stream even of a live server.
-const PAUSE_MAX: f64 = 1.5;
 
 type Pieces = mpsc::Sender<Result<Bytes, Broken>>;
 
@@ -101,17 +96,17 @@
 
     /// The next bytes, none at a clean end.
     ///
-    /// A silent stream is left sooner if its backend server says nothing else either: that one is
-    /// dark, while a live one may only be busy with long prompts.
+    /// A silent stream is given up only for another run of it. Where there is none to be had, its
+    /// backend server's answer is the only one that can still come.
     async fn frame<C: Codec>(&mut self, job: &Job<C>) -> Result<Option<Bytes>, Cause> {
         let route = job.route();
-        let useful = Duration::from_millis(route.gap_ms.unwrap_or(route.objective_ms));
-        let since = tokio::time::Instant::now();
+        let useful_ms = route.gap_ms.unwrap_or(route.objective_ms) as f64;
+        let since = Instant::now();
         let until = tokio::time::Instant::from(job.until);
-        let elsewhere = route.kind.may_repeat() && job.tries.sent < route.attempts_max;
-        let mut limit = if elsewhere { since + useful.mul_f64(PAUSE_PART) } else { until };
+        let mut wait = self.backend.bears(&silence::BETWEEN, Duration::ZERO, useful_ms);
         loop {
-            match tokio::time::timeout_at(limit.min(until), self.body.frame()).await {
+            let limit = until.min(tokio::time::Instant::now() + wait.unwrap_or_default());
+            match tokio::time::timeout_at(limit, self.body.frame()).await {
                 Ok(None) => return Ok(None),
                 Ok(Some(Err(_))) => return Err(Cause::Truncated),
                 Ok(Some(Ok(frame))) => match frame.into_data() {
@@ -120,17 +115,15 @@
                     Err(_) => continue,
                 },
                 Err(_) if limit >= until => return Err(Cause::Deadline),
-                Err(_) if self.is_alive() && limit < since + useful.mul_f64(PAUSE_MAX) => {
-                    limit = since + useful.mul_f64(PAUSE_MAX);
-                }
-                Err(_) => return Err(Cause::Silent),
+                Err(_) => {}
             }
+            wait = match self.backend.bears(&silence::BETWEEN, since.elapsed(), useful_ms) {
+                None if job.leave(&self.backend) => return Err(Cause::Silent),
+                None => Some(job.left()),
+                still => still,
+            };
         }
     }
-
-    fn is_alive(&self) -> bool {
-        clock::steady().since(self.backend.heard_at()) < ALIVE_MS
-    }
 }
 
 /// Starts a relay; the answer is what the caller reads from it.
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -22,9 +22,12 @@
 use crate::store::{List, Store};
 use crate::watch::Watch;
 
-/// Hosts that share the repeats beyond the share, at most. A host does not count the others: a
-/// wrong count would break the bound, and so few are lost by assuming many.
-const HOSTS_MAX: f64 = 16.0;
+/// Hosts that share the repeats beyond the share, at least. A host does not count the others: a
+/// wrong count would break the bound, and few repeats are lost by assuming many hosts.
+const HOSTS_MIN: f64 = 16.0;
+/// Repeats beyond the share that one host may send at most, however many all may: the bound on
+/// all grows by two with each host.
+const SPARE_MAX: f64 = 2.0;
 /// After the signal to stop new connections are still taken for a while: the balancer goes on
 /// sending them until it has seen twice, a second apart, that the process is not ready.
 const LINGER: Duration = Duration::from_millis(2_600);
@@ -64,7 +67,7 @@
 #[must_use]
 pub fn allowance(settings: &settings::Node) -> Allowance {
     let settings::Repeats { share, slack, window_ms } = settings.repeats;
-    Allowance { share, spare: slack / HOSTS_MAX, window_ms }
+    Allowance { share, spare: (slack / HOSTS_MIN).min(SPARE_MAX), window_ms }
 }
 
 /// Runs until `stop`, then shuts down without cutting off a request that can still end in time.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod rollout;
 pub mod roster;
 pub mod select;
+pub mod silence;
 pub mod suspicion;
 pub mod time;
--- /dev/null
+++ b/crates/policy/tests/canary.rs
@@ -0,0 +1,131 @@
+//! Roll-outs carried out by many hosts from the same clock and one shared row: good versions get
+//! there in time, bad ones are stopped before they have had much, sessions stay where they are.
+
+use policy::canary::{Count, Evidence, Stage, Verdict, is_moved, next, share, verdict, weight};
+use policy::name::Name;
+use policy::place::mix;
+
+fn evidence(old: (u32, u32), new: (u32, u32)) -> Evidence {
+    let count = |(answers, bad)| Count { answers, bad };
+    Evidence { route: Name::from("r"), old: count(old), new: count(new) }
+}
+
+#[test]
+fn share_nothing_in_first_half() {
+    assert_eq!(share(Stage::Trial, 0.0), 0.0);
+    assert_eq!(share(Stage::Trial, 0.5), 0.0);
+    assert_eq!(share(Stage::Moving, 0.5), 0.0);
+}
+
+#[test]
+fn share_grows_only() {
+    let stages = [Stage::Trial, Stage::Moving];
+    for stage in stages {
+        let shares: Vec<f64> = (0..100).map(|step| share(stage, f64::from(step) / 100.0)).collect();
+        assert!(shares.is_sorted(), "{stage:?}");
+    }
+    assert!((0..100).all(|step| {
+        let elapsed = f64::from(step) / 100.0;
+        share(Stage::Moving, elapsed) >= share(Stage::Trial, elapsed)
+    }));
+    assert_eq!(share(Stage::Stopped, 0.9), 0.0);
+}
+
+#[test]
+fn is_moved_once_and_alike() {
+    let moved = |share: f64| (0..1_000).filter(|n| is_moved(&format!("s{n}"), "v2", share)).count();
+    assert_eq!(moved(0.0), 0);
+    assert_eq!(moved(1.0), 1_000);
+    assert!((80..160).contains(&moved(0.12)), "{}", moved(0.12));
+    assert!((0..1_000).all(|n| {
+        let session = format!("s{n}");
+        !is_moved(&session, "v2", 0.12) || is_moved(&session, "v2", 0.35)
+    }));
+}
+
+#[test]
+fn verdict_good_bad_open() {
+    assert_eq!(verdict(&[evidence((200, 2), (40, 0))]), Verdict::Good);
+    assert_eq!(verdict(&[evidence((200, 2), (12, 6))]), Verdict::Bad);
+    assert_eq!(verdict(&[evidence((200, 2), (3, 0))]), Verdict::Open);
+}
+
+#[test]
+fn verdict_one_bad_route_is_enough() {
+    let good = evidence((300, 3), (60, 1));
+    let bad = Evidence { route: Name::from("other"), ..evidence((300, 3), (12, 7)) };
+    assert_eq!(verdict(&[good, bad]), Verdict::Bad);
+}
+
+/// A service whose old version fails one request in seven: the new one fails no more often and is
+/// not worse for it.
+#[test]
+fn weight_judged_against_old_version() {
+    assert!(weight(&evidence((200, 28), (30, 4))) < 0.0);
+    assert!(weight(&evidence((200, 1), (30, 9))) > 6.9);
+}
+
+#[test]
+fn next_only_in_its_time() {
+    assert_eq!(next(Stage::Trial, 0.6, Verdict::Good), None);
+    assert_eq!(next(Stage::Trial, 0.75, Verdict::Good), Some(Stage::Moving));
+    assert_eq!(next(Stage::Trial, 0.75, Verdict::Open), None);
+    assert_eq!(next(Stage::Moving, 0.8, Verdict::Good), None);
+    assert_eq!(next(Stage::Moving, 0.9, Verdict::Good), Some(Stage::Done));
+    assert_eq!(next(Stage::Moving, 0.8, Verdict::Bad), Some(Stage::Stopped));
+    assert_eq!(next(Stage::Done, 0.95, Verdict::Bad), None);
+}
+
+/// What came of one simulated roll-out.
+struct Played {
+    stage: Stage,
+    exposed: u32,
+    all: u32,
+}
+
+/// One roll-out of 24 s on six hosts at 60 requests a second, hosts' counts joined each second.
+fn play(seed: u64, fails: impl Fn(f64, u64) -> bool) -> Played {
+    let mut stage = Stage::Trial;
+    let mut sum = evidence((0, 0), (0, 0));
+    let mut told = sum.clone();
+    let mut played = Played { stage, exposed: 0, all: 0 };
+    for number in 0..1_440_u64 {
+        let elapsed = number as f64 / 1_440.0;
+        let draw = mix(seed ^ mix(number));
+        let is_new = is_moved(&format!("s{draw}"), "v2", share(stage, elapsed));
+        let bad = if is_new { fails(elapsed, draw) } else { draw % 100 == 0 };
+        played.all += 1;
+        played.exposed += u32::from(is_new);
+        match is_new {
+            true => sum.new.note(bad),
+            false => sum.old.note(bad),
+        }
+        if number % 60 == 0 {
+            stage = next(stage, elapsed, verdict(&[told])).unwrap_or(stage);
+            told = sum.clone();
+        }
+    }
+    played.stage = stage;
+    played
+}
+
+#[test]
+fn play_good_version_succeeds() {
+    let done = (0..200).filter(|seed| play(*seed, |_, draw| draw % 100 == 0).stage == Stage::Done);
+    let done = done.count();
+    assert!(done >= 195, "{done} of 200");
+}
+
+/// The version fails a third to a half of its requests, from the start or from late in the trial.
+/// Callers see failures only of the small share that was sent to it.
+#[test]
+fn play_bad_version_is_stopped() {
+    for (from, of_ten) in [(0.0, 5), (0.0, 4), (0.6, 4), (0.74, 4), (0.8, 5)] {
+        for seed in 0..100 {
+            let played = play(seed, |elapsed, draw| elapsed >= from && draw / 7 % 10 < of_ten);
+            let allowed = 0.15 * f64::from(played.all) + 30.0;
+            assert_eq!(played.stage, Stage::Stopped, "from {from} seed {seed}");
+            assert!(f64::from(played.exposed) <= allowed, "from {from}: {}", played.exposed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/escalate.rs
@@ -0,0 +1,33 @@
+//! Small model first, larger one where it doubts: by confidence, urgency, time and load.
+
+use policy::escalate::{Doubt, escalate, threshold};
+
+const DOUBT: Doubt = Doubt {
+    confidence: Some(30),
+    priority: 0,
+    waited_ms: 100.0,
+    larger_ms: 300.0,
+    objective_ms: 1_500.0,
+    load: 0.1,
+};
+
+#[test]
+fn escalate_doubtful_answer() {
+    assert!(escalate(&DOUBT));
+    assert!(!escalate(&Doubt { confidence: Some(90), ..DOUBT }));
+    assert!(!escalate(&Doubt { confidence: None, ..DOUBT }));
+}
+
+#[test]
+fn escalate_late_only_with_room() {
+    let late = Doubt { larger_ms: 1_400.0, ..DOUBT };
+    assert!(escalate(&late));
+    assert!(!escalate(&Doubt { load: 0.5, ..late }));
+}
+
+#[test]
+fn threshold_falls_with_load_and_urgency() {
+    assert!(threshold(0, 0.1) > threshold(2, 0.1));
+    assert!(threshold(0, 0.9) < threshold(0, 0.5));
+    assert_eq!(threshold(0, 2.0), 0.0);
+}
--- /dev/null
+++ b/crates/policy/tests/repeat.rs
@@ -0,0 +1,61 @@
+//! Repeats: each host keeps to its own share, and so all hosts together to theirs.
+
+use policy::repeat::{Allowance, Window};
+use policy::time::Millis;
+
+const ALLOWANCE: Allowance = Allowance { share: 0.9, spare: 2.0, window_ms: 10_000 };
+const START: Millis = Millis(1_000_000);
+
+#[test]
+fn take_spare_without_requests() {
+    let mut window = Window::default();
+    let taken = (0..10).filter(|_| window.take(&ALLOWANCE, START)).count();
+    assert_eq!(taken, 2);
+}
+
+#[test]
+fn take_share_of_requests() {
+    let mut window = Window::default();
+    for _ in 0..100 {
+        window.request(&ALLOWANCE, START);
+    }
+    let taken = (0..200).filter(|_| window.take(&ALLOWANCE, START + 5)).count();
+    assert!((60..=92).contains(&taken), "{taken}");
+}
+
+#[test]
+fn take_again_after_window() {
+    let mut window = Window::default();
+    while window.take(&ALLOWANCE, START) {}
+    assert!(!window.take(&ALLOWANCE, START + 9_000));
+    assert!(window.take(&ALLOWANCE, START + 11_000));
+}
+
+/// A service fails all its requests, and callers repeat at once and often: the worst case for the
+/// budget. In no window may repeats pass the share of the requests counted in it, the window
+/// before or the one half before, and two a host.
+#[test]
+fn take_bound_in_every_window() {
+    fuzz::check::<Vec<(u16, bool)>>(300, |steps| {
+        let mut window = Window::default();
+        let (mut now, mut requests, mut repeats) = (START, Vec::new(), Vec::new());
+        for (pause, burst) in steps {
+            now = now + u64::from(pause % 900);
+            for _ in 0..if *burst { 20 } else { 1 } {
+                window.request(&ALLOWANCE, now);
+                requests.push(now);
+                if window.take(&ALLOWANCE, now) {
+                    repeats.push(now);
+                }
+            }
+        }
+        let within = |times: &[Millis], end: Millis| {
+            times.iter().filter(|at| **at <= end && end.since(**at) < 10_000).count() as f64
+        };
+        for end in &repeats {
+            let asked = [0, 5_000, 10_000].map(|back| within(&requests, *end - back));
+            let most = asked.into_iter().fold(0.0, f64::max);
+            assert!(within(&repeats, *end) <= 0.9 * most + 2.0);
+        }
+    });
+}
--- /dev/null
+++ b/crates/policy/tests/roster.rs
@@ -0,0 +1,165 @@
+//! The list of backend servers under stale reads, outages, lapses and returns.
+
+use policy::name::Name;
+use policy::roster::{Entry, LAPSE_MS, Roster};
+use policy::time::Millis;
+
+const START: Millis = Millis(1_000_000);
+
+#[derive(Clone, Debug, PartialEq)]
+struct Server {
+    id: Name,
+    leaving: bool,
+}
+
+impl Entry for Server {
+    fn id(&self) -> &Name {
+        &self.id
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    fn leaving(self) -> Self {
+        Self { leaving: true, ..self }
+    }
+}
+
+fn server(id: &str) -> Server {
+    Server { id: Name::from(id), leaving: false }
+}
+
+fn working(roster: &mut Roster<Server>, now: Millis) -> Vec<String> {
+    let entries = roster.entries(now).into_iter().filter(|entry| !entry.leaving);
+    entries.map(|entry| entry.id.to_string()).collect()
+}
+
+#[test]
+fn remove_is_final_while_list_is_reached() {
+    let mut roster = Roster::default();
+    roster.put(server("a"), 1);
+    roster.remove(&Name::from("a"), 2, START);
+    assert!(working(&mut roster, START).is_empty());
+}
+
+/// The list's history is dropped and it is read afresh, from a copy some seconds old, in which a
+/// server that has since said that it leaves still stands as ready. Work sent there would be cut
+/// off when it ends.
+#[test]
+fn replace_stale_list_brings_nothing_back() {
+    let mut roster = Roster::default();
+    roster.put(server("a"), 1);
+    roster.put(server("a").leaving(), 5);
+    assert!(!roster.replace(vec![(server("a"), 1)], 3, START));
+    assert!(working(&mut roster, START).is_empty());
+    assert!(roster.replace(vec![(server("a"), 1)], 6, START));
+    assert!(working(&mut roster, START).is_empty());
+}
+
+/// The list is away for longer than entries live, so live servers' entries lapse. They renew them
+/// within two seconds of its return. Taken for dead at once, every server would be gone, and every
+/// request refused, for that time.
+#[test]
+fn remove_after_outage_is_a_lapse() {
+    let mut roster = Roster::default();
+    roster.put(server("a"), 1);
+    roster.put(server("b"), 2);
+    roster.away(START);
+    roster.reached(START + 4_000);
+    for (id, revision) in [("a", 3), ("b", 4)] {
+        roster.remove(&Name::from(id), revision, START + 4_000);
+    }
+    assert_eq!(working(&mut roster, START + 4_100), ["a", "b"]);
+    roster.put(server("b"), 5);
+    assert_eq!(working(&mut roster, START + 4_000 + LAPSE_MS), ["b"]);
+    assert_eq!(working(&mut roster, START + 60_000), ["b"]);
+}
+
+#[test]
+fn remove_of_leaving_server_is_no_lapse() {
+    let mut roster = Roster::default();
+    roster.put(server("a").leaving(), 1);
+    roster.away(START);
+    roster.reached(START + 10);
+    roster.remove(&Name::from("a"), 2, START + 20);
+    assert!(roster.entries(START + 30).is_empty());
+}
+
+#[test]
+fn remove_long_after_outage_is_final() {
+    let mut roster = Roster::default();
+    roster.put(server("a"), 1);
+    roster.away(START);
+    roster.reached(START + 100);
+    roster.remove(&Name::from("a"), 2, START + 100 + LAPSE_MS);
+    assert!(working(&mut roster, START + 100 + LAPSE_MS).is_empty());
+}
+
+/// Changes, outages, dropped history and stale reads in any order against a plain model: the store
+/// itself. What a server said last of its leaving is never forgotten, and once the list is read
+/// and lapses have passed, exactly the servers that stand in it work.
+#[test]
+fn entries_generated_sequences() {
+    fuzz::check::<Vec<(u8, u8)>>(2_000, |steps| {
+        let mut store: Vec<(Server, u64)> = Vec::new();
+        let mut old: Vec<(Vec<(Server, u64)>, u64)> = Vec::new();
+        // An id is never used again; the roster is bound by what it was told of it.
+        let mut used: Vec<Name> = Vec::new();
+        let mut said_leaving: Vec<Name> = Vec::new();
+        let mut roster = Roster::default();
+        let (mut revision, mut now) = (0_u64, START);
+        for (step, which) in steps {
+            now = now + u64::from(which % 50) * 20;
+            revision += 1;
+            let id = Name::from(format!("s{}", which % 23));
+            let at = store.iter().position(|(server, _)| server.id == id);
+            let seen = step & 0x10 == 0;
+            old.push((store.clone(), revision - 1));
+            match (step % 5, at) {
+                (0, None) if !used.contains(&id) => {
+                    used.push(id.clone());
+                    store.push((server(&id), revision));
+                    if seen {
+                        roster.put(server(&id), revision);
+                    }
+                }
+                (1, Some(at)) => {
+                    store[at] = (server(&id).leaving(), revision);
+                    if seen {
+                        said_leaving.push(id.clone());
+                        roster.put(server(&id).leaving(), revision);
+                    }
+                }
+                (2, Some(at)) => {
+                    store.remove(at);
+                    if seen {
+                        roster.remove(&id, revision, now);
+                    }
+                }
+                (3, _) => {
+                    roster.away(now);
+                    now = now + 500;
+                    roster.reached(now);
+                }
+                (4, _) => {
+                    let (stale, as_of) =
+                        &old[old.len() - 1 - usize::from(*which) % old.len().min(4)];
+                    roster.replace(stale.clone(), *as_of, now);
+                }
+                _ => {}
+            }
+            let working = working(&mut roster, now);
+            assert!(said_leaving.iter().all(|id| !working.contains(&id.to_string())));
+        }
+        roster.replace(store.clone(), revision + 1, now);
+        now = now + LAPSE_MS + 1_000;
+        let mut expected: Vec<String> = store
+            .iter()
+            .filter(|(server, _)| !server.leaving)
+            .map(|(server, _)| server.id.to_string())
+            .collect();
+        expected.sort();
+        assert_eq!(working(&mut roster, now), expected);
+    });
+}
--- /dev/null
+++ b/crates/policy/tests/suspicion.rs
@@ -0,0 +1,25 @@
+//! Servers that fail a part of their requests while their health check is good.
+
+use policy::suspicion::Suspicion;
+use policy::time::Millis;
+
+const START: Millis = Millis(1_000_000);
+
+#[test]
+fn share_grows_and_clears() {
+    let mut suspicion = Suspicion::default();
+    suspicion.note(true, START);
+    suspicion.note(true, START);
+    assert!(suspicion.share(START) > 0.4);
+    (0..10).for_each(|_| suspicion.note(false, START));
+    assert!(suspicion.share(START) < 0.1);
+}
+
+#[test]
+fn share_fades_without_answers() {
+    let mut suspicion = Suspicion::default();
+    (0..10).for_each(|_| suspicion.note(true, START));
+    let before = suspicion.share(START);
+    assert!(before > 0.9);
+    assert!(suspicion.share(START + 9_000) < before / 7.0);
+}
