Pressure is how long callers wait, not places taken; a silent server is asked whether it lives

Places taken were 0.4 of all when answers already began after seconds, so doubtful answers went on to the large model. Ruled out: one sick server (leaves spread over all nine), a cut (store reached). Change: silence ends in a probe (a new connection) before a server is left; pressure is the smoothed wait until answers begin, as a part of the objective; connections that time out keep a request from that failure domain's other servers.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -119,15 +119,19 @@
 ) -> Result<T, Failure> {
     let mut answer = std::pin::pin!(answer);
     let since = Instant::now();
-    let mut wait = job.first_wait(backend, since);
+    let mut wait = Some(Duration::ZERO);
     loop {
+        let look = async {
+            tokio::time::sleep(wait.unwrap_or_default()).await;
+            job.first_wait(backend, since).await
+        };
         tokio::select! {
             answered = answer.as_mut() => return answered.map_err(|failure| match failure {
                 Sent { sent: true, .. } if job.left().is_zero() => Failure::Lost(Cause::Deadline),
                 Sent { sent: true, cause } => Failure::Lost(cause),
                 Sent { sent: false, cause } => Failure::Unsent(cause),
             }),
-            () = tokio::time::sleep(wait.unwrap_or_default()) => match job.first_wait(backend, since) {
+            still = look => match still {
                 None if job.leave(backend) => return Err(Failure::Lost(Cause::Silent)),
                 // No way on: its answer is the only hope left.
                 None => wait = Some(job.left()),
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use entry::clock;
+use entry::connection::Connection;
 use entry::server::Server;
 use policy::name::Name;
 use policy::place;
@@ -21,6 +22,10 @@
 const TIMEOUTS_TO_ILL: u32 = 2;
 /// How long a prompt's part is believed to stay in an engine's cache, in milliseconds.
 const CACHED_MS: u64 = 30_000;
+/// Longest wait for a connection that is opened only to see whether the server lives.
+const PROBE: Duration = Duration::from_millis(200);
+/// Until a server that lives is looked at again.
+const LOOK: Duration = Duration::from_millis(100);
 /// Parts remembered for one engine at most.
 const PARTS_MAX: usize = 4_096;
 
@@ -179,19 +184,31 @@
     }
 
     /// How long its silence is still borne; none if it is to be left.
-    #[must_use]
-    pub fn bears(&self, bounds: &Bounds, silent: Duration, useful_ms: f64) -> Option<Duration> {
-        let own = self.server.in_flight.load(Ordering::Relaxed);
+    pub async fn bears(
+        &self,
+        bounds: &Bounds,
+        silent: Duration,
+        useful_ms: f64,
+    ) -> Option<Duration> {
         let silence = Silence {
             silent_ms: silent.as_secs_f64() * 1_000.0,
             useful_ms,
             heard_ms: clock::steady().since(self.heard_at()),
-            others: own.saturating_sub(1),
         };
         match silence::act(bounds, &silence) {
             Action::Wait(ms) => Some(Duration::from_secs_f64(ms / 1_000.0)),
-            Action::Leave => None,
+            Action::Probe if self.takes_connections().await => Some(LOOK),
+            Action::Probe | Action::Leave => None,
+        }
+    }
+
+    /// Opens a connection and closes it: a host that is dark, or behind a cut, takes none.
+    async fn takes_connections(&self) -> bool {
+        let taken = Connection::open(self.server.address, PROBE).await.is_ok();
+        if taken {
+            self.heard(clock::steady());
         }
+        taken
     }
 
     fn lock(&self) -> MutexGuard<'_, Belief> {
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -93,6 +93,8 @@
     pub not_run: u32,
     /// Backend servers not to be tried again.
     pub tried: Vec<Name>,
+    /// Other failure domains that did not answer; others are tried first.
+    pub dark: Vec<Name>,
     /// Index of the model that is asked now.
     pub model: usize,
     /// The version that it was first sent to.
@@ -262,7 +264,7 @@
 
     /// How long the head of an answer is still waited for before the backend server is left; none
     /// if the time has come.
-    pub fn first_wait(&self, backend: &Backend, since: Instant) -> Option<Duration> {
+    pub async fn first_wait(&self, backend: &Backend, since: Instant) -> Option<Duration> {
         let route = self.route();
         if !route.kind.may_repeat() || self.tries.sent + 1 >= route.attempts_max {
             return Some(self.left());
@@ -279,7 +281,7 @@
             true => silence::FIRST_BUSY,
             false => silence::FIRST,
         };
-        backend.bears(&bounds, silent, objective)
+        backend.bears(&bounds, silent, objective).await
     }
 
     /// Whether a silent backend server is left: only if the request can be sent to another one.
@@ -318,6 +320,7 @@
         if self.route().kind.is_stream() && status == StatusCode::OK {
             let head = reply.head.clone();
             let live = Live::begin(self, reply, self.ask.last_event).await?;
+            self.note_begun();
             return Ok(Some(Accepted::Stream(head, Box::new(live))));
         }
         let (head, body) = self.read_whole(reply).await?;
@@ -374,11 +377,6 @@
         if reply.head.status != StatusCode::OK || self.tries.model >= largest || !may {
             return false;
         }
-        let world = self.state.world.load();
-        let load = world
-            .pools
-            .get(&self.service)
-            .map_or(0.0, |pool| pick::load(pool, &reply.backend.version, clock::steady()));
         let objective_ms = self.route().objective_ms as f64;
         let larger = &self.known.timings[largest];
         let first = self.state.timings.with(larger, |timing| timing.first);
@@ -388,12 +386,22 @@
             waited_ms: self.started.elapsed().as_secs_f64() * 1_000.0,
             larger_ms: first.faded_ms(objective_ms / 4.0, clock::steady()),
             objective_ms,
-            load,
+            pressure: self
+                .state
+                .pressures
+                .with(&self.service, |pressure| pressure.faded_ms(0.0, clock::steady())),
         };
         let repeats = self.window(|window, allowance| window.left(allowance, clock::steady()));
         escalate::escalate(&doubt) && repeats >= REPEATS_KEPT
     }
 
+    /// The caller gets the beginning of its answer now.
+    pub fn note_begun(&self) {
+        let waited = self.started.elapsed().as_secs_f64() * 1_000.0;
+        let part = waited / self.route().objective_ms.max(1) as f64;
+        self.state.pressures.with(&self.service, |pressure| pressure.note(part, clock::steady()));
+    }
+
     /// A try failed: who is to blame, and what is known of the request now.
     pub fn failed(&mut self, backend: &Arc<Backend>, failure: Failure) {
         let now = clock::steady();
@@ -403,7 +411,14 @@
                 self.tries.unsent += 1;
                 match cause {
                     Cause::Refused => backend.note_refused(now),
-                    Cause::Silent => drop(backend.note_timeout(now)),
+                    Cause::Silent => {
+                        backend.note_timeout(now);
+                        // A whole failure domain may be cut off. Trying its servers one after
+                        // another would use up the request's time.
+                        if !backend.near {
+                            self.tries.dark.push(backend.server.failure_domain.clone());
+                        }
+                    }
                     // An old connection was closed by the other end; a new one is tried.
                     _ => self.tries.new_only = true,
                 }
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -21,15 +21,19 @@
 
 /// A backend server of a version that was not tried yet; none if there is none.
 ///
-/// Servers held ill are used only when no other is left: refusing outright would turn a moment's
-/// bad luck with all of them into an outage.
+/// Servers held ill, or in failure domains that did not answer this request, are used only when no
+/// other is left: refusing outright would turn a moment's bad luck with all into an outage.
 pub fn choose<C: Codec>(job: &Job<C>, pool: &Pool, version: &Name) -> Option<Arc<Backend>> {
     let now = clock::steady();
     let untried = pool.of(version).filter(|backend| !job.tries.tried.contains(&backend.id));
-    let (well, ill): (Vec<_>, Vec<_>) = untried.partition(|backend| backend.server.takes_work(now));
-    match well.as_slice() {
-        [] => ill.into_iter().min_by_key(|b| b.server.health().probe.ill_until).cloned(),
-        well => best(job, well, now),
+    let (lit, dark): (Vec<_>, Vec<_>) =
+        untried.partition(|backend| !job.tries.dark.contains(&backend.server.failure_domain));
+    let (well, ill): (Vec<_>, Vec<_>) =
+        lit.into_iter().partition(|backend| backend.server.takes_work(now));
+    match (well.as_slice(), dark.as_slice()) {
+        ([], []) => ill.into_iter().min_by_key(|b| b.server.health().probe.ill_until).cloned(),
+        ([], dark) => best(job, dark, now),
+        (well, _) => best(job, well, now),
     }
 }
 
@@ -81,20 +85,3 @@
     let near = backends.iter().enumerate().filter(|(_, backend)| backend.near);
     near.max_by_key(|(_, backend)| mix(backend.hash ^ subject)).map(|(index, _)| index)
 }
-
-/// Requests at a version's backend servers, as a part of their places.
-#[must_use]
-pub fn load(pool: &Pool, version: &Name, now: Millis) -> f64 {
-    let (load, slots) = pool.of(version).fold((0.0, 0.0), |(load, slots), backend| {
-        let seen = backend.seen(0, &[], now);
-        let engine = Engine {
-            own: backend.server.in_flight.load(std::sync::atomic::Ordering::Relaxed),
-            reported: seen.reported,
-            own_then: seen.own_then,
-            report_age_ms: engine::age(seen.reported_at, now),
-            ..Engine::default()
-        };
-        (load + engine.load(), slots + f64::from(backend.slots))
-    });
-    load / f64::max(slots, 1.0)
-}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -103,7 +103,7 @@
         let useful_ms = route.gap_ms.unwrap_or(route.objective_ms) as f64;
         let since = Instant::now();
         let until = tokio::time::Instant::from(job.until);
-        let mut wait = self.backend.bears(&silence::BETWEEN, Duration::ZERO, useful_ms);
+        let mut wait = self.backend.bears(&silence::BETWEEN, Duration::ZERO, useful_ms).await;
         loop {
             let limit = until.min(tokio::time::Instant::now() + wait.unwrap_or_default());
             match tokio::time::timeout_at(limit, self.body.frame()).await {
@@ -117,7 +117,8 @@
                 Err(_) if limit >= until => return Err(Cause::Deadline),
                 Err(_) => {}
             }
-            wait = match self.backend.bears(&silence::BETWEEN, since.elapsed(), useful_ms) {
+            let silent = since.elapsed();
+            wait = match self.backend.bears(&silence::BETWEEN, silent, useful_ms).await {
                 None if job.leave(&self.backend) => return Err(Cause::Silent),
                 None => Some(job.left()),
                 still => still,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,6 +4,7 @@
 
 use arc_swap::ArcSwap;
 use entry::sharded::Sharded;
+use policy::patience::Patience;
 use policy::repeat::{Allowance, Window};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -24,6 +25,8 @@
     pub windows: Sharded<Window>,
     /// Times of answers, by route and model.
     pub timings: Sharded<Timing>,
+    /// How long callers wait for streams to begin lately, as parts of their objectives, by service.
+    pub pressures: Sharded<Patience>,
     /// How versions under roll-out answer.
     pub tally: Tally,
     /// Streams on their way to callers.
@@ -44,6 +47,7 @@
             allowance: ArcSwap::from_pointee(allowance),
             windows: Sharded::default(),
             timings: Sharded::default(),
+            pressures: Sharded::default(),
             tally: Tally::default(),
             relays: TaskTracker::new(),
             in_flight: AtomicUsize::new(0),
--- a/crates/policy/src/escalate.rs
+++ b/crates/policy/src/escalate.rs
@@ -17,12 +17,12 @@
 const URGENCY_STEP: f64 = 5.0;
 /// Part of the objective by which the large model's answer must begin.
 const IN_TIME: f64 = 0.9;
-/// Load, as a part of all places, from which more doubt is accepted.
-const BUSY: f64 = 0.6;
-/// Load under which a larger model is asked even if its answer will be late.
-const IDLE: f64 = 0.3;
-/// Load at which no answer is asked for again.
-const FULL: f64 = 1.2;
+/// Pressure from which more doubt is accepted.
+const BUSY: f64 = 0.25;
+/// Pressure under which a larger model is asked even if its answer will be late.
+const IDLE: f64 = 0.2;
+/// Pressure at which no answer is asked for again.
+const FULL: f64 = 0.6;
 
 domain! {
     /// What is known when a small model's answer begins.
@@ -38,16 +38,17 @@
         pub larger_ms: f64,
         /// Time within which the answer is of full use, in milliseconds.
         pub objective_ms: f64,
-        /// Requests at the service's engines, as a part of their places.
-        pub load: f64,
+        /// How long callers wait for their answers to begin lately, as a part of the objective.
+        /// Places taken say little: engines are short of time for prompts long before.
+        pub pressure: f64,
     }
 }
 
 /// Confidence below which a larger model is asked.
 #[must_use]
-pub fn threshold(priority: u8, load: f64) -> f64 {
+pub fn threshold(priority: u8, pressure: f64) -> f64 {
     let wanted = EVEN + URGENCY_STEP * (2.0 - f64::from(priority.min(4)));
-    let room = ((FULL - load) / (FULL - BUSY)).clamp(0.0, 1.0);
+    let room = ((FULL - pressure) / (FULL - BUSY)).clamp(0.0, 1.0);
     wanted * room
 }
 
@@ -57,6 +58,6 @@
     let Some(confidence) = doubt.confidence else { return false };
     let in_time = doubt.waited_ms + doubt.larger_ms <= doubt.objective_ms * IN_TIME;
     // With room to spare a late right answer is still better than a poor one.
-    let has_room = doubt.load < IDLE;
-    (in_time || has_room) && f64::from(confidence) < threshold(doubt.priority, doubt.load)
+    let has_room = doubt.pressure < IDLE;
+    (in_time || has_room) && f64::from(confidence) < threshold(doubt.priority, doubt.pressure)
 }
--- a/crates/policy/src/silence.rs
+++ b/crates/policy/src/silence.rs
@@ -3,12 +3,14 @@
 //! Silence has three causes that look alike: the server is dark, the connection has gone silent,
 //! or the server is busy with others' prompts and will answer yet. Leaving a busy server makes it
 //! worse, since another one must read the prompt again. What tells them apart is whether the
-//! server says anything on its other connections.
+//! server says anything on its other connections, and, if it does not, whether it still takes new
+//! ones.
 
 use crate::domain;
 
-/// A server that said something else within this time is alive, in milliseconds.
-const ALIVE_MS: u64 = 250;
+/// A server that said something else, or took a connection, within this time is alive, in
+/// milliseconds.
+const ALIVE_MS: u64 = 800;
 /// Between two looks at a server that is alive, in milliseconds.
 const LOOK_MS: f64 = 100.0;
 
@@ -16,10 +18,8 @@
     /// How long silence is borne, as parts of the longest useful wait.
     #[derive(Copy)]
     pub struct Bounds {
-        /// Of a server that is silent towards others as well.
+        /// Before a server that says nothing else either is asked whether it takes connections.
         pub dark: f64,
-        /// Of a server that has no other request of this host, so nothing can be told.
-        pub alone: f64,
         /// Of a server that is alive; none if it is waited for to the end.
         pub alive: Option<f64>,
     }
@@ -33,8 +33,6 @@
         pub useful_ms: f64,
         /// When the server last said anything to this host, in milliseconds ago.
         pub heard_ms: u64,
-        /// Other requests of this host at the server.
-        pub others: u32,
     }
 
     /// What to do.
@@ -42,33 +40,31 @@
     pub enum Action {
         /// Look again after this time, in milliseconds.
         Wait(f64),
+        /// Open a connection to the server: if it takes none, leave it.
+        Probe,
         /// Another server is the better hope.
         Leave,
     }
 }
 
 /// Before the first byte of an answer, while the pool answers most requests soon.
-pub const FIRST: Bounds = Bounds { dark: 0.35, alone: 0.6, alive: Some(1.0) };
+pub const FIRST: Bounds = Bounds { dark: 0.35, alive: Some(2.0) };
 /// The same while slow beginnings are the load's doing.
-pub const FIRST_BUSY: Bounds = Bounds { dark: 0.6, alone: 1.0, alive: None };
+pub const FIRST_BUSY: Bounds = Bounds { dark: 0.35, alive: None };
 /// Between two events. An engine that was short of memory may put a request back and read its
 /// prompt again; that takes some seconds and ends well.
-pub const BETWEEN: Bounds = Bounds { dark: 0.6, alone: 1.0, alive: Some(3.0) };
+pub const BETWEEN: Bounds = Bounds { dark: 0.5, alive: Some(4.0) };
 
 /// What to do about a silence.
 #[must_use]
 pub fn act(bounds: &Bounds, silence: &Silence) -> Action {
-    let borne = match () {
-        () if silence.others == 0 => Some(bounds.alone),
-        () if silence.heard_ms >= ALIVE_MS => Some(bounds.dark),
-        () => bounds.alive,
-    };
     let passed = |part: f64| silence.silent_ms >= part * silence.useful_ms;
-    let until = |part: f64| (part * silence.useful_ms - silence.silent_ms).max(LOOK_MS);
-    match borne {
-        Some(part) if passed(part) => Action::Leave,
-        // The server may turn out dark, or be left with this request alone, any time.
-        _ if passed(bounds.dark) => Action::Wait(LOOK_MS),
-        _ => Action::Wait(until(bounds.dark)),
+    match bounds.alive {
+        _ if !passed(bounds.dark) => {
+            Action::Wait((bounds.dark * silence.useful_ms - silence.silent_ms).max(LOOK_MS))
+        }
+        Some(alive) if passed(alive) => Action::Leave,
+        _ if silence.heard_ms >= ALIVE_MS => Action::Probe,
+        _ => Action::Wait(LOOK_MS),
     }
 }
