--- a/crates/chestnutspur/src/command.rs
+++ b/crates/chestnutspur/src/command.rs
@@ -6,6 +6,7 @@
 mod control;
 mod demo;
 mod entry;
+mod explain;
 mod load;
 mod node;
 mod replay;
@@ -56,6 +57,18 @@
         #[bpaf(long, argument("FILE"), env("CHESTNUTSPUR_NODE_FILE"))]
         settings: PathBuf,
     },
+    /// Print a request's life from logs on standard input, in order
+    ///
+    /// Takes the JSON lines of `node`, of all hosts together and in any order; what stands before
+    /// a line's brace is passed over. Beside the request's own lines it prints what the hosts came
+    /// to believe meanwhile of the backend servers that it was sent to, of its service's roll-out,
+    /// and of the store. Exit code 1 if no line names the request.
+    #[bpaf(command)]
+    Explain {
+        /// The request's id
+        #[bpaf(positional("REQUEST-ID"))]
+        request: String,
+    },
     /// Check a settings file or a configuration document, whichever it is
     ///
     /// Prints every fault with its path in the file; exit code 2 if there is one.
@@ -116,6 +129,7 @@
         Command::Entry { settings } => entry::run(&settings),
         Command::Control { settings } => control::run(&settings),
         Command::Node { settings } => node::run(&settings),
+        Command::Explain { request } => explain::run(&request),
         Command::Check { file } => check::run(&file),
         Command::Apply(arguments) => apply::run(arguments),
         Command::Status(arguments) => status::run(&arguments),
--- a/crates/chestnutspur/src/command/node.rs
+++ b/crates/chestnutspur/src/command/node.rs
@@ -20,7 +20,7 @@
 pub fn run(file: &Path) -> Exit {
     match super::load(file) {
         Some(Settings::Node(settings)) => {
-            logging::start_json(&settings.log);
+            logging::start_json(&settings.log, &settings.name);
             let threads = usize::try_from(settings.threads).unwrap_or(1);
             let file = file.to_owned();
             process::supervise("node", threads, |metrics, stop| {
@@ -75,7 +75,7 @@
         match settings::parse(&text) {
             Ok(Settings::Node(read)) if read == held => {}
             Ok(Settings::Node(read)) => {
-                logging::start_json(&read.log);
+                logging::start_json(&read.log, &read.name);
                 held = read.clone();
                 if changes.send(read).is_err() {
                     return;
--- a/crates/chestnutspur/src/logging.rs
+++ b/crates/chestnutspur/src/logging.rs
@@ -22,8 +22,8 @@
 }
 
 /// Starts logging as JSON lines on standard output; a second call changes only the level.
-pub fn start_json(level: &str) {
+pub fn start_json(level: &str, host: &str) {
     let level: LevelFilter = level.parse().unwrap_or(LevelFilter::Info);
-    json::start();
+    json::start(host);
     log::set_max_level(level);
 }
--- a/crates/chestnutspur/src/logging/json.rs
+++ b/crates/chestnutspur/src/logging/json.rs
@@ -21,11 +21,13 @@
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
 struct Logger {
+    host: String,
     lines: SyncSender<String>,
 }
 
-/// Starts the logger and its writer; does nothing if a logger is set already.
-pub fn start() {
+/// Starts the logger and its writer; does nothing if a logger is set already. Each line names the
+/// host, so that the logs of all hosts can be read together.
+pub fn start(host: &str) {
     let (lines, queue) = sync_channel(QUEUE);
     let writer = std::thread::Builder::new().name("log".to_owned());
     if let Err(error) = writer.spawn(move || write(&queue)) {
@@ -33,7 +35,7 @@
         return;
     }
     // Fails only if a logger is set already, and then logs go on.
-    let _ = log::set_boxed_logger(Box::new(Logger { lines }));
+    let _ = log::set_boxed_logger(Box::new(Logger { host: host.to_owned(), lines }));
 }
 
 impl Log for Logger {
@@ -46,7 +48,7 @@
         if !self.enabled(record.metadata()) {
             return;
         }
-        match self.lines.try_send(line(record)) {
+        match self.lines.try_send(line(record, &self.host)) {
             Ok(()) | Err(TrySendError::Disconnected(_)) => {}
             Err(TrySendError::Full(_)) => drop(DROPPED.fetch_add(1, Ordering::Relaxed)),
         }
@@ -70,10 +72,11 @@
     }
 }
 
-fn line(record: &Record<'_>) -> String {
+fn line(record: &Record<'_>, host: &str) -> String {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let mut members = Members(Map::new());
     members.0.insert("at".to_owned(), Json::from(now.as_secs_f64()));
+    members.0.insert("host".to_owned(), Json::from(host));
     members.0.insert("level".to_owned(), Json::from(record.level().as_str()));
     members.0.insert("part".to_owned(), Json::from(record.target()));
     members.0.insert("event".to_owned(), Json::from(record.args().to_string()));
--- a/crates/node/src/facts.rs
+++ b/crates/node/src/facts.rs
@@ -41,6 +41,8 @@
     backends: HashMap<Name, Arc<Backend>>,
     rollouts: BTreeMap<Name, Known>,
     bases: HashMap<Name, Name>,
+    table_at: Option<Millis>,
+    heard_at: BTreeMap<Name, Millis>,
 }
 
 /// Everything known, under one lock; requests see only the worlds made of it.
@@ -76,9 +78,28 @@
             return false;
         }
         inner.index = Arc::new(Index::new(table));
+        inner.table_at = Some(clock::steady());
         true
     }
 
+    /// When the table in force was taken.
+    #[must_use]
+    pub fn table_at(&self) -> Option<Millis> {
+        self.lock().table_at
+    }
+
+    /// One of the store's lists answered.
+    pub fn set_heard(&self, list: &str, now: Millis) {
+        self.lock().heard_at.insert(Name::from(list), now);
+    }
+
+    /// How long ago each of the store's lists last answered, in milliseconds.
+    #[must_use]
+    pub fn heard(&self, now: Millis) -> BTreeMap<Name, u64> {
+        let inner = self.lock();
+        inner.heard_at.iter().map(|(list, at)| (list.clone(), now.since(*at))).collect()
+    }
+
     /// Changes the list of backend servers.
     pub fn with_roster<T>(
         &self,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod process;
 pub mod record;
 pub mod rollout;
+pub mod status;
 pub mod store;
 pub mod watch;
 
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use entry::answer::Answer;
+use entry::clock;
 use gateway::{Codec, State};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -14,6 +15,7 @@
 use tokio::net::TcpListener;
 
 use crate::facts::Facts;
+use crate::status::Status;
 
 /// What is asked about.
 pub struct Subject<C> {
@@ -54,10 +56,11 @@
         (&Method::GET, "/live") => (StatusCode::OK, "live\n".to_owned()),
         (&Method::GET, "/ready") => ready(subject),
         (&Method::GET, "/metrics") => (StatusCode::OK, render(subject)),
-        (_, "/live" | "/ready" | "/metrics") => {
+        (&Method::GET, "/status") => (StatusCode::OK, status(subject)),
+        (_, "/live" | "/ready" | "/metrics" | "/status") => {
             (StatusCode::METHOD_NOT_ALLOWED, "only GET\n".to_owned())
         }
-        _ => (StatusCode::NOT_FOUND, "/live, /ready or /metrics\n".to_owned()),
+        _ => (StatusCode::NOT_FOUND, "/live, /ready, /metrics or /status\n".to_owned()),
     };
     let mut response = Response::new(Answer::whole(text));
     *response.status_mut() = status;
@@ -79,6 +82,18 @@
     (status, format!("{{\"state\":\"{why}\",\"table\":{table},\"backends\":{backends}}}\n"))
 }
 
+/// What this host believes, and since when.
+fn status<C: Codec>(subject: &Subject<C>) -> String {
+    let status = Status::of(&subject.state, &subject.facts, clock::steady());
+    match serde_json::to_string(&status) {
+        Ok(text) => text,
+        Err(error) => {
+            log::error!(target: "operators", error:% = error; "status can't be written");
+            String::new()
+        }
+    }
+}
+
 fn render<C: Codec>(subject: &Subject<C>) -> String {
     let world = subject.state.world.load();
     let in_flight = subject.state.in_flight.load(std::sync::atomic::Ordering::Relaxed);
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -108,8 +108,8 @@
     let accepts =
         callers::serve(listeners.callers, Arc::clone(&state), close.clone(), connections.clone());
     let accepts = spawn(accepts);
-    log::info!(target: "process", host:% = settings.name, domain:% = settings.failure_domain;
-        "started");
+    log::info!(target: "process", domain:% = settings.failure_domain, listen:% = settings.listen,
+        platform:% = settings.platform; "started");
     let mut current = settings;
     loop {
         tokio::select! {
--- /dev/null
+++ b/crates/node/src/status.rs
@@ -0,0 +1,114 @@
+//! What a host believes and since when, for operators.
+
+use std::collections::BTreeMap;
+
+use gateway::{Codec, State};
+use policy::canary::Stage;
+use policy::domain;
+use policy::name::Name;
+use policy::time::Millis;
+
+use crate::facts::Facts;
+
+domain! {
+    /// What `GET /status` says.
+    #[derive(Default)]
+    pub struct Status {
+        /// Version of the table of routes in force; 0 if there is none.
+        pub table: u64,
+        /// How long ago it was taken, in milliseconds.
+        pub table_age_ms: Option<u64>,
+        /// Revision of the list of backend servers.
+        pub backends_revision: u64,
+        /// How long ago each of the store's lists last answered, in milliseconds.
+        pub store_age_ms: BTreeMap<Name, u64>,
+        /// By service.
+        pub services: BTreeMap<Name, Service>,
+        /// Requests under way.
+        pub requests: u64,
+    }
+
+    /// One service.
+    #[derive(Default)]
+    pub struct Service {
+        /// The version that requests go to, but for a roll-out.
+        pub version: Name,
+        /// Its roll-out, if there was one.
+        pub rollout: Option<Rollout>,
+        /// Backend servers that take new work, by id.
+        pub backends: BTreeMap<Name, Backend>,
+    }
+
+    /// A roll-out.
+    pub struct Rollout {
+        /// The version wanted.
+        pub target: Name,
+        /// How far it has come.
+        pub stage: Stage,
+        /// The share of requests that it gets here now.
+        pub share: f64,
+        /// How long ago it began, in milliseconds.
+        pub age_ms: u64,
+    }
+
+    /// A backend server.
+    pub struct Backend {
+        /// Its version.
+        pub version: Name,
+        /// Where it is reached.
+        pub address: String,
+        /// Requests of this host there.
+        pub requests: u32,
+        /// Requests there by its last report, others' included.
+        pub reported: u32,
+        /// Share of requests that it is expected to fail.
+        pub suspicion: f64,
+        /// No new work for this long, in milliseconds: it was found ill.
+        pub ill_ms: u64,
+    }
+}
+
+impl Status {
+    /// As it is now.
+    #[must_use]
+    pub fn of<C: Codec>(state: &State<C>, facts: &Facts, now: Millis) -> Self {
+        let world = state.world.load();
+        let services = world.pools.iter().map(|(name, pool)| (name.clone(), service(pool, now)));
+        let requests = state.in_flight.load(std::sync::atomic::Ordering::Relaxed);
+        Self {
+            table: world.index.version,
+            table_age_ms: facts.table_at().map(|at| now.since(at)),
+            backends_revision: world.revision,
+            store_age_ms: facts.heard(now),
+            services: services.collect(),
+            requests: requests as u64,
+        }
+    }
+}
+
+fn service(pool: &gateway::pool::Pool, now: Millis) -> Service {
+    let backends =
+        pool.backends.iter().map(|backend| (backend.id.clone(), self::backend(backend, now)));
+    Service {
+        version: pool.base.clone(),
+        rollout: pool.rollout.as_ref().map(|rollout| Rollout {
+            target: rollout.target.clone(),
+            stage: rollout.stage,
+            share: rollout.share(now),
+            age_ms: now.since(rollout.began),
+        }),
+        backends: backends.collect(),
+    }
+}
+
+fn backend(backend: &gateway::backend::Backend, now: Millis) -> Backend {
+    let seen = backend.seen(0, &[], now);
+    Backend {
+        version: backend.version.clone(),
+        address: backend.server.address.to_string(),
+        requests: backend.server.in_flight.load(std::sync::atomic::Ordering::Relaxed),
+        reported: seen.reported,
+        suspicion: seen.suspicion,
+        ill_ms: backend.server.health().probe.ill_until.since(now),
+    }
+}
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -42,6 +42,17 @@
     Backends,
 }
 
+impl List {
+    /// For people.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Operators => "operators",
+            Self::Backends => "backends",
+        }
+    }
+}
+
 /// What an entry of a list says.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Fact {
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -49,6 +49,7 @@
             };
             match news {
                 Ok(news) => {
+                    self.facts.set_heard(list.name(), clock::steady());
                     if !reached {
                         log::info!(target: "watch", list:? = list; "store regained");
                     }
--- a/crates/standin/src/rows.rs
+++ b/crates/standin/src/rows.rs
@@ -40,10 +40,12 @@
 
 /// A row's table, group and key.
 type Place = (Name, Name, Name);
+/// Rows, each with the version of its last change.
+type Table = BTreeMap<Place, (Bytes, u64)>;
 
 #[derive(Default)]
 struct Inner {
-    rows: BTreeMap<Place, (Bytes, u64)>,
+    rows: Table,
     /// Changes, oldest first; none for a removal.
     history: Vec<(u64, Place, Option<Bytes>)>,
     /// Changes up to here are no longer kept.
@@ -52,7 +54,7 @@
     fault: Fault,
     calls: u64,
     /// A past state that reads are answered from.
-    stale: Option<(BTreeMap<Place, (Bytes, u64)>, u64)>,
+    stale: Option<(Table, u64)>,
 }
 
 /// The store.
@@ -202,9 +204,8 @@
         let until = tokio::time::Instant::now() + Duration::from_millis(query.wait_ms);
         let mut changed = self.changed.subscribe();
         loop {
-            let answer = match self.changes(query) {
-                None => return reply::bytes(StatusCode::GONE, ""),
-                Some(answer) => answer,
+            let Some(answer) = self.changes(query) else {
+                return reply::bytes(StatusCode::GONE, "");
             };
             let waited = tokio::time::timeout_at(until, changed.changed());
             match answer.rows.is_empty() {
