Fewer calls of the store: long polls by list, news gathered, few witnesses of a roll-out

Change: the operators' list is asked each 3.5 s, the backend servers' each 20 s, news in a row are gathered for a second; eight hosts tell what they counted, the others look each 2 s; a late answer counts as an outage.

--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -24,8 +24,16 @@
 use crate::store::{Change, Error, Outcome, Rows, Store};
 use crate::watch::Watch;
 
-/// Between two looks at all hosts' counts. A bad version gets requests for as long.
+/// Between two looks at the witnesses' counts. A bad version gets requests for as long.
 const EVERY: Duration = Duration::from_millis(900);
+/// Between two looks of a host that is no witness, at how the roll-out stands.
+const EVERY_OTHER: Duration = Duration::from_millis(2_000);
+/// The same as a part of the time allowed: all must know that requests move over before the old
+/// version's servers are stopped.
+const EVERY_OTHER_PART: f64 = 0.06;
+/// Hosts that tell what they counted, the first to do so. A small fleet's hosts are all needed; of
+/// a large one's these see as many answers, and the rest would only make calls.
+const WITNESSES: usize = 8;
 /// Between two looks at this host's own counts.
 const LOOK: Duration = Duration::from_millis(150);
 /// A host's clock and the store's may part by this much, in milliseconds, before it is set right.
@@ -76,9 +84,10 @@
             }
             self.look(&service, &known);
             if tokio::time::Instant::now() >= next {
-                next =
-                    tokio::time::Instant::now() + EVERY.mul_f64(0.9 + rand::random::<f64>() / 5.0);
-                self.decide(&service, &known, &mut revision, &mut counted).await;
+                let is_witness = self.decide(&service, &known, &mut revision, &mut counted).await;
+                let every = if is_witness { EVERY } else { every_other(&known) };
+                let jitter = 0.9 + rand::random::<f64>() / 5.0;
+                next = tokio::time::Instant::now() + every.mul_f64(jitter);
             }
             tokio::time::sleep(LOOK).await;
         }
@@ -164,17 +173,21 @@
     }
 
     /// Tells the other hosts what this one counted, reads what they did, and makes the step that
-    /// follows.
+    /// follows. True if this host is one of the witnesses, or may be.
     async fn decide(
         &self,
         service: &Name,
         known: &Known,
         revision: &mut u64,
         counted: &mut Vec<Evidence>,
-    ) {
-        if let Err(error) = self.try_decide(service, known, revision, counted).await {
-            log::warn!(target: "rollout", service:% = service, error:% = error;
-                "roll-out undecided, tried again");
+    ) -> bool {
+        match self.try_decide(service, known, revision, counted).await {
+            Ok(is_witness) => is_witness,
+            Err(error) => {
+                log::warn!(target: "rollout", service:% = service, error:% = error;
+                    "roll-out undecided, tried again");
+                true
+            }
         }
     }
 
@@ -184,9 +197,11 @@
         known: &Known,
         revision: &mut u64,
         counted: &mut Vec<Evidence>,
-    ) -> Result<(), Error> {
+    ) -> Result<bool, Error> {
         let own = self.state().tally.of(service);
-        if own != *counted {
+        let rows = self.watch.store.rows(&record::prefix(service)).await?;
+        let is_witness = is_witness(&rows, service, &self.host, known.revision);
+        if is_witness && own != *counted {
             match self.tell(service, known, &own).await {
                 Ok(()) => counted.clone_from(&own),
                 // The others may not have these counts yet. That must not keep this host from
@@ -195,10 +210,9 @@
                     "own counts not told"),
             }
         }
-        let rows = self.watch.store.rows(&record::prefix(service)).await?;
         let Some((record, at)) = find_record(&rows, service).filter(|(r, _)| is_of(r, known))
         else {
-            return Ok(());
+            return Ok(is_witness);
         };
         let stage = record.stage;
         *revision = at;
@@ -212,7 +226,7 @@
         let elapsed = elapsed(known, clock::steady());
         let evidence = gather(&rows, service, &self.host, known.revision, own);
         let verdict = canary::verdict(&evidence);
-        let Some(next) = canary::next(stage, elapsed, verdict) else { return Ok(()) };
+        let Some(next) = canary::next(stage, elapsed, verdict) else { return Ok(is_witness) };
         let progress = match next {
             Stage::Done => Progress::Succeeded,
             Stage::Stopped => Progress::RolledBack,
@@ -226,7 +240,7 @@
             *revision = at;
             self.adopt(service, changed, rows.now_ms);
         }
-        Ok(())
+        Ok(is_witness)
     }
 
     async fn tell(&self, service: &Name, known: &Known, own: &[Evidence]) -> Result<(), Error> {
@@ -257,6 +271,22 @@
     }
 }
 
+fn every_other(known: &Known) -> Duration {
+    let part = Duration::from_millis(known.order.within_ms).mul_f64(EVERY_OTHER_PART);
+    EVERY_OTHER.min(part).max(EVERY)
+}
+
+/// Whether a host is among the first that told, or there are too few yet.
+fn is_witness(rows: &Rows, service: &Name, host: &Name, order: u64) -> bool {
+    let own_key = record::counted_key(service, host);
+    let record_key = record::key(service);
+    let told = rows.rows.iter().filter(|row| row.key != record_key);
+    let told =
+        told.filter(|row| record::read::<Counted>(&row.value).is_ok_and(|c| c.order == order));
+    let keys: Vec<&Name> = told.map(|row| &row.key).collect();
+    keys.len() < WITNESSES || keys.contains(&&own_key)
+}
+
 /// All hosts' counts, this one's as they are now.
 fn gather(
     rows: &Rows,
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -11,10 +11,19 @@
 use crate::facts::Facts;
 use crate::store::{Entry, Error, Fact, List, News, Store};
 
-/// How long the store may hold a question back while nothing changes. Shorter than the three
-/// heartbeats after which a silent server's entry lapses, so that an outage long enough for that
-/// is always noticed; longer waits would cost fewer calls.
-const WAIT: Duration = Duration::from_millis(2_500);
+/// How long the store may hold back a question about what operators decide. A connection that has
+/// gone silent shows only after that, and a change must be in force within seconds; each question
+/// has its price, and all hosts ask.
+const WAIT_OPERATORS: Duration = Duration::from_millis(3_500);
+/// The same about backend servers. The other list's questions notice an outage for both.
+const WAIT_BACKENDS: Duration = Duration::from_secs(20);
+/// An answer that comes so much later than the store was asked to hold it back comes from a store
+/// that was away meanwhile.
+const LATE: Duration = Duration::from_millis(150);
+/// Between two questions about backend servers when the first brought news. Many servers come or
+/// go together; one question for each of them would make most of a large fleet's calls. Work must
+/// not go to a leaving server for longer than about two seconds.
+const GATHER: Duration = Duration::from_secs(1);
 /// Pause after a failed call, first and longest; drawn from half of it up to all of it.
 const PAUSE_MS: u64 = 100;
 const PAUSE_MAX_MS: u64 = 800;
@@ -43,10 +52,16 @@
         let mut after = None;
         let mut reached = true;
         loop {
+            let wait = wait(list);
+            let asked = clock::steady();
             let news = match after {
                 None => self.store.read(list).await,
-                Some(after) => self.store.follow(list, after, WAIT).await,
+                Some(after) => self.store.follow(list, after, wait).await,
             };
+            let held_back = Duration::from_millis(clock::steady().since(asked));
+            if held_back > wait + LATE {
+                self.away();
+            }
             match news {
                 Ok(news) => {
                     self.facts.set_heard(list.name(), clock::steady());
@@ -55,8 +70,13 @@
                     }
                     reached = true;
                     pause_ms = PAUSE_MS;
+                    self.facts.with_roster(|roster| roster.reached(clock::steady()));
+                    let is_news = !news.entries.is_empty();
                     after = self.take(list, news, after.is_none());
                     if after.is_some() {
+                        if is_news && list == List::Backends {
+                            tokio::time::sleep(GATHER).await;
+                        }
                         continue;
                     }
                 }
@@ -70,9 +90,7 @@
                         log::warn!(target: "watch", list:? = list, error:% = error; "store lost");
                     }
                     reached = false;
-                    if list == List::Backends {
-                        self.facts.with_roster(|roster| roster.away(clock::steady()));
-                    }
+                    self.away();
                 }
             }
             metrics::counter!("node_store_pauses_total").increment(1);
@@ -82,6 +100,11 @@
         }
     }
 
+    /// The store is away, or was. Entries that lapse meanwhile are no deaths.
+    fn away(&self) {
+        self.facts.with_roster(|roster| roster.away(clock::steady()));
+    }
+
     /// Takes what came; the revision to go on behind, or none if it is older than what is known.
     fn take(&self, list: List, news: News, whole: bool) -> Option<u64> {
         let revision = news.revision;
@@ -131,26 +154,23 @@
         let now = clock::steady();
         let count = news.entries.len();
         let revision = news.revision;
-        let taken = self.facts.with_roster(|roster| {
-            roster.reached(now);
-            match whole {
-                true => {
-                    let rows = news.entries.iter().filter_map(|entry| match &entry.fact {
-                        Fact::Backend(backend) => Some((backend.clone(), entry.revision)),
-                        _ => None,
-                    });
-                    roster.replace(rows.collect(), revision, now)
-                }
-                false => {
-                    for entry in &news.entries {
-                        match &entry.fact {
-                            Fact::Backend(backend) => roster.put(backend.clone(), entry.revision),
-                            Fact::Removed => roster.remove(&entry.key, entry.revision, now),
-                            _ => {}
-                        }
+        let taken = self.facts.with_roster(|roster| match whole {
+            true => {
+                let rows = news.entries.iter().filter_map(|entry| match &entry.fact {
+                    Fact::Backend(backend) => Some((backend.clone(), entry.revision)),
+                    _ => None,
+                });
+                roster.replace(rows.collect(), revision, now)
+            }
+            false => {
+                for entry in &news.entries {
+                    match &entry.fact {
+                        Fact::Backend(backend) => roster.put(backend.clone(), entry.revision),
+                        Fact::Removed => roster.remove(&entry.key, entry.revision, now),
+                        _ => {}
                     }
-                    true
                 }
+                true
             }
         });
         for entry in &news.entries {
@@ -182,6 +202,13 @@
     }
 }
 
+fn wait(list: List) -> Duration {
+    match list {
+        List::Operators => WAIT_OPERATORS,
+        List::Backends => WAIT_BACKENDS,
+    }
+}
+
 fn log_backend(entry: &Entry) {
     match &entry.fact {
         Fact::Backend(backend) => {
