What engines have still to read, in time by model; no long prompt is read again to be late

Tokens to read were counted alike for all models, though the large one reads ten times as long. Change: backlog in milliseconds by model that passes by itself; a larger model is asked only if its own reading fits.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -60,18 +60,6 @@
     Lost(Cause),
 }
 
-/// Prompt tokens that a backend server has still to read; given back when dropped.
-struct Unread {
-    backend: Arc<Backend>,
-    tokens: f64,
-}
-
-impl Drop for Unread {
-    fn drop(&mut self) {
-        self.backend.begun(self.tokens);
-    }
-}
-
 /// Sends the request and waits for the head of its answer.
 ///
 /// # Errors
@@ -86,12 +74,11 @@
     let model = job.model_hash();
     let seen = backend.seen(model, &job.ask.parts, clock::steady());
     let tokens = (f64::from(job.ask.prompt_tokens) - seen.cached).max(0.0);
-    backend.sent(model, &job.ask.parts, tokens, clock::steady());
-    let unread = Unread { backend: Arc::clone(backend), tokens };
+    let rate = job.state.timings.with(job.timing(), |timing| timing.tokens_per_ms);
+    backend.sent(model, &job.ask.parts, tokens / rate, clock::steady());
     let lease = Lease::new(Arc::clone(&backend.server));
     let sent_at = Instant::now();
     let response = patient(job, backend, connection.send(request, job.left())).await?;
-    drop(unread);
     let first_ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
     let (head, body) = response.into_parts();
     let said = job.state.codec.head(head.status, &head.headers);
@@ -101,10 +88,8 @@
     }
     check(job, &head, &said)?;
     if job.timed(backend) {
-        let tokens = tokens + seen.unread;
-        job.state
-            .timings
-            .with(job.timing(), |timing| timing.note_first(first_ms, tokens, clock::steady()));
+        let (timing, now) = (job.timing(), clock::steady());
+        job.state.timings.with(timing, |timing| timing.note_first(first_ms, tokens, now));
     }
     let backend = Arc::clone(backend);
     Ok(Reply { head, said, body, connection, lease, backend, sent_at, first_ms })
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -10,6 +10,7 @@
 use entry::server::Server;
 use policy::name::Name;
 use policy::place;
+use policy::reading::Reading;
 use policy::silence::{self, Action, Bounds, Silence};
 use policy::suspicion::Suspicion;
 use policy::time::Millis;
@@ -50,8 +51,8 @@
 struct Belief {
     suspicion: Suspicion,
     timeouts: u32,
-    /// Tokens of prompts sent there whose answers have not begun.
-    unread: f64,
+    /// Prompts sent there whose answers have not begun.
+    reading: Reading,
     reported: u32,
     own_then: u32,
     reported_at: Millis,
@@ -69,8 +70,8 @@
     pub own_then: u32,
     /// When it came; 0 for never.
     pub reported_at: Millis,
-    /// Prompt tokens of this host not yet read.
-    pub unread: f64,
+    /// Time that prompts sent there will still keep it, in milliseconds.
+    pub reading_ms: f64,
     /// Leading tokens of the prompt believed to be cached.
     pub cached: f64,
     /// Share of requests that it is expected to fail.
@@ -106,16 +107,16 @@
             reported: belief.reported,
             own_then: belief.own_then,
             reported_at: belief.reported_at,
-            unread: belief.unread,
+            reading_ms: belief.reading.left_ms(now),
             cached: cached.map(|part| f64::from(part.tokens)).sum(),
             suspicion: belief.suspicion.share(now),
         }
     }
 
-    /// A prompt was sent there; the tokens that it must read are given back by [`Self::begun`].
-    pub fn sent(&self, model: u64, parts: &[Part], unread: f64, now: Millis) {
+    /// A prompt was sent there, which will keep it for a time.
+    pub fn sent(&self, model: u64, parts: &[Part], read_ms: f64, now: Millis) {
         let mut belief = self.lock();
-        belief.unread += unread;
+        belief.reading.add(read_ms, now);
         if belief.parts.len() > PARTS_MAX {
             belief.parts.retain(|_, used| now.since(*used) < CACHED_MS);
         }
@@ -124,10 +125,9 @@
         }
     }
 
-    /// The prompt was read, or will not be.
-    pub fn begun(&self, unread: f64) {
-        let mut belief = self.lock();
-        belief.unread = (belief.unread - unread).max(0.0);
+    /// A prompt sent by another host will keep it for a time.
+    pub fn told(&self, read_ms: f64, now: Millis) {
+        self.lock().reading.add(read_ms, now);
     }
 
     /// Its load as told with an answer.
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -109,6 +109,8 @@
     pub paid: AtomicBool,
     /// The last try has begun to answer, and counts as sent.
     pub answering: bool,
+    /// From its coming in to the beginning of its answer, in milliseconds; 0 before that.
+    pub begun_ms: u64,
     /// The confidence with which a smaller model's answer was dropped.
     pub doubted: Option<u8>,
 }
@@ -378,13 +380,16 @@
             return false;
         }
         let objective_ms = self.route().objective_ms as f64;
-        let larger = &self.known.timings[largest];
-        let first = self.state.timings.with(larger, |timing| timing.first);
+        let larger = self.state.timings.with(&self.known.timings[largest], |timing| *timing);
+        let usual_ms = larger.first.faded_ms(objective_ms / 4.0, clock::steady());
+        // A prompt far longer than usual keeps an engine for seconds, and all that wait there.
+        let read_ms = f64::from(self.ask.prompt_tokens) / larger.tokens_per_ms;
         let doubt = Doubt {
             confidence: reply.said.confidence,
             priority: self.priority,
             waited_ms: self.started.elapsed().as_secs_f64() * 1_000.0,
-            larger_ms: first.faded_ms(objective_ms / 4.0, clock::steady()),
+            larger_ms: usual_ms.max(read_ms),
+            read_ms,
             objective_ms,
             pressure: self
                 .state
@@ -396,8 +401,9 @@
     }
 
     /// The caller gets the beginning of its answer now.
-    pub fn note_begun(&self) {
+    pub fn note_begun(&mut self) {
         let waited = self.started.elapsed().as_secs_f64() * 1_000.0;
+        self.tries.begun_ms = waited as u64;
         let part = waited / self.route().objective_ms.max(1) as f64;
         self.state.pressures.with(&self.service, |pressure| pressure.note(part, clock::steady()));
     }
--- a/crates/gateway/src/end.rs
+++ b/crates/gateway/src/end.rs
@@ -44,6 +44,6 @@
         version:% = job.tries.version.as_ref().unwrap_or(&none),
         backend:? = job.tries.tried.last(), model:% = job.model().unwrap_or(&none),
         doubted:? = job.tries.doubted, sent = job.tries.sent, unsent = job.tries.unsent,
-        events, ms = ms as u64, table = job.state.world.load().index.version,
+        events, prompt = job.ask.prompt_tokens, first_ms = job.tries.begun_ms, ms = ms as u64, table = job.state.world.load().index.version,
         outcome:? = end; "request ended");
 }
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -51,7 +51,7 @@
                 own_then: seen.own_then,
                 report_age_ms: engine::age(seen.reported_at, now),
                 slots: backend.slots,
-                unread: seen.unread,
+                reading_ms: seen.reading_ms,
                 cached: seen.cached,
                 preferred: preferred == Some(index),
                 near: backend.near,
--- a/crates/gateway/src/timing.rs
+++ b/crates/gateway/src/timing.rs
@@ -5,8 +5,10 @@
 
 /// First guess of how fast an engine reads a prompt, in tokens a millisecond.
 const TOKENS_PER_MS: f64 = 50.0;
-/// Weight of a new sample of that.
-const GAIN: f64 = 0.1;
+/// Weight of a new sample of that when it is faster, and when it is slower. An answer also waits
+/// for others' prompts, so the fast samples are nearer to the truth.
+const GAIN_FASTER: f64 = 0.3;
+const GAIN_SLOWER: f64 = 0.03;
 /// Shorter prompts say too little of it.
 const TOKENS_MIN: f64 = 1_000.0;
 /// Bounds on the estimate.
@@ -38,12 +40,13 @@
 }
 
 impl Timing {
-    /// An answer began: so many tokens stood before it when the request was sent.
+    /// An answer began, for which so many tokens had to be read.
     pub fn note_first(&mut self, ms: f64, tokens: f64, now: Millis) {
         self.first.note(ms, now);
         if tokens >= TOKENS_MIN {
             let rate = (tokens / ms.max(1.0)).clamp(RATE_MIN, RATE_MAX);
-            self.tokens_per_ms += GAIN * (rate - self.tokens_per_ms);
+            let gain = if rate > self.tokens_per_ms { GAIN_FASTER } else { GAIN_SLOWER };
+            self.tokens_per_ms += gain * (rate - self.tokens_per_ms);
         }
     }
 }
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -2,7 +2,8 @@
 //!
 //! The load this answers: long prompts among short ones, sent by several hosts that don't see
 //! each other's requests. A prompt that is being read delays every answer that begins behind it,
-//! so the tokens still to be read count, not the number of requests. Reports are old when they
+//! so the time that reading will take counts, not the number of requests; a large model
+//! reads ten times as long as a small one. Reports are old when they
 //! come and all hosts read the same ones; a host's own requests since then are added, and old
 //! reports fade.
 
@@ -35,8 +36,8 @@
         pub report_age_ms: Option<u64>,
         /// Requests that it works on at once.
         pub slots: u32,
-        /// Prompt tokens of this host's requests there that have not begun their answers.
-        pub unread: f64,
+        /// Time that prompts sent there will still keep it, in milliseconds.
+        pub reading_ms: f64,
         /// Tokens of the request's prompt believed to be cached there.
         pub cached: f64,
         /// Whether it is the one that all hosts prefer for the prompt's shared part.
@@ -89,10 +90,11 @@
             true => self.cached.max(ask.shared * SHARED_BELIEF),
             false => self.cached,
         };
-        let read = (ask.prompt - cached).max(0.0) + self.unread;
+        let read_ms = (ask.prompt - cached).max(0.0) / ask.tokens_per_ms.max(1e-3);
         (load / slots).min(1.0) * FULL_BATCH_MS
             + waiting * ask.service_ms * WAITING_PART
-            + read / ask.tokens_per_ms.max(1e-3)
+            + read_ms
+            + self.reading_ms
             + if self.near { 0.0 } else { ask.far_ms }
             + self.suspicion * ask.failure_ms
     }
--- a/crates/policy/src/escalate.rs
+++ b/crates/policy/src/escalate.rs
@@ -21,6 +21,8 @@
 const BUSY: f64 = 0.25;
 /// Pressure under which a larger model is asked even if its answer will be late.
 const IDLE: f64 = 0.2;
+/// A prompt that takes this part of the objective to read is long.
+const LONG: f64 = 0.4;
 /// Pressure at which no answer is asked for again.
 const FULL: f64 = 0.6;
 
@@ -36,6 +38,8 @@
         pub waited_ms: f64,
         /// Time until the larger model's answer would begin, in milliseconds.
         pub larger_ms: f64,
+        /// Of that, time that the engine reads the prompt, in milliseconds.
+        pub read_ms: f64,
         /// Time within which the answer is of full use, in milliseconds.
         pub objective_ms: f64,
         /// How long callers wait for their answers to begin lately, as a part of the objective.
@@ -57,7 +61,8 @@
 pub fn escalate(doubt: &Doubt) -> bool {
     let Some(confidence) = doubt.confidence else { return false };
     let in_time = doubt.waited_ms + doubt.larger_ms <= doubt.objective_ms * IN_TIME;
-    // With room to spare a late right answer is still better than a poor one.
-    let has_room = doubt.pressure < IDLE;
+    // With room to spare a late right answer is still better than a poor one. But not one that is
+    // late because of its own prompt: reading it would make others late as well.
+    let has_room = doubt.pressure < IDLE && doubt.read_ms < doubt.objective_ms * LONG;
     (in_time || has_room) && f64::from(confidence) < threshold(doubt.priority, doubt.pressure)
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod patience;
 pub mod place;
 pub mod probe;
+pub mod reading;
 pub mod repeat;
 pub mod retry;
 pub mod rollout;
