Hosts of a failure domain tell each other of long prompts

Ruled out: places (0.3 of them taken), the hosts' processors (0.005 core). Ways weighed: asking engines for their reports (a priced probe for each request), fewer engines a host (loses cached prefixes), telling all counts each 150 ms (over the 2 KB/s a host may spend). Change: one datagram for each long prompt to the hosts of the domain, found by rows of the store; the word passes by itself. Long prompts wait for short ones of their kind at the engine.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,7 +12,7 @@
 use hyper::header::HOST;
 use hyper::http::response::Parts;
 
-use crate::backend::Backend;
+use crate::backend::{Backend, Word};
 use crate::carry::Job;
 use crate::codec::{Codec, Head, Sending};
 
@@ -26,6 +26,10 @@
 /// backend servers close theirs after some seconds.
 const REUSE: Duration = Duration::from_secs(3);
 
+/// Prompts that take this long to read, in milliseconds, are told to the other hosts: a third of
+/// what callers of short prompts wait in all.
+const TOLD_MS: f64 = 60.0;
+
 /// What a backend server answered; its body is still to come.
 pub struct Reply {
     /// Status and headers.
@@ -75,7 +79,13 @@
     let seen = backend.seen(model, &job.ask.parts, clock::steady());
     let tokens = (f64::from(job.ask.prompt_tokens) - seen.cached).max(0.0);
     let rate = job.state.timings.with(job.timing(), |timing| timing.tokens_per_ms);
-    backend.sent(model, &job.ask.parts, tokens / rate, clock::steady());
+    let read_ms = tokens / rate;
+    backend.sent(model, &job.ask.parts, read_ms, clock::steady());
+    if read_ms >= TOLD_MS && backend.near {
+        let word = Word { backend: backend.id.clone(), read_ms: read_ms as u32 };
+        // When too many words wait the rest are not told; they are hints only.
+        let _ = job.state.words.try_send(word);
+    }
     let lease = Lease::new(Arc::clone(&backend.server));
     let sent_at = Instant::now();
     let response = patient(job, backend, connection.send(request, job.left())).await?;
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -30,6 +30,16 @@
 /// Parts remembered for one engine at most.
 const PARTS_MAX: usize = 4_096;
 
+policy::domain! {
+    /// A long prompt that was just sent to a backend server, as other hosts are told of it.
+    pub struct Word {
+        /// The backend server's start.
+        pub backend: Name,
+        /// How long it will be kept, in milliseconds.
+        pub read_ms: u32,
+    }
+}
+
 /// A backend server.
 pub struct Backend {
     /// Of this start.
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -49,6 +49,8 @@
 /// What it is told of requests asked again of a larger model: work was spent on them already.
 const ENGINE_AGAIN: u8 = 1;
 const ENGINE_PRIORITY_MAX: u8 = 9;
+/// A prompt over this many tokens keeps an engine from others for longer than a step.
+const ENGINE_LONG_TOKENS: u32 = 8_000;
 
 /// A request under way.
 pub struct Job<C> {
@@ -261,7 +263,9 @@
         let is_engine = !self.ask.parts.is_empty();
         let own = (ENGINE_URGENT + 2 * self.priority.min(ENGINE_URGENT)).min(ENGINE_PRIORITY_MAX);
         let again = if self.tries.sent > 0 { ENGINE_AGAIN } else { 0 };
-        is_engine.then_some(own - again)
+        // A long prompt waits for the short ones of its kind: they are read in a moment.
+        let long = u8::from(self.ask.prompt_tokens > ENGINE_LONG_TOKENS);
+        is_engine.then_some((own + long - again).min(ENGINE_PRIORITY_MAX))
     }
 
     /// How long the head of an answer is still waited for before the backend server is left; none
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,9 +6,11 @@
 use entry::sharded::Sharded;
 use policy::patience::Patience;
 use policy::repeat::{Allowance, Window};
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::backend::Word;
 use crate::evidence::Tally;
 use crate::timing::Timing;
 use crate::world::World;
@@ -33,6 +35,8 @@
     pub relays: TaskTracker,
     /// Requests under way.
     pub in_flight: AtomicUsize,
+    /// Long prompts that were just sent, for the other hosts of the failure domain.
+    pub words: mpsc::Sender<Word>,
     /// Cancelled when the process is to take no new connections.
     pub stop: CancellationToken,
 }
@@ -40,8 +44,14 @@
 impl<C> State<C> {
     /// At the start of the process.
     #[must_use]
-    pub fn new(codec: C, allowance: Allowance, stop: CancellationToken) -> Self {
+    pub fn new(
+        codec: C,
+        allowance: Allowance,
+        words: mpsc::Sender<Word>,
+        stop: CancellationToken,
+    ) -> Self {
         Self {
+            words,
             codec,
             world: ArcSwap::default(),
             allowance: ArcSwap::from_pointee(allowance),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod error;
 pub mod facts;
 pub mod operators;
+pub mod peers;
 pub mod process;
 pub mod record;
 pub mod rollout;
--- /dev/null
+++ b/crates/node/src/peers.rs
@@ -0,0 +1,196 @@
+//! What hosts of one failure domain tell each other: long prompts that they have just sent.
+//!
+//! An engine's own report comes with its answers, and says nothing of a prompt that it is reading
+//! now. Each host sees only its own prompts; with twenty hosts before fifteen engines nearly all
+//! of them are others'. So each tells the others of its long ones, once, when it sends them. A
+//! lost word costs one request's wait at most, so nothing is confirmed or repeated, and a word
+//! passes by itself when the prompt must have been read.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use entry::clock;
+use gateway::backend::Word;
+use gateway::{Codec, State};
+use policy::domain;
+use policy::name::Name;
+use policy::time::Millis;
+use rand::seq::SliceRandom;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::store::{Change, Error, Store};
+
+/// Words are gathered for this long before they are sent.
+const GATHER: Duration = Duration::from_millis(15);
+/// Hosts told at once, at most; of more, others each time. In a domain of 50 hosts every word still
+/// reaches half of them.
+const TOLD_MAX: usize = 24;
+/// Hosts remembered at most.
+const PEERS_MAX: usize = 128;
+/// Between two signs of life to all hosts known.
+const EVERY: Duration = Duration::from_secs(5);
+/// A host not heard of for this long is forgotten, in milliseconds.
+const FORGET_MS: u64 = 20_000;
+/// Largest message; what does not fit is not told.
+const MESSAGE_BYTES: usize = 1_400;
+/// Words in one message, so that it fits.
+const WORDS_MAX: usize = 16;
+/// Pause after a failed call of the store.
+const PAUSE: Duration = Duration::from_secs(1);
+
+domain! {
+    /// A message from one host to another.
+    #[derive(Default)]
+    #[serde(default)]
+    pub struct Message {
+        /// Prompts that were just sent.
+        pub words: Vec<Word>,
+    }
+
+    /// A host's own row: where it listens.
+    pub struct Listed {
+        /// The address.
+        pub address: SocketAddr,
+    }
+}
+
+/// What the exchange is made with.
+pub struct Peers<S, C> {
+    /// The host's name.
+    pub host: Name,
+    /// Where it stands.
+    pub failure_domain: Name,
+    /// The store, for finding the others.
+    pub store: Arc<S>,
+    /// What requests share.
+    pub state: Arc<State<C>>,
+    /// Where messages come and go.
+    pub socket: UdpSocket,
+}
+
+impl<S: Store, C: Codec> Peers<S, C> {
+    /// Exchanges words until the process ends.
+    pub async fn run(self, mut words: mpsc::Receiver<Word>) {
+        let mut known: HashMap<SocketAddr, Millis> = HashMap::new();
+        let mut greeted = tokio::time::Instant::now();
+        let mut buffer = vec![0; MESSAGE_BYTES];
+        for address in self.find().await {
+            known.insert(address, clock::steady());
+        }
+        log::info!(target: "peers", domain:% = self.failure_domain, found = known.len(); "peers found");
+        self.send(known.keys().copied().collect(), &Message::default()).await;
+        loop {
+            tokio::select! {
+                received = self.socket.recv_from(&mut buffer) => match received {
+                    Ok((length, from)) => self.take(&buffer[..length], from, &mut known),
+                    // A host that is gone; it is forgotten when nothing more is heard of it.
+                    Err(error) => log::debug!(target: "peers", error:% = error; "message lost"),
+                },
+                Some(word) = words.recv() => {
+                    tokio::time::sleep(GATHER).await;
+                    let mut message = Message { words: vec![word] };
+                    while message.words.len() < WORDS_MAX {
+                        let Ok(word) = words.try_recv() else { break };
+                        message.words.push(word);
+                    }
+                    self.send(some(&known), &message).await;
+                }
+                () = tokio::time::sleep_until(greeted + EVERY) => {
+                    greeted = tokio::time::Instant::now();
+                    let now = clock::steady();
+                    known.retain(|_, heard| now.since(*heard) < FORGET_MS);
+                    self.send(known.keys().copied().collect(), &Message::default()).await;
+                }
+            }
+        }
+    }
+
+    /// Lists this host and finds the others that are listed. Of two hosts that start together the
+    /// one that reads later finds the other, and makes itself known to it.
+    async fn find(&self) -> Vec<SocketAddr> {
+        loop {
+            match self.try_find().await {
+                Ok(found) => return found,
+                Err(error) => {
+                    log::warn!(target: "peers", error:% = error; "peers not found, tried again");
+                }
+            }
+            tokio::time::sleep(PAUSE.mul_f64(0.5 + rand::random::<f64>())).await;
+        }
+    }
+
+    async fn try_find(&self) -> Result<Vec<SocketAddr>, Error> {
+        let own = self.socket.local_addr().map_err(|error| Error::Refused(error.to_string()))?;
+        let prefix = format!("host/{}/", self.failure_domain);
+        let listed = serde_json::to_vec(&Listed { address: own });
+        let listed =
+            listed.map(Bytes::from).map_err(|error| Error::Malformed(error.to_string()))?;
+        let key = Name::from(format!("{prefix}{}", self.host));
+        let change = Change { writes: vec![(key, listed)], ..Change::default() };
+        self.store.commit(&change).await?;
+        let rows = self.store.rows(&prefix).await?;
+        let addresses = rows.rows.iter().filter_map(|row| {
+            let listed = serde_json::from_slice::<Listed>(&row.value);
+            let listed = listed.inspect_err(|error| {
+                log::warn!(target: "peers", key:% = row.key, error:% = error; "row unreadable");
+            });
+            listed.ok().map(|listed| listed.address)
+        });
+        Ok(addresses.filter(|address| *address != own).take(PEERS_MAX).collect())
+    }
+
+    fn take(&self, bytes: &[u8], from: SocketAddr, known: &mut HashMap<SocketAddr, Millis>) {
+        let now = clock::steady();
+        let message: Message = match serde_json::from_slice(bytes) {
+            Ok(message) => message,
+            Err(error) => {
+                log::debug!(target: "peers", from:% = from, error:% = error; "message unreadable");
+                return;
+            }
+        };
+        if known.len() < PEERS_MAX || known.contains_key(&from) {
+            known.insert(from, now);
+        }
+        let world = self.state.world.load();
+        for word in &message.words {
+            let backends = world.pools.values().flat_map(|pool| &pool.backends);
+            if let Some(backend) = backends.into_iter().find(|backend| backend.id == word.backend) {
+                backend.told(f64::from(word.read_ms), now);
+            }
+        }
+        metrics::counter!("node_peer_words_total").increment(message.words.len() as u64);
+    }
+
+    async fn send(&self, to: Vec<SocketAddr>, message: &Message) {
+        let bytes = match serde_json::to_vec(message) {
+            Ok(bytes) if bytes.len() <= MESSAGE_BYTES => bytes,
+            Ok(bytes) => {
+                log::warn!(target: "peers", bytes = bytes.len(); "message too long, not sent");
+                return;
+            }
+            Err(error) => {
+                log::warn!(target: "peers", error:% = error; "message not written");
+                return;
+            }
+        };
+        for address in to {
+            if let Err(error) = self.socket.send_to(&bytes, address).await {
+                log::debug!(target: "peers", to:% = address, error:% = error; "message not sent");
+            }
+        }
+    }
+}
+
+/// All hosts known, or as many as are told at once.
+fn some(known: &HashMap<SocketAddr, Millis>) -> Vec<SocketAddr> {
+    let mut all: Vec<SocketAddr> = known.keys().copied().collect();
+    if all.len() > TOLD_MAX {
+        all.shuffle(&mut rand::rng());
+        all.truncate(TOLD_MAX);
+    }
+    all
+}
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -8,7 +8,7 @@
 use gateway::{Codec, State};
 use metrics_exporter_prometheus::PrometheusHandle;
 use policy::repeat::Allowance;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -18,6 +18,7 @@
 use crate::error::Error;
 use crate::facts::Facts;
 use crate::operators::{self, Subject};
+use crate::peers::Peers;
 use crate::rollout::Rollouts;
 use crate::store::{List, Store};
 use crate::watch::Watch;
@@ -31,6 +32,8 @@
 /// After the signal to stop new connections are still taken for a while: the balancer goes on
 /// sending them until it has seen twice, a second apart, that the process is not ready.
 const LINGER: Duration = Duration::from_millis(2_600);
+/// Words to other hosts that wait to be sent.
+const WORDS: usize = 64;
 /// Kept of the time to stop, for the process's own end.
 const RESERVE: Duration = Duration::from_millis(500);
 
@@ -42,6 +45,8 @@
     pub operators: TcpListener,
     /// Metrics on an address of their own.
     pub metrics: Option<TcpListener>,
+    /// Words of the other hosts of the failure domain.
+    pub peers: Option<UdpSocket>,
 }
 
 impl Listeners {
@@ -54,8 +59,15 @@
             Some(address) => Some(bind(address).await?),
             None => None,
         };
+        let peers = match settings.peers {
+            Some(address) => {
+                let bound = UdpSocket::bind(address).await;
+                Some(bound.map_err(|error| Error::Listen(address, error))?)
+            }
+            None => None,
+        };
         let callers = bind(settings.listen).await?;
-        Ok(Self { callers, operators: bind(settings.operators).await?, metrics })
+        Ok(Self { callers, operators: bind(settings.operators).await?, metrics, peers })
     }
 }
 
@@ -82,7 +94,8 @@
     metrics: PrometheusHandle,
     stop: CancellationToken,
 ) {
-    let state = Arc::new(State::new(codec, allowance(&settings), stop.clone()));
+    let (words, told) = mpsc::channel(WORDS);
+    let state = Arc::new(State::new(codec, allowance(&settings), words, stop.clone()));
     let facts = Arc::new(Facts::new(settings.failure_domain.clone()));
     let (orders, ordered) = mpsc::unbounded_channel();
     let watch = Arc::new(Watch {
@@ -103,6 +116,16 @@
     if let Some(listener) = listeners.metrics {
         background.push(spawn(operators::serve(listener, subject)));
     }
+    if let Some(socket) = listeners.peers {
+        let peers = Peers {
+            host: settings.name.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            store: Arc::clone(&watch.store),
+            state: Arc::clone(&state),
+            socket,
+        };
+        background.push(spawn(peers.run(told)));
+    }
     let close = CancellationToken::new();
     let connections = TaskTracker::new();
     let accepts =
--- a/crates/node/src/record.rs
+++ b/crates/node/src/record.rs
@@ -34,19 +34,19 @@
 /// Key of a service's record.
 #[must_use]
 pub fn key(service: &Name) -> Name {
-    Name::from(format!("{service}/record"))
+    Name::from(format!("rollout/{service}/record"))
 }
 
 /// Key of a host's counts.
 #[must_use]
 pub fn counted_key(service: &Name, host: &Name) -> Name {
-    Name::from(format!("{service}/host/{host}"))
+    Name::from(format!("rollout/{service}/host/{host}"))
 }
 
 /// What all rows of a service begin with.
 #[must_use]
 pub fn prefix(service: &Name) -> String {
-    format!("{service}/")
+    format!("rollout/{service}/")
 }
 
 /// Reads a row.
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -103,6 +103,9 @@
         pub metrics: Option<SocketAddr>,
         /// `IP:PORT` of the platform's store.
         pub platform: SocketAddr,
+        /// Where the other hosts of the failure domain tell of long prompts; a UDP port.
+        #[serde(default)]
+        pub peers: Option<SocketAddr>,
         /// `off`, `error`, `warn`, `info`, `debug` or `trace`.
         #[serde(default = "default_log")]
         pub log: Name,
