--- /dev/null
+++ b/crates/chestnutspur/tests/soak.rs
@@ -0,0 +1,72 @@
+//! A soak: real `node` processes between stand-ins, faults from outside them, promises checked from
+//! what callers and backend servers see.
+//!
+//! CI plays a few fixed seeds. By hand: `CHESTNUTSPUR_SOAK_SEEDS=0..50 cargo test --release -p
+//! chestnutspur --test soak -- --nocapture`; `CHESTNUTSPUR_SOAK_SEEDS=fresh:20` draws seeds anew
+//! and prints them. Every seed that ever failed is in [`REGRESSIONS`].
+
+#[path = "soak/callers.rs"]
+mod callers;
+#[path = "soak/faults.rs"]
+mod faults;
+#[path = "soak/fleet.rs"]
+mod fleet;
+#[path = "soak/verdict.rs"]
+mod verdict;
+
+use std::time::Duration;
+
+use fleet::Fleet;
+use futures::StreamExt;
+
+/// Seeds that CI plays, one of each kind of trouble.
+const CI: [u64; 3] = [0, 1, 2];
+/// Seeds that once failed, with the cause.
+const REGRESSIONS: [u64; 0] = [];
+/// How long faults come.
+const LENGTH: Duration = Duration::from_secs(6);
+/// Fleets at once: some twenty processes.
+const AT_ONCE: usize = 4;
+const SEEDS: &str = "CHESTNUTSPUR_SOAK_SEEDS";
+
+/// The seeds that were asked for.
+fn seeds() -> Vec<u64> {
+    let asked = std::env::var(SEEDS).unwrap_or_default();
+    if let Some(count) = asked.strip_prefix("fresh:").and_then(|count| count.parse().ok()) {
+        return (0..count).map(|_: u32| rand::random::<u32>().into()).collect();
+    }
+    match asked.split_once("..").map(|(from, to)| (from.parse(), to.parse())) {
+        Some((Ok(from), Ok(to))) => (from..to).collect(),
+        _ => CI.into_iter().chain(REGRESSIONS).collect(),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_promises_hold() {
+    let failed: Vec<(u64, Vec<String>)> = futures::stream::iter(seeds())
+        .map(|seed| async move { (seed, play(seed).await) })
+        .buffer_unordered(AT_ONCE)
+        .filter(|(seed, broken)| {
+            println!("soak: seed {seed}: {}", if broken.is_empty() { "held" } else { "BROKEN" });
+            std::future::ready(!broken.is_empty())
+        })
+        .collect()
+        .await;
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+/// Plays one seed; the promises that were broken.
+async fn play(seed: u64) -> Vec<String> {
+    let mut fleet = Fleet::start(seed).await;
+    let callers = callers::start(&fleet);
+    let told = faults::run(&mut fleet, seed, LENGTH).await;
+    fleet.heal().await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let seen = callers.stop().await;
+    let mut broken = verdict::judge(&fleet, &told, &seen);
+    broken.extend(fleet.serves_again().await);
+    if !broken.is_empty() {
+        println!("soak: seed {seed}: logs in {}; {told:#?}", fleet.directory.display());
+    }
+    broken
+}
--- /dev/null
+++ b/crates/chestnutspur/tests/soak/faults.rs
@@ -0,0 +1,190 @@
+//! Faults drawn from a seed: single, in series, overlapping.
+
+use std::time::{Duration, Instant};
+
+use platform::names;
+use policy::place::mix;
+use standin::proxy::Mode;
+use standin::rows::Fault;
+
+use crate::fleet::{Fleet, table};
+
+/// What kind of trouble a seed brings.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Trouble {
+    /// Connections and processes fail.
+    Network,
+    /// The store fails, and tables change meanwhile.
+    Store,
+    /// Only what operators plan: restarts, changes, servers that leave.
+    Planned,
+}
+
+/// A backend server that left.
+#[derive(Clone, Copy, Debug)]
+pub struct Left {
+    pub number: usize,
+    pub at: Instant,
+    pub back_at: Instant,
+}
+
+/// What was done.
+#[derive(Debug)]
+pub struct Told {
+    pub trouble: Trouble,
+    pub steps: Vec<String>,
+    pub left: Vec<Left>,
+    /// Nodes that did not end in time after SIGTERM.
+    pub stuck: Vec<usize>,
+}
+
+/// A seed's draws.
+struct Draws(u64);
+
+impl Draws {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.0 = mix(self.0);
+        self.0 % bound
+    }
+
+    fn index(&mut self, bound: usize) -> usize {
+        self.below(bound as u64) as usize
+    }
+
+    fn ms(&mut self, from: u64, to: u64) -> Duration {
+        Duration::from_millis(from + self.below(to - from))
+    }
+}
+
+/// Brings faults about for a time.
+pub async fn run(fleet: &mut Fleet, seed: u64, length: Duration) -> Told {
+    let trouble = [Trouble::Network, Trouble::Store, Trouble::Planned][(seed % 3) as usize];
+    let mut draws = Draws(seed ^ 0x50a4);
+    let mut told = Told { trouble, steps: Vec::new(), left: Vec::new(), stuck: Vec::new() };
+    let began = Instant::now();
+    let mut version = 1;
+    while began.elapsed() < length {
+        let at = began.elapsed().as_millis();
+        let step = match trouble {
+            Trouble::Network => network(fleet, &mut draws).await,
+            Trouble::Store => store(fleet, &mut draws, &mut version).await,
+            Trouble::Planned => planned(fleet, &mut draws, &mut version, &mut told).await,
+        };
+        told.steps.push(format!("{at} ms: {step}"));
+    }
+    told
+}
+
+async fn network(fleet: &mut Fleet, draws: &mut Draws) -> String {
+    let backend = draws.index(fleet.backend_proxies.len());
+    let node = draws.index(fleet.nodes.len());
+    let lasts = draws.ms(50, 900);
+    let proxy = &fleet.backend_proxies[backend];
+    match draws.below(8) {
+        0 => proxy.reset_existing(),
+        1 => proxy.silence_existing(),
+        mode @ 2..=4 => {
+            proxy.set_mode([Mode::Cut, Mode::Silent, Mode::DropAnswer][mode as usize - 2]);
+            // The next fault may come while this one lasts.
+            if draws.below(2) == 0 {
+                tokio::time::sleep(lasts).await;
+                fleet.backend_proxies[backend].set_mode(Mode::Pass);
+            }
+            return format!("backend {backend} mode {mode} {lasts:?}");
+        }
+        5 => proxy.set_delay(draws.ms(0, 60)),
+        6 => {
+            fleet.nodes[node].kill();
+            tokio::time::sleep(lasts).await;
+            fleet.nodes[node].start_again();
+            return format!("node {node} killed for {lasts:?}");
+        }
+        _ => {
+            fleet.nodes[node].signal("STOP");
+            tokio::time::sleep(lasts).await;
+            fleet.nodes[node].signal("CONT");
+            return format!("node {node} paused for {lasts:?}");
+        }
+    }
+    tokio::time::sleep(lasts / 4).await;
+    format!("backend {backend} connections {lasts:?}")
+}
+
+async fn store(fleet: &mut Fleet, draws: &mut Draws, version: &mut u64) -> String {
+    let lasts = draws.ms(50, 1_500);
+    let node = draws.index(fleet.nodes.len());
+    let faults = [Fault::Down, Fault::Silent, Fault::LosesAnswers, Fault::Late(700)];
+    let what = match draws.below(7) {
+        fault @ 0..=3 => {
+            fleet.store.set_fault(faults[fault as usize]);
+            format!("store {:?}", faults[fault as usize])
+        }
+        4 => {
+            fleet.store_proxies[node].silence_existing();
+            format!("node {node}'s connections to the store silent")
+        }
+        5 => {
+            fleet.store.forget();
+            "history dropped".to_owned()
+        }
+        _ => {
+            fleet.nodes[node].kill();
+            fleet.nodes[node].start_again();
+            format!("node {node} killed")
+        }
+    };
+    change_table(fleet, version);
+    tokio::time::sleep(lasts).await;
+    if draws.below(2) == 0 {
+        fleet.store.set_fault(Fault::None);
+    }
+    format!("{what} for {lasts:?}")
+}
+
+async fn planned(
+    fleet: &mut Fleet,
+    draws: &mut Draws,
+    version: &mut u64,
+    told: &mut Told,
+) -> String {
+    let node = draws.index(fleet.nodes.len());
+    let backend = draws.index(fleet.backends.len());
+    match draws.below(4) {
+        0 => {
+            fleet.nodes[node].signal("TERM");
+            change_table(fleet, version);
+            if !fleet.nodes[node].ended(Duration::from_secs(8)).await {
+                told.stuck.push(node);
+            }
+            fleet.nodes[node].start_again();
+            tokio::time::sleep(Duration::from_millis(400)).await;
+            format!("node {node} stopped and started")
+        }
+        1 => {
+            let window = 9_000 + draws.below(2_000);
+            let store = fleet.store_proxies[node].address;
+            fleet.nodes[node].write_settings(store, node, window);
+            fleet.nodes[node].signal("HUP");
+            format!("node {node} settings changed")
+        }
+        2 => {
+            change_table(fleet, version);
+            tokio::time::sleep(draws.ms(10, 300)).await;
+            "table changed".to_owned()
+        }
+        _ => {
+            let at = Instant::now();
+            fleet.list(backend, "draining");
+            tokio::time::sleep(Duration::from_millis(2_600)).await;
+            told.left.push(Left { number: backend, at, back_at: Instant::now() });
+            fleet.start_backend_again(backend);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            format!("backend {backend} left")
+        }
+    }
+}
+
+fn change_table(fleet: &Fleet, version: &mut u64) {
+    *version += 1 + *version % 3;
+    fleet.store.put(names::table::OPERATORS, names::key::CONFIGURATION, &table(*version));
+}
--- /dev/null
+++ b/crates/chestnutspur/tests/soak/fleet.rs
@@ -0,0 +1,261 @@
+//! The fleet of one play: node processes, stand-ins, a proxy before each of them.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use platform::names;
+use serde_json::{Value, json};
+use standin::proxy::{self, Mode, Proxy};
+use standin::routed::{Act, Routed};
+use standin::rows::{Fault, Rows};
+use standin::server::{Running, start};
+
+use crate::callers::{self, Kind, Outcome};
+
+pub const HOST: &str = "callers.example";
+pub const KEY: &str = "key-of-office";
+const NODES: usize = 3;
+const BACKENDS: usize = 4;
+
+/// One node process.
+pub struct Node {
+    /// Where callers come in.
+    pub callers: SocketAddr,
+    /// Readiness.
+    pub operators: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+/// All that takes part.
+pub struct Fleet {
+    pub directory: PathBuf,
+    pub store: Running<Rows>,
+    /// Between each node and the store.
+    pub store_proxies: Vec<Proxy>,
+    pub backends: Vec<Arc<Running<Routed>>>,
+    /// How often each backend server was started; each start has an id of its own.
+    pub starts: Vec<u32>,
+    /// Before each backend server.
+    pub backend_proxies: Vec<Proxy>,
+    pub nodes: Vec<Node>,
+}
+
+fn any() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("address")
+}
+
+/// A port that nobody listens on now.
+fn free() -> SocketAddr {
+    std::net::TcpListener::bind(any()).and_then(|socket| socket.local_addr()).expect("port")
+}
+
+/// The table of routes of a version.
+pub fn table(version: u64) -> Value {
+    let route = |kind: Kind| {
+        json!({
+            "name": kind.name(), "host": HOST, "prefix": format!("/{}/", kind.name()),
+            "routeType": kind.route_type(), "timeoutMs": 3_000, "sloMs": 300, "priority": 1,
+            "service": "desk", "maxAttempts": 3, "streamResumption": true, "gapTargetMs": 300,
+        })
+    };
+    json!({
+        "version": version, "routes": Kind::ALL.map(route), "services": [{"name": "desk"}],
+        "limits": {"idleTimeoutMs": 15_000}, "tenants": [{"name": "office", "apiKeys": [KEY]}],
+    })
+}
+
+impl Fleet {
+    /// Starts everything and waits until all nodes are ready.
+    pub async fn start(seed: u64) -> Self {
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+        let _ = std::fs::remove_dir_all(&directory);
+        std::fs::create_dir_all(&directory).expect("directory");
+        let store = start(any(), Rows::default()).expect("store");
+        store.put(names::table::OPERATORS, names::key::CONFIGURATION, &table(1));
+        let mut fleet = Self {
+            directory,
+            store,
+            store_proxies: Vec::new(),
+            backends: Vec::new(),
+            starts: vec![0; BACKENDS],
+            backend_proxies: Vec::new(),
+            nodes: Vec::new(),
+        };
+        for number in 0..BACKENDS {
+            let act = Act::Stream(callers::script());
+            let backend = start(any(), Routed::new(act)).expect("backend server");
+            fleet.backend_proxies.push(proxy_to(backend.address).await);
+            fleet.backends.push(Arc::new(backend));
+            fleet.list(number, "ready");
+        }
+        for number in 0..NODES {
+            fleet.store_proxies.push(proxy_to(fleet.store.address).await);
+            let node = Node::start(&fleet, number);
+            fleet.nodes.push(node);
+        }
+        for number in 0..NODES {
+            fleet.until_ready(number).await;
+        }
+        fleet
+    }
+
+    /// Lists a backend server as ready or leaving.
+    pub fn list(&self, number: usize, state: &str) {
+        let entry = json!({
+            "service": "desk", "address": self.backend_proxies[number].address.to_string(),
+            "zone": if number.is_multiple_of(2) { "a" } else { "b" }, "version": "v1", "slots": 32,
+            "state": state,
+        });
+        self.store.put(names::table::BACKENDS, &self.id(number), &entry);
+    }
+
+    fn id(&self, number: usize) -> String {
+        format!("b{number}-{}", self.starts[number])
+    }
+
+    /// A backend server's entry is removed, and it starts anew.
+    pub fn start_backend_again(&mut self, number: usize) {
+        self.store.remove(names::table::BACKENDS, &self.id(number));
+        self.starts[number] += 1;
+        self.list(number, "ready");
+    }
+
+    async fn until_ready(&self, number: usize) {
+        let began = Instant::now();
+        while !callers::is_ready(self.nodes[number].operators).await {
+            let late = began.elapsed() > Duration::from_secs(20);
+            assert!(!late, "node {number} is not ready; logs in {}", self.directory.display());
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Ends all faults and starts what is down.
+    pub async fn heal(&mut self) {
+        self.store.set_fault(Fault::None);
+        for proxy in self.store_proxies.iter().chain(&self.backend_proxies) {
+            proxy.set_mode(Mode::Pass);
+            proxy.set_delay(Duration::ZERO);
+        }
+        for number in 0..NODES {
+            self.nodes[number].signal("CONT");
+            self.nodes[number].start_again();
+        }
+        for number in 0..NODES {
+            self.until_ready(number).await;
+        }
+    }
+
+    /// After the faults every request is served again.
+    pub async fn serves_again(&self) -> Option<String> {
+        // Connections that were lost meanwhile may be suspected for some seconds.
+        let until = Instant::now() + Duration::from_secs(10);
+        loop {
+            let mut unserved = Vec::new();
+            for (number, node) in self.nodes.iter().enumerate() {
+                for kind in Kind::ALL {
+                    let seen = callers::once(node.callers, kind).await;
+                    if !matches!(seen.outcome, Outcome::Answered { status: 200, whole: true, .. }) {
+                        unserved.push(format!("node {number}: {seen:?}"));
+                    }
+                }
+            }
+            match unserved.is_empty() {
+                true => return None,
+                false if Instant::now() > until => return Some(format!("unserved: {unserved:?}")),
+                false => tokio::time::sleep(Duration::from_millis(200)).await,
+            }
+        }
+    }
+}
+
+async fn proxy_to(target: SocketAddr) -> Proxy {
+    let proxy = proxy::start(any()).await.expect("proxy");
+    proxy.set_target(target);
+    proxy
+}
+
+impl Node {
+    fn start(fleet: &Fleet, number: usize) -> Self {
+        let mut node = Self {
+            callers: free(),
+            operators: free(),
+            settings: fleet.directory.join(format!("node-{number}.json")),
+            log: fleet.directory.join(format!("node-{number}.log")),
+            child: None,
+        };
+        node.write_settings(fleet.store_proxies[number].address, number, 10_000);
+        node.start_again();
+        node
+    }
+
+    /// Writes the settings file; other values than before are a change.
+    pub fn write_settings(&self, store: SocketAddr, number: usize, window_ms: u64) {
+        let settings = json!({
+            "role": "node", "name": format!("node-{number}"),
+            "failure_domain": if number.is_multiple_of(2) { "a" } else { "b" },
+            "listen": self.callers, "operators": self.operators, "platform": store,
+            "peers": "127.0.0.1:0", "drain_ms": 6_000,
+            "repeats": {"share": 0.9, "slack": 50, "window_ms": window_ms},
+        });
+        std::fs::write(&self.settings, settings.to_string()).expect("settings");
+    }
+
+    /// Starts the process unless it runs.
+    pub fn start_again(&mut self) {
+        if let Some(child) = &mut self.child
+            && matches!(child.try_wait(), Ok(None))
+        {
+            return;
+        }
+        let open = || std::fs::OpenOptions::new().create(true).append(true).open(&self.log);
+        let child = Command::new(env!("CARGO_BIN_EXE_chestnutspur"))
+            .args(["node", "--settings", &self.settings.display().to_string()])
+            .stdout(open().expect("log"))
+            .stderr(open().expect("log"))
+            .stdin(Stdio::null())
+            .spawn()
+            .expect("node");
+        self.child = Some(child);
+    }
+
+    /// Sends a signal by name, if it runs.
+    pub fn signal(&mut self, signal: &str) {
+        let Some(child) = &mut self.child else { return };
+        if matches!(child.try_wait(), Ok(None)) {
+            let id = child.id().to_string();
+            let sent = Command::new("kill").args([&format!("-{signal}"), &id]).status();
+            assert!(sent.expect("kill").success());
+        }
+    }
+
+    /// Ends it without a word, and waits for that.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits until it has ended by itself; false if it did not within a time.
+    pub async fn ended(&mut self, within: Duration) -> bool {
+        let until = Instant::now() + within;
+        while Instant::now() < until {
+            match self.child.as_mut().map(Child::try_wait) {
+                Some(Ok(None)) => tokio::time::sleep(Duration::from_millis(20)).await,
+                _ => return true,
+            }
+        }
+        false
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/chestnutspur/tests/soak/verdict.rs
@@ -0,0 +1,94 @@
+//! The promises, judged from what callers and backend servers saw.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use platform::names;
+
+use crate::callers::{EVENTS, Kind, Outcome, Seen};
+use crate::faults::{Told, Trouble};
+use crate::fleet::Fleet;
+
+/// A leaving backend server gets no new work later than this.
+const LEAVING: Duration = Duration::from_millis(2_000);
+
+/// What was broken.
+pub fn judge(fleet: &Fleet, told: &Told, seen: &[Seen]) -> Vec<String> {
+    let runs = runs(fleet);
+    let mut broken: Vec<String> = Vec::new();
+    for one in seen {
+        let ran = runs.get(&one.id).copied().unwrap_or_default();
+        if let Some(why) = judge_one(one, ran, told.trouble) {
+            let Seen { id, kind, node, outcome, took } = one;
+            broken.push(format!(
+                "{why}: {id} ({kind:?}) at {node}, {outcome:?} after {took:?}, ran {ran}"
+            ));
+        }
+    }
+    broken.extend(late_work(fleet, told));
+    broken.extend(told.stuck.iter().map(|node| format!("node {node} did not end after SIGTERM")));
+    let served = seen.iter().filter(|one| served(one)).count();
+    if served * 10 < seen.len() {
+        broken.push(format!("only {served} of {} requests were served", seen.len()));
+    }
+    broken
+}
+
+fn served(one: &Seen) -> bool {
+    matches!(one.outcome, Outcome::Answered { status: 200, whole: true, .. })
+}
+
+/// How often backend servers ran each request.
+fn runs(fleet: &Fleet) -> HashMap<String, usize> {
+    let mut runs = HashMap::new();
+    for backend in &fleet.backends {
+        for arrival in backend.arrivals() {
+            let id = arrival.headers[names::REQUEST_ID].to_str().unwrap_or_default().to_owned();
+            *runs.entry(id).or_default() += 1;
+        }
+    }
+    runs
+}
+
+fn judge_one(one: &Seen, ran: usize, trouble: Trouble) -> Option<&'static str> {
+    let planned = trouble == Trouble::Planned;
+    match &one.outcome {
+        _ if one.kind == Kind::Once && ran > 1 => Some("ran twice"),
+        Outcome::Answered { own: false, .. } => Some("an answer to another request"),
+        Outcome::Answered { status: 408 | 421 | 429 | 503, .. } if ran > 0 => {
+            Some("said not to have run, and had")
+        }
+        Outcome::Answered { status: 400..=407 | 413, .. } => Some("refused though it is allowed"),
+        Outcome::Answered { status: 200, whole, ids, .. } => judge_events(*whole, ids, planned),
+        Outcome::Answered { status: 500.., .. } if planned => Some("failed by planned work"),
+        Outcome::Lost if planned && ran > 0 => Some("cut off by planned work"),
+        Outcome::Late if planned => Some("late by planned work"),
+        _ => None,
+    }
+}
+
+fn judge_events(whole: bool, ids: &[u64], planned: bool) -> Option<&'static str> {
+    let in_order = ids.iter().copied().eq(1..=ids.len() as u64);
+    match () {
+        () if !in_order => Some("events missing, doubled or out of order"),
+        () if whole && ids.len() as u64 != EVENTS => Some("an answer that looks whole and is not"),
+        () if !whole && planned => Some("broken off by planned work"),
+        () => None,
+    }
+}
+
+/// Work that reached backend servers long after they said that they leave.
+fn late_work(fleet: &Fleet, told: &Told) -> Vec<String> {
+    let mut broken = Vec::new();
+    for left in &told.left {
+        let arrivals = fleet.backends[left.number].arrivals();
+        let late = arrivals
+            .iter()
+            .filter(|arrival| arrival.at > left.at + LEAVING && arrival.at < left.back_at);
+        let count = late.count();
+        if count > 0 {
+            broken.push(format!("{count} requests reached leaving backend {}", left.number));
+        }
+    }
+    broken
+}
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -25,6 +25,8 @@
 const CACHED_MS: u64 = 30_000;
 /// Longest wait for a connection that is opened only to see whether the server lives.
 const PROBE: Duration = Duration::from_millis(200);
+/// Between two questions to a server that can't be reached, in milliseconds.
+const ASK_MS: u64 = 200;
 /// Until a server that lives is looked at again.
 const LOOK: Duration = Duration::from_millis(100);
 /// Parts remembered for one engine at most.
@@ -67,6 +69,7 @@
     own_then: u32,
     reported_at: Millis,
     heard_at: Millis,
+    asked_at: Millis,
     /// Parts of prompts by model and part, and when they were last used.
     parts: HashMap<(u64, u64), Millis>,
 }
@@ -221,6 +224,24 @@
         taken
     }
 
+    /// Asks in the background whether it takes connections again, unless that was just done.
+    pub fn ask_soon(self: &Arc<Self>) {
+        let now = clock::steady();
+        let mut belief = self.lock();
+        if now.since(belief.asked_at) < ASK_MS {
+            return;
+        }
+        belief.asked_at = now;
+        drop(belief);
+        let backend = Arc::clone(self);
+        tokio::spawn(async move {
+            if backend.takes_connections().await {
+                log::info!(target: "route", backend:% = backend.id; "backend server reached again");
+                backend.server.note_success(clock::steady());
+            }
+        });
+    }
+
     fn lock(&self) -> MutexGuard<'_, Belief> {
         self.belief.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -21,8 +21,10 @@
 
 /// A backend server of a version that was not tried yet; none if there is none.
 ///
-/// Servers held ill, or in failure domains that did not answer this request, are used only when no
-/// other is left: refusing outright would turn a moment's bad luck with all into an outage.
+/// Failure domains that did not answer this request are tried last. Servers held ill take no
+/// connections, so a request that finds no other is refused at once; trying them one after another
+/// would only use up the time in which its caller could come back. They are asked in the
+/// background, and serve again a moment after they can be reached.
 pub fn choose<C: Codec>(job: &Job<C>, pool: &Pool, version: &Name) -> Option<Arc<Backend>> {
     let now = clock::steady();
     let untried = pool.of(version).filter(|backend| !job.tries.tried.contains(&backend.id));
@@ -31,7 +33,10 @@
     let (well, ill): (Vec<_>, Vec<_>) =
         lit.into_iter().partition(|backend| backend.server.takes_work(now));
     match (well.as_slice(), dark.as_slice()) {
-        ([], []) => ill.into_iter().min_by_key(|b| b.server.health().probe.ill_until).cloned(),
+        ([], []) => {
+            ill.iter().for_each(|backend| backend.ask_soon());
+            None
+        }
         ([], dark) => best(job, dark, now),
         (well, _) => best(job, well, now),
     }
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -7,8 +7,8 @@
 
 use crate::codec::Codec;
 
-/// While no backend server can be reached; a restart of one takes about as long.
-const NO_BACKEND_RETRY_MS: u64 = 500;
+/// While no backend server can be reached; they are asked again about as often.
+const NO_BACKEND_RETRY_MS: u64 = 250;
 /// Before there is a table of routes.
 const NOT_READY_RETRY_MS: u64 = 500;
 /// Least time after which a caller of a full service comes back.
--- /dev/null
+++ b/crates/policy/tests/peak.rs
@@ -0,0 +1,192 @@
+//! Loads as they are at the peak, replayed through the deciding code in simulated time: engines
+//! that read prompts one after another, hosts that see only their own requests.
+//!
+//! Each pattern compares a decision with the one it replaced; `--nocapture` prints the figures.
+
+use policy::engine::{Ask, Engine, choose};
+use policy::escalate::{Doubt, escalate};
+use policy::patience::Patience;
+use policy::place::mix;
+use policy::reading::Reading;
+use policy::time::Millis;
+
+const START: u64 = 1_000_000;
+/// Prompt tokens read in a millisecond, by the small and the large model.
+const RATES: [f64; 2] = [400.0, 40.0];
+const OBJECTIVE_MS: f64 = 1_500.0;
+/// A wait for others' prompts that leaves too little of the objective.
+const LONG_WAIT_MS: f64 = 300.0;
+
+/// A uniform draw from 0 to 1.
+fn draw(seed: &mut u64) -> f64 {
+    *seed = mix(*seed);
+    (*seed >> 11) as f64 / (1_u64 << 53) as f64
+}
+
+/// A prompt's length: one in a hundred is ten times as long as the rest.
+fn prompt(seed: &mut u64) -> f64 {
+    match draw(seed) {
+        long if long < 0.01 => 30_000.0 + 20_000.0 * draw(seed),
+        _ => 500.0 + 6_000.0 * draw(seed),
+    }
+}
+
+/// What hosts know of engines when they choose.
+#[derive(Clone, Copy, PartialEq)]
+enum Knowing {
+    /// How many requests each host has there.
+    Requests,
+    /// The prompts each host has sent there.
+    OwnPrompts,
+    /// The long prompts that all hosts have sent there.
+    AllPrompts,
+}
+
+/// Twenty hosts before fifteen engines; half of the requests go to the large model. The share of
+/// requests that wait for others' prompts for long.
+fn late_share(knowing: Knowing, seed: u64, per_s: f64) -> f64 {
+    const HOSTS: usize = 20;
+    const ENGINES: usize = 15;
+    let mut seed = seed;
+    let mut free_at = [START as f64; ENGINES];
+    let mut believed = vec![[Reading::default(); ENGINES]; HOSTS];
+    let mut under_way: Vec<(f64, usize, usize)> = Vec::new();
+    let (mut late, mut all, mut now) = (0, 0, START as f64);
+    while now < START as f64 + 10_000.0 {
+        now += -draw(&mut seed).max(1e-9).ln() * 1_000.0 / per_s;
+        let at = Millis(now as u64);
+        let host = (draw(&mut seed) * HOSTS as f64) as usize;
+        let tokens = prompt(&mut seed);
+        let rate = RATES[usize::from(draw(&mut seed) < 0.5)];
+        under_way.retain(|(end, ..)| *end > now);
+        let own = |engine| under_way.iter().filter(|(_, h, e)| (*h, *e) == (host, engine)).count();
+        let seen: Vec<Engine> = (0..ENGINES)
+            .map(|engine| Engine {
+                own: own(engine) as u32,
+                slots: 32,
+                near: true,
+                reading_ms: match knowing {
+                    Knowing::Requests => 0.0,
+                    _ => believed[host][engine].left_ms(at),
+                },
+                ..Engine::default()
+            })
+            .collect();
+        let ask = Ask {
+            prompt: tokens,
+            shared: 0.0,
+            tokens_per_ms: rate,
+            service_ms: 2_000.0,
+            far_ms: 200.0,
+            failure_ms: OBJECTIVE_MS,
+        };
+        let engine = choose(&seen, &ask, mix(seed)).unwrap();
+        let read_ms = tokens / rate;
+        let tells = knowing == Knowing::AllPrompts && read_ms >= 60.0;
+        for (other, engines) in believed.iter_mut().enumerate() {
+            if other == host || tells {
+                engines[engine].add(read_ms, at);
+            }
+        }
+        free_at[engine] = free_at[engine].max(now) + read_ms;
+        under_way.push((free_at[engine] + 1_500.0, host, engine));
+        all += 1;
+        late += u32::from(free_at[engine] - now - read_ms > LONG_WAIT_MS);
+    }
+    f64::from(late) / f64::from(all)
+}
+
+fn mean(knowing: Knowing) -> f64 {
+    (0..5).map(|seed| late_share(knowing, seed * 7_919 + 1, 200.0)).sum::<f64>() / 5.0
+}
+
+/// Long prompts among short ones, from many hosts. Told of each other's long prompts, hosts keep
+/// short ones away from the engines that read them.
+#[test]
+fn choose_long_prompts_of_other_hosts() {
+    let [requests, own, all] =
+        [Knowing::Requests, Knowing::OwnPrompts, Knowing::AllPrompts].map(mean);
+    println!(
+        "waits over 0.3 s: knowing requests {requests:.3}, own prompts {own:.3}, all prompts {all:.3}"
+    );
+    assert!(own < requests, "{own} {requests}");
+    assert!(all < own * 0.5, "{all} {own}");
+}
+
+/// How doubtful answers are treated.
+#[derive(Clone, Copy, PartialEq)]
+enum Treating {
+    /// The large model is always asked again.
+    Always,
+    /// As the policy says.
+    Policy,
+    /// Never.
+    Never,
+}
+
+/// One host before four engines. What callers get: a right answer in time counts 1, a right one
+/// too late 0.1, a poor one 0.05.
+fn worth(treating: Treating, seed: u64, per_s: f64) -> f64 {
+    const ENGINES: usize = 4;
+    let mut seed = seed;
+    let mut free_at = [START as f64; ENGINES];
+    let (mut pressure, mut larger) = (Patience::default(), Patience::default());
+    let (mut sum, mut all, mut now) = (0.0, 0.0, START as f64);
+    while now < START as f64 + 30_000.0 {
+        now += -draw(&mut seed).max(1e-9).ln() * 1_000.0 / per_s;
+        let at = Millis(now as u64);
+        let tokens = prompt(&mut seed);
+        let hard = draw(&mut seed) > 0.54;
+        let confidence = if hard { 40.0 * draw(&mut seed) } else { 55.0 + 45.0 * draw(&mut seed) };
+        let mut read = |rate: f64, from: f64| {
+            let engine = (0..ENGINES).min_by(|a, b| free_at[*a].total_cmp(&free_at[*b])).unwrap();
+            free_at[engine] = free_at[engine].max(from) + tokens / rate;
+            free_at[engine]
+        };
+        let mut begun = read(RATES[0], now);
+        let doubt = Doubt {
+            confidence: Some(confidence as u8),
+            priority: 1,
+            waited_ms: begun - now,
+            larger_ms: larger.faded_ms(400.0, at).max(tokens / RATES[1]),
+            read_ms: tokens / RATES[1],
+            objective_ms: OBJECTIVE_MS,
+            pressure: pressure.faded_ms(0.0, at),
+        };
+        let again = match treating {
+            Treating::Always => confidence < 50.0,
+            Treating::Policy => escalate(&doubt),
+            Treating::Never => false,
+        };
+        if again {
+            let small = begun;
+            begun = read(RATES[1], begun);
+            larger.note(begun - small, at);
+        }
+        pressure.note((begun - now) / OBJECTIVE_MS, at);
+        let right = again || !hard;
+        sum += match (right, begun - now <= OBJECTIVE_MS) {
+            (true, true) => 1.0,
+            (true, false) => 0.1,
+            (false, _) => 0.05,
+        };
+        all += 1.0;
+    }
+    sum / all
+}
+
+fn mean_worth(treating: Treating, per_s: f64) -> f64 {
+    (0..10).map(|seed| worth(treating, seed * 104_729 + 3, per_s)).sum::<f64>() / 10.0
+}
+
+/// On a quiet day nearly every doubtful answer is asked again; at a peak of twice what the engines
+/// can read for the large model that would make all late, and the policy is better than both ways.
+#[test]
+fn escalate_quiet_and_peak() {
+    let all = [Treating::Always, Treating::Policy, Treating::Never];
+    let quiet = all.map(|treating| mean_worth(treating, 40.0));
+    let peak = all.map(|treating| mean_worth(treating, 190.0));
+    println!("always, policy, never: quiet {quiet:.3?}, peak {peak:.3?}");
+    assert!(quiet[1] > 0.95 * quiet[0] && quiet[1] > 1.3 * quiet[2], "{quiet:?}");
+    assert!(peak[1] > 1.3 * peak[0] && peak[1] > 1.05 * peak[2], "{peak:?}");
+}
