Tables of routes checked; a roll-out with few requests ends; logs name the server that answered

Cause: explain printed 'Some(..)' and the last server that failed; a service with fewer than twelve answers in a trial never moved nor stopped (found reading canary::next, test added); check did not know the platform's table.

--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -93,6 +93,8 @@
     pub may_have_run: bool,
     /// Tries that backend servers did not run.
     pub not_run: u32,
+    /// The backend server that it was last sent to.
+    pub backend: Option<Name>,
     /// Backend servers not to be tried again.
     pub tried: Vec<Name>,
     /// Other failure domains that did not answer; others are tried first.
@@ -255,6 +257,7 @@
         self.tries.answering = reply.is_ok();
         if !matches!(reply, Err(Failure::Unsent(_))) {
             self.tries.sent += 1;
+            self.tries.backend = Some(backend.id.clone());
         }
         reply
     }
--- a/crates/gateway/src/end.rs
+++ b/crates/gateway/src/end.rs
@@ -39,11 +39,16 @@
         .increment(1);
     metrics::histogram!("gateway_request_seconds", "route" => route.to_string())
         .record(ms / 1_000.0);
-    let none = policy::name::Name::default();
+    let tries = &job.tries;
     log::info!(target: "route", request:% = job.ask.id, route:% = route, service:% = job.service,
-        version:% = job.tries.version.as_ref().unwrap_or(&none),
-        backend:? = job.tries.tried.last(), model:% = job.model().unwrap_or(&none),
-        doubted:? = job.tries.doubted, sent = job.tries.sent, unsent = job.tries.unsent,
-        events, prompt = job.ask.prompt_tokens, first_ms = job.tries.begun_ms, ms = ms as u64, table = job.state.world.load().index.version,
-        outcome:? = end; "request ended");
+        version:% = shown(tries.version.as_ref()), backend:% = shown(tries.backend.as_ref()),
+        model:% = shown(job.model()), doubted:% = shown(tries.doubted), sent = tries.sent,
+        unsent = tries.unsent, not_run = tries.not_run, events,
+        prompt = job.ask.prompt_tokens, first_ms = tries.begun_ms, ms = ms as u64,
+        table = job.state.world.load().index.version, outcome:? = end; "request ended");
+}
+
+/// A value that may be absent, as it stands in a log.
+fn shown<T: std::fmt::Display>(value: Option<T>) -> String {
+    value.map(|value| value.to_string()).unwrap_or_default()
 }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -57,7 +57,7 @@
                 let code = refusal.code.status();
                 log::info!(target: "route", request:% = id, status = code,
                     why:% = refusal.message, ran:? = refusal.ran,
-                    retry_after_ms:? = refusal.retry_after_ms; "request refused");
+                    retry_after_ms = refusal.retry_after_ms.unwrap_or_default(); "request refused");
                 metrics::counter!("gateway_refusals_total", "status" => code.to_string())
                     .increment(1);
                 refuse::response(&self.codec, &id, refusal)
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -20,6 +20,19 @@
     Malformed(String),
 }
 
+impl Error {
+    /// For metrics.
+    #[must_use]
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Refused(_) => "refused",
+            Self::Lost(_) => "lost",
+            Self::Forgotten => "forgotten",
+            Self::Malformed(_) => "malformed",
+        }
+    }
+}
+
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -58,6 +58,9 @@
                 None => self.store.read(list).await,
                 Some(after) => self.store.follow(list, after, wait).await,
             };
+            let outcome = news.as_ref().map_or_else(Error::label, |_| "answered");
+            metrics::counter!("node_store_calls_total", "list" => list.name(), "outcome" => outcome)
+                .increment(1);
             let held_back = Duration::from_millis(clock::steady().since(asked));
             if held_back > wait + LATE {
                 self.away();
@@ -93,7 +96,6 @@
                     self.away();
                 }
             }
-            metrics::counter!("node_store_pauses_total").increment(1);
             let draw: f64 = rand::random();
             tokio::time::sleep(Duration::from_millis(pause_ms).mul_f64(0.5 + draw / 2.0)).await;
             pause_ms = (pause_ms * 2).min(PAUSE_MAX_MS);
@@ -121,6 +123,10 @@
             match fact {
                 Fact::Table(table) => {
                     let version = table.version;
+                    // The store took it, so it is in force whatever is odd about it.
+                    for fault in wire::routing::check(&table) {
+                        log::warn!(target: "watch", table = version, fault:% = fault; "table has a fault");
+                    }
                     let taken = self.facts.take_table(*table);
                     changed |= taken;
                     log::info!(target: "watch", table = version, revision, taken;
--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -21,6 +21,10 @@
 const MOVE: f64 = 0.72;
 /// When the rest moves.
 const MOVE_ALL: f64 = 0.78;
+/// When requests move over although few have come, if none of their answers was bad.
+const MOVE_FEW: f64 = 0.8;
+/// When a version that could not be judged is stopped: better the old one than one unknown.
+const GIVE_UP: f64 = 1.0;
 /// When the roll-out may be declared done: nothing is under way at the old version by then.
 const DONE: f64 = 0.89;
 /// Shares of requests at these times. The first two stay under the 0.15 of all requests that a
@@ -87,6 +91,8 @@
         Bad,
         /// It is good on every route that it was tried on.
         Good,
+        /// Not enough answers yet, and none was bad.
+        Clean,
         /// Not enough answers yet.
         Open,
     }
@@ -146,12 +152,15 @@
     let tried = evidence.iter().filter(|one| one.new.answers >= ANSWERS_MIN);
     let weights: Vec<f64> = tried.map(weight).collect();
     let answers: u32 = evidence.iter().map(|one| one.new.answers).sum();
+    let is_clean = answers >= ANSWERS_MIN && evidence.iter().all(|one| one.new.bad == 0);
     match () {
         () if weights.iter().any(|&weight| weight >= STOP) => Verdict::Bad,
+        () if answers < ANSWERS_TO_MOVE && is_clean => Verdict::Clean,
         () if answers < ANSWERS_TO_MOVE => Verdict::Open,
         () if weights.iter().sum::<f64>() <= GO && weights.iter().all(|&weight| weight <= 0.0) => {
             Verdict::Good
         }
+        () if is_clean => Verdict::Clean,
         () => Verdict::Open,
     }
 }
@@ -162,7 +171,9 @@
     match (stage, verdict) {
         (Stage::Trial | Stage::Moving, Verdict::Bad) => Some(Stage::Stopped),
         (Stage::Trial, Verdict::Good) if elapsed >= MOVE => Some(Stage::Moving),
-        (Stage::Moving, Verdict::Good | Verdict::Open) if elapsed >= DONE => Some(Stage::Done),
+        (Stage::Trial, Verdict::Clean) if elapsed >= MOVE_FEW => Some(Stage::Moving),
+        (Stage::Trial, _) if elapsed >= GIVE_UP => Some(Stage::Stopped),
+        (Stage::Moving, _) if elapsed >= DONE => Some(Stage::Done),
         _ => None,
     }
 }
--- a/crates/policy/tests/canary.rs
+++ b/crates/policy/tests/canary.rs
@@ -48,6 +48,8 @@
     assert_eq!(verdict(&[evidence((200, 2), (40, 0))]), Verdict::Good);
     assert_eq!(verdict(&[evidence((200, 2), (12, 6))]), Verdict::Bad);
     assert_eq!(verdict(&[evidence((200, 2), (3, 0))]), Verdict::Open);
+    assert_eq!(verdict(&[evidence((200, 2), (6, 0))]), Verdict::Clean);
+    assert_eq!(verdict(&[evidence((200, 2), (6, 1))]), Verdict::Open);
 }
 
 #[test]
@@ -73,6 +75,9 @@
     assert_eq!(next(Stage::Moving, 0.8, Verdict::Good), None);
     assert_eq!(next(Stage::Moving, 0.9, Verdict::Good), Some(Stage::Done));
     assert_eq!(next(Stage::Moving, 0.8, Verdict::Bad), Some(Stage::Stopped));
+    assert_eq!(next(Stage::Trial, 0.75, Verdict::Clean), None);
+    assert_eq!(next(Stage::Trial, 0.85, Verdict::Clean), Some(Stage::Moving));
+    assert_eq!(next(Stage::Trial, 1.1, Verdict::Open), Some(Stage::Stopped));
     assert_eq!(next(Stage::Done, 0.95, Verdict::Bad), None);
 }
 
--- a/crates/wire/src/routing.rs
+++ b/crates/wire/src/routing.rs
@@ -3,11 +3,15 @@
 //! These documents are our own. Whoever keeps them elsewhere, in other words and another form,
 //! turns them into these types once, at the edge; nothing behind that edge knows the other form.
 
+mod check;
+
 use std::net::SocketAddr;
 
 use policy::domain;
 use policy::name::Name;
 
+pub use check::check;
+
 domain! {
     /// Everything operators decide, as one version of it.
     #[derive(Default)]
