--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -71,7 +71,10 @@
             accepted = listener.accept() => take(accepted, &state, &close, &connections).await,
         }
     }
-    while let Ok(accepted) = tokio::time::timeout(BACKLOG, listener.accept()).await {
+    // One time for all of them. Callers that open a new connection as soon as one closes would
+    // otherwise keep the port open until the process is ended with their requests under way.
+    let until = tokio::time::Instant::now() + BACKLOG;
+    while let Ok(accepted) = tokio::time::timeout_at(until, listener.accept()).await {
         take(accepted, &state, &close, &connections).await;
     }
 }
