--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,8 +13,8 @@
 use hyper::http::response::Parts;
 
 use crate::backend::{Backend, Word};
-use crate::carry::Job;
 use crate::codec::{Codec, Head, Sending};
+use crate::job::Job;
 
 /// Longest wait for a new connection. Within a region one opens in a few milliseconds; past this
 /// the server is dark or its queue of new connections full, and the kernel tries again only after
--- /dev/null
+++ b/crates/gateway/src/blame.rs
@@ -0,0 +1,66 @@
+//! Who is to blame for a try that failed: a connection, a backend server, a failure domain.
+
+use std::sync::Arc;
+
+use entry::clock;
+use entry::connection::Cause;
+
+use crate::attempt::Failure;
+use crate::backend::Backend;
+use crate::codec::Codec;
+use crate::job::Job;
+use crate::wait::STREAM_BUSY;
+
+impl<C: Codec> Job<C> {
+    /// A try failed: who is to blame, and what is known of the request now.
+    pub fn failed(&mut self, backend: &Arc<Backend>, failure: Failure) {
+        let now = clock::steady();
+        self.tries.last = Some(failure);
+        match failure {
+            Failure::Unsent(cause) => {
+                self.tries.unsent += 1;
+                match cause {
+                    Cause::Refused => backend.note_refused(now),
+                    Cause::Silent => {
+                        backend.note_timeout(now);
+                        // A whole failure domain may be cut off. Trying its servers one after
+                        // another would use up the request's time.
+                        if !backend.near {
+                            self.tries.dark.push(backend.server.failure_domain.clone());
+                        }
+                    }
+                    // An old connection was closed by the other end; a new one is tried.
+                    _ => self.tries.new_only = true,
+                }
+                if matches!(cause, Cause::Refused | Cause::Silent) {
+                    self.tries.tried.push(backend.id.clone());
+                }
+            }
+            Failure::NotRun { misdirected } => {
+                self.tries.not_run += 1;
+                self.tries.tried.push(backend.id.clone());
+                if misdirected {
+                    backend.note_refused(now);
+                }
+            }
+            Failure::Lost(_) => {
+                self.tries.may_have_run = true;
+                self.tries.new_only = true;
+                self.tries.tried.push(backend.id.clone());
+                if !self.left().is_zero() {
+                    backend.note(true, now);
+                    self.note_version(backend, None);
+                }
+                if failure == Failure::Lost(Cause::Silent) && self.timed(backend) {
+                    let waited = self.route().objective_ms as f64 * STREAM_BUSY;
+                    self.state.timings.with(self.timing(), |timing| {
+                        timing.first.note_cut(waited, now);
+                    });
+                }
+            }
+        }
+        log::info!(target: "route", request:% = self.ask.id, backend:% = backend.id,
+            cause:? = failure, sent = self.tries.sent, left_ms = self.left().as_millis() as u64;
+            "try failed");
+    }
+}
--- a/crates/gateway/src/end.rs
+++ b/crates/gateway/src/end.rs
@@ -2,8 +2,8 @@
 
 use entry::connection::Cause;
 
-use crate::carry::Job;
 use crate::codec::Codec;
+use crate::job::Job;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -15,10 +15,11 @@
 use wire::refusal::Refusal;
 use wire::routing::{Route, Target};
 
-use crate::carry::{Accepted, Job, Tries};
+use crate::carry::Accepted;
 use crate::codec::{Ask, Codec};
 use crate::end::{self, End};
 use crate::index::{Index, Known};
+use crate::job::{Job, Tries};
 use crate::state::State;
 use crate::{refuse, relay};
 
--- /dev/null
+++ b/crates/gateway/src/job.rs
@@ -0,0 +1,140 @@
+//! A request under way, and what its tries have come to.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::http::response::Parts;
+use hyper::{HeaderMap, Method, Uri};
+use policy::name::Name;
+use policy::place;
+use policy::repeat::{Allowance, Window};
+use wire::routing::Route;
+
+use crate::attempt::Failure;
+use crate::backend::Backend;
+use crate::codec::{Ask, Codec};
+use crate::index::Known;
+use crate::state::State;
+
+/// A request under way.
+pub struct Job<C> {
+    /// Shared by all requests.
+    pub state: Arc<State<C>>,
+    /// Its route.
+    pub known: Arc<Known>,
+    /// What the caller says of it.
+    pub ask: Ask,
+    /// As the caller sent it.
+    pub method: Method,
+    /// Path and query, as the caller sent them.
+    pub path: Uri,
+    /// As the caller sent them.
+    pub headers: HeaderMap,
+    /// As the caller sent it.
+    pub body: Bytes,
+    /// The account of the caller's key.
+    pub account: Option<Name>,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// The service that answers it.
+    pub service: Name,
+    /// When its head was read.
+    pub started: Instant,
+    /// When it is no longer waited for.
+    pub until: Instant,
+    /// What the tries so far have come to.
+    pub tries: Tries,
+}
+
+/// What the tries of a request have come to.
+#[derive(Default)]
+pub struct Tries {
+    /// Backend servers that it was sent to.
+    pub sent: u32,
+    /// Connections that did not open.
+    pub unsent: u32,
+    /// It may have run.
+    pub may_have_run: bool,
+    /// Tries that backend servers did not run.
+    pub not_run: u32,
+    /// The backend server that it was last sent to.
+    pub backend: Option<Name>,
+    /// Backend servers not to be tried again.
+    pub tried: Vec<Name>,
+    /// Other failure domains that did not answer; others are tried first.
+    pub dark: Vec<Name>,
+    /// Index of the model that is asked now.
+    pub model: usize,
+    /// The version that it was first sent to.
+    pub version: Option<Name>,
+    /// Old connections are no longer used.
+    pub new_only: bool,
+    /// A backend server's own failure, if nothing better comes.
+    pub failure: Option<(Parts, Bytes)>,
+    /// Why the last try failed.
+    pub last: Option<Failure>,
+    /// The next try has been paid for.
+    pub paid: AtomicBool,
+    /// The last try has begun to answer, and counts as sent.
+    pub answering: bool,
+    /// From its coming in to the beginning of its answer, in milliseconds; 0 before that.
+    pub begun_ms: u64,
+    /// The confidence with which a smaller model's answer was dropped.
+    pub doubted: Option<u8>,
+}
+
+impl<C: Codec> Job<C> {
+    /// Its route.
+    #[must_use]
+    pub fn route(&self) -> &Route {
+        &self.known.route
+    }
+
+    /// The time left.
+    #[must_use]
+    pub fn left(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+
+    /// The name under which the times of its answers are kept.
+    #[must_use]
+    pub fn timing(&self) -> &Name {
+        &self.known.timings[self.tries.model.min(self.known.timings.len() - 1)]
+    }
+
+    /// The model chosen, if the choice is ours.
+    #[must_use]
+    pub fn model(&self) -> Option<&Name> {
+        self.route().models.get(self.tries.model)
+    }
+
+    /// Names the model among cached parts of prompts.
+    #[must_use]
+    pub fn model_hash(&self) -> u64 {
+        self.model().map_or(0, |model| place::hash(model.as_bytes()))
+    }
+
+    /// What places it among versions: its session, or itself.
+    #[must_use]
+    pub fn subject(&self) -> &Name {
+        self.ask.session.as_ref().unwrap_or(&self.ask.id)
+    }
+
+    /// Whether a backend server's times are those that others are measured by: a version under
+    /// trial is not.
+    #[must_use]
+    pub fn timed(&self, backend: &Backend) -> bool {
+        let world = self.state.world.load();
+        let pool = world.pools.get(&self.service);
+        let trial = pool.and_then(|pool| pool.rollout.as_ref()).filter(|trial| trial.is_open());
+        trial.is_none_or(|trial| trial.target != backend.version)
+    }
+
+    /// Uses the service's count of requests and repeats.
+    pub fn window<T>(&self, use_it: impl FnOnce(&mut Window, &Allowance) -> T) -> T {
+        let allowance = self.state.allowance.load();
+        self.state.windows.with(&self.service, |window| use_it(window, &allowance))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/judge.rs
@@ -0,0 +1,149 @@
+//! What becomes of an answer: passed on, dropped for a larger model's, or tried again.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use entry::clock;
+use entry::connection::Cause;
+use http_body_util::{BodyExt, Limited};
+use hyper::StatusCode;
+use hyper::http::response::Parts;
+use policy::escalate::{self, Doubt};
+use wire::routing::Kind;
+
+use crate::attempt::{Failure, Reply};
+use crate::backend::Backend;
+use crate::carry::Accepted;
+use crate::codec::Codec;
+use crate::job::Job;
+use crate::pool::Pool;
+use crate::relay::Live;
+
+/// Largest answer that is not a stream.
+const ANSWER_BYTES_MAX: usize = 16 << 20;
+/// Repeats that are left to requests whose backend server fails; a doubtful answer is not dropped
+/// for one of them.
+const REPEATS_KEPT: f64 = 4.0;
+/// An answer that begins within this time is never counted as too slow, in milliseconds.
+const SLOW_LEAST_MS: f64 = 200.0;
+
+impl<C: Codec> Job<C> {
+    /// What becomes of an answer: passed on, or none yet.
+    ///
+    /// # Errors
+    /// The answer broke; the request may have run.
+    pub async fn judge(&mut self, reply: Reply) -> Result<Option<Accepted>, Failure> {
+        let status = reply.head.status;
+        if status.is_server_error() {
+            return self.judge_failure(reply).await;
+        }
+        self.note_version(&reply.backend, Some(reply.first_ms));
+        if self.escalates(&reply) {
+            self.tries.doubted = reply.said.confidence;
+            self.tries.model = self.route().models.len() - 1;
+            self.tries.may_have_run = true;
+            reply.backend.note(false, clock::steady());
+            return Ok(None);
+        }
+        if self.route().kind.is_stream() && status == StatusCode::OK {
+            let head = reply.head.clone();
+            let live = Live::begin(self, reply, self.ask.last_event).await?;
+            self.note_begun();
+            return Ok(Some(Accepted::Stream(head, Box::new(live))));
+        }
+        let (head, body) = self.read_whole(reply).await?;
+        Ok(Some(Accepted::Whole(head, body)))
+    }
+
+    /// A backend server's own failure: it ran the request. It is passed on unless the request may
+    /// run again.
+    async fn judge_failure(&mut self, reply: Reply) -> Result<Option<Accepted>, Failure> {
+        let backend = Arc::clone(&reply.backend);
+        backend.note(true, clock::steady());
+        self.note_version(&backend, None);
+        self.tries.may_have_run = true;
+        let (head, body) = self.read_whole(reply).await?;
+        self.tries.tried.push(backend.id.clone());
+        log::info!(target: "route", request:% = self.ask.id, backend:% = backend.id,
+            status = head.status.as_u16(), sent = self.tries.sent; "backend server failed");
+        match self.route().kind.may_repeat() {
+            true => {
+                self.tries.failure = Some((head, body));
+                Ok(None)
+            }
+            false => Ok(Some(Accepted::Whole(head, body))),
+        }
+    }
+
+    async fn read_whole(&self, reply: Reply) -> Result<(Parts, Bytes), Failure> {
+        let Reply { head, body, mut connection, lease, backend, sent_at, .. } = reply;
+        let collected = Limited::new(body, ANSWER_BYTES_MAX).collect();
+        let body = match tokio::time::timeout_at(self.until.into(), collected).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) => return Err(Failure::Lost(Cause::Truncated)),
+            Err(_) => return Err(Failure::Lost(Cause::Deadline)),
+        };
+        if !head.status.is_server_error() {
+            backend.note(false, clock::steady());
+        }
+        if self.timed(&backend) {
+            let ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
+            self.state.timings.with(self.timing(), |timing| timing.whole.note(ms, clock::steady()));
+        }
+        if self.route().kind == Kind::Idempotent {
+            connection.mark_proven();
+            lease.server.put_idle(connection);
+        }
+        Ok((head, body))
+    }
+
+    /// Whether a small model's doubtful answer is dropped for a larger one's.
+    fn escalates(&self, reply: &Reply) -> bool {
+        let models = &self.route().models;
+        let largest = models.len().saturating_sub(1);
+        let may = self.route().kind.may_repeat() && self.tries.sent < self.route().attempts_max;
+        if reply.head.status != StatusCode::OK || self.tries.model >= largest || !may {
+            return false;
+        }
+        let objective_ms = self.route().objective_ms as f64;
+        let larger = self.state.timings.with(&self.known.timings[largest], |timing| *timing);
+        let usual_ms = larger.first.faded_ms(objective_ms / 4.0, clock::steady());
+        // A prompt far longer than usual keeps an engine for seconds, and all that wait there.
+        let read_ms = f64::from(self.ask.prompt_tokens) / larger.tokens_per_ms;
+        let doubt = Doubt {
+            confidence: reply.said.confidence,
+            priority: self.priority,
+            waited_ms: self.started.elapsed().as_secs_f64() * 1_000.0,
+            larger_ms: usual_ms.max(read_ms),
+            read_ms,
+            objective_ms,
+            pressure: self
+                .state
+                .pressures
+                .with(&self.service, |pressure| pressure.faded_ms(0.0, clock::steady())),
+        };
+        let repeats = self.window(|window, allowance| window.left(allowance, clock::steady()));
+        escalate::escalate(&doubt) && repeats >= REPEATS_KEPT
+    }
+
+    /// The caller gets the beginning of its answer now.
+    pub fn note_begun(&mut self) {
+        let waited = self.started.elapsed().as_secs_f64() * 1_000.0;
+        self.tries.begun_ms = waited as u64;
+        let part = waited / self.route().objective_ms.max(1) as f64;
+        self.state.pressures.with(&self.service, |pressure| pressure.note(part, clock::steady()));
+    }
+
+    /// Counts an answer for the roll-out under way; no time if it failed.
+    pub fn note_version(&self, backend: &Backend, first_ms: Option<f64>) {
+        let world = self.state.world.load();
+        let pool: Option<&Arc<Pool>> = world.pools.get(&self.service);
+        let trial = pool.and_then(|pool| pool.rollout.as_ref()).filter(|trial| trial.is_open());
+        let Some(trial) = trial else { return };
+        let first = self.state.timings.with(self.timing(), |timing| timing.first);
+        let usual = first.mean_ms(f64::INFINITY) * policy::canary::SLOW_FACTOR;
+        let is_bad = first_ms.is_none_or(|ms| ms > usual.max(SLOW_LEAST_MS));
+        let is_new = backend.version == trial.target;
+        self.state.tally.note(&self.service, &self.route().name, is_new, is_bad);
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,11 +2,12 @@
 //!
 //! This is the second front end of the data plane; connections, backend servers, callers'
 //! connections and answers are those of `entry`. A request passes [`handle`] (route, account,
-//! body), [`carry`] (which backend server, again or not) and, if its answer is a stream,
-//! [`relay`]. What callers and backend servers call things on the wire is behind [`codec::Codec`].
+//! body), [`carry`] (which backend server, again or not), [`judge`] (what becomes of an answer)
+//! and, if that is a stream, [`relay`]. What callers and backend servers call things on the wire is behind [`codec::Codec`].
 
 pub mod attempt;
 pub mod backend;
+pub mod blame;
 pub mod carry;
 pub mod codec;
 pub mod end;
@@ -14,12 +15,15 @@
 pub mod evidence;
 pub mod handle;
 pub mod index;
+pub mod job;
+pub mod judge;
 pub mod pick;
 pub mod pool;
 pub mod refuse;
 pub mod relay;
 pub mod state;
 pub mod timing;
+pub mod wait;
 pub mod world;
 
 pub use codec::Codec;
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -9,8 +9,8 @@
 use policy::time::Millis;
 
 use crate::backend::Backend;
-use crate::carry::Job;
 use crate::codec::Codec;
+use crate::job::Job;
 use crate::pool::Pool;
 
 /// Another failure domain costs an engine's request this part of its objective: the bytes between
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,10 +15,10 @@
 
 use crate::attempt::{Failure, Reply};
 use crate::backend::Backend;
-use crate::carry::Job;
 use crate::codec::Codec;
 use crate::end::{self, End};
 use crate::events::Splitter;
+use crate::job::Job;
 
 /// Pieces on their way to a caller that reads slowly; then the backend server waits as well.
 const AHEAD: usize = 16;
