--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -134,6 +134,18 @@
     (place as f64) / ((1_u64 << 53) as f64) < share
 }
 
+/// Of so many servers of the new version, those that take its share of requests while it is tried.
+///
+/// Some versions fail only under load, and a share spread over all servers is none: each would get
+/// a tenth of what it will have. So few take it that each has at least the load of every day.
+#[must_use]
+pub fn tried(stage: Stage, share: f64, servers: usize) -> usize {
+    match stage {
+        Stage::Trial => ((servers as f64 * share) as usize).max(1).min(servers),
+        _ => servers,
+    }
+}
+
 /// Logarithm of how much likelier the new version's answers are from a bad one than from one that
 /// is as good as the old.
 #[must_use]
--- a/crates/policy/tests/canary.rs
+++ b/crates/policy/tests/canary.rs
@@ -1,7 +1,9 @@
 //! Roll-outs carried out by many hosts from the same clock and one shared row: good versions get
 //! there in time, bad ones are stopped before they have had much, sessions stay where they are.
 
-use policy::canary::{Count, Evidence, Stage, Verdict, is_moved, next, share, verdict, weight};
+use policy::canary::{
+    Count, Evidence, Stage, Verdict, is_moved, next, share, tried, verdict, weight,
+};
 use policy::name::Name;
 use policy::place::mix;
 
@@ -135,3 +137,17 @@
         }
     }
 }
+
+/// The version fails only under the load that it will have. Its share of a tenth must meet that
+/// load, so a tenth of its servers takes it.
+#[test]
+fn tried_servers_have_the_load_of_every_day() {
+    for servers in [1, 3, 9, 18, 60] {
+        let tried = tried(Stage::Trial, 0.12, servers);
+        let load = 0.12 / tried as f64;
+        let usual = 1.0 / servers as f64;
+        assert!(tried == 1 || load >= usual, "{servers}");
+        assert_eq!(policy::canary::tried(Stage::Moving, 0.35, servers), servers);
+    }
+    assert_eq!(tried(Stage::Trial, 0.12, 0), 0);
+}
