Roll-outs move everything late; slow versions are known by the pace of whole answers

Change: all moves at 0.94 of the time, after which even an undetected version has had less than a bad one may; slow and failed answers are weighed apart, by pace, on all routes together; a version that is in doubt at the end is stopped.

--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Mutex, PoisonError};
 
-use policy::canary::Evidence;
+use policy::canary::{Evidence, Sign};
 use policy::name::Name;
 
 /// Counts by service and route, for roll-outs under way.
@@ -12,15 +12,15 @@
 
 impl Tally {
     /// Counts an answer; `is_new` if the version under trial gave it.
-    pub fn note(&self, service: &Name, route: &Name, is_new: bool, bad: bool) {
+    pub fn note(&self, service: &Name, route: &Name, is_new: bool, sign: Sign) {
         let mut tally = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let of_service = tally.entry(service.clone()).or_default();
         let evidence = of_service
             .entry(route.clone())
             .or_insert_with(|| Evidence { route: route.clone(), ..Evidence::default() });
         match is_new {
-            true => evidence.new.note(bad),
-            false => evidence.old.note(bad),
+            true => evidence.new.note(sign),
+            false => evidence.old.note(sign),
         }
     }
 
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -76,21 +76,6 @@
         self.backends.iter().filter(move |backend| backend.version == *version)
     }
 
-    /// Backend servers of a version that take requests now: of one on trial only a few.
-    #[must_use]
-    pub fn taking<'a>(&'a self, version: &'a Name, now: Millis) -> Vec<&'a Arc<Backend>> {
-        let mut of: Vec<&Arc<Backend>> = self.of(version).collect();
-        if let Some(trial) = self.rollout.as_ref().filter(|trial| trial.target == *version) {
-            let tried = canary::tried(trial.stage, trial.share(now), of.len());
-            if tried < of.len() {
-                // The same ones on all hosts.
-                of.sort_by_key(|backend| backend.hash);
-                of.truncate(tried);
-            }
-        }
-        of
-    }
-
     /// The version that a request may go to instead when this one has no server left for it.
     ///
     /// From a trial it falls back on the version before. Never the other way round while the
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -178,6 +178,7 @@
     if end == End::Answered {
         live.backend.note(false, clock::steady());
         let ms = live.sent_at.elapsed().as_secs_f64() * 1_000.0;
+        job.note_version(&live.backend, Some(ms / f64::from(live.events.max(1))));
         if job.timed(&live.backend) {
             job.state.timings.with(job.timing(), |timing| timing.whole.note(ms, clock::steady()));
         }
--- a/crates/gateway/src/timing.rs
+++ b/crates/gateway/src/timing.rs
@@ -22,8 +22,8 @@
     pub first: Patience,
     /// From sending a request to the end of its answer.
     pub whole: Patience,
-    /// Between two events of a stream.
-    pub gap: Patience,
+    /// The same for each event of a stream, or for a whole plain answer.
+    pub pace: Patience,
     /// Prompt tokens that an engine reads in a millisecond.
     pub tokens_per_ms: f64,
 }
@@ -33,7 +33,7 @@
         Self {
             first: Patience::default(),
             whole: Patience::default(),
-            gap: Patience::default(),
+            pace: Patience::default(),
             tokens_per_ms: TOKENS_PER_MS,
         }
     }
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -83,7 +83,8 @@
                 continue;
             }
             self.look(&service, &known);
-            if tokio::time::Instant::now() >= next {
+            let due = canary::is_due(record.stage, elapsed);
+            if due || tokio::time::Instant::now() >= next {
                 let is_witness = self.decide(&service, &known, &mut revision, &mut counted).await;
                 let every = if is_witness { EVERY } else { every_other(&known) };
                 let jitter = 0.9 + rand::random::<f64>() / 5.0;
--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -17,36 +17,43 @@
 const BEGIN: f64 = 0.51;
 /// When its first share grows.
 const GROW: f64 = 0.58;
-/// When requests move over if the answers are good.
-const MOVE: f64 = 0.72;
-/// When the rest moves.
-const MOVE_ALL: f64 = 0.78;
-/// When requests move over although few have come, if none of their answers was bad.
-const MOVE_FEW: f64 = 0.8;
+/// When it is decided that requests move over, if the answers are good.
+const MOVE: f64 = 0.8;
+/// When that is decided although few have come, if none of their answers was bad.
+const MOVE_FEW: f64 = 0.85;
+/// When they move. As late as can be: some versions fail only under a load that a share never is,
+/// and a bad version may get so much of all requests and no more, seen to be bad or not.
+const MOVE_ALL: f64 = 0.94;
 /// When a version that could not be judged is stopped: better the old one than one unknown.
-const GIVE_UP: f64 = 1.0;
-/// When the roll-out may be declared done: nothing is under way at the old version by then.
-const DONE: f64 = 0.89;
-/// Shares of requests at these times. The first two stay under the 0.15 of all requests that a
-/// bad version may get, with room for unlucky draws.
-const FIRST_SHARE: f64 = 0.06;
-const SECOND_SHARE: f64 = 0.12;
-const MOVE_SHARE: f64 = 0.35;
+const GIVE_UP: f64 = 0.97;
+/// When the roll-out is declared done. The old version's servers are stopped then; streams that are
+/// still under way there go on at the new ones.
+const DONE: f64 = 0.965;
+/// Shares of requests at these times. With the last part at full share the sum stays under the
+/// 0.0975 of all requests that a bad version may get on the largest fleets.
+const FIRST_SHARE: f64 = 0.05;
+const SECOND_SHARE: f64 = 0.08;
 /// Failures expected of any version, at least: none in the old version's few answers is no proof
 /// that it never fails.
 const FAILURES_MIN: f64 = 0.02;
-/// How much more often a bad version fails.
+/// Slow answers expected of any version on trial, at least: its few servers have the load of a busy
+/// day, and now and then a long prompt stands before others.
+const SLOW_MIN: f64 = 0.12;
+/// How much more often a bad version fails, or is slow.
 const WORSE_BY: f64 = 0.25;
 /// Evidence against a version at which it is stopped: odds of 1,000 to 1.
 const STOP: f64 = 6.9;
 /// Evidence for it, at least, for requests to move over: odds of 20 to 1.
 const GO: f64 = -3.0;
+/// Evidence against it on one route that is too much for the others to outweigh: odds of 20 to 1.
+const SUSPECT: f64 = 3.0;
 /// Fewest answers of the new version on which anything is decided.
 const ANSWERS_MIN: u32 = 4;
 /// Answers of the new version in all without which nothing moves.
 const ANSWERS_TO_MOVE: u32 = 12;
-/// An answer that takes this many times the usual time counts as a failure.
-pub const SLOW_FACTOR: f64 = 4.0;
+/// An answer that takes this many times the usual time, for each event of it, counts as slow. A
+/// slow version's streams were measured at two to five times the usual.
+pub const SLOW_FACTOR: f64 = 2.5;
 
 domain! {
     /// How far a roll-out has come; shared by all hosts.
@@ -69,8 +76,22 @@
     pub struct Count {
         /// Answers.
         pub answers: u32,
-        /// Of them, failures and much too slow ones.
+        /// Of them, failures.
         pub bad: u32,
+        /// Of the others, much too slow ones.
+        #[serde(default)]
+        pub slow: u32,
+    }
+
+    /// What an answer says of its version.
+    #[derive(Copy, Eq)]
+    pub enum Sign {
+        /// Nothing bad.
+        Good,
+        /// It took many times the usual time.
+        Slow,
+        /// The backend server failed the request.
+        Failed,
     }
 
     /// Answers of both versions to one route's requests.
@@ -100,15 +121,17 @@
 
 impl Count {
     /// Counts an answer.
-    pub fn note(&mut self, bad: bool) {
+    pub fn note(&mut self, sign: Sign) {
         self.answers += 1;
-        self.bad += u32::from(bad);
+        self.bad += u32::from(sign == Sign::Failed);
+        self.slow += u32::from(sign == Sign::Slow);
     }
 
     /// Adds another host's count.
     pub fn add(&mut self, other: Self) {
         self.answers += other.answers;
         self.bad += other.bad;
+        self.slow += other.slow;
     }
 }
 
@@ -121,9 +144,8 @@
         Stage::Done => 1.0,
         _ if elapsed < BEGIN => 0.0,
         _ if elapsed < GROW => FIRST_SHARE,
-        Stage::Trial => SECOND_SHARE,
-        Stage::Moving if elapsed < MOVE_ALL => MOVE_SHARE,
-        Stage::Moving => 1.0,
+        Stage::Moving if elapsed >= MOVE_ALL => 1.0,
+        Stage::Trial | Stage::Moving => SECOND_SHARE,
     }
 }
 
@@ -134,46 +156,48 @@
     (place as f64) / ((1_u64 << 53) as f64) < share
 }
 
-/// Of so many servers of the new version, those that take its share of requests while it is tried.
-///
-/// Some versions fail only under load, and a share spread over all servers is none: each would get
-/// a tenth of what it will have. So few take it that each has at least the load of every day.
+/// Logarithm of how much likelier the new version's failures are from a bad one than from one that
+/// is as good as the old.
 #[must_use]
-pub fn tried(stage: Stage, share: f64, servers: usize) -> usize {
-    match stage {
-        Stage::Trial => ((servers as f64 * share) as usize).max(1).min(servers),
-        _ => servers,
-    }
+pub fn failure_weight(evidence: &Evidence) -> f64 {
+    let Evidence { old, new, .. } = evidence;
+    weight((old.bad, old.answers), (new.bad, new.answers), FAILURES_MIN)
 }
 
-/// Logarithm of how much likelier the new version's answers are from a bad one than from one that
-/// is as good as the old.
+/// The same of its slow answers.
 #[must_use]
-pub fn weight(evidence: &Evidence) -> f64 {
+pub fn slow_weight(evidence: &Evidence) -> f64 {
     let Evidence { old, new, .. } = evidence;
-    let usual = f64::from(old.bad + 1) / f64::from(old.answers + 20);
-    let usual = usual.clamp(FAILURES_MIN, 1.0 - 2.0 * WORSE_BY);
+    weight((old.slow, old.answers), (new.slow, new.answers.saturating_sub(new.bad)), SLOW_MIN)
+}
+
+fn weight(old: (u32, u32), new: (u32, u32), least: f64) -> f64 {
+    let usual = f64::from(old.0 + 1) / f64::from(old.1 + 20);
+    let usual = usual.clamp(least, 1.0 - 2.0 * WORSE_BY);
     let worse = usual + WORSE_BY;
-    let good = f64::from(new.answers - new.bad.min(new.answers));
-    f64::from(new.bad) * (worse / usual).ln() + good * ((1.0 - worse) / (1.0 - usual)).ln()
+    let good = f64::from(new.1.saturating_sub(new.0));
+    f64::from(new.0) * (worse / usual).ln() + good * ((1.0 - worse) / (1.0 - usual)).ln()
 }
 
 /// What all routes' evidence says. One bad route is enough: some versions fail on one only.
 #[must_use]
 pub fn verdict(evidence: &[Evidence]) -> Verdict {
-    let tried = evidence.iter().filter(|one| one.new.answers >= ANSWERS_MIN);
-    let weights: Vec<f64> = tried.map(weight).collect();
     let answers: u32 = evidence.iter().map(|one| one.new.answers).sum();
-    let is_clean = answers >= ANSWERS_MIN && evidence.iter().all(|one| one.new.bad == 0);
-    match () {
-        () if weights.iter().any(|&weight| weight >= STOP) => Verdict::Bad,
-        () if answers < ANSWERS_TO_MOVE && is_clean => Verdict::Clean,
-        () if answers < ANSWERS_TO_MOVE => Verdict::Open,
-        () if weights.iter().sum::<f64>() <= GO && weights.iter().all(|&weight| weight <= 0.0) => {
+    let is_clean = evidence.iter().all(|one| one.new.bad + one.new.slow == 0);
+    let tried = evidence.iter().filter(|one| one.new.answers >= ANSWERS_MIN);
+    let routes = tried.flat_map(|one| [failure_weight(one), slow_weight(one)]);
+    let worst_route = routes.fold(f64::NEG_INFINITY, f64::max);
+    // Few answers come in a trial; what is wrong on all routes shows soonest in their sum.
+    let pooled = |weight: fn(&Evidence) -> f64| evidence.iter().map(weight).sum::<f64>();
+    let worst_sum = pooled(failure_weight).max(pooled(slow_weight));
+    match answers {
+        few if few < ANSWERS_MIN => Verdict::Open,
+        _ if worst_route >= STOP || worst_sum >= STOP => Verdict::Bad,
+        enough if enough >= ANSWERS_TO_MOVE && worst_sum <= GO && worst_route < SUSPECT => {
             Verdict::Good
         }
-        () if is_clean => Verdict::Clean,
-        () => Verdict::Open,
+        _ if is_clean => Verdict::Clean,
+        _ => Verdict::Open,
     }
 }
 
@@ -185,11 +209,25 @@
         (Stage::Trial, Verdict::Good) if elapsed >= MOVE => Some(Stage::Moving),
         (Stage::Trial, Verdict::Clean) if elapsed >= MOVE_FEW => Some(Stage::Moving),
         (Stage::Trial, _) if elapsed >= GIVE_UP => Some(Stage::Stopped),
+        (Stage::Moving, Verdict::Open) if elapsed >= DONE => Some(Stage::Stopped),
         (Stage::Moving, _) if elapsed >= DONE => Some(Stage::Done),
         _ => None,
     }
 }
 
+/// When the last step is no longer hurried: its time is over.
+const MISSED: f64 = 1.1;
+
+/// Whether a step is due whose time must not be missed: the last one, before the time is over.
+#[must_use]
+pub fn is_due(stage: Stage, elapsed: f64) -> bool {
+    match stage {
+        Stage::Moving => (DONE..MISSED).contains(&elapsed),
+        Stage::Trial => (GIVE_UP..MISSED).contains(&elapsed),
+        Stage::Done | Stage::Stopped => false,
+    }
+}
+
 /// Whether the hosts' evidence is needed now.
 #[must_use]
 pub fn is_watched(stage: Stage, elapsed: f64) -> bool {
