--- a/crates/chestnutspur/tests/soak/callers.rs
+++ b/crates/chestnutspur/tests/soak/callers.rs
@@ -45,12 +45,12 @@
         }
     }
 
-    /// As the platform calls it.
-    pub fn route_type(self) -> &'static str {
+    /// What may be done with it.
+    pub fn routed(self) -> wire::routing::Kind {
         match self {
-            Self::Once => "non_idempotent",
-            Self::Safe => "idempotent",
-            Self::Stream => "streaming",
+            Self::Once => wire::routing::Kind::Once,
+            Self::Safe => wire::routing::Kind::Idempotent,
+            Self::Stream => wire::routing::Kind::Stream { resumable: true },
         }
     }
 }
--- a/crates/chestnutspur/tests/soak/fleet.rs
+++ b/crates/chestnutspur/tests/soak/fleet.rs
@@ -6,12 +6,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use platform::names;
+use platform::{document, names};
+use policy::name::Name;
 use serde_json::{Value, json};
 use standin::proxy::{self, Mode, Proxy};
 use standin::routed::{Act, Routed};
 use standin::rows::{Fault, Rows};
 use standin::server::{Running, start};
+use wire::routing::{Account, Limits, Route, Service, Table, Target};
 
 use crate::callers::{self, Kind, Outcome};
 
@@ -56,17 +58,31 @@
 
 /// The table of routes of a version.
 pub fn table(version: u64) -> Value {
-    let route = |kind: Kind| {
-        json!({
-            "name": kind.name(), "host": HOST, "prefix": format!("/{}/", kind.name()),
-            "routeType": kind.route_type(), "timeoutMs": 3_000, "sloMs": 300, "priority": 1,
-            "service": "desk", "maxAttempts": 3, "streamResumption": true, "gapTargetMs": 300,
-        })
+    let route = |kind: Kind| Route {
+        name: Name::from(kind.name()),
+        host: Name::from(HOST),
+        prefix: Name::from(format!("/{}/", kind.name())),
+        kind: kind.routed(),
+        attempts_max: 3,
+        timeout_ms: 3_000,
+        objective_ms: 300,
+        gap_ms: Some(300),
+        priority: 1,
+        anonymous: false,
+        targets: vec![Target { service: Name::from("desk"), weight: 1 }],
+        models: Vec::new(),
     };
-    json!({
-        "version": version, "routes": Kind::ALL.map(route), "services": [{"name": "desk"}],
-        "limits": {"idleTimeoutMs": 15_000}, "tenants": [{"name": "office", "apiKeys": [KEY]}],
-    })
+    let service = Service { name: Name::from("desk"), models: Vec::new(), connections_max: 100 };
+    let account =
+        Account { name: Name::from("office"), keys: vec![Name::from(KEY)], priority: None };
+    let table = Table {
+        version,
+        routes: Kind::ALL.map(route).to_vec(),
+        services: vec![service],
+        accounts: vec![account],
+        limits: Limits::default(),
+    };
+    document::write_configuration(&table).expect("table")
 }
 
 impl Fleet {
