--- a/crates/standin/src/routed.rs
+++ b/crates/standin/src/routed.rs
@@ -191,7 +191,7 @@
             response
         }
         Act::Unsigned => {
-            let mut response = sign(reply::bytes(StatusCode::OK, "answer"));
+            let mut response = sign(reply::bytes(StatusCode::OK, "anybody's answer"));
             response.headers_mut().remove(names::SIGNATURE);
             response
         }
