--- a/crates/chestnutspur/tests/soak.rs
+++ b/crates/chestnutspur/tests/soak.rs
@@ -11,6 +11,8 @@
 mod faults;
 #[path = "soak/fleet.rs"]
 mod fleet;
+#[path = "soak/ports.rs"]
+mod ports;
 #[path = "soak/verdict.rs"]
 mod verdict;
 
--- a/crates/chestnutspur/tests/soak/faults.rs
+++ b/crates/chestnutspur/tests/soak/faults.rs
@@ -5,8 +5,8 @@
 
 use platform::names;
 use policy::place::mix;
+use standin::platform::fault::Faults;
 use standin::proxy::Mode;
-use standin::rows::Fault;
 
 use crate::fleet::{Fleet, table};
 
@@ -122,11 +122,12 @@
 async fn store(fleet: &mut Fleet, draws: &mut Draws, version: &mut u64) -> String {
     let lasts = draws.ms(50, 1_500);
     let node = draws.index(fleet.nodes.len());
-    let faults = [Fault::Down, Fault::Silent, Fault::LosesAnswers, Fault::Late(700)];
+    let faults =
+        [Faults::unavailable(), Faults::silenced(), Faults::losing_answers(), Faults::late(700)];
     let what = match draws.below(7) {
         fault @ 0..=3 => {
-            fleet.store.set_fault(faults[fault as usize]);
-            format!("store {:?}", faults[fault as usize])
+            fleet.store.set_faults(faults[fault as usize].clone());
+            format!("store {:?}", faults[fault as usize].clone())
         }
         4 => {
             fleet.store_proxies[node].silence_existing();
@@ -145,7 +146,7 @@
     change_table(fleet, version);
     tokio::time::sleep(lasts).await;
     if draws.below(2) == 0 {
-        fleet.store.set_fault(Fault::None);
+        fleet.store.set_faults(Faults::default());
     }
     format!("{what} for {lasts:?}")
 }
--- a/crates/chestnutspur/tests/soak/fleet.rs
+++ b/crates/chestnutspur/tests/soak/fleet.rs
@@ -9,13 +9,15 @@
 use platform::{document, names};
 use policy::name::Name;
 use serde_json::{Value, json};
+use standin::platform::Platform;
+use standin::platform::fault::Faults;
 use standin::proxy::{self, Mode, Proxy};
 use standin::routed::{Act, Routed};
-use standin::rows::{Fault, Rows};
 use standin::server::{Running, start};
 use wire::routing::{Account, Limits, Route, Service, Table, Target};
 
 use crate::callers::{self, Kind, Outcome};
+use crate::ports;
 
 pub const HOST: &str = "callers.example";
 pub const KEY: &str = "key-of-office";
@@ -36,7 +38,7 @@
 /// All that takes part.
 pub struct Fleet {
     pub directory: PathBuf,
-    pub store: Running<Rows>,
+    pub store: Running<Platform>,
     /// Between each node and the store.
     pub store_proxies: Vec<Proxy>,
     pub backends: Vec<Arc<Running<Routed>>>,
@@ -51,11 +53,6 @@
     "127.0.0.1:0".parse().expect("address")
 }
 
-/// A port that nobody listens on now.
-fn free() -> SocketAddr {
-    std::net::TcpListener::bind(any()).and_then(|socket| socket.local_addr()).expect("port")
-}
-
 /// The table of routes of a version.
 pub fn table(version: u64) -> Value {
     let route = |kind: Kind| Route {
@@ -91,7 +88,7 @@
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
         let _ = std::fs::remove_dir_all(&directory);
         std::fs::create_dir_all(&directory).expect("directory");
-        let store = start(any(), Rows::default()).expect("store");
+        let store = start(any(), Platform::default()).expect("store");
         store.put(names::table::OPERATORS, names::key::CONFIGURATION, &table(1));
         let mut fleet = Self {
             directory,
@@ -152,7 +149,7 @@
 
     /// Ends all faults and starts what is down.
     pub async fn heal(&mut self) {
-        self.store.set_fault(Fault::None);
+        self.store.set_faults(Faults::default());
         for proxy in self.store_proxies.iter().chain(&self.backend_proxies) {
             proxy.set_mode(Mode::Pass);
             proxy.set_delay(Duration::ZERO);
@@ -198,8 +195,8 @@
 impl Node {
     fn start(fleet: &Fleet, number: usize) -> Self {
         let mut node = Self {
-            callers: free(),
-            operators: free(),
+            callers: ports::next(),
+            operators: ports::next(),
             settings: fleet.directory.join(format!("node-{number}.json")),
             log: fleet.directory.join(format!("node-{number}.log")),
             child: None,
--- a/crates/chestnutspur/tests/standin.rs
+++ b/crates/chestnutspur/tests/standin.rs
@@ -7,7 +7,6 @@
 use hyper::Method;
 use standin::client::{Client, request};
 use standin::platform::Records;
-use wire::host::List;
 
 /// A process that ends with the test.
 struct Process(Child);
@@ -39,8 +38,7 @@
 async fn platform_serves_a_deployment() {
     let (_process, address) = start(&["platform", "--deployment", "midlands"]);
     let client = Client::new(address);
-    let answer = client.call(request(Method::GET, "/hosts", "").unwrap()).await.unwrap();
-    let list: List = serde_json::from_slice(answer.body()).unwrap();
+    let list = control::store::Client::new(address).hosts().await.unwrap();
     assert!(list.hosts.iter().any(|host| &*host.failure_domain == "newark-hall"));
     let answer = client.call(request(Method::GET, "/records", "").unwrap()).await.unwrap();
     let records: Records = serde_json::from_slice(answer.body()).unwrap();
--- a/crates/control/benches/claims.rs
+++ b/crates/control/benches/claims.rs
@@ -29,6 +29,7 @@
     silent: false,
     delay_ms: 2,
     lose_answers: 0,
+    late_ms: 0,
     writes_per_second: 300,
     reads_per_second: 2_000,
     lag_ms: 0,
--- a/crates/control/benches/table/mod.rs
+++ b/crates/control/benches/table/mod.rs
@@ -6,13 +6,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use control::platform::{Client, Outcome};
+use control::store::{Client, Outcome};
 use policy::name::Name;
 use tokio::sync::{mpsc, oneshot};
-use wire::platform::{Condition, Transaction, Write};
+use wire::store::{Condition, Transaction, Write};
 
-/// Keys of one transaction at most.
-pub const KEYS_MAX: usize = 500;
+/// Keys of one transaction at most: each is a condition and a write of the hundred that the store
+/// takes.
+pub const KEYS_MAX: usize = 50;
 const TABLE: &str = "claims";
 
 struct Asked {
@@ -85,7 +86,7 @@
             true
         }
         Ok(Outcome::Conflict(conflict)) => {
-            for row in conflict.rows {
+            for row in conflict {
                 let held = |asked: &mut Asked| asked.key == row.key;
                 for asked in group.extract_if(.., held) {
                     _ = asked.answer.send(*asked.request == *row.value);
--- a/crates/control/src/bills.rs
+++ b/crates/control/src/bills.rs
@@ -21,7 +21,7 @@
 
 use crate::bills::book::{Book, Id};
 use crate::node::{Node, now};
-use crate::platform;
+use crate::store;
 
 /// Longest time a call to another control may take.
 const CALL: Duration = Duration::from_millis(500);
@@ -143,9 +143,9 @@
     ///
     /// # Errors
     /// When the platform does not answer.
-    pub async fn audit(&self) -> Result<Audit, platform::Error> {
+    pub async fn audit(&self) -> Result<Audit, store::Error> {
         let pending = lock(&self.inner.own).log.pending().len() as u64;
-        audit::run(&self.inner.node.platform, pending).await
+        audit::run(&self.inner.node.store, pending).await
     }
 
     /// Puts all bills into the log or, while the platform is down, with two other controls.
--- a/crates/control/src/bills/audit.rs
+++ b/crates/control/src/bills/audit.rs
@@ -5,7 +5,7 @@
 use futures::{StreamExt, TryStreamExt};
 use wire::bill::{Audit, Batch};
 
-use crate::platform::{Client, Error};
+use crate::store::{Client, Error};
 
 /// Objects read at a time.
 const READS: usize = 16;
--- a/crates/control/src/bills/flush.rs
+++ b/crates/control/src/bills/flush.rs
@@ -10,7 +10,7 @@
 use crate::bills::copy::HOLD_MAX;
 use crate::bills::{CALL, FLUSH, Inner, lock};
 use crate::node::{host_of, now};
-use crate::platform::Error;
+use crate::store::Error;
 
 /// Bills of one batch at most.
 const BATCH_MAX: usize = 4_000;
@@ -81,7 +81,7 @@
     }
 
     async fn read(&self, book: &Mutex<Book>, log: &Name, number: u64) -> Result<(), Error> {
-        let object = self.node.platform.object(&bill::object(log, number)).await?;
+        let object = self.node.store.object(&bill::object(log, number)).await?;
         let Some(bytes) = object else {
             lock(book).at_end = true;
             return Ok(());
@@ -105,7 +105,7 @@
         let batch = Batch { incarnation: log.clone(), number, writer, bills };
         let bytes = serde_json::to_vec(&batch).map_err(|e| Error::Refused(e.to_string()))?;
         let name = bill::object(log, number);
-        match self.node.platform.put_if_absent(&name, bytes.into()).await {
+        match self.node.store.put_if_absent(&name, bytes.into()).await {
             Ok(true) => lock(book).stands(number, &batch.bills, now()),
             Ok(false) => lock(book).at_end = false,
             Err(error) => {
--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -19,7 +19,7 @@
 use wire::gossip::Change;
 
 use crate::node::{self, Node};
-use crate::platform;
+use crate::store;
 
 /// The platform's table.
 pub const TABLE: &str = "configuration";
@@ -62,7 +62,7 @@
 #[derive(Debug)]
 pub enum Error {
     /// The platform gave no answer.
-    Platform(platform::Error),
+    Platform(store::Error),
     /// A row or document makes no sense; the fault is named.
     Malformed(String),
 }
@@ -76,8 +76,8 @@
     }
 }
 
-impl From<platform::Error> for Error {
-    fn from(error: platform::Error) -> Self {
+impl From<store::Error> for Error {
+    fn from(error: store::Error) -> Self {
         Self::Platform(error)
     }
 }
@@ -175,7 +175,7 @@
     /// Any [`Error`]; what was in force stays so.
     pub async fn poll(&self) -> Result<(), Error> {
         let asked = node::now();
-        let Some(row) = self.node.platform.row(TABLE, CURRENT).await? else { return Ok(()) };
+        let Some(row) = self.node.store.row(TABLE, CURRENT).await? else { return Ok(()) };
         let current: Current = decode(&row.value)?;
         if current.generation > self.in_force().generation {
             self.fetch(current.generation).await?;
@@ -187,7 +187,7 @@
 
     async fn fetch(&self, generation: u64) -> Result<(), Error> {
         let key = document_key(generation);
-        match self.node.platform.row(TABLE, &key).await? {
+        match self.node.store.row(TABLE, &key).await? {
             Some(row) => self.adopt(&decode::<Kept>(&row.value)?.text).map(drop),
             // Replaced while we read: the next poll finds a newer one.
             None => Err(Error::Malformed(format!("{key} is missing"))),
@@ -200,7 +200,7 @@
         if in_force.generation == generation {
             return Some(in_force.document.clone());
         }
-        let row = self.node.platform.row(TABLE, &document_key(generation)).await.ok()??;
+        let row = self.node.store.row(TABLE, &document_key(generation)).await.ok()??;
         check::accepted(&decode::<Kept>(&row.value).ok()?.text).ok()
     }
 
--- a/crates/control/src/configuration/accept.rs
+++ b/crates/control/src/configuration/accept.rs
@@ -12,11 +12,11 @@
 use policy::name::Name;
 use wire::configuration::{Document, check};
 use wire::fault::Fault;
-use wire::platform::{Condition, Conflict, Transaction, Write};
+use wire::store::{Condition, Row, Transaction, Write};
 
 use super::{CURRENT, Controller, Current, Kept, TABLE, change_key, decode, document_key};
 use crate::node;
-use crate::platform::Outcome;
+use crate::store::Outcome;
 
 /// Generations whose documents and change ids are kept. A lost answer older than that is still
 /// never applied twice: the generation it was made from is long past.
@@ -80,7 +80,7 @@
     }
 
     async fn attempt(&self, document: &Document, change: &str) -> Result<Step, Refused> {
-        let row = self.node.platform.row(TABLE, CURRENT).await.map_err(unavailable)?;
+        let row = self.node.store.row(TABLE, CURRENT).await.map_err(unavailable)?;
         let (version, current) = match &row {
             Some(row) => (row.version, decode::<Current>(&row.value).map_err(unavailable)?),
             None => (0, Current::default()),
@@ -93,7 +93,7 @@
         let text = serde_json::to_string(&next).map_err(unavailable)?;
         let transaction = self.transaction(version, generation, change, &text).await?;
         let asked = node::now();
-        match self.node.platform.commit(&transaction).await {
+        match self.node.store.commit(&transaction).await {
             Ok(Outcome::Committed(_)) => {
                 info!("configuration: generation {generation} accepted, change {change}");
                 self.adopt(&text).map_err(unavailable)?;
@@ -101,7 +101,7 @@
                 Ok(Step::Done(generation))
             }
             Ok(Outcome::Conflict(conflict)) => self.conflict(change, &conflict).await,
-            Err(crate::platform::Error::Refused(why)) => Err(Refused::Unavailable(why)),
+            Err(crate::store::Error::Refused(why)) => Err(Refused::Unavailable(why)),
             Err(error) => {
                 warn!("configuration: change {change}: {error}");
                 Ok(Step::Lost(error.to_string()))
@@ -135,14 +135,14 @@
             return Ok(Vec::new());
         };
         let key = document_key(old);
-        let row = self.node.platform.row(TABLE, &key).await.map_err(unavailable)?;
+        let row = self.node.store.row(TABLE, &key).await.map_err(unavailable)?;
         let Some(row) = row else { return Ok(Vec::new()) };
         let kept: Kept = decode(&row.value).map_err(unavailable)?;
         Ok(vec![write(&key, None), write(&change_key(&kept.change), None)])
     }
 
-    async fn conflict(&self, change: &str, conflict: &Conflict) -> Result<Step, Refused> {
-        let current = conflict.rows.iter().find(|row| &*row.key == CURRENT);
+    async fn conflict(&self, change: &str, conflict: &[Row]) -> Result<Step, Refused> {
+        let current = conflict.iter().find(|row| &*row.key == CURRENT);
         let current = match current {
             Some(row) if row.version > 0 => {
                 decode::<Current>(&row.value).map_err(unavailable)?.generation
@@ -154,7 +154,7 @@
 
     /// What became of the change in an earlier try, whose answer was lost.
     async fn earlier(&self, change: &str, current: u64) -> Result<Step, Refused> {
-        let row = self.node.platform.row(TABLE, &change_key(change)).await.map_err(unavailable)?;
+        let row = self.node.store.row(TABLE, &change_key(change)).await.map_err(unavailable)?;
         let Some(row) = row else { return Err(Refused::Stale { current }) };
         let generation = decode::<u64>(&row.value).map_err(unavailable)?;
         if let Err(error) = self.poll().await {
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -14,8 +14,8 @@
 
 use crate::node::{self, Node};
 use crate::peers::{Peers, Source};
-use crate::platform::Client;
 use crate::process::Process;
+use crate::store::Client;
 use crate::{operators, server};
 
 /// How long handing over may take before the process goes without.
@@ -112,7 +112,7 @@
     }
     Ok(Arc::new(Node {
         incarnation: node::incarnation(&settings.name),
-        platform: Client::new(settings.platform),
+        store: Client::new(settings.platform),
         address: settings.advertise.unwrap_or(bound),
         peers,
         settings,
--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -99,7 +99,7 @@
             generation: self.configuration.in_force().generation,
             unconfirmed_ms: self.configuration.unconfirmed_ms(now),
             hosts: hosts.hash,
-            hosts_as_of: hosts.list.as_of.0,
+            hosts_revision: hosts.list.revision,
             marks: self.marks.hash(),
             rollouts: self.rollouts.hash(),
             news: self.log().held(),
@@ -220,10 +220,10 @@
     /// A newer list that differs: from the platform, or from the peer if that gives no answer.
     async fn refresh_hosts(&self, member: &Member, theirs: &Digest) {
         let ours = self.hosts.hosts();
-        if theirs.hosts == ours.hash || theirs.hosts_as_of <= ours.list.as_of.0 {
+        if theirs.hosts == ours.hash || theirs.hosts_revision <= ours.list.revision {
             return;
         }
-        if self.hosts.poll().await.is_err() || self.hosts.as_of().0 < theirs.hosts_as_of {
+        if self.hosts.poll().await.is_err() || self.hosts.revision() < theirs.hosts_revision {
             self.view_from(member).await;
         }
     }
--- a/crates/control/src/hosts.rs
+++ b/crates/control/src/hosts.rs
@@ -9,14 +9,13 @@
 
 use log::warn;
 use policy::name::Name;
-use policy::time::Millis;
 use sha2::{Digest, Sha256};
 use tokio::sync::watch;
 use wire::host::{HostState, List, Role};
 
 use crate::node::Node;
 use crate::peers::Source;
-use crate::platform;
+use crate::store;
 
 /// A list and the hash of its hosts.
 #[derive(Default)]
@@ -57,8 +56,8 @@
     ///
     /// # Errors
     /// When it gives no answer; the list held stays.
-    pub async fn poll(&self) -> Result<(), platform::Error> {
-        let list = self.node.platform.hosts().await?;
+    pub async fn poll(&self) -> Result<(), store::Error> {
+        let list = self.node.store.hosts().await?;
         self.take(list);
         Ok(())
     }
@@ -67,7 +66,7 @@
     pub fn take(&self, list: List) {
         let hash = hash(&list);
         let changed = self.hosts.send_if_modified(|now| {
-            if list.as_of <= now.list.as_of {
+            if list.revision <= now.list.revision {
                 return false;
             }
             let changed = hash != now.hash;
@@ -136,10 +135,10 @@
         entries.map(|host| host.name.clone()).collect()
     }
 
-    /// When the platform made the list held.
+    /// The store's revision that the list held is as of.
     #[must_use]
-    pub fn as_of(&self) -> Millis {
-        self.hosts.borrow().list.as_of
+    pub fn revision(&self) -> u64 {
+        self.hosts.borrow().list.revision
     }
 }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,13 +16,13 @@
 pub mod node;
 pub mod operators;
 pub mod peers;
-pub mod platform;
 pub mod process;
 pub mod quarantine;
 pub mod rollout;
 pub mod server;
 pub mod shards;
 pub mod status;
+pub mod store;
 pub mod view;
 
 pub use daemon::{Error, Listeners, run};
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -9,7 +9,7 @@
 use wire::settings;
 
 use crate::peers::{Member, Peers};
-use crate::platform::Client;
+use crate::store::Client;
 
 /// The process: who it is, and its ways to the platform and to peers.
 pub struct Node {
@@ -17,8 +17,8 @@
     pub incarnation: Name,
     /// Its settings.
     pub settings: settings::Control,
-    /// The platform.
-    pub platform: Client,
+    /// The store.
+    pub store: Client,
     /// The other controls.
     pub peers: Arc<Peers>,
     /// Where peers reach this one.
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -70,7 +70,7 @@
     /// entry that has just started would know of no backend server.
     #[must_use]
     pub fn ready(&self) -> bool {
-        self.configuration.ready() && self.hosts.as_of().0 > 0
+        self.configuration.ready() && self.hosts.revision() > 0
     }
 
     /// Runs all loops until told to stop.
@@ -107,7 +107,7 @@
         process.gossip.call(member, digest).await
     });
     let peers = futures::future::join_all(peers);
-    let marks = quarantine::sync(&process.gossip.marks, &process.node.platform);
+    let marks = quarantine::sync(&process.gossip.marks, &process.node.store);
     let platform =
         futures::future::join3(process.configuration.poll(), process.hosts.poll(), marks);
     // Failures are met again by the loops, and told there.
@@ -148,7 +148,7 @@
         if let Err(error) = process.gossip.rollouts.step(&process.exposure).await {
             warn!("rollout: {error}");
         }
-        if let Err(error) = quarantine::sync(&process.gossip.marks, &process.node.platform).await {
+        if let Err(error) = quarantine::sync(&process.gossip.marks, &process.node.store).await {
             warn!("exposure: the table of quarantines: {error}");
         }
         pause(&process).await;
--- a/crates/control/src/quarantine.rs
+++ b/crates/control/src/quarantine.rs
@@ -3,11 +3,11 @@
 use log::warn;
 use policy::name::Name;
 use wire::gossip::Mark;
-use wire::platform::{Condition, Row, Transaction, Write};
+use wire::store::{Condition, Row, Transaction, Write};
 
 use crate::configuration::{Error, decode};
 use crate::marks::Marks;
-use crate::platform::Client;
+use crate::store::Client;
 
 /// The platform's table; its keys are versions.
 pub const TABLE: &str = "quarantine";
--- a/crates/control/src/rollout.rs
+++ b/crates/control/src/rollout.rs
@@ -14,13 +14,13 @@
 use tokio::sync::watch;
 use wire::configuration::{Document, Rollout};
 use wire::gossip::Standing;
-use wire::platform::{Condition, Transaction, Write};
+use wire::store::{Condition, Transaction, Write};
 
 use crate::configuration::{self, Error, decode};
 use crate::exposure;
 use crate::hosts::short_hash;
 use crate::node::{self, Node};
-use crate::platform::Outcome;
+use crate::store::Outcome;
 
 /// The platform's table; its keys are roll-outs.
 pub const TABLE: &str = "rollouts";
@@ -144,7 +144,7 @@
             return Ok(());
         }
         self.stop_here(&in_force.document, exposure);
-        let rows = self.node.platform.rows(TABLE).await?.into_iter();
+        let rows = self.node.store.rows(TABLE).await?.into_iter();
         let standings: Vec<Standing> = rows
             .map(|row| Standing { rollout: row.key, version: row.version, value: row.value })
             .collect();
@@ -213,9 +213,8 @@
         let condition = Condition { table: table.clone(), key: key.clone(), version };
         let write = Write { table, key, value: Some(value.clone()) };
         let transaction = Transaction { conditions: vec![condition], writes: vec![write] };
-        match self.node.platform.commit(&transaction).await? {
-            Outcome::Committed(committed) => {
-                let version = committed.versions.first().copied().unwrap_or(version + 1);
+        match self.node.store.commit(&transaction).await? {
+            Outcome::Committed(version) => {
                 info!("rollout: {name}: step {}", describe(&stand.progress));
                 self.take(&[Standing { rollout: name.clone(), version, value }]);
             }
--- a/crates/control/src/shards.rs
+++ b/crates/control/src/shards.rs
@@ -74,7 +74,7 @@
     pub fn start(node: Arc<Node>) -> Arc<Self> {
         let stop = CancellationToken::new();
         let inner = Arc::new(Inner {
-            table: Table::new(node.platform.clone()),
+            table: Table::new(node.store.clone()),
             node,
             cells: RwLock::default(),
             leaving: AtomicBool::new(false),
--- a/crates/control/src/shards/alone.rs
+++ b/crates/control/src/shards/alone.rs
@@ -8,9 +8,9 @@
 use policy::name::Name;
 use wire::shard::{Append, Record};
 
-use crate::platform::Error;
 use crate::shards::Inner;
 use crate::shards::cell::Cell;
+use crate::store::Error;
 
 domain! {
     /// One piece of a shard's records in the object store.
@@ -74,7 +74,7 @@
 impl Inner {
     /// Reads on to the end of a log.
     async fn read_pieces(&self, cell: &Cell, pieces: &mut Pieces) -> Result<(), Error> {
-        let platform = &self.node.platform;
+        let platform = &self.node.store;
         while let Some(bytes) = platform.object(&object(cell, pieces.epoch, pieces.next)).await? {
             let piece = serde_json::from_slice(&bytes).map_err(|e| Error::Malformed(e.to_string()));
             pieces.take(piece?);
@@ -93,7 +93,7 @@
                 return Ok(false);
             }
             let name = object(cell, pieces.epoch, pieces.next);
-            let put = self.node.platform.put_if_absent(&name, encoded.clone().into()).await;
+            let put = self.node.store.put_if_absent(&name, encoded.clone().into()).await;
             if !matches!(put, Ok(true)) {
                 self.read_pieces(cell, pieces).await?;
             }
--- a/crates/control/src/shards/balance.rs
+++ b/crates/control/src/shards/balance.rs
@@ -90,7 +90,7 @@
     async fn hosts(&self) -> Option<Arc<List>> {
         let mut hosts = self.hosts.lock().await;
         if hosts.0 == Millis(0) || now().since(hosts.0) > HOSTS_MS {
-            let list = self.node.platform.hosts().await.ok();
+            let list = self.node.store.hosts().await.ok();
             *hosts = (now(), list.map(Arc::new));
         }
         hosts.1.clone()
--- a/crates/control/src/shards/layout.rs
+++ b/crates/control/src/shards/layout.rs
@@ -7,8 +7,8 @@
 use wire::host::Role;
 
 use crate::node::now;
-use crate::platform::Error;
 use crate::shards::{CALL, Inner, REFRESH, TICK};
+use crate::store::Error;
 
 /// How often it is looked whether all known peers have been heard from, before starting without.
 const MEET_TRIES: u32 = 20;
@@ -62,7 +62,7 @@
     }
 
     async fn settle(&self) -> Result<(), Error> {
-        let list = self.node.platform.hosts().await?;
+        let list = self.node.store.hosts().await?;
         let mut failure_domains = BTreeSet::from([self.node.failure_domain().clone()]);
         failure_domains.extend(self.node.peers.all().into_iter().map(|peer| peer.failure_domain));
         let controls = list.hosts.into_iter().filter(|host| host.role == Role::Control);
--- a/crates/control/src/shards/table.rs
+++ b/crates/control/src/shards/table.rs
@@ -8,11 +8,11 @@
 use coordination::home::{Home, Layout};
 use policy::name::Name;
 use policy::time::Millis;
-use wire::platform::{Condition, Row, Transaction, Write};
 use wire::shard::{Holder, Known};
+use wire::store::{Condition, Row, Transaction, Write};
 
 use crate::node::now;
-use crate::platform::{Client, Error, Outcome};
+use crate::store::{Client, Error, Outcome};
 
 /// Its name.
 const TABLE: &str = "shards";
--- a/crates/control/tests/configuration.rs
+++ b/crates/control/tests/configuration.rs
@@ -8,7 +8,6 @@
 use standin::fault::Down;
 use standin::platform::fault::Faults;
 use standin::proxy::Mode;
-use wire::platform::{Transaction, Write};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn accept_in_force_on_every_host() {
@@ -121,8 +120,8 @@
     deployment.first_document().await;
     let answer = deployment.put(0, &document_with_slots(1, 9), "second").await;
     assert_eq!(answer.json()["generation"], 2, "{}", answer.text());
-    let stale = json!({"generation": 1, "change": "first"}).to_string();
-    write_current(&deployment, &stale).await;
+    let stale = json!({"generation": 1, "change": "first"});
+    deployment.platform.put("configuration", "current", &stale);
     wait_for("an age that no stale read resets", || async {
         let status = http::get(deployment.hosts[0].operators, "/status").await.json();
         status["unconfirmed_ms"].as_u64().is_some_and(|age| age > 1_000)
@@ -133,19 +132,6 @@
     }
 }
 
-async fn write_current(deployment: &Deployment, value: &str) {
-    let write = Write {
-        table: "configuration".into(),
-        key: "current".into(),
-        value: Some(value.to_owned()),
-    };
-    let transaction = Transaction { conditions: Vec::new(), writes: vec![write] };
-    let body = serde_json::to_string(&transaction).expect("JSON");
-    let address = deployment.platform.address;
-    let answer = http::call(address, Method::POST, "/transactions", &[], &body).await;
-    assert_eq!(answer.status, 200);
-}
-
 // A host is cut from the platform alone. It must go on, get new generations through peers within
 // moments, and know by the same way that they are confirmed, or its candidates would lose their
 // sessions for nothing.
--- a/crates/control/tests/exposure.rs
+++ b/crates/control/tests/exposure.rs
@@ -8,6 +8,7 @@
 use serde_json::{Value, json};
 use standin::fault::Down;
 use standin::platform::fault::Faults;
+use standin::platform::store::Record;
 use standin::proxy::Mode;
 use wire::evidence::{Evidence, Outcome, Report};
 use wire::view::Ask;
@@ -122,8 +123,14 @@
     deployment.kill(0);
     send(&deployment, 1, report(1, "small-2", vec![true; 8])).await;
     wait_for("the second step", || all_have_share(&deployment, &[1, 2, 3], 0.5)).await;
-    let row = deployment.platform.row("rollouts", "next").expect("a row");
-    assert_eq!(row.version, 2, "one write for each step, however many controls wished to");
+    let records = deployment.platform.records();
+    let writes = records.iter().filter(|record| match record {
+        Record::Transaction { transaction, .. } => {
+            transaction.writes.iter().any(|write| &*write.table == "rollouts")
+        }
+        Record::Put { .. } => false,
+    });
+    assert_eq!(writes.count(), 2, "one write for each step, however many controls wished to");
 }
 
 async fn all_have_share(deployment: &Deployment, hosts: &[usize], expected: f64) -> bool {
--- a/crates/control/tests/platform.rs
+++ b/crates/control/tests/store.rs
@@ -1,14 +1,13 @@
 //! Reads of the platform that bring nothing new.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use control::platform::{Client, Outcome};
+use control::store::{Client, Outcome};
 use standin::platform::{self, Platform, Settings};
 use standin::proxy::{self, Proxy};
 use standin::server::Running;
 use wire::host::{Host, HostState, Role};
-use wire::platform::{Transaction, Write};
+use wire::store::{Transaction, Write};
 
 const ANY: &str = "127.0.0.1:0";
 
@@ -57,17 +56,20 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn hosts_unchanged_cost_little_and_are_as_new_as_told() {
     // A list of the size designed for is read again and again. Were it sent each time, the reader
-    // would spend a hundred times what it may; were its age left as it was first read, a list
+    // would spend a hundred times what it may; were its revision left as it was first read, a list
     // that changed and changed back would lose to what a peer saw in between.
     let (platform, proxy, client) = start().await;
     platform.set_hosts(hosts(900));
     let first = client.hosts().await.unwrap();
     let whole = proxy.passed();
-    tokio::time::sleep(Duration::from_millis(5)).await;
     let again = client.hosts().await.unwrap();
-    assert_eq!(again.hosts, first.hosts);
-    assert!(again.as_of > first.as_of);
+    assert_eq!(again, first);
     assert!((proxy.passed() - whole) * 100 < whole, "{} after {whole}", proxy.passed() - whole);
     platform.set_hosts(hosts(899));
-    assert_eq!(client.hosts().await.unwrap().hosts.len(), 899);
+    let fewer = client.hosts().await.unwrap();
+    assert_eq!(fewer.hosts.len(), 899);
+    platform.set_hosts(hosts(900));
+    let back = client.hosts().await.unwrap();
+    assert_eq!(back.hosts, first.hosts);
+    assert!(back.revision > fewer.revision && fewer.revision > first.revision);
 }
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -86,7 +86,7 @@
         next.unconfirmed_ms = view.unconfirmed_ms;
         // Another control may hold an older list, or none yet. Followed, it would bring back a
         // backend server that has left, or take away all of them.
-        next.hosts = match view.hosts.as_of < previous.hosts.as_of {
+        next.hosts = match view.hosts.revision < previous.hosts.revision {
             true => Arc::clone(&previous.hosts),
             false => Arc::new(view.hosts.clone()),
         };
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -11,7 +11,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use entry::clock;
 use gateway::backend::Word;
 use gateway::{Codec, State};
@@ -21,9 +20,13 @@
 use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
+use wire::store::Error;
 
-use crate::store::{Change, Error, Store};
+use crate::record;
+use crate::store::Store;
 
+/// The table in which hosts are listed, by failure domain and name.
+const TABLE: &str = "nodes";
 /// Words are gathered for this long before they are sent.
 const GATHER: Duration = Duration::from_millis(15);
 /// Hosts told at once, at most; of more, others each time. In a domain of 50 hosts every word still
@@ -125,16 +128,13 @@
 
     async fn try_find(&self) -> Result<Vec<SocketAddr>, Error> {
         let own = self.socket.local_addr().map_err(|error| Error::Refused(error.to_string()))?;
-        let prefix = format!("host/{}/", self.failure_domain);
-        let listed = serde_json::to_vec(&Listed { address: own });
-        let listed =
-            listed.map(Bytes::from).map_err(|error| Error::Malformed(error.to_string()))?;
+        let prefix = format!("{}/", self.failure_domain);
+        let listed = record::write(&Listed { address: own }).map_err(Error::Malformed)?;
         let key = Name::from(format!("{prefix}{}", self.host));
-        let change = Change { writes: vec![(key, listed)], ..Change::default() };
-        self.store.commit(&change).await?;
-        let rows = self.store.rows(&prefix).await?;
+        self.store.commit(&record::change(TABLE, key, None, listed), None).await?;
+        let rows = self.store.rows(TABLE, &prefix).await?;
         let addresses = rows.rows.iter().filter_map(|row| {
-            let listed = serde_json::from_slice::<Listed>(&row.value);
+            let listed = record::read::<Listed>(&row.value);
             let listed = listed.inspect_err(|error| {
                 log::warn!(target: "peers", key:% = row.key, error:% = error; "row unreadable");
             });
--- a/crates/node/src/record.rs
+++ b/crates/node/src/record.rs
@@ -1,9 +1,12 @@
 //! Rows of our own about roll-outs.
 
-use bytes::Bytes;
 use policy::canary::{Evidence, Stage};
 use policy::domain;
 use policy::name::Name;
+use wire::store::{Condition, Transaction, Write};
+
+/// The table that they lie in.
+pub const TABLE: &str = "rollout";
 
 domain! {
     /// How a service's roll-out stands; one row, changed only under its revision.
@@ -34,35 +37,45 @@
 /// Key of a service's record.
 #[must_use]
 pub fn key(service: &Name) -> Name {
-    Name::from(format!("rollout/{service}/record"))
+    Name::from(format!("{service}/record"))
 }
 
 /// Key of a host's counts.
 #[must_use]
 pub fn counted_key(service: &Name, host: &Name) -> Name {
-    Name::from(format!("rollout/{service}/host/{host}"))
+    Name::from(format!("{service}/host/{host}"))
 }
 
 /// What all rows of a service begin with.
 #[must_use]
 pub fn prefix(service: &Name) -> String {
-    format!("rollout/{service}/")
+    format!("{service}/")
 }
 
 /// Reads a row.
 ///
 /// # Errors
 /// Why it can't be read.
-pub fn read<T: serde::de::DeserializeOwned>(value: &Bytes) -> Result<T, String> {
-    serde_json::from_slice(value).map_err(|error| error.to_string())
+pub fn read<T: serde::de::DeserializeOwned>(value: &str) -> Result<T, String> {
+    serde_json::from_str(value).map_err(|error| error.to_string())
 }
 
 /// Writes a row.
 ///
 /// # Errors
 /// Why it can't be written.
-pub fn write<T: serde::Serialize>(value: &T) -> Result<Bytes, String> {
-    serde_json::to_vec(value).map(Bytes::from).map_err(|error| error.to_string())
+pub fn write<T: serde::Serialize>(value: &T) -> Result<String, String> {
+    serde_json::to_string(value).map_err(|error| error.to_string())
+}
+
+/// Writes a row, if it is still at a version; 0 if it must not exist, none if it may be anything.
+#[must_use]
+pub fn change(table: &str, key: Name, expected: Option<u64>, value: String) -> Transaction {
+    let table = Name::from(table);
+    let condition = |version| Condition { table: table.clone(), key: key.clone(), version };
+    let conditions = expected.map(condition).into_iter().collect();
+    let write = Write { table: table.clone(), key: key.clone(), value: Some(value) };
+    Transaction { conditions, writes: vec![write] }
 }
 
 /// The version before, when an order comes on top of an earlier roll-out.
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -18,10 +18,11 @@
 use tokio::sync::mpsc;
 use tokio_util::task::AbortOnDropHandle;
 use wire::routing::Progress;
+use wire::store::{Error, Outcome, Rows};
 
 use crate::facts::Known;
 use crate::record::{self, Counted, Record};
-use crate::store::{Change, Error, Outcome, Rows, Store};
+use crate::store::{Report, Store};
 use crate::watch::Watch;
 
 /// Between two looks at the witnesses' counts. A bad version gets requests for as long.
@@ -120,7 +121,7 @@
     }
 
     async fn try_begin(&self, service: &Name, known: &Known) -> Result<Option<u64>, Error> {
-        let rows = self.watch.store.rows(&record::prefix(service)).await?;
+        let rows = self.watch.store.rows(record::TABLE, &record::prefix(service)).await?;
         let held = find_record(&rows, service);
         if let Some((record, revision)) = held.as_ref().filter(|(r, _)| is_of(r, known)) {
             self.adopt(service, record.clone(), rows.now_ms);
@@ -150,16 +151,12 @@
         expected: u64,
         progress: Progress,
     ) -> Result<Option<u64>, Error> {
-        let key = record::key(service);
         let value = record::write(record).map_err(Error::Malformed)?;
-        let change = Change {
-            expected: vec![(key.clone(), expected)],
-            writes: vec![(key, value)],
-            progress: Some((known.order.clone(), progress)),
-        };
-        match self.watch.store.commit(&change).await? {
-            Outcome::Made(revision) => Ok(Some(revision)),
-            Outcome::Conflict => Ok(None),
+        let change = record::change(record::TABLE, record::key(service), Some(expected), value);
+        let report = Report { order: known.order.clone(), progress };
+        match self.watch.store.commit(&change, Some(&report)).await? {
+            Outcome::Committed(revision) => Ok(Some(revision)),
+            Outcome::Conflict(_) => Ok(None),
         }
     }
 
@@ -200,7 +197,7 @@
         counted: &mut Vec<Evidence>,
     ) -> Result<bool, Error> {
         let own = self.state().tally.of(service);
-        let rows = self.watch.store.rows(&record::prefix(service)).await?;
+        let rows = self.watch.store.rows(record::TABLE, &record::prefix(service)).await?;
         let is_witness = is_witness(&rows, service, &self.host, known.revision);
         if is_witness && own != *counted {
             match self.tell(service, known, &own).await {
@@ -247,8 +244,9 @@
     async fn tell(&self, service: &Name, known: &Known, own: &[Evidence]) -> Result<(), Error> {
         let counted = Counted { order: known.revision, routes: own.to_vec() };
         let value = record::write(&counted).map_err(Error::Malformed)?;
-        let writes = vec![(record::counted_key(service, &self.host), value)];
-        self.watch.store.commit(&Change { writes, ..Change::default() }).await.map(drop)
+        let key = record::counted_key(service, &self.host);
+        let change = record::change(record::TABLE, key, None, value);
+        self.watch.store.commit(&change, None).await.map(drop)
     }
 }
 
@@ -264,10 +262,10 @@
     let key = record::key(service);
     let row = rows.rows.iter().find(|row| row.key == key)?;
     match record::read(&row.value) {
-        Ok(record) => Some((record, row.revision)),
+        Ok(record) => Some((record, row.version)),
         Err(why) => {
             log::error!(target: "rollout", key:% = key, why:% = why; "record unreadable, made anew");
-            Some((Record::default(), row.revision))
+            Some((Record::default(), row.version))
         }
     }
 }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -1,50 +1,10 @@
 //! The platform's store as controllers see it: two lists to follow, rows of our own to agree by.
 
-use std::fmt;
 use std::time::Duration;
 
-use bytes::Bytes;
 use policy::name::Name;
 use wire::routing::{Backend, Order, Progress, Table};
-
-/// Why a call brought nothing.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Error {
-    /// The store says that nothing was done, or no connection was made.
-    Refused(String),
-    /// No answer came: a change may have been made, or may be made later.
-    Lost(String),
-    /// The history asked for is no longer kept; the list must be read afresh.
-    Forgotten,
-    /// The answer makes no sense.
-    Malformed(String),
-}
-
-impl Error {
-    /// For metrics.
-    #[must_use]
-    pub fn label(&self) -> &'static str {
-        match self {
-            Self::Refused(_) => "refused",
-            Self::Lost(_) => "lost",
-            Self::Forgotten => "forgotten",
-            Self::Malformed(_) => "malformed",
-        }
-    }
-}
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Refused(why) => write!(f, "refused: {why}"),
-            Self::Lost(why) => write!(f, "no answer: {why}"),
-            Self::Forgotten => f.write_str("the history asked for is gone"),
-            Self::Malformed(why) => write!(f, "malformed answer: {why}"),
-        }
-    }
-}
-
-impl std::error::Error for Error {}
+use wire::store::{Error, Outcome, Rows, Transaction};
 
 /// A list that the store keeps for us to read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -101,47 +61,16 @@
     pub revision: u64,
 }
 
-/// A row of our own.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Row {
-    /// Its key.
-    pub key: Name,
-    /// Of its last change.
-    pub revision: u64,
-    /// What it holds.
-    pub value: Bytes,
-}
-
-/// Rows of our own, as of one moment.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Rows {
-    /// In the order of their keys.
-    pub rows: Vec<Row>,
-    /// The store's clock, in milliseconds; it only goes forward.
-    pub now_ms: u64,
-}
-
-/// Changes that are all made, or none of them.
-#[derive(Clone, Debug, Default)]
-pub struct Change {
-    /// Rows that must be at these revisions; 0 for one that must not exist.
-    pub expected: Vec<(Name, u64)>,
-    /// Rows to write.
-    pub writes: Vec<(Name, Bytes)>,
-    /// What to tell operators of an order.
-    pub progress: Option<(Order, Progress)>,
-}
-
-/// What became of a change.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Outcome {
-    /// It was made; the revision of its rows.
-    Made(u64),
-    /// A row was not at the revision expected.
-    Conflict,
+/// What operators are told of an order.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    /// The order.
+    pub order: Order,
+    /// How far it has come.
+    pub progress: Progress,
 }
 
-/// The store. Own rows lie in one table, which the process has to itself.
+/// The store.
 pub trait Store: Send + Sync + 'static {
     /// A whole list.
     fn read(&self, list: List) -> impl Future<Output = Result<News, Error>> + Send;
@@ -155,9 +84,13 @@
         wait: Duration,
     ) -> impl Future<Output = Result<News, Error>> + Send;
 
-    /// Own rows whose keys begin so.
-    fn rows(&self, prefix: &str) -> impl Future<Output = Result<Rows, Error>> + Send;
+    /// Rows of a table of our own whose keys begin so.
+    fn rows(&self, table: &str, prefix: &str) -> impl Future<Output = Result<Rows, Error>> + Send;
 
-    /// Makes changes if every row is as expected.
-    fn commit(&self, change: &Change) -> impl Future<Output = Result<Outcome, Error>> + Send;
+    /// Changes rows of our own if all are as expected, and tells operators of an order with it.
+    fn commit(
+        &self,
+        change: &Transaction,
+        report: Option<&Report>,
+    ) -> impl Future<Output = Result<Outcome, Error>> + Send;
 }
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -7,9 +7,10 @@
 use gateway::{Codec, State};
 use policy::name::Name;
 use tokio::sync::mpsc;
+use wire::store::Error;
 
 use crate::facts::Facts;
-use crate::store::{Entry, Error, Fact, List, News, Store};
+use crate::store::{Entry, Fact, List, News, Store};
 
 /// How long the store may hold a question back while nothing changes. A connection that has gone
 /// silent shows only after that, and a change must be in force within seconds; each question has
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -7,7 +7,7 @@
 use wire::configuration::{Document, check};
 use wire::fault::Fault;
 use wire::host::{Host, Role};
-use wire::platform::Row;
+use wire::store::Row;
 
 use crate::backend::Capacity;
 use crate::{engine, platform, service};
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -18,7 +18,6 @@
 pub mod rater;
 pub mod reply;
 pub mod routed;
-pub mod rows;
 pub mod run;
 pub mod server;
 pub mod service;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,23 +1,26 @@
 //! Stand-in for the platform: rows with conditional transactions, objects, the lagging host list.
 //!
-//! Its HTTP form is [`wire::platform`]'s; `PUT /hosts`, `GET /records` and `PUT /faults` are its
-//! own.
+//! It speaks the published protocol of the platform's store; `PUT /hosts`, `GET /records` and
+//! `PUT /faults` are its own.
 
 pub mod audit;
 pub mod fault;
 pub mod hosts;
 pub mod http;
+mod query;
 pub mod store;
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
 use policy::domain;
 use policy::name::Name;
-use wire::host::{Host, List};
-use wire::platform::{Row, Transaction};
+use tokio::sync::watch;
+use wire::host::Host;
+use wire::store::{Row, Transaction, Write};
 
 use crate::server::{self, Running};
 use audit::{Accepted, Bills};
@@ -25,6 +28,9 @@
 use hosts::Hosts;
 use store::{Record, Store};
 
+/// The table that the host list is published in, each host under its name.
+pub const HOSTS: &str = "hosts";
+
 domain! {
     /// What the platform starts with.
     #[derive(Default)]
@@ -49,13 +55,31 @@
 }
 
 /// The platform's state.
-#[derive(Default)]
 pub struct Platform {
     store: Mutex<Store>,
     hosts: Mutex<Hosts>,
     faults: Mutex<Faults>,
     writes: Limiter,
     reads: Limiter,
+    calls: AtomicU64,
+    /// Wakes calls that are held back.
+    changed: watch::Sender<u64>,
+    started: Instant,
+}
+
+impl Default for Platform {
+    fn default() -> Self {
+        Self {
+            store: Mutex::default(),
+            hosts: Mutex::default(),
+            faults: Mutex::default(),
+            writes: Limiter::default(),
+            reads: Limiter::default(),
+            calls: AtomicU64::new(0),
+            changed: watch::Sender::new(0),
+            started: Instant::now(),
+        }
+    }
 }
 
 /// Starts a platform.
@@ -111,10 +135,74 @@
         self.hosts.lock().unwrap_or_else(PoisonError::into_inner).newest()
     }
 
-    fn lagging_hosts(&self) -> List {
+    /// Brings the table of hosts up to what its lag allows to be seen now.
+    fn publish_hosts(&self) {
         let lag_ms = self.faults().lag_ms;
         let hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
-        hosts.seen(Instant::now(), lag_ms)
+        let seen = hosts.seen(Instant::now(), lag_ms);
+        drop(hosts);
+        let mut store = self.store();
+        let wanted = seen
+            .iter()
+            .filter_map(|host| Some((host.name.clone(), serde_json::to_string(host).ok()?)));
+        let mut wanted: std::collections::BTreeMap<Name, String> = wanted.collect();
+        let mut writes = Vec::new();
+        for row in store.rows(HOSTS) {
+            match wanted.remove(&row.key) {
+                Some(value) if value == row.value => {}
+                value => writes.push(Write { table: row.table, key: row.key, value }),
+            }
+        }
+        let new = wanted.into_iter();
+        writes.extend(new.map(|(key, value)| Write {
+            table: Name::from(HOSTS),
+            key,
+            value: Some(value),
+        }));
+        if !writes.is_empty() {
+            let version = store.apply(writes);
+            drop(store);
+            self.changed.send_replace(version);
+        }
+    }
+
+    /// Writes a row as an operator or a backend server would.
+    pub fn put(&self, table: &str, key: &str, value: &serde_json::Value) {
+        self.write(table, key, Some(value.to_string()));
+    }
+
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.write(table, key, None);
+    }
+
+    fn write(&self, table: &str, key: &str, value: Option<String>) {
+        let write = Write { table: Name::from(table), key: Name::from(key), value };
+        let version = self.store().apply(vec![write]);
+        self.changed.send_replace(version);
+    }
+
+    /// What a row holds.
+    #[must_use]
+    pub fn get(&self, table: &str, key: &str) -> Option<serde_json::Value> {
+        serde_json::from_str(&self.row(table, key)?.value).ok()
+    }
+
+    /// Forgets its history; feeds that ask for it are told so.
+    pub fn forget(&self) {
+        self.store().forget();
+        self.changed.send_modify(|_| {});
+    }
+
+    /// Answers reads from its state as of now, whatever changes, or from the newest again.
+    pub fn set_stale(&self, stale: bool) {
+        self.store().set_stale(stale);
+    }
+
+    /// Calls that reached it so far.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
     }
 
     /// Everything that took effect, in order.
--- a/crates/standin/src/platform/audit.rs
+++ b/crates/standin/src/platform/audit.rs
@@ -10,7 +10,9 @@
 
 /// Where the bill logs are.
 pub const PREFIX: &str = "bills/";
+/// Controls' table of documents.
 const CONFIGURATION: &str = "configuration";
+/// Its row that says which is in force.
 const CURRENT: &str = "current";
 
 domain! {
--- a/crates/standin/src/platform/fault.rs
+++ b/crates/standin/src/platform/fault.rs
@@ -22,6 +22,9 @@
         /// The answers of this many next writes are lost: each takes effect (or conflicts), then
         /// its connection breaks. Counts down.
         pub lose_answers: u64,
+        /// The connections of writes break at once, and each takes effect this much later, in
+        /// milliseconds, if its conditions hold then. 0 is at once, with an answer.
+        pub late_ms: u64,
         /// Writes a second at most; over it 429. 0 is no cap.
         pub writes_per_second: u32,
         /// Reads a second at most; over it 429. 0 is no cap.
@@ -31,6 +34,32 @@
     }
 }
 
+impl Faults {
+    /// It answers every call that it is down.
+    #[must_use]
+    pub fn unavailable() -> Self {
+        Self { down: Down::Unavailable, ..Self::default() }
+    }
+
+    /// It answers nothing.
+    #[must_use]
+    pub fn silenced() -> Self {
+        Self { silent: true, ..Self::default() }
+    }
+
+    /// It makes changes and does not answer.
+    #[must_use]
+    pub fn losing_answers() -> Self {
+        Self { lose_answers: u64::MAX, ..Self::default() }
+    }
+
+    /// It makes changes so much later, in milliseconds, and does not answer.
+    #[must_use]
+    pub fn late(late_ms: u64) -> Self {
+        Self { late_ms, ..Self::default() }
+    }
+}
+
 /// Holds a rate to a cap: a bucket that holds one second's worth.
 #[derive(Default)]
 pub struct Limiter(Mutex<Option<Bucket>>);
--- a/crates/standin/src/platform/hosts.rs
+++ b/crates/standin/src/platform/hosts.rs
@@ -1,9 +1,8 @@
 //! The host list, which callers see only after a lag.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
-use policy::time::Millis;
-use wire::host::{Host, List};
+use wire::host::Host;
 
 /// Past lists kept, so that any sensible lag can be served.
 const KEPT: usize = 64;
@@ -31,16 +30,10 @@
 
     /// The list as it was a lag ago; the oldest kept, if it is younger than that.
     #[must_use]
-    pub fn seen(&self, now: Instant, lag_ms: u64) -> List {
+    pub fn seen(&self, now: Instant, lag_ms: u64) -> Vec<Host> {
         let lag = Duration::from_millis(lag_ms);
         let old = |(at, _): &&(Instant, Vec<Host>)| now.saturating_duration_since(*at) >= lag;
         let found = self.past.iter().rev().find(old).or(self.past.first());
-        let hosts = found.map(|(_, hosts)| hosts.clone()).unwrap_or_default();
-        List { as_of: wall_clock() - lag_ms, hosts }
+        found.map(|(_, hosts)| hosts.clone()).unwrap_or_default()
     }
 }
-
-fn wall_clock() -> Millis {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Millis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
-}
--- a/crates/standin/src/platform/http.rs
+++ b/crates/standin/src/platform/http.rs
@@ -1,27 +1,40 @@
 //! The platform's HTTP form.
 
-use std::sync::{Arc, PoisonError};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{ETAG, HeaderValue, IF_NONE_MATCH};
+use hyper::header::IF_NONE_MATCH;
 use hyper::{Method, Request, Response, StatusCode};
-use serde::Serialize;
-use wire::platform::{AS_OF, Committed, Transaction};
+use platform::names::call;
+use platform::store::message::{Answer, Objects, Reference, Row, Transaction};
+use wire::store::{Condition, Write};
 
-use super::fault::Faults;
+use super::query::Query;
+use super::store::Changed;
 use super::{Platform, Records};
-use crate::draw;
 use crate::fault::Down;
 use crate::reply;
 use crate::server::{Body, Cut, Handler};
 
+/// Rows of one answer at most.
+const PAGE: usize = 500;
+/// Names of objects of one answer at most.
+const NAMES: usize = 1_000;
+/// Rows that one transaction may name at most.
+const ENTRIES_MAX: usize = 100;
+/// Bytes that a row may hold at most.
+const ROW_BYTES_MAX: usize = 65_536;
+
 /// One call, read whole.
 struct Call {
     method: Method,
     path: String,
-    query: String,
+    query: Query,
     /// `If-None-Match`.
     known: String,
     body: Bytes,
@@ -32,29 +45,13 @@
         Ok(Self {
             method: request.method().clone(),
             path: reply::decode(request.uri().path()),
-            query: request.uri().query().unwrap_or_default().to_owned(),
+            query: Query::read(request.uri().query().unwrap_or_default()),
             known: reply::header(&request, IF_NONE_MATCH.as_str()).to_owned(),
             body: reply::body(request).await?,
         })
     }
 }
 
-impl Call {
-    /// The value, or 304 if the caller knows what its tag was made from.
-    fn unless_known(&self, tagged: &impl Serialize, value: &impl Serialize) -> Response<Body> {
-        let tag = draw::digest(serde_json::to_vec(tagged).unwrap_or_default());
-        let tag = format!("\"{tag}\"");
-        let mut response = match self.known == tag {
-            true => reply::status(StatusCode::NOT_MODIFIED),
-            false => reply::json(StatusCode::OK, value),
-        };
-        if let Ok(tag) = HeaderValue::from_str(&tag) {
-            response.headers_mut().insert(ETAG, tag);
-        }
-        response
-    }
-}
-
 impl Handler for Platform {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
         let call = Call::read(request).await?;
@@ -83,6 +80,7 @@
     }
 
     async fn serve(self: Arc<Self>, call: Call) -> Result<Response<Body>, Cut> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
         let faults = self.faults();
         match faults.down {
             Down::Cut => return Err(Cut),
@@ -90,35 +88,46 @@
             Down::No if faults.silent => std::future::pending().await,
             Down::No => {}
         }
+        let write = call.method != Method::GET;
+        let allowed = match write {
+            true => self.writes.take(faults.writes_per_second, Instant::now()),
+            false => self.reads.take(faults.reads_per_second, Instant::now()),
+        };
+        if !allowed {
+            return Ok(reply::later(StatusCode::TOO_MANY_REQUESTS));
+        }
+        if write && faults.late_ms > 0 {
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(faults.late_ms)).await;
+                // Its conditions may no longer hold; nobody is told either way.
+                let _ = self.take_effect(&call);
+            });
+            return Err(Cut);
+        }
         if faults.delay_ms == 0 {
-            return self.answer(&call, &faults);
+            return self.answer(&call).await;
         }
         // A task of its own: a slow write takes effect also when its caller has given up.
         let slow = tokio::spawn(async move {
             tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
-            self.answer(&call, &faults)
+            self.answer(&call).await
         });
         slow.await.unwrap_or(Err(Cut))
     }
 
-    fn answer(&self, call: &Call, faults: &Faults) -> Result<Response<Body>, Cut> {
-        let write = call.method != Method::GET;
-        let allowed = match write {
-            true => self.writes.take(faults.writes_per_second, Instant::now()),
-            false => self.reads.take(faults.reads_per_second, Instant::now()),
-        };
-        if !allowed {
-            return Ok(reply::later(StatusCode::TOO_MANY_REQUESTS));
+    async fn answer(&self, call: &Call) -> Result<Response<Body>, Cut> {
+        if (&call.method, call.path.as_str()) == (&Method::GET, call::FOLLOW) {
+            return Ok(self.follow(&call.query).await);
         }
         let response = self.take_effect(call);
-        match write && self.loses_answer() {
+        match call.method != Method::GET && self.loses_answer() {
             true => Err(Cut),
             false => Ok(response),
         }
     }
 
     fn loses_answer(&self) -> bool {
-        let mut faults = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut faults = self.faults.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         let lost = faults.lose_answers > 0;
         faults.lose_answers = faults.lose_answers.saturating_sub(1);
         lost
@@ -126,32 +135,48 @@
 
     fn take_effect(&self, call: &Call) -> Response<Body> {
         match (&call.method, call.path.as_str()) {
-            (&Method::GET, "/hosts") => {
-                let list = self.lagging_hosts();
-                // Of the hosts alone: when the list was made is no news.
-                let mut response = call.unless_known(&list.hosts, &list);
-                response.headers_mut().insert(AS_OF, HeaderValue::from(list.as_of.0));
-                response
-            }
-            (&Method::GET, "/objects") => self.names(&call.query),
-            (&Method::POST, "/transactions") => self.transact(&call.body),
-            (method, path) => match (method, split(path)) {
-                (&Method::GET, Some(("rows", rest))) => self.get_rows(rest, call),
-                (&Method::GET, Some(("objects", name))) => self.get_object(name),
-                (&Method::PUT, Some(("objects", name))) => self.put_object(name, call),
+            (&Method::GET, call::READ) => self.read(&call.query),
+            (&Method::POST, call::COMMIT) => self.transact(&call.body),
+            (&Method::GET, call::LIST_OBJECTS) => self.names(&call.query),
+            (method, path) => match (method, object(path)) {
+                (&Method::GET, Some((call::GET_OBJECT, name))) => self.get_object(name),
+                (&Method::PUT, Some((call::PUT_OBJECT, name))) => self.put_object(name, call),
                 _ => reply::status(StatusCode::NOT_FOUND),
             },
         }
     }
 
-    fn get_rows(&self, path: &str, call: &Call) -> Response<Body> {
-        let Some((table, key)) = path.split_once('/') else {
-            let rows = self.rows(path);
-            return call.unless_known(&rows, &rows);
-        };
-        match self.row(table, key) {
-            Some(row) => call.unless_known(&row, &row),
-            None => reply::status(StatusCode::NOT_FOUND),
+    fn read(&self, query: &Query) -> Response<Body> {
+        self.publish_hosts();
+        let (rows, version) = self.store().read(&query.table, &query.from, &query.end);
+        let has_more = rows.len() > PAGE;
+        let rows = rows.iter().take(PAGE).map(row).collect();
+        reply::json(StatusCode::OK, &Answer { has_more, ..self.told(rows, version) })
+    }
+
+    fn told(&self, rows: Vec<Row>, row_version: u64) -> Answer {
+        let now_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or_default();
+        // Some time has passed before it was started.
+        Answer { rows, has_more: false, row_version, now_ms: now_ms + 1_000 }
+    }
+
+    async fn follow(&self, query: &Query) -> Response<Body> {
+        let Ok(after) = query.after.parse() else { return reply::status(StatusCode::BAD_REQUEST) };
+        self.publish_hosts();
+        let until = tokio::time::Instant::now() + Duration::from_millis(query.wait_ms);
+        let mut changed = self.changed.subscribe();
+        loop {
+            let (changes, version) = {
+                let store = self.store();
+                (store.changes(&query.table, after), store.version())
+            };
+            let Some(changes) = changes else { return reply::status(StatusCode::GONE) };
+            let is_quiet = changes.is_empty();
+            if is_quiet && tokio::time::timeout_at(until, changed.changed()).await.is_ok() {
+                continue;
+            }
+            let rows = changes.iter().map(change).collect();
+            return reply::json(StatusCode::OK, &self.told(rows, version));
         }
     }
 
@@ -160,16 +185,38 @@
             Ok(transaction) => transaction,
             Err(error) => return reply::bytes(StatusCode::BAD_REQUEST, error.to_string()),
         };
-        match self.store().transact(transaction) {
-            Ok(versions) => reply::json(StatusCode::OK, &Committed { versions }),
-            Err(conflict) => reply::json(StatusCode::CONFLICT, &conflict),
+        let entries =
+            transaction.expected.len() + transaction.writes.len() + transaction.remove.len();
+        if entries > ENTRIES_MAX {
+            return reply::bytes(StatusCode::BAD_REQUEST, format!("{entries} entries"));
+        }
+        let change = match read_transaction(transaction) {
+            Ok(change) => change,
+            Err(why) => return reply::bytes(StatusCode::BAD_REQUEST, why),
+        };
+        let mut store = self.store();
+        let made = store.transact(change);
+        let version = store.version();
+        drop(store);
+        match made {
+            Ok(version) => {
+                self.changed.send_replace(version);
+                reply::json(StatusCode::OK, &self.told(Vec::new(), version))
+            }
+            Err(rows) => {
+                let rows = rows.iter().map(row).collect();
+                reply::json(StatusCode::PRECONDITION_FAILED, &self.told(rows, version))
+            }
         }
     }
 
-    fn names(&self, query: &str) -> Response<Body> {
-        let prefix = query.split('&').find_map(|pair| pair.strip_prefix("prefix="));
-        let prefix = reply::decode(prefix.unwrap_or_default());
-        reply::json(StatusCode::OK, &self.objects(&prefix))
+    fn names(&self, query: &Query) -> Response<Body> {
+        let all = self.objects(&query.prefix).into_iter();
+        let mut names: Vec<String> =
+            all.map(|name| name.to_string()).filter(|name| *name > query.after).collect();
+        let has_more = names.len() > NAMES;
+        names.truncate(NAMES);
+        reply::json(StatusCode::OK, &Objects { names, has_more })
     }
 
     fn get_object(&self, name: &str) -> Response<Body> {
@@ -184,12 +231,60 @@
             return reply::status(StatusCode::PRECONDITION_REQUIRED);
         }
         match self.store().put(name, call.body.clone()) {
-            true => reply::status(StatusCode::CREATED),
+            true => reply::status(StatusCode::OK),
             false => reply::status(StatusCode::PRECONDITION_FAILED),
         }
     }
 }
 
-fn split(path: &str) -> Option<(&str, &str)> {
-    path.strip_prefix('/')?.split_once('/')
+/// The call and the object's name.
+fn object(path: &str) -> Option<(&str, &str)> {
+    let calls = [call::GET_OBJECT, call::PUT_OBJECT];
+    calls.into_iter().find_map(|call| Some((call, path.strip_prefix(call)?.strip_prefix('/')?)))
+}
+
+fn row(row: &wire::store::Row) -> Row {
+    Row {
+        table: row.table.clone(),
+        key: row.key.clone(),
+        value: Some(STANDARD.encode(&row.value)),
+        row_version: row.version,
+        ..Row::default()
+    }
+}
+
+fn change(changed: &Changed) -> Row {
+    match &changed.row {
+        Some(now) => row(now),
+        None => Row {
+            table: changed.table.clone(),
+            key: changed.key.clone(),
+            row_version: changed.version,
+            deleted: true,
+            ..Row::default()
+        },
+    }
+}
+
+fn read_transaction(transaction: Transaction) -> Result<wire::store::Transaction, String> {
+    let conditions = transaction.expected.into_iter().map(|reference| Condition {
+        version: reference.row_version.unwrap_or_default(),
+        table: reference.table,
+        key: reference.key,
+    });
+    let writes = transaction.writes.into_iter().map(|reference| {
+        let Reference { table, key, value, .. } = reference;
+        let value = STANDARD.decode(value.unwrap_or_default()).map_err(|e| e.to_string())?;
+        match value.len() {
+            0..=ROW_BYTES_MAX => {
+                let value = String::from_utf8(value).map_err(|error| error.to_string())?;
+                Ok(Write { table, key, value: Some(value) })
+            }
+            length => Err(format!("{key}: {length} bytes")),
+        }
+    });
+    let mut writes: Vec<Write> = writes.collect::<Result<_, String>>()?;
+    let removed = transaction.remove.into_iter();
+    writes.extend(removed.map(|r| Write { table: r.table, key: r.key, value: None }));
+    Ok(wire::store::Transaction { conditions: conditions.collect(), writes })
 }
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -1,11 +1,11 @@
-//! Rows and objects, and the record of all that took effect.
+//! Rows and objects, their history, and the record of all that took effect.
 
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
 use policy::domain;
 use policy::name::Name;
-use wire::platform::{Condition, Conflict, Row, Transaction, Write};
+use wire::store::{Condition, Row, Transaction, Write};
 
 domain! {
     /// Something that took effect.
@@ -15,8 +15,8 @@
         Transaction {
             /// What it wrote, and under which conditions.
             transaction: Transaction,
-            /// The versions it gave; 0 for a deleted row.
-            versions: Vec<u64>,
+            /// The version that its rows got.
+            version: u64,
         },
         /// An object put.
         Put {
@@ -28,12 +28,35 @@
     }
 }
 
+/// Rows by key.
+type Table = BTreeMap<Name, Row>;
+
+/// A change of a row.
+#[derive(Clone, Debug)]
+pub struct Changed {
+    /// The version that it made.
+    pub version: u64,
+    /// The row's table.
+    pub table: Name,
+    /// The row's key.
+    pub key: Name,
+    /// The row now; none if it was removed.
+    pub row: Option<Row>,
+}
+
 /// The platform's memory.
 #[derive(Default)]
 pub struct Store {
-    tables: BTreeMap<Name, BTreeMap<Name, Row>>,
+    tables: BTreeMap<Name, Table>,
     objects: BTreeMap<Name, Bytes>,
     records: Vec<Record>,
+    /// Changes, oldest first.
+    history: Vec<Changed>,
+    /// Changes up to here are no longer kept.
+    forgotten: u64,
+    version: u64,
+    /// A past state that reads are answered from.
+    stale: Option<(BTreeMap<Name, Table>, u64)>,
 }
 
 /// The write that makes a row what it is.
@@ -55,45 +78,77 @@
         self.tables.get(table).map(|rows| rows.values().cloned().collect()).unwrap_or_default()
     }
 
-    /// Applies all writes if all conditions hold, and none otherwise.
+    /// The newest version of any row.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// What a reader gets: a range of a table's rows, and the version that they are as of.
+    #[must_use]
+    pub fn read(&self, table: &str, from: &str, end: &str) -> (Vec<Row>, u64) {
+        let (tables, version) = match &self.stale {
+            Some((tables, version)) => (tables, *version),
+            None => (&self.tables, self.version),
+        };
+        let rows = tables.get(table).into_iter().flat_map(|rows| rows.range(Name::from(from)..));
+        let rows = rows.take_while(|(key, _)| end.is_empty() || key.as_str() < end);
+        (rows.map(|(_, row)| row.clone()).collect(), version)
+    }
+
+    /// Changes of a table behind a version; none if they are no longer kept.
+    #[must_use]
+    pub fn changes(&self, table: &str, after: u64) -> Option<Vec<Changed>> {
+        let behind = |changed: &&Changed| changed.version > after && *changed.table == *table;
+        (after >= self.forgotten).then(|| self.history.iter().filter(behind).cloned().collect())
+    }
+
+    /// Forgets its history.
+    pub fn forget(&mut self) {
+        self.history.clear();
+        self.forgotten = self.version;
+    }
+
+    /// Answers reads from its state as of now, whatever changes, or from the newest again.
+    pub fn set_stale(&mut self, stale: bool) {
+        self.stale = stale.then(|| (self.tables.clone(), self.version));
+    }
+
+    /// Applies all writes if all conditions hold, and none otherwise; the version that they make.
     ///
     /// # Errors
-    /// The rows whose conditions failed.
-    pub fn transact(&mut self, transaction: Transaction) -> Result<Vec<u64>, Conflict> {
-        let rows: Vec<Row> = transaction.conditions.iter().filter_map(|c| self.failed(c)).collect();
-        if !rows.is_empty() {
-            return Err(Conflict { rows });
+    /// The rows whose conditions failed; absent ones are left out.
+    pub fn transact(&mut self, transaction: Transaction) -> Result<u64, Vec<Row>> {
+        let failed: Vec<&Condition> =
+            transaction.conditions.iter().filter(|condition| !self.holds(condition)).collect();
+        if !failed.is_empty() {
+            return Err(failed.iter().filter_map(|c| self.row(&c.table, &c.key)).collect());
         }
-        let versions: Vec<u64> = transaction.writes.iter().map(|write| self.apply(write)).collect();
-        self.records.push(Record::Transaction { transaction, versions: versions.clone() });
-        Ok(versions)
-    }
-
-    fn failed(&self, condition: &Condition) -> Option<Row> {
-        let row = self.row(&condition.table, &condition.key).unwrap_or_else(|| Row {
-            table: condition.table.clone(),
-            key: condition.key.clone(),
-            version: 0,
-            value: String::new(),
-        });
-        (row.version != condition.version).then_some(row)
-    }
-
-    fn apply(&mut self, write: &Write) -> u64 {
-        let rows = self.tables.entry(write.table.clone()).or_default();
-        let Some(value) = &write.value else {
-            rows.remove(&write.key);
-            return 0;
-        };
-        let version = rows.get(&write.key).map_or(1, |row| row.version + 1);
-        let row = Row {
-            table: write.table.clone(),
-            key: write.key.clone(),
-            version,
-            value: value.clone(),
-        };
-        rows.insert(write.key.clone(), row);
-        version
+        let version = self.apply(transaction.writes.clone());
+        self.records.push(Record::Transaction { transaction, version });
+        Ok(version)
+    }
+
+    fn holds(&self, condition: &Condition) -> bool {
+        let held = self.row(&condition.table, &condition.key);
+        held.map_or(0, |row| row.version) == condition.version
+    }
+
+    /// Makes changes, as others than the system do; they are no records.
+    pub fn apply(&mut self, writes: Vec<Write>) -> u64 {
+        self.version += 1;
+        for Write { table, key, value } in writes {
+            let rows = self.tables.entry(table.clone()).or_default();
+            let version = self.version;
+            let row =
+                value.map(|value| Row { table: table.clone(), key: key.clone(), version, value });
+            match &row {
+                Some(row) => drop(rows.insert(key.clone(), row.clone())),
+                None => drop(rows.remove(&key)),
+            }
+            self.history.push(Changed { version, table, key, row });
+        }
+        self.version
     }
 
     /// Puts an object unless one of that name exists; says whether it did.
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -2,6 +2,10 @@
 
 mod common;
 
+use ::platform::names::call;
+use ::platform::store::message::{Answer, Objects, Reference, Transaction};
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use common::{any_port, request, until};
 use hyper::{Method, Request, StatusCode};
@@ -11,24 +15,37 @@
 use standin::platform::fault::Faults;
 use standin::platform::{self, Settings};
 use wire::bill::{Batch, Bill};
-use wire::host::{Host, HostState, List, Role};
-use wire::platform::{Committed, Condition, Conflict, Row, Transaction, Write};
+use wire::host::{Host, HostState, Role};
 
-fn condition(key: &str, version: u64) -> Condition {
-    Condition { table: "t".into(), key: key.into(), version }
+fn reference(key: &str) -> Reference {
+    Reference { table: "t".into(), key: key.into(), ..Reference::default() }
 }
 
-fn write(key: &str, value: &str) -> Write {
-    Write { table: "t".into(), key: key.into(), value: Some(value.to_owned()) }
+fn condition(key: &str, version: u64) -> Reference {
+    Reference { row_version: Some(version), ..reference(key) }
 }
 
-fn transaction(conditions: Vec<Condition>, writes: Vec<Write>) -> Request<Bytes> {
-    let body = serde_json::to_vec(&Transaction { conditions, writes }).unwrap();
-    request(Method::POST, "/transactions", body)
+fn write(key: &str, value: &str) -> Reference {
+    Reference { value: Some(STANDARD.encode(value)), ..reference(key) }
+}
+
+fn transaction(expected: Vec<Reference>, writes: Vec<Reference>) -> Request<Bytes> {
+    let remove = Vec::new();
+    let body = serde_json::to_vec(&Transaction { expected, writes, remove }).unwrap();
+    request(Method::POST, call::COMMIT, body)
+}
+
+fn get(key: &str) -> Request<Bytes> {
+    let path = format!("{}?table=t&part=&from={key}&target={key}%00", call::READ);
+    request(Method::GET, &path, "")
+}
+
+fn answer(body: &[u8]) -> Answer {
+    serde_json::from_slice(body).unwrap()
 }
 
 fn put_absent(name: &str, body: &str) -> Request<Bytes> {
-    let mut put = request(Method::PUT, &format!("/objects/{name}"), body.to_owned());
+    let mut put = request(Method::PUT, &format!("{}/{name}", call::PUT_OBJECT), body.to_owned());
     put.headers_mut().insert("if-none-match", "*".parse().unwrap());
     put
 }
@@ -56,26 +73,40 @@
     let platform = platform::start(any_port(), Settings::default()).unwrap();
     let client = Client::new(platform.address);
     let first = transaction(vec![condition("a", 0)], vec![write("a", "1"), write("b/c", "1")]);
-    let answer = client.call(first).await.unwrap();
-    let committed: Committed = serde_json::from_slice(answer.body()).unwrap();
-    assert_eq!(committed.versions, [1, 1]);
+    let committed = client.call(first).await.unwrap();
+    assert_eq!(answer(committed.body()).row_version, 1);
 
     // One of two conditions fails: nothing of it may show.
     let conditions = vec![condition("b/c", 1), condition("a", 0)];
     let second = transaction(conditions, vec![write("a", "2"), write("d", "2")]);
-    let answer = client.call(second).await.unwrap();
-    assert_eq!(answer.status(), StatusCode::CONFLICT);
-    let conflict: Conflict = serde_json::from_slice(answer.body()).unwrap();
-    let row = Row { table: "t".into(), key: "a".into(), version: 1, value: "1".to_owned() };
-    assert_eq!(conflict.rows, [row]);
+    let conflict = client.call(second).await.unwrap();
+    assert_eq!(conflict.status(), StatusCode::PRECONDITION_FAILED);
+    let held = answer(conflict.body()).rows;
+    assert_eq!(held.len(), 1);
+    assert_eq!((held[0].key.as_str(), held[0].row_version), ("a", 1));
+    assert_eq!(held[0].value.as_deref(), Some(STANDARD.encode("1").as_str()));
     assert_eq!(platform.row("t", "d"), None);
 
-    let answer = client.call(request(Method::GET, "/rows/t/b/c", "")).await.unwrap();
-    let row: Row = serde_json::from_slice(answer.body()).unwrap();
-    assert_eq!((row.version, row.value.as_str()), (1, "1"));
+    let read = answer(client.call(get("b/c")).await.unwrap().body());
+    assert_eq!(read.rows.len(), 1);
+    assert_eq!(read.rows[0].row_version, 1);
+    assert_eq!(read.rows[0].value.as_deref(), Some(STANDARD.encode("1").as_str()));
     assert_eq!(platform.records().len(), 1);
 }
 
+#[tokio::test]
+async fn transaction_over_the_limits_is_refused() {
+    let platform = platform::start(any_port(), Settings::default()).unwrap();
+    let client = Client::new(platform.address);
+    let many = (0..101).map(|number| write(&format!("k{number}"), "1")).collect();
+    let long = vec![write("k", &"x".repeat(65_537))];
+    for writes in [many, long] {
+        let refused = client.call(transaction(Vec::new(), writes)).await.unwrap();
+        assert_eq!(refused.status(), StatusCode::BAD_REQUEST);
+    }
+    assert!(platform.rows("t").is_empty());
+}
+
 #[tokio::test]
 async fn transaction_race_has_one_winner() {
     let platform = platform::start(any_port(), Settings::default()).unwrap();
@@ -96,13 +127,16 @@
 async fn object_is_put_once() {
     let platform = platform::start(any_port(), Settings::default()).unwrap();
     let client = Client::new(platform.address);
-    for (text, status) in [("one", StatusCode::CREATED), ("two", StatusCode::PRECONDITION_FAILED)] {
+    for (text, status) in [("one", StatusCode::OK), ("two", StatusCode::PRECONDITION_FAILED)] {
         assert_eq!(client.call(put_absent("x/1", text)).await.unwrap().status(), status);
     }
-    let answer = client.call(request(Method::GET, "/objects/x/1", "")).await.unwrap();
-    assert_eq!(answer.body().as_ref(), b"one");
-    let answer = client.call(request(Method::GET, "/objects?prefix=x%2F", "")).await.unwrap();
-    assert_eq!(answer.body().as_ref(), br#"["x/1"]"#);
+    let path = format!("{}/x%2F1", call::GET_OBJECT);
+    let got = client.call(request(Method::GET, &path, "")).await.unwrap();
+    assert_eq!(got.body().as_ref(), b"one");
+    let path = format!("{}?prefix=x%2F", call::LIST_OBJECTS);
+    let listed = client.call(request(Method::GET, &path, "")).await.unwrap();
+    let listed: Objects = serde_json::from_slice(listed.body()).unwrap();
+    assert_eq!((listed.names.as_slice(), listed.has_more), (["x/1".to_owned()].as_slice(), false));
 }
 
 #[tokio::test]
@@ -168,9 +202,10 @@
     for lag_ms in [3_600_000, 0] {
         platform.set_faults(Faults { lag_ms, ..Faults::default() });
         platform.set_hosts(vec![host(HostState::Leaving)]);
-        let answer = client.call(request(Method::GET, "/hosts", "")).await.unwrap();
-        let list: List = serde_json::from_slice(answer.body()).unwrap();
-        seen.push(list.hosts[0].state);
+        let path = format!("{}?table=hosts&part=", call::READ);
+        let listed = answer(client.call(request(Method::GET, &path, "")).await.unwrap().body());
+        let value = STANDARD.decode(listed.rows[0].value.as_deref().unwrap()).unwrap();
+        seen.push(serde_json::from_slice::<Host>(&value).unwrap().state);
     }
     assert_eq!(seen, [HostState::Live, HostState::Leaving]);
 }
@@ -180,7 +215,7 @@
     let platform = platform::start(any_port(), Settings::default()).unwrap();
     let client = Client::new(platform.address);
     for put in [batch("c1", 0, &["a", "b"]), batch("c1", 2, &["c"]), batch("c2", 0, &["b"])] {
-        assert_eq!(client.call(put).await.unwrap().status(), StatusCode::CREATED);
+        assert_eq!(client.call(put).await.unwrap().status(), StatusCode::OK);
     }
     client.call(put_absent("bills/c2/0000000001", "no batch")).await.unwrap();
     let bills = platform.bills();
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -27,7 +27,7 @@
         /// Hash of the host list held.
         pub hosts: u64,
         /// When the platform made that list, in milliseconds since the epoch.
-        pub hosts_as_of: u64,
+        pub hosts_revision: u64,
         /// Hash of the quarantine marks held.
         pub marks: u64,
         /// Hash of where the roll-outs stand.
--- a/crates/wire/src/host.rs
+++ b/crates/wire/src/host.rs
@@ -2,7 +2,6 @@
 
 use policy::domain;
 use policy::name::Name;
-use policy::time::Millis;
 
 domain! {
     /// What a host does.
@@ -54,8 +53,8 @@
     /// The list, with its age.
     #[derive(Default)]
     pub struct List {
-        /// When the platform made it.
-        pub as_of: Millis,
+        /// The store's revision that it is as of; 0 for no list yet.
+        pub revision: u64,
         /// All hosts that are not long gone.
         pub hosts: Vec<Host>,
     }
