One loop tries backend servers, for chat completions, services, routed requests and streams that go on

Cause: the chat interface's dispatch and the routed front end's carry each had a loop that chose a server, tried it, laid a failure at somebody's door and asked leave for the next try; a change to one was no change to the other. Change: entry::carry has the loop, over a small trait of what differs; entry::dispatch, gateway::carry and the resumption of streams are its three users. How a connection is had (an idle one only for what may repeat) stands once in entry::server. What nothing used is gone (Index::route_count, Tries::last). Ruled out: one job type for both front ends; the chat interface claims keys and bills, the routed one asks larger models and resumes, and a type with all of it would have had fields that are empty for each.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -7,13 +7,14 @@
 use policy::retry::{self, Attempt};
 use wire::refusal::{Code, Ran, Refusal};
 
+use crate::carry::{Request, Step, carry};
 use crate::clock;
-use crate::connection::{Cause, Connection, Failure};
+use crate::connection::{Cause, Failure};
 use crate::filter::claim::{self, Claimed};
 use crate::filter::place;
 use crate::job::Job;
 use crate::reply::{self, Reply};
-use crate::server::{Lease, Server};
+use crate::server::{IDLE, Lease, Server};
 use crate::snapshot::Snapshot;
 use crate::state::State;
 
@@ -38,24 +39,26 @@
     old_failed: bool,
     /// Only new connections from now on.
     new_only: bool,
+    /// No backend server takes new work.
+    no_server: bool,
 }
 
-/// Why a try gave no reply.
-enum Stop {
-    Failed(Failure),
-    Refused(Refusal),
+/// A call that is being made.
+struct Call<'a> {
+    state: &'a Arc<State>,
+    job: &'a Job,
+    tries: Tries,
 }
 
-impl From<Failure> for Stop {
-    fn from(failure: Failure) -> Self {
-        Self::Failed(failure)
-    }
-}
-
-impl From<Refusal> for Stop {
-    fn from(refusal: Refusal) -> Self {
-        Self::Refused(refusal)
-    }
+/// A try that failed, and what else is known of it.
+struct Failed {
+    failure: Failure,
+    /// Its connection had carried answers before.
+    reused: bool,
+    /// The backend server answered others meanwhile.
+    alone: bool,
+    /// It failed before a connection was open.
+    unopened: bool,
 }
 
 /// Makes a call.
@@ -66,41 +69,80 @@
 /// # Errors
 /// A refusal; `ran: "no"` only if no try can have written a byte.
 pub async fn dispatch(state: &Arc<State>, job: &Job) -> Result<Reply, Refusal> {
-    let mut tries = Tries::default();
-    let reply = try_all(state, job, &mut tries).await;
-    let granted = tries.claimed.is_some();
+    state.budgets.with(&job.account, retry::Budget::fill);
+    state.pool_budgets.with(&job.pool, retry::Budget::fill);
+    let mut call = Call { state, job, tries: Tries::default() };
+    let reply = carry(&mut call).await;
+    let granted = call.tries.claimed.is_some();
     reply.map_err(|refusal| match refusal.ran {
         Ran::No => Refusal { key_granted: granted, ..refusal },
         Ran::Unknown => refusal,
     })
 }
 
-async fn try_all(state: &Arc<State>, job: &Job, tries: &mut Tries) -> Result<Reply, Refusal> {
-    state.budgets.with(&job.account, retry::Budget::fill);
-    state.pool_budgets.with(&job.pool, retry::Budget::fill);
-    loop {
-        let snapshot = state.snapshot.load_full();
-        check_version(&snapshot, job, tries)?;
-        let Some(server) = choose(&snapshot, job, tries) else {
-            return Err(no_server(job, tries));
+impl Request for Call<'_> {
+    type Server = Arc<Server>;
+    type Answer = Reply;
+    type Failure = Failed;
+
+    fn choose(&mut self) -> Option<Arc<Server>> {
+        let snapshot = self.state.snapshot.load_full();
+        let server = match is_stopped(&snapshot, self.job) {
+            true => None,
+            false => choose(&snapshot, self.job, &mut self.tries),
         };
-        tries.count += 1;
-        tries.old_failed = false;
-        match attempt(state, job, &server, tries).await {
-            Ok(reply) => return Ok(reply),
-            Err(Stop::Refused(refusal)) => return Err(refusal),
-            Err(Stop::Failed(failure)) => {
-                tries.sent |= failure.sent;
-                tries.last = Some(failure.cause);
-                log::debug!("entry: request {} at {}: {failure:?}", job.id, server.name);
-                metrics::counter!("entry_tries_failed_total", "cause" => failure.cause.label())
-                    .increment(1);
-            }
-        }
-        if !may_go_on(state, job, tries) {
-            return Err(given_up(job, tries));
+        self.tries.no_server = server.is_none();
+        server
+    }
+
+    async fn attempt(&mut self, server: &Arc<Server>) -> Step<Reply, Failed> {
+        self.tries.count += 1;
+        self.tries.old_failed = false;
+        match self.try_once(server).await {
+            Ok(reply) => Step::Answered(reply),
+            Err(Stop::Refused(refusal)) => Step::Refused(refusal),
+            Err(Stop::Failed(failed)) => Step::Failed(failed),
         }
     }
+
+    fn failed(&mut self, server: &Arc<Server>, failed: Failed) {
+        let Failed { failure, .. } = failed;
+        self.tries.sent |= failure.sent;
+        self.tries.last = Some(failure.cause);
+        blame(self.state, self.job, server, &mut self.tries, &failed);
+        log::debug!("entry: request {} at {}: {failure:?}", self.job.id, server.name);
+        metrics::counter!("entry_tries_failed_total", "cause" => failure.cause.label())
+            .increment(1);
+    }
+
+    fn may_go_on(&mut self) -> bool {
+        may_go_on(self.state, self.job, &self.tries)
+    }
+
+    fn give_up(&mut self) -> Result<Reply, Refusal> {
+        Err(match self.tries.no_server {
+            true => no_server(self.job, &self.tries),
+            false => given_up(self.job, &self.tries),
+        })
+    }
+}
+
+/// Why a try gave no reply.
+enum Stop {
+    Failed(Failed),
+    Refused(Refusal),
+}
+
+impl From<Failure> for Stop {
+    fn from(failure: Failure) -> Self {
+        Self::Failed(Failed { failure, reused: false, alone: false, unopened: true })
+    }
+}
+
+impl From<Refusal> for Stop {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
 }
 
 /// A backend server that was not tried yet, or else one that was tried and still takes work: it
@@ -116,105 +158,72 @@
 
 /// A version withdrawn or put under quarantine while a request waited for its place, or between
 /// two of its tries, gets no new work either.
-fn check_version(snapshot: &Snapshot, job: &Job, tries: &Tries) -> Result<(), Refusal> {
-    let stopped = job.version.as_ref().is_some_and(|name| {
+fn is_stopped(snapshot: &Snapshot, job: &Job) -> bool {
+    job.version.as_ref().is_some_and(|name| {
         snapshot.quarantined.contains(name)
             || !snapshot.version(name).is_some_and(wire::configuration::Version::takes_work)
-    });
-    match stopped {
-        true => Err(no_server(job, tries)),
-        false => Ok(()),
-    }
+    })
 }
 
-async fn attempt(
-    state: &Arc<State>,
-    job: &Job,
-    server: &Arc<Server>,
-    tries: &mut Tries,
-) -> Result<Reply, Stop> {
-    // A connection can go silent for good while new ones work. One that answered a moment ago may
-    // be silent now, and a request that may not be repeated could not leave it: it would end as
-    // "may have run". So such a request always gets a new connection, at the price of its opening.
-    let idle = if job.may_repeat && !tries.new_only { server.take_idle() } else { None };
-    let mut connection = match idle {
-        Some(connection) => connection,
-        None => open(job, server, tries).await?,
-    };
-    // The claim comes last before the first byte. A key that is granted and then not used, for
-    // want of a backend server, would stay taken though its request never ran.
-    if let Some(wanted) = job.claim.as_ref().filter(|_| tries.claimed.is_none()) {
-        tries.claimed = Some(claim::claim(state, wanted, job.deadline).await?);
-    }
-    if job.left().is_zero() {
-        return Err(Failure::not_sent(Cause::Deadline).into());
-    }
-    let reused = connection.reused();
-    let lease = Lease::new(Arc::clone(server));
-    let request = job.request(server)?;
-    let limit = if reused { job.reused_first_byte } else { job.first_byte };
-    let first_byte = limit.min(job.left());
-    let (sent_at, began) = (Instant::now(), clock::now());
-    if let Some(claimed) = &mut tries.claimed {
-        claimed.use_up();
-    }
-    let result = match connection.send(request, first_byte).await {
-        Ok(response) => reply::read(job, response, connection, lease, sent_at).await,
-        Err(failure) => Err(failure),
-    };
-    match result {
-        Ok(reply) => {
-            server.note_success(clock::now());
-            job.note(state, false);
-            Ok(reply)
+impl Call<'_> {
+    async fn try_once(&mut self, server: &Arc<Server>) -> Result<Reply, Stop> {
+        let (state, job, tries) = (self.state, self.job, &mut self.tries);
+        let reuse = (job.may_repeat && !tries.new_only).then_some(IDLE);
+        let mut connection = server.connect(reuse, CONNECT.min(job.left())).await?;
+        // The claim comes last before the first byte. A key that is granted and then not used, for
+        // want of a backend server, would stay taken though its request never ran.
+        if let Some(wanted) = job.claim.as_ref().filter(|_| tries.claimed.is_none()) {
+            tries.claimed = Some(claim::claim(state, wanted, job.deadline).await?);
+        }
+        let reused = connection.reused();
+        let unsent =
+            |failure| Stop::Failed(Failed { failure, reused, alone: false, unopened: false });
+        if job.left().is_zero() {
+            return Err(unsent(Failure::not_sent(Cause::Deadline)));
         }
-        Err(failure) => {
-            if let Some(claimed) = tries.claimed.as_mut().filter(|_| !failure.sent) {
+        let lease = Lease::new(Arc::clone(server));
+        let request = job.request(server).map_err(unsent)?;
+        let limit = if reused { job.reused_first_byte } else { job.first_byte };
+        let (sent_at, began) = (Instant::now(), clock::now());
+        if let Some(claimed) = &mut tries.claimed {
+            claimed.use_up();
+        }
+        let result = match connection.send(request, limit.min(job.left())).await {
+            Ok(response) => reply::read(job, response, connection, lease, sent_at).await,
+            Err(failure) => Err(failure),
+        };
+        result.inspect(|_| self.answered(server)).map_err(|failure| {
+            if let Some(claimed) = self.tries.claimed.as_mut().filter(|_| !failure.sent) {
                 claimed.not_used();
             }
             let alone = failure.cause == Cause::Silent && server.worked_since(began);
-            blame(state, job, server, tries, failure, Blame { reused, alone });
-            Err(failure.into())
-        }
+            Stop::Failed(Failed { failure, reused, alone, unopened: false })
+        })
     }
-}
 
-async fn open(job: &Job, server: &Server, tries: &mut Tries) -> Result<Connection, Failure> {
-    let opened = Connection::open(server.address, CONNECT.min(job.left())).await;
-    if opened.is_err() && !job.left().is_zero() {
-        server.note_failure(clock::now());
-        tries.tried.push(server.name.clone());
+    fn answered(&self, server: &Server) {
+        server.note_success(clock::now());
+        self.job.note(self.state, false);
     }
-    opened
-}
-
-/// What else is known of a try that failed.
-struct Blame {
-    /// Its connection had carried answers before.
-    reused: bool,
-    /// The backend server answered others meanwhile.
-    alone: bool,
 }
 
 /// Who is to blame for a failure: an old connection, the backend server, or nobody.
-fn blame(
-    state: &State,
-    job: &Job,
-    server: &Server,
-    tries: &mut Tries,
-    failure: Failure,
-    blame: Blame,
-) {
+fn blame(state: &State, job: &Job, server: &Server, tries: &mut Tries, failed: &Failed) {
+    let Failed { failure, reused, alone, unopened } = *failed;
     match failure.cause {
         // The caller's time was over; that says nothing of the server.
         _ if job.left().is_zero() => {}
         Cause::Deadline => {}
-        Cause::Silent | Cause::Broken if blame.reused => {
+        _ if unopened => {
+            server.note_failure(clock::now());
+            tries.tried.push(server.name.clone());
+        }
+        Cause::Silent | Cause::Broken if reused => {
             server.note_suspicion();
             tries.old_failed = true;
             tries.new_only = true;
         }
-        Cause::Silent | Cause::Broken | Cause::Refused if !blame.alone => {
+        Cause::Silent | Cause::Broken | Cause::Refused if !alone => {
             server.note_failure(clock::now());
             tries.tried.push(server.name.clone());
             job.note(state, true);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod bills;
 pub mod call;
 pub mod callers;
+pub mod carry;
 pub mod chain;
 pub mod chat;
 pub mod clock;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -10,7 +10,7 @@
 use policy::{place, probe};
 use wire::backend::Load;
 
-use crate::connection::Connection;
+use crate::connection::{Connection, Failure};
 
 /// An idle connection older than this is retired: something between the two ends may have lost
 /// track of it, and then the next request on it would wait for nothing.
@@ -71,6 +71,26 @@
         Some(idle.remove(ready))
     }
 
+    /// A connection for a request: an idle one that proved to work within `reuse`, or a new one.
+    ///
+    /// A connection can go silent for good while new ones work, and one that answered a moment ago
+    /// may be silent now. A request that may not be repeated could not leave it: it would end as
+    /// "may have run". Such a request gives no `reuse` and pays for a new connection.
+    ///
+    /// # Errors
+    /// Always with `sent: false`.
+    pub async fn connect(
+        &self,
+        reuse: Option<Duration>,
+        within: Duration,
+    ) -> Result<Connection, Failure> {
+        let idle = reuse.and_then(|reuse| self.take_idle().filter(|idle| idle.usable(reuse)));
+        match idle {
+            Some(connection) => Ok(connection),
+            None => Connection::open(self.address, within).await,
+        }
+    }
+
     /// Keeps a connection for later.
     pub fn put_idle(&self, connection: Connection) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -136,18 +136,11 @@
     }
 }
 
-/// Only an idempotent request may use a connection that has carried others. An old connection can
-/// go silent or bring a late answer, and a request that may not be repeated could not leave it.
 async fn open<C: Codec>(job: &Job<C>, backend: &Backend) -> Result<Connection, Failure> {
     let reuse = job.route().kind == wire::routing::Kind::Idempotent && !job.tries.new_only;
-    let idle = if reuse { backend.server.take_idle() } else { None };
-    if let Some(connection) = idle.filter(|connection| connection.usable(REUSE)) {
-        return Ok(connection);
-    }
     let within = CONNECT.min(job.left() / CONNECT_PART);
-    Connection::open(backend.server.address, within)
-        .await
-        .map_err(|failure| Failure::Unsent(failure.cause))
+    let opened = backend.server.connect(reuse.then_some(REUSE), within).await;
+    opened.map_err(|failure| Failure::Unsent(failure.cause))
 }
 
 fn request<C: Codec>(job: &Job<C>, sending: &Sending<'_>) -> Option<Request<Full<bytes::Bytes>>> {
--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -13,9 +13,8 @@
 
 impl<C: Codec> Job<C> {
     /// A try failed: who is to blame, and what is known of the request now.
-    pub fn failed(&mut self, backend: &Arc<Backend>, failure: Failure) {
+    pub fn blame(&mut self, backend: &Arc<Backend>, failure: Failure) {
         let now = clock::steady();
-        self.tries.last = Some(failure);
         match failure {
             Failure::Unsent(cause) => {
                 self.tries.unsent += 1;
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -4,10 +4,12 @@
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
+use entry::carry::{self, Request as _, Step, carry};
 use entry::clock;
 use entry::connection::Cause;
 use hyper::StatusCode;
 use hyper::http::response::Parts;
+use policy::retry::{self, Attempt};
 use wire::refusal::{Code, Refusal};
 
 use crate::attempt::{self, Failure, Reply};
@@ -43,42 +45,15 @@
     /// A refusal; one that says "not run" only if no backend server can have run it.
     pub async fn answer(&mut self) -> Result<Accepted, Refusal> {
         self.window(|window, allowance| window.request(allowance, clock::steady()));
-        loop {
-            let Some(backend) = self.next_backend() else { return self.give_up() };
-            match self.attempt(&backend, self.ask.last_event).await {
-                Ok(reply) => match self.judge(reply).await {
-                    Ok(Some(accepted)) => return Ok(accepted),
-                    Ok(None) => {}
-                    Err(failure) => self.failed(&backend, failure),
-                },
-                Err(failure) => self.failed(&backend, failure),
-            }
-            if !self.may_go_on() {
-                return self.give_up();
-            }
-        }
+        carry(self).await
     }
 
     /// Goes on with a stream that broke, behind the last event that the caller has.
     pub async fn resume(&mut self, last: u64) -> Option<Live> {
-        while self.may_go_on() {
-            let backend = self.next_backend()?;
-            match self.attempt(&backend, Some(last)).await {
-                Ok(reply) if reply.head.status == StatusCode::OK => {
-                    match Live::begin(self, reply, Some(last)).await {
-                        Ok(live) => return Some(live),
-                        Err(failure) => self.failed(&backend, failure),
-                    }
-                }
-                Ok(reply) => {
-                    let status = reply.head.status.as_u16();
-                    drop(reply);
-                    self.failed(&backend, Failure::Lost(Cause::Failed(status)));
-                }
-                Err(failure) => self.failed(&backend, failure),
-            }
+        match self.may_go_on() {
+            true => carry(&mut Resumption { job: self, last }).await.ok(),
+            false => None,
         }
-        None
     }
 
     fn next_backend(&mut self) -> Option<Arc<Backend>> {
@@ -102,7 +77,7 @@
         chosen.inspect(|backend| self.tries.version = Some(backend.version.clone()))
     }
 
-    async fn attempt(
+    async fn try_at(
         &mut self,
         backend: &Arc<Backend>,
         last_event: Option<u64>,
@@ -133,14 +108,45 @@
         let long = u8::from(self.ask.prompt_tokens > ENGINE_LONG_TOKENS);
         is_engine.then_some((own + long - again).min(ENGINE_PRIORITY_MAX))
     }
+}
 
-    /// Whether the request may be sent once more; takes a repeat from the budget if it was sent.
-    pub fn may_go_on(&self) -> bool {
+impl<C: Codec> carry::Request for Job<C> {
+    type Server = Arc<Backend>;
+    type Answer = Accepted;
+    type Failure = Failure;
+
+    fn choose(&mut self) -> Option<Arc<Backend>> {
+        self.next_backend()
+    }
+
+    async fn attempt(&mut self, backend: &Arc<Backend>) -> Step<Accepted, Failure> {
+        let reply = match self.try_at(backend, self.ask.last_event).await {
+            Ok(reply) => reply,
+            Err(failure) => return Step::Failed(failure),
+        };
+        match self.judge(reply).await {
+            Ok(Some(accepted)) => Step::Answered(accepted),
+            Ok(None) => Step::Dropped,
+            Err(failure) => Step::Failed(failure),
+        }
+    }
+
+    fn failed(&mut self, backend: &Arc<Backend>, failure: Failure) {
+        self.blame(backend, failure);
+    }
+
+    /// Takes a repeat from the budget if the request was sent.
+    fn may_go_on(&mut self) -> bool {
         let tries = &self.tries;
-        let safe = self.route().kind.may_repeat() || !tries.may_have_run;
+        let attempt = Attempt {
+            may_repeat: self.route().kind.may_repeat(),
+            first_byte_written: tries.may_have_run,
+            answer_begun: false,
+            left_ms: u64::try_from(self.left().as_millis()).unwrap_or(u64::MAX),
+            expected_ms: 1,
+        };
         let room = tries.sent < self.route().attempts_max && tries.unsent < UNSENT_MAX;
-        safe && room
-            && !self.left().is_zero()
+        room && retry::may_try_elsewhere(&attempt)
             && (tries.sent == 0
                 || tries.paid.swap(false, Ordering::Relaxed)
                 || self.window(|window, allowance| window.take(allowance, clock::steady())))
@@ -163,3 +169,49 @@
         })
     }
 }
+
+/// A stream that goes on elsewhere, in the answer that its caller has begun to read.
+struct Resumption<'a, C> {
+    job: &'a mut Job<C>,
+    /// The last event that the caller has.
+    last: u64,
+}
+
+impl<C: Codec> carry::Request for Resumption<'_, C> {
+    type Server = Arc<Backend>;
+    type Answer = Live;
+    type Failure = Failure;
+
+    fn choose(&mut self) -> Option<Arc<Backend>> {
+        self.job.next_backend()
+    }
+
+    async fn attempt(&mut self, backend: &Arc<Backend>) -> Step<Live, Failure> {
+        let last = Some(self.last);
+        let reply = match self.job.try_at(backend, last).await {
+            Ok(reply) => reply,
+            Err(failure) => return Step::Failed(failure),
+        };
+        let status = reply.head.status;
+        if status != StatusCode::OK {
+            return Step::Failed(Failure::Lost(Cause::Failed(status.as_u16())));
+        }
+        match Live::begin(self.job, reply, last).await {
+            Ok(live) => Step::Answered(live),
+            Err(failure) => Step::Failed(failure),
+        }
+    }
+
+    fn failed(&mut self, backend: &Arc<Backend>, failure: Failure) {
+        self.job.blame(backend, failure);
+    }
+
+    fn may_go_on(&mut self) -> bool {
+        self.job.may_go_on()
+    }
+
+    /// The caller is told by a connection that closes before the stream's end.
+    fn give_up(&mut self) -> Result<Live, Refusal> {
+        Err(Refusal::may_have_run(Code::BackendFailed, "the stream broke off"))
+    }
+}
--- a/crates/gateway/src/index.rs
+++ b/crates/gateway/src/index.rs
@@ -72,12 +72,6 @@
     pub fn has_accounts(&self) -> bool {
         !self.accounts.is_empty()
     }
-
-    /// Routes that a service serves, for the loss of one.
-    #[must_use]
-    pub fn route_count(&self) -> usize {
-        self.routes.values().map(Vec::len).sum()
-    }
 }
 
 fn timings(route: &Route) -> Vec<Name> {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -12,7 +12,6 @@
 use policy::repeat::{Allowance, Window};
 use wire::routing::Route;
 
-use crate::attempt::Failure;
 use crate::backend::Backend;
 use crate::codec::{Ask, Codec};
 use crate::index::Known;
@@ -73,8 +72,6 @@
     pub new_only: bool,
     /// A backend server's own failure, if nothing better comes.
     pub failure: Option<(Parts, Bytes)>,
-    /// Why the last try failed.
-    pub last: Option<Failure>,
     /// The next try has been paid for.
     pub paid: AtomicBool,
     /// The last try has begun to answer, and counts as sent.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -150,7 +150,7 @@
             Err(end) => return finish(&job, &live, end),
         };
         let backend = Arc::clone(&live.backend);
-        job.failed(&backend, Failure::Lost(cause));
+        job.blame(&backend, Failure::Lost(cause));
         let last = live.splitter.last();
         let events = live.events;
         // Closes the old run's connection before another run begins.
