--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -17,7 +17,10 @@
         let now = clock::steady();
         match failure {
             Failure::Unsent(cause) => {
-                self.tries.unsent += 1;
+                match cause {
+                    Cause::Refused => self.tries.refused += 1,
+                    _ => self.tries.unsent += 1,
+                }
                 match cause {
                     Cause::Refused => backend.note_refused(now),
                     Cause::Silent => {
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -20,8 +20,11 @@
 use crate::refuse;
 use crate::relay::Live;
 
-/// Connections that may fail to open before a request is given up.
+/// Connections that may fail to open for want of an answer before a request is given up.
 const UNSENT_MAX: u32 = 4;
+/// The same of connections that are refused at once. When half of a pool's servers crash together
+/// four refusals in a row are common, and each costs the request a millisecond.
+const REFUSED_MAX: u32 = 24;
 /// What an engine is told of the most urgent requests; 0 is left for what must go on.
 const ENGINE_URGENT: u8 = 3;
 /// What it is told of requests asked again of a larger model: work was spent on them already.
@@ -62,7 +65,7 @@
         let now = clock::steady();
         let version = match &self.tries.version {
             // A stream and a session stay on their version while it has another server.
-            Some(version) if pool.of(version).next().is_some() => version.clone(),
+            Some(version) if pool.keeps(version) => version.clone(),
             _ => pool.version(self.subject(), now).clone(),
         };
         let stopped = pool
@@ -145,7 +148,9 @@
             left_ms: u64::try_from(self.left().as_millis()).unwrap_or(u64::MAX),
             expected_ms: 1,
         };
-        let room = tries.sent < self.route().attempts_max && tries.unsent < UNSENT_MAX;
+        let room = tries.sent < self.route().attempts_max
+            && tries.unsent < UNSENT_MAX
+            && tries.refused < REFUSED_MAX;
         room && retry::may_try_elsewhere(&attempt)
             && (tries.sent == 0
                 || tries.paid.swap(false, Ordering::Relaxed)
--- a/crates/gateway/src/end.rs
+++ b/crates/gateway/src/end.rs
@@ -43,7 +43,7 @@
     log::info!(target: "route", request:% = job.ask.id, route:% = route, service:% = job.service,
         version:% = shown(tries.version.as_ref()), backend:% = shown(tries.backend.as_ref()),
         model:% = shown(job.model()), doubted:% = shown(tries.doubted), sent = tries.sent,
-        unsent = tries.unsent, not_run = tries.not_run, events,
+        unsent = tries.unsent, refused = tries.refused, not_run = tries.not_run, events,
         prompt = job.ask.prompt_tokens, first_ms = tries.begun_ms, ms = ms as u64,
         table = job.state.world.load().index.version, outcome:? = end; "request ended");
 }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -52,8 +52,10 @@
 pub struct Tries {
     /// Backend servers that it was sent to.
     pub sent: u32,
-    /// Connections that did not open.
+    /// Connections that did not open in time.
     pub unsent: u32,
+    /// Connections that were refused.
+    pub refused: u32,
     /// It may have run.
     pub may_have_run: bool,
     /// Tries that backend servers did not run.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -76,6 +76,18 @@
         self.backends.iter().filter(move |backend| backend.version == *version)
     }
 
+    /// Whether a stream or session that is on a version stays there.
+    ///
+    /// When a roll-out has succeeded the servers of the version before are stopped without a word,
+    /// and are listed for some seconds more. A stream that was cut by that and asked those servers
+    /// one after another would have used up its tries before it came to one that lives.
+    #[must_use]
+    pub fn keeps(&self, version: &Name) -> bool {
+        let succeeded = self.rollout.as_ref().filter(|rollout| rollout.stage == Stage::Done);
+        let is_stopped = succeeded.is_some_and(|rollout| rollout.target != *version);
+        !is_stopped && self.of(version).next().is_some()
+    }
+
     /// The version that a request may go to instead when this one has no server left for it.
     ///
     /// From a trial it falls back on the version before. Never the other way round while the
--- /dev/null
+++ b/crates/node/src/follow.rs
@@ -0,0 +1,159 @@
+//! One list of the store as this host follows it: by itself, or through the host that reads it.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use policy::domain;
+use policy::name::Name;
+use policy::relay::{Bounds, Duty, Relay};
+use policy::time::Millis;
+use tokio::sync::Notify;
+
+use crate::history::History;
+use crate::store::{List, News};
+
+/// Changes told with a standing at most; more are had by a call.
+const TOLD_MAX: usize = 4;
+
+domain! {
+    /// How new a host's state of a list is, as it tells the others.
+    pub struct Standing {
+        /// The list.
+        pub list: List,
+        /// The store's revision that it knows.
+        pub revision: u64,
+        /// That of the list's newest change: a host that knows the list as of then lacks nothing.
+        pub changed: u64,
+        /// How long ago it read that, in milliseconds.
+        pub age_ms: u64,
+        /// What it has last read, if that is little.
+        #[serde(default)]
+        pub changes: Option<Changes>,
+    }
+
+    /// All changes of a list behind a revision.
+    pub struct Changes {
+        /// The revision.
+        pub after: u64,
+        /// The changes.
+        pub news: News,
+    }
+}
+
+/// A list that is followed.
+pub struct Follow {
+    /// Which.
+    pub list: List,
+    history: Mutex<History>,
+    relay: Mutex<Relay>,
+    read_at: Mutex<Option<Millis>>,
+    /// The revision before the last news.
+    before: Mutex<u64>,
+    wake: Notify,
+    /// News are being taken from another host; one call at a time is enough.
+    taking: AtomicBool,
+}
+
+impl Follow {
+    /// Nothing read yet.
+    #[must_use]
+    pub fn new(list: List, bounds: Bounds, host: &Name, now: Millis) -> Self {
+        Self {
+            list,
+            history: Mutex::default(),
+            relay: Mutex::new(Relay::new(bounds, host, list.name(), now)),
+            read_at: Mutex::default(),
+            before: Mutex::default(),
+            wake: Notify::new(),
+            taking: AtomicBool::new(false),
+        }
+    }
+
+    /// Who reads it.
+    pub fn relay(&self) -> MutexGuard<'_, Relay> {
+        lock(&self.relay)
+    }
+
+    /// What to do now.
+    pub fn duty(&self, now: Millis) -> Duty {
+        self.relay().duty(now)
+    }
+
+    /// Waits, but no longer than until something changes what is to be done.
+    pub async fn wait(&self, within: Duration) {
+        // Woken or not, what is to be done is looked at anew.
+        let _ = tokio::time::timeout(within, self.wake.notified()).await;
+    }
+
+    /// Makes whoever waits look anew.
+    pub fn wake(&self) {
+        self.wake.notify_one();
+    }
+
+    /// The newest revision taken in; none before it was read.
+    #[must_use]
+    pub fn revision(&self) -> Option<u64> {
+        lock(&self.history).revision()
+    }
+
+    /// News were taken in, of the whole list or of changes.
+    pub fn taken(&self, news: &News, whole: bool) {
+        let mut history = lock(&self.history);
+        if !news.entries.is_empty() {
+            *lock(&self.before) = history.revision().unwrap_or_default();
+        }
+        match whole {
+            true => history.begin(news.revision),
+            false => history.add(news),
+        }
+    }
+
+    /// Changes behind a revision, if all are known.
+    #[must_use]
+    pub fn behind(&self, revision: u64) -> Option<News> {
+        lock(&self.history).behind(revision)
+    }
+
+    /// News are to be taken from another host; false if that is under way.
+    pub fn begin_taking(&self) -> bool {
+        !self.taking.swap(true, Ordering::Relaxed)
+    }
+
+    /// News were taken, or were not to be had.
+    pub fn end_taking(&self) {
+        self.taking.store(false, Ordering::Relaxed);
+    }
+
+    /// This host has read the list.
+    pub fn read(&self, now: Millis) {
+        *lock(&self.read_at) = Some(now);
+        self.relay().read(now);
+    }
+
+    /// What this host tells the others, if it reads for them.
+    #[must_use]
+    pub fn standing(&self, now: Millis) -> Option<Standing> {
+        if !self.relay().reads_for_others(now) {
+            return None;
+        }
+        let read_at = (*lock(&self.read_at))?;
+        let revision = self.revision()?;
+        let changed = lock(&self.history).changed();
+        let age_ms = now.since(read_at);
+        let changes = self.changes();
+        Some(Standing { list: self.list, revision, changed, age_ms, changes })
+    }
+
+    /// The last news, if they are few. Tables of routes are not told: they are seldom small.
+    fn changes(&self) -> Option<Changes> {
+        let after = *lock(&self.before);
+        let news = self.behind(after)?;
+        let is_little = self.list == List::Backends && news.entries.len() <= TOLD_MAX;
+        (is_little && !news.entries.is_empty()).then_some(Changes { after, news })
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,7 +7,10 @@
 //! [`store::Store`].
 
 pub mod error;
+pub mod exchange;
 pub mod facts;
+pub mod follow;
+pub mod history;
 pub mod operators;
 pub mod peers;
 pub mod process;
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpListener;
 
 use crate::facts::Facts;
+use crate::follow::Follow;
 use crate::status::Status;
 
 /// What is asked about.
@@ -23,6 +24,8 @@
     pub state: Arc<State<C>>,
     /// What was read from the store.
     pub facts: Arc<Facts>,
+    /// How its lists are followed.
+    pub follows: Arc<[Follow; 2]>,
     /// The metrics' recorder.
     pub metrics: PrometheusHandle,
 }
@@ -84,7 +87,7 @@
 
 /// What this host believes, and since when.
 fn status<C: Codec>(subject: &Subject<C>) -> String {
-    let status = Status::of(&subject.state, &subject.facts, clock::steady());
+    let status = Status::of(&subject.state, &subject.facts, &*subject.follows, clock::steady());
     match serde_json::to_string(&status) {
         Ok(text) => text,
         Err(error) => {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -22,8 +22,10 @@
 use tokio::sync::mpsc;
 use wire::store::Error;
 
+use crate::follow::Standing;
 use crate::record;
-use crate::store::Store;
+use crate::store::{List, Store};
+use crate::watch::Watch;
 
 /// The table in which hosts are listed, by failure domain and name.
 const TABLE: &str = "nodes";
@@ -50,8 +52,12 @@
     #[derive(Default)]
     #[serde(default)]
     pub struct Message {
+        /// The sender's name.
+        pub host: Name,
         /// Prompts that were just sent.
         pub words: Vec<Word>,
+        /// How new the lists are that the sender reads for the others.
+        pub standings: Vec<Standing>,
     }
 
     /// A host's own row: where it listens.
@@ -67,17 +73,17 @@
     pub host: Name,
     /// Where it stands.
     pub failure_domain: Name,
-    /// The store, for finding the others.
-    pub store: Arc<S>,
+    /// The store, for finding the others, and its lists.
+    pub watch: Arc<Watch<S, C>>,
     /// What requests share.
     pub state: Arc<State<C>>,
-    /// Where messages come and go.
+    /// Where messages come and go; news are had at the same address by TCP.
     pub socket: UdpSocket,
 }
 
 impl<S: Store, C: Codec> Peers<S, C> {
     /// Exchanges words until the process ends.
-    pub async fn run(self, mut words: mpsc::Receiver<Word>) {
+    pub async fn run(self, mut words: mpsc::Receiver<Word>, mut read: mpsc::Receiver<List>) {
         let mut known: HashMap<SocketAddr, Millis> = HashMap::new();
         let mut greeted = tokio::time::Instant::now();
         let mut buffer = vec![0; MESSAGE_BYTES];
@@ -85,33 +91,49 @@
             known.insert(address, clock::steady());
         }
         log::info!(target: "peers", domain:% = self.failure_domain, found = known.len(); "peers found");
-        self.send(known.keys().copied().collect(), &Message::default()).await;
+        self.send(known.keys().copied().collect(), self.message()).await;
         loop {
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => match received {
-                    Ok((length, from)) => self.take(&buffer[..length], from, &mut known),
+                    Ok((length, from)) => {
+                        // It knows this host's address from the store, but not yet its name.
+                        if self.take(&buffer[..length], from, &mut known) {
+                            self.send(vec![from], self.message()).await;
+                        }
+                    }
                     // A host that is gone; it is forgotten when nothing more is heard of it.
                     Err(error) => log::debug!(target: "peers", error:% = error; "message lost"),
                 },
                 Some(word) = words.recv() => {
                     tokio::time::sleep(GATHER).await;
-                    let mut message = Message { words: vec![word] };
+                    let mut message = Message { host: self.host.clone(), ..Message::default() };
+                    message.words.push(word);
                     while message.words.len() < WORDS_MAX {
                         let Ok(word) = words.try_recv() else { break };
                         message.words.push(word);
                     }
-                    self.send(some(&known), &message).await;
+                    self.send(some(&known), message).await;
+                }
+                Some(_) = read.recv() => {
+                    let message = self.message();
+                    if !message.standings.is_empty() {
+                        self.send(known.keys().copied().collect(), message).await;
+                    }
                 }
                 () = tokio::time::sleep_until(greeted + EVERY) => {
                     greeted = tokio::time::Instant::now();
                     let now = clock::steady();
                     known.retain(|_, heard| now.since(*heard) < FORGET_MS);
-                    self.send(known.keys().copied().collect(), &Message::default()).await;
+                    self.send(known.keys().copied().collect(), self.message()).await;
                 }
             }
         }
     }
 
+    fn message(&self) -> Message {
+        Message { host: self.host.clone(), words: Vec::new(), standings: self.watch.standings() }
+    }
+
     /// Lists this host and finds the others that are listed. Of two hosts that start together the
     /// one that reads later finds the other, and makes itself known to it.
     async fn find(&self) -> Vec<SocketAddr> {
@@ -131,8 +153,8 @@
         let prefix = format!("{}/", self.failure_domain);
         let listed = record::write(&Listed { address: own }).map_err(Error::Malformed)?;
         let key = Name::from(format!("{prefix}{}", self.host));
-        self.store.commit(&record::change(TABLE, key, None, listed), None).await?;
-        let rows = self.store.rows(TABLE, &prefix).await?;
+        self.watch.store.commit(&record::change(TABLE, key, None, listed), None).await?;
+        let rows = self.watch.store.rows(TABLE, &prefix).await?;
         let addresses = rows.rows.iter().filter_map(|row| {
             let listed = record::read::<Listed>(&row.value);
             let listed = listed.inspect_err(|error| {
@@ -143,18 +165,31 @@
         Ok(addresses.filter(|address| *address != own).take(PEERS_MAX).collect())
     }
 
-    fn take(&self, bytes: &[u8], from: SocketAddr, known: &mut HashMap<SocketAddr, Millis>) {
+    /// Takes a message; true if its sender was not known before.
+    fn take(
+        &self,
+        bytes: &[u8],
+        from: SocketAddr,
+        known: &mut HashMap<SocketAddr, Millis>,
+    ) -> bool {
         let now = clock::steady();
         let message: Message = match serde_json::from_slice(bytes) {
             Ok(message) => message,
             Err(error) => {
                 log::debug!(target: "peers", from:% = from, error:% = error; "message unreadable");
-                return;
+                return false;
             }
         };
+        let is_new = !known.contains_key(&from) && known.len() < PEERS_MAX;
         if known.len() < PEERS_MAX || known.contains_key(&from) {
             known.insert(from, now);
         }
+        if !message.host.is_empty() {
+            self.watch.met(&message.host);
+        }
+        for standing in message.standings {
+            self.watch.told(&message.host, from, standing);
+        }
         let world = self.state.world.load();
         for word in &message.words {
             let backends = world.pools.values().flat_map(|pool| &pool.backends);
@@ -163,20 +198,11 @@
             }
         }
         metrics::counter!("node_peer_words_total").increment(message.words.len() as u64);
+        is_new
     }
 
-    async fn send(&self, to: Vec<SocketAddr>, message: &Message) {
-        let bytes = match serde_json::to_vec(message) {
-            Ok(bytes) if bytes.len() <= MESSAGE_BYTES => bytes,
-            Ok(bytes) => {
-                log::warn!(target: "peers", bytes = bytes.len(); "message too long, not sent");
-                return;
-            }
-            Err(error) => {
-                log::warn!(target: "peers", error:% = error; "message not written");
-                return;
-            }
-        };
+    async fn send(&self, to: Vec<SocketAddr>, message: Message) {
+        let Some(bytes) = write(message) else { return };
         for address in to {
             if let Err(error) = self.socket.send_to(&bytes, address).await {
                 log::debug!(target: "peers", to:% = address, error:% = error; "message not sent");
@@ -185,6 +211,29 @@
     }
 }
 
+/// A message as it is sent: without changes if it is too long with them, which are then had by a
+/// call; without words if it is too long still, which are hints only.
+fn write(mut message: Message) -> Option<Vec<u8>> {
+    let shorten: [fn(&mut Message); 3] = [
+        |_| {},
+        |message| message.standings.iter_mut().for_each(|standing| standing.changes = None),
+        |message| message.words.clear(),
+    ];
+    for step in shorten {
+        step(&mut message);
+        match serde_json::to_vec(&message) {
+            Ok(bytes) if bytes.len() <= MESSAGE_BYTES => return Some(bytes),
+            Ok(_) => {}
+            Err(error) => {
+                log::warn!(target: "peers", error:% = error; "message not written");
+                return None;
+            }
+        }
+    }
+    log::warn!(target: "peers", "message too long, not sent");
+    None
+}
+
 /// All hosts known, or as many as are told at once.
 fn some(known: &HashMap<SocketAddr, Millis>) -> Vec<SocketAddr> {
     let mut all: Vec<SocketAddr> = known.keys().copied().collect();
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -2,9 +2,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use entry::callers;
+use entry::{callers, clock};
 use gateway::{Codec, State};
 use metrics_exporter_prometheus::PrometheusHandle;
 use policy::repeat::Allowance;
@@ -16,12 +17,14 @@
 use wire::settings;
 
 use crate::error::Error;
+use crate::exchange;
 use crate::facts::Facts;
+use crate::follow::Follow;
 use crate::operators::{self, Subject};
 use crate::peers::Peers;
 use crate::rollout::Rollouts;
 use crate::store::{List, Store};
-use crate::watch::Watch;
+use crate::watch::{self, Watch};
 
 /// Hosts that share the repeats beyond the share, at least. A host does not count the others: a
 /// wrong count would break the bound, and few repeats are lost by assuming many hosts.
@@ -32,6 +35,10 @@
 /// After the signal to stop new connections are still taken for a while: the balancer goes on
 /// sending them until it has seen twice, a second apart, that the process is not ready.
 const LINGER: Duration = Duration::from_millis(2_600);
+/// Ports tried that are free for both UDP and TCP.
+const PORT_TRIES: u32 = 16;
+/// Lists just read whose news wait to be told.
+const TOLD: usize = 8;
 /// Words to other hosts that wait to be sent.
 const WORDS: usize = 64;
 /// Kept of the time to stop, for the process's own end.
@@ -45,8 +52,8 @@
     pub operators: TcpListener,
     /// Metrics on an address of their own.
     pub metrics: Option<TcpListener>,
-    /// Words of the other hosts of the failure domain.
-    pub peers: Option<UdpSocket>,
+    /// Words of the other hosts of the failure domain, and their questions for news.
+    pub peers: Option<(UdpSocket, TcpListener)>,
 }
 
 impl Listeners {
@@ -60,10 +67,7 @@
             None => None,
         };
         let peers = match settings.peers {
-            Some(address) => {
-                let bound = UdpSocket::bind(address).await;
-                Some(bound.map_err(|error| Error::Listen(address, error))?)
-            }
+            Some(address) => Some(bind_both(address).await?),
             None => None,
         };
         let callers = bind(settings.listen).await?;
@@ -75,6 +79,22 @@
     TcpListener::bind(address).await.map_err(|error| Error::Listen(address, error))
 }
 
+/// The same port by UDP and by TCP.
+async fn bind_both(address: SocketAddr) -> Result<(UdpSocket, TcpListener), Error> {
+    let mut tries = if address.port() == 0 { PORT_TRIES } else { 1 };
+    loop {
+        tries -= 1;
+        let listener = bind(address).await?;
+        let bound = listener.local_addr().map_err(|error| Error::Listen(address, error))?;
+        match UdpSocket::bind(bound).await {
+            Ok(socket) => return Ok((socket, listener)),
+            // A port chosen by the system for the one may be taken for the other.
+            Err(_) if tries > 0 => {}
+            Err(error) => return Err(Error::Listen(bound, error)),
+        }
+    }
+}
+
 /// How often this host may send requests again.
 #[must_use]
 pub fn allowance(settings: &settings::Node) -> Allowance {
@@ -98,14 +118,21 @@
     let state = Arc::new(State::new(codec, allowance(&settings), words, stop.clone()));
     let facts = Arc::new(Facts::new(settings.failure_domain.clone()));
     let (orders, ordered) = mpsc::unbounded_channel();
+    let (read, told_lists) = mpsc::channel(TOLD);
+    let (changes_within, now) = (watch::bounds(&settings), clock::steady());
+    let follow = |list| Follow::new(list, changes_within, &settings.name, now);
     let watch = Arc::new(Watch {
         store: Arc::new(store),
         facts: Arc::clone(&facts),
         state: Arc::clone(&state),
         orders,
+        follows: Arc::new(List::ALL.map(follow)),
+        told: read,
+        fresh: AtomicU64::new(0),
     });
     let rollouts = Rollouts { host: settings.name.clone(), watch: Arc::clone(&watch) };
-    let subject = Arc::new(Subject { state: Arc::clone(&state), facts, metrics });
+    let follows = Arc::clone(&watch.follows);
+    let subject = Arc::new(Subject { state: Arc::clone(&state), facts, follows, metrics });
     let mut background = vec![
         spawn(Arc::clone(&watch).run(List::Operators)),
         spawn(Arc::clone(&watch).run(List::Backends)),
@@ -116,15 +143,16 @@
     if let Some(listener) = listeners.metrics {
         background.push(spawn(operators::serve(listener, subject)));
     }
-    if let Some(socket) = listeners.peers {
+    if let Some((socket, listener)) = listeners.peers {
         let peers = Peers {
             host: settings.name.clone(),
             failure_domain: settings.failure_domain.clone(),
-            store: Arc::clone(&watch.store),
+            watch: Arc::clone(&watch),
             state: Arc::clone(&state),
             socket,
         };
-        background.push(spawn(peers.run(told)));
+        background.push(spawn(peers.run(told, told_lists)));
+        background.push(spawn(exchange::serve(listener, Arc::clone(&watch))));
     }
     let close = CancellationToken::new();
     let connections = TaskTracker::new();
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -9,6 +9,7 @@
 use policy::time::Millis;
 
 use crate::facts::Facts;
+use crate::follow::Follow;
 
 domain! {
     /// What `GET /status` says.
@@ -22,6 +23,9 @@
         pub backends_revision: u64,
         /// How long ago each of the store's lists last answered, in milliseconds.
         pub store_age_ms: BTreeMap<Name, u64>,
+        /// Whether this host reads each of the store's lists itself, for others or for itself
+        /// alone; else it takes them from the host of its failure domain that does.
+        pub reads: BTreeMap<Name, bool>,
         /// By service.
         pub services: BTreeMap<Name, Service>,
         /// Requests under way.
@@ -71,7 +75,7 @@
 impl Status {
     /// As it is now.
     #[must_use]
-    pub fn of<C: Codec>(state: &State<C>, facts: &Facts, now: Millis) -> Self {
+    pub fn of<C: Codec>(state: &State<C>, facts: &Facts, follows: &[Follow], now: Millis) -> Self {
         let world = state.world.load();
         let services = world.pools.iter().map(|(name, pool)| (name.clone(), service(pool, now)));
         let requests = state.in_flight.load(std::sync::atomic::Ordering::Relaxed);
@@ -80,6 +84,7 @@
             table_age_ms: facts.table_at().map(|at| now.since(at)),
             backends_revision: world.revision,
             store_age_ms: facts.heard(now),
+            reads: follows.iter().map(|f| (Name::from(f.list.name()), f.relay().reads())).collect(),
             services: services.collect(),
             requests: requests as u64,
         }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -2,20 +2,59 @@
 
 use std::time::Duration;
 
+use policy::domain;
 use policy::name::Name;
 use wire::routing::{Backend, Order, Progress, Table};
 use wire::store::{Error, Outcome, Rows, Transaction};
 
-/// A list that the store keeps for us to read.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum List {
-    /// The table of routes, and orders to change versions.
-    Operators,
-    /// Backend servers, as they report themselves.
-    Backends,
+domain! {
+    /// A list that the store keeps for us to read.
+    #[derive(Copy, Eq, Ord, PartialOrd)]
+    pub enum List {
+        /// The table of routes, and orders to change versions.
+        Operators,
+        /// Backend servers, as they report themselves.
+        Backends,
+    }
+
+    /// What an entry of a list says.
+    pub enum Fact {
+        /// The table of routes.
+        Table(Box<Table>),
+        /// An order to change a version.
+        Order(Order),
+        /// A backend server.
+        Backend(Backend),
+        /// The entry was removed.
+        Removed,
+        /// It can't be read; why.
+        Unreadable(String),
+    }
+
+    /// An entry of a list.
+    pub struct Entry {
+        /// Its key; of a backend server its id.
+        pub key: Name,
+        /// Of its last change.
+        pub revision: u64,
+        /// What it says.
+        pub fact: Fact,
+    }
+
+    /// Entries of a list.
+    #[derive(Default)]
+    pub struct News {
+        /// All of them, or those changed, oldest change first.
+        pub entries: Vec<Entry>,
+        /// The store's newest revision at that moment.
+        pub revision: u64,
+    }
 }
 
 impl List {
+    /// All lists.
+    pub const ALL: [Self; 2] = [Self::Operators, Self::Backends];
+
     /// For people.
     #[must_use]
     pub fn name(self) -> &'static str {
@@ -26,41 +65,6 @@
     }
 }
 
-/// What an entry of a list says.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Fact {
-    /// The table of routes.
-    Table(Box<Table>),
-    /// An order to change a version.
-    Order(Order),
-    /// A backend server.
-    Backend(Backend),
-    /// The entry was removed.
-    Removed,
-    /// It can't be read; why.
-    Unreadable(String),
-}
-
-/// An entry of a list.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
-    /// Its key; of a backend server its id.
-    pub key: Name,
-    /// Of its last change.
-    pub revision: u64,
-    /// What it says.
-    pub fact: Fact,
-}
-
-/// Entries of a list.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct News {
-    /// All of them, or those changed, oldest change first.
-    pub entries: Vec<Entry>,
-    /// The store's newest revision at that moment.
-    pub revision: u64,
-}
-
 /// What operators are told of an order.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Report {
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -1,22 +1,29 @@
 //! Follows the store's lists, and makes the world anew when they change.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use entry::clock;
 use gateway::{Codec, State};
 use policy::name::Name;
+use policy::relay::{Bounds, Duty};
+use policy::time::Millis;
 use tokio::sync::mpsc;
+use wire::routing::Table;
 use wire::store::Error;
 
+use crate::exchange;
 use crate::facts::Facts;
+use crate::follow::{Changes, Follow, Standing};
 use crate::store::{Entry, Fact, List, News, Store};
 
-/// How long the store may hold a question back while nothing changes. A connection that has gone
-/// silent shows only after that, and a change must be in force within seconds; each question has
-/// its price, and all hosts ask. Shorter than the three heartbeats after which a silent server's
-/// entry lapses, so that an outage long enough for that is noticed.
-const WAIT: Duration = Duration::from_millis(3_500);
+/// How long the store may hold a question of a host that reads for itself alone back while nothing
+/// changes, in milliseconds. A connection that has gone silent shows only after that, and each
+/// question has its price. Shorter than the three heartbeats after which a silent server's entry
+/// lapses, so that an outage long enough for that is noticed.
+const ALONE_MS: u64 = 3_500;
 /// An answer that comes so much later than the store was asked to hold it back comes from a store
 /// that was away meanwhile.
 const LATE: Duration = Duration::from_millis(150);
@@ -24,6 +31,11 @@
 /// go together; one question for each of them would make most of a large fleet's calls. Work must
 /// not go to a leaving server for longer than about two seconds.
 const GATHER: Duration = Duration::from_secs(1);
+/// The same of a host that reads for the others: one question of it saves one of each of them.
+const GATHER_FOR_OTHERS: Duration = Duration::from_millis(300);
+/// A table with more routes and keys than this is had from the store by each host: its link is
+/// wider than a host's.
+const RELAYED_MAX: usize = 250;
 /// Pause after a failed call, first and longest; drawn from half of it up to all of it.
 const PAUSE_MS: u64 = 100;
 const PAUSE_MAX_MS: u64 = 800;
@@ -38,6 +50,18 @@
     pub state: Arc<State<C>>,
     /// Services whose orders are new.
     pub orders: mpsc::UnboundedSender<Name>,
+    /// The lists.
+    pub follows: Arc<[Follow; 2]>,
+    /// Lists that were just read, for the others of the failure domain.
+    pub told: mpsc::Sender<List>,
+    /// When the store's state was last known to be new, by any list.
+    pub fresh: AtomicU64,
+}
+
+/// How long changes may take, as the settings say.
+#[must_use]
+pub fn bounds(settings: &wire::settings::Node) -> Bounds {
+    Bounds { change_ms: settings.change_ms.min(settings.leaving_ms), alone_ms: ALONE_MS }
 }
 
 impl<S: Store, C: Codec> Watch<S, C> {
@@ -46,90 +70,226 @@
         self.state.world.store(Arc::new(self.facts.world(clock::steady())));
     }
 
+    /// A list as it is followed.
+    pub fn follow(&self, list: List) -> &Follow {
+        match list {
+            List::Operators => &self.follows[0],
+            List::Backends => &self.follows[1],
+        }
+    }
+
     /// Follows one list until the process ends.
     pub async fn run(self: Arc<Self>, list: List) {
+        let follow = self.follow(list);
         let mut pause_ms = PAUSE_MS;
-        let mut after = None;
         let mut reached = true;
         loop {
-            // A question that was asked while the store was silent is never answered. Until it has
-            // answered again nothing is held back, so that its return is heard at once.
-            let wait = if reached { WAIT } else { Duration::ZERO };
+            let hold = match follow.duty(clock::steady()) {
+                Duty::Read { hold_ms } => Duration::from_millis(hold_ms),
+                Duty::Listen { until } => {
+                    let within = Duration::from_millis(until.since(clock::steady()).max(1));
+                    follow.wait(within).await;
+                    continue;
+                }
+            };
             let asked = clock::steady();
+            let after = follow.revision();
             let news = match after {
                 None => self.store.read(list).await,
-                Some(after) => self.store.follow(list, after, wait).await,
+                Some(after) => self.store.follow(list, after, hold).await,
             };
             let outcome = news.as_ref().map_or_else(Error::label, |_| "answered");
             metrics::counter!("node_store_calls_total", "list" => list.name(), "outcome" => outcome)
                 .increment(1);
-            let held_back = Duration::from_millis(clock::steady().since(asked));
-            if held_back > wait + LATE {
-                self.away();
+            let took = Duration::from_millis(clock::steady().since(asked));
+            if took > hold + LATE {
+                self.away(list);
             }
-            match news {
-                Ok(news) => {
-                    self.facts.set_heard(list.name(), clock::steady());
+            let gathers = match self.hear(list, news, after.is_none()) {
+                Ok(is_news) => {
                     if !reached {
                         log::info!(target: "watch", list:? = list; "store regained");
                     }
                     reached = true;
                     pause_ms = PAUSE_MS;
-                    self.facts.with_roster(|roster| roster.reached(clock::steady()));
-                    let is_news = !news.entries.is_empty();
-                    after = self.take(list, news, after.is_none());
-                    if after.is_some() {
-                        if is_news && list == List::Backends {
-                            tokio::time::sleep(GATHER).await;
-                        }
-                        continue;
-                    }
-                }
-                Err(Error::Forgotten) => {
-                    log::info!(target: "watch", list:? = list, after:? = after;
-                        "history dropped, read afresh");
-                    after = None;
+                    is_news && list == List::Backends
                 }
                 Err(error) => {
                     if reached {
                         log::warn!(target: "watch", list:? = list, error:% = error; "store lost");
                     }
                     reached = false;
-                    self.away();
+                    // Until the store has answered again nothing is held back: a question asked
+                    // while it is silent is never answered, and its return must be heard at once.
+                    follow.relay().failed(pause_ms, rand::random(), clock::steady());
+                    pause_ms = (pause_ms * 2).min(PAUSE_MAX_MS);
+                    false
                 }
+            };
+            if gathers {
+                let for_others = follow.relay().reads_for_others(clock::steady());
+                tokio::time::sleep(if for_others { GATHER_FOR_OTHERS } else { GATHER }).await;
             }
-            let draw: f64 = rand::random();
-            tokio::time::sleep(Duration::from_millis(pause_ms).mul_f64(0.5 + draw / 2.0)).await;
-            pause_ms = (pause_ms * 2).min(PAUSE_MAX_MS);
         }
     }
 
-    /// The store is away, or was. Entries that lapse meanwhile are no deaths.
-    fn away(&self) {
-        self.facts.with_roster(|roster| roster.away(clock::steady()));
+    /// What the store answered; whether it was news.
+    fn hear(&self, list: List, news: Result<News, Error>, whole: bool) -> Result<bool, Error> {
+        let follow = self.follow(list);
+        let news = match news {
+            Ok(news) => news,
+            Err(Error::Forgotten) => {
+                log::info!(target: "watch", list:? = list; "history dropped, read afresh");
+                follow.taken(&News::default(), true);
+                return Ok(false);
+            }
+            Err(error) => {
+                self.away(list);
+                return Err(error);
+            }
+        };
+        self.reached(list, clock::steady());
+        let is_news = !news.entries.is_empty();
+        if !self.take(list, &news, whole) {
+            // Read afresh in a moment: the store has answered from an old state.
+            follow.relay().failed(PAUSE_MS, rand::random(), clock::steady());
+            return Ok(false);
+        }
+        follow.read(clock::steady());
+        if self.told.try_send(list).is_err() {
+            // The sender is behind; the others hear with the next read, or read for themselves.
+            metrics::counter!("node_relay_untold_total").increment(1);
+        }
+        Ok(is_news)
     }
 
-    /// Takes what came; the revision to go on behind, or none if it is older than what is known.
-    fn take(&self, list: List, news: News, whole: bool) -> Option<u64> {
-        let revision = news.revision;
+    /// The store's state was new at that time, as this host read or was told.
+    ///
+    /// Entries lapse only while the store is away for their servers, and then it is away for the
+    /// hosts as well. A host that reads alone knows that from its calls. Among others a call that
+    /// fails says nothing: another host has read meanwhile. To take that for an absence would keep
+    /// servers in use for seconds that had really left.
+    fn reached(&self, list: List, fresh: Millis) {
+        self.facts.set_heard(list.name(), clock::steady());
+        let before = Millis(self.fresh.fetch_max(fresh.0, Ordering::Relaxed));
+        let relay = self.follow(list).relay();
+        let (is_alone, away_ms) = (relay.is_alone(clock::steady()), relay.away_ms());
+        drop(relay);
+        let was_away = !is_alone && before > Millis(0) && fresh.since(before) > away_ms;
+        if was_away {
+            log::info!(target: "watch", list:? = list, without_ms = fresh.since(before);
+                "the store was away for all hosts of the domain");
+        }
+        self.facts.with_roster(|roster| {
+            if was_away {
+                roster.away(before);
+            }
+            roster.reached(clock::steady());
+        });
+    }
+
+    /// What this host tells the others of the lists that it reads.
+    #[must_use]
+    pub fn standings(&self) -> Vec<Standing> {
+        let now = clock::steady();
+        self.follows.iter().filter_map(|follow| follow.standing(now)).collect()
+    }
+
+    /// Another host of the failure domain is there.
+    pub fn met(&self, peer: &Name) {
+        for follow in self.follows.iter() {
+            follow.relay().met(peer, clock::steady());
+        }
+    }
+
+    /// Another host told how new its state of a list is; what this one lacks is had from there.
+    pub fn told(self: &Arc<Self>, peer: &Name, from: SocketAddr, standing: Standing) {
+        let follow = self.follow(standing.list);
+        let now = clock::steady();
+        follow.relay().heard(peer, now - standing.age_ms, now);
+        self.reached(standing.list, now - standing.age_ms);
+        match (follow.revision(), &standing.changes) {
+            (Some(own), Some(Changes { after, news }))
+                if own < standing.changed && *after <= own =>
+            {
+                log::info!(target: "watch", list:? = standing.list, from:% = from, after = own,
+                    revision = news.revision, count = news.entries.len(); "news told by a peer");
+                self.take(standing.list, news, false);
+                follow.wake();
+            }
+            (Some(own), _) if own < standing.changed => {
+                if follow.begin_taking() {
+                    tokio::spawn(Arc::clone(self).catch_up(from, standing.list, own));
+                }
+            }
+            (Some(_), _) => {
+                let nothing = News { entries: Vec::new(), revision: standing.revision };
+                follow.taken(&nothing, false);
+                follow.wake();
+            }
+            // Before the first read of its own this host takes nothing from others.
+            (None, _) => follow.wake(),
+        }
+    }
+
+    async fn catch_up(self: Arc<Self>, from: SocketAddr, list: List, after: u64) {
+        let follow = self.follow(list);
+        let answer = exchange::ask(from, list, after).await;
+        follow.end_taking();
+        let outcome = match &answer {
+            Ok(Some(_)) => "answered",
+            Ok(None) => "sent_on",
+            Err(error) => error.label(),
+        };
+        metrics::counter!("node_relay_calls_total", "list" => list.name(), "outcome" => outcome)
+            .increment(1);
+        match answer {
+            Ok(Some(news)) => {
+                log::info!(target: "watch", list:? = list, from:% = from, after,
+                    revision = news.revision, count = news.entries.len(); "news taken from a peer");
+                self.take(list, &news, false);
+            }
+            Ok(None) => follow.relay().force(),
+            Err(error) => {
+                log::warn!(target: "watch", list:? = list, from:% = from, error:% = error;
+                    "no news from a peer, the store is asked");
+                follow.relay().force();
+            }
+        }
+        follow.wake();
+    }
+
+    /// A host alone could not read, or late: entries that lapse meanwhile are no deaths.
+    fn away(&self, list: List) {
+        if self.follow(list).relay().is_alone(clock::steady()) {
+            self.facts.with_roster(|roster| roster.away(clock::steady()));
+        }
+    }
+
+    /// Takes what came; false if it is older than what is known.
+    fn take(&self, list: List, news: &News, whole: bool) -> bool {
         let taken = match list {
             List::Operators => self.take_operators(news),
             List::Backends => self.take_backends(news, whole),
         };
-        taken.then_some(revision)
+        if taken {
+            self.follow(list).taken(news, whole);
+        }
+        taken
     }
 
-    fn take_operators(&self, news: News) -> bool {
+    fn take_operators(&self, news: &News) -> bool {
         let mut changed = false;
-        for Entry { key, revision, fact } in news.entries {
+        for Entry { key, revision, fact } in &news.entries {
+            let revision = *revision;
             match fact {
                 Fact::Table(table) => {
                     let version = table.version;
                     // The store took it, so it is in force whatever is odd about it.
-                    for fault in wire::routing::check(&table) {
+                    for fault in wire::routing::check(table) {
                         log::warn!(target: "watch", table = version, fault:% = fault; "table has a fault");
                     }
-                    let taken = self.facts.take_table(*table);
+                    let taken = self.facts.take_table(Table::clone(table));
                     changed |= taken;
                     log::info!(target: "watch", table = version, revision, taken;
                         "table of routes read");
@@ -137,7 +297,7 @@
                 Fact::Order(order) => {
                     let service = order.service.clone();
                     let target = order.target.clone();
-                    let taken = self.facts.take_order(order, revision);
+                    let taken = self.facts.take_order(order.clone(), revision);
                     changed |= taken;
                     log::info!(target: "watch", service:% = service, version:% = target, revision,
                         taken; "order read");
@@ -158,7 +318,7 @@
         true
     }
 
-    fn take_backends(&self, news: News, whole: bool) -> bool {
+    fn take_backends(&self, news: &News, whole: bool) -> bool {
         let now = clock::steady();
         let count = news.entries.len();
         let revision = news.revision;
@@ -210,6 +370,21 @@
     }
 }
 
+/// Whether a list's changes are small enough to be had from another host.
+fn is_small(news: &News) -> bool {
+    let weight = |entry: &Entry| match &entry.fact {
+        Fact::Table(table) => table.routes.len() + table.accounts.len(),
+        _ => 1,
+    };
+    news.entries.iter().map(weight).sum::<usize>() <= RELAYED_MAX
+}
+
+impl<S: Store, C: Codec> exchange::Source for Watch<S, C> {
+    fn news(&self, list: List, after: u64) -> Option<News> {
+        self.follow(list).behind(after).filter(is_small)
+    }
+}
+
 fn log_backend(entry: &Entry) {
     match &entry.fact {
         Fact::Backend(backend) => {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod place;
 pub mod probe;
 pub mod reading;
+pub mod relay;
 pub mod repeat;
 pub mod retry;
 pub mod rollout;
--- /dev/null
+++ b/crates/policy/src/relay.rs
@@ -0,0 +1,261 @@
+//! Which host of a failure domain reads a list of the store for all of them.
+//!
+//! Every call of the store has a price and all hosts share its rates, so not every host reads what
+//! its neighbours have just read. One reads; after each read it tells the others how new its state
+//! is, and they take changes from it. Nobody is elected and nothing is agreed on: a host that has
+//! not heard for a time that anybody's state is new reads for itself, and tells. Hosts wait in the
+//! order of their ranks, so one takes over and the rest hear of it. Two readers at once do no harm;
+//! the one with the higher rank gives way.
+//!
+//! What must not happen is that a host stays behind because another was trusted that has lost the
+//! store, stands still, or is gone. It does not, because a host trusts only what it has heard
+//! lately, and the time after which it reads for itself is a part of the time in which changes must
+//! be in force.
+
+use std::collections::BTreeMap;
+
+use crate::domain;
+use crate::name::Name;
+use crate::place::{hash, mix};
+use crate::time::Millis;
+
+/// Part of the time in which changes must be in force for which the reader lets the store hold a
+/// call back. Each call that comes back proves that the state is new.
+const READ_PART: f64 = 0.4;
+/// Part of it after which a host that heard nothing reads for itself. The rest is left for that
+/// read, and for hosts of lower rank that could not.
+const STALE_PART: f64 = 0.62;
+/// Between the turns of two ranks, in milliseconds: a read and its telling take a few.
+const TURN_MS: u64 = 50;
+/// Other hosts without which every host reads for itself. With four the calls of one that reads
+/// often are as many as those of five that read seldom.
+const OTHERS_MIN: usize = 4;
+/// Pause of a host that could not read, for each other host, in milliseconds: together they ask so
+/// often.
+const LOST_EACH_MS: u64 = 100;
+/// Most of that pause, in milliseconds: a store that serves only this host must be found by it.
+const LOST_MAX_MS: u64 = 1_500;
+/// Time without new state beyond [`STALE_PART`] after which the store is believed to have been
+/// away, in milliseconds; within it some host takes over whose turn it is.
+const AWAY_MS: u64 = 1_000;
+/// How long a host waits after its first read to meet others, in milliseconds. They answer within a
+/// few.
+const MEET_MS: u64 = 150;
+/// A host that was not heard of for this long has no rank, in milliseconds.
+const GONE_MS: u64 = 12_000;
+
+domain! {
+    /// How long things may take, in milliseconds.
+    #[derive(Copy)]
+    pub struct Bounds {
+        /// In which a change must be in force on all hosts.
+        pub change_ms: u64,
+        /// For which a host that reads for itself alone lets the store hold a call back.
+        pub alone_ms: u64,
+    }
+
+    /// What a host does now.
+    #[derive(Copy, Eq)]
+    pub enum Duty {
+        /// It reads, and lets the store hold the call back while nothing changes.
+        Read {
+            /// For so long, in milliseconds.
+            hold_ms: u64,
+        },
+        /// It listens to the host that reads.
+        Listen {
+            /// And reads then, if it hears nothing until then.
+            until: Millis,
+        },
+    }
+}
+
+/// Another host.
+#[derive(Clone, Copy, Debug, Default)]
+struct Peer {
+    /// When it was last heard of.
+    heard: Millis,
+    /// When its state was last new; none if it has not told.
+    fresh: Option<Millis>,
+}
+
+/// One list's reading in one failure domain, as one host sees it.
+#[derive(Clone, Debug)]
+pub struct Relay {
+    bounds: Bounds,
+    own: u64,
+    list: u64,
+    peers: BTreeMap<Name, Peer>,
+    /// When this host last read.
+    read: Millis,
+    /// It has read at all.
+    begun: bool,
+    /// It reads on, for the others or for itself alone.
+    reads: bool,
+    /// It has just taken over: its first read is not held back.
+    first: bool,
+    /// It could not read; when it tries again.
+    lost: Option<Millis>,
+    /// What it was told could not be had from another host.
+    forced: bool,
+}
+
+impl Relay {
+    /// Of a list, for a host by its name. It reads first, whatever others say: what it starts
+    /// with must not depend on a host that is behind.
+    #[must_use]
+    pub fn new(bounds: Bounds, host: &Name, list: &str, now: Millis) -> Self {
+        let list = hash(list.as_bytes());
+        Self {
+            own: rank_of(host, list),
+            list,
+            bounds,
+            peers: BTreeMap::new(),
+            read: now,
+            begun: false,
+            reads: false,
+            first: true,
+            lost: None,
+            forced: false,
+        }
+    }
+
+    /// Sets how long things may take.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
+    /// Another host of the domain is there.
+    pub fn met(&mut self, peer: &Name, now: Millis) {
+        self.peers.entry(peer.clone()).or_default().heard = now;
+    }
+
+    /// Another host has read; its state was new at that time.
+    pub fn heard(&mut self, peer: &Name, fresh: Millis, now: Millis) {
+        let held = self.peers.entry(peer.clone()).or_default();
+        held.heard = now;
+        held.fresh = held.fresh.max(Some(fresh));
+        if fresh > self.read && now.since(fresh) < self.part(STALE_PART) {
+            self.lost = None;
+        }
+    }
+
+    /// This host has read.
+    pub fn read(&mut self, now: Millis) {
+        self.read = now;
+        self.begun = true;
+        self.first = false;
+        self.lost = None;
+        self.forced = false;
+    }
+
+    /// This host could not read; `draw` is a uniform draw from 0 to 1.
+    pub fn failed(&mut self, pause_ms: u64, draw: f64, now: Millis) {
+        let others = self.others(now) as u64;
+        let spread_ms = (others * LOST_EACH_MS).clamp(pause_ms, LOST_MAX_MS.max(pause_ms));
+        let ms = spread_ms as f64 * (0.5 + draw / 2.0);
+        self.lost = Some(now + ms as u64);
+        self.first = true;
+        self.reads = false;
+    }
+
+    /// What another host told of could not be had from it.
+    pub fn force(&mut self) {
+        self.forced = true;
+    }
+
+    /// Whether this host has too few others to rely on.
+    #[must_use]
+    pub fn is_alone(&self, now: Millis) -> bool {
+        self.others(now) < OTHERS_MIN
+    }
+
+    /// Time without new state, in milliseconds, after which the store is believed to have been
+    /// away for all hosts of the domain: had it answered one of them, that one would have told.
+    #[must_use]
+    pub fn away_ms(&self) -> u64 {
+        self.part(STALE_PART) + AWAY_MS
+    }
+
+    /// Whether this host reads on, for the others or for itself alone.
+    #[must_use]
+    pub fn reads(&self) -> bool {
+        self.reads
+    }
+
+    /// Whether this host reads for others now.
+    #[must_use]
+    pub fn reads_for_others(&self, now: Millis) -> bool {
+        self.reads && !self.is_alone(now)
+    }
+
+    /// What to do now.
+    pub fn duty(&mut self, now: Millis) -> Duty {
+        if let Some(lost) = self.lost.filter(|lost| now < *lost) {
+            return Duty::Listen { until: lost };
+        }
+        if self.forced || !self.begun {
+            return Duty::Read { hold_ms: 0 };
+        }
+        match self.is_alone(now) {
+            true => self.duty_alone(now),
+            false => self.duty_among_others(now),
+        }
+    }
+
+    /// After its start a host has others to meet; until then it reads no more than those do.
+    fn duty_alone(&mut self, now: Millis) -> Duty {
+        let due = self.read + MEET_MS;
+        if !self.reads && now < due {
+            return Duty::Listen { until: due };
+        }
+        self.reads = true;
+        Duty::Read { hold_ms: if self.first { 0 } else { self.bounds.alone_ms } }
+    }
+
+    fn duty_among_others(&mut self, now: Millis) -> Duty {
+        let stale_ms = self.part(STALE_PART);
+        let is_new = |peer: &Peer| peer.fresh.is_some_and(|fresh| now.since(fresh) < stale_ms);
+        let senior = self.peers.iter().filter(|(name, _)| rank_of(name, self.list) < self.own);
+        if self.reads && senior.map(|(_, peer)| peer).any(is_new) {
+            self.reads = false;
+        }
+        let newest = self.peers.values().filter_map(|peer| peer.fresh).max().unwrap_or_default();
+        let due = newest.max(self.read) + stale_ms + self.rank(now) * TURN_MS;
+        match () {
+            () if self.reads => {
+                let hold_ms = if self.first { 0 } else { self.part(READ_PART) };
+                Duty::Read { hold_ms }
+            }
+            () if now >= due => {
+                self.reads = true;
+                self.first = true;
+                Duty::Read { hold_ms: 0 }
+            }
+            () => Duty::Listen { until: due },
+        }
+    }
+
+    fn part(&self, part: f64) -> u64 {
+        (self.bounds.change_ms as f64 * part) as u64
+    }
+
+    fn alive(&self, now: Millis) -> impl Iterator<Item = &Name> {
+        let alive = self.peers.iter().filter(move |(_, peer)| now.since(peer.heard) < GONE_MS);
+        alive.map(|(name, _)| name)
+    }
+
+    fn others(&self, now: Millis) -> usize {
+        self.alive(now).count()
+    }
+
+    /// Hosts whose turn comes before this one's.
+    fn rank(&self, now: Millis) -> u64 {
+        self.alive(now).filter(|name| rank_of(name, self.list) < self.own).count() as u64
+    }
+}
+
+/// Hosts have other ranks for each list, so that one host need not read them all.
+fn rank_of(host: &Name, list: u64) -> u64 {
+    mix(hash(host.as_bytes()) ^ list)
+}
--- /dev/null
+++ b/crates/policy/tests/relay.rs
@@ -0,0 +1,333 @@
+//! Hosts of one failure domain that read the store for each other.
+
+use policy::name::Name;
+use policy::relay::{Bounds, Duty, Relay};
+use policy::time::Millis;
+
+const BOUNDS: Bounds = Bounds { change_ms: 2_000, alone_ms: 3_500 };
+/// One step of simulated time, in milliseconds.
+const TICK: u64 = 10;
+/// What the client of the store waits beyond what a call is held back, in milliseconds.
+const ANSWER_MS: u64 = 700;
+/// What a host must have been in reach of the store to be bound, in milliseconds.
+const TOUCH_MS: u64 = 3_000;
+/// Pause of a host alone after a call that failed, in milliseconds.
+const PAUSE_MS: u64 = 100;
+/// Between two signs of life of each host, in milliseconds.
+const GREET_MS: u64 = 5_000;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Path {
+    Open,
+    /// Calls, also those under way, are never answered.
+    Silent,
+    /// Calls are refused at once.
+    Refused,
+}
+
+struct Host {
+    name: Name,
+    relay: Relay,
+    path: Path,
+    /// When its path was last not open, or it did not run.
+    troubled: Option<u64>,
+    frozen_until: u64,
+    /// The store's revision that it knows.
+    revision: u64,
+    /// The call under way: when it is answered at the latest, or fails.
+    call: Option<Call>,
+    calls: u64,
+}
+
+#[derive(Clone, Copy)]
+struct Call {
+    ends: u64,
+    fails: bool,
+}
+
+struct Domain {
+    hosts: Vec<Host>,
+    now: u64,
+    revision: u64,
+    /// When each revision was made.
+    made: Vec<u64>,
+    /// Words are lost when this divides their number.
+    lose_every: u64,
+    words: u64,
+}
+
+impl Domain {
+    fn new(count: usize) -> Self {
+        let host = |number| {
+            let name = Name::from(format!("host-{number}"));
+            Host {
+                relay: Relay::new(BOUNDS, &name, "list", Millis(1)),
+                name,
+                path: Path::Open,
+                troubled: None,
+                frozen_until: 0,
+                revision: 0,
+                call: None,
+                calls: 0,
+            }
+        };
+        let hosts = (0..count).map(host).collect();
+        let mut domain =
+            Self { hosts, now: 1, revision: 0, made: vec![0], lose_every: u64::MAX, words: 0 };
+        domain.greet();
+        domain
+    }
+
+    fn greet(&mut self) {
+        let names: Vec<Name> = self.hosts.iter().map(|host| host.name.clone()).collect();
+        for host in &mut self.hosts {
+            for name in names.iter().filter(|name| **name != host.name) {
+                host.relay.met(name, Millis(self.now));
+            }
+        }
+    }
+
+    fn change(&mut self) {
+        self.revision += 1;
+        self.made.push(self.now);
+    }
+
+    fn set_path(&mut self, number: usize, path: Path) {
+        let host = &mut self.hosts[number];
+        host.path = path;
+        if let (Path::Silent, Some(call)) = (path, &mut host.call) {
+            call.ends = self.now + ANSWER_MS;
+            call.fails = true;
+        }
+    }
+
+    fn restart(&mut self, number: usize) {
+        let (name, now) = (self.hosts[number].name.clone(), self.now);
+        let host = &mut self.hosts[number];
+        host.relay = Relay::new(BOUNDS, &name, "list", Millis(now));
+        (host.revision, host.call, host.troubled) = (0, None, Some(now));
+    }
+
+    fn tick(&mut self) {
+        self.now += TICK;
+        if (self.now - 1).is_multiple_of(GREET_MS) {
+            self.greet();
+        }
+        for number in 0..self.hosts.len() {
+            let (now, revision) = (self.now, self.revision);
+            let host = &mut self.hosts[number];
+            if host.path != Path::Open || host.frozen_until > now {
+                host.troubled = Some(now);
+            }
+            if host.frozen_until > now {
+                continue;
+            }
+            match host.call {
+                None => host.ask(now),
+                Some(call) => {
+                    let is_news = !call.fails && host.revision < revision;
+                    if !is_news && now < call.ends {
+                        continue;
+                    }
+                    host.call = None;
+                    if call.fails {
+                        host.relay.failed(PAUSE_MS, 0.5, Millis(now));
+                        continue;
+                    }
+                    host.revision = revision;
+                    host.relay.read(Millis(now));
+                    self.tell(number);
+                }
+            }
+        }
+    }
+
+    fn tell(&mut self, from: usize) {
+        let (name, revision) = (self.hosts[from].name.clone(), self.hosts[from].revision);
+        for number in (0..self.hosts.len()).filter(|number| *number != from) {
+            self.words += 1;
+            let host = &mut self.hosts[number];
+            if self.words.is_multiple_of(self.lose_every) || host.frozen_until > self.now {
+                continue;
+            }
+            host.relay.heard(&name, Millis(self.now), Millis(self.now));
+            host.revision = host.revision.max(revision);
+        }
+    }
+
+    /// A host that has reached the store for a while knows each change in time.
+    fn check(&self) {
+        for host in &self.hosts {
+            let in_touch = host.troubled.is_none_or(|at| self.now > at + TOUCH_MS);
+            let missed = self.made.get(host.revision as usize + 1);
+            let late = missed.is_some_and(|made| self.now > made + BOUNDS.change_ms);
+            assert!(
+                !(in_touch && late),
+                "{} at {}: knows {}, made at {missed:?}",
+                host.name,
+                self.now,
+                host.revision
+            );
+        }
+    }
+
+    fn run(&mut self, ms: u64) {
+        for _ in 0..ms / TICK {
+            self.tick();
+            self.check();
+        }
+    }
+
+    fn calls(&self) -> u64 {
+        self.hosts.iter().map(|host| host.calls).sum()
+    }
+
+    /// The host that reads for the others.
+    fn reader(&self) -> usize {
+        let reads = |host: &Host| host.relay.reads_for_others(Millis(self.now));
+        self.hosts.iter().position(reads).unwrap()
+    }
+}
+
+impl Host {
+    fn ask(&mut self, now: u64) {
+        let Duty::Read { hold_ms } = self.relay.duty(Millis(now)) else { return };
+        self.calls += 1;
+        self.call = Some(match self.path {
+            Path::Open => Call { ends: now + hold_ms, fails: false },
+            Path::Silent => Call { ends: now + hold_ms + ANSWER_MS, fails: true },
+            Path::Refused => Call { ends: now, fails: true },
+        });
+    }
+}
+
+#[test]
+fn duty_few_hosts_read_alone() {
+    // With fewer calls than that there is nothing to save, and a host that trusts nobody can't be
+    // behind for another's sake.
+    let mut domain = Domain::new(3);
+    domain.run(30_000);
+    assert!(domain.hosts.iter().all(|host| host.calls >= 8));
+}
+
+#[test]
+fn duty_many_hosts_one_reads() {
+    // The load: 22 hosts, nothing changes. Each for itself they would make 22 calls in 3.5 s.
+    let mut domain = Domain::new(22);
+    domain.run(5_000);
+    let begun = domain.calls();
+    domain.run(30_000);
+    let made = domain.calls() - begun;
+    assert!(made <= 30_000 / 800 + 5, "{made} calls");
+    let readers =
+        domain.hosts.iter().filter(|host| host.relay.reads_for_others(Millis(domain.now)));
+    assert_eq!(readers.count(), 1);
+}
+
+#[test]
+fn duty_reader_is_gone() {
+    // The host that reads is stopped. The others hear nothing, one of them reads for itself in
+    // time, and the rest go on with that one.
+    let mut domain = Domain::new(12);
+    domain.run(6_000);
+    let reader = domain.reader();
+    domain.hosts[reader].frozen_until = u64::MAX;
+    domain.change();
+    domain.run(2_200);
+    assert_eq!(domain.hosts.iter().filter(|host| host.revision == 1).count(), 11);
+    let begun = domain.calls();
+    domain.run(10_000);
+    assert!(domain.calls() - begun <= 10_000 / 800 + 4);
+}
+
+#[test]
+fn duty_reader_and_those_after_it_lose_the_store() {
+    // The store turns away the host that reads and the three that would follow it; its answers to
+    // the others are as always. A change is in force with those in time all the same.
+    let mut domain = Domain::new(16);
+    for lost in 0..4 {
+        domain.run(2_500);
+        let reader = domain.reader();
+        let path = if lost % 2 == 0 { Path::Silent } else { Path::Refused };
+        domain.set_path(reader, path);
+        domain.change();
+    }
+    domain.run(10_000);
+}
+
+#[test]
+fn duty_store_away_is_asked_seldom_and_heard_at_once() {
+    // The store is down for all. Together the hosts ask about ten times a second, not each of
+    // them; when it is back one hears it, and tells the others.
+    let mut domain = Domain::new(20);
+    domain.run(5_000);
+    for number in 0..20 {
+        domain.set_path(number, Path::Refused);
+    }
+    domain.run(2_000);
+    let begun = domain.calls();
+    domain.run(5_000);
+    let asked = domain.calls() - begun;
+    assert!(asked <= 100, "{asked} calls in 5 s");
+    for number in 0..20 {
+        domain.set_path(number, Path::Open);
+    }
+    domain.change();
+    domain.run(500);
+    assert!(domain.hosts.iter().all(|host| host.revision == 1));
+}
+
+#[test]
+fn duty_pause_is_not_ended_by_old_news() {
+    // The store is down for all. Hosts go on telling each other things, among them how new their
+    // lists were before; each time one of them is a little newer than a host's own. Had that host
+    // asked at once every time, the store would have been asked thousands of times a second.
+    let mut relay = Relay::new(BOUNDS, &Name::from("host-0"), "list", Millis(1));
+    let peers: Vec<Name> = (1..20).map(|number| Name::from(format!("host-{number}"))).collect();
+    for peer in &peers {
+        relay.met(peer, Millis(1));
+    }
+    relay.read(Millis(1_000));
+    let mut asked = 0;
+    for now in (1_000..9_000).step_by(10) {
+        if now > 4_000 {
+            relay.heard(&peers[now as usize % 19], Millis(1_000 + now % 90), Millis(now));
+        }
+        if let Duty::Read { .. } = relay.duty(Millis(now)) {
+            asked += 1;
+            relay.failed(PAUSE_MS, 0.5, Millis(now));
+        }
+    }
+    assert!(asked < 10, "{asked} calls in 8 s");
+}
+
+/// Hosts that stand still, start anew, lose the store in either way, lost words and changes, in
+/// any order: whoever has reached the store for three seconds knows each change in time.
+#[test]
+fn duty_generated_sequences() {
+    fuzz::check::<(u8, Vec<(u8, u8, u8)>)>(60, |(size, steps)| {
+        let mut domain = Domain::new(1 + usize::from(*size) % 24);
+        let count = domain.hosts.len();
+        domain.run(3_000);
+        for (what, which, how_long) in steps.iter().take(24) {
+            let number = usize::from(*which) % count;
+            let ms = 200 + u64::from(*how_long) * 20;
+            match what % 8 {
+                0 => domain.hosts[number].frozen_until = domain.now + ms,
+                1 => domain.restart(number),
+                2 => domain.set_path(number, Path::Silent),
+                3 => domain.set_path(number, Path::Refused),
+                4 => (0..count).for_each(|number| domain.set_path(number, Path::Open)),
+                5 => domain.lose_every = 2 + u64::from(*which % 40),
+                // A third of the hosts at once.
+                6 => (number..count).step_by(3).for_each(|number| {
+                    domain.set_path(number, Path::Silent);
+                }),
+                _ => domain.change(),
+            }
+            domain.run(ms / 3);
+        }
+        domain.change();
+        domain.run(3_000);
+    });
+}
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -103,9 +103,18 @@
         pub metrics: Option<SocketAddr>,
         /// `IP:PORT` of the platform's store.
         pub platform: SocketAddr,
-        /// Where the other hosts of the failure domain tell of long prompts; a UDP port.
+        /// Where the other hosts of the failure domain tell of long prompts and of the store's
+        /// lists; a port of UDP and of TCP. Without it the host reads all lists for itself.
         #[serde(default)]
         pub peers: Option<SocketAddr>,
+        /// Within which a change of the table of routes must be in force on all hosts, in
+        /// milliseconds.
+        #[serde(default = "default_change_ms")]
+        pub change_ms: u64,
+        /// Within which all hosts must have stopped sending to a leaving backend server, in
+        /// milliseconds.
+        #[serde(default = "default_change_ms")]
+        pub leaving_ms: u64,
         /// `off`, `error`, `warn`, `info`, `debug` or `trace`.
         #[serde(default = "default_log")]
         pub log: Name,
@@ -190,6 +199,11 @@
     0.1
 }
 
+/// What the smallest deployments ask for.
+fn default_change_ms() -> u64 {
+    2_000
+}
+
 fn default_drain_ms() -> u64 {
     30_000
 }
@@ -314,11 +328,13 @@
     }
     for (member, wrong) in [
         ("repeats.window_ms", node.repeats.window_ms < 100),
+        ("change_ms", node.change_ms < 500),
+        ("leaving_ms", node.leaving_ms < 500),
         ("drain_ms", node.drain_ms < 1_000),
         ("threads", !(1..=256).contains(&node.threads)),
     ] {
         if wrong {
-            faults.push(Fault::at(member, "is out of bounds: at least 100, 1000 and 1"));
+            faults.push(Fault::at(member, "is out of bounds: at least 100, 500, 500, 1000 and 1"));
         }
     }
 }
