Roll-outs: one host speaks for its domain, all hosts' answers count, and a version has all requests before it is done

Change: hosts tell the one that reads for their domain what they counted, five times a second; it writes one row for the domain and tells how the roll-out stands; counts are kept by host, so none counts twice. With all requests every answer may decide, for 0.045 of the time (DONE 0.965 to 0.985). The limit of 8 witnesses is gone.

--- a/crates/gateway/src/world.rs
+++ b/crates/gateway/src/world.rs
@@ -17,12 +17,7 @@
     pub pools: HashMap<Name, Arc<Pool>>,
     /// Revision of the list of backend servers.
     pub revision: u64,
-}
-
-impl World {
-    /// Whether there is a table of routes.
-    #[must_use]
-    pub fn is_ready(&self) -> bool {
-        self.index.version > 0
-    }
+    /// Everything that requests need has been read once. It stands here, and not beside what was
+    /// read: a host that was ready before its requests saw that would refuse them.
+    pub is_complete: bool,
 }
--- /dev/null
+++ b/crates/node/src/counts.rs
@@ -0,0 +1,83 @@
+//! What the hosts of a failure domain counted of roll-outs, as they told.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use policy::canary::Evidence;
+use policy::domain;
+use policy::name::Name;
+
+/// Counts of one order by host, each by route.
+pub type ByHost = BTreeMap<Name, Vec<Evidence>>;
+
+domain! {
+    /// What one host counted of a roll-out, as it tells the one that speaks for the domain.
+    pub struct Counting {
+        /// The service.
+        pub service: Name,
+        /// Revision of the order that it was counted for.
+        pub order: u64,
+        /// By route; a part of them if they are many.
+        pub routes: Vec<Evidence>,
+    }
+}
+
+/// Counts of all services.
+#[derive(Default)]
+pub struct Counts(Mutex<BTreeMap<Name, (u64, ByHost)>>);
+
+impl Counts {
+    /// Another host told what it counted.
+    pub fn take(&self, host: &Name, told: Counting) {
+        let mut all = self.lock();
+        let (order, hosts) = all.entry(told.service).or_default();
+        match told.order {
+            old if old < *order => return,
+            same if same == *order => {}
+            new => (*order, *hosts) = (new, ByHost::new()),
+        }
+        let held = hosts.entry(host.clone()).or_default();
+        for one in told.routes {
+            merge(held, one);
+        }
+    }
+
+    /// What was told of an order.
+    #[must_use]
+    pub fn of(&self, service: &Name, order: u64) -> ByHost {
+        let all = self.lock();
+        let told = all.get(service).filter(|(told, _)| *told == order);
+        told.map(|(_, hosts)| hosts.clone()).unwrap_or_default()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<Name, (u64, ByHost)>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Takes a host's count of a route if it is newer: counts only grow, and messages may overtake each
+/// other.
+pub fn merge(held: &mut Vec<Evidence>, one: Evidence) {
+    let answers = |one: &Evidence| one.old.answers + one.new.answers;
+    match held.iter_mut().find(|held| held.route == one.route) {
+        Some(known) if answers(known) >= answers(&one) => {}
+        Some(known) => *known = one,
+        None => held.push(one),
+    }
+}
+
+/// All hosts' counts together, by route.
+#[must_use]
+pub fn sum(hosts: &ByHost) -> Vec<Evidence> {
+    let mut sum: Vec<Evidence> = Vec::new();
+    for one in hosts.values().flatten() {
+        match sum.iter_mut().find(|held| held.route == one.route) {
+            Some(held) => {
+                held.old.add(one.old);
+                held.new.add(one.new);
+            }
+            None => sum.push(one.clone()),
+        }
+    }
+    sum
+}
--- a/crates/node/src/facts.rs
+++ b/crates/node/src/facts.rs
@@ -15,7 +15,7 @@
 use policy::time::Millis;
 use wire::routing::{Order, Table};
 
-use crate::record::Record;
+use crate::record::{Record, Told};
 
 /// A roll-out as this host knows it.
 #[derive(Clone, Debug)]
@@ -26,6 +26,8 @@
     pub revision: u64,
     /// How it stands, once that was read or written.
     pub record: Option<Record>,
+    /// The version of that row.
+    pub version: u64,
     /// When it began, by this host's clock.
     pub began: Millis,
     /// This host's own answers speak against the new version.
@@ -62,14 +64,6 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Whether everything that requests need has been read once.
-    #[must_use]
-    pub fn is_complete(&self) -> bool {
-        let inner = self.lock();
-        let known = inner.rollouts.values().all(|known| known.record.is_some());
-        inner.index.version > 0 && inner.has_roster && known
-    }
-
     /// Takes a table of routes; false if it is not newer. An old one read from a stale list would
     /// bring back dropped routes and keys.
     pub fn take_table(&self, table: Table) -> bool {
@@ -123,6 +117,7 @@
         let known = Known {
             revision,
             record: None,
+            version: 0,
             began: clock::steady(),
             halted: Arc::default(),
             order: order.clone(),
@@ -137,12 +132,44 @@
         self.lock().rollouts.get(service).cloned()
     }
 
-    /// Notes how a roll-out stands; `began` by this host's clock.
-    pub fn set_record(&self, service: &Name, record: Record, began: Millis) {
-        if let Some(known) = self.lock().rollouts.get_mut(service) {
-            known.record = Some(record);
-            known.began = began;
+    /// Notes how a roll-out stands; false if that is older than what is known, or of another order.
+    pub fn set_record(&self, told: &Told, now: Millis) -> bool {
+        let mut inner = self.lock();
+        let Some(known) = inner.rollouts.get_mut(&told.service) else { return false };
+        if told.record.order != known.revision || told.version < known.version {
+            return false;
         }
+        known.record = Some(told.record.clone());
+        known.version = told.version;
+        known.began = now - told.age_ms;
+        true
+    }
+
+    /// Services with a roll-out that is not decided, each with its order's revision.
+    #[must_use]
+    pub fn orders(&self) -> Vec<(Name, u64)> {
+        let inner = self.lock();
+        let is_open = |known: &&Known| {
+            let stage = known.record.as_ref().map(|record| record.stage);
+            stage.is_some_and(|stage| matches!(stage, Stage::Trial | Stage::Moving))
+        };
+        let open = inner.rollouts.values().filter(is_open);
+        open.map(|known| (known.order.service.clone(), known.revision)).collect()
+    }
+
+    /// How all roll-outs stand, for other hosts.
+    #[must_use]
+    pub fn records(&self, now: Millis) -> Vec<Told> {
+        let inner = self.lock();
+        let told = inner.rollouts.iter().filter_map(|(service, known)| {
+            Some(Told {
+                service: service.clone(),
+                version: known.version,
+                record: known.record.clone()?,
+                age_ms: now.since(known.began),
+            })
+        });
+        told.collect()
     }
 
     /// The version that requests for a service go to, but for a roll-out.
@@ -178,6 +205,7 @@
         World {
             index: Arc::clone(&inner.index),
             revision: inner.roster.revision,
+            is_complete: inner.is_complete(),
             pools: pools.into_iter().map(|(service, pool)| (service, Arc::new(pool))).collect(),
         }
     }
@@ -190,6 +218,11 @@
 }
 
 impl Inner {
+    fn is_complete(&self) -> bool {
+        let is_known = |known: &Known| known.record.is_some();
+        self.index.version > 0 && self.has_roster && self.rollouts.values().all(is_known)
+    }
+
     /// A version that nobody ordered gets no requests: servers of a new version may be listed
     /// before the order to try it has come.
     fn choose_base(&mut self, service: &Name, pool: &Pool) -> Name {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`process`] starts and stops it all. How the store spells and sends things is behind
 //! [`store::Store`].
 
+pub mod counts;
 pub mod error;
 pub mod exchange;
 pub mod facts;
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -76,7 +76,7 @@
         () if subject.state.stop.is_cancelled() => {
             (StatusCode::SERVICE_UNAVAILABLE, "shutting down")
         }
-        () if !subject.facts.is_complete() => {
+        () if !world.is_complete => {
             (StatusCode::SERVICE_UNAVAILABLE, "the store has not been read yet")
         }
         () => (StatusCode::OK, "ready"),
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -22,10 +22,11 @@
 use tokio::sync::mpsc;
 use wire::store::Error;
 
+use crate::counts::Counting;
 use crate::follow::Standing;
-use crate::record;
+use crate::record::{self, Told};
 use crate::store::{List, Store};
-use crate::watch::Watch;
+use crate::watch::{Tell, Watch};
 
 /// The table in which hosts are listed, by failure domain and name.
 const TABLE: &str = "nodes";
@@ -42,6 +43,8 @@
 const FORGET_MS: u64 = 20_000;
 /// Largest message; what does not fit is not told.
 const MESSAGE_BYTES: usize = 1_400;
+/// Routes whose counts are told in one message, so that it fits.
+const ROUTES_MAX: usize = 6;
 /// Words in one message, so that it fits.
 const WORDS_MAX: usize = 16;
 /// Pause after a failed call of the store.
@@ -58,6 +61,10 @@
         pub words: Vec<Word>,
         /// How new the lists are that the sender reads for the others.
         pub standings: Vec<Standing>,
+        /// How roll-outs stand, if the sender speaks for the domain.
+        pub records: Vec<Told>,
+        /// What the sender counted of roll-outs.
+        pub counted: Vec<Counting>,
     }
 
     /// A host's own row: where it listens.
@@ -67,6 +74,15 @@
     }
 }
 
+/// What is known of a message's sender.
+#[derive(Clone, Copy, Debug, Default)]
+struct Taken {
+    /// It was not known before.
+    is_new: bool,
+    /// It speaks for the domain.
+    speaks: bool,
+}
+
 /// What the exchange is made with.
 pub struct Peers<S, C> {
     /// The host's name.
@@ -83,8 +99,9 @@
 
 impl<S: Store, C: Codec> Peers<S, C> {
     /// Exchanges words until the process ends.
-    pub async fn run(self, mut words: mpsc::Receiver<Word>, mut read: mpsc::Receiver<List>) {
+    pub async fn run(self, mut words: mpsc::Receiver<Word>, mut tells: mpsc::Receiver<Tell>) {
         let mut known: HashMap<SocketAddr, Millis> = HashMap::new();
+        let mut speaker = None;
         let mut greeted = tokio::time::Instant::now();
         let mut buffer = vec![0; MESSAGE_BYTES];
         for address in self.find().await {
@@ -96,8 +113,12 @@
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => {
+                        let taken = self.take(&buffer[..length], from, &mut known);
+                        if taken.speaks {
+                            speaker = Some(from);
+                        }
                         // It knows this host's address from the store, but not yet its name.
-                        if self.take(&buffer[..length], from, &mut known) {
+                        if taken.is_new {
                             self.send(vec![from], self.message()).await;
                         }
                     }
@@ -114,12 +135,15 @@
                     }
                     self.send(some(&known), message).await;
                 }
-                Some(_) = read.recv() => {
-                    let message = self.message();
-                    if !message.standings.is_empty() {
-                        self.send(known.keys().copied().collect(), message).await;
+                Some(tell) = tells.recv() => match tell {
+                    Tell::Standings => {
+                        let message = self.message();
+                        if !message.standings.is_empty() {
+                            self.send(known.keys().copied().collect(), message).await;
+                        }
                     }
-                }
+                    Tell::Counts => self.send_counts(speaker).await,
+                },
                 () = tokio::time::sleep_until(greeted + EVERY) => {
                     greeted = tokio::time::Instant::now();
                     let now = clock::steady();
@@ -131,7 +155,26 @@
     }
 
     fn message(&self) -> Message {
-        Message { host: self.host.clone(), words: Vec::new(), standings: self.watch.standings() }
+        let standings = self.watch.standings();
+        let speaks = standings.iter().any(|standing| standing.list == List::Operators);
+        let records = match speaks {
+            true => self.watch.facts.records(clock::steady()),
+            false => Vec::new(),
+        };
+        Message { host: self.host.clone(), standings, records, ..Message::default() }
+    }
+
+    /// Tells the host that speaks for the domain what this one counted, a few routes at a time.
+    async fn send_counts(&self, speaker: Option<SocketAddr>) {
+        let Some(speaker) = speaker else { return };
+        for (service, order) in self.watch.facts.orders() {
+            for routes in self.state.tally.of(&service).chunks(ROUTES_MAX) {
+                let routes = routes.to_vec();
+                let counted = vec![Counting { service: service.clone(), order, routes }];
+                let host = self.host.clone();
+                self.send(vec![speaker], Message { host, counted, ..Message::default() }).await;
+            }
+        }
     }
 
     /// Lists this host and finds the others that are listed. Of two hosts that start together the
@@ -165,19 +208,19 @@
         Ok(addresses.filter(|address| *address != own).take(PEERS_MAX).collect())
     }
 
-    /// Takes a message; true if its sender was not known before.
+    /// Takes a message.
     fn take(
         &self,
         bytes: &[u8],
         from: SocketAddr,
         known: &mut HashMap<SocketAddr, Millis>,
-    ) -> bool {
+    ) -> Taken {
         let now = clock::steady();
         let message: Message = match serde_json::from_slice(bytes) {
             Ok(message) => message,
             Err(error) => {
                 log::debug!(target: "peers", from:% = from, error:% = error; "message unreadable");
-                return false;
+                return Taken::default();
             }
         };
         let is_new = !known.contains_key(&from) && known.len() < PEERS_MAX;
@@ -187,9 +230,14 @@
         if !message.host.is_empty() {
             self.watch.met(&message.host);
         }
+        let speaks = message.standings.iter().any(|standing| standing.list == List::Operators);
         for standing in message.standings {
             self.watch.told(&message.host, from, standing);
         }
+        message.records.into_iter().for_each(|told| self.watch.adopt(told));
+        for counting in message.counted {
+            self.watch.counts.take(&message.host, counting);
+        }
         let world = self.state.world.load();
         for word in &message.words {
             let backends = world.pools.values().flat_map(|pool| &pool.backends);
@@ -198,7 +246,7 @@
             }
         }
         metrics::counter!("node_peer_words_total").increment(message.words.len() as u64);
-        is_new
+        Taken { is_new, speaks }
     }
 
     async fn send(&self, to: Vec<SocketAddr>, message: Message) {
@@ -214,10 +262,12 @@
 /// A message as it is sent: without changes if it is too long with them, which are then had by a
 /// call; without words if it is too long still, which are hints only.
 fn write(mut message: Message) -> Option<Vec<u8>> {
-    let shorten: [fn(&mut Message); 3] = [
+    let shorten: [fn(&mut Message); 4] = [
         |_| {},
         |message| message.standings.iter_mut().for_each(|standing| standing.changes = None),
         |message| message.words.clear(),
+        // They are read by each host for itself then.
+        |message| message.records.clear(),
     ];
     for step in shorten {
         step(&mut message);
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -16,6 +16,7 @@
 use tokio_util::task::{AbortOnDropHandle, TaskTracker};
 use wire::settings;
 
+use crate::counts::Counts;
 use crate::error::Error;
 use crate::exchange;
 use crate::facts::Facts;
@@ -37,8 +38,8 @@
 const LINGER: Duration = Duration::from_millis(2_600);
 /// Ports tried that are free for both UDP and TCP.
 const PORT_TRIES: u32 = 16;
-/// Lists just read whose news wait to be told.
-const TOLD: usize = 8;
+/// Things that wait to be told.
+const TELLS: usize = 8;
 /// Words to other hosts that wait to be sent.
 const WORDS: usize = 64;
 /// Kept of the time to stop, for the process's own end.
@@ -118,7 +119,7 @@
     let state = Arc::new(State::new(codec, allowance(&settings), words, stop.clone()));
     let facts = Arc::new(Facts::new(settings.failure_domain.clone()));
     let (orders, ordered) = mpsc::unbounded_channel();
-    let (read, told_lists) = mpsc::channel(TOLD);
+    let (teller, tells) = mpsc::channel(TELLS);
     let (changes_within, now) = (watch::bounds(&settings), clock::steady());
     let follow = |list| Follow::new(list, changes_within, &settings.name, now);
     let watch = Arc::new(Watch {
@@ -127,10 +128,15 @@
         state: Arc::clone(&state),
         orders,
         follows: Arc::new(List::ALL.map(follow)),
-        told: read,
+        teller,
+        counts: Counts::default(),
         fresh: AtomicU64::new(0),
     });
-    let rollouts = Rollouts { host: settings.name.clone(), watch: Arc::clone(&watch) };
+    let rollouts = Rollouts {
+        host: settings.name.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        watch: Arc::clone(&watch),
+    };
     let follows = Arc::clone(&watch.follows);
     let subject = Arc::new(Subject { state: Arc::clone(&state), facts, follows, metrics });
     let mut background = vec![
@@ -151,7 +157,7 @@
             state: Arc::clone(&state),
             socket,
         };
-        background.push(spawn(peers.run(told, told_lists)));
+        background.push(spawn(peers.run(told, tells)));
         background.push(spawn(exchange::serve(listener, Arc::clone(&watch))));
     }
     let close = CancellationToken::new();
--- a/crates/node/src/record.rs
+++ b/crates/node/src/record.rs
@@ -1,10 +1,12 @@
 //! Rows of our own about roll-outs.
 
-use policy::canary::{Evidence, Stage};
+use policy::canary::Stage;
 use policy::domain;
 use policy::name::Name;
 use wire::store::{Condition, Transaction, Write};
 
+use crate::counts::ByHost;
+
 /// The table that they lie in.
 pub const TABLE: &str = "rollout";
 
@@ -24,13 +26,25 @@
         pub began_ms: u64,
     }
 
-    /// What one host counted; its own row.
+    /// What hosts counted: a failure domain's, or one host's if it stands alone.
     #[derive(Default)]
     pub struct Counted {
         /// Revision of the order that it was counted for.
         pub order: u64,
-        /// By route.
-        pub routes: Vec<Evidence>,
+        /// By host. Two rows may have the same host's, one of them older.
+        pub hosts: ByHost,
+    }
+
+    /// How a roll-out stands, as one host tells the others.
+    pub struct Told {
+        /// The service.
+        pub service: Name,
+        /// The row's version.
+        pub version: u64,
+        /// The row.
+        pub record: Record,
+        /// How long ago the roll-out began, in milliseconds.
+        pub age_ms: u64,
     }
 }
 
@@ -40,10 +54,10 @@
     Name::from(format!("{service}/record"))
 }
 
-/// Key of a host's counts.
+/// Key of the counts that one host writes, for its failure domain or for itself.
 #[must_use]
-pub fn counted_key(service: &Name, host: &Name) -> Name {
-    Name::from(format!("{service}/host/{host}"))
+pub fn counted_key(service: &Name, of: &str) -> Name {
+    Name::from(format!("{service}/counted/{of}"))
 }
 
 /// What all rows of a service begin with.
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -2,8 +2,12 @@
 //!
 //! No host leads. The share of requests that goes to the new version follows from the store's
 //! clock, so all hosts know it; what they must agree on is one row, changed only under its
-//! revision. Any host that sees enough makes the change, and a host that is lost in the middle is
+//! version. Any host that sees enough makes the change, and a host that is lost in the middle is
 //! not missed.
+//!
+//! Calls of the store are few: of a failure domain's hosts the one that reads the operators' list
+//! for the others speaks for them here as well. The others tell it what they counted and hear from
+//! it how the roll-out stands. A host that stands alone, or hears nothing, asks the store itself.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -12,44 +16,54 @@
 
 use entry::clock;
 use gateway::{Codec, State};
-use policy::canary::{self, Evidence, Stage, Verdict};
+use policy::canary::{self, Stage, Verdict};
 use policy::name::Name;
 use policy::time::Millis;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 use wire::routing::Progress;
 use wire::store::{Error, Outcome, Rows};
 
+use crate::counts::{self, ByHost};
 use crate::facts::Known;
-use crate::record::{self, Counted, Record};
-use crate::store::{Report, Store};
-use crate::watch::Watch;
+use crate::record::{self, Counted, Record, Told};
+use crate::store::{List, Report, Store};
+use crate::watch::{DRIFT_MS, Watch};
 
-/// Between two looks at the witnesses' counts. A bad version gets requests for as long.
+/// Between two looks at what all hosts counted. A bad version gets requests for as long.
 const EVERY: Duration = Duration::from_millis(900);
-/// Between two looks of a host that is no witness, at how the roll-out stands.
-const EVERY_OTHER: Duration = Duration::from_millis(2_000);
-/// The same as a part of the time allowed: all must know that requests move over before the old
-/// version's servers are stopped.
-const EVERY_OTHER_PART: f64 = 0.06;
-/// Hosts that tell what they counted, the first to do so. A small fleet's hosts are all needed; of
-/// a large one's these see as many answers, and the rest would only make calls.
-const WITNESSES: usize = 8;
 /// Between two looks at this host's own counts.
 const LOOK: Duration = Duration::from_millis(150);
-/// A host's clock and the store's may part by this much, in milliseconds, before it is set right.
-const DRIFT_MS: u64 = 100;
+/// Between two tellings of this host's counts to the one that speaks for the domain.
+const TELL: Duration = Duration::from_millis(200);
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(300);
+/// How long a host waits to hear of an order from the one that speaks for the domain, before it
+/// reads for itself. That one needs a call or two.
+const HEAR: Duration = Duration::from_millis(1_500);
 
 /// What a roll-out is carried out with.
 pub struct Rollouts<S, C> {
     /// The host's name.
     pub host: Name,
+    /// Where it stands.
+    pub failure_domain: Name,
     /// The store, and what was read from it.
     pub watch: Arc<Watch<S, C>>,
 }
 
+/// One order as it is carried out.
+struct Course {
+    service: Name,
+    /// What this host's row of counts holds.
+    written: ByHost,
+    /// When all hosts' counts are looked at next.
+    next: Instant,
+    /// When this host's counts are told next.
+    tell: Instant,
+}
+
 impl<S: Store, C: Codec> Rollouts<S, C> {
     /// Carries out orders as they come; runs until the process ends. A new order for a service
     /// takes the place of the one under way.
@@ -67,34 +81,61 @@
         &self.watch.state
     }
 
+    /// Whether this host calls the store for a roll-out, for its domain or for itself.
+    fn speaks(&self) -> bool {
+        let relay = self.watch.follow(List::Operators).relay();
+        let now = clock::steady();
+        relay.is_alone(now) || relay.reads_for_others(now)
+    }
+
     async fn carry_out(self: Arc<Self>, service: Name) {
-        let Some(known) = self.watch.facts.rollout(&service) else { return };
-        let mut revision = self.begin(&service, &known).await;
-        let mut counted = Vec::new();
-        let mut next = tokio::time::Instant::now();
+        let now = Instant::now();
+        let mut course = Course { service, written: ByHost::new(), next: now, tell: now };
+        self.begin(&course.service).await;
         loop {
-            let Some(known) = self.watch.facts.rollout(&service) else { return };
+            let Some(known) = self.watch.facts.rollout(&course.service) else { return };
             let Some(record) = &known.record else { return };
             if matches!(record.stage, Stage::Done | Stage::Stopped) {
                 return;
             }
             let elapsed = elapsed(&known, clock::steady());
-            if !canary::is_watched(record.stage, elapsed) {
-                tokio::time::sleep(LOOK).await;
-                continue;
-            }
-            self.look(&service, &known);
-            let due = canary::is_due(record.stage, elapsed);
-            if due || tokio::time::Instant::now() >= next {
-                let is_witness = self.decide(&service, &known, &mut revision, &mut counted).await;
-                let every = if is_witness { EVERY } else { every_other(&known) };
-                let jitter = 0.9 + rand::random::<f64>() / 5.0;
-                next = tokio::time::Instant::now() + every.mul_f64(jitter);
+            if canary::is_watched(record.stage, elapsed) {
+                self.look(&course.service, &known);
+                self.advance(&mut course, &known, canary::is_due(record.stage, elapsed)).await;
             }
             tokio::time::sleep(LOOK).await;
         }
     }
 
+    /// Looks at all hosts' counts if it is time to, or tells this host's.
+    async fn advance(&self, course: &mut Course, known: &Known, is_due: bool) {
+        let now = Instant::now();
+        if !self.speaks() {
+            if now >= course.tell {
+                course.tell = now + TELL;
+                self.watch.tell_counts();
+            }
+            return;
+        }
+        // What the domain's own hosts counted may be enough.
+        let is_bad = canary::verdict(&counts::sum(&self.counted(course, known))) == Verdict::Bad;
+        if is_due || is_bad || now >= course.next {
+            if let Err(error) = self.decide(course, known).await {
+                log::warn!(target: "rollout", service:% = course.service, error:% = error;
+                    "roll-out undecided, tried again");
+            }
+            let jitter = 0.9 + rand::random::<f64>() / 5.0;
+            course.next = Instant::now() + EVERY.mul_f64(jitter);
+        }
+    }
+
+    /// What this host counted, and what the others of its domain told it.
+    fn counted(&self, course: &Course, known: &Known) -> ByHost {
+        let mut hosts = self.watch.counts.of(&course.service, known.revision);
+        hosts.insert(self.host.clone(), self.state().tally.of(&course.service));
+        hosts
+    }
+
     /// Stops at once what this host's own answers speak against, before the others know.
     fn look(&self, service: &Name, known: &Known) {
         let own = self.state().tally.of(service);
@@ -105,27 +146,37 @@
         }
     }
 
-    /// Reads the record of the order, or makes it; its revision.
-    async fn begin(&self, service: &Name, known: &Known) -> u64 {
+    /// Reads the record of the order, or makes it, or hears of it.
+    async fn begin(&self, service: &Name) {
+        let began = Instant::now();
         loop {
-            match self.try_begin(service, known).await {
-                Ok(Some(revision)) => return revision,
-                Ok(None) => {}
+            let Some(known) = self.watch.facts.rollout(service) else { return };
+            if known.record.is_some() {
+                return;
+            }
+            if !self.speaks() && began.elapsed() < HEAR {
+                tokio::time::sleep(LOOK).await;
+                continue;
+            }
+            match self.try_begin(service, &known).await {
+                Ok(()) => {}
                 Err(error) => {
                     log::warn!(target: "rollout", service:% = service, error:% = error;
                         "roll-out not begun, tried again");
                 }
             }
-            tokio::time::sleep(PAUSE.mul_f64(0.5 + rand::random::<f64>())).await;
+            if self.watch.facts.rollout(service).is_some_and(|known| known.record.is_none()) {
+                tokio::time::sleep(PAUSE.mul_f64(0.5 + rand::random::<f64>())).await;
+            }
         }
     }
 
-    async fn try_begin(&self, service: &Name, known: &Known) -> Result<Option<u64>, Error> {
+    async fn try_begin(&self, service: &Name, known: &Known) -> Result<(), Error> {
         let rows = self.watch.store.rows(record::TABLE, &record::prefix(service)).await?;
         let held = find_record(&rows, service);
-        if let Some((record, revision)) = held.as_ref().filter(|(r, _)| is_of(r, known)) {
-            self.adopt(service, record.clone(), rows.now_ms);
-            return Ok(Some(*revision));
+        if let Some((record, version)) = held.as_ref().filter(|(r, _)| is_of(r, known)) {
+            self.adopt(service, record.clone(), *version, rows.now_ms);
+            return Ok(());
         }
         let seen = self.watch.facts.base(service);
         let made = Record {
@@ -137,10 +188,10 @@
         };
         let expected = held.map_or(0, |(_, revision)| revision);
         let made_at = self.write(service, known, &made, expected, Progress::Running).await?;
-        if made_at.is_some() {
-            self.adopt(service, made, rows.now_ms);
+        if let Some(version) = made_at {
+            self.adopt(service, made, version, rows.now_ms);
         }
-        Ok(made_at)
+        Ok(())
     }
 
     async fn write(
@@ -161,92 +212,77 @@
     }
 
     /// Takes over how the roll-out stands; `now_ms` is the store's clock.
-    fn adopt(&self, service: &Name, record: Record, now_ms: u64) {
-        let began = clock::steady() - now_ms.saturating_sub(record.began_ms);
-        log::info!(target: "rollout", service:% = service, version:% = record.target,
-            base:% = record.base, stage:? = record.stage, since_ms = now_ms.saturating_sub(record.began_ms);
-            "roll-out stands");
-        self.watch.facts.set_record(service, record, began);
-        self.watch.publish();
+    fn adopt(&self, service: &Name, record: Record, version: u64, now_ms: u64) {
+        let age_ms = now_ms.saturating_sub(record.began_ms);
+        self.watch.adopt(Told { service: service.clone(), version, record, age_ms });
+        self.watch.tell();
     }
 
-    /// Tells the other hosts what this one counted, reads what they did, and makes the step that
-    /// follows. True if this host is one of the witnesses, or may be.
-    async fn decide(
-        &self,
-        service: &Name,
-        known: &Known,
-        revision: &mut u64,
-        counted: &mut Vec<Evidence>,
-    ) -> bool {
-        match self.try_decide(service, known, revision, counted).await {
-            Ok(is_witness) => is_witness,
-            Err(error) => {
-                log::warn!(target: "rollout", service:% = service, error:% = error;
-                    "roll-out undecided, tried again");
-                true
-            }
-        }
-    }
-
-    async fn try_decide(
-        &self,
-        service: &Name,
-        known: &Known,
-        revision: &mut u64,
-        counted: &mut Vec<Evidence>,
-    ) -> Result<bool, Error> {
-        let own = self.state().tally.of(service);
+    /// Writes what this host, or its domain, counted, reads what others did, and makes the step
+    /// that follows.
+    async fn decide(&self, course: &mut Course, known: &Known) -> Result<(), Error> {
+        let service = &course.service;
         let rows = self.watch.store.rows(record::TABLE, &record::prefix(service)).await?;
-        let is_witness = is_witness(&rows, service, &self.host, known.revision);
-        if is_witness && own != *counted {
-            match self.tell(service, known, &own).await {
-                Ok(()) => counted.clone_from(&own),
-                // The others may not have these counts yet. That must not keep this host from
-                // what follows from theirs; the row is written again next time.
-                Err(error) => log::warn!(target: "rollout", service:% = service, error:% = error;
-                    "own counts not told"),
-            }
+        let mut hosts = gather(&rows, service, known.revision);
+        for (host, routes) in self.counted(course, known) {
+            let held = hosts.entry(host).or_default();
+            routes.into_iter().for_each(|one| counts::merge(held, one));
         }
-        let Some((record, at)) = find_record(&rows, service).filter(|(r, _)| is_of(r, known))
+        self.write_counts(course, known).await;
+        let service = &course.service;
+        let Some((record, version)) = find_record(&rows, service).filter(|(r, _)| is_of(r, known))
         else {
-            return Ok(is_witness);
+            return Ok(());
         };
-        let stage = record.stage;
-        *revision = at;
         // Also when only the clocks have parted: a host that stood still for a while must not go
         // on as if no time had passed.
         let began = clock::steady() - rows.now_ms.saturating_sub(record.began_ms);
         let parted = began.since(known.began).max(known.began.since(began)) > DRIFT_MS;
         if parted || known.record.as_ref() != Some(&record) {
-            self.adopt(service, record.clone(), rows.now_ms);
+            self.adopt(service, record.clone(), version, rows.now_ms);
         }
-        let elapsed = elapsed(known, clock::steady());
-        let evidence = gather(&rows, service, &self.host, known.revision, own);
+        let (elapsed, evidence) = (elapsed(known, clock::steady()), counts::sum(&hosts));
         let verdict = canary::verdict(&evidence);
-        let Some(next) = canary::next(stage, elapsed, verdict) else { return Ok(is_witness) };
+        let Some(next) = canary::next(record.stage, elapsed, verdict) else { return Ok(()) };
         let progress = match next {
             Stage::Done => Progress::Succeeded,
             Stage::Stopped => Progress::RolledBack,
             Stage::Trial | Stage::Moving => Progress::Running,
         };
         log::info!(target: "rollout", service:% = service, version:% = record.target,
-            stage:? = stage, next:? = next, verdict:? = verdict, elapsed, evidence:? = evidence;
-            "step decided");
+            stage:? = record.stage, next:? = next, verdict:? = verdict, elapsed,
+            hosts = hosts.len(), evidence:? = evidence; "step decided");
         let changed = Record { stage: next, ..record };
-        if let Some(at) = self.write(service, known, &changed, *revision, progress).await? {
-            *revision = at;
-            self.adopt(service, changed, rows.now_ms);
+        if let Some(made) = self.write(service, known, &changed, version, progress).await? {
+            self.adopt(service, changed, made, rows.now_ms);
         }
-        Ok(is_witness)
+        Ok(())
     }
 
-    async fn tell(&self, service: &Name, known: &Known, own: &[Evidence]) -> Result<(), Error> {
-        let counted = Counted { order: known.revision, routes: own.to_vec() };
-        let value = record::write(&counted).map_err(Error::Malformed)?;
-        let key = record::counted_key(service, &self.host);
+    /// The others may not have these counts yet. That must not keep this host from what follows
+    /// from theirs, so a failure is only logged; the row is written again next time.
+    async fn write_counts(&self, course: &mut Course, known: &Known) {
+        let hosts = self.counted(course, known);
+        if hosts == course.written {
+            return;
+        }
+        let is_alone = self.watch.follow(List::Operators).relay().is_alone(clock::steady());
+        let of = if is_alone { &self.host } else { &self.failure_domain };
+        let counted = Counted { order: known.revision, hosts };
+        let value = match record::write(&counted) {
+            Ok(value) => value,
+            Err(why) => {
+                log::error!(target: "rollout", why:% = why; "counts can't be written");
+                return;
+            }
+        };
+        let key = record::counted_key(&course.service, of);
         let change = record::change(record::TABLE, key, None, value);
-        self.watch.store.commit(&change, None).await.map(drop)
+        match self.watch.store.commit(&change, None).await {
+            Ok(_) => course.written = counted.hosts,
+            Err(error) => log::warn!(target: "rollout", service:% = course.service,
+                error:% = error; "counts not told"),
+        }
     }
 }
 
@@ -270,49 +306,23 @@
     }
 }
 
-fn every_other(known: &Known) -> Duration {
-    let part = Duration::from_millis(known.order.within_ms).mul_f64(EVERY_OTHER_PART);
-    EVERY_OTHER.min(part).max(EVERY)
-}
-
-/// Whether a host is among the first that told, or there are too few yet.
-fn is_witness(rows: &Rows, service: &Name, host: &Name, order: u64) -> bool {
-    let own_key = record::counted_key(service, host);
-    let record_key = record::key(service);
-    let told = rows.rows.iter().filter(|row| row.key != record_key);
-    let told =
-        told.filter(|row| record::read::<Counted>(&row.value).is_ok_and(|c| c.order == order));
-    let keys: Vec<&Name> = told.map(|row| &row.key).collect();
-    keys.len() < WITNESSES || keys.contains(&&own_key)
-}
-
-/// All hosts' counts, this one's as they are now.
-fn gather(
-    rows: &Rows,
-    service: &Name,
-    host: &Name,
-    order: u64,
-    own: Vec<Evidence>,
-) -> Vec<Evidence> {
-    let own_key = record::counted_key(service, host);
+/// All hosts' counts that the rows hold, each host's newest.
+fn gather(rows: &Rows, service: &Name, order: u64) -> ByHost {
     let record_key = record::key(service);
-    let others = rows.rows.iter().filter(|row| row.key != own_key && row.key != record_key);
-    let others = others.filter_map(|row| match record::read::<Counted>(&row.value) {
-        Ok(counted) => (counted.order == order).then_some(counted.routes),
-        Err(why) => {
-            log::error!(target: "rollout", key:% = row.key, why:% = why; "counts unreadable");
-            None
-        }
-    });
-    let mut sum: Vec<Evidence> = own;
-    for one in others.flatten() {
-        match sum.iter_mut().find(|held| held.route == one.route) {
-            Some(held) => {
-                held.old.add(one.old);
-                held.new.add(one.new);
+    let mut hosts = ByHost::new();
+    for row in rows.rows.iter().filter(|row| row.key != record_key) {
+        let counted = match record::read::<Counted>(&row.value) {
+            Ok(counted) if counted.order == order => counted,
+            Ok(_) => continue,
+            Err(why) => {
+                log::error!(target: "rollout", key:% = row.key, why:% = why; "counts unreadable");
+                continue;
             }
-            None => sum.push(one),
+        };
+        for (host, routes) in counted.hosts {
+            let held = hosts.entry(host).or_default();
+            routes.into_iter().for_each(|one| counts::merge(held, one));
         }
     }
-    sum
+    hosts
 }
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -23,6 +23,8 @@
         pub backends_revision: u64,
         /// How long ago each of the store's lists last answered, in milliseconds.
         pub store_age_ms: BTreeMap<Name, u64>,
+        /// Other hosts of the failure domain that were heard of lately.
+        pub peers: usize,
         /// Whether this host reads each of the store's lists itself, for others or for itself
         /// alone; else it takes them from the host of its failure domain that does.
         pub reads: BTreeMap<Name, bool>,
@@ -84,6 +86,7 @@
             table_age_ms: facts.table_at().map(|at| now.since(at)),
             backends_revision: world.revision,
             store_age_ms: facts.heard(now),
+            peers: follows.iter().map(|follow| follow.relay().others(now)).max().unwrap_or(0),
             reads: follows.iter().map(|f| (Name::from(f.list.name()), f.relay().reads())).collect(),
             services: services.collect(),
             requests: requests as u64,
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -14,9 +14,11 @@
 use wire::routing::Table;
 use wire::store::Error;
 
+use crate::counts::Counts;
 use crate::exchange;
 use crate::facts::Facts;
 use crate::follow::{Changes, Follow, Standing};
+use crate::record::Told;
 use crate::store::{Entry, Fact, List, News, Store};
 
 /// How long the store may hold a question of a host that reads for itself alone back while nothing
@@ -52,12 +54,27 @@
     pub orders: mpsc::UnboundedSender<Name>,
     /// The lists.
     pub follows: Arc<[Follow; 2]>,
-    /// Lists that were just read, for the others of the failure domain.
-    pub told: mpsc::Sender<List>,
+    /// Wakes whoever tells the other hosts of the failure domain.
+    pub teller: mpsc::Sender<Tell>,
+    /// What other hosts of the failure domain counted of roll-outs.
+    pub counts: Counts,
     /// When the store's state was last known to be new, by any list.
     pub fresh: AtomicU64,
 }
 
+/// Clocks of two hosts, or a host's and the store's, may part by this much in what they say of a
+/// roll-out's age, in milliseconds, before it is set right.
+pub const DRIFT_MS: u64 = 100;
+
+/// What the other hosts of the failure domain are to be told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Tell {
+    /// All of them: how new the lists are that this host reads, and how roll-outs stand.
+    Standings,
+    /// The one that speaks for the domain: what this host counted of roll-outs.
+    Counts,
+}
+
 /// How long changes may take, as the settings say.
 #[must_use]
 pub fn bounds(settings: &wire::settings::Node) -> Bounds {
@@ -156,10 +173,7 @@
             return Ok(false);
         }
         follow.read(clock::steady());
-        if self.told.try_send(list).is_err() {
-            // The sender is behind; the others hear with the next read, or read for themselves.
-            metrics::counter!("node_relay_untold_total").increment(1);
-        }
+        self.tell();
         Ok(is_news)
     }
 
@@ -188,6 +202,43 @@
         });
     }
 
+    /// Tells the others how new the lists are that this host reads, and how roll-outs stand.
+    pub fn tell(&self) {
+        self.send_word(Tell::Standings);
+    }
+
+    /// Tells the host that speaks for the domain what this one counted.
+    pub fn tell_counts(&self) {
+        self.send_word(Tell::Counts);
+    }
+
+    fn send_word(&self, tell: Tell) {
+        if self.teller.try_send(tell).is_err() {
+            // The sender is behind, or there is none. The others hear with the next word, or read
+            // for themselves.
+            metrics::counter!("node_relay_untold_total").increment(1);
+        }
+    }
+
+    /// Takes over how a roll-out stands, unless it is known.
+    pub fn adopt(&self, told: Told) {
+        let now = clock::steady();
+        let Some(before) = self.facts.rollout(&told.service) else { return };
+        let is_news = before.record.as_ref() != Some(&told.record);
+        let began = now - told.age_ms;
+        let parted_ms = began.since(before.began).max(before.began.since(began));
+        if (!is_news && parted_ms <= DRIFT_MS) || !self.facts.set_record(&told, now) {
+            return;
+        }
+        if is_news {
+            let record = &told.record;
+            log::info!(target: "rollout", service:% = told.service, version:% = record.target,
+                base:% = record.base, stage:? = record.stage, row = told.version,
+                since_ms = told.age_ms; "roll-out stands");
+        }
+        self.publish();
+    }
+
     /// What this host tells the others of the lists that it reads.
     #[must_use]
     pub fn standings(&self) -> Vec<Standing> {
--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -27,8 +27,10 @@
 /// When a version that could not be judged is stopped: better the old one than one unknown.
 const GIVE_UP: f64 = 0.97;
 /// When the roll-out is declared done. The old version's servers are stopped then; streams that are
-/// still under way there go on at the new ones.
-const DONE: f64 = 0.965;
+/// still under way there go on at the new ones. Until then the version has had all requests for a
+/// while: one that fails only under load shows it, and can still be stopped. What is left of the
+/// time is for the last change of the row.
+const DONE: f64 = 0.985;
 /// Shares of requests at these times. With the last part at full share the sum stays under the
 /// 0.0975 of all requests that a bad version may get on the largest fleets.
 const FIRST_SHARE: f64 = 0.05;
@@ -218,11 +220,11 @@
 /// When the last step is no longer hurried: its time is over.
 const MISSED: f64 = 1.1;
 
-/// Whether a step is due whose time must not be missed: the last one, before the time is over.
+/// Whether each answer may decide: the version has all requests, or the time is nearly over.
 #[must_use]
 pub fn is_due(stage: Stage, elapsed: f64) -> bool {
     match stage {
-        Stage::Moving => (DONE..MISSED).contains(&elapsed),
+        Stage::Moving => (MOVE_ALL..MISSED).contains(&elapsed),
         Stage::Trial => (GIVE_UP..MISSED).contains(&elapsed),
         Stage::Done | Stage::Stopped => false,
     }
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -245,7 +245,9 @@
         alive.map(|(name, _)| name)
     }
 
-    fn others(&self, now: Millis) -> usize {
+    /// Other hosts that were heard of lately.
+    #[must_use]
+    pub fn others(&self, now: Millis) -> usize {
         self.alive(now).count()
     }
 
