Requests wait for the first read of a host that has just started

Cause: when all hosts are killed together the balancer sends callers to them before they are ready. Their callers had used their retry on the dead host, so most were final.

Ruled out: a shorter Retry-After alone (the caller has no try left).

While the store can't be read they are refused at once, as before.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -40,6 +40,8 @@
     pub in_flight: AtomicUsize,
     /// Long prompts that were just sent, for the other hosts of the failure domain.
     pub words: mpsc::Sender<Word>,
+    /// Cancelled when the store has been read for the first time, or could not be.
+    pub started: CancellationToken,
     /// Cancelled when the process is to take no new connections.
     pub stop: CancellationToken,
 }
@@ -65,6 +67,7 @@
             tally: Tally::default(),
             relays: TaskTracker::new(),
             in_flight: AtomicUsize::new(0),
+            started: CancellationToken::new(),
             stop,
         }
     }
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -84,7 +84,12 @@
 impl<S: Store, C: Codec> Watch<S, C> {
     /// Makes the world anew.
     pub fn publish(&self) {
-        self.state.world.store(Arc::new(self.facts.world(clock::steady())));
+        let world = self.facts.world(clock::steady());
+        let is_complete = world.is_complete;
+        self.state.world.store(Arc::new(world));
+        if is_complete {
+            self.state.started.cancel();
+        }
     }
 
     /// A list as it is followed.
@@ -136,6 +141,8 @@
                         log::warn!(target: "watch", list:? = list, error:% = error; "store lost");
                     }
                     reached = false;
+                    // Callers are told at once that this host can't serve them yet.
+                    self.state.started.cancel();
                     // Until the store has answered again nothing is held back: a question asked
                     // while it is silent is never answered, and its return must be heard at once.
                     follow.relay().failed(pause_ms, rand::random(), clock::steady());
