A host's own late answers show prompts that it was not told of

Cause: a host knows its own prompts and the long ones of its failure domain.

Change: policy::overdue.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -76,11 +76,12 @@
     let mut connection = open(job, backend).await?;
     let request = request(job, sending).ok_or(Failure::Unsent(Cause::Broken))?;
     let model = job.model_hash();
-    let seen = backend.seen(model, &job.ask.parts, clock::steady());
+    let rank = sending.priority.unwrap_or_default();
+    let seen = backend.seen(model, &job.ask.parts, rank, clock::steady());
     let tokens = (f64::from(job.ask.prompt_tokens) - seen.cached).max(0.0);
     let rate = job.tokens_per_ms(job.tries.model);
     let read_ms = tokens / rate;
-    backend.sent(model, &job.ask.parts, read_ms, clock::steady());
+    let awaited = backend.sent(model, &job.ask.parts, (read_ms, rank), clock::steady());
     if read_ms >= TOLD_MS && backend.near {
         let word = Word { backend: backend.id.clone(), read_ms: read_ms as u32 };
         // When too many words wait the rest are not told; they are hints only.
@@ -89,6 +90,7 @@
     let lease = Lease::new(Arc::clone(&backend.server));
     let sent_at = Instant::now();
     let response = patient(job, backend, connection.send(request, job.left())).await?;
+    drop(awaited);
     let first_ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
     let (head, body) = response.into_parts();
     let said = job.state.codec.head(head.status, &head.headers);
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -9,6 +9,7 @@
 use entry::connection::Connection;
 use entry::server::Server;
 use policy::name::Name;
+use policy::overdue::Overdue;
 use policy::place;
 use policy::reading::Reading;
 use policy::silence::{self, Action, Bounds, Silence};
@@ -59,12 +60,25 @@
     belief: Mutex<Belief>,
 }
 
+/// An answer that has not begun, until dropped.
+pub struct Awaited {
+    backend: Arc<Backend>,
+    number: u64,
+}
+
+impl Drop for Awaited {
+    fn drop(&mut self) {
+        self.backend.lock().overdue.ended(self.number);
+    }
+}
+
 #[derive(Default)]
 struct Belief {
     suspicion: Suspicion,
     timeouts: u32,
     /// Prompts sent there whose answers have not begun.
     reading: Reading,
+    overdue: Overdue,
     reported: u32,
     own_then: u32,
     reported_at: Millis,
@@ -85,6 +99,8 @@
     pub reported_at: Millis,
     /// Time that prompts sent there will still keep it, in milliseconds.
     pub reading_ms: f64,
+    /// By how much answers are late that must begin there before, in milliseconds.
+    pub late_ms: f64,
     /// Leading tokens of the prompt believed to be cached.
     pub cached: f64,
     /// Share of requests that it is expected to fail.
@@ -109,7 +125,7 @@
 
     /// What is believed of it, for a prompt.
     #[must_use]
-    pub fn seen(&self, model: u64, parts: &[Part], now: Millis) -> Seen {
+    pub fn seen(&self, model: u64, parts: &[Part], rank: u8, now: Millis) -> Seen {
         let belief = self.lock();
         let is_cached = |part: &&Part| {
             let used = belief.parts.get(&(model, part.id));
@@ -121,21 +137,34 @@
             own_then: belief.own_then,
             reported_at: belief.reported_at,
             reading_ms: belief.reading.left_ms(now),
+            late_ms: belief.overdue.late_ms(rank, now),
             cached: cached.map(|part| f64::from(part.tokens)).sum(),
             suspicion: belief.suspicion.share(now),
         }
     }
 
-    /// A prompt was sent there, which will keep it for a time.
-    pub fn sent(&self, model: u64, parts: &[Part], read_ms: f64, now: Millis) {
+    /// A prompt was sent there, which will keep it for a time. The answer is waited for until what
+    /// is returned is dropped.
+    #[must_use]
+    pub fn sent(
+        self: &Arc<Self>,
+        model: u64,
+        parts: &[Part],
+        (read_ms, rank): (f64, u8),
+        now: Millis,
+    ) -> Awaited {
         let mut belief = self.lock();
         belief.reading.add(read_ms, now);
+        let due = now + belief.reading.left_ms(now) as u64;
+        let number = belief.overdue.sent(due, rank);
         if belief.parts.len() > PARTS_MAX {
             belief.parts.retain(|_, used| now.since(*used) < CACHED_MS);
         }
         for part in parts {
             belief.parts.insert((model, part.id), now);
         }
+        drop(belief);
+        Awaited { backend: Arc::clone(self), number }
     }
 
     /// A prompt sent by another host will keep it for a time.
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -103,7 +103,9 @@
         reply
     }
 
-    fn engine_priority(&self) -> Option<u8> {
+    /// Where an engine puts the request among others; 0 is served first, none for plain services.
+    #[must_use]
+    pub fn engine_priority(&self) -> Option<u8> {
         let is_engine = !self.ask.parts.is_empty();
         let own = (ENGINE_URGENT + 2 * self.priority.min(ENGINE_URGENT)).min(ENGINE_PRIORITY_MAX);
         let again = if self.tries.sent > 0 { ENGINE_AGAIN } else { 0 };
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -45,18 +45,19 @@
 fn best<C: Codec>(job: &Job<C>, backends: &[&Arc<Backend>], now: Millis) -> Option<Arc<Backend>> {
     let model = job.model_hash();
     let preferred = preferred(job, backends);
+    let rank = job.engine_priority().unwrap_or_default();
     let engines: Vec<Engine> = backends
         .iter()
         .enumerate()
         .map(|(index, backend)| {
-            let seen = backend.seen(model, &job.ask.parts, now);
+            let seen = backend.seen(model, &job.ask.parts, rank, now);
             Engine {
                 own: backend.server.in_flight.load(std::sync::atomic::Ordering::Relaxed),
                 reported: seen.reported,
                 own_then: seen.own_then,
                 report_age_ms: engine::age(seen.reported_at, now),
                 slots: backend.slots,
-                reading_ms: seen.reading_ms,
+                reading_ms: seen.reading_ms + seen.late_ms,
                 cached: seen.cached,
                 preferred: preferred == Some(index),
                 near: backend.near,
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -110,7 +110,7 @@
 }
 
 fn backend(backend: &gateway::backend::Backend, now: Millis) -> Backend {
-    let seen = backend.seen(0, &[], now);
+    let seen = backend.seen(0, &[], u8::MAX, now);
     Backend {
         version: backend.version.clone(),
         address: backend.server.address.to_string(),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod exposure;
 pub mod limit;
 pub mod name;
+pub mod overdue;
 pub mod patience;
 pub mod place;
 pub mod prefill;
--- a/crates/policy/tests/peak.rs
+++ b/crates/policy/tests/peak.rs
@@ -5,6 +5,7 @@
 
 use policy::engine::{Ask, Engine, choose};
 use policy::escalate::{Doubt, escalate};
+use policy::overdue::Overdue;
 use policy::patience::Patience;
 use policy::place::mix;
 use policy::prefill::Speed;
@@ -41,6 +42,8 @@
     Requests,
     /// The prompts each host has sent there.
     OwnPrompts,
+    /// Those, and which of their answers are late.
+    OwnPromptsAndLate,
     /// The long prompts that all hosts have sent there.
     AllPrompts,
 }
@@ -56,26 +59,34 @@
     Answers,
 }
 
-/// Twenty hosts before fifteen engines; half of the requests go to the large model. The share of
-/// requests that wait for others' prompts for long.
-fn late_share(
-    (knowing, believing): (Knowing, Believing),
+/// A load.
+#[derive(Clone, Copy)]
+struct Peak {
+    /// Hosts, each with its own belief.
+    hosts: usize,
+    /// Prompt tokens read in a millisecond, by the small and the large model.
     rates: [f64; 2],
-    seed: u64,
+    /// Requests a second, of all hosts.
     per_s: f64,
-) -> f64 {
-    const HOSTS: usize = 20;
+}
+
+/// Hosts before fifteen engines; half of the requests go to the large model. The share of
+/// requests that wait for others' prompts for long.
+fn late_share((knowing, believing): (Knowing, Believing), peak: Peak, seed: u64) -> f64 {
+    let Peak { hosts, rates, per_s } = peak;
     const ENGINES: usize = 15;
-    let mut speeds = [[Speed::default(); 2]; HOSTS];
+    let mut speeds = vec![[Speed::default(); 2]; hosts];
+    let mut overdue = vec![vec![Overdue::default(); ENGINES]; hosts];
+    let mut awaited: Vec<(f64, usize, usize, u64)> = Vec::new();
     let mut seed = seed;
     let mut free_at = [START as f64; ENGINES];
-    let mut believed = vec![[Reading::default(); ENGINES]; HOSTS];
+    let mut believed = vec![[Reading::default(); ENGINES]; hosts];
     let mut under_way: Vec<(f64, usize, usize)> = Vec::new();
     let (mut late, mut all, mut now) = (0, 0, START as f64);
     while now < START as f64 + 10_000.0 {
         now += -draw(&mut seed).max(1e-9).ln() * 1_000.0 / per_s;
         let at = Millis(now as u64);
-        let host = (draw(&mut seed) * HOSTS as f64) as usize;
+        let host = (draw(&mut seed) * hosts as f64) as usize;
         let tokens = prompt(&mut seed);
         let model = usize::from(draw(&mut seed) < 0.5);
         let believed_rate = match believing {
@@ -84,6 +95,13 @@
             Believing::Answers => speeds[host][model].tokens_per_ms(),
         };
         under_way.retain(|(end, ..)| *end > now);
+        awaited.retain(|(begins, host, engine, number)| {
+            let waits = *begins > now;
+            if !waits {
+                overdue[*host][*engine].ended(*number);
+            }
+            waits
+        });
         let own = |engine| under_way.iter().filter(|(_, h, e)| (*h, *e) == (host, engine)).count();
         let seen: Vec<Engine> = (0..ENGINES)
             .map(|engine| Engine {
@@ -92,6 +110,9 @@
                 near: true,
                 reading_ms: match knowing {
                     Knowing::Requests => 0.0,
+                    Knowing::OwnPromptsAndLate => {
+                        believed[host][engine].left_ms(at) + overdue[host][engine].late_ms(0, at)
+                    }
                     _ => believed[host][engine].left_ms(at),
                 },
                 ..Engine::default()
@@ -115,6 +136,8 @@
             }
         }
         free_at[engine] = free_at[engine].max(now) + read_ms;
+        let due = Millis((now + known_ms + believed_ms) as u64);
+        awaited.push((free_at[engine], host, engine, overdue[host][engine].sent(due, 0)));
         speeds[host][model].note(free_at[engine] - now, known_ms, tokens);
         under_way.push((free_at[engine] + 1_500.0, host, engine));
         all += 1;
@@ -123,16 +146,19 @@
     f64::from(late) / f64::from(all)
 }
 
-fn mean(way: (Knowing, Believing), rates: [f64; 2], per_s: f64) -> f64 {
-    (0..5).map(|seed| late_share(way, rates, seed * 7_919 + 1, per_s)).sum::<f64>() / 5.0
+fn mean(way: (Knowing, Believing), peak: Peak) -> f64 {
+    (0..5).map(|seed| late_share(way, peak, seed * 7_919 + 1)).sum::<f64>() / 5.0
 }
 
 /// Long prompts among short ones, from many hosts. Told of each other's long prompts, hosts keep
 /// short ones away from the engines that read them.
 #[test]
 fn choose_long_prompts_of_other_hosts() {
-    let [requests, own, all] = [Knowing::Requests, Knowing::OwnPrompts, Knowing::AllPrompts]
-        .map(|knowing| mean((knowing, Believing::Truth), RATES, 200.0));
+    let [requests, own, all] =
+        [Knowing::Requests, Knowing::OwnPrompts, Knowing::AllPrompts].map(|knowing| {
+            let peak = Peak { hosts: 20, rates: RATES, per_s: 200.0 };
+            mean((knowing, Believing::Truth), peak)
+        });
     println!(
         "waits over 0.3 s: knowing requests {requests:.3}, own prompts {own:.3}, all prompts {all:.3}"
     );
@@ -140,13 +166,28 @@
     assert!(all < own * 0.5, "{all} {own}");
 }
 
+/// Long prompts of other hosts that nobody tells of, from four hosts that each see a quarter of the
+/// requests. A host whose own answers from an engine are late sends no more there meanwhile.
+#[test]
+fn choose_late_answers_show_unknown_prompts() {
+    let [own, late] = [Knowing::OwnPrompts, Knowing::OwnPromptsAndLate].map(|knowing| {
+        let peak = Peak { hosts: 4, rates: [160.0, 20.0], per_s: 80.0 };
+        mean((knowing, Believing::Truth), peak)
+    });
+    println!("waits over 0.3 s: own prompts {own:.3}, with late answers {late:.3}");
+    assert!(late < own * 0.9, "{late} {own}");
+}
+
 /// A large model that reads at less than half of the speed that was guessed. Hosts that go by the
 /// guess take engines for free that will read for seconds yet, and send short prompts behind long
 /// ones; hosts that learn it do nearly as well as if they had known it.
 #[test]
 fn choose_speed_unlike_guess() {
-    let [guess, answers, truth] = [Believing::Guess, Believing::Answers, Believing::Truth]
-        .map(|believing| mean((Knowing::AllPrompts, believing), [160.0, 20.0], 100.0));
+    let [guess, answers, truth] =
+        [Believing::Guess, Believing::Answers, Believing::Truth].map(|believing| {
+            let peak = Peak { hosts: 20, rates: [160.0, 20.0], per_s: 100.0 };
+            mean((Knowing::AllPrompts, believing), peak)
+        });
     println!("waits over 0.3 s: guess {guess:.3}, learnt {answers:.3}, known {truth:.3}");
     assert!(answers < guess * 0.8, "{answers} {guess}");
     assert!(answers < truth + 0.02, "{answers} {truth}");
