A doubtful answer is asked of the smallest model that is likely to be sure

Cause: four in ten engine requests went on to the largest model; the one between was never asked. Confidence moves with how far a request is within a model's reach (9,543 first answers: about 0.06 of them in each ten points between 10 and 90), so one doubted by a little needs only a little more. The largest reads at 19 tokens/ms and costs twice as much as the one between.

Change: policy::lift. How many points of confidence a model brings over the smallest is learnt from requests that both answered; the first model that brings enough is asked, and the largest after it if it doubts its own answer.

--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -10,6 +10,7 @@
 use hyper::http::response::Parts;
 use policy::canary::Sign;
 use policy::escalate::{self, Doubt};
+use policy::lift;
 use wire::routing::Kind;
 
 use crate::attempt::{Failure, Reply};
@@ -36,9 +37,10 @@
         if status.is_server_error() {
             return self.judge_failure(reply).await;
         }
-        if self.escalates(&reply) {
+        self.note_lift(&reply);
+        if let Some(larger) = self.escalates(&reply) {
             self.tries.doubted = reply.said.confidence;
-            self.tries.model = self.route().models.len() - 1;
+            self.tries.model = larger;
             self.tries.may_have_run = true;
             reply.backend.note(false, clock::steady());
             return Ok(None);
@@ -98,19 +100,20 @@
         Ok((head, body))
     }
 
-    /// Whether a small model's doubtful answer is dropped for a larger one's.
-    fn escalates(&self, reply: &Reply) -> bool {
+    /// The model whose answer a small one's doubtful answer is dropped for.
+    fn escalates(&self, reply: &Reply) -> Option<usize> {
         let models = &self.route().models;
         let largest = models.len().saturating_sub(1);
         let may = self.route().kind.may_repeat() && self.tries.sent < self.route().attempts_max;
         if reply.head.status != StatusCode::OK || self.tries.model >= largest || !may {
-            return false;
+            return None;
         }
+        let larger = self.larger(reply.said.confidence?, self.pressure());
         let objective_ms = self.route().objective_ms as f64;
-        let larger = self.state.timings.with(&self.known.timings[largest], |timing| *timing);
-        let usual_ms = larger.first.faded_ms(objective_ms / 4.0, clock::steady());
+        let timing = self.state.timings.with(&self.known.timings[larger], |timing| *timing);
+        let usual_ms = timing.first.faded_ms(objective_ms / 4.0, clock::steady());
         // A prompt far longer than usual keeps an engine for seconds, and all that wait there.
-        let read_ms = f64::from(self.ask.prompt_tokens) / self.tokens_per_ms(largest);
+        let read_ms = f64::from(self.ask.prompt_tokens) / self.tokens_per_ms(larger);
         let doubt = Doubt {
             confidence: reply.said.confidence,
             priority: self.priority,
@@ -118,13 +121,37 @@
             larger_ms: usual_ms.max(read_ms),
             read_ms,
             objective_ms,
-            pressure: self
-                .state
-                .pressures
-                .with(&self.service, |pressure| pressure.faded_ms(0.0, clock::steady())),
+            pressure: self.pressure(),
         };
         let repeats = self.window(|window, allowance| window.left(allowance, clock::steady()));
-        escalate::escalate(&doubt) && repeats >= REPEATS_KEPT
+        (escalate::escalate(&doubt) && repeats >= REPEATS_KEPT).then_some(larger)
+    }
+
+    /// How long callers wait for streams to begin lately, as a part of their objective.
+    fn pressure(&self) -> f64 {
+        let now = clock::steady();
+        self.state.pressures.with(&self.service, |pressure| pressure.faded_ms(0.0, now))
+    }
+
+    /// The larger model that is asked after a doubtful answer.
+    fn larger(&self, confidence: u8, pressure: f64) -> usize {
+        let largest = self.route().models.len() - 1;
+        // One that doubts its answer as well must leave a try for the largest.
+        if self.tries.model > 0 || self.tries.sent + 1 >= self.route().attempts_max {
+            return largest;
+        }
+        let between = &self.route().models[1..largest];
+        let lifts = between.iter().map(|model| self.state.lifts.with(model, |lift| *lift));
+        1 + lift::choose(confidence, escalate::threshold(self.priority, pressure), lifts)
+    }
+
+    /// A larger model has answered a request that the smallest had answered before.
+    fn note_lift(&self, reply: &Reply) {
+        if let (Some(small), Some(larger), Some(model)) =
+            (self.tries.doubted, reply.said.confidence, self.model())
+        {
+            self.state.lifts.with(model, |lift| lift.note(small, larger));
+        }
     }
 
     /// The caller gets the beginning of its answer now.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,6 +4,7 @@
 
 use arc_swap::ArcSwap;
 use entry::sharded::Sharded;
+use policy::lift::Lift;
 use policy::patience::Patience;
 use policy::prefill::Speed;
 use policy::repeat::{Allowance, Window};
@@ -30,6 +31,8 @@
     pub timings: Sharded<Timing>,
     /// How fast engines read prompts, by model, or by service where the caller chooses the model.
     pub speeds: Sharded<Speed>,
+    /// How much more confidence models have than the smallest of a route, by model.
+    pub lifts: Sharded<Lift>,
     /// How long callers wait for streams to begin lately, as parts of their objectives, by service.
     pub pressures: Sharded<Patience>,
     /// How versions under roll-out answer.
@@ -63,6 +66,7 @@
             windows: Sharded::default(),
             timings: Sharded::default(),
             speeds: Sharded::default(),
+            lifts: Sharded::default(),
             pressures: Sharded::default(),
             tally: Tally::default(),
             relays: TaskTracker::new(),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod escalate;
 pub mod estimate;
 pub mod exposure;
+pub mod lift;
 pub mod limit;
 pub mod name;
 pub mod overdue;
