The line that ends a request tells what was expected of its engine

Cause: the account of what binds needed expected against real time to the head of an answer, and no log told the expectation. Two integers on a line that is written anyway; no further lines.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -48,6 +48,8 @@
     pub sent_at: Instant,
     /// From then to the head of the answer, in milliseconds.
     pub first_ms: f64,
+    /// What that was expected to be.
+    pub expected_ms: f64,
 }
 
 /// Why a try gave no answer.
@@ -107,7 +109,8 @@
         });
     }
     let backend = Arc::clone(backend);
-    Ok(Reply { head, said, body, connection, lease, backend, sent_at, first_ms })
+    let expected_ms = seen.reading_ms + seen.late_ms + read_ms;
+    Ok(Reply { head, said, body, connection, lease, backend, sent_at, first_ms, expected_ms })
 }
 
 /// Waits for the head of an answer, and leaves the backend server if it is silent for too long and
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -96,6 +96,10 @@
         };
         let reply = attempt::send(self, backend, &sending).await;
         self.tries.answering = reply.is_ok();
+        if let Ok(reply) = &reply {
+            self.tries.expected_ms = reply.expected_ms as u64;
+            self.tries.head_ms = reply.first_ms as u64;
+        }
         if !matches!(reply, Err(Failure::Unsent(_))) {
             self.tries.sent += 1;
             self.tries.backend = Some(backend.id.clone());
--- a/crates/gateway/src/end.rs
+++ b/crates/gateway/src/end.rs
@@ -44,7 +44,8 @@
         version:% = shown(tries.version.as_ref()), backend:% = shown(tries.backend.as_ref()),
         model:% = shown(job.model()), doubted:% = shown(tries.doubted), sent = tries.sent,
         unsent = tries.unsent, refused = tries.refused, not_run = tries.not_run, events,
-        prompt = job.ask.prompt_tokens, first_ms = tries.begun_ms, ms = ms as u64,
+        prompt = job.ask.prompt_tokens, expected_ms = tries.expected_ms, head_ms = tries.head_ms,
+        first_ms = tries.begun_ms, ms = ms as u64,
         table = job.state.world.load().index.version, outcome:? = end; "request ended");
 }
 
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -78,6 +78,11 @@
     pub paid: AtomicBool,
     /// The last try has begun to answer, and counts as sent.
     pub answering: bool,
+    /// From the last try's sending to the head of its answer, as expected when it was sent and as
+    /// it was, in milliseconds; 0 before that.
+    pub expected_ms: u64,
+    /// See `expected_ms`.
+    pub head_ms: u64,
     /// From its coming in to the beginning of its answer, in milliseconds; 0 before that.
     pub begun_ms: u64,
     /// The confidence with which a smaller model's answer was dropped.
