A backend server may start again under its id; an entry that can't be read names no server

Identity was the id alone: a server that had said that it leaves and started again under its id was never used again (the leave was remembered), and a new start inherited the caches, load and suspicion of the one before.

Change: entries carry the time of their start; a newer start begins afresh in roster and belief, a late write of an older one changes nothing.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -45,8 +45,10 @@
 
 /// A backend server.
 pub struct Backend {
-    /// Of this start.
+    /// The server's.
     pub id: Name,
+    /// When this start of it began, in milliseconds since the epoch; 0 if it does not say.
+    pub born: u64,
     /// Of its software or weights.
     pub version: Name,
     /// Requests that it works on at once, as listed.
@@ -114,6 +116,7 @@
         let domain = row.failure_domain.clone();
         Self {
             id: row.id.clone(),
+            born: row.born,
             version: row.version.clone(),
             slots: row.slots,
             near,
--- a/crates/node/src/facts.rs
+++ b/crates/node/src/facts.rs
@@ -187,7 +187,10 @@
         for row in &entries {
             let near = row.failure_domain == self.failure_domain;
             let known = inner.backends.remove(&row.id);
-            let known = known.filter(|known| known.server.address == row.address);
+            // Another start knows nothing of the one before: neither its caches and load nor its
+            // connections are the new one's.
+            let known =
+                known.filter(|known| known.server.address == row.address && known.born == row.born);
             let backend = known.unwrap_or_else(|| Arc::new(Backend::new(row, near)));
             backends.insert(row.id.clone(), Arc::clone(&backend));
             if !row.draining {
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -386,14 +386,20 @@
                     Fact::Backend(backend) => Some((backend.clone(), entry.revision)),
                     _ => None,
                 });
-                roster.replace(rows.collect(), revision, now)
+                let taken = roster.replace(rows.collect(), revision, now);
+                if taken {
+                    unreadable(news)
+                        .for_each(|entry| roster.withdraw(&entry.key, entry.revision, now));
+                }
+                taken
             }
             false => {
                 for entry in &news.entries {
                     match &entry.fact {
                         Fact::Backend(backend) => roster.put(backend.clone(), entry.revision),
                         Fact::Removed => roster.remove(&entry.key, entry.revision, now),
-                        _ => {}
+                        Fact::Unreadable(_) => roster.withdraw(&entry.key, entry.revision, now),
+                        Fact::Table(_) | Fact::Order(_) => {}
                     }
                 }
                 true
@@ -443,6 +449,10 @@
     }
 }
 
+fn unreadable(news: &News) -> impl Iterator<Item = &Entry> {
+    news.entries.iter().filter(|entry| matches!(entry.fact, Fact::Unreadable(_)))
+}
+
 fn log_backend(entry: &Entry) {
     match &entry.fact {
         Fact::Backend(backend) => {
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -20,8 +20,10 @@
 
 /// One entry of the list, as the roster sees it.
 pub trait Entry: Clone {
-    /// Names one start of one server.
+    /// Names one server.
     fn id(&self) -> &Name;
+    /// When this start of it began, in milliseconds since the epoch; 0 if it does not say.
+    fn born(&self) -> u64;
     /// Whether it is leaving.
     fn is_leaving(&self) -> bool;
     /// The same, leaving.
@@ -86,10 +88,18 @@
     pub fn put(&mut self, entry: T, revision: u64) {
         let id = entry.id().clone();
         let before = self.known.get(&id);
-        let left = before.is_some_and(|known| known.left) || entry.is_leaving();
         if before.is_some_and(|known| known.revision >= revision) {
             return;
         }
+        // A server may start again under its id. What the start before said ends with it: were a
+        // leave remembered, the new start would never get work. A late write of an old start
+        // changes nothing.
+        let born_before = before.and_then(|known| known.entry.as_ref()).map(Entry::born);
+        if born_before.is_some_and(|before| entry.born() < before) {
+            return;
+        }
+        let before = before.filter(|_| born_before.is_none_or(|before| entry.born() == before));
+        let left = before.is_some_and(|known| known.left) || entry.is_leaving();
         let removed = before.is_some_and(|known| matches!(known.standing, Standing::Removed(_)));
         // A lapsed entry that comes back is the same start of the same server. One that was
         // removed and comes back had left in between or was given up; it serves on, unless it
@@ -118,6 +128,17 @@
         };
     }
 
+    /// An entry was replaced by one that can't be read. It names no server to use; unlike one that
+    /// lapsed it is not waited for, since somebody has written it.
+    pub fn withdraw(&mut self, id: &Name, revision: u64, now: Millis) {
+        self.revision = self.revision.max(revision);
+        let known = self.known.get_mut(id).filter(|known| known.revision < revision);
+        if let Some(known) = known {
+            known.revision = revision;
+            known.standing = Standing::Removed(now);
+        }
+    }
+
     /// The whole list as of a revision; false if it is older than what is known.
     pub fn replace(&mut self, entries: Vec<(T, u64)>, revision: u64, now: Millis) -> bool {
         if revision < self.revision {
--- a/crates/policy/tests/roster.rs
+++ b/crates/policy/tests/roster.rs
@@ -9,6 +9,7 @@
 #[derive(Clone, Debug, PartialEq)]
 struct Server {
     id: Name,
+    born: u64,
     leaving: bool,
 }
 
@@ -17,6 +18,10 @@
         &self.id
     }
 
+    fn born(&self) -> u64 {
+        self.born
+    }
+
     fn is_leaving(&self) -> bool {
         self.leaving
     }
@@ -27,7 +32,7 @@
 }
 
 fn server(id: &str) -> Server {
-    Server { id: Name::from(id), leaving: false }
+    Server { id: Name::from(id), born: 1, leaving: false }
 }
 
 fn working(roster: &mut Roster<Server>, now: Millis) -> Vec<String> {
@@ -163,3 +168,34 @@
         assert_eq!(working(&mut roster, now), expected);
     });
 }
+
+/// A server says that it leaves, ends, and starts again under its id on the next day. Bound by what
+/// the start before said, the hosts would never use it again.
+#[test]
+fn put_reborn_server_gets_work() {
+    let mut roster = Roster::default();
+    roster.put(server("a"), 1);
+    roster.put(server("a").leaving(), 2);
+    roster.remove(&Name::from("a"), 3, START);
+    roster.put(Server { born: 2, ..server("a") }, 4);
+    assert_eq!(working(&mut roster, START), ["a"]);
+    // A late write of the first start does not end the second.
+    roster.put(server("a").leaving(), 5);
+    assert_eq!(working(&mut roster, START), ["a"]);
+}
+
+/// Another writer replaces a server's entry by one that can't be read, while the list was away a
+/// moment ago. It is not a lapse: the server is not used on, and works again once its own entry is
+/// back.
+#[test]
+fn withdraw_is_no_lapse() {
+    let mut roster = Roster::default();
+    roster.put(server("a"), 1);
+    roster.put(server("b"), 2);
+    roster.away(START);
+    roster.reached(START + 100);
+    roster.withdraw(&Name::from("a"), 3, START + 200);
+    assert_eq!(working(&mut roster, START + 200), ["b"]);
+    roster.put(server("a"), 4);
+    assert_eq!(working(&mut roster, START + 300), ["a", "b"]);
+}
--- a/crates/wire/src/routing.rs
+++ b/crates/wire/src/routing.rs
@@ -120,11 +120,13 @@
 
     /// One start of a backend server.
     ///
-    /// The id names this start and no other. An address does not: it may belong to another
-    /// server, of another service, soon after this one has ended.
+    /// The id and the time of its start name it and no other. An address does not: it may belong
+    /// to another server, of another service, soon after this one has ended.
     pub struct Backend {
-        /// Of this start.
+        /// The server's; it may start again under the same one.
         pub id: Name,
+        /// When it started, in milliseconds since the epoch; 0 if it does not say.
+        pub born: u64,
         /// What it serves.
         pub service: Name,
         /// Where it is reached.
@@ -187,6 +189,10 @@
         &self.id
     }
 
+    fn born(&self) -> u64 {
+        self.born
+    }
+
     fn is_leaving(&self) -> bool {
         self.draining
     }
