Hosts that can't reach the store are given whole lists by their peers

A peer that read the list later does not know the changes before its own first read, sent the host on to the store, which it had lost, and the host kept its old table for good while it believed that its state was new. Shown by the status of all nodes when the test hung (1 play of 240 with twelve copies at once): table 1 at the silent node, 7 at the others, state 728 ms old.

Ruled out: a lost datagram (standings came every 0.8 s), an exchange that hangs (it has a timeout and is asked again), revisions told too new.

Change: History holds all entries, not only changed ones, and gives the whole list to whom its changes do not reach back. Messages of peers are read while the store is still asked for their addresses.

--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -17,6 +17,7 @@
 use tokio_util::codec::LengthDelimitedCodec;
 use wire::store::Error;
 
+use crate::record::Told;
 use crate::store::{List, News};
 
 /// Longest time that one exchange may take. Past it the store is asked.
@@ -30,14 +31,19 @@
 /// Served by each host to the others of its failure domain.
 #[tarpc::service]
 pub trait Host {
-    /// Changes of a list behind a revision; none if they are to be had from the store.
+    /// What a host lacks that knows a list as of a revision; none if it is to be had from the
+    /// store.
     async fn news(list: List, after: u64) -> Option<News>;
+    /// How roll-outs stand.
+    async fn records() -> Vec<Told>;
 }
 
 /// What has the news.
 pub trait Source: Send + Sync + 'static {
-    /// Changes of a list behind a revision, if all are known.
+    /// What a host lacks that knows a list as of a revision, if that is little.
     fn news(&self, list: List, after: u64) -> Option<News>;
+    /// How roll-outs stand.
+    fn records(&self) -> Vec<Told>;
 }
 
 struct Server<S> {
@@ -53,16 +59,27 @@
 
 impl<S: Source> Host for Server<S> {
     async fn news(self, _: Context, list: List, after: u64) -> Option<News> {
-        let mut served = self.served.lock().unwrap_or_else(PoisonError::into_inner);
-        let verdict = served.take(&SERVED, 1, 0.0, clock::steady());
-        drop(served);
-        match verdict {
-            Verdict::Granted => self.source.news(list, after),
-            Verdict::Refused { .. } => None,
+        match self.is_served() {
+            true => self.source.news(list, after),
+            false => None,
+        }
+    }
+
+    async fn records(self, _: Context) -> Vec<Told> {
+        match self.is_served() {
+            true => self.source.records(),
+            false => Vec::new(),
         }
     }
 }
 
+impl<S> Server<S> {
+    fn is_served(&self) -> bool {
+        let mut served = self.served.lock().unwrap_or_else(PoisonError::into_inner);
+        matches!(served.take(&SERVED, 1, 0.0, clock::steady()), Verdict::Granted)
+    }
+}
+
 /// Serves other hosts until the process ends.
 pub async fn serve<S: Source>(listener: TcpListener, source: Arc<S>) {
     let server = Server { source, served: Arc::default() };
@@ -84,22 +101,40 @@
     }
 }
 
-/// Asks another host.
+/// Asks another host for what this one lacks.
 ///
 /// # Errors
 /// When it gives no answer in time; reading has no effect.
 pub async fn ask(from: SocketAddr, list: List, after: u64) -> Result<Option<News>, Error> {
-    let exchange = async {
-        let stream = TcpStream::connect(from).await.map_err(|e| Error::Refused(e.to_string()))?;
-        let transport = transport(stream);
-        let client = HostClient::new(client::Config::default(), transport).spawn();
-        let answer = client.news(tarpc::context::current(), list, after).await;
+    within(async {
+        let answer = connect(from).await?.news(tarpc::context::current(), list, after).await;
+        answer.map_err(|error| Error::Lost(error.to_string()))
+    })
+    .await
+}
+
+/// Asks another host how roll-outs stand.
+///
+/// # Errors
+/// When it gives no answer in time; reading has no effect.
+pub async fn ask_records(from: SocketAddr) -> Result<Vec<Told>, Error> {
+    within(async {
+        let answer = connect(from).await?.records(tarpc::context::current()).await;
         answer.map_err(|error| Error::Lost(error.to_string()))
-    };
+    })
+    .await
+}
+
+async fn within<T>(exchange: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
     let answer = tokio::time::timeout(WITHIN, exchange).await;
     answer.unwrap_or_else(|_| Err(Error::Lost("no answer in time".to_owned())))
 }
 
+async fn connect(to: SocketAddr) -> Result<HostClient, Error> {
+    let stream = TcpStream::connect(to).await.map_err(|e| Error::Refused(e.to_string()))?;
+    Ok(HostClient::new(client::Config::default(), transport(stream)).spawn())
+}
+
 fn transport<In, Out>(
     stream: TcpStream,
 ) -> tarpc::serde_transport::Transport<TcpStream, In, Out, MessagePack<In, Out>>
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -97,19 +97,21 @@
         lock(&self.history).revision()
     }
 
-    /// News were taken in, of the whole list or of changes.
-    pub fn taken(&self, news: &News, whole: bool) {
+    /// News were taken in.
+    pub fn taken(&self, news: &News) {
         let mut history = lock(&self.history);
         if !news.entries.is_empty() {
             *lock(&self.before) = history.revision().unwrap_or_default();
         }
-        match whole {
-            true => history.begin(news.revision),
-            false => history.add(news),
-        }
+        history.take(news);
+    }
+
+    /// What was read is no longer to be built upon: the list is read afresh.
+    pub fn forgotten(&self) {
+        lock(&self.history).clear();
     }
 
-    /// Changes behind a revision, if all are known.
+    /// What a host lacks that knows the list as of a revision; none before this one has read it.
     #[must_use]
     pub fn behind(&self, revision: u64) -> Option<News> {
         lock(&self.history).behind(revision)
@@ -125,6 +127,13 @@
         self.taking.store(false, Ordering::Relaxed);
     }
 
+    /// Whether the list is to be taken from any other host: this one can't read it and has
+    /// nothing.
+    #[must_use]
+    pub fn is_wanting(&self) -> bool {
+        self.revision().is_none() && self.relay().is_wanting()
+    }
+
     /// This host has read the list.
     pub fn read(&self, now: Millis) {
         *lock(&self.read_at) = Some(now);
@@ -149,7 +158,8 @@
     fn changes(&self) -> Option<Changes> {
         let after = *lock(&self.before);
         let news = self.behind(after)?;
-        let is_little = self.list == List::Backends && news.entries.len() <= TOLD_MAX;
+        let is_little =
+            self.list == List::Backends && news.entries.len() <= TOLD_MAX && !news.is_whole;
         (is_little && !news.entries.is_empty()).then_some(Changes { after, news })
     }
 }
--- a/crates/node/src/history.rs
+++ b/crates/node/src/history.rs
@@ -1,20 +1,20 @@
-//! What changed lately in a list of the store, for hosts that take it from this one.
+//! A list of the store as this host knows it, for hosts that take it from this one.
 
 use std::collections::BTreeMap;
 
 use policy::name::Name;
 
-use crate::store::{Entry, News};
+use crate::store::{Entry, Fact, News};
 
-/// Entries kept; of more, those that changed first are forgotten. The servers of the size designed
-/// for change once each in some minutes.
-const ENTRIES_MAX: usize = 2_048;
+/// Removed entries kept; of more, those that changed first are forgotten. The servers of the size
+/// designed for change once each in some minutes.
+const REMOVED_MAX: usize = 2_048;
 
-/// The last change of each entry, complete behind a revision.
+/// Each entry's last change. All entries are here, and changes behind a revision are complete.
 #[derive(Debug, Default)]
 pub struct History {
     entries: BTreeMap<Name, Entry>,
-    /// Changes behind this revision are all here.
+    /// Changes behind this revision are all here, removals included.
     base: u64,
     /// The newest revision taken in.
     revision: u64,
@@ -35,16 +35,15 @@
         self.changed
     }
 
-    /// The list was read whole: what changed before is not known one by one.
-    pub fn begin(&mut self, revision: u64) {
-        self.entries.clear();
-        self.base = revision;
-        self.revision = revision;
-        self.changed = revision;
-    }
-
-    /// Changes came, all those between the newest revision and theirs.
-    pub fn add(&mut self, news: &News) {
+    /// Takes in news: the whole list, or all changes between the newest revision and theirs.
+    pub fn take(&mut self, news: &News) {
+        if news.is_whole {
+            // What was removed before is not known one by one.
+            self.entries.clear();
+            self.base = news.revision;
+            self.revision = news.revision;
+            self.changed = news.revision;
+        }
         for entry in &news.entries {
             self.changed = self.changed.max(entry.revision);
             let held = self.entries.get(&entry.key);
@@ -53,24 +52,43 @@
             }
         }
         self.revision = self.revision.max(news.revision);
-        while self.entries.len() > ENTRIES_MAX {
-            let oldest = self.entries.values().min_by_key(|entry| entry.revision);
-            let Some((key, revision)) = oldest.map(|entry| (entry.key.clone(), entry.revision))
-            else {
-                return;
-            };
-            self.entries.remove(&key);
-            self.base = self.base.max(revision);
+        self.forget();
+    }
+
+    /// What was read is no longer to be built upon: the list is read afresh.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Forgets the oldest removals beyond those kept.
+    fn forget(&mut self) {
+        let removed = self.entries.values().filter(|entry| entry.fact == Fact::Removed);
+        let mut revisions: Vec<u64> = removed.map(|entry| entry.revision).collect();
+        if revisions.len() <= REMOVED_MAX {
+            return;
         }
+        revisions.sort_unstable();
+        let last = revisions[revisions.len() - REMOVED_MAX - 1];
+        self.entries.retain(|_, entry| entry.fact != Fact::Removed || entry.revision > last);
+        self.base = self.base.max(last);
     }
 
-    /// Changes behind a revision, oldest first; none if not all of them are known.
+    /// What a host lacks that knows the list as of a revision: the changes behind it, oldest
+    /// first, or the whole list if not all changes behind it are known. None before it was read.
+    ///
+    /// The whole list is for a host that has lost the store, and for one that started while the
+    /// store was away: nobody's changes reach back to what such a host knows, and without the list
+    /// it would serve an old table, or none, for as long as the store is out of its reach.
     #[must_use]
     pub fn behind(&self, revision: u64) -> Option<News> {
-        let is_complete = revision >= self.base && self.revision > 0;
-        let newer = self.entries.values().filter(|entry| entry.revision > revision);
-        let mut entries: Vec<Entry> = newer.cloned().collect();
+        self.revision()?;
+        let is_whole = revision < self.base;
+        let is_wanted = |entry: &&Entry| match is_whole {
+            true => entry.fact != Fact::Removed,
+            false => entry.revision > revision,
+        };
+        let mut entries: Vec<Entry> = self.entries.values().filter(is_wanted).cloned().collect();
         entries.sort_by_key(|entry| entry.revision);
-        is_complete.then_some(News { entries, revision: self.revision })
+        Some(News { entries, revision: self.revision, is_whole })
     }
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -104,13 +104,20 @@
         let mut speaker = None;
         let mut greeted = tokio::time::Instant::now();
         let mut buffer = vec![0; MESSAGE_BYTES];
-        for address in self.find().await {
-            known.insert(address, clock::steady());
-        }
-        log::info!(target: "peers", domain:% = self.failure_domain, found = known.len(); "peers found");
-        self.send(known.keys().copied().collect(), self.message()).await;
+        // Messages are taken meanwhile: a host that starts while the store is away finds nobody,
+        // but is found by those who knew it before.
+        let mut find = std::pin::pin!(self.find());
+        let mut has_found = false;
         loop {
             tokio::select! {
+                found = &mut find, if !has_found => {
+                    has_found = true;
+                    let now = clock::steady();
+                    known.extend(found.into_iter().map(|address| (address, now)));
+                    log::info!(target: "peers", domain:% = self.failure_domain,
+                        found = known.len(); "peers found");
+                    self.send(known.keys().copied().collect(), self.message()).await;
+                }
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => {
                         let taken = self.take(&buffer[..length], from, &mut known);
@@ -229,6 +236,7 @@
         }
         if !message.host.is_empty() {
             self.watch.met(&message.host);
+            self.watch.take_over(from);
         }
         let speaks = message.standings.iter().any(|standing| standing.list == List::Operators);
         for standing in message.standings {
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -48,6 +48,9 @@
         pub entries: Vec<Entry>,
         /// The store's newest revision at that moment.
         pub revision: u64,
+        /// These are all entries of the list; what is not among them is no longer there.
+        #[serde(default)]
+        pub is_whole: bool,
     }
 }
 
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -127,7 +127,7 @@
             if took > hold + LATE {
                 self.away(list);
             }
-            let gathers = match self.hear(list, news, after.is_none()) {
+            let gathers = match self.hear(list, news) {
                 Ok(is_news) => {
                     if !reached {
                         log::info!(target: "watch", list:? = list; "store regained");
@@ -158,13 +158,13 @@
     }
 
     /// What the store answered; whether it was news.
-    fn hear(&self, list: List, news: Result<News, Error>, whole: bool) -> Result<bool, Error> {
+    fn hear(&self, list: List, news: Result<News, Error>) -> Result<bool, Error> {
         let follow = self.follow(list);
         let news = match news {
             Ok(news) => news,
             Err(Error::Forgotten) => {
                 log::info!(target: "watch", list:? = list; "history dropped, read afresh");
-                follow.taken(&News::default(), true);
+                follow.forgotten();
                 return Ok(false);
             }
             Err(error) => {
@@ -174,7 +174,7 @@
         };
         self.reached(list, clock::steady());
         let is_news = !news.entries.is_empty();
-        if !self.take(list, &news, whole) {
+        if !self.take(list, &news) {
             // Read afresh in a moment: the store has answered from an old state.
             follow.relay().failed(PAUSE_MS, rand::random(), clock::steady());
             return Ok(false);
@@ -272,7 +272,7 @@
             {
                 log::info!(target: "watch", list:? = standing.list, from:% = from, after = own,
                     revision = news.revision, count = news.entries.len(); "news told by a peer");
-                self.take(standing.list, news, false);
+                self.take(standing.list, news);
                 follow.wake();
             }
             (Some(own), _) if own < standing.changed => {
@@ -281,15 +281,28 @@
                 }
             }
             (Some(_), _) => {
-                let nothing = News { entries: Vec::new(), revision: standing.revision };
-                follow.taken(&nothing, false);
+                let nothing = News { revision: standing.revision, ..News::default() };
+                follow.taken(&nothing);
                 follow.wake();
             }
-            // Before the first read of its own this host takes nothing from others.
+            // Before a read of its own this host takes nothing from others, if it can read.
             (None, _) => follow.wake(),
         }
     }
 
+    /// Takes over the lists that this host could not read, from another one of its failure domain.
+    ///
+    /// A host that starts while the store is away would refuse every caller until it is back, with
+    /// neighbours beside it that serve theirs by what they have read.
+    pub fn take_over(self: &Arc<Self>, from: SocketAddr) {
+        for list in List::ALL {
+            let follow = self.follow(list);
+            if follow.is_wanting() && follow.begin_taking() {
+                tokio::spawn(Arc::clone(self).catch_up(from, list, 0));
+            }
+        }
+    }
+
     async fn catch_up(self: Arc<Self>, from: SocketAddr, list: List, after: u64) {
         let follow = self.follow(list);
         let answer = exchange::ask(from, list, after).await;
@@ -305,7 +318,10 @@
             Ok(Some(news)) => {
                 log::info!(target: "watch", list:? = list, from:% = from, after,
                     revision = news.revision, count = news.entries.len(); "news taken from a peer");
-                self.take(list, &news, false);
+                self.take(list, &news);
+                if news.is_whole && list == List::Operators {
+                    self.take_records(from).await;
+                }
             }
             Ok(None) => follow.relay().force(),
             Err(error) => {
@@ -317,6 +333,18 @@
         follow.wake();
     }
 
+    /// Takes over how roll-outs stand. Without that an order that was carried out long ago would
+    /// look like one that has just come.
+    async fn take_records(&self, from: SocketAddr) {
+        match exchange::ask_records(from).await {
+            Ok(records) => records.into_iter().for_each(|told| self.adopt(told)),
+            Err(error) => {
+                log::warn!(target: "watch", from:% = from, error:% = error;
+                    "no roll-outs from a peer, the store is asked");
+            }
+        }
+    }
+
     /// A host alone could not read, or late: entries that lapse meanwhile are no deaths.
     fn away(&self, list: List) {
         if self.follow(list).relay().is_alone(clock::steady()) {
@@ -325,13 +353,13 @@
     }
 
     /// Takes what came; false if it is older than what is known.
-    fn take(&self, list: List, news: &News, whole: bool) -> bool {
+    fn take(&self, list: List, news: &News) -> bool {
         let taken = match list {
             List::Operators => self.take_operators(news),
-            List::Backends => self.take_backends(news, whole),
+            List::Backends => self.take_backends(news),
         };
         if taken {
-            self.follow(list).taken(news, whole);
+            self.follow(list).taken(news);
         }
         taken
     }
@@ -376,11 +404,11 @@
         true
     }
 
-    fn take_backends(&self, news: &News, whole: bool) -> bool {
+    fn take_backends(&self, news: &News) -> bool {
         let now = clock::steady();
         let count = news.entries.len();
         let revision = news.revision;
-        let taken = self.facts.with_roster(|roster| match whole {
+        let taken = self.facts.with_roster(|roster| match news.is_whole {
             true => {
                 let rows = news.entries.iter().filter_map(|entry| match &entry.fact {
                     Fact::Backend(backend) => Some((backend.clone(), entry.revision)),
@@ -412,10 +440,10 @@
             log::info!(target: "watch", revision, count; "stale list of backend servers ignored");
             return false;
         }
-        if whole {
+        if news.is_whole {
             self.facts.set_roster_read();
         }
-        if whole || count > 0 {
+        if news.is_whole || count > 0 {
             self.publish();
         }
         true
@@ -447,6 +475,10 @@
     fn news(&self, list: List, after: u64) -> Option<News> {
         self.follow(list).behind(after).filter(is_small)
     }
+
+    fn records(&self) -> Vec<Told> {
+        self.facts.records(clock::steady())
+    }
 }
 
 fn unreadable(news: &News) -> impl Iterator<Item = &Entry> {
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -96,6 +96,8 @@
     first: bool,
     /// It could not read; when it tries again.
     lost: Option<Millis>,
+    /// Its last try to read failed.
+    failed: bool,
     /// What it was told could not be had from another host.
     forced: bool,
 }
@@ -116,6 +118,7 @@
             reads: false,
             first: true,
             lost: None,
+            failed: false,
             forced: false,
         }
     }
@@ -146,6 +149,7 @@
         self.begun = true;
         self.first = false;
         self.lost = None;
+        self.failed = false;
         self.forced = false;
     }
 
@@ -155,6 +159,7 @@
         let spread_ms = (others * LOST_EACH_MS).clamp(pause_ms, LOST_MAX_MS.max(pause_ms));
         let ms = spread_ms as f64 * (0.5 + draw / 2.0);
         self.lost = Some(now + ms as u64);
+        self.failed = true;
         self.first = true;
         self.reads = false;
     }
@@ -177,6 +182,13 @@
         self.part(STALE_PART) + AWAY_MS
     }
 
+    /// Whether this host has never read, and could not when it tried. It then takes over what
+    /// others know: it would otherwise refuse all requests until the store is back.
+    #[must_use]
+    pub fn is_wanting(&self) -> bool {
+        !self.begun && self.failed
+    }
+
     /// Whether this host reads on, for the others or for itself alone.
     #[must_use]
     pub fn reads(&self) -> bool {
