Engines' backlog in their own order, prompts read by reading time

A prompt of 27,000 tokens for the large model was begun at 7.25 s; everything else sent there until 8.95 s waited for it, requests of the highest urgency too, while hosts of two domains went on sending: they count late answers of no lower urgency only. Behind it m0 prompts of 10 ms waited for one of 960 ms, for their route is less urgent.

Change: policy::backlog takes the place of policy::reading and policy::overdue: the engine's order worked out from what was sent and told, set right by the host's own answers (an early one ends all before it, a late one sets the engine back, an overtaken one says nothing). policy::precedence gives an engine the order: by reading time in steps of four, then by urgency; what goes on comes before its like.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::http::response::Parts;
+use policy::backlog::Prompt;
 
 use crate::backend::{Backend, Word};
 use crate::codec::{Codec, Head, Sending};
@@ -83,16 +84,17 @@
     let tokens = (f64::from(job.ask.prompt_tokens) - seen.cached).max(0.0);
     let rate = job.tokens_per_ms(job.tries.model);
     let read_ms = tokens / rate;
-    let awaited = backend.sent(model, &job.ask.parts, (read_ms, rank), clock::steady());
+    let prompt = Prompt { rank, read_ms };
+    let awaited = backend.sent(model, &job.ask.parts, prompt, clock::steady());
     if read_ms >= TOLD_MS && backend.near {
-        let word = Word { backend: backend.id.clone(), read_ms: read_ms as u32 };
+        let word = Word { backend: backend.id.clone(), read_ms: read_ms as u32, rank };
         // When too many words wait the rest are not told; they are hints only.
         let _ = job.state.words.try_send(word);
     }
     let lease = Lease::new(Arc::clone(&backend.server));
     let sent_at = Instant::now();
     let response = patient(job, backend, connection.send(request, job.left())).await?;
-    drop(awaited);
+    awaited.began(clock::steady());
     let first_ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
     let (head, body) = response.into_parts();
     let said = job.state.codec.head(head.status, &head.headers);
@@ -105,11 +107,11 @@
         let (timing, now) = (job.timing(), clock::steady());
         job.state.timings.with(timing, |timing| timing.first.note(first_ms, now));
         job.state.speeds.with(job.speed(job.tries.model), |speed| {
-            speed.note(first_ms, seen.reading_ms, tokens);
+            speed.note(first_ms, seen.wait_ms, tokens);
         });
     }
     let backend = Arc::clone(backend);
-    let expected_ms = seen.reading_ms + seen.late_ms + read_ms;
+    let expected_ms = seen.wait_ms + read_ms;
     Ok(Reply { head, said, body, connection, lease, backend, sent_at, first_ms, expected_ms })
 }
 
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -8,10 +8,9 @@
 use entry::clock;
 use entry::connection::Connection;
 use entry::server::Server;
+use policy::backlog::{Backlog, Prompt};
 use policy::name::Name;
-use policy::overdue::Overdue;
 use policy::place;
-use policy::reading::Reading;
 use policy::silence::{self, Action, Bounds, Silence};
 use policy::suspicion::Suspicion;
 use policy::time::Millis;
@@ -40,6 +39,9 @@
         pub backend: Name,
         /// How long it will be kept, in milliseconds.
         pub read_ms: u32,
+        /// The prompt's place among those that wait there.
+        #[serde(default)]
+        pub rank: u8,
     }
 }
 
@@ -68,9 +70,16 @@
     number: u64,
 }
 
+impl Awaited {
+    /// It has begun.
+    pub fn began(self, now: Millis) {
+        self.backend.lock().backlog.began(self.number, now);
+    }
+}
+
 impl Drop for Awaited {
     fn drop(&mut self) {
-        self.backend.lock().overdue.ended(self.number);
+        self.backend.lock().backlog.dropped(self.number);
     }
 }
 
@@ -78,9 +87,8 @@
 struct Belief {
     suspicion: Suspicion,
     timeouts: u32,
-    /// Prompts sent there whose answers have not begun.
-    reading: Reading,
-    overdue: Overdue,
+    /// Prompts sent there.
+    backlog: Backlog,
     reported: u32,
     own_then: u32,
     reported_at: Millis,
@@ -99,10 +107,8 @@
     pub own_then: u32,
     /// When it came; 0 for never.
     pub reported_at: Millis,
-    /// Time that prompts sent there will still keep it, in milliseconds.
-    pub reading_ms: f64,
-    /// By how much answers are late that must begin there before, in milliseconds.
-    pub late_ms: f64,
+    /// Time until it would begin to read the prompt, in milliseconds.
+    pub wait_ms: f64,
     /// Leading tokens of the prompt believed to be cached.
     pub cached: f64,
     /// Share of requests that it is expected to fail.
@@ -129,7 +135,8 @@
     /// What is believed of it, for a prompt.
     #[must_use]
     pub fn seen(&self, model: u64, parts: &[Part], rank: u8, now: Millis) -> Seen {
-        let belief = self.lock();
+        let mut belief = self.lock();
+        let wait_ms = belief.backlog.wait_ms(rank, now);
         let is_cached = |part: &&Part| {
             let used = belief.parts.get(&(model, part.id));
             used.is_some_and(|used| now.since(*used) < CACHED_MS)
@@ -139,8 +146,7 @@
             reported: belief.reported,
             own_then: belief.own_then,
             reported_at: belief.reported_at,
-            reading_ms: belief.reading.left_ms(now),
-            late_ms: belief.overdue.late_ms(rank, now),
+            wait_ms,
             cached: cached.map(|part| f64::from(part.tokens)).sum(),
             suspicion: belief.suspicion.share(now),
         }
@@ -153,13 +159,11 @@
         self: &Arc<Self>,
         model: u64,
         parts: &[Part],
-        (read_ms, rank): (f64, u8),
+        prompt: Prompt,
         now: Millis,
     ) -> Awaited {
         let mut belief = self.lock();
-        belief.reading.add(read_ms, now);
-        let due = now + belief.reading.left_ms(now) as u64;
-        let number = belief.overdue.sent(due, rank);
+        let number = belief.backlog.sent(prompt, now);
         if belief.parts.len() > PARTS_MAX {
             belief.parts.retain(|_, used| now.since(*used) < CACHED_MS);
         }
@@ -171,8 +175,8 @@
     }
 
     /// A prompt sent by another host will keep it for a time.
-    pub fn told(&self, read_ms: f64, now: Millis) {
-        self.lock().reading.add(read_ms, now);
+    pub fn told(&self, prompt: Prompt, now: Millis) {
+        self.lock().backlog.told(prompt, now);
     }
 
     /// Its load as told with an answer.
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -9,6 +9,7 @@
 use entry::connection::Cause;
 use hyper::StatusCode;
 use hyper::http::response::Parts;
+use policy::precedence;
 use policy::retry::{self, Attempt};
 use wire::refusal::{Code, Refusal};
 
@@ -25,13 +26,6 @@
 /// The same of connections that are refused at once. When half of a pool's servers crash together
 /// four refusals in a row are common, and each costs the request a millisecond.
 const REFUSED_MAX: u32 = 24;
-/// What an engine is told of the most urgent requests; 0 is left for what must go on.
-const ENGINE_URGENT: u8 = 3;
-/// What it is told of requests asked again of a larger model: work was spent on them already.
-const ENGINE_AGAIN: u8 = 1;
-const ENGINE_PRIORITY_MAX: u8 = 9;
-/// A prompt over this many tokens keeps an engine from others for longer than a step.
-const ENGINE_LONG_TOKENS: u32 = 8_000;
 
 /// An answer that may be passed on.
 pub enum Accepted {
@@ -111,11 +105,13 @@
     #[must_use]
     pub fn engine_priority(&self) -> Option<u8> {
         let is_engine = !self.ask.parts.is_empty();
-        let own = (ENGINE_URGENT + 2 * self.priority.min(ENGINE_URGENT)).min(ENGINE_PRIORITY_MAX);
-        let again = if self.tries.sent > 0 { ENGINE_AGAIN } else { 0 };
-        // A long prompt waits for the short ones of its kind: they are read in a moment.
-        let long = u8::from(self.ask.prompt_tokens > ENGINE_LONG_TOKENS);
-        is_engine.then_some((own + long - again).min(ENGINE_PRIORITY_MAX))
+        let request = precedence::Request {
+            read_ms: f64::from(self.ask.prompt_tokens) / self.tokens_per_ms(self.tries.model),
+            priority: self.priority,
+            is_again: self.tries.sent > 0,
+            is_resumed: self.ask.last_event.is_some(),
+        };
+        is_engine.then(|| precedence::place(&request))
     }
 }
 
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -57,7 +57,7 @@
                 own_then: seen.own_then,
                 report_age_ms: engine::age(seen.reported_at, now),
                 slots: backend.slots,
-                reading_ms: seen.reading_ms + seen.late_ms,
+                wait_ms: seen.wait_ms,
                 cached: seen.cached,
                 preferred: preferred == Some(index),
                 near: backend.near,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -14,6 +14,7 @@
 use entry::clock;
 use gateway::backend::Word;
 use gateway::{Codec, State};
+use policy::backlog::Prompt;
 use policy::domain;
 use policy::name::Name;
 use policy::time::Millis;
@@ -250,7 +251,8 @@
         for word in &message.words {
             let backends = world.pools.values().flat_map(|pool| &pool.backends);
             if let Some(backend) = backends.into_iter().find(|backend| backend.id == word.backend) {
-                backend.told(f64::from(word.read_ms), now);
+                let prompt = Prompt { rank: word.rank, read_ms: f64::from(word.read_ms) };
+                backend.told(prompt, now);
             }
         }
         metrics::counter!("node_peer_words_total").increment(message.words.len() as u64);
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -36,8 +36,8 @@
         pub report_age_ms: Option<u64>,
         /// Requests that it works on at once.
         pub slots: u32,
-        /// Time that prompts sent there will still keep it, in milliseconds.
-        pub reading_ms: f64,
+        /// Time until it would begin to read the request's prompt, in milliseconds.
+        pub wait_ms: f64,
         /// Tokens of the request's prompt believed to be cached there.
         pub cached: f64,
         /// Whether it is the one that all hosts prefer for the prompt's shared part.
@@ -94,7 +94,7 @@
         (load / slots).min(1.0) * FULL_BATCH_MS
             + waiting * ask.service_ms * WAITING_PART
             + read_ms
-            + self.reading_ms
+            + self.wait_ms
             + if self.near { 0.0 } else { ask.far_ms }
             + self.suspicion * ask.failure_ms
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! replayed through exactly the code that serves traffic. Random draws are arguments as well.
 
 pub mod admit;
+pub mod backlog;
 pub mod burn;
 pub mod canary;
 pub mod derive;
@@ -14,12 +15,11 @@
 pub mod lift;
 pub mod limit;
 pub mod name;
-pub mod overdue;
 pub mod patience;
 pub mod place;
+pub mod precedence;
 pub mod prefill;
 pub mod probe;
-pub mod reading;
 pub mod relay;
 pub mod repeat;
 pub mod retry;
--- a/crates/policy/tests/engine.rs
+++ b/crates/policy/tests/engine.rs
@@ -8,7 +8,7 @@
     own_then: 0,
     report_age_ms: Some(50),
     slots: 64,
-    reading_ms: 0.0,
+    wait_ms: 0.0,
     cached: 0.0,
     preferred: false,
     near: true,
@@ -37,7 +37,7 @@
 
 #[test]
 fn choose_long_prompt_ahead_is_avoided() {
-    let reading = Engine { own: 1, reading_ms: 1_000.0, ..ENGINE };
+    let reading = Engine { own: 1, wait_ms: 1_000.0, ..ENGINE };
     let busy = Engine { own: 12, ..ENGINE };
     assert_eq!(pick(&[reading, busy]), 1);
 }
--- a/crates/policy/tests/peak.rs
+++ b/crates/policy/tests/peak.rs
@@ -3,13 +3,12 @@
 //!
 //! Each pattern compares a decision with the one it replaced; `--nocapture` prints the figures.
 
+use policy::backlog::{Backlog, Prompt};
 use policy::engine::{Ask, Engine, choose};
 use policy::escalate::{Doubt, escalate};
-use policy::overdue::Overdue;
 use policy::patience::Patience;
 use policy::place::mix;
 use policy::prefill::Speed;
-use policy::reading::Reading;
 use policy::time::Millis;
 
 const START: u64 = 1_000_000;
@@ -18,6 +17,8 @@
 /// What was believed of both models before their speeds were learnt.
 const GUESS: f64 = 50.0;
 const OBJECTIVE_MS: f64 = 1_500.0;
+/// Of all prompts where the order does not matter.
+const RANK: u8 = 5;
 /// A wait for others' prompts that leaves too little of the objective.
 const LONG_WAIT_MS: f64 = 300.0;
 
@@ -76,11 +77,10 @@
     let Peak { hosts, rates, per_s } = peak;
     const ENGINES: usize = 15;
     let mut speeds = vec![[Speed::default(); 2]; hosts];
-    let mut overdue = vec![vec![Overdue::default(); ENGINES]; hosts];
     let mut awaited: Vec<(f64, usize, usize, u64)> = Vec::new();
     let mut seed = seed;
     let mut free_at = [START as f64; ENGINES];
-    let mut believed = vec![[Reading::default(); ENGINES]; hosts];
+    let mut believed = vec![vec![Backlog::default(); ENGINES]; hosts];
     let mut under_way: Vec<(f64, usize, usize)> = Vec::new();
     let (mut late, mut all, mut now) = (0, 0, START as f64);
     while now < START as f64 + 10_000.0 {
@@ -98,7 +98,7 @@
         awaited.retain(|(begins, host, engine, number)| {
             let waits = *begins > now;
             if !waits {
-                overdue[*host][*engine].ended(*number);
+                believed[*host][*engine].began(*number, at);
             }
             waits
         });
@@ -108,12 +108,9 @@
                 own: own(engine) as u32,
                 slots: 32,
                 near: true,
-                reading_ms: match knowing {
+                wait_ms: match knowing {
                     Knowing::Requests => 0.0,
-                    Knowing::OwnPromptsAndLate => {
-                        believed[host][engine].left_ms(at) + overdue[host][engine].late_ms(0, at)
-                    }
-                    _ => believed[host][engine].left_ms(at),
+                    _ => believed[host][engine].wait_ms(RANK, at),
                 },
                 ..Engine::default()
             })
@@ -128,16 +125,22 @@
         };
         let engine = choose(&seen, &ask, mix(seed)).unwrap();
         let (read_ms, believed_ms) = (tokens / rates[model], tokens / believed_rate);
-        let known_ms = believed[host][engine].left_ms(at);
+        let known_ms = believed[host][engine].wait_ms(RANK, at);
         let tells = knowing == Knowing::AllPrompts && believed_ms >= 60.0;
+        let prompt = Prompt { rank: RANK, read_ms: believed_ms };
         for (other, engines) in believed.iter_mut().enumerate() {
-            if other == host || tells {
-                engines[engine].add(believed_ms, at);
+            if other != host && tells {
+                engines[engine].told(prompt, at);
             }
         }
         free_at[engine] = free_at[engine].max(now) + read_ms;
-        let due = Millis((now + known_ms + believed_ms) as u64);
-        awaited.push((free_at[engine], host, engine, overdue[host][engine].sent(due, 0)));
+        match knowing {
+            Knowing::OwnPromptsAndLate => {
+                let number = believed[host][engine].sent(prompt, at);
+                awaited.push((free_at[engine], host, engine, number));
+            }
+            _ => believed[host][engine].told(prompt, at),
+        }
         speeds[host][model].note(free_at[engine] - now, known_ms, tokens);
         under_way.push((free_at[engine] + 1_500.0, host, engine));
         all += 1;
