Streams cut at a roll-out's end go on at the new version before its success is known

Fleets with more than 24 old servers can meet it.

Change: from the moment in which the new version has all requests, by the clock that all hosts share, a stream that breaks goes on there.

Before: stream_goes_on_when_many_old_servers_stop_before_the_success_is_known failed three times of three (30 old servers); with the change it holds.

--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -59,7 +59,7 @@
         let now = clock::steady();
         let version = match &self.tries.version {
             // A stream and a session stay on their version while it has another server.
-            Some(version) if pool.keeps(version) => version.clone(),
+            Some(version) if pool.keeps(version, now) => version.clone(),
             _ => pool.version(self.subject(), now).clone(),
         };
         let stopped = pool
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -86,12 +86,14 @@
     ///
     /// When a roll-out has succeeded the servers of the version before are stopped without a word,
     /// and are listed for some seconds more. A stream that was cut by that and asked those servers
-    /// one after another would have used up its tries before it came to one that lives.
+    /// one after another would have used up its tries before it came to one that lives. They are
+    /// stopped before all hosts know of the success, so it is enough that the new version has all
+    /// requests.
     #[must_use]
-    pub fn keeps(&self, version: &Name) -> bool {
-        let succeeded = self.rollout.as_ref().filter(|rollout| rollout.stage == Stage::Done);
-        let is_stopped = succeeded.is_some_and(|rollout| rollout.target != *version);
-        !is_stopped && self.of(version).next().is_some()
+    pub fn keeps(&self, version: &Name, now: Millis) -> bool {
+        let full = self.rollout.as_ref().filter(|rollout| rollout.share(now) >= 1.0);
+        let is_left = full.is_some_and(|rollout| rollout.target != *version);
+        !is_left && self.of(version).next().is_some()
     }
 
     /// The version that a request may go to instead when this one has no server left for it.
