--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
 use hyper::http::response::Parts;
-use policy::canary::Sign;
+use policy::canary::{self, Sign};
 use policy::escalate::{self, Doubt};
 use policy::lift;
 use wire::routing::Kind;
@@ -17,6 +17,7 @@
 use crate::backend::Backend;
 use crate::carry::Accepted;
 use crate::codec::Codec;
+use crate::end::Passed;
 use crate::evidence::Origin;
 use crate::job::Job;
 use crate::pool::Pool;
@@ -170,16 +171,37 @@
             let now = clock::steady();
             self.state.timings.with(self.timing(), |timing| timing.pace.note(ms, now));
         }
+        self.note_sign(
+            backend,
+            match pace_ms {
+                None => Sign::Failed,
+                Some(ms) if canary::is_slow(ms, usual.mean_ms(f64::INFINITY)) => Sign::Slow,
+                Some(_) => Sign::Good,
+            },
+        );
+    }
+
+    /// Counts a stream that is under way as slow, for the roll-out, if its events have come so
+    /// slowly; whether it did.
+    ///
+    /// Of a slow version few streams end before the verdict. Counted only at their ends, those
+    /// that had been fast would speak for it.
+    pub fn note_slow_so_far(&self, backend: &Backend, passed: &Passed) -> bool {
+        let (events, took) = passed.gaps();
+        let usual = self.state.timings.with(self.timing(), |timing| timing.gap);
+        let took_ms = took.as_secs_f64() * 1_000.0;
+        let is_slow = canary::is_slow_so_far(events, took_ms, usual.mean_ms(f64::INFINITY));
+        if is_slow {
+            self.note_sign(backend, Sign::Slow);
+        }
+        is_slow
+    }
+
+    fn note_sign(&self, backend: &Backend, sign: Sign) {
         let world = self.state.world.load();
         let pool: Option<&Arc<Pool>> = world.pools.get(&self.service);
         let trial = pool.and_then(|pool| pool.rollout.as_ref()).filter(|trial| trial.is_open());
         let Some(trial) = trial else { return };
-        let slow = usual.mean_ms(f64::INFINITY) * policy::canary::SLOW_FACTOR;
-        let sign = match pace_ms {
-            None => Sign::Failed,
-            Some(ms) if ms > slow => Sign::Slow,
-            Some(_) => Sign::Good,
-        };
         let origin = match backend.version == trial.target {
             false => Origin::Old,
             true if trial.has_all(clock::steady()) => Origin::NewAtFull,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -35,6 +35,8 @@
     backend: Arc<Backend>,
     sent_at: Instant,
     passed: Passed,
+    /// It has been counted as slow for a roll-out.
+    is_slow: bool,
     // Dropped with the stream: closes the connection, which stops the backend server's work.
     _connection: Connection,
     _lease: Lease,
@@ -65,6 +67,7 @@
             backend,
             sent_at,
             passed: Passed::default(),
+            is_slow: false,
             _connection: connection,
             _lease: lease,
         };
@@ -183,9 +186,18 @@
     if end == End::Answered {
         live.backend.note(false, clock::steady());
         let ms = live.sent_at.elapsed().as_secs_f64() * 1_000.0;
-        job.note_version(&live.backend, Some(ms / f64::from(live.passed.events.max(1))));
+        if !live.is_slow {
+            job.note_version(&live.backend, Some(ms / f64::from(live.passed.events.max(1))));
+        }
         if job.timed(&live.backend) {
-            job.state.timings.with(job.timing(), |timing| timing.whole.note(ms, clock::steady()));
+            let (events, gaps) = live.passed.gaps();
+            let now = clock::steady();
+            job.state.timings.with(job.timing(), |timing| {
+                timing.whole.note(ms, now);
+                if events > 0 {
+                    timing.gap.note(gaps.as_secs_f64() * 1_000.0 / f64::from(events), now);
+                }
+            });
         }
     }
     end::log(job, end, live.passed);
@@ -202,6 +214,7 @@
             Ok(Piece::Events(events)) => {
                 send(pieces, events, job).await?;
                 live.passed.piece(Instant::now());
+                live.is_slow |= !live.is_slow && job.note_slow_so_far(&live.backend, &live.passed);
             }
             Ok(Piece::End) => live.ended = true,
             Err(cause) => return Err(End::Broken(cause)),
--- a/crates/gateway/src/timing.rs
+++ b/crates/gateway/src/timing.rs
@@ -11,4 +11,6 @@
     pub whole: Patience,
     /// The same for each event of a stream, or for a whole plain answer.
     pub pace: Patience,
+    /// Between two events of a stream, from its first to its last.
+    pub gap: Patience,
 }
--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -65,7 +65,9 @@
 /// Answers of the new version in all without which nothing moves.
 const ANSWERS_TO_MOVE: u32 = 12;
 /// An answer that takes this many times the usual time, for each event of it, counts as slow.
-pub const SLOW_FACTOR: f64 = 2.5;
+const SLOW_FACTOR: f64 = 2.5;
+/// Events behind the first by whose time a stream under way is judged: a pause or two is no sign.
+const EVENTS_MIN: u32 = 5;
 
 domain! {
     /// How far a roll-out has come; shared by all hosts.
@@ -171,6 +173,20 @@
     (place as f64) / ((1_u64 << 53) as f64) < share
 }
 
+/// Whether an answer is slow, by its time for each of its events and the usual one, in
+/// milliseconds.
+#[must_use]
+pub fn is_slow(pace_ms: f64, usual_ms: f64) -> bool {
+    pace_ms > usual_ms * SLOW_FACTOR
+}
+
+/// Whether a stream that has not ended is slow, by the time that the events behind its first took
+/// and the usual time between two, in milliseconds.
+#[must_use]
+pub fn is_slow_so_far(events: u32, took_ms: f64, usual_ms: f64) -> bool {
+    events >= EVENTS_MIN && is_slow(took_ms / f64::from(events), usual_ms)
+}
+
 /// Logarithm of how much likelier the new version's failures are from a bad one than from one that
 /// is as good as the old.
 #[must_use]
