A version on trial gets its requests at few servers, under the load to come

Ruled out: a longer stage with all requests (no number of answers at a load that it bears tells anything, and a bad version may get 0.0975 of all requests). Change: on trial requests go to share times servers, rounded up, of its servers, the same on all hosts, so that each of these has at most its later load.

--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -27,7 +27,8 @@
 /// background, and serve again a moment after they can be reached.
 pub fn choose<C: Codec>(job: &Job<C>, pool: &Pool, version: &Name) -> Option<Arc<Backend>> {
     let now = clock::steady();
-    let untried = pool.of(version).filter(|backend| !job.tries.tried.contains(&backend.id));
+    let open = pool.open(version, now).into_iter();
+    let untried = open.filter(|backend| !job.tries.tried.contains(&backend.id));
     let (lit, dark): (Vec<_>, Vec<_>) =
         untried.partition(|backend| !job.tries.dark.contains(&backend.server.failure_domain));
     let (well, ill): (Vec<_>, Vec<_>) =
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -5,6 +5,7 @@
 
 use policy::canary::{self, Stage};
 use policy::name::Name;
+use policy::place::mix;
 use policy::time::Millis;
 
 use crate::backend::Backend;
@@ -82,6 +83,22 @@
         self.backends.iter().filter(move |backend| backend.version == *version)
     }
 
+    /// Backend servers of a version that requests are sent to now.
+    ///
+    /// A version on trial has few requests. Spread over all of its servers they would leave each one
+    /// idle, and a version that fails only under load would show it when it has all requests, and
+    /// not before. So they go to so few servers that these have the load to come.
+    #[must_use]
+    pub fn open<'a>(&'a self, version: &'a Name, now: Millis) -> Vec<&'a Arc<Backend>> {
+        let mut open: Vec<_> = self.of(version).collect();
+        let trial = self.rollout.as_ref().filter(|rollout| rollout.target == *version);
+        if let Some(share) = trial.map(|trial| trial.share(now)).filter(|share| *share > 0.0) {
+            open.sort_unstable_by_key(|backend| mix(backend.hash));
+            open.truncate(canary::servers(share, open.len()));
+        }
+        open
+    }
+
     /// Whether a stream or session that is on a version stays there.
     ///
     /// When a roll-out has succeeded the servers of the version before are stopped without a word,
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -62,3 +62,29 @@
     halted.rollout.as_ref().unwrap().halted.store(true, Ordering::Relaxed);
     assert!(halted.keeps(&Name::from("v1"), at(0.96)));
 }
+
+/// A version that fails only under load showed nothing on trial: its few requests were spread over
+/// all of its servers, and each was idle.
+#[test]
+fn open_on_trial_gives_few_servers_the_load_to_come() {
+    let mut pool = pool(Stage::Trial, false);
+    pool.backends.extend((0..59).map(|number| backend(&format!("new-{number}"), "v2")));
+    let trial = Name::from("v2");
+    let open = |part: f64| pool.open(&trial, at(part)).len();
+    for part in [0.52, 0.7, 0.9] {
+        let share = pool.rollout.as_ref().unwrap().share(at(part));
+        // Each has at most what it will have, and not less than a half of it.
+        let load = share * 60.0 / open(part) as f64;
+        assert!((0.5..=1.0).contains(&load), "{load} at {part}");
+    }
+    assert_eq!(pool.open(&Name::from("v1"), at(0.7)).len(), 1);
+    let same = |part| pool.open(&trial, at(part)).iter().map(|b| b.id.clone()).collect::<Vec<_>>();
+    assert!(same(0.9).starts_with(&same(0.52)), "servers are added, not exchanged");
+}
+
+#[test]
+fn open_with_all_requests_is_all_servers() {
+    let pool = pool(Stage::Moving, false);
+    assert_eq!(pool.open(&Name::from("v2"), at(0.96)).len(), 1);
+    assert_eq!(pool.open(&Name::from("v2"), at(0.1)).len(), 1, "nothing is sent there yet");
+}
--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -173,6 +173,13 @@
     (place as f64) / ((1_u64 << 53) as f64) < share
 }
 
+/// Of so many servers of the new version, those that its share of requests goes to: each has the
+/// load then that it will have with all requests, or less.
+#[must_use]
+pub fn servers(share: f64, all: usize) -> usize {
+    ((share * all as f64).ceil() as usize).clamp(1, all.max(1))
+}
+
 /// Whether an answer is slow, by its time for each of its events and the usual one, in
 /// milliseconds.
 #[must_use]
