Hosts that start take the store's lists from each other

Each host read both lists whole at its start.

Change: policy::bootstrap gives each host of a failure domain a turn by rank, 20 ms apart; whoever reads says so, which puts the other turns off, and tells when it has the list; the others take it in pieces, two at a time, from it or from those that it has given it to. Nobody is elected: a turn that comes is taken, at the latest two seconds after the start, and a host that finds fewer than four others listed, or cannot look for them in 150 ms, reads at once. A list is taken only if it is as new as what a host that listens trusts. A host that starts again is listed already: it looks for the others by one call in place of two.

--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -2,6 +2,7 @@
 //!
 //! Calls are few, and a connection that is kept can go silent while new ones work.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use bytes::Bytes;
 use entry::clock;
 use futures::StreamExt;
+use policy::domain;
 use policy::limit::{Limit, Usage, Verdict};
 use tarpc::client;
 use tarpc::client::RpcError;
@@ -36,6 +38,8 @@
 /// Hosts that read in pieces from one host at once. More of them would share its link, and fill it
 /// for longer than their callers wait; they find another host, or the store again.
 const READERS_MAX: usize = 2;
+/// Hosts that were given a whole list lately, remembered for those that find this one busy.
+const GIVEN_MAX: usize = 32;
 /// Exchanges served in a second at most, and in one burst: what a core's fiftieth can do. Who is not
 /// served asks the store.
 const SERVED: Limit = Limit { requests_per_second: 100.0, in_flight: 0 };
@@ -53,6 +57,36 @@
     async fn piece(from: u64) -> Bytes;
     /// How roll-outs stand.
     async fn records() -> Vec<Told>;
+    /// Opens all of a list for a host that starts, which serves others at an address.
+    async fn whole(list: List, host: SocketAddr) -> Offer;
+}
+
+domain! {
+    /// What a host that starts is offered.
+    pub enum Offer {
+        /// All of the list, to be read in pieces on this connection.
+        Opened {
+            /// Its length in bytes.
+            bytes: u64,
+        },
+        /// Enough other hosts are reading; these were given the list lately.
+        Busy {
+            /// Where they serve others.
+            others: Vec<SocketAddr>,
+        },
+        /// This host has not read the list.
+        Nothing,
+    }
+
+    /// What a host that starts was given.
+    pub enum Given {
+        /// All of the list.
+        Whole(News),
+        /// Nothing yet; these hosts may have it.
+        Busy(Vec<SocketAddr>),
+        /// Nothing.
+        Nothing,
+    }
 }
 
 /// What has the news.
@@ -77,6 +111,7 @@
     source: Arc<S>,
     served: Arc<Mutex<Usage>>,
     places: Arc<Semaphore>,
+    given: Arc<Mutex<VecDeque<SocketAddr>>>,
     opened: Arc<Mutex<Option<Opened>>>,
 }
 
@@ -86,6 +121,7 @@
             source: Arc::clone(&self.source),
             served: Arc::clone(&self.served),
             places: Arc::clone(&self.places),
+            given: Arc::clone(&self.given),
             opened: Arc::clone(&self.opened),
         }
     }
@@ -101,14 +137,7 @@
 
     async fn open(self, _: Context, list: List, after: u64) -> Option<u64> {
         let place = Arc::clone(&self.places).try_acquire_owned().ok()?;
-        let news = self.source.all_news(list, after)?;
-        let text = serde_json::to_vec(&news).inspect_err(|error| {
-            log::error!(target: "peers", list:? = list, error:% = error; "news not written");
-        });
-        let text = Bytes::from(text.ok()?);
-        let length = text.len() as u64;
-        *lock(&self.opened) = Some(Opened { text, _place: place });
-        Some(length)
+        self.open_news(list, after, place)
     }
 
     async fn piece(self, _: Context, from: u64) -> Bytes {
@@ -124,6 +153,33 @@
             false => Vec::new(),
         }
     }
+
+    async fn whole(self, _: Context, list: List, host: SocketAddr) -> Offer {
+        let Ok(place) = Arc::clone(&self.places).try_acquire_owned() else {
+            return Offer::Busy { others: lock(&self.given).iter().copied().collect() };
+        };
+        let Some(bytes) = self.open_news(list, 0, place) else { return Offer::Nothing };
+        let mut given = lock(&self.given);
+        given.retain(|other| *other != host);
+        given.push_back(host);
+        let beyond = given.len().saturating_sub(GIVEN_MAX);
+        given.drain(..beyond);
+        Offer::Opened { bytes }
+    }
+}
+
+impl<S: Source> Server<S> {
+    /// Makes news ready for being read in pieces; their length.
+    fn open_news(&self, list: List, after: u64, place: OwnedSemaphorePermit) -> Option<u64> {
+        let news = self.source.all_news(list, after)?;
+        let text = rmp_serde::to_vec(&news).inspect_err(|error| {
+            log::error!(target: "peers", list:? = list, error:% = error; "news not written");
+        });
+        let text = Bytes::from(text.ok()?);
+        let length = text.len() as u64;
+        *lock(&self.opened) = Some(Opened { text, _place: place });
+        Some(length)
+    }
 }
 
 impl<S> Server<S> {
@@ -137,6 +193,7 @@
 pub async fn serve<S: Source>(listener: TcpListener, source: Arc<S>) {
     let served = Arc::default();
     let places = Arc::new(Semaphore::new(READERS_MAX));
+    let given = Arc::default();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -144,6 +201,7 @@
                     source: Arc::clone(&source),
                     served: Arc::clone(&served),
                     places: Arc::clone(&places),
+                    given: Arc::clone(&given),
                     opened: Arc::default(),
                 };
                 tokio::spawn(serve_one(stream, server));
@@ -187,10 +245,33 @@
 /// # Errors
 /// When a piece does not come in time, or the whole can't be read; reading has no effect.
 pub async fn ask_all(from: SocketAddr, list: List, after: u64) -> Result<Option<News>, Error> {
-    let lost = |error: RpcError| Error::Lost(error.to_string());
     let host = within(connect(from)).await?;
     let opened = within(async { host.open(context(), list, after).await.map_err(lost) }).await?;
-    let Some(length) = opened else { return Ok(None) };
+    match opened {
+        Some(length) => read_pieces(&host, length).await.map(Some),
+        None => Ok(None),
+    }
+}
+
+/// Reads all of a list from another host, for one that starts and serves others at an address.
+///
+/// # Errors
+/// As [`ask_all`].
+pub async fn ask_whole(from: SocketAddr, list: List, own: SocketAddr) -> Result<Given, Error> {
+    let host = within(connect(from)).await?;
+    match within(async { host.whole(context(), list, own).await.map_err(lost) }).await? {
+        Offer::Opened { bytes } => read_pieces(&host, bytes).await.map(Given::Whole),
+        Offer::Busy { others } => Ok(Given::Busy(others)),
+        Offer::Nothing => Ok(Given::Nothing),
+    }
+}
+
+fn lost(error: RpcError) -> Error {
+    Error::Lost(error.to_string())
+}
+
+/// Reads what another host has opened.
+async fn read_pieces(host: &HostClient, length: u64) -> Result<News, Error> {
     if length > LONG_BYTES_MAX {
         return Err(Error::Malformed(format!("{length} bytes")));
     }
@@ -203,8 +284,7 @@
         }
         text.extend_from_slice(&piece);
     }
-    let news = serde_json::from_slice(&text);
-    news.map(Some).map_err(|error| Error::Malformed(error.to_string()))
+    rmp_serde::from_slice(&text).map_err(|error| Error::Malformed(error.to_string()))
 }
 
 /// Asks another host how roll-outs stand.
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -6,8 +6,7 @@
 use std::time::Duration;
 
 use policy::domain;
-use policy::name::Name;
-use policy::relay::{Bounds, Duty, Relay};
+use policy::relay::{Duty, Relay};
 use policy::time::Millis;
 use tokio::sync::Notify;
 
@@ -82,11 +81,11 @@
 impl Follow {
     /// Nothing read yet.
     #[must_use]
-    pub fn new(list: List, bounds: Bounds, host: &Name, now: Millis) -> Self {
+    pub fn new(list: List, relay: Relay) -> Self {
         Self {
             list,
             history: Mutex::default(),
-            relay: Mutex::new(Relay::new(bounds, host, list.name(), now)),
+            relay: Mutex::new(relay),
             read_at: Mutex::default(),
             before: Mutex::default(),
             wake: Notify::new(),
@@ -235,10 +234,10 @@
         self.relay().read(now);
     }
 
-    /// What this host tells the others, if it reads for them.
+    /// What this host tells the others of what it reads.
     #[must_use]
     pub fn standing(&self, now: Millis) -> Option<Standing> {
-        if !self.relay().reads_for_others(now) {
+        if !self.relay().tells(now) {
             return None;
         }
         let read_at = (*lock(&self.read_at))?;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -22,7 +22,7 @@
 use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
-use wire::store::Error;
+use wire::store::{Error, Rows};
 
 use crate::counts::Counting;
 use crate::follow::Standing;
@@ -67,6 +67,10 @@
         pub counted: Vec<Counting>,
         /// Lists of which the sender is being sent a change that is too long to be passed on.
         pub incoming: Vec<List>,
+        /// Lists all of which the sender is reading.
+        pub reading: Vec<List>,
+        /// Lists of which the sender knows nothing yet, and would take from who has them.
+        pub lacks: Vec<List>,
     }
 
     /// A host's own row: where it listens.
@@ -83,6 +87,14 @@
     is_new: bool,
     /// It speaks for the domain.
     speaks: bool,
+    /// It has just started, and lacks lists that this host has.
+    lacks: bool,
+}
+
+/// A host as it is listed.
+struct Found {
+    name: Name,
+    address: SocketAddr,
 }
 
 /// What the exchange is made with.
@@ -91,6 +103,8 @@
     pub host: Name,
     /// Where it stands.
     pub failure_domain: Name,
+    /// No host can be listed yet.
+    pub is_first_start: bool,
     /// The store, for finding the others, and its lists.
     pub watch: Arc<Watch<S, C>>,
     /// What requests share.
@@ -115,10 +129,14 @@
                 found = &mut find, if !has_found => {
                     has_found = true;
                     let now = clock::steady();
-                    known.extend(found.into_iter().map(|address| (address, now)));
+                    known.extend(found.iter().map(|host| (host.address, now)));
                     log::info!(target: "peers", domain:% = self.failure_domain,
                         found = known.len(); "peers found");
-                    self.send(known.keys().copied().collect(), self.message()).await;
+                    let names: Vec<Name> = found.into_iter().map(|host| host.name).collect();
+                    let lacks = self.watch.lacking();
+                    let message = Message { lacks, ..self.message() };
+                    self.send(known.keys().copied().collect(), message).await;
+                    self.watch.found(&names);
                 }
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => {
@@ -126,8 +144,9 @@
                         if taken.speaks {
                             speaker = Some(from);
                         }
-                        // It knows this host's address from the store, but not yet its name.
-                        if taken.is_new {
+                        // It knows this host's address from the store, but not yet its name. A
+                        // host that lacks the lists waits to hear who has them.
+                        if taken.is_new || taken.lacks {
                             self.send(vec![from], self.message()).await;
                         }
                     }
@@ -157,6 +176,11 @@
                         let message = Message { host, incoming: vec![list], ..Message::default() };
                         self.send(known.keys().copied().collect(), message).await;
                     }
+                    Tell::Reading(list) => {
+                        let host = self.host.clone();
+                        let message = Message { host, reading: vec![list], ..Message::default() };
+                        self.send(known.keys().copied().collect(), message).await;
+                    }
                 },
                 () = tokio::time::sleep_until(greeted + EVERY) => {
                     greeted = tokio::time::Instant::now();
@@ -201,13 +225,16 @@
         Message { host: self.host.clone(), counted: vec![counted], ..Message::default() }
     }
 
-    /// Lists this host and finds the others that are listed. Of two hosts that start together the
-    /// one that reads later finds the other, and makes itself known to it.
-    async fn find(&self) -> Vec<SocketAddr> {
+    /// Finds the other hosts that are listed, and lists this one unless it is. Of two hosts that are
+    /// listed at the same time the one that reads later finds the other, and makes itself known to
+    /// it.
+    async fn find(&self) -> Vec<Found> {
         loop {
             match self.try_find().await {
                 Ok(found) => return found,
                 Err(error) => {
+                    // Nobody is waited for: the lists are read, or had from whoever is heard of.
+                    self.watch.found(&[]);
                     log::warn!(target: "peers", error:% = error; "peers not found, tried again");
                 }
             }
@@ -215,21 +242,33 @@
         }
     }
 
-    async fn try_find(&self) -> Result<Vec<SocketAddr>, Error> {
+    async fn try_find(&self) -> Result<Vec<Found>, Error> {
         let own = self.socket.local_addr().map_err(|error| Error::Refused(error.to_string()))?;
         let prefix = format!("{}/", self.failure_domain);
         let listed = record::write(&Listed { address: own }).map_err(Error::Malformed)?;
         let key = Name::from(format!("{prefix}{}", self.host));
-        self.watch.store.commit(&record::change(TABLE, key, None, listed), None).await?;
-        let rows = self.watch.store.rows(TABLE, &prefix).await?;
-        let addresses = rows.rows.iter().filter_map(|row| {
+        // A host that starts again is listed already, and its callers wait.
+        let rows = match self.is_first_start {
+            true => Rows::default(),
+            false => self.watch.store.rows(TABLE, &prefix).await?,
+        };
+        let is_listed = rows.rows.iter().any(|row| row.key == key && row.value == listed);
+        let rows = match is_listed {
+            true => rows,
+            false => {
+                self.watch.store.commit(&record::change(TABLE, key, None, listed), None).await?;
+                self.watch.store.rows(TABLE, &prefix).await?
+            }
+        };
+        let found = rows.rows.iter().filter_map(|row| {
             let listed = record::read::<Listed>(&row.value);
             let listed = listed.inspect_err(|error| {
                 log::warn!(target: "peers", key:% = row.key, error:% = error; "row unreadable");
             });
-            listed.ok().map(|listed| listed.address)
+            let name = Name::from(row.key.strip_prefix(&prefix)?);
+            Some(Found { name, address: listed.ok()?.address })
         });
-        Ok(addresses.filter(|address| *address != own).take(PEERS_MAX).collect())
+        Ok(found.filter(|host| host.address != own).take(PEERS_MAX).collect())
     }
 
     /// Takes a message.
@@ -260,6 +299,9 @@
             self.watch.told(&message.host, from, standing);
         }
         message.incoming.iter().for_each(|list| self.watch.incoming(&message.host, *list));
+        message.reading.iter().for_each(|list| self.watch.peer_reads(&message.host, *list));
+        let has = |list: &List| self.watch.follow(*list).standing(now).is_some();
+        let lacks = message.lacks.iter().any(has);
         message.records.into_iter().for_each(|told| self.watch.adopt(told));
         for counting in message.counted {
             self.watch.counts.take(&message.host, counting);
@@ -273,7 +315,7 @@
             }
         }
         metrics::counter!("node_peer_words_total").increment(message.words.len() as u64);
-        Taken { is_new, speaks }
+        Taken { is_new, speaks, lacks }
     }
 
     async fn send(&self, to: Vec<SocketAddr>, message: Message) {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -8,6 +8,8 @@
 use entry::{callers, clock};
 use gateway::{Codec, State};
 use metrics_exporter_prometheus::PrometheusHandle;
+use policy::bootstrap::Bootstrap;
+use policy::relay::Relay;
 use policy::repeat::Allowance;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
@@ -121,7 +123,9 @@
     let (orders, ordered) = mpsc::unbounded_channel();
     let (teller, tells) = mpsc::channel(TELLS);
     let (changes_within, now) = (watch::bounds(&settings), clock::steady());
-    let follow = |list| Follow::new(list, changes_within, &settings.name, now);
+    let bootstrap = if settings.first_start { Bootstrap::first(now) } else { Bootstrap::new(now) };
+    let relay = |list: List| Relay::new(changes_within, &settings.name, list.name(), bootstrap);
+    let follow = |list| Follow::new(list, relay(list));
     let watch = Arc::new(Watch {
         store: Arc::new(store),
         facts: Arc::clone(&facts),
@@ -131,6 +135,7 @@
         teller,
         counts: Counts::default(),
         fresh: AtomicU64::new(0),
+        address: listeners.peers.as_ref().and_then(|(socket, _)| socket.local_addr().ok()),
     });
     let rollouts = Rollouts {
         host: settings.name.clone(),
@@ -153,6 +158,7 @@
         let peers = Peers {
             host: settings.name.clone(),
             failure_domain: settings.failure_domain.clone(),
+            is_first_start: settings.first_start,
             watch: Arc::clone(&watch),
             state: Arc::clone(&state),
             socket,
@@ -194,6 +200,7 @@
         repeats: current.repeats.clone(),
         drain_ms: current.drain_ms,
         log: current.log.clone(),
+        first_start: current.first_start,
         ..changed.clone()
     };
     let needs_restart = same != current;
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -1,8 +1,10 @@
 //! Follows the store's lists, and makes the world anew when they change.
 
 mod peers;
+mod start;
 mod take;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -57,6 +59,8 @@
     pub counts: Counts,
     /// When the store's state was last known to be new, by any list.
     pub fresh: AtomicU64,
+    /// Where this host serves the others of its failure domain, if it does.
+    pub address: Option<SocketAddr>,
 }
 
 /// Clocks of two hosts, or a host's and the store's, may part by this much in what they say of a
@@ -72,6 +76,8 @@
     Counts,
     /// All of them: a change of a list is on its way to this host that is too long to be passed on.
     Incoming(List),
+    /// All of them: this host is reading all of a list.
+    Reading(List),
 }
 
 /// How long changes may take, as the settings say.
@@ -116,7 +122,7 @@
             let asked = clock::steady();
             let after = follow.revision();
             let answer = match after {
-                None => self.store.read(list).await,
+                None => self.read_whole(list).await,
                 Some(after) => {
                     let on_head = |bytes| self.announce(list, bytes);
                     self.store.follow(list, after, hold, on_head).await
--- a/crates/node/src/watch/peers.rs
+++ b/crates/node/src/watch/peers.rs
@@ -100,7 +100,13 @@
                 follow.taken(&nothing, now);
                 follow.wake();
             }
-            // Before a read of its own this host takes nothing from others, if it can read.
+            (None, _) if follow.relay().may_take(now - standing.age_ms, now) => {
+                if follow.begin_taking() {
+                    let (list, changed) = (standing.list, standing.changed);
+                    let fresh = now - standing.age_ms;
+                    tokio::spawn(Arc::clone(self).take_first(from, list, changed, fresh));
+                }
+            }
             (None, _) => follow.wake(),
         }
     }
@@ -166,7 +172,7 @@
 
     /// Takes over how roll-outs stand. Without that an order that was carried out long ago would
     /// look like one that has just come.
-    async fn take_records(&self, from: SocketAddr) {
+    pub(super) async fn take_records(&self, from: SocketAddr) {
         match exchange::ask_records(from).await {
             Ok(records) => records.into_iter().for_each(|told| self.adopt(told)),
             Err(error) => {
--- /dev/null
+++ b/crates/policy/src/bootstrap.rs
@@ -0,0 +1,86 @@
+//! When a host that starts reads a list of the store itself.
+//!
+//! The load this answers: all hosts of a failure domain, or of all of them, start within the same
+//! second. Were each to read the whole list, the store would send hosts times servers, and on the
+//! narrowest links callers would wait for it. So one host of a domain reads and the others take the
+//! list from it, and then from each other.
+//!
+//! Nobody is elected, and nothing depends on a neighbour. Hosts take their turns by rank; whoever
+//! reads says so while it does, which puts the others' turns off. A turn that comes is taken: if
+//! nobody has given the list by then, the host reads it.
+
+use crate::domain;
+use crate::time::Millis;
+
+/// How long a host looks for others before it reads by itself, in milliseconds: a call of a store
+/// that is well takes a tenth of it.
+const FIND_MS: u64 = 150;
+/// The same when the whole deployment starts for the first time, in milliseconds: all hosts list
+/// themselves at once, and no callers are there yet.
+const FIND_FIRST_MS: u64 = 2_000;
+/// Between the turns of two ranks, in milliseconds. With a short list the first has read, and told,
+/// before the second begins.
+const TURN_MS: u64 = 20;
+/// For how long another host that reads, or gives the list, puts a turn off, in milliseconds. It
+/// says so more often; silence for so long means that it has been lost.
+const PATIENCE_MS: u64 = 400;
+/// By then the first turn comes, whoever reads, in milliseconds from the start.
+const LAST_MS: u64 = 2_000;
+/// Other hosts listed without which a host reads at once.
+const OTHERS_MIN: usize = 4;
+
+domain! {
+    /// One list's first read, as the host sees it that starts.
+    #[derive(Copy, Default)]
+    pub struct Bootstrap {
+        /// When the host started.
+        pub started: Millis,
+        turn: Millis,
+        rank: u64,
+        others: usize,
+    }
+}
+
+impl Bootstrap {
+    /// At the start of a host.
+    #[must_use]
+    pub fn new(now: Millis) -> Self {
+        Self { started: now, turn: now + FIND_MS, rank: 0, others: 0 }
+    }
+
+    /// At the start of a host, when the whole deployment starts for the first time.
+    #[must_use]
+    pub fn first(now: Millis) -> Self {
+        Self { turn: now + FIND_FIRST_MS, ..Self::new(now) }
+    }
+
+    /// So many others are listed, this many of them with turns before this host's. Some may be
+    /// gone: their turns pass.
+    pub fn found(&mut self, others: usize, rank: u64, now: Millis) {
+        (self.others, self.rank) = (others, rank);
+        self.turn = if others < OTHERS_MIN { now } else { now + rank * TURN_MS };
+    }
+
+    /// Another host is reading the list, or is giving it to this one.
+    pub fn wait(&mut self, now: Millis) {
+        let put_off = now + PATIENCE_MS + self.rank * TURN_MS;
+        self.turn = self.turn.max(put_off.min(self.last()));
+    }
+
+    /// When the host reads the list itself, unless it has it by then.
+    #[must_use]
+    pub fn turn(&self) -> Millis {
+        self.turn
+    }
+
+    /// Whether a host that has read in its turn tells the others, although it has met few of them
+    /// so far: they are just starting.
+    #[must_use]
+    pub fn tells(&self, now: Millis) -> bool {
+        self.others >= OTHERS_MIN && now < self.last() + LAST_MS
+    }
+
+    fn last(&self) -> Millis {
+        self.started + LAST_MS + self.rank * TURN_MS
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admit;
 pub mod backlog;
+pub mod bootstrap;
 pub mod burn;
 pub mod canary;
 pub mod derive;
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -14,6 +14,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::bootstrap::Bootstrap;
 use crate::domain;
 use crate::name::Name;
 use crate::place::{hash, mix};
@@ -100,29 +101,64 @@
     failed: bool,
     /// What it was told could not be had from another host.
     forced: bool,
+    /// When it reads first.
+    bootstrap: Bootstrap,
 }
 
 impl Relay {
-    /// Of a list, for a host by its name. It reads first, whatever others say: what it starts
-    /// with must not depend on a host that is behind.
+    /// Of a list, for a host by its name that starts.
     #[must_use]
-    pub fn new(bounds: Bounds, host: &Name, list: &str, now: Millis) -> Self {
+    pub fn new(bounds: Bounds, host: &Name, list: &str, bootstrap: Bootstrap) -> Self {
         let list = hash(list.as_bytes());
         Self {
             own: rank_of(host, list),
             list,
             bounds,
             peers: BTreeMap::new(),
-            read: now,
+            read: bootstrap.started,
             begun: false,
             reads: false,
             first: true,
             lost: None,
             failed: false,
             forced: false,
+            bootstrap,
         }
     }
 
+    /// These other hosts of the domain are listed; some may be gone, and have rows still.
+    pub fn found<'a>(&mut self, listed: impl Iterator<Item = &'a Name>, now: Millis) {
+        let ranks: Vec<u64> = listed.map(|name| rank_of(name, self.list)).collect();
+        let before = ranks.iter().filter(|rank| **rank < self.own).count();
+        self.bootstrap.found(ranks.len(), before as u64, now);
+    }
+
+    /// Another host is reading all of the list.
+    pub fn reading(&mut self, peer: &Name, now: Millis) {
+        self.met(peer, now);
+        self.bootstrap.wait(now);
+    }
+
+    /// Another host is giving all of the list to this one, or will in a moment.
+    pub fn taking(&mut self, now: Millis) {
+        self.bootstrap.wait(now);
+    }
+
+    /// Whether this host, which has nothing yet, may begin with what another one knows: its state
+    /// must be as new as that of a host that is listened to.
+    #[must_use]
+    pub fn may_take(&self, fresh: Millis, now: Millis) -> bool {
+        !self.begun && now.since(fresh) < self.part(STALE_PART)
+    }
+
+    /// This host has taken the list from another one, whose state was new at that time.
+    pub fn took(&mut self, fresh: Millis) {
+        self.read = self.read.max(fresh);
+        self.begun = true;
+        self.first = false;
+        self.lost = None;
+    }
+
     /// Sets how long things may take.
     pub fn set_bounds(&mut self, bounds: Bounds) {
         self.bounds = bounds;
@@ -145,6 +181,7 @@
 
     /// This host has read.
     pub fn read(&mut self, now: Millis) {
+        self.reads |= !self.begun && self.bootstrap.tells(now);
         self.read = now;
         self.begun = true;
         self.first = false;
@@ -202,6 +239,12 @@
         self.reads
     }
 
+    /// Whether this host tells others what it reads.
+    #[must_use]
+    pub fn tells(&self, now: Millis) -> bool {
+        self.reads_for_others(now) || (self.reads && self.bootstrap.tells(now))
+    }
+
     /// Whether this host reads for others now.
     #[must_use]
     pub fn reads_for_others(&self, now: Millis) -> bool {
@@ -213,12 +256,13 @@
         if let Some(lost) = self.lost.filter(|lost| now < *lost) {
             return Duty::Listen { until: lost };
         }
-        if self.forced || !self.begun {
-            return Duty::Read { hold_ms: 0 };
-        }
-        match self.is_alone(now) {
-            true => self.duty_alone(now),
-            false => self.duty_among_others(now),
+        let turn = self.bootstrap.turn();
+        match self.begun {
+            _ if self.forced => Duty::Read { hold_ms: 0 },
+            false if now < turn => Duty::Listen { until: turn },
+            false => Duty::Read { hold_ms: 0 },
+            true if self.is_alone(now) => self.duty_alone(now),
+            true => self.duty_among_others(now),
         }
     }
 
--- a/crates/policy/tests/relay.rs
+++ b/crates/policy/tests/relay.rs
@@ -1,5 +1,6 @@
 //! Hosts of one failure domain that read the store for each other.
 
+use policy::bootstrap::Bootstrap;
 use policy::name::Name;
 use policy::relay::{Bounds, Duty, Relay};
 use policy::time::Millis;
@@ -66,7 +67,7 @@
         let host = |number| {
             let name = Name::from(format!("host-{number}"));
             Host {
-                relay: Relay::new(BOUNDS, &name, "list", Millis(1)),
+                relay: Relay::new(BOUNDS, &name, "list", Bootstrap::new(Millis(1))),
                 name,
                 path: Path::Open,
                 troubled: None,
@@ -116,7 +117,7 @@
     fn restart(&mut self, number: usize) {
         let (name, now) = (self.hosts[number].name.clone(), self.now);
         let host = &mut self.hosts[number];
-        host.relay = Relay::new(BOUNDS, &name, "list", Millis(now));
+        host.relay = Relay::new(BOUNDS, &name, "list", Bootstrap::new(Millis(now)));
         (host.revision, host.call, host.troubled) = (0, None, Some(now));
     }
 
@@ -336,7 +337,7 @@
     // The store is down for all. Hosts go on telling each other things, among them how new their
     // lists were before; each time one of them is a little newer than a host's own. Had that host
     // asked at once every time, the store would have been asked thousands of times a second.
-    let mut relay = Relay::new(BOUNDS, &Name::from("host-0"), "list", Millis(1));
+    let mut relay = Relay::new(BOUNDS, &Name::from("host-0"), "list", Bootstrap::new(Millis(1)));
     let peers: Vec<Name> = (1..20).map(|number| Name::from(format!("host-{number}"))).collect();
     for peer in &peers {
         relay.met(peer, Millis(1));
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -10,6 +10,7 @@
 mod query;
 pub mod store;
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -62,6 +63,7 @@
     writes: Limiter,
     reads: Limiter,
     calls: AtomicU64,
+    ranges: Mutex<BTreeMap<Name, u64>>,
     /// Wakes calls that are held back.
     changed: watch::Sender<u64>,
     started: Instant,
@@ -76,6 +78,7 @@
             writes: Limiter::default(),
             reads: Limiter::default(),
             calls: AtomicU64::new(0),
+            ranges: Mutex::default(),
             changed: watch::Sender::new(0),
             started: Instant::now(),
         }
@@ -205,6 +208,16 @@
         self.calls.load(Ordering::Relaxed)
     }
 
+    /// Ranges of a table's rows that were read so far.
+    #[must_use]
+    pub fn ranges(&self, table: &str) -> u64 {
+        self.lock_ranges().get(table).copied().unwrap_or_default()
+    }
+
+    fn lock_ranges(&self) -> MutexGuard<'_, BTreeMap<Name, u64>> {
+        self.ranges.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Everything that took effect, in order.
     #[must_use]
     pub fn records(&self) -> Vec<Record> {
--- a/crates/standin/src/platform/http.rs
+++ b/crates/standin/src/platform/http.rs
@@ -148,6 +148,7 @@
 
     fn read(&self, query: &Query) -> Response<Body> {
         self.publish_hosts();
+        *self.lock_ranges().entry(query.table.as_str().into()).or_default() += 1;
         let (rows, version) = self.store().read(&query.table, &query.from, &query.end);
         let has_more = rows.len() > PAGE;
         let rows = rows.iter().take(PAGE).map(row).collect();
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -107,6 +107,9 @@
         /// lists; a port of UDP and of TCP. Without it the host reads all lists for itself.
         #[serde(default)]
         pub peers: Option<SocketAddr>,
+        /// The deployment starts for the first time: no host of it is listed yet.
+        #[serde(default)]
+        pub first_start: bool,
         /// Within which a change of the table of routes must be in force on all hosts, in
         /// milliseconds.
         #[serde(default = "default_change_ms")]
