Changes of thousands of backend servers are passed on in pieces

At the first start of a deployment its backend servers list themselves within a second. The reader told the others of a long answer, as it does for a table of routes, and each of them read all changes from the store, found them longer than the list, and read the list afresh: 11 of 11 hosts whose logs were looked at, on an altered site with 2,890 servers.

Change: only a long table is announced, which has its own bound in time. Changes of backend servers too long for one message are taken from peers in pieces, by the same calls as whole lists; one call, give, takes the place of open, for hosts that have lost the store as well.

--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -27,18 +27,18 @@
 
 /// Longest time that one call may take. Past it the store is asked.
 const WITHIN: Duration = Duration::from_millis(250);
-/// Longest message; longer news are had from the store, whose link is wider than a host's, or in
-/// pieces by a host that can't reach it.
+/// Longest message. Longer news are read in pieces, or from the store, whose link is wider than a
+/// host's.
 pub const MESSAGE_BYTES_MAX: usize = 64 << 10;
-/// What a host can't have from the store is read in pieces of this length: each comes within the
-/// time of a call on a narrow link, so that the whole may be of any length.
+/// Length of a piece: each comes within the time of a call on a narrow link, so that the whole may
+/// be of any length.
 const PIECE_BYTES: usize = 32 << 10;
 /// Longest news that are read in pieces.
 const LONG_BYTES_MAX: u64 = 32 << 20;
 /// Hosts that read in pieces from one host at once. More of them would share its link, and fill it
-/// for longer than their callers wait; they find another host, or the store again.
+/// for longer than their callers wait; they find another host that has the news, or the store.
 const READERS_MAX: usize = 2;
-/// Hosts that were given a whole list lately, remembered for those that find this one busy.
+/// Hosts that were given news lately, remembered for those that find this one busy.
 const GIVEN_MAX: usize = 32;
 /// Exchanges served in a second at most, and in one burst: what a core's fiftieth can do. Who is not
 /// served asks the store.
@@ -50,26 +50,24 @@
     /// What a host lacks that knows a list as of a revision; none if it is to be had from the
     /// store.
     async fn news(list: List, after: u64) -> Option<News>;
-    /// Opens the same for being read in pieces on this connection, however long it is; its length
-    /// in bytes, or none if there is nothing or enough other hosts read already.
-    async fn open(list: List, after: u64) -> Option<u64>;
     /// A piece of what was opened, from a byte on; empty behind the last one.
     async fn piece(from: u64) -> Bytes;
     /// How roll-outs stand.
     async fn records() -> Vec<Told>;
-    /// Opens all of a list for a host that starts, which serves others at an address.
-    async fn whole(list: List, host: SocketAddr) -> Offer;
+    /// Opens what a host lacks that knows a list as of a revision, 0 for nothing, and that serves
+    /// others at an address.
+    async fn give(list: List, after: u64, host: SocketAddr) -> Offer;
 }
 
 domain! {
-    /// What a host that starts is offered.
+    /// What a host is offered.
     pub enum Offer {
-        /// All of the list, to be read in pieces on this connection.
+        /// What it lacks, to be read in pieces on this connection.
         Opened {
             /// Its length in bytes.
             bytes: u64,
         },
-        /// Enough other hosts are reading; these were given the list lately.
+        /// Enough other hosts are reading; these were given news lately.
         Busy {
             /// Where they serve others.
             others: Vec<SocketAddr>,
@@ -78,10 +76,10 @@
         Nothing,
     }
 
-    /// What a host that starts was given.
+    /// What a host was given.
     pub enum Given {
-        /// All of the list.
-        Whole(News),
+        /// What it lacks.
+        News(News),
         /// Nothing yet; these hosts may have it.
         Busy(Vec<SocketAddr>),
         /// Nothing.
@@ -135,11 +133,6 @@
         }
     }
 
-    async fn open(self, _: Context, list: List, after: u64) -> Option<u64> {
-        let place = Arc::clone(&self.places).try_acquire_owned().ok()?;
-        self.open_news(list, after, place)
-    }
-
     async fn piece(self, _: Context, from: u64) -> Bytes {
         let opened = lock(&self.opened);
         let text = opened.as_ref().map(|opened| opened.text.clone()).unwrap_or_default();
@@ -154,11 +147,11 @@
         }
     }
 
-    async fn whole(self, _: Context, list: List, host: SocketAddr) -> Offer {
+    async fn give(self, _: Context, list: List, after: u64, host: SocketAddr) -> Offer {
         let Ok(place) = Arc::clone(&self.places).try_acquire_owned() else {
             return Offer::Busy { others: lock(&self.given).iter().copied().collect() };
         };
-        let Some(bytes) = self.open_news(list, 0, place) else { return Offer::Nothing };
+        let Some(bytes) = self.open_news(list, after, place) else { return Offer::Nothing };
         let mut given = lock(&self.given);
         given.retain(|other| *other != host);
         given.push_back(host);
@@ -239,28 +232,20 @@
     .await
 }
 
-/// Reads from another host, in pieces, what this one lacks, however long it is; none if that host
-/// has nothing or serves enough others.
+/// Reads from another host, in pieces, what this one lacks, however long it is; this one serves
+/// others at an address.
 ///
 /// # Errors
 /// When a piece does not come in time, or the whole can't be read; reading has no effect.
-pub async fn ask_all(from: SocketAddr, list: List, after: u64) -> Result<Option<News>, Error> {
-    let host = within(connect(from)).await?;
-    let opened = within(async { host.open(context(), list, after).await.map_err(lost) }).await?;
-    match opened {
-        Some(length) => read_pieces(&host, length).await.map(Some),
-        None => Ok(None),
-    }
-}
-
-/// Reads all of a list from another host, for one that starts and serves others at an address.
-///
-/// # Errors
-/// As [`ask_all`].
-pub async fn ask_whole(from: SocketAddr, list: List, own: SocketAddr) -> Result<Given, Error> {
+pub async fn ask_given(
+    from: SocketAddr,
+    list: List,
+    after: u64,
+    own: SocketAddr,
+) -> Result<Given, Error> {
     let host = within(connect(from)).await?;
-    match within(async { host.whole(context(), list, own).await.map_err(lost) }).await? {
-        Offer::Opened { bytes } => read_pieces(&host, bytes).await.map(Given::Whole),
+    match within(async { host.give(context(), list, after, own).await.map_err(lost) }).await? {
+        Offer::Opened { bytes } => read_pieces(&host, bytes).await.map(Given::News),
         Offer::Busy { others } => Ok(Given::Busy(others)),
         Offer::Nothing => Ok(Given::Nothing),
     }
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -1,6 +1,7 @@
 //! Follows the store's lists, and makes the world anew when they change.
 
 mod peers;
+mod pieces;
 mod start;
 mod take;
 
@@ -171,16 +172,17 @@
         }
     }
 
-    /// An answer of the store has begun; whether it is read on. What is too long to be passed on the
-    /// others read themselves, and begin now: once this host has all of it, as much time again would
-    /// be late.
+    /// An answer of the store has begun; whether it is read on. A table that is too long to be passed
+    /// on the others read themselves, and begin now: once this host has all of it, as much time again
+    /// would be late.
     fn announce(&self, list: List, bytes: u64) -> bool {
         if bytes <= exchange::MESSAGE_BYTES_MAX as u64 {
             return true;
         }
         let follow = self.follow(list);
-        follow.set_incoming(true);
-        if follow.relay().reads_for_others(clock::steady()) {
+        let is_table = list == List::Operators;
+        follow.set_incoming(is_table);
+        if is_table && follow.relay().reads_for_others(clock::steady()) {
             log::info!(target: "watch", list:? = list, bytes; "long answer begins, others told");
             self.send_word(Tell::Incoming(list));
         }
--- a/crates/node/src/watch/peers.rs
+++ b/crates/node/src/watch/peers.rs
@@ -139,10 +139,13 @@
 
     async fn catch_up(self: Arc<Self>, from: SocketAddr, list: List, after: u64, reach: Reach) {
         let follow = self.follow(list);
-        let answer = match exchange::ask(from, list, after).await {
-            Ok(None) if reach == Reach::Peers => exchange::ask_all(from, list, after).await,
-            answer => answer,
-        };
+        let answer = exchange::ask(from, list, after).await;
+        // Backend servers come and go by thousands, and the more hosts, the more of them. A table
+        // is read by each host at the same time: passed on it would be late.
+        let passed_on = reach == Reach::Peers || list == List::Backends;
+        if answer == Ok(None) && passed_on {
+            return self.take_long(from, list, after).await;
+        }
         follow.end_taking();
         let outcome = match &answer {
             Ok(Some(_)) => "answered",
