A list read afresh is told to others as what changed in it

When the store has dropped its history the host that reads cleared what it knew and read the list whole. Its changes then reached back to nothing that the others knew, so all of them were given the whole list, or sent on to the store for it.

Change: what the list read afresh no longer holds is noted as removed, so changes behind older revisions stay complete. An older list that comes late changes nothing. Beside it, found in reading: Roster::replace looked each entry up in a vector, thousands times thousands of comparisons at each start; and a whole list of servers is one line in the log.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -59,6 +59,8 @@
     wake: Notify,
     /// News are being taken from another host; one call at a time is enough.
     taking: AtomicBool,
+    /// Changes behind this revision are not asked of the store any more.
+    forgotten: Mutex<Option<u64>>,
     /// A long answer of the store is on its way to this host.
     incoming: AtomicBool,
     /// Length of the list as the store last sent all of it, in bytes, or of a longer change since.
@@ -90,6 +92,7 @@
             before: Mutex::default(),
             wake: Notify::new(),
             taking: AtomicBool::new(false),
+            forgotten: Mutex::default(),
             incoming: AtomicBool::new(false),
             bytes: AtomicU64::new(0),
             missing: Mutex::default(),
@@ -130,6 +133,9 @@
             *lock(&self.before) = history.revision().unwrap_or_default();
         }
         history.take(news);
+        if news.is_whole {
+            *lock(&self.forgotten) = None;
+        }
         let mut missing = lock(&self.missing);
         if let Some(had) = missing.take_if(|missing| missing.revision <= news.revision)
             && had.is_logged
@@ -171,9 +177,16 @@
         }
     }
 
-    /// What was read is no longer to be built upon: the list is read afresh.
+    /// Changes behind the newest revision are not to be had from the store, or are longer than the
+    /// list: it is read afresh.
     pub fn forgotten(&self) {
-        lock(&self.history).clear();
+        *lock(&self.forgotten) = self.revision();
+    }
+
+    /// The revision behind which changes are asked of the store; none if the whole list is.
+    #[must_use]
+    pub fn asked_after(&self) -> Option<u64> {
+        self.revision().filter(|revision| *lock(&self.forgotten) != Some(*revision))
     }
 
     /// What a host lacks that knows the list as of a revision; none before this one has read it.
--- a/crates/node/src/history.rs
+++ b/crates/node/src/history.rs
@@ -1,6 +1,6 @@
 //! A list of the store as this host knows it, for hosts that take it from this one.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use policy::name::Name;
 
@@ -38,12 +38,16 @@
 
     /// Takes in news: the whole list, or all changes between the newest revision and theirs.
     pub fn take(&mut self, news: &News) {
-        if news.is_whole {
-            // What was removed before is not known one by one.
-            self.entries.clear();
-            self.base = news.revision;
-            self.revision = Some(news.revision);
-            self.changed = news.revision;
+        match self.revision {
+            // From a store that answered late; nothing in it is missing here.
+            Some(revision) if news.is_whole && news.revision < revision => return,
+            None => {
+                // What was removed before is not known.
+                self.base = news.revision;
+                self.changed = news.revision;
+            }
+            Some(_) if news.is_whole => self.note_removed(news),
+            Some(_) => {}
         }
         for entry in &news.entries {
             self.changed = self.changed.max(entry.revision);
@@ -56,9 +60,19 @@
         self.forget();
     }
 
-    /// What was read is no longer to be built upon: the list is read afresh.
-    pub fn clear(&mut self) {
-        *self = Self::default();
+    /// What a list read afresh no longer holds was removed since.
+    ///
+    /// With that, changes behind older revisions stay complete. Without it every host of the failure
+    /// domain would have to read the whole list whenever the store has dropped its history.
+    fn note_removed(&mut self, news: &News) {
+        let listed: HashSet<&Name> = news.entries.iter().map(|entry| &entry.key).collect();
+        for (key, entry) in &mut self.entries {
+            if !listed.contains(key) && entry.fact != Fact::Removed {
+                entry.fact = Fact::Removed;
+                entry.revision = news.revision;
+                self.changed = self.changed.max(news.revision);
+            }
+        }
     }
 
     /// Forgets the oldest removals beyond those kept.
@@ -74,8 +88,9 @@
         self.base = self.base.max(last);
     }
 
-    /// What a host lacks that knows the list as of a revision: the changes behind it, oldest
-    /// first, or the whole list if not all changes behind it are known. None before it was read.
+    /// What a host lacks that knows the list as of a revision, 0 for nothing: the changes behind it,
+    /// oldest first, or the whole list if not all changes behind it are known. None before it was
+    /// read.
     ///
     /// The whole list is for a host that has lost the store, and for one that started while the
     /// store was away: nobody's changes reach back to what such a host knows, and without the list
@@ -83,7 +98,7 @@
     #[must_use]
     pub fn behind(&self, revision: u64) -> Option<News> {
         let newest = self.revision?;
-        let is_whole = revision < self.base;
+        let is_whole = revision < self.base || revision == 0;
         let is_wanted = |entry: &&Entry| match is_whole {
             true => entry.fact != Fact::Removed,
             false => entry.revision > revision,
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -121,8 +121,7 @@
                 }
             };
             let asked = clock::steady();
-            let after = follow.revision();
-            let answer = match after {
+            let answer = match follow.asked_after() {
                 None => self.read_whole(list).await,
                 Some(after) => {
                     let on_head = |bytes| self.announce(list, bytes);
--- a/crates/node/src/watch/take.rs
+++ b/crates/node/src/watch/take.rs
@@ -89,8 +89,10 @@
                 true
             }
         });
-        for entry in &news.entries {
-            log_backend(entry);
+        // A line for each of thousands of servers costs a host that starts a part of a second.
+        match news.is_whole {
+            true => log::info!(target: "watch", revision, count; "all backend servers listed"),
+            false => news.entries.iter().for_each(log_backend),
         }
         if !taken {
             log::info!(target: "watch", revision, count; "stale list of backend servers ignored");
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -6,7 +6,7 @@
 //! dead: they are kept for a moment after the outage. And a server that is really gone must not
 //! be kept for long.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use crate::domain;
 use crate::name::Name;
@@ -144,7 +144,7 @@
         if revision < self.revision {
             return false;
         }
-        let listed: Vec<Name> = entries.iter().map(|(entry, _)| entry.id().clone()).collect();
+        let listed: HashSet<Name> = entries.iter().map(|(entry, _)| entry.id().clone()).collect();
         for (entry, revision) in entries {
             self.put(entry, revision);
         }
