--- a/crates/chestnutspur/src/command.rs
+++ b/crates/chestnutspur/src/command.rs
@@ -78,7 +78,7 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
-    /// Put a configuration document in force everywhere, or be told why not
+    /// Put a configuration document in force everywhere, or learn why not
     #[bpaf(command)]
     Apply(#[bpaf(external(apply::arguments))] apply::Arguments),
     /// Show the generation in force on every host, versions, quarantines and roll-outs
--- a/crates/chestnutspur/src/command/check.rs
+++ b/crates/chestnutspur/src/command/check.rs
@@ -31,7 +31,7 @@
     }
 }
 
-/// Checks the platform's table of routes; faults are told by our own names of its members.
+/// Checks the platform's table of routes; faults are named by our own names of its members.
 fn table(text: &str) -> Result<String, Vec<Fault>> {
     let table = platform::document::configuration(text.as_bytes());
     let table = table.map_err(|error| vec![Fault::at("", error)])?;
--- a/crates/chestnutspur/src/command/control.rs
+++ b/crates/chestnutspur/src/command/control.rs
@@ -10,7 +10,7 @@
 use crate::exit::Exit;
 use crate::{logging, process};
 
-/// Runs the controllers until it is told to stop.
+/// Runs the controllers until it is asked to stop.
 pub fn run(file: &Path) -> Exit {
     match super::load(file) {
         Some(Settings::Control(settings)) => {
--- a/crates/chestnutspur/src/command/explain.rs
+++ b/crates/chestnutspur/src/command/explain.rs
@@ -17,14 +17,14 @@
 pub fn run(request: &str) -> Exit {
     let lines = read();
     match explain(&lines, request) {
-        told if told.is_empty() => {
+        found if found.is_empty() => {
             eprintln!(
                 "chestnutspur: no line names request {request}; are the logs of all hosts there?"
             );
             Exit::Refused
         }
-        told => {
-            told.iter().for_each(|line| println!("{line}"));
+        found => {
+            found.iter().for_each(|line| println!("{line}"));
             Exit::Done
         }
     }
@@ -47,7 +47,7 @@
     let hosts: Vec<&str> = own.iter().map(|line| line.text("host")).collect();
     let backends: Vec<&str> = own.iter().map(|line| line.text("backend")).collect();
     let services: Vec<&str> = own.iter().map(|line| line.text("service")).collect();
-    let bears = |line: &&Line| {
+    let concerns = |line: &&Line| {
         let is_near = (first - BEFORE_S..=last).contains(&line.at());
         let names = |member: &str, all: &[&str]| {
             let value = line.text(member);
@@ -61,9 +61,9 @@
         };
         is_near && is_belief && hosts.contains(&line.text("host"))
     };
-    let mut told: Vec<&Line> = own.iter().copied().chain(lines.iter().filter(bears)).collect();
-    told.sort_by(|a, b| a.at().total_cmp(&b.at()));
-    told.into_iter().map(|line| tell(line, first, request)).collect()
+    let mut found: Vec<&Line> = own.iter().copied().chain(lines.iter().filter(concerns)).collect();
+    found.sort_by(|a, b| a.at().total_cmp(&b.at()));
+    found.into_iter().map(|line| tell(line, first, request)).collect()
 }
 
 fn tell(line: &Line, first: f64, request: &str) -> String {
--- a/crates/chestnutspur/src/command/load/driver.rs
+++ b/crates/chestnutspur/src/command/load/driver.rs
@@ -22,7 +22,7 @@
 const WARM_UP: Duration = Duration::from_secs(1);
 /// How long the last requests are waited for.
 const LAST: Duration = Duration::from_secs(10);
-/// Longest latency told apart, in microseconds.
+/// Longest latency distinguished, in microseconds.
 const LONGEST_US: u64 = 60_000_000;
 const DIGITS: u8 = 3;
 
--- a/crates/chestnutspur/src/command/node.rs
+++ b/crates/chestnutspur/src/command/node.rs
@@ -16,7 +16,7 @@
 /// Between two looks at the settings file: it may change without a signal.
 const LOOK: Duration = Duration::from_secs(1);
 
-/// Runs a whole entry host until it is told to stop.
+/// Runs a whole entry host until it is asked to stop.
 pub fn run(file: &Path) -> Exit {
     match super::load(file) {
         Some(Settings::Node(settings)) => {
--- a/crates/chestnutspur/src/command/standin.rs
+++ b/crates/chestnutspur/src/command/standin.rs
@@ -92,7 +92,7 @@
 /// Why a stand-in did not start.
 enum Error {
     /// Said on standard error already.
-    Told,
+    Reported,
     /// The deployment can't be used.
     Deployment(deployment::Error),
     /// An address can't be listened on, or signals not be waited for.
@@ -125,7 +125,7 @@
     process::block_on(async {
         match serve(standin).await {
             Ok(()) => return Exit::Done,
-            Err(Error::Told) => {}
+            Err(Error::Reported) => {}
             Err(Error::Deployment(error)) => eprintln!("chestnutspur: {error}"),
             Err(Error::Io(error)) => eprintln!("chestnutspur: {error}"),
             Err(Error::Address(error)) => eprintln!("chestnutspur: {error}"),
@@ -170,18 +170,18 @@
 /// Reads a settings file; none is the default.
 fn read<T: DeserializeOwned + Default>(file: Option<&Path>) -> Result<T, Error> {
     let Some(file) = file else { return Ok(T::default()) };
-    let text = command::read(file).ok_or(Error::Told)?;
+    let text = command::read(file).ok_or(Error::Reported)?;
     serde_json::from_str(&text).map_err(|error| {
         eprintln!("{}: {error}", file.display());
-        Error::Told
+        Error::Reported
     })
 }
 
 fn document(file: &Path) -> Result<Document, Error> {
-    let text = command::read(file).ok_or(Error::Told)?;
+    let text = command::read(file).ok_or(Error::Reported)?;
     check::parse(&text).map_err(|faults| {
         command::print_faults(file, &faults);
-        Error::Told
+        Error::Reported
     })
 }
 
--- a/crates/chestnutspur/src/exit.rs
+++ b/crates/chestnutspur/src/exit.rs
@@ -1,4 +1,4 @@
-//! What the shell is told.
+//! Exit codes.
 
 /// Exit code of a command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/chestnutspur/src/logging/json.rs
+++ b/crates/chestnutspur/src/logging/json.rs
@@ -1,7 +1,7 @@
 //! JSON lines through a bounded queue and one writer.
 //!
 //! A request never waits for its log line. When the reader of standard output falls behind, the
-//! queue fills and further lines are dropped and counted; the count is told as soon as a line can
+//! queue fills and further lines are dropped and counted; the count is logged as soon as a line can
 //! be written again.
 
 use std::io::Write;
@@ -103,10 +103,10 @@
         }
         let dropped = DROPPED.swap(0, Ordering::Relaxed);
         if dropped > 0 {
-            let told = serde_json::json!({
+            let dropped = serde_json::json!({
                 "level": "WARN", "part": "log", "event": "lines dropped", "count": dropped,
             });
-            batch.push_str(&format!("{told}\n"));
+            batch.push_str(&format!("{dropped}\n"));
         }
         let mut out = std::io::stdout().lock();
         // A closed standard output is no reason not to serve.
--- a/crates/chestnutspur/src/process.rs
+++ b/crates/chestnutspur/src/process.rs
@@ -33,7 +33,7 @@
     }
 }
 
-/// Runs a process's work, which ends by itself once it is told to stop; `part` prefixes its logs.
+/// Runs a process's work, which ends by itself once it is asked to stop; `part` prefixes its logs.
 /// No threads means as many as there are cores.
 pub fn supervise<W>(
     part: &str,
--- a/crates/control/src/accept.rs
+++ b/crates/control/src/accept.rs
@@ -9,7 +9,7 @@
 /// Out of file descriptors, most likely; without a pause the loop would spin.
 const FAILED: Duration = Duration::from_millis(50);
 
-/// Accepts until told to stop, and serves each connection in a task of its own.
+/// Accepts until asked to stop, and serves each connection in a task of its own.
 pub async fn each<F>(
     listener: TcpListener,
     tasks: TaskTracker,
--- a/crates/control/src/bills/book.rs
+++ b/crates/control/src/bills/book.rs
@@ -35,7 +35,7 @@
     /// all that wait: after an hour of outage these are a hundred thousand, and a round comes with
     /// every answer.
     alone: BTreeSet<Name>,
-    /// Bills that a holder has not been told to drop yet.
+    /// Bills that a holder has not been asked to drop yet.
     owed: BTreeMap<Name, Vec<Name>>,
 }
 
@@ -122,7 +122,7 @@
     }
 
     /// Forgets copies on controls that are not alive: they are made anew elsewhere. Should such a
-    /// one still be there, it is told to drop them later, like the others.
+    /// one still be there, it is asked to drop them later, like the others.
     pub fn lose_copies(&mut self, alive: impl Fn(&Name) -> bool) {
         let mut lost = Vec::new();
         self.copies.retain(|id, holders| {
--- a/crates/control/src/bills/flush.rs
+++ b/crates/control/src/bills/flush.rs
@@ -145,16 +145,16 @@
             }
             let Some(peer) = self.node.peers.by_incarnation(&holder) else { continue };
             let (log, ids) = (log.clone(), requests.clone());
-            let told = peer
+            let sent = peer
                 .link
                 .call(CALL, async |client, context| client.release(context, log, ids).await);
-            if told.await.is_ok() {
+            if sent.await.is_ok() {
                 lock(book).settled(&holder, &requests);
             }
         }
     }
 
-    /// Forgets others' books that are empty, and what gone holders were to be told.
+    /// Forgets others' books that are empty, and what gone holders were to be asked.
     fn drop_done(&self) {
         let mut books = self.books.write().unwrap_or_else(std::sync::PoisonError::into_inner);
         books.retain(|id, book| {
--- a/crates/control/src/configuration/accept.rs
+++ b/crates/control/src/configuration/accept.rs
@@ -21,7 +21,7 @@
 /// Generations whose documents and change ids are kept. A lost answer older than that is still
 /// never applied twice: the generation it was made from is long past.
 pub const KEPT: u64 = 256;
-/// How long a lost answer is followed up before the operator is told to ask again.
+/// How long a lost answer is followed up before the operator is asked to try again.
 const SETTLE_MS: u64 = 10_000;
 const PAUSE: Duration = Duration::from_millis(100);
 
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -61,7 +61,7 @@
     TcpListener::bind(address).await.map_err(|error| Error::Listen(address, error))
 }
 
-/// Runs until told to stop, then hands over and returns.
+/// Runs until asked to stop, then hands over and returns.
 ///
 /// # Errors
 /// When it can't start.
--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -24,7 +24,7 @@
 use crate::peers::{CALL, Member, Source};
 use crate::rollout;
 
-/// Members told at once of what is urgent.
+/// Members notified at once of what is urgent.
 const FANOUT: usize = 4;
 /// Members up to which the interval of settings is kept; beyond, it grows in proportion.
 const MEMBERS_SMALL: u64 = 5;
@@ -117,7 +117,7 @@
         };
         let rollouts = match ours.rollouts == theirs.rollouts {
             true => Vec::new(),
-            false => self.rollouts.standings(),
+            false => self.rollouts.rows(),
         };
         let levels = match theirs.wants_levels {
             true => self.burn.all(),
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -43,7 +43,7 @@
     pub body: Bytes,
 }
 
-/// Accepts connections until told to stop.
+/// Accepts connections until asked to stop.
 pub async fn serve(
     listener: TcpListener,
     process: Arc<Process>,
--- a/crates/control/src/operators/api.rs
+++ b/crates/control/src/operators/api.rs
@@ -119,7 +119,7 @@
     }
 }
 
-/// How each refusal is told.
+/// How each refusal is answered.
 #[must_use]
 pub fn answer(refused: Refused) -> Answer {
     match refused {
--- a/crates/control/src/operators/console/diff.rs
+++ b/crates/control/src/operators/console/diff.rs
@@ -38,7 +38,7 @@
                 walk(&join(path, key), old.get(key), new.get(key), found);
             }
         }
-        // The value is the secret itself; that it changed is all to be told.
+        // The value is the secret itself; that it changed is all to be shown.
         (before, after) if path.ends_with(".secret") => found.push(Change {
             path: path.to_owned(),
             before: before.map(|_| REDACTED.to_owned()).unwrap_or_default(),
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -73,7 +73,7 @@
         self.configuration.ready() && self.hosts.revision() > 0
     }
 
-    /// Runs all loops until told to stop.
+    /// Runs all loops until asked to stop.
     pub fn run(self: &Arc<Self>, tasks: &TaskTracker, stop: &CancellationToken) {
         // Before anything can arrive.
         let arrivals = self.gossip.arrivals();
@@ -110,7 +110,7 @@
     let marks = quarantine::sync(&process.gossip.marks, &process.node.store);
     let platform =
         futures::future::join3(process.configuration.poll(), process.hosts.poll(), marks);
-    // Failures are met again by the loops, and told there.
+    // Failures are met again by the loops, and logged there.
     let _ = futures::future::join(platform, peers).await;
     process.configuration.settle();
 }
--- a/crates/control/src/rollout.rs
+++ b/crates/control/src/rollout.rs
@@ -13,7 +13,7 @@
 use policy::time::Millis;
 use tokio::sync::watch;
 use wire::configuration::{Document, Rollout};
-use wire::gossip::Standing;
+use wire::gossip;
 use wire::store::{Condition, Transaction, Write};
 
 use crate::configuration::{self, Error, decode};
@@ -46,7 +46,7 @@
     /// Ratings that this control knew of when it saw the step begin. Its own count, because a
     /// control that started later has counted fewer.
     rated_before: u64,
-    /// Stopped here by a verdict that the platform could not be told yet.
+    /// Stopped here by a verdict that the platform could not be informed of yet.
     stopped: Option<u64>,
 }
 
@@ -78,36 +78,36 @@
 
     /// Where all roll-outs stand, for peers.
     #[must_use]
-    pub fn standings(&self) -> Vec<Standing> {
+    pub fn rows(&self) -> Vec<gossip::Rollout> {
         let known = self.known();
         let rows = known.iter().filter(|(_, known)| known.version > 0);
-        let standing = |(rollout, known): (&Name, &Known)| Standing {
+        let row = |(rollout, known): (&Name, &Known)| gossip::Rollout {
             rollout: rollout.clone(),
             version: known.version,
             value: known.value.clone(),
         };
-        rows.map(standing).collect()
+        rows.map(row).collect()
     }
 
     /// The same on two controls that know the same rows.
     #[must_use]
     pub fn hash(&self) -> u64 {
-        let standings = self.standings();
-        match standings.is_empty() {
+        let rows = self.rows();
+        match rows.is_empty() {
             true => 0,
-            false => short_hash(&serde_json::to_vec(&standings).unwrap_or_default()),
+            false => short_hash(&serde_json::to_vec(&rows).unwrap_or_default()),
         }
     }
 
     /// Takes in rows, newer ones only.
-    pub fn take(&self, standings: &[Standing]) {
+    pub fn take(&self, rows: &[gossip::Rollout]) {
         let mut news = false;
-        for standing in standings {
+        for row in rows {
             let mut all = self.known();
-            let known = all.entry(standing.rollout.clone()).or_default();
-            if standing.version > known.version {
-                known.version = standing.version;
-                known.value.clone_from(&standing.value);
+            let known = all.entry(row.rollout.clone()).or_default();
+            if row.version > known.version {
+                known.version = row.version;
+                known.value.clone_from(&row.value);
                 news = true;
             }
         }
@@ -145,10 +145,10 @@
         }
         self.stop_here(&in_force.document, exposure);
         let rows = self.node.store.rows(TABLE).await?.into_iter();
-        let standings: Vec<Standing> = rows
-            .map(|row| Standing { rollout: row.key, version: row.version, value: row.value })
+        let rows: Vec<gossip::Rollout> = rows
+            .map(|row| gossip::Rollout { rollout: row.key, version: row.version, value: row.value })
             .collect();
-        self.take(&standings);
+        self.take(&rows);
         let now = node::now();
         for (name, rollout) in &in_force.document.rollouts {
             let definition = definition(rollout, &in_force.document);
@@ -216,7 +216,7 @@
         match self.node.store.commit(&transaction).await? {
             Outcome::Committed(version) => {
                 info!("rollout: {name}: step {}", describe(&stand.progress));
-                self.take(&[Standing { rollout: name.clone(), version, value }]);
+                self.take(&[gossip::Rollout { rollout: name.clone(), version, value }]);
             }
             Outcome::Conflict(_) => info!("rollout: {name}: another control was first"),
         }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -107,7 +107,7 @@
     }
 }
 
-/// Accepts connections until told to stop.
+/// Accepts connections until asked to stop.
 pub async fn serve(
     listener: TcpListener,
     key: Key,
--- a/crates/control/src/shards/change.rs
+++ b/crates/control/src/shards/change.rs
@@ -176,11 +176,11 @@
     async fn tell(&self, cell: &Cell, incarnation: &str) {
         let Some(peer) = self.node.peers.by_incarnation(incarnation) else { return };
         let home = cell.home.clone();
-        let told = peer
+        let sent = peer
             .link
             .call(super::CALL, async |client, context| client.changed(context, home).await);
-        // A control that was not told finds out at its next read of the table.
-        let _ = told.await;
+        // A control that was not informed finds out at its next read of the table.
+        let _ = sent.await;
     }
 
     /// At a shutdown: hands an owned shard to its deputy, or to another that is not stopping too;
--- a/crates/control/src/shards/duty.rs
+++ b/crates/control/src/shards/duty.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use coordination::shard::{Role, Standing};
+use coordination::shard::{Role, Transition};
 use tokio::time::Instant;
 use wire::shard::{Append, Appended};
 
@@ -139,9 +139,9 @@
     pub fn observe(&self, cell: &Cell, holder: &wire::shard::Holder) {
         let standing = cell.lock().observe(&self.node.incarnation, holder);
         match standing {
-            Standing::Unchanged => return,
-            Standing::Dropped => log::info!("shards: {}: not held here now", cell.home.row()),
-            Standing::Promoted => log::info!("shards: {}: owned here now", cell.home.row()),
+            Transition::Unchanged => return,
+            Transition::Dropped => log::info!("shards: {}: not held here now", cell.home.row()),
+            Transition::Promoted => log::info!("shards: {}: owned here now", cell.home.row()),
         }
         metrics::counter!("shards_changed_hands_total").increment(1);
         cell.wake();
--- a/crates/control/src/shards/route.rs
+++ b/crates/control/src/shards/route.rs
@@ -148,7 +148,7 @@
         let deadline = Instant::now() + ROUTE;
         while Instant::now() < deadline {
             let targets = self.targets(&home);
-            // Nobody of the failure domain was heard from lately. The caller is told at once
+            // Nobody of the failure domain was heard from lately. The caller is answered at once
             // rather than kept waiting; a home that is back is heard from within a moment.
             if targets.is_empty() {
                 break;
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -34,7 +34,7 @@
     entries: Mutex<BTreeMap<Name, Entry>>,
 }
 
-/// What one entry was told, and what it has.
+/// What one entry was sent, and what it has.
 #[derive(Clone, Default)]
 struct Entry {
     asked: Millis,
@@ -116,7 +116,7 @@
             true => String::new(),
             false => in_force.text.clone(),
         };
-        self.told(&ask.entry, revision, in_force.generation);
+        self.note_sent(&ask.entry, revision, in_force.generation);
         let marks = self.gossip.marks.in_force(&in_force.document);
         View {
             incarnation: self.gossip.node.incarnation.clone(),
@@ -133,7 +133,7 @@
         }
     }
 
-    /// Notes what the asker has: the generation it was told, if that answer reached it.
+    /// Notes what the asker has: the generation it was sent, if that answer reached it.
     fn note(&self, ask: &Ask, ours: bool) {
         if ask.entry.is_empty() {
             return;
@@ -151,7 +151,7 @@
         self.entries().get(entry).map_or(0, |entry| entry.has_generation)
     }
 
-    fn told(&self, entry: &str, revision: u64, generation: u64) {
+    fn note_sent(&self, entry: &str, revision: u64, generation: u64) {
         if let Some(entry) = self.entries().get_mut(entry) {
             entry.told_revision = revision;
             entry.told_generation = generation;
--- a/crates/coordination/src/shard.rs
+++ b/crates/coordination/src/shard.rs
@@ -25,7 +25,7 @@
 
 /// What a control should do about a shard, after reading its row.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Standing {
+pub enum Transition {
     /// As it is.
     Unchanged,
     /// Nothing of it is here any more.
@@ -62,7 +62,7 @@
             Role::Deputy(deputy) if deputy.fenced => Appended::Fenced { epoch: deputy.epoch },
             Role::Deputy(deputy) if deputy.serves(append) => deputy.append(append),
             // Two owners can prepare the same epoch, and only one swap succeeds. The first load
-            // keeps its place; the other owner is told so and picks another deputy.
+            // keeps its place; the other owner learns so and picks another deputy.
             _ if append.epoch <= self.seen => Appended::Fenced { epoch: self.seen },
             _ if append.whole => {
                 self.seen = append.epoch;
@@ -112,7 +112,7 @@
     }
 
     /// Takes in what the row says.
-    pub fn observe(&mut self, me: &Name, row: &Holder) -> Standing {
+    pub fn observe(&mut self, me: &Name, row: &Holder) -> Transition {
         match &self.role {
             Role::Owner(owner) if row.epoch > owner.epoch && row.owner != *me => self.drop_role(),
             Role::Deputy(deputy) if row.epoch == deputy.epoch + 1 && row.owner == *me => {
@@ -122,7 +122,7 @@
             Role::Deputy(deputy) if row.epoch == deputy.epoch && row.owner != deputy.owner => {
                 self.drop_role()
             }
-            _ => Standing::Unchanged,
+            _ => Transition::Unchanged,
         }
     }
 
@@ -142,20 +142,20 @@
         }
     }
 
-    fn drop_role(&mut self) -> Standing {
+    fn drop_role(&mut self) -> Transition {
         self.role = Role::Idle;
-        Standing::Dropped
+        Transition::Dropped
     }
 
     /// The row went from (owner, this deputy) to this one as owner in one swap, so every grant of
     /// the epoch before is in the deputy's records.
-    fn promote(&mut self, row: &Holder) -> Standing {
+    fn promote(&mut self, row: &Holder) -> Transition {
         let Role::Deputy(deputy) = std::mem::take(&mut self.role) else {
-            return Standing::Unchanged;
+            return Transition::Unchanged;
         };
         let closed_until = policy::time::Millis(row.closed_until_ms);
         let owner = Owner::new(row.epoch, row.deputy.clone(), deputy.records, deputy.next);
         self.own(owner.closed_until(closed_until));
-        Standing::Promoted
+        Transition::Promoted
     }
 }
--- a/crates/coordination/tests/deputy.rs
+++ b/crates/coordination/tests/deputy.rs
@@ -4,7 +4,7 @@
 use coordination::message::{Append, Appended, Holder, Record};
 use coordination::owner::Owner;
 use coordination::records::Records;
-use coordination::shard::{Shard, Standing};
+use coordination::shard::{Shard, Transition};
 use policy::name::Name;
 use policy::time::Millis;
 
@@ -29,7 +29,7 @@
     assert_eq!(shard.receive(&append("one", 1, 1, &["b"], false)), Appended::Up { to: 2 });
     assert_eq!(shard.receive(&load), Appended::Up { to: 2 });
     let row = Holder { epoch: 2, owner: Name::from("me"), ..Holder::default() };
-    assert_eq!(shard.observe(&Name::from("me"), &row), Standing::Promoted);
+    assert_eq!(shard.observe(&Name::from("me"), &row), Transition::Promoted);
     let owner = shard.owner().expect("promoted");
     assert!(owner.records().claimed("b", Millis(1)).is_some());
 }
@@ -56,7 +56,7 @@
     assert_eq!(shard.receive(&append("other", 4, 1, &[], true)), Appended::Fenced { epoch: 3 });
     assert!(shard.owner().is_some());
     let row = Holder { epoch: 4, owner: Name::from("other"), ..Holder::default() };
-    assert_eq!(shard.observe(&Name::from("me"), &row), Standing::Dropped);
+    assert_eq!(shard.observe(&Name::from("me"), &row), Transition::Dropped);
     assert!(shard.owner().is_none());
     // What was prepared under an epoch that is over is not taken any more.
     assert_eq!(shard.receive(&append("two", 3, 1, &[], true)), Appended::Fenced { epoch: 3 });
--- a/crates/entry/src/bills.rs
+++ b/crates/entry/src/bills.rs
@@ -39,7 +39,7 @@
 }
 
 impl Bills {
-    /// Takes a bill on; the receiver is told when controls hold it.
+    /// Takes a bill on; the receiver is notified when controls hold it.
     ///
     /// The bill is kept until then whatever becomes of the receiver: a caller that goes away
     /// while it waits is billed all the same, once.
@@ -102,7 +102,7 @@
 
 /// Sends one batch until controls hold it.
 ///
-/// Bills are told apart by request id, so a batch whose answer was lost is sent again, also to
+/// Bills are distinguished by request id, so a batch whose answer was lost is sent again, also to
 /// another control, and still counts once.
 async fn send(state: &State, batch: Vec<Pending>) {
     let bills: Vec<Bill> = batch.iter().map(|pending| pending.bill.clone()).collect();
--- a/crates/entry/src/chain.rs
+++ b/crates/entry/src/chain.rs
@@ -118,7 +118,7 @@
     refuse::response(refusal)
 }
 
-/// What the caller may be told of its request.
+/// What the caller may learn of its request.
 ///
 /// With an idempotency key the request is all its tries. An earlier one may have run, its answer
 /// lost, and the caller would take "not run" of this one for leave to send it under another key:
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -172,7 +172,7 @@
     async fn cascade(&mut self, first: Name, then: Name) -> Result<Done, Refusal> {
         let mut cheap = match self.call(first, Step::First).await {
             Ok(cheap) => cheap,
-            // What the caller is told of the second must stay true of the first.
+            // What the caller learns of the second must stay true of the first.
             Err(first) => {
                 let result = self.call(then, Step::Second).await;
                 return result
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -81,7 +81,7 @@
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|_| Failure::not_sent(Cause::Broken))?;
         let driver = tokio::spawn(async move {
-            // How it ended is told to whoever waits for an answer on it.
+            // How it ended reaches whoever waits for an answer on it.
             let _ = driver.await;
         });
         let driver = AbortOnDropHandle::new(driver);
--- a/crates/entry/src/filter/account.rs
+++ b/crates/entry/src/filter/account.rs
@@ -10,7 +10,7 @@
 use crate::call::Call;
 use crate::snapshot::Snapshot;
 
-/// The account whose key the request bears.
+/// The account whose key the request carries.
 ///
 /// # Errors
 /// [`Code::UnknownAccount`]; the message says nothing of the key.
--- a/crates/entry/src/filter/claim.rs
+++ b/crates/entry/src/filter/claim.rs
@@ -22,8 +22,8 @@
 /// A key that a request holds, or may hold, and has not used yet.
 ///
 /// Dropped unused (no connection, an answer of the home that got lost, a caller that went away),
-/// it is given back: the caller was told that its request did not run, and its next try with the
-/// key must not be told otherwise.
+/// it is given back: the caller knows that its request did not run, and its next try with the
+/// key must not be answered otherwise.
 pub struct Claimed {
     state: Arc<State>,
     claim: Claim,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,13 +13,13 @@
 use hyper::http::response::Parts;
 use policy::backlog::Prompt;
 
-use crate::backend::{Backend, Word};
+use crate::backend::{Backend, Prefill};
 use crate::codec::{Codec, Head, Sending};
 use crate::job::Job;
 
 /// Longest wait for a new connection. Within a region one opens in a few milliseconds; past this
-/// the server is dark or its queue of new connections full, and the kernel tries again only after
-/// a second.
+/// the server is unreachable or its queue of new connections full, and the kernel tries again only
+/// after a second.
 const CONNECT: Duration = Duration::from_millis(250);
 /// Part of the time left that one connection attempt may use.
 const CONNECT_PART: u32 = 4;
@@ -27,8 +27,8 @@
 /// backend servers close theirs after some seconds.
 const REUSE: Duration = Duration::from_secs(3);
 
-/// Prompts that take this long to read, in milliseconds, are told to the other hosts: a third of
-/// what callers of short prompts wait in all.
+/// Prompts that take this long to read, in milliseconds, are announced to the other hosts: a third
+/// of what callers of short prompts wait in all.
 const TOLD_MS: f64 = 60.0;
 
 /// What a backend server answered; its body is still to come.
@@ -87,9 +87,9 @@
     let prompt = Prompt { rank, read_ms };
     let awaited = backend.sent(model, &job.ask.parts, prompt, clock::steady());
     if read_ms >= TOLD_MS && backend.near {
-        let word = Word { backend: backend.id.clone(), read_ms: read_ms as u32, rank };
-        // When too many words wait the rest are not told; they are hints only.
-        let _ = job.state.words.try_send(word);
+        let prefill = Prefill { backend: backend.id.clone(), read_ms: read_ms as u32, rank };
+        // When too many wait the rest are not announced; they are hints only.
+        let _ = job.state.prefills.try_send(prefill);
     }
     let lease = Lease::new(Arc::clone(&backend.server));
     let sent_at = Instant::now();
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -33,8 +33,8 @@
 const PARTS_MAX: usize = 4_096;
 
 policy::domain! {
-    /// A long prompt that was just sent to a backend server, as other hosts are told of it.
-    pub struct Word {
+    /// A long prompt that was just sent to a backend server, as it is announced to other hosts.
+    pub struct Prefill {
         /// The backend server's start.
         pub backend: Name,
         /// How long it will be kept, in milliseconds.
@@ -175,11 +175,11 @@
     }
 
     /// A prompt sent by another host will keep it for a time.
-    pub fn told(&self, prompt: Prompt, now: Millis) {
-        self.lock().backlog.told(prompt, now);
+    pub fn announced(&self, prompt: Prompt, now: Millis) {
+        self.lock().backlog.announced(prompt, now);
     }
 
-    /// Its load as told with an answer.
+    /// Its load as reported with an answer.
     pub fn note_load(&self, load: Load, now: Millis) {
         let own = self.server.in_flight.load(Ordering::Relaxed);
         let mut belief = self.lock();
@@ -232,8 +232,8 @@
         ill
     }
 
-    /// How long its silence is still borne; none if it is to be left.
-    pub async fn bears(
+    /// How long its silence is still tolerated; none if it is to be left.
+    pub async fn tolerates(
         &self,
         bounds: &Bounds,
         silent: Duration,
@@ -251,7 +251,7 @@
         }
     }
 
-    /// Opens a connection and closes it: a host that is dark, or behind a cut, takes none.
+    /// Opens a connection and closes it: a host that is unreachable, or behind a cut, takes none.
     async fn takes_connections(&self) -> bool {
         let taken = Connection::open(self.server.address, PROBE).await.is_ok();
         if taken {
@@ -261,7 +261,7 @@
     }
 
     /// Asks in the background whether it takes connections again, unless that was just done.
-    pub fn ask_soon(self: &Arc<Self>) {
+    pub fn probe_soon(self: &Arc<Self>) {
         let now = clock::steady();
         let mut belief = self.lock();
         if now.since(belief.asked_at) < ASK_MS {
--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -28,7 +28,7 @@
                         // A whole failure domain may be cut off. Trying its servers one after
                         // another would use up the request's time.
                         if !backend.near {
-                            self.tries.dark.push(backend.server.failure_domain.clone());
+                            self.tries.unreachable.push(backend.server.failure_domain.clone());
                         }
                     }
                     // An old connection was closed by the other end; a new one is tried.
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -217,7 +217,7 @@
         self.job.may_go_on()
     }
 
-    /// The caller is told by a connection that closes before the stream's end.
+    /// The caller learns of it by a connection that closes before the stream's end.
     fn give_up(&mut self) -> Result<Live, Refusal> {
         Err(Refusal::may_have_run(Code::BackendFailed, "the stream broke off"))
     }
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -51,7 +51,7 @@
     pub priority: Option<u8>,
 }
 
-/// A backend server's load as told with an answer.
+/// A backend server's load as reported with an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Load {
     /// Requests it works on and requests that wait there.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -65,7 +65,7 @@
     /// Backend servers not to be tried again.
     pub tried: Vec<Name>,
     /// Other failure domains that did not answer; others are tried first.
-    pub dark: Vec<Name>,
+    pub unreachable: Vec<Name>,
     /// Index of the model that is asked now.
     pub model: usize,
     /// The version that it was first sent to.
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -10,7 +10,7 @@
 use hyper::http::response::Parts;
 use policy::canary::{self, Sign};
 use policy::escalate::{self, Doubt};
-use policy::lift;
+use policy::gain;
 use wire::routing::Kind;
 
 use crate::attempt::{Failure, Reply};
@@ -36,7 +36,7 @@
         if status.is_server_error() {
             return self.judge_failure(reply).await;
         }
-        self.note_lift(&reply);
+        self.note_gain(&reply);
         if let Some(larger) = self.escalates(&reply) {
             self.tries.doubted = reply.said.confidence;
             self.tries.model = larger;
@@ -107,7 +107,7 @@
         if reply.head.status != StatusCode::OK || self.tries.model >= largest || !may {
             return None;
         }
-        let larger = self.larger(reply.said.confidence?, self.pressure());
+        let larger = self.larger(reply.said.confidence?, self.delay());
         let objective_ms = self.route().objective_ms as f64;
         let timing = self.state.timings.with(&self.known.timings[larger], |timing| *timing);
         let usual_ms = timing.first.faded_ms(objective_ms / 4.0, clock::steady());
@@ -120,7 +120,7 @@
             larger_ms: usual_ms.max(read_ms),
             read_ms,
             objective_ms,
-            pressure: self.pressure(),
+            delay: self.delay(),
         };
         let may_repeat =
             self.window(|window, allowance| window.has_spare(allowance, clock::steady()));
@@ -128,30 +128,30 @@
     }
 
     /// How long callers wait for streams to begin lately, as a part of their objective.
-    fn pressure(&self) -> f64 {
+    fn delay(&self) -> f64 {
         let now = clock::steady();
-        self.state.pressures.with(&self.service, |pressure| pressure.faded_ms(0.0, now))
+        self.state.delays.with(&self.service, |delay| delay.faded_ms(0.0, now))
     }
 
     /// The larger model that is asked after a doubtful answer.
-    fn larger(&self, confidence: u8, pressure: f64) -> usize {
+    fn larger(&self, confidence: u8, delay: f64) -> usize {
         let largest = self.route().models.len() - 1;
         // One that doubts its answer as well must leave a try for the largest.
         if self.tries.model > 0 || self.tries.sent + 1 >= self.route().attempts_max {
             return largest;
         }
         let between = &self.route().models[1..largest];
-        let lift = |model| self.state.lifts.with(model, |lift| *lift);
-        let lifts: Vec<_> = between.iter().map(lift).collect();
-        1 + lift::choose(confidence, escalate::threshold(self.priority, pressure), &lifts)
+        let gain = |model| self.state.gains.with(model, |gain| *gain);
+        let gains: Vec<_> = between.iter().map(gain).collect();
+        1 + gain::choose(confidence, escalate::threshold(self.priority, delay), &gains)
     }
 
     /// A larger model has answered a request that the smallest had answered before.
-    fn note_lift(&self, reply: &Reply) {
+    fn note_gain(&self, reply: &Reply) {
         if let (Some(small), Some(larger), Some(model)) =
             (self.tries.doubted, reply.said.confidence, self.model())
         {
-            self.state.lifts.with(model, |lift| lift.note(small, larger));
+            self.state.gains.with(model, |gain| gain.note(small, larger));
         }
     }
 
@@ -160,7 +160,7 @@
         let waited = self.started.elapsed().as_secs_f64() * 1_000.0;
         self.tries.begun_ms = waited as u64;
         let part = waited / self.route().objective_ms.max(1) as f64;
-        self.state.pressures.with(&self.service, |pressure| pressure.note(part, clock::steady()));
+        self.state.delays.with(&self.service, |delay| delay.note(part, clock::steady()));
     }
 
     /// Counts an answer for the roll-out under way: the time that it took, of a stream for each of
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -29,16 +29,16 @@
     let now = clock::steady();
     let open = pool.open(version, now).into_iter();
     let untried = open.filter(|backend| !job.tries.tried.contains(&backend.id));
-    let (lit, dark): (Vec<_>, Vec<_>) =
-        untried.partition(|backend| !job.tries.dark.contains(&backend.server.failure_domain));
+    let (reachable, unreachable): (Vec<_>, Vec<_>) = untried
+        .partition(|backend| !job.tries.unreachable.contains(&backend.server.failure_domain));
     let (well, ill): (Vec<_>, Vec<_>) =
-        lit.into_iter().partition(|backend| backend.server.takes_work(now));
-    match (well.as_slice(), dark.as_slice()) {
+        reachable.into_iter().partition(|backend| backend.server.takes_work(now));
+    match (well.as_slice(), unreachable.as_slice()) {
         ([], []) => {
-            ill.iter().for_each(|backend| backend.ask_soon());
+            ill.iter().for_each(|backend| backend.probe_soon());
             None
         }
-        ([], dark) => best(job, dark, now),
+        ([], unreachable) => best(job, unreachable, now),
         (well, _) => best(job, well, now),
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -106,7 +106,7 @@
         let useful_ms = route.gap_ms.unwrap_or(route.objective_ms) as f64;
         let since = Instant::now();
         let until = tokio::time::Instant::from(job.until);
-        let mut wait = self.backend.bears(&silence::BETWEEN, Duration::ZERO, useful_ms).await;
+        let mut wait = self.backend.tolerates(&silence::BETWEEN, Duration::ZERO, useful_ms).await;
         loop {
             let limit = until.min(tokio::time::Instant::now() + wait.unwrap_or_default());
             match tokio::time::timeout_at(limit, self.body.frame()).await {
@@ -121,7 +121,7 @@
                 Err(_) => {}
             }
             let silent = since.elapsed();
-            wait = match self.backend.bears(&silence::BETWEEN, silent, useful_ms).await {
+            wait = match self.backend.tolerates(&silence::BETWEEN, silent, useful_ms).await {
                 None if job.leave(&self.backend) => return Err(Cause::Silent),
                 None => Some(job.left()),
                 still => still,
@@ -174,7 +174,7 @@
             }
             None => {
                 end::log(&job, End::Broken(cause), passed);
-                // The caller is told by a connection that closes before the stream's end.
+                // The caller learns of it by a connection that closes before the stream's end.
                 let _ = pieces.send(Err(Broken)).await;
                 return;
             }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,7 +4,7 @@
 
 use arc_swap::ArcSwap;
 use entry::sharded::Sharded;
-use policy::lift::Lift;
+use policy::gain::Gain;
 use policy::patience::Patience;
 use policy::prefill::Speed;
 use policy::repeat::{Allowance, Window};
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::backend::Word;
+use crate::backend::Prefill;
 use crate::evidence::Tally;
 use crate::timing::Timing;
 use crate::world::World;
@@ -32,9 +32,9 @@
     /// How fast engines read prompts, by model, or by service where the caller chooses the model.
     pub speeds: Sharded<Speed>,
     /// How much more confidence models have than the smallest of a route, by model.
-    pub lifts: Sharded<Lift>,
+    pub gains: Sharded<Gain>,
     /// How long callers wait for streams to begin lately, as parts of their objectives, by service.
-    pub pressures: Sharded<Patience>,
+    pub delays: Sharded<Patience>,
     /// How versions under roll-out answer.
     pub tally: Tally,
     /// Streams on their way to callers.
@@ -42,7 +42,7 @@
     /// Requests under way.
     pub in_flight: AtomicUsize,
     /// Long prompts that were just sent, for the other hosts of the failure domain.
-    pub words: mpsc::Sender<Word>,
+    pub prefills: mpsc::Sender<Prefill>,
     /// Cancelled when the store has been read for the first time, or could not be.
     pub started: CancellationToken,
     /// Cancelled when the process is to take no new connections.
@@ -55,19 +55,19 @@
     pub fn new(
         codec: C,
         allowance: Allowance,
-        words: mpsc::Sender<Word>,
+        prefills: mpsc::Sender<Prefill>,
         stop: CancellationToken,
     ) -> Self {
         Self {
-            words,
+            prefills,
             codec,
             world: ArcSwap::default(),
             allowance: ArcSwap::from_pointee(allowance),
             windows: Sharded::default(),
             timings: Sharded::default(),
             speeds: Sharded::default(),
-            lifts: Sharded::default(),
-            pressures: Sharded::default(),
+            gains: Sharded::default(),
+            delays: Sharded::default(),
             tally: Tally::default(),
             relays: TaskTracker::new(),
             in_flight: AtomicUsize::new(0),
--- a/crates/gateway/src/wait.rs
+++ b/crates/gateway/src/wait.rs
@@ -40,7 +40,7 @@
             true => silence::FIRST_BUSY,
             false => silence::FIRST,
         };
-        backend.bears(&bounds, silent, objective).await
+        backend.tolerates(&bounds, silent, objective).await
     }
 
     /// Whether a silent backend server is left: only if the request can be sent to another one.
--- a/crates/node/src/facts.rs
+++ b/crates/node/src/catalog.rs
@@ -15,7 +15,7 @@
 use policy::time::Millis;
 use wire::routing::{Order, Table};
 
-use crate::record::{Record, Told};
+use crate::record::{Record, Snapshot};
 
 /// A roll-out as this host knows it.
 #[derive(Clone, Debug)]
@@ -48,12 +48,12 @@
 }
 
 /// Everything known, under one lock; requests see only the worlds made of it.
-pub struct Facts {
+pub struct Catalog {
     failure_domain: Name,
     inner: Mutex<Inner>,
 }
 
-impl Facts {
+impl Catalog {
     /// Nothing known yet.
     #[must_use]
     pub fn new(failure_domain: Name) -> Self {
@@ -133,15 +133,15 @@
     }
 
     /// Notes how a roll-out stands; false if that is older than what is known, or of another order.
-    pub fn set_record(&self, told: &Told, now: Millis) -> bool {
+    pub fn set_record(&self, snapshot: &Snapshot, now: Millis) -> bool {
         let mut inner = self.lock();
-        let Some(known) = inner.rollouts.get_mut(&told.service) else { return false };
-        if told.record.order != known.revision || told.version < known.version {
+        let Some(known) = inner.rollouts.get_mut(&snapshot.service) else { return false };
+        if snapshot.record.order != known.revision || snapshot.version < known.version {
             return false;
         }
-        known.record = Some(told.record.clone());
-        known.version = told.version;
-        known.began = now - told.age_ms;
+        known.record = Some(snapshot.record.clone());
+        known.version = snapshot.version;
+        known.began = now - snapshot.age_ms;
         true
     }
 
@@ -159,17 +159,17 @@
 
     /// How all roll-outs stand, for other hosts.
     #[must_use]
-    pub fn records(&self, now: Millis) -> Vec<Told> {
+    pub fn records(&self, now: Millis) -> Vec<Snapshot> {
         let inner = self.lock();
-        let told = inner.rollouts.iter().filter_map(|(service, known)| {
-            Some(Told {
+        let snapshots = inner.rollouts.iter().filter_map(|(service, known)| {
+            Some(Snapshot {
                 service: service.clone(),
                 version: known.version,
                 record: known.record.clone()?,
                 age_ms: now.since(known.began),
             })
         });
-        told.collect()
+        snapshots.collect()
     }
 
     /// The version that requests for a service go to, but for a roll-out.
--- a/crates/node/src/counts.rs
+++ b/crates/node/src/counts.rs
@@ -1,4 +1,4 @@
-//! What the hosts of a failure domain counted of roll-outs, as they told.
+//! What the hosts of a failure domain counted of roll-outs, as they reported.
 
 use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -27,27 +27,27 @@
 pub struct Counts(Mutex<BTreeMap<Name, (u64, ByHost)>>);
 
 impl Counts {
-    /// Another host told what it counted.
-    pub fn take(&self, host: &Name, told: Counting) {
+    /// Another host reported what it counted.
+    pub fn take(&self, host: &Name, counting: Counting) {
         let mut all = self.lock();
-        let (order, hosts) = all.entry(told.service).or_default();
-        match told.order {
+        let (order, hosts) = all.entry(counting.service).or_default();
+        match counting.order {
             old if old < *order => return,
             same if same == *order => {}
             new => (*order, *hosts) = (new, ByHost::new()),
         }
         let held = hosts.entry(host.clone()).or_default();
-        for one in told.routes {
+        for one in counting.routes {
             merge(held, one);
         }
     }
 
-    /// What was told of an order.
+    /// What was reported of an order.
     #[must_use]
     pub fn of(&self, service: &Name, order: u64) -> ByHost {
         let all = self.lock();
-        let told = all.get(service).filter(|(told, _)| *told == order);
-        told.map(|(_, hosts)| hosts.clone()).unwrap_or_default()
+        let counted = all.get(service).filter(|(held, _)| *held == order);
+        counted.map(|(_, hosts)| hosts.clone()).unwrap_or_default()
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<Name, (u64, ByHost)>> {
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -22,7 +22,7 @@
 use tokio_util::codec::LengthDelimitedCodec;
 use wire::store::Error;
 
-use crate::record::Told;
+use crate::record::Snapshot;
 use crate::store::{List, News};
 
 /// Longest time that one call may take. Past it the store is asked.
@@ -53,7 +53,7 @@
     /// A piece of what was opened, from a byte on; empty behind the last one.
     async fn piece(from: u64) -> Bytes;
     /// How roll-outs stand.
-    async fn records() -> Vec<Told>;
+    async fn records() -> Vec<Snapshot>;
     /// Opens what a host lacks that knows a list as of a revision, 0 for nothing, and that serves
     /// others at an address.
     async fn give(list: List, after: u64, host: SocketAddr) -> Offer;
@@ -94,7 +94,7 @@
     /// The same, however much that is.
     fn all_news(&self, list: List, after: u64) -> Option<News>;
     /// How roll-outs stand.
-    fn records(&self) -> Vec<Told>;
+    fn records(&self) -> Vec<Snapshot>;
 }
 
 /// What is read in pieces on one connection.
@@ -140,7 +140,7 @@
         text.slice(from..text.len().min(from + PIECE_BYTES))
     }
 
-    async fn records(self, _: Context) -> Vec<Told> {
+    async fn records(self, _: Context) -> Vec<Snapshot> {
         match self.is_served() {
             true => self.source.records(),
             false => Vec::new(),
@@ -276,7 +276,7 @@
 ///
 /// # Errors
 /// When it gives no answer in time; reading has no effect.
-pub async fn ask_records(from: SocketAddr) -> Result<Vec<Told>, Error> {
+pub async fn ask_records(from: SocketAddr) -> Result<Vec<Snapshot>, Error> {
     within(async {
         let answer = connect(from).await?.records(context()).await;
         answer.map_err(|error| Error::Lost(error.to_string()))
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -6,25 +6,25 @@
 use std::time::Duration;
 
 use policy::domain;
-use policy::relay::{Duty, Relay};
+use policy::relay::{Action, Relay};
 use policy::time::Millis;
 use tokio::sync::Notify;
 
 use crate::history::History;
 use crate::store::{List, News};
 
-/// Changes told with a standing at most; more are had by a call.
+/// Changes sent with a position at most; more are had by a call.
 const TOLD_MAX: usize = 4;
 /// Changes this many times as long as the list are not read. Two changes of one long entry are, and
 /// an entry that has grown by half is not.
 const AFRESH_FACTOR: f64 = 1.6;
-/// A list that has been behind for this long is told of in the log, in milliseconds. Most changes
+/// A list that has been behind for this long is logged, in milliseconds. Most changes
 /// are taken over in a few.
 const BEHIND_LOGGED_MS: u64 = 1_000;
 
 domain! {
     /// How new a host's state of a list is, as it tells the others.
-    pub struct Standing {
+    pub struct Position {
         /// The list.
         pub list: List,
         /// The store's revision that it knows.
@@ -65,7 +65,7 @@
     incoming: AtomicBool,
     /// Length of the list as the store last sent all of it, in bytes, or of a longer change since.
     bytes: AtomicU64,
-    /// What this host was told of and has not taken in.
+    /// What this host has heard of and has not taken in.
     missing: Mutex<Option<Missing>>,
 }
 
@@ -73,7 +73,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Missing {
     revision: u64,
-    /// Who told of it last.
+    /// Who announced it last.
     from: SocketAddr,
     since: Millis,
     /// The log says so.
@@ -105,8 +105,8 @@
     }
 
     /// What to do now.
-    pub fn duty(&self, now: Millis) -> Duty {
-        self.relay().duty(now)
+    pub fn action(&self, now: Millis) -> Action {
+        self.relay().action(now)
     }
 
     /// Waits, but no longer than until something changes what is to be done.
@@ -249,7 +249,7 @@
 
     /// What this host tells the others of what it reads.
     #[must_use]
-    pub fn standing(&self, now: Millis) -> Option<Standing> {
+    pub fn position(&self, now: Millis) -> Option<Position> {
         if !self.relay().tells(now) {
             return None;
         }
@@ -258,10 +258,10 @@
         let changed = lock(&self.history).changed();
         let age_ms = now.since(read_at);
         let changes = self.changes();
-        Some(Standing { list: self.list, revision, changed, age_ms, changes })
+        Some(Position { list: self.list, revision, changed, age_ms, changes })
     }
 
-    /// The last news, if they are few. Tables of routes are not told: they are seldom small.
+    /// The last news, if they are few. Tables of routes are not sent: they are seldom small.
     fn changes(&self) -> Option<Changes> {
         let after = *lock(&self.before);
         let news = self.behind(after)?;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,15 +1,15 @@
 //! One process that routes requests by what the platform's store says.
 //!
 //! The store holds everything that must last; the process holds only what it can read again.
-//! [`watch`] follows the store's lists, [`facts`] makes of them the world that requests are
+//! [`watch`] follows the store's lists, [`catalog`] makes of them the world that requests are
 //! decided by, [`rollout`] carries out orders to change a version together with the other hosts,
 //! [`process`] starts and stops it all. How the store spells and sends things is behind
 //! [`store::Store`].
 
+pub mod catalog;
 pub mod counts;
 pub mod error;
 pub mod exchange;
-pub mod facts;
 pub mod follow;
 pub mod history;
 pub mod operators;
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -14,7 +14,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
 
-use crate::facts::Facts;
+use crate::catalog::Catalog;
 use crate::follow::Follow;
 use crate::status::Status;
 
@@ -23,7 +23,7 @@
     /// What requests share.
     pub state: Arc<State<C>>,
     /// What was read from the store.
-    pub facts: Arc<Facts>,
+    pub catalog: Arc<Catalog>,
     /// How its lists are followed.
     pub follows: Arc<[Follow; 2]>,
     /// The metrics' recorder.
@@ -87,7 +87,7 @@
 
 /// What this host believes, and since when.
 fn status<C: Codec>(subject: &Subject<C>) -> String {
-    let status = Status::of(&subject.state, &subject.facts, &*subject.follows, clock::steady());
+    let status = Status::of(&subject.state, &subject.catalog, &*subject.follows, clock::steady());
     match serde_json::to_string(&status) {
         Ok(text) => text,
         Err(error) => {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use entry::clock;
-use gateway::backend::Word;
+use gateway::backend::Prefill;
 use gateway::{Codec, State};
 use policy::backlog::Prompt;
 use policy::canary::Evidence;
@@ -25,17 +25,17 @@
 use wire::store::{Error, Rows};
 
 use crate::counts::Counting;
-use crate::follow::Standing;
-use crate::record::{self, Told};
+use crate::follow::Position;
+use crate::record::{self, Snapshot};
 use crate::store::{List, Store};
-use crate::watch::{Tell, Watch};
+use crate::watch::{Notice, Watch};
 
 /// The table in which hosts are listed, by failure domain and name.
 const TABLE: &str = "nodes";
-/// Words are gathered for this long before they are sent.
+/// Prefills are gathered for this long before they are sent.
 const GATHER: Duration = Duration::from_millis(15);
-/// Hosts told at once, at most; of more, others each time. In a domain of 50 hosts every word still
-/// reaches half of them.
+/// Hosts notified at once, at most; of more, others each time. In a domain of 50 hosts every notice
+/// still reaches half of them.
 const TOLD_MAX: usize = 24;
 /// Hosts remembered at most.
 const PEERS_MAX: usize = 128;
@@ -43,10 +43,10 @@
 const EVERY: Duration = Duration::from_secs(5);
 /// A host not heard of for this long is forgotten, in milliseconds.
 const FORGET_MS: u64 = 20_000;
-/// Largest message; what does not fit is not told.
+/// Largest message; what does not fit is not sent.
 const MESSAGE_BYTES: usize = 1_400;
-/// Words in one message, so that it fits.
-const WORDS_MAX: usize = 16;
+/// Prefills in one message, so that it fits.
+const PREFILLS_MAX: usize = 16;
 /// Pause after a failed call of the store.
 const PAUSE: Duration = Duration::from_secs(1);
 
@@ -58,11 +58,11 @@
         /// The sender's name.
         pub host: Name,
         /// Prompts that were just sent.
-        pub words: Vec<Word>,
+        pub prefills: Vec<Prefill>,
         /// How new the lists are that the sender reads for the others.
-        pub standings: Vec<Standing>,
+        pub positions: Vec<Position>,
         /// How roll-outs stand, if the sender speaks for the domain.
-        pub records: Vec<Told>,
+        pub records: Vec<Snapshot>,
         /// What the sender counted of roll-outs.
         pub counted: Vec<Counting>,
         /// Lists of which the sender is being sent a change that is too long to be passed on.
@@ -114,8 +114,12 @@
 }
 
 impl<S: Store, C: Codec> Peers<S, C> {
-    /// Exchanges words until the process ends.
-    pub async fn run(self, mut words: mpsc::Receiver<Word>, mut tells: mpsc::Receiver<Tell>) {
+    /// Exchanges messages until the process ends.
+    pub async fn run(
+        self,
+        mut prefills: mpsc::Receiver<Prefill>,
+        mut notices: mpsc::Receiver<Notice>,
+    ) {
         let mut known: HashMap<SocketAddr, Millis> = HashMap::new();
         let mut speaker = None;
         let mut greeted = tokio::time::Instant::now();
@@ -153,30 +157,30 @@
                     // A host that is gone; it is forgotten when nothing more is heard of it.
                     Err(error) => log::debug!(target: "peers", error:% = error; "message lost"),
                 },
-                Some(word) = words.recv() => {
+                Some(prefill) = prefills.recv() => {
                     tokio::time::sleep(GATHER).await;
                     let mut message = Message { host: self.host.clone(), ..Message::default() };
-                    message.words.push(word);
-                    while message.words.len() < WORDS_MAX {
-                        let Ok(word) = words.try_recv() else { break };
-                        message.words.push(word);
+                    message.prefills.push(prefill);
+                    while message.prefills.len() < PREFILLS_MAX {
+                        let Ok(prefill) = prefills.try_recv() else { break };
+                        message.prefills.push(prefill);
                     }
                     self.send(some(&known), message).await;
                 }
-                Some(tell) = tells.recv() => match tell {
-                    Tell::Standings => {
+                Some(notice) = notices.recv() => match notice {
+                    Notice::Positions => {
                         let message = self.message();
-                        if !message.standings.is_empty() {
+                        if !message.positions.is_empty() {
                             self.send(known.keys().copied().collect(), message).await;
                         }
                     }
-                    Tell::Counts => self.send_counts(speaker).await,
-                    Tell::Incoming(list) => {
+                    Notice::Counts => self.send_counts(speaker).await,
+                    Notice::Incoming(list) => {
                         let host = self.host.clone();
                         let message = Message { host, incoming: vec![list], ..Message::default() };
                         self.send(known.keys().copied().collect(), message).await;
                     }
-                    Tell::Reading(list) => {
+                    Notice::WholeRead(list) => {
                         let host = self.host.clone();
                         let message = Message { host, reading: vec![list], ..Message::default() };
                         self.send(known.keys().copied().collect(), message).await;
@@ -193,20 +197,20 @@
     }
 
     fn message(&self) -> Message {
-        let standings = self.watch.standings();
-        let speaks = standings.iter().any(|standing| standing.list == List::Operators);
+        let positions = self.watch.positions();
+        let speaks = positions.iter().any(|position| position.list == List::Operators);
         let records = match speaks {
-            true => self.watch.facts.records(clock::steady()),
+            true => self.watch.catalog.records(clock::steady()),
             false => Vec::new(),
         };
-        Message { host: self.host.clone(), standings, records, ..Message::default() }
+        Message { host: self.host.clone(), positions, records, ..Message::default() }
     }
 
     /// Tells the host that speaks for the domain what this one counted, in as many messages as it
     /// takes: how long a route's name is is up to operators.
     async fn send_counts(&self, speaker: Option<SocketAddr>) {
         let Some(speaker) = speaker else { return };
-        for (service, order) in self.watch.facts.orders() {
+        for (service, order) in self.watch.catalog.orders() {
             let mut parts = vec![self.state.tally.of(&service)];
             while let Some(mut routes) = parts.pop() {
                 let message = self.counts(&service, order, &routes);
@@ -294,27 +298,29 @@
             self.watch.met(&message.host);
             self.watch.take_over(from);
         }
-        let speaks = message.standings.iter().any(|standing| standing.list == List::Operators);
-        for standing in message.standings {
-            self.watch.told(&message.host, from, standing);
+        let speaks = message.positions.iter().any(|position| position.list == List::Operators);
+        for position in message.positions {
+            self.watch.hear_position(&message.host, from, position);
         }
         message.incoming.iter().for_each(|list| self.watch.incoming(&message.host, *list));
         message.reading.iter().for_each(|list| self.watch.peer_reads(&message.host, *list));
-        let has = |list: &List| self.watch.follow(*list).standing(now).is_some();
+        let has = |list: &List| self.watch.follow(*list).position(now).is_some();
         let lacks = message.lacks.iter().any(has);
-        message.records.into_iter().for_each(|told| self.watch.adopt(told));
+        message.records.into_iter().for_each(|snapshot| self.watch.adopt(snapshot));
         for counting in message.counted {
             self.watch.counts.take(&message.host, counting);
         }
         let world = self.state.world.load();
-        for word in &message.words {
+        for prefill in &message.prefills {
             let backends = world.pools.values().flat_map(|pool| &pool.backends);
-            if let Some(backend) = backends.into_iter().find(|backend| backend.id == word.backend) {
-                let prompt = Prompt { rank: word.rank, read_ms: f64::from(word.read_ms) };
-                backend.told(prompt, now);
+            if let Some(backend) =
+                backends.into_iter().find(|backend| backend.id == prefill.backend)
+            {
+                let prompt = Prompt { rank: prefill.rank, read_ms: f64::from(prefill.read_ms) };
+                backend.announced(prompt, now);
             }
         }
-        metrics::counter!("node_peer_words_total").increment(message.words.len() as u64);
+        metrics::counter!("node_peer_prefills_total").increment(message.prefills.len() as u64);
         Taken { is_new, speaks, lacks }
     }
 
@@ -334,12 +340,12 @@
 }
 
 /// A message as it is sent: without changes if it is too long with them, which are then had by a
-/// call; without words if it is too long still, which are hints only.
+/// call; without prefills if it is too long still, which are hints only.
 fn write(mut message: Message) -> Option<Vec<u8>> {
     let shorten: [fn(&mut Message); 4] = [
         |_| {},
-        |message| message.standings.iter_mut().for_each(|standing| standing.changes = None),
-        |message| message.words.clear(),
+        |message| message.positions.iter_mut().for_each(|position| position.changes = None),
+        |message| message.prefills.clear(),
         // They are read by each host for itself then.
         |message| message.records.clear(),
     ];
@@ -358,7 +364,7 @@
     None
 }
 
-/// All hosts known, or as many as are told at once.
+/// All hosts known, or as many as are notified at once.
 fn some(known: &HashMap<SocketAddr, Millis>) -> Vec<SocketAddr> {
     let mut all: Vec<SocketAddr> = known.keys().copied().collect();
     if all.len() > TOLD_MAX {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -18,10 +18,10 @@
 use tokio_util::task::{AbortOnDropHandle, TaskTracker};
 use wire::settings;
 
+use crate::catalog::Catalog;
 use crate::counts::Counts;
 use crate::error::Error;
 use crate::exchange;
-use crate::facts::Facts;
 use crate::follow::Follow;
 use crate::operators::{self, Subject};
 use crate::peers::Peers;
@@ -40,10 +40,10 @@
 const LINGER: Duration = Duration::from_millis(2_600);
 /// Ports tried that are free for both UDP and TCP.
 const PORT_TRIES: u32 = 16;
-/// Things that wait to be told.
-const TELLS: usize = 8;
-/// Words to other hosts that wait to be sent.
-const WORDS: usize = 64;
+/// Notices that wait to be sent.
+const NOTICES: usize = 8;
+/// Prefills that wait to be announced.
+const PREFILLS: usize = 64;
 /// Kept of the time to stop, for the process's own end.
 const RESERVE: Duration = Duration::from_millis(500);
 
@@ -55,7 +55,7 @@
     pub operators: TcpListener,
     /// Metrics on an address of their own.
     pub metrics: Option<TcpListener>,
-    /// Words of the other hosts of the failure domain, and their questions for news.
+    /// Messages of the other hosts of the failure domain, and their questions for news.
     pub peers: Option<(UdpSocket, TcpListener)>,
 }
 
@@ -108,7 +108,7 @@
 /// Runs until `stop`, then shuts down without cutting off a request that can still end in time.
 ///
 /// New settings that come while it runs take effect where they can: how often requests may be sent
-/// again. The others are told of in the log and need a restart.
+/// again. The others are logged and need a restart.
 pub async fn run<S: Store, C: Codec>(
     settings: settings::Node,
     mut changes: mpsc::UnboundedReceiver<settings::Node>,
@@ -117,22 +117,22 @@
     metrics: PrometheusHandle,
     stop: CancellationToken,
 ) {
-    let (words, told) = mpsc::channel(WORDS);
-    let state = Arc::new(State::new(codec, allowance(&settings), words, stop.clone()));
-    let facts = Arc::new(Facts::new(settings.failure_domain.clone()));
+    let (prefills, announced) = mpsc::channel(PREFILLS);
+    let state = Arc::new(State::new(codec, allowance(&settings), prefills, stop.clone()));
+    let catalog = Arc::new(Catalog::new(settings.failure_domain.clone()));
     let (orders, ordered) = mpsc::unbounded_channel();
-    let (teller, tells) = mpsc::channel(TELLS);
+    let (notifier, notices) = mpsc::channel(NOTICES);
     let (changes_within, now) = (watch::bounds(&settings), clock::steady());
     let bootstrap = if settings.first_start { Bootstrap::first(now) } else { Bootstrap::new(now) };
     let relay = |list: List| Relay::new(changes_within, &settings.name, list.name(), bootstrap);
     let follow = |list| Follow::new(list, relay(list));
     let watch = Arc::new(Watch {
         store: Arc::new(store),
-        facts: Arc::clone(&facts),
+        catalog: Arc::clone(&catalog),
         state: Arc::clone(&state),
         orders,
         follows: Arc::new(List::ALL.map(follow)),
-        teller,
+        notifier,
         counts: Counts::default(),
         fresh: AtomicU64::new(0),
         address: listeners.peers.as_ref().and_then(|(socket, _)| socket.local_addr().ok()),
@@ -143,7 +143,7 @@
         watch: Arc::clone(&watch),
     };
     let follows = Arc::clone(&watch.follows);
-    let subject = Arc::new(Subject { state: Arc::clone(&state), facts, follows, metrics });
+    let subject = Arc::new(Subject { state: Arc::clone(&state), catalog, follows, metrics });
     let mut background = vec![
         spawn(Arc::clone(&watch).run(List::Operators)),
         spawn(Arc::clone(&watch).run(List::Backends)),
@@ -163,7 +163,7 @@
             state: Arc::clone(&state),
             socket,
         };
-        background.push(spawn(peers.run(told, tells)));
+        background.push(spawn(peers.run(announced, notices)));
         background.push(spawn(exchange::serve(listener, Arc::clone(&watch))));
     }
     let close = CancellationToken::new();
--- a/crates/node/src/record.rs
+++ b/crates/node/src/record.rs
@@ -36,7 +36,7 @@
     }
 
     /// How a roll-out stands, as one host tells the others.
-    pub struct Told {
+    pub struct Snapshot {
         /// The service.
         pub service: Name,
         /// The row's version.
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -25,9 +25,9 @@
 use wire::routing::Progress;
 use wire::store::{Error, Outcome, Rows};
 
+use crate::catalog::Known;
 use crate::counts::{self, ByHost};
-use crate::facts::Known;
-use crate::record::{self, Counted, Record, Told};
+use crate::record::{self, Counted, Record, Snapshot};
 use crate::store::{List, Report, Store};
 use crate::watch::{DRIFT_MS, Watch};
 
@@ -60,7 +60,7 @@
     written: ByHost,
     /// When all hosts' counts are looked at next.
     next: Instant,
-    /// When this host's counts are told next.
+    /// When this host's counts are reported next.
     tell: Instant,
 }
 
@@ -93,7 +93,7 @@
         let mut course = Course { service, written: ByHost::new(), next: now, tell: now };
         self.begin(&course.service).await;
         loop {
-            let Some(known) = self.watch.facts.rollout(&course.service) else { return };
+            let Some(known) = self.watch.catalog.rollout(&course.service) else { return };
             let Some(record) = &known.record else { return };
             if matches!(record.stage, Stage::Done | Stage::Stopped) {
                 return;
@@ -129,7 +129,7 @@
         }
     }
 
-    /// What this host counted, and what the others of its domain told it.
+    /// What this host counted, and what the others of its domain reported.
     fn counted(&self, course: &Course, known: &Known) -> ByHost {
         let mut hosts = self.watch.counts.of(&course.service, known.revision);
         hosts.insert(self.host.clone(), self.state().tally.of(&course.service));
@@ -150,7 +150,7 @@
     async fn begin(&self, service: &Name) {
         let began = Instant::now();
         loop {
-            let Some(known) = self.watch.facts.rollout(service) else { return };
+            let Some(known) = self.watch.catalog.rollout(service) else { return };
             if known.record.is_some() {
                 return;
             }
@@ -165,7 +165,7 @@
                         "roll-out not begun, tried again");
                 }
             }
-            if self.watch.facts.rollout(service).is_some_and(|known| known.record.is_none()) {
+            if self.watch.catalog.rollout(service).is_some_and(|known| known.record.is_none()) {
                 tokio::time::sleep(PAUSE.mul_f64(0.5 + rand::random::<f64>())).await;
             }
         }
@@ -178,7 +178,7 @@
             self.adopt(service, record.clone(), *version, rows.now_ms);
             return Ok(());
         }
-        let seen = self.watch.facts.base(service);
+        let seen = self.watch.catalog.base(service);
         let made = Record {
             order: known.revision,
             target: known.order.target.clone(),
@@ -214,7 +214,7 @@
     /// Takes over how the roll-out stands; `now_ms` is the store's clock.
     fn adopt(&self, service: &Name, record: Record, version: u64, now_ms: u64) {
         let age_ms = now_ms.saturating_sub(record.began_ms);
-        self.watch.adopt(Told { service: service.clone(), version, record, age_ms });
+        self.watch.adopt(Snapshot { service: service.clone(), version, record, age_ms });
         self.watch.tell();
     }
 
@@ -281,7 +281,7 @@
         match self.watch.store.commit(&change, None).await {
             Ok(_) => course.written = counted.hosts,
             Err(error) => log::warn!(target: "rollout", service:% = course.service,
-                error:% = error; "counts not told"),
+                error:% = error; "counts not written"),
         }
     }
 }
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -8,7 +8,7 @@
 use policy::name::Name;
 use policy::time::Millis;
 
-use crate::facts::Facts;
+use crate::catalog::Catalog;
 use crate::follow::Follow;
 
 domain! {
@@ -79,15 +79,20 @@
 impl Status {
     /// As it is now.
     #[must_use]
-    pub fn of<C: Codec>(state: &State<C>, facts: &Facts, follows: &[Follow], now: Millis) -> Self {
+    pub fn of<C: Codec>(
+        state: &State<C>,
+        catalog: &Catalog,
+        follows: &[Follow],
+        now: Millis,
+    ) -> Self {
         let world = state.world.load();
         let services = world.pools.iter().map(|(name, pool)| (name.clone(), service(pool, now)));
         let requests = state.in_flight.load(std::sync::atomic::Ordering::Relaxed);
         Self {
             table: world.index.version,
-            table_age_ms: facts.table_at().map(|at| now.since(at)),
+            table_age_ms: catalog.table_at().map(|at| now.since(at)),
             backends_revision: world.revision,
-            store_age_ms: facts.heard(now),
+            store_age_ms: catalog.heard(now),
             peers: follows.iter().map(|follow| follow.relay().others(now)).max().unwrap_or(0),
             reads: follows.iter().map(|f| (Name::from(f.list.name()), f.relay().reads())).collect(),
             behind_ms: follows
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -102,7 +102,7 @@
     }
 }
 
-/// What operators are told of an order.
+/// What operators learn of an order.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Report {
     /// The order.
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -13,14 +13,14 @@
 use entry::clock;
 use gateway::{Codec, State};
 use policy::name::Name;
-use policy::relay::{Bounds, Duty};
+use policy::relay::{Action, Bounds};
 use policy::time::Millis;
 use tokio::sync::mpsc;
 use wire::store::Error;
 
+use crate::catalog::Catalog;
 use crate::counts::Counts;
 use crate::exchange;
-use crate::facts::Facts;
 use crate::follow::Follow;
 use crate::store::{Answer, List, News, Store};
 
@@ -47,7 +47,7 @@
     /// The store.
     pub store: Arc<S>,
     /// What was read.
-    pub facts: Arc<Facts>,
+    pub catalog: Arc<Catalog>,
     /// Where worlds go.
     pub state: Arc<State<C>>,
     /// Services whose orders are new.
@@ -55,7 +55,7 @@
     /// The lists.
     pub follows: Arc<[Follow; 2]>,
     /// Wakes whoever tells the other hosts of the failure domain.
-    pub teller: mpsc::Sender<Tell>,
+    pub notifier: mpsc::Sender<Notice>,
     /// What other hosts of the failure domain counted of roll-outs.
     pub counts: Counts,
     /// When the store's state was last known to be new, by any list.
@@ -68,17 +68,17 @@
 /// roll-out's age, in milliseconds, before it is set right.
 pub const DRIFT_MS: u64 = 100;
 
-/// What the other hosts of the failure domain are to be told.
+/// What the other hosts of the failure domain are to be notified of.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Tell {
+pub enum Notice {
     /// All of them: how new the lists are that this host reads, and how roll-outs stand.
-    Standings,
+    Positions,
     /// The one that speaks for the domain: what this host counted of roll-outs.
     Counts,
     /// All of them: a change of a list is on its way to this host that is too long to be passed on.
     Incoming(List),
     /// All of them: this host is reading all of a list.
-    Reading(List),
+    WholeRead(List),
 }
 
 /// How long changes may take, as the settings say.
@@ -90,7 +90,7 @@
 impl<S: Store, C: Codec> Watch<S, C> {
     /// Makes the world anew.
     pub fn publish(&self) {
-        let world = self.facts.world(clock::steady());
+        let world = self.catalog.world(clock::steady());
         let is_complete = world.is_complete;
         self.state.world.store(Arc::new(world));
         if is_complete {
@@ -112,9 +112,9 @@
         let mut pause_ms = PAUSE_MS;
         let mut reached = true;
         loop {
-            let hold = match follow.duty(clock::steady()) {
-                Duty::Read { hold_ms } => Duration::from_millis(hold_ms),
-                Duty::Listen { until } => {
+            let hold = match follow.action(clock::steady()) {
+                Action::Read { hold_ms } => Duration::from_millis(hold_ms),
+                Action::Listen { until } => {
                     let within = Duration::from_millis(until.since(clock::steady()).max(1));
                     follow.wait(within).await;
                     continue;
@@ -154,7 +154,7 @@
                         log::warn!(target: "watch", list:? = list, error:% = error; "store lost");
                     }
                     reached = false;
-                    // Callers are told at once that this host can't serve them yet.
+                    // Callers learn at once that this host can't serve them yet.
                     self.state.started.cancel();
                     self.take_without_the_store(list);
                     // Until the store has answered again nothing is held back: a question asked
@@ -182,8 +182,8 @@
         let is_table = list == List::Operators;
         follow.set_incoming(is_table);
         if is_table && follow.relay().reads_for_others(clock::steady()) {
-            log::info!(target: "watch", list:? = list, bytes; "long answer begins, others told");
-            self.send_word(Tell::Incoming(list));
+            log::info!(target: "watch", list:? = list, bytes; "long answer begins, others notified");
+            self.notify(Notice::Incoming(list));
         }
         !follow.is_shorter_afresh(bytes)
     }
@@ -215,14 +215,14 @@
         Ok(is_news)
     }
 
-    /// The store's state was new at that time, as this host read or was told.
+    /// The store's state was new at that time, as this host read or heard.
     ///
     /// Entries lapse only while the store is away for their servers, and then it is away for the
     /// hosts as well. A host that reads alone knows that from its calls. Among others a call that
     /// fails says nothing: another host has read meanwhile. To take that for an absence would keep
     /// servers in use for seconds that had really left.
     fn reached(&self, list: List, fresh: Millis) {
-        self.facts.set_heard(list.name(), clock::steady());
+        self.catalog.set_heard(list.name(), clock::steady());
         let before = Millis(self.fresh.fetch_max(fresh.0, Ordering::Relaxed));
         let relay = self.follow(list).relay();
         let (is_alone, away_ms) = (relay.is_alone(clock::steady()), relay.away_ms());
@@ -232,7 +232,7 @@
             log::info!(target: "watch", list:? = list, without_ms = fresh.since(before);
                 "the store was away for all hosts of the domain");
         }
-        self.facts.with_roster(|roster| {
+        self.catalog.with_roster(|roster| {
             if was_away {
                 roster.away(before);
             }
@@ -242,26 +242,26 @@
 
     /// Tells the others how new the lists are that this host reads, and how roll-outs stand.
     pub fn tell(&self) {
-        self.send_word(Tell::Standings);
+        self.notify(Notice::Positions);
     }
 
     /// Tells the host that speaks for the domain what this one counted.
     pub fn tell_counts(&self) {
-        self.send_word(Tell::Counts);
+        self.notify(Notice::Counts);
     }
 
-    fn send_word(&self, tell: Tell) {
-        if self.teller.try_send(tell).is_err() {
+    fn notify(&self, notice: Notice) {
+        if self.notifier.try_send(notice).is_err() {
             // The sender is behind, or there is none. The others hear with the next word, or read
             // for themselves.
-            metrics::counter!("node_relay_untold_total").increment(1);
+            metrics::counter!("node_relay_unsent_total").increment(1);
         }
     }
 
     /// A host alone could not read, or late: entries that lapse meanwhile are no deaths.
     fn away(&self, list: List) {
         if self.follow(list).relay().is_alone(clock::steady()) {
-            self.facts.with_roster(|roster| roster.away(clock::steady()));
+            self.catalog.with_roster(|roster| roster.away(clock::steady()));
         }
     }
 
@@ -272,7 +272,7 @@
         loop {
             tokio::time::sleep(EVERY).await;
             self.follows.iter().for_each(|follow| follow.log_behind(clock::steady()));
-            if self.facts.next_lapse().is_some_and(|lapse| lapse <= clock::steady()) {
+            if self.catalog.next_lapse().is_some_and(|lapse| lapse <= clock::steady()) {
                 log::info!(target: "watch", "lapsed backend servers given up");
                 self.publish();
             }
--- a/crates/node/src/watch/peers.rs
+++ b/crates/node/src/watch/peers.rs
@@ -9,8 +9,8 @@
 
 use super::{DRIFT_MS, Watch};
 use crate::exchange;
-use crate::follow::{Changes, Standing};
-use crate::record::Told;
+use crate::follow::{Changes, Position};
+use crate::record::Snapshot;
 use crate::store::{Entry, Fact, List, News, Store};
 
 /// A table with more routes and keys than this is had from the store by each host: its link is
@@ -37,29 +37,29 @@
     }
 
     /// Takes over how a roll-out stands, unless it is known.
-    pub fn adopt(&self, told: Told) {
+    pub fn adopt(&self, snapshot: Snapshot) {
         let now = clock::steady();
-        let Some(before) = self.facts.rollout(&told.service) else { return };
-        let is_news = before.record.as_ref() != Some(&told.record);
-        let began = now - told.age_ms;
+        let Some(before) = self.catalog.rollout(&snapshot.service) else { return };
+        let is_news = before.record.as_ref() != Some(&snapshot.record);
+        let began = now - snapshot.age_ms;
         let parted_ms = began.since(before.began).max(before.began.since(began));
-        if (!is_news && parted_ms <= DRIFT_MS) || !self.facts.set_record(&told, now) {
+        if (!is_news && parted_ms <= DRIFT_MS) || !self.catalog.set_record(&snapshot, now) {
             return;
         }
         if is_news {
-            let record = &told.record;
-            log::info!(target: "rollout", service:% = told.service, version:% = record.target,
-                base:% = record.base, stage:? = record.stage, row = told.version,
-                since_ms = told.age_ms; "roll-out stands");
+            let record = &snapshot.record;
+            log::info!(target: "rollout", service:% = snapshot.service, version:% = record.target,
+                base:% = record.base, stage:? = record.stage, row = snapshot.version,
+                since_ms = snapshot.age_ms; "roll-out stands");
         }
         self.publish();
     }
 
     /// What this host tells the others of the lists that it reads.
     #[must_use]
-    pub fn standings(&self) -> Vec<Standing> {
+    pub fn positions(&self) -> Vec<Position> {
         let now = clock::steady();
-        self.follows.iter().filter_map(|follow| follow.standing(now)).collect()
+        self.follows.iter().filter_map(|follow| follow.position(now)).collect()
     }
 
     /// Another host of the failure domain is there.
@@ -69,41 +69,41 @@
         }
     }
 
-    /// Another host told how new its state of a list is; what this one lacks is had from there.
-    pub fn told(self: &Arc<Self>, peer: &Name, from: SocketAddr, standing: Standing) {
-        let follow = self.follow(standing.list);
+    /// Another host says how new its state of a list is; what this one lacks is had from there.
+    pub fn hear_position(self: &Arc<Self>, peer: &Name, from: SocketAddr, position: Position) {
+        let follow = self.follow(position.list);
         let now = clock::steady();
-        follow.relay().heard(peer, now - standing.age_ms, now);
-        self.reached(standing.list, now - standing.age_ms);
-        if follow.revision().is_some_and(|own| own < standing.changed) {
-            follow.note_missing(standing.changed, from, now);
+        follow.relay().heard(peer, now - position.age_ms, now);
+        self.reached(position.list, now - position.age_ms);
+        if follow.revision().is_some_and(|own| own < position.changed) {
+            follow.note_missing(position.changed, from, now);
         }
-        match (follow.revision(), &standing.changes) {
+        match (follow.revision(), &position.changes) {
             (Some(own), Some(Changes { after, news }))
-                if own < standing.changed && *after <= own =>
+                if own < position.changed && *after <= own =>
             {
-                log::info!(target: "watch", list:? = standing.list, from:% = from, after = own,
-                    revision = news.revision, count = news.entries.len(); "news told by a peer");
-                self.take(standing.list, news);
+                log::info!(target: "watch", list:? = position.list, from:% = from, after = own,
+                    revision = news.revision, count = news.entries.len(); "news sent by a peer");
+                self.take(position.list, news);
                 follow.wake();
             }
             // This host is being sent it, or something newer.
-            (Some(own), None) if own < standing.changed && follow.is_incoming() => {}
-            (Some(own), _) if own < standing.changed => {
+            (Some(own), None) if own < position.changed && follow.is_incoming() => {}
+            (Some(own), _) if own < position.changed => {
                 if follow.begin_taking() {
                     let reach = Reach::Store;
-                    tokio::spawn(Arc::clone(self).catch_up(from, standing.list, own, reach));
+                    tokio::spawn(Arc::clone(self).catch_up(from, position.list, own, reach));
                 }
             }
             (Some(_), _) => {
-                let nothing = News { revision: standing.revision, ..News::default() };
+                let nothing = News { revision: position.revision, ..News::default() };
                 follow.taken(&nothing, now);
                 follow.wake();
             }
-            (None, _) if follow.relay().may_take(now - standing.age_ms, now) => {
+            (None, _) if follow.relay().may_take(now - position.age_ms, now) => {
                 if follow.begin_taking() {
-                    let (list, changed) = (standing.list, standing.changed);
-                    let fresh = now - standing.age_ms;
+                    let (list, changed) = (position.list, position.changed);
+                    let fresh = now - position.age_ms;
                     tokio::spawn(Arc::clone(self).take_first(from, list, changed, fresh));
                 }
             }
@@ -124,7 +124,7 @@
         }
     }
 
-    /// Takes a change that this host was told of and could not read, however long it is.
+    /// Takes a change that this host has heard of and could not read, however long it is.
     ///
     /// Long changes are read from the store by each host for itself; one that can't reach it would
     /// serve by the table before for as long as that lasts.
@@ -177,7 +177,7 @@
     /// look like one that has just come.
     pub(super) async fn take_records(&self, from: SocketAddr) {
         match exchange::ask_records(from).await {
-            Ok(records) => records.into_iter().for_each(|told| self.adopt(told)),
+            Ok(records) => records.into_iter().for_each(|snapshot| self.adopt(snapshot)),
             Err(error) => {
                 log::warn!(target: "watch", from:% = from, error:% = error;
                     "no roll-outs from a peer, the store is asked");
@@ -204,7 +204,7 @@
         self.follow(list).behind(after)
     }
 
-    fn records(&self) -> Vec<Told> {
-        self.facts.records(clock::steady())
+    fn records(&self) -> Vec<Snapshot> {
+        self.catalog.records(clock::steady())
     }
 }
--- a/crates/node/src/watch/start.rs
+++ b/crates/node/src/watch/start.rs
@@ -11,7 +11,7 @@
 use policy::time::Millis;
 use wire::store::Error;
 
-use super::{Tell, Watch};
+use super::{Notice, Watch};
 use crate::store::{Answer, List, Store};
 
 /// Between two tellings that this host is reading all of a list. Several may be lost before the
@@ -23,7 +23,7 @@
     pub(super) async fn read_whole(&self, list: List) -> Result<Answer, Error> {
         let mut answer = std::pin::pin!(self.store.read(list));
         loop {
-            self.send_word(Tell::Reading(list));
+            self.notify(Notice::WholeRead(list));
             if let Ok(answer) = tokio::time::timeout(TELL_EVERY, &mut answer).await {
                 return answer;
             }
@@ -51,8 +51,8 @@
     }
 
     /// Takes all of a list from another host, until it is had or this host's turn has come to read
-    /// it from the store. `changed` is the list's newest change that the other host told of, `fresh`
-    /// when nothing newer was there.
+    /// it from the store. `changed` is the list's newest change that the other host announced,
+    /// `fresh` when nothing newer was there.
     pub(super) async fn take_first(
         self: Arc<Self>,
         from: SocketAddr,
--- a/crates/node/src/watch/take.rs
+++ b/crates/node/src/watch/take.rs
@@ -31,7 +31,7 @@
                     for fault in wire::routing::check(table) {
                         log::warn!(target: "watch", table = version, fault:% = fault; "table has a fault");
                     }
-                    let taken = self.facts.take_table(Table::clone(table));
+                    let taken = self.catalog.take_table(Table::clone(table));
                     changed |= taken;
                     log::info!(target: "watch", table = version, revision, taken;
                         "table of routes read");
@@ -39,7 +39,7 @@
                 Fact::Order(order) => {
                     let service = order.service.clone();
                     let target = order.target.clone();
-                    let taken = self.facts.take_order(order.clone(), revision);
+                    let taken = self.catalog.take_order(order.clone(), revision);
                     changed |= taken;
                     log::info!(target: "watch", service:% = service, version:% = target, revision,
                         taken; "order read");
@@ -64,7 +64,7 @@
         let now = clock::steady();
         let count = news.entries.len();
         let revision = news.revision;
-        let taken = self.facts.with_roster(|roster| match news.is_whole {
+        let taken = self.catalog.with_roster(|roster| match news.is_whole {
             true => {
                 let rows = news.entries.iter().filter_map(|entry| match &entry.fact {
                     Fact::Backend(backend) => Some((backend.clone(), entry.revision)),
@@ -99,7 +99,7 @@
             return false;
         }
         if news.is_whole {
-            self.facts.set_roster_read();
+            self.catalog.set_roster_read();
         }
         if news.is_whole || count > 0 {
             self.publish();
--- a/crates/policy/src/backlog.rs
+++ b/crates/policy/src/backlog.rs
@@ -2,10 +2,10 @@
 //!
 //! An engine reads prompts one after another, whoever sent them: the most urgent first, of equal
 //! ones the one that came first, and it never breaks off one that it has begun. Each host works
-//! out from what it sent, from what others told it and from the time since which prompt the engine
-//! should be at. Its own answers set that right: a prompt whose answer has begun is read, and so is
+//! out from what it sent, from what others announced and from the time since which prompt the
+//! engine should be at. Its own answers set that right: a prompt whose answer has begun is read, and so is
 //! all that had to be read before; one whose answer should have begun and has not waits for a prompt
-//! that nobody told of.
+//! that nobody announced.
 //!
 //! The load this answers: prompts of a second and more among others of some milliseconds, while
 //! engines are missing. A request that waits behind such a prompt is late whatever its urgency, and
@@ -37,7 +37,7 @@
     /// A prompt that was sent and that the engine has not come to.
     #[derive(Copy)]
     struct Waiting {
-        /// Names one of this host's own; 0 for one told of by another host.
+        /// Names one of this host's own; 0 for one announced by another host.
         number: u64,
         prompt: Prompt,
         sent: f64,
@@ -80,7 +80,7 @@
     }
 
     /// Another host has sent a prompt.
-    pub fn told(&mut self, prompt: Prompt, now: Millis) {
+    pub fn announced(&mut self, prompt: Prompt, now: Millis) {
         self.push(0, prompt, now);
     }
 
--- a/crates/policy/src/bootstrap.rs
+++ b/crates/policy/src/bootstrap.rs
@@ -18,8 +18,8 @@
 /// The same when the whole deployment starts for the first time, in milliseconds: all hosts list
 /// themselves at once, and no callers are there yet.
 const FIND_FIRST_MS: u64 = 2_000;
-/// Between the turns of two ranks, in milliseconds. With a short list the first has read, and told,
-/// before the second begins.
+/// Between the turns of two ranks, in milliseconds. With a short list the first has read,
+/// and said so, before the second begins.
 const TURN_MS: u64 = 20;
 /// For how long another host that reads, or gives the list, puts a turn off, in milliseconds. It
 /// says so more often; silence for so long means that it has been lost.
--- a/crates/policy/src/escalate.rs
+++ b/crates/policy/src/escalate.rs
@@ -44,15 +44,15 @@
         pub objective_ms: f64,
         /// How long callers wait for their answers to begin lately, as a part of the objective.
         /// Places taken say little: engines are short of time for prompts long before.
-        pub pressure: f64,
+        pub delay: f64,
     }
 }
 
 /// Confidence below which a larger model is asked.
 #[must_use]
-pub fn threshold(priority: u8, pressure: f64) -> f64 {
+pub fn threshold(priority: u8, delay: f64) -> f64 {
     let wanted = EVEN + URGENCY_STEP * (2.0 - f64::from(priority.min(4)));
-    let room = ((FULL - pressure) / (FULL - BUSY)).clamp(0.0, 1.0);
+    let room = ((FULL - delay) / (FULL - BUSY)).clamp(0.0, 1.0);
     wanted * room
 }
 
@@ -63,6 +63,6 @@
     let in_time = doubt.waited_ms + doubt.larger_ms <= doubt.objective_ms * IN_TIME;
     // With room to spare a late right answer is still better than a poor one. But not one that is
     // late because of its own prompt: reading it would make others late as well.
-    let has_room = doubt.pressure < IDLE && doubt.read_ms < doubt.objective_ms * LONG;
-    (in_time || has_room) && f64::from(confidence) < threshold(doubt.priority, doubt.pressure)
+    let has_room = doubt.delay < IDLE && doubt.read_ms < doubt.objective_ms * LONG;
+    (in_time || has_room) && f64::from(confidence) < threshold(doubt.priority, doubt.delay)
 }
--- a/crates/policy/src/exposure.rs
+++ b/crates/policy/src/exposure.rs
@@ -18,7 +18,7 @@
 /// Expected shares are kept below this: a document that claims more would make one bad answer
 /// weigh as much as a verdict.
 pub const EXPECTED_MAX: f64 = 0.98;
-/// And above this: a version that is expected to be bad can't be told to have turned bad.
+/// And above this: a version that is expected to be bad can't be seen to have turned bad.
 pub const EXPECTED_MIN: f64 = 0.2;
 /// A version is bad when its odds of a good answer have fallen to this part of the expected.
 pub const BAD_ODDS: f64 = 0.13;
--- a/crates/policy/src/exposure/rating.rs
+++ b/crates/policy/src/exposure/rating.rs
@@ -1,6 +1,6 @@
 //! Which answers are sent to the rating service, whose capacity is bounded.
 //!
-//! A version long known needs few ratings; a candidate, or one with a first bad sign, is told
+//! A version long known needs few ratings; a candidate, or one with a first bad sign, is judged
 //! good from bad sooner the more of its answers are rated. So those are served first.
 
 use super::Verdict;
--- a/crates/policy/src/lift.rs
+++ b/crates/policy/src/gain.rs
@@ -23,12 +23,12 @@
 domain! {
     /// How much more confidence a model has in its answers than the smallest one, in points.
     #[derive(Copy, Default)]
-    pub struct Lift {
+    pub struct Gain {
         learnt: Option<f64>,
     }
 }
 
-impl Lift {
+impl Gain {
     /// Points expected.
     #[must_use]
     pub fn points(&self) -> f64 {
@@ -49,7 +49,7 @@
 /// The index of the larger model to ask: the first whose expected confidence is enough, else the
 /// last. `larger` holds what all but the last are expected to bring.
 #[must_use]
-pub fn choose(confidence: u8, wanted: f64, larger: &[Lift]) -> usize {
-    let is_enough = |lift: &Lift| f64::from(confidence) + lift.points() >= wanted;
+pub fn choose(confidence: u8, wanted: f64, larger: &[Gain]) -> usize {
+    let is_enough = |gain: &Gain| f64::from(confidence) + gain.points() >= wanted;
     larger.iter().position(is_enough).unwrap_or(larger.len())
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod escalate;
 pub mod estimate;
 pub mod exposure;
-pub mod lift;
+pub mod gain;
 pub mod limit;
 pub mod name;
 pub mod patience;
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -57,7 +57,7 @@
 
     /// What a host does now.
     #[derive(Copy, Eq)]
-    pub enum Duty {
+    pub enum Action {
         /// It reads, and lets the store hold the call back while nothing changes.
         Read {
             /// For so long, in milliseconds.
@@ -76,7 +76,7 @@
 struct Peer {
     /// When it was last heard of.
     heard: Millis,
-    /// When its state was last new; none if it has not told.
+    /// When its state was last new; none if it has not said.
     fresh: Option<Millis>,
 }
 
@@ -99,7 +99,7 @@
     lost: Option<Millis>,
     /// Its last try to read failed.
     failed: bool,
-    /// What it was told could not be had from another host.
+    /// What it heard of could not be had from another host.
     forced: bool,
     /// When it reads first.
     bootstrap: Bootstrap,
@@ -208,7 +208,7 @@
         self.force();
     }
 
-    /// What another host told of could not be had from it.
+    /// What another host announced could not be had from it.
     pub fn force(&mut self) {
         self.forced = true;
     }
@@ -220,7 +220,7 @@
     }
 
     /// Time without new state, in milliseconds, after which the store is believed to have been
-    /// away for all hosts of the domain: had it answered one of them, that one would have told.
+    /// away for all hosts of the domain: had it answered one of them, that one would have said so.
     #[must_use]
     pub fn away_ms(&self) -> u64 {
         self.part(STALE_PART) + AWAY_MS
@@ -252,31 +252,31 @@
     }
 
     /// What to do now.
-    pub fn duty(&mut self, now: Millis) -> Duty {
+    pub fn action(&mut self, now: Millis) -> Action {
         if let Some(lost) = self.lost.filter(|lost| now < *lost) {
-            return Duty::Listen { until: lost };
+            return Action::Listen { until: lost };
         }
         let turn = self.bootstrap.turn();
         match self.begun {
-            _ if self.forced => Duty::Read { hold_ms: 0 },
-            false if now < turn => Duty::Listen { until: turn },
-            false => Duty::Read { hold_ms: 0 },
-            true if self.is_alone(now) => self.duty_alone(now),
-            true => self.duty_among_others(now),
+            _ if self.forced => Action::Read { hold_ms: 0 },
+            false if now < turn => Action::Listen { until: turn },
+            false => Action::Read { hold_ms: 0 },
+            true if self.is_alone(now) => self.action_alone(now),
+            true => self.action_among_others(now),
         }
     }
 
     /// After its start a host has others to meet; until then it reads no more than those do.
-    fn duty_alone(&mut self, now: Millis) -> Duty {
+    fn action_alone(&mut self, now: Millis) -> Action {
         let due = self.read + MEET_MS;
         if !self.reads && now < due {
-            return Duty::Listen { until: due };
+            return Action::Listen { until: due };
         }
         self.reads = true;
-        Duty::Read { hold_ms: if self.first { 0 } else { self.bounds.alone_ms } }
+        Action::Read { hold_ms: if self.first { 0 } else { self.bounds.alone_ms } }
     }
 
-    fn duty_among_others(&mut self, now: Millis) -> Duty {
+    fn action_among_others(&mut self, now: Millis) -> Action {
         let stale_ms = self.part(STALE_PART);
         let is_new = |peer: &Peer| peer.fresh.is_some_and(|fresh| now.since(fresh) < stale_ms);
         let senior = self.peers.iter().filter(|(name, _)| rank_of(name, self.list) < self.own);
@@ -288,14 +288,14 @@
         match () {
             () if self.reads => {
                 let hold_ms = if self.first { 0 } else { self.part(READ_PART) };
-                Duty::Read { hold_ms }
+                Action::Read { hold_ms }
             }
             () if now >= due => {
                 self.reads = true;
                 self.first = true;
-                Duty::Read { hold_ms: 0 }
+                Action::Read { hold_ms: 0 }
             }
-            () => Duty::Listen { until: due },
+            () => Action::Listen { until: due },
         }
     }
 
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -34,7 +34,7 @@
 domain! {
     /// Where an entry stands.
     #[derive(Copy, Eq)]
-    enum Standing {
+    enum Status {
         /// Listed.
         Listed,
         /// Lapsed while the list was away; kept until then.
@@ -48,7 +48,7 @@
 struct Known<T> {
     entry: Option<T>,
     revision: u64,
-    standing: Standing,
+    status: Status,
     left: bool,
 }
 
@@ -100,16 +100,16 @@
         }
         let before = before.filter(|_| born_before.is_none_or(|before| entry.born() == before));
         let left = before.is_some_and(|known| known.left) || entry.is_leaving();
-        let removed = before.is_some_and(|known| matches!(known.standing, Standing::Removed(_)));
+        let removed = before.is_some_and(|known| matches!(known.status, Status::Removed(_)));
         // A lapsed entry that comes back is the same start of the same server. One that was
         // removed and comes back had left in between or was given up; it serves on, unless it
         // had said that it was leaving.
         let entry = if left { entry.leaving() } else { entry };
-        let standing = match (removed, left) {
+        let status = match (removed, left) {
             (true, true) => return,
-            _ => Standing::Listed,
+            _ => Status::Listed,
         };
-        self.known.insert(id, Known { entry: Some(entry), revision, standing, left });
+        self.known.insert(id, Known { entry: Some(entry), revision, status, left });
         self.revision = self.revision.max(revision);
     }
 
@@ -122,9 +122,9 @@
             return;
         }
         known.revision = revision;
-        known.standing = match (lapsing, known.left) {
-            (Some(until), false) => Standing::Lapsed(until),
-            _ => Standing::Removed(now),
+        known.status = match (lapsing, known.left) {
+            (Some(until), false) => Status::Lapsed(until),
+            _ => Status::Removed(now),
         };
     }
 
@@ -135,7 +135,7 @@
         let known = self.known.get_mut(id).filter(|known| known.revision < revision);
         if let Some(known) = known {
             known.revision = revision;
-            known.standing = Standing::Removed(now);
+            known.status = Status::Removed(now);
         }
     }
 
@@ -148,7 +148,7 @@
         for (entry, revision) in entries {
             self.put(entry, revision);
         }
-        let held = self.known.iter().filter(|(_, known)| known.standing == Standing::Listed);
+        let held = self.known.iter().filter(|(_, known)| known.status == Status::Listed);
         let missing: Vec<Name> =
             held.map(|(id, _)| id.clone()).filter(|id| !listed.contains(id)).collect();
         for id in missing {
@@ -163,9 +163,9 @@
         self.settle(now);
         self.known
             .values()
-            .filter_map(|known| match known.standing {
-                Standing::Listed | Standing::Lapsed(_) => known.entry.clone(),
-                Standing::Removed(_) => None,
+            .filter_map(|known| match known.status {
+                Status::Listed | Status::Lapsed(_) => known.entry.clone(),
+                Status::Removed(_) => None,
             })
             .collect()
     }
@@ -173,8 +173,8 @@
     /// When the next lapsed entry is given up, if any is waited for.
     #[must_use]
     pub fn next_lapse(&self) -> Option<Millis> {
-        let lapses = self.known.values().filter_map(|known| match known.standing {
-            Standing::Lapsed(until) => Some(until),
+        let lapses = self.known.values().filter_map(|known| match known.status {
+            Status::Lapsed(until) => Some(until),
             _ => None,
         });
         lapses.min()
@@ -190,15 +190,15 @@
 
     fn settle(&mut self, now: Millis) {
         for known in self.known.values_mut() {
-            match known.standing {
-                Standing::Lapsed(until) if until <= now => {
-                    known.standing = Standing::Removed(now);
+            match known.status {
+                Status::Lapsed(until) if until <= now => {
+                    known.status = Status::Removed(now);
                 }
                 _ => {}
             }
         }
-        self.known.retain(|_, known| match known.standing {
-            Standing::Removed(at) => now.since(at) < REMEMBER_MS,
+        self.known.retain(|_, known| match known.status {
+            Status::Removed(at) => now.since(at) < REMEMBER_MS,
             _ => true,
         });
     }
--- a/crates/policy/src/select.rs
+++ b/crates/policy/src/select.rs
@@ -43,7 +43,7 @@
 
     /// Where a version stands, as far as selection cares.
     #[derive(Copy)]
-    pub enum Standing {
+    pub enum Status {
         /// In full use.
         Live,
         /// Taken on by steps: exactly this share of requests, 0 to 1.
@@ -61,7 +61,7 @@
         /// What is known of its quality on the task.
         pub quality: Estimate,
         /// Where it stands.
-        pub standing: Standing,
+        pub status: Status,
         /// Time that most of its answers take, in milliseconds; 0 if unknown.
         pub latency_ms: f64,
     }
@@ -112,7 +112,7 @@
     pub fn live(version: impl Into<Name>, cost: f64, quality: Estimate) -> Self {
         let version = version.into();
         let model = version.clone();
-        Self { version, model, cost, quality, standing: Standing::Live, latency_ms: 0.0 }
+        Self { version, model, cost, quality, status: Status::Live, latency_ms: 0.0 }
     }
 
     /// Sets its model.
@@ -125,7 +125,7 @@
     /// Gives it a roll-out's share instead of full use.
     #[must_use]
     pub fn with_share(mut self, share: f64) -> Self {
-        self.standing = Standing::Candidate(share.clamp(0.0, 1.0));
+        self.status = Status::Candidate(share.clamp(0.0, 1.0));
         self
     }
 
@@ -240,9 +240,9 @@
 }
 
 fn candidate_shares(candidates: &[Candidate]) -> Vec<(usize, f64)> {
-    let share = |candidate: &Candidate| match candidate.standing {
-        Standing::Candidate(share) => Some(share),
-        Standing::Live => None,
+    let share = |candidate: &Candidate| match candidate.status {
+        Status::Candidate(share) => Some(share),
+        Status::Live => None,
     };
     candidates.iter().enumerate().filter_map(|(i, c)| share(c).map(|share| (i, share))).collect()
 }
--- a/crates/policy/src/select/baseline.rs
+++ b/crates/policy/src/select/baseline.rs
@@ -1,6 +1,6 @@
 //! Ways of choosing that ours is measured against.
 
-use super::{Candidate, Plan, Share, Standing, Table};
+use super::{Candidate, Plan, Share, Status, Table};
 use crate::time::Millis;
 
 /// Always the version of the highest expected quality.
@@ -31,8 +31,8 @@
 }
 
 fn live(candidates: &[Candidate]) -> impl Iterator<Item = &Candidate> {
-    let any_live = candidates.iter().any(|c| matches!(c.standing, Standing::Live));
-    candidates.iter().filter(move |c| !any_live || matches!(c.standing, Standing::Live))
+    let any_live = candidates.iter().any(|c| matches!(c.status, Status::Live));
+    candidates.iter().filter(move |c| !any_live || matches!(c.status, Status::Live))
 }
 
 fn always(chosen: Option<&Candidate>, now: Millis) -> Table {
--- a/crates/policy/src/select/outlook.rs
+++ b/crates/policy/src/select/outlook.rs
@@ -1,6 +1,6 @@
 //! Every plan that is possible, with the cost and quality it promises.
 
-use super::{Candidate, Goal, Plan, RESCUE, Standing};
+use super::{Candidate, Goal, Plan, RESCUE, Status};
 use crate::time::Millis;
 
 /// A plan by the indices of its versions, and what it promises.
@@ -37,7 +37,7 @@
 }
 
 fn is_live(candidate: &Candidate) -> bool {
-    matches!(candidate.standing, Standing::Live)
+    matches!(candidate.status, Status::Live)
 }
 
 /// Plans for a roll-out's share: the candidate stands in for the live versions of its model. One
--- a/crates/policy/src/silence.rs
+++ b/crates/policy/src/silence.rs
@@ -1,7 +1,7 @@
 //! Whether to leave a backend server that says nothing.
 //!
-//! Silence has three causes that look alike: the server is dark, the connection has gone silent,
-//! or the server is busy with others' prompts and will answer yet. Leaving a busy server makes it
+//! Silence has three causes that look alike: the server is unreachable, the connection has gone
+//! silent, or the server is busy with others' prompts and will answer yet. Leaving a busy server makes it
 //! worse, since another one must read the prompt again. What tells them apart is whether the
 //! server says anything on its other connections, and, if it does not, whether it still takes new
 //! ones.
@@ -15,11 +15,11 @@
 const LOOK_MS: f64 = 100.0;
 
 domain! {
-    /// How long silence is borne, as parts of the longest useful wait.
+    /// How long silence is tolerated, as parts of the longest useful wait.
     #[derive(Copy)]
     pub struct Bounds {
         /// Before a server that says nothing else either is asked whether it takes connections.
-        pub dark: f64,
+        pub unreachable: f64,
         /// Of a server that is alive; none if it is waited for to the end.
         pub alive: Option<f64>,
     }
@@ -48,20 +48,20 @@
 }
 
 /// Before the first byte of an answer, while the pool answers most requests soon.
-pub const FIRST: Bounds = Bounds { dark: 0.35, alive: Some(2.0) };
+pub const FIRST: Bounds = Bounds { unreachable: 0.35, alive: Some(2.0) };
 /// The same while slow beginnings are the load's doing.
-pub const FIRST_BUSY: Bounds = Bounds { dark: 0.35, alive: None };
+pub const FIRST_BUSY: Bounds = Bounds { unreachable: 0.35, alive: None };
 /// Between two events. An engine that was short of memory may put a request back and read its
 /// prompt again; that takes some seconds and ends well.
-pub const BETWEEN: Bounds = Bounds { dark: 0.5, alive: Some(4.0) };
+pub const BETWEEN: Bounds = Bounds { unreachable: 0.5, alive: Some(4.0) };
 
 /// What to do about a silence.
 #[must_use]
 pub fn act(bounds: &Bounds, silence: &Silence) -> Action {
     let passed = |part: f64| silence.silent_ms >= part * silence.useful_ms;
     match bounds.alive {
-        _ if !passed(bounds.dark) => {
-            Action::Wait((bounds.dark * silence.useful_ms - silence.silent_ms).max(LOOK_MS))
+        _ if !passed(bounds.unreachable) => {
+            Action::Wait((bounds.unreachable * silence.useful_ms - silence.silent_ms).max(LOOK_MS))
         }
         Some(alive) if passed(alive) => Action::Leave,
         _ if silence.heard_ms >= ALIVE_MS => Action::Probe,
--- a/crates/policy/tests/backlog.rs
+++ b/crates/policy/tests/backlog.rs
@@ -13,27 +13,27 @@
 fn wait_ms_prompts_add_up_and_pass() {
     let mut backlog = Backlog::default();
     assert_eq!(backlog.wait_ms(5, START), 0.0);
-    backlog.told(prompt(5, 300.0), START);
-    backlog.told(prompt(5, 200.0), START + 100);
+    backlog.announced(prompt(5, 300.0), START);
+    backlog.announced(prompt(5, 200.0), START + 100);
     assert_eq!(backlog.wait_ms(5, START + 100), 400.0);
     assert_eq!(backlog.wait_ms(5, START + 600), 0.0);
-    backlog.told(prompt(5, 50.0), START + 5_000);
+    backlog.announced(prompt(5, 50.0), START + 5_000);
     assert_eq!(backlog.wait_ms(5, START + 5_000), 50.0);
 }
 
 #[test]
 fn wait_ms_is_bounded() {
     let mut backlog = Backlog::default();
-    (0..1_000).for_each(|_| backlog.told(prompt(5, 1_000.0), START));
+    (0..1_000).for_each(|_| backlog.announced(prompt(5, 1_000.0), START));
     assert_eq!(backlog.wait_ms(5, START), 10_000.0);
 }
 
 #[test]
 fn wait_ms_urgent_prompt_passes_all_but_the_one_being_read() {
     let mut backlog = Backlog::default();
-    backlog.told(prompt(7, 1_000.0), START);
-    backlog.told(prompt(7, 2_000.0), START + 10);
-    backlog.told(prompt(4, 30.0), START + 20);
+    backlog.announced(prompt(7, 1_000.0), START);
+    backlog.announced(prompt(7, 2_000.0), START + 10);
+    backlog.announced(prompt(4, 30.0), START + 20);
     assert_eq!(backlog.wait_ms(3, START + 100), 900.0);
     assert_eq!(backlog.wait_ms(4, START + 100), 930.0);
     assert_eq!(backlog.wait_ms(7, START + 100), 2_930.0);
@@ -59,17 +59,17 @@
     let mut backlog = Backlog::default();
     backlog.sent(prompt(3, 400.0), START);
     backlog.sent(prompt(6, 10.0), START);
-    backlog.told(prompt(3, 400.0), START + 1);
+    backlog.announced(prompt(3, 400.0), START + 1);
     assert_eq!(backlog.late_ms(START + 400), 0.0);
 }
 
 #[test]
 fn began_late_answer_sets_the_engine_back() {
-    // The engine was kept for a second by a prompt that nobody told of. When the first answer
+    // The engine was kept for a second by a prompt that nobody announced. When the first answer
     // comes, what was sent behind it is still to be read.
     let mut backlog = Backlog::default();
     let first = backlog.sent(prompt(5, 50.0), START);
-    backlog.told(prompt(5, 300.0), START + 1_000);
+    backlog.announced(prompt(5, 300.0), START + 1_000);
     assert!(backlog.wait_ms(5, START + 1_040) > 1_000.0);
     backlog.began(first, START + 1_050);
     assert_eq!(backlog.wait_ms(5, START + 1_050), 300.0);
@@ -79,9 +79,9 @@
 fn began_early_answer_ends_all_before_it() {
     // The prompt that another host told of was in the cache: it took no time.
     let mut backlog = Backlog::default();
-    backlog.told(prompt(5, 2_000.0), START);
+    backlog.announced(prompt(5, 2_000.0), START);
     let own = backlog.sent(prompt(5, 20.0), START + 10);
-    backlog.told(prompt(6, 40.0), START + 20);
+    backlog.announced(prompt(6, 40.0), START + 20);
     backlog.began(own, START + 40);
     assert_eq!(backlog.wait_ms(5, START + 40), 40.0);
 }
@@ -104,7 +104,7 @@
     let due = backlog.sent(prompt(5, 20.0), START);
     backlog.dropped(due);
     assert_eq!(backlog.late_ms(START + 2_000), 0.0);
-    backlog.told(prompt(5, 500.0), START + 2_000);
+    backlog.announced(prompt(5, 500.0), START + 2_000);
     let waiting = backlog.sent(prompt(5, 300.0), START + 2_000);
     backlog.dropped(waiting);
     assert_eq!(backlog.wait_ms(5, START + 2_000), 500.0);
--- a/crates/policy/tests/bootstrap.rs
+++ b/crates/policy/tests/bootstrap.rs
@@ -3,7 +3,7 @@
 
 use policy::bootstrap::Bootstrap;
 use policy::name::Name;
-use policy::relay::{Bounds, Duty, Relay};
+use policy::relay::{Action, Bounds, Relay};
 use policy::time::Millis;
 
 const BOUNDS: Bounds = Bounds { change_ms: 4_000, alone_ms: 3_500 };
@@ -123,7 +123,7 @@
             self.hosts[number].relay.taking(Millis(now));
         }
         let host = &mut self.hosts[number];
-        let reads = matches!(host.relay.duty(Millis(now)), Duty::Read { .. });
+        let reads = matches!(host.relay.action(Millis(now)), Action::Read { .. });
         if host.takes_until.is_none() && reads {
             host.reads += 1;
             host.reads_until = Some(now + self.read_ms);
@@ -182,8 +182,8 @@
 #[test]
 fn hosts_that_are_gone_are_not_waited_for() {
     let mut domain = Domain::new(60, 100, 20);
-    let by_rank = |number: &usize| number % 2 == 0;
-    (0..60).filter(by_rank).for_each(|number| domain.hosts[number].is_gone = true);
+    let gone = (0..60).step_by(2);
+    gone.for_each(|number: usize| domain.hosts[number].is_gone = true);
     domain.hosts[1].dies_reading = true;
     domain.run(5_000);
     assert!(domain.slowest_ms() <= 3_000, "{}", domain.slowest_ms());
--- a/crates/policy/tests/escalate.rs
+++ b/crates/policy/tests/escalate.rs
@@ -9,7 +9,7 @@
     larger_ms: 300.0,
     read_ms: 200.0,
     objective_ms: 1_500.0,
-    pressure: 0.1,
+    delay: 0.1,
 };
 
 #[test]
@@ -23,7 +23,7 @@
 fn escalate_late_only_with_room() {
     let late = Doubt { larger_ms: 1_400.0, ..DOUBT };
     assert!(escalate(&late));
-    assert!(!escalate(&Doubt { pressure: 0.4, ..late }));
+    assert!(!escalate(&Doubt { delay: 0.4, ..late }));
 }
 
 /// One prompt in a hundred is ten times as long as the rest. Read by the large model it keeps an
--- a/crates/policy/tests/lift.rs
+++ b/crates/policy/tests/gain.rs
@@ -1,38 +1,38 @@
 //! Which larger model is asked after a doubtful answer.
 
 use policy::escalate::threshold;
-use policy::lift::{Lift, choose};
+use policy::gain::{Gain, choose};
 use policy::place::mix;
 
 #[test]
 fn choose_middle_for_little_doubt() {
-    assert_eq!(choose(50, 55.0, &[Lift::default()]), 0);
-    assert_eq!(choose(20, 55.0, &[Lift::default()]), 1);
+    assert_eq!(choose(50, 55.0, &[Gain::default()]), 0);
+    assert_eq!(choose(20, 55.0, &[Gain::default()]), 1);
     assert_eq!(choose(20, 55.0, &[]), 0);
 }
 
 #[test]
 fn choose_learnt_points() {
-    let mut lift = Lift::default();
-    (0..60).for_each(|_| lift.note(20, 60));
-    assert!((37.0..=40.0).contains(&lift.points()), "{lift:?}");
-    assert_eq!(choose(20, 55.0, &[lift]), 0);
+    let mut gain = Gain::default();
+    (0..60).for_each(|_| gain.note(20, 60));
+    assert!((37.0..=40.0).contains(&gain.points()), "{gain:?}");
+    assert_eq!(choose(20, 55.0, &[gain]), 0);
 }
 
 #[test]
 fn points_no_better_model_is_tried_now_and_then() {
-    let mut lift = Lift::default();
-    (0..200).for_each(|_| lift.note(40, 30));
-    assert_eq!(lift.points(), 3.0);
+    let mut gain = Gain::default();
+    (0..200).for_each(|_| gain.note(40, 30));
+    assert_eq!(gain.points(), 3.0);
 }
 
 #[test]
 fn points_full_confidence_says_nothing() {
-    let mut lift = Lift::default();
-    let before = lift.points();
-    lift.note(95, 100);
-    lift.note(0, 40);
-    assert_eq!(lift.points(), before);
+    let mut gain = Gain::default();
+    let before = gain.points();
+    gain.note(95, 100);
+    gain.note(0, 40);
+    assert_eq!(gain.points(), before);
 }
 
 /// Time that the three models keep an engine with one request, in milliseconds.
@@ -41,8 +41,8 @@
 const QUALITY: [f64; 3] = [0.58, 0.75, 1.0];
 
 /// Answers of one request after another: right ones, and the engines' time for all.
-fn play(way: impl Fn(u8, Lift) -> usize) -> (f64, f64) {
-    let (mut lift, mut seed) = (Lift::default(), 7_u64);
+fn play(way: impl Fn(u8, Gain) -> usize) -> (f64, f64) {
+    let (mut gain, mut seed) = (Gain::default(), 7_u64);
     let mut draw = || {
         seed = mix(seed);
         (seed >> 11) as f64 / (1_u64 << 53) as f64
@@ -58,10 +58,10 @@
         let small = confidence(0);
         let mut model = 0;
         if f64::from(small) < wanted {
-            model = 1 + way(small, lift);
+            model = 1 + way(small, gain);
             let larger = confidence(model);
             if model == 1 {
-                lift.note(small, larger);
+                gain.note(small, larger);
             }
             if model == 1 && f64::from(larger) < wanted {
                 model = 2;
@@ -78,7 +78,7 @@
 #[test]
 fn choose_saves_time_of_engines() {
     let largest = play(|_, _| 1);
-    let smallest_sure = play(|small, lift| choose(small, threshold(1, 0.0), &[lift]));
+    let smallest_sure = play(|small, gain| choose(small, threshold(1, 0.0), &[gain]));
     println!("right, ms: largest {largest:.3?}, smallest that is sure {smallest_sure:.3?}");
     assert!(smallest_sure.1 < 0.85 * largest.1, "{smallest_sure:?} {largest:?}");
     assert!(smallest_sure.0 > largest.0 - 0.02, "{smallest_sure:?} {largest:?}");
--- a/crates/policy/tests/order.rs
+++ b/crates/policy/tests/order.rs
@@ -142,7 +142,7 @@
         let prompt = Prompt { rank: place(own), read_ms: one.request.read_ms };
         match is_own {
             true => expected.push((now, wait_ms, backlog.sent(prompt, at), own)),
-            false if prompt.read_ms >= 60.0 => backlog.told(prompt, at),
+            false if prompt.read_ms >= 60.0 => backlog.announced(prompt, at),
             false => {}
         }
         engine.waiting.push((own, one));
--- a/crates/policy/tests/peak.rs
+++ b/crates/policy/tests/peak.rs
@@ -130,7 +130,7 @@
         let prompt = Prompt { rank: RANK, read_ms: believed_ms };
         for (other, engines) in believed.iter_mut().enumerate() {
             if other != host && tells {
-                engines[engine].told(prompt, at);
+                engines[engine].announced(prompt, at);
             }
         }
         free_at[engine] = free_at[engine].max(now) + read_ms;
@@ -139,7 +139,7 @@
                 let number = believed[host][engine].sent(prompt, at);
                 awaited.push((free_at[engine], host, engine, number));
             }
-            _ => believed[host][engine].told(prompt, at),
+            _ => believed[host][engine].announced(prompt, at),
         }
         speeds[host][model].note(free_at[engine] - now, known_ms, tokens);
         under_way.push((free_at[engine] + 1_500.0, host, engine));
@@ -213,7 +213,7 @@
     const ENGINES: usize = 4;
     let mut seed = seed;
     let mut free_at = [START as f64; ENGINES];
-    let (mut pressure, mut larger) = (Patience::default(), Patience::default());
+    let (mut delay, mut larger) = (Patience::default(), Patience::default());
     let (mut sum, mut all, mut now) = (0.0, 0.0, START as f64);
     while now < START as f64 + 30_000.0 {
         now += -draw(&mut seed).max(1e-9).ln() * 1_000.0 / per_s;
@@ -234,7 +234,7 @@
             larger_ms: larger.faded_ms(400.0, at).max(tokens / RATES[1]),
             read_ms: tokens / RATES[1],
             objective_ms: OBJECTIVE_MS,
-            pressure: pressure.faded_ms(0.0, at),
+            delay: delay.faded_ms(0.0, at),
         };
         let again = match treating {
             Treating::Always => confidence < 50.0,
@@ -246,7 +246,7 @@
             begun = read(RATES[1], begun);
             larger.note(begun - small, at);
         }
-        pressure.note((begun - now) / OBJECTIVE_MS, at);
+        delay.note((begun - now) / OBJECTIVE_MS, at);
         let right = again || !hard;
         sum += match (right, begun - now <= OBJECTIVE_MS) {
             (true, true) => 1.0,
--- a/crates/policy/tests/prefill.rs
+++ b/crates/policy/tests/prefill.rs
@@ -28,7 +28,7 @@
 
 #[test]
 fn tokens_per_ms_waits_among_answers() {
-    // A busy hour: every third answer waited for prompts of other hosts that nobody told of, every
+    // A busy hour: every third answer waited for prompts of other hosts that nobody announced, every
     // fifth for some that were known. Neither may make the model look much slower than it is: its
     // prompts would be believed to keep engines for longer than they do.
     let mut speed = Speed::default();
--- a/crates/policy/tests/relay.rs
+++ b/crates/policy/tests/relay.rs
@@ -2,7 +2,7 @@
 
 use policy::bootstrap::Bootstrap;
 use policy::name::Name;
-use policy::relay::{Bounds, Duty, Relay};
+use policy::relay::{Action, Bounds, Relay};
 use policy::time::Millis;
 
 const BOUNDS: Bounds = Bounds { change_ms: 2_000, alone_ms: 3_500 };
@@ -231,7 +231,7 @@
 
 impl Host {
     fn ask(&mut self, now: u64) {
-        let Duty::Read { hold_ms } = self.relay.duty(Millis(now)) else { return };
+        let Action::Read { hold_ms } = self.relay.action(Millis(now)) else { return };
         self.calls += 1;
         self.call = Some(match self.path {
             Path::Open => Call { ends: now + hold_ms, fails: false, brings: None },
@@ -242,7 +242,7 @@
 }
 
 #[test]
-fn duty_few_hosts_read_alone() {
+fn action_few_hosts_read_alone() {
     // With fewer calls than that there is nothing to save, and a host that trusts nobody can't be
     // behind for another's sake.
     let mut domain = Domain::new(3);
@@ -251,7 +251,7 @@
 }
 
 #[test]
-fn duty_many_hosts_one_reads() {
+fn action_many_hosts_one_reads() {
     // The load: 22 hosts, nothing changes. Each for itself they would make 22 calls in 3.5 s.
     let mut domain = Domain::new(22);
     domain.run(5_000);
@@ -265,7 +265,7 @@
 }
 
 #[test]
-fn duty_reader_is_gone() {
+fn action_reader_is_gone() {
     // The host that reads is stopped. The others hear nothing, one of them reads for itself in
     // time, and the rest go on with that one.
     let mut domain = Domain::new(12);
@@ -281,7 +281,7 @@
 }
 
 #[test]
-fn duty_reader_and_those_after_it_lose_the_store() {
+fn action_reader_and_those_after_it_lose_the_store() {
     // The store turns away the host that reads and the three that would follow it; its answers to
     // the others are as always. A change is in force with those in time all the same.
     let mut domain = Domain::new(16);
@@ -296,7 +296,7 @@
 }
 
 #[test]
-fn duty_store_away_is_asked_seldom_and_heard_at_once() {
+fn action_store_away_is_asked_seldom_and_heard_at_once() {
     // The store is down for all. Together the hosts ask about ten times a second, not each of
     // them; when it is back one hears it, and tells the others.
     let mut domain = Domain::new(20);
@@ -318,7 +318,7 @@
 }
 
 #[test]
-fn duty_long_answers_come_to_all_at_once() {
+fn action_long_answers_come_to_all_at_once() {
     // A table of routes takes 1.1 s on every host's link. The hosts that do not read for the others
     // heard of it when the one that does had all of it, and began then: 2.2 s after the change where
     // 2 s are allowed. They hear of it when its answer begins.
@@ -333,7 +333,7 @@
 }
 
 #[test]
-fn duty_pause_is_not_ended_by_old_news() {
+fn action_pause_is_not_ended_by_old_news() {
     // The store is down for all. Hosts go on telling each other things, among them how new their
     // lists were before; each time one of them is a little newer than a host's own. Had that host
     // asked at once every time, the store would have been asked thousands of times a second.
@@ -348,7 +348,7 @@
         if now > 4_000 {
             relay.heard(&peers[now as usize % 19], Millis(1_000 + now % 90), Millis(now));
         }
-        if let Duty::Read { .. } = relay.duty(Millis(now)) {
+        if let Action::Read { .. } = relay.action(Millis(now)) {
             asked += 1;
             relay.failed(PAUSE_MS, 0.5, Millis(now));
         }
@@ -359,7 +359,7 @@
 /// Hosts that stand still, start anew, lose the store in either way, lost words and changes, in
 /// any order: whoever has reached the store for three seconds knows each change in time.
 #[test]
-fn duty_generated_sequences() {
+fn action_generated_sequences() {
     fuzz::check::<(u8, Vec<(u8, u8, u8)>)>(60, |(size, steps)| {
         let mut domain = Domain::new(1 + usize::from(*size) % 24);
         let count = domain.hosts.len();
--- a/crates/policy/tests/select.rs
+++ b/crates/policy/tests/select.rs
@@ -1,7 +1,7 @@
 //! Plans: cheapest that meets the target, never a cascade where a request may not be repeated.
 
 use policy::estimate::Estimate;
-use policy::select::{Candidate, Goal, Plan, Rater, Standing, Table, baseline};
+use policy::select::{Candidate, Goal, Plan, Rater, Status, Table, baseline};
 use policy::time::Millis;
 
 const NOW: Millis = Millis(0);
@@ -101,7 +101,7 @@
         let goal = Goal { may_repeat: *may_repeat, ..goal(f64::from(*target) / 255.0) };
         let table = Table::build(&versions, &goal, NOW);
         let sum: f64 = table.shares.iter().map(|share| share.share).sum();
-        let usable = versions.iter().any(|v| v.standing != Standing::Candidate(0.0));
+        let usable = versions.iter().any(|v| v.status != Status::Candidate(0.0));
         assert_eq!(usable, !table.shares.is_empty());
         assert!(!usable || (sum - 1.0).abs() < 1e-9);
         let cascades = table.shares.iter().any(|s| matches!(s.plan, Plan::Cascade { .. }));
--- a/crates/policy/tests/silence.rs
+++ b/crates/policy/tests/silence.rs
@@ -6,10 +6,10 @@
 
 #[test]
 fn act_silent_everywhere_is_probed() {
-    let dark = Silence { silent_ms: 850.0, heard_ms: 850, ..SILENCE };
-    assert_eq!(act(&BETWEEN, &dark), Action::Probe);
-    assert_eq!(act(&FIRST, &dark), Action::Probe);
-    assert_eq!(act(&FIRST_BUSY, &dark), Action::Probe);
+    let unreachable = Silence { silent_ms: 850.0, heard_ms: 850, ..SILENCE };
+    assert_eq!(act(&BETWEEN, &unreachable), Action::Probe);
+    assert_eq!(act(&FIRST, &unreachable), Action::Probe);
+    assert_eq!(act(&FIRST_BUSY, &unreachable), Action::Probe);
 }
 
 #[test]
--- a/crates/replay/src/run/life.rs
+++ b/crates/replay/src/run/life.rs
@@ -104,7 +104,7 @@
                 return Ok(Plan::Single(version.clone()));
             }
             (Some(session), Some(_)) => {
-                // The caller is told, and its next request begins a new session.
+                // The caller learns of it, and its next request begins a new session.
                 self.sessions.remove(session);
                 return Err(|refusals| &mut refusals.session_ended);
             }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -52,7 +52,7 @@
         pub tokens: u32,
         /// Time between two pieces, in milliseconds.
         pub between_tokens_ms: u64,
-        /// Share of good answers by task, as told in `Chestnutspur-Task` or by the prompt's first
+        /// Share of good answers by task, as given in `Chestnutspur-Task` or by the prompt's first
         /// word; the one under the empty name for all others.
         pub quality: BTreeMap<Name, f64>,
     }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -148,7 +148,7 @@
         let wanted = seen
             .iter()
             .filter_map(|host| Some((host.name.clone(), serde_json::to_string(host).ok()?)));
-        let mut wanted: std::collections::BTreeMap<Name, String> = wanted.collect();
+        let mut wanted: BTreeMap<Name, String> = wanted.collect();
         let mut writes = Vec::new();
         for row in store.rows(HOSTS) {
             match wanted.remove(&row.key) {
@@ -191,7 +191,7 @@
         serde_json::from_str(&self.row(table, key)?.value).ok()
     }
 
-    /// Forgets its history; feeds that ask for it are told so.
+    /// Forgets its history; feeds that ask for it get an error.
     pub fn forget(&self) {
         self.store().forget();
         self.changed.send_modify(|_| {});
--- a/crates/standin/src/platform/http.rs
+++ b/crates/standin/src/platform/http.rs
@@ -99,7 +99,7 @@
         if write && faults.late_ms > 0 {
             tokio::spawn(async move {
                 tokio::time::sleep(Duration::from_millis(faults.late_ms)).await;
-                // Its conditions may no longer hold; nobody is told either way.
+                // Its conditions may no longer hold; nobody learns either way.
                 let _ = self.take_effect(&call);
             });
             return Err(Cut);
@@ -152,10 +152,10 @@
         let (rows, version) = self.store().read(&query.table, &query.from, &query.end);
         let has_more = rows.len() > PAGE;
         let rows = rows.iter().take(PAGE).map(row).collect();
-        reply::json(StatusCode::OK, &Answer { has_more, ..self.told(rows, version) })
+        reply::json(StatusCode::OK, &Answer { has_more, ..self.rows_answer(rows, version) })
     }
 
-    fn told(&self, rows: Vec<Row>, row_version: u64) -> Answer {
+    fn rows_answer(&self, rows: Vec<Row>, row_version: u64) -> Answer {
         let now_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or_default();
         // Some time has passed before it was started.
         Answer { rows, has_more: false, row_version, now_ms: now_ms + 1_000 }
@@ -177,7 +177,7 @@
                 continue;
             }
             let rows = changes.iter().map(change).collect();
-            return reply::json(StatusCode::OK, &self.told(rows, version));
+            return reply::json(StatusCode::OK, &self.rows_answer(rows, version));
         }
     }
 
@@ -202,11 +202,11 @@
         match made {
             Ok(version) => {
                 self.changed.send_replace(version);
-                reply::json(StatusCode::OK, &self.told(Vec::new(), version))
+                reply::json(StatusCode::OK, &self.rows_answer(Vec::new(), version))
             }
             Err(rows) => {
                 let rows = rows.iter().map(row).collect();
-                reply::json(StatusCode::PRECONDITION_FAILED, &self.told(rows, version))
+                reply::json(StatusCode::PRECONDITION_FAILED, &self.rows_answer(rows, version))
             }
         }
     }
--- a/crates/wire/src/configuration/check.rs
+++ b/crates/wire/src/configuration/check.rs
@@ -37,7 +37,7 @@
 ///
 /// While hosts are replaced one by one by those of a newer release, its stricter rules must not
 /// keep out what an older one accepted: the host would stay on a lower generation for good, and
-/// nobody who could mend the document would be told.
+/// nobody who could mend the document would learn of it.
 ///
 /// # Errors
 /// What is not the form of a document.
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -54,7 +54,7 @@
         /// All marks held, if the asker's hash differs.
         pub marks: Vec<Mark>,
         /// Where all roll-outs stand, if the asker's hash differs.
-        pub rollouts: Vec<Standing>,
+        pub rollouts: Vec<Rollout>,
         /// The entries asking there and the generation in force in each, if the asker wants them.
         pub entries: Vec<(Name, u64)>,
         /// Counts of service levels so far, if the asker wants them.
@@ -90,7 +90,7 @@
     }
 
     /// A roll-out's row of the platform's table.
-    pub struct Standing {
+    pub struct Rollout {
         /// The roll-out.
         pub rollout: Name,
         /// The row's version; the higher is the newer.
--- a/crates/wire/src/read.rs
+++ b/crates/wire/src/read.rs
@@ -189,7 +189,7 @@
     }
 }
 
-/// A missing member is told at its own path, not at that of the object it is missing from.
+/// A missing member is reported at its own path, not at that of the object it is missing from.
 fn missing(mut segments: Vec<Step>, path: String, message: String) -> (Vec<Step>, String, String) {
     let member = message.strip_prefix("missing field `").and_then(|rest| rest.strip_suffix('`'));
     match member {
--- a/crates/wire/src/refusal.rs
+++ b/crates/wire/src/refusal.rs
@@ -64,7 +64,7 @@
         pub error: Refusal,
     }
 
-    /// What the caller is told.
+    /// What the caller learns.
     pub struct Refusal {
         /// For programs.
         pub code: Code,
--- a/crates/wire/src/routing.rs
+++ b/crates/wire/src/routing.rs
@@ -1,4 +1,4 @@
-//! What a fleet is told to route: routes, services, client accounts, backend servers, roll-outs.
+//! What a fleet routes: routes, services, client accounts, backend servers, roll-outs.
 //!
 //! These documents are our own. Whoever keeps them elsewhere, in other words and another form,
 //! turns them into these types once, at the edge; nothing behind that edge knows the other form.
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -21,7 +21,7 @@
     async fn claim(claim: Claim) -> ClaimAnswer;
     /// Gives a claim back: the request has not run, and its entry host sends it nowhere any more.
     /// Sent when a claimed request is refused as not run, or a claim had no answer; a retry of
-    /// the key would otherwise be told that it may have run. False if it could not be recorded.
+    /// the key would otherwise be answered that it may have run. False if it could not be recorded.
     async fn abandon(claim: Claim) -> bool;
     /// Pins a session, wherever its home is.
     async fn pin(pin: Pin) -> PinAnswer;
