Two lists published at the same time: the newest world stays

Callers were refused by a host that had read its table of routes: a world made before the table came replaced the one made after it, and stayed until the next change. Any host with more than one worker thread could meet it.

Cause: the world was made under the catalog's lock, and put in force after it. Ruled out: messages of other tests' hosts, calls of the store (all answered). Change: both under one lock.

--- a/crates/node/src/catalog.rs
+++ b/crates/node/src/catalog.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use arc_swap::ArcSwap;
 use entry::clock;
 use gateway::backend::Backend;
 use gateway::index::Index;
@@ -178,15 +179,34 @@
         self.lock().bases.get(service).cloned().unwrap_or_default()
     }
 
-    /// The world as it is now.
-    pub fn world(&self, now: Millis) -> World {
+    /// Makes the world as it is now what requests are decided by; whether it is complete.
+    ///
+    /// Both lists publish, on any thread. Were the lock given up in between, a world made before a
+    /// table came could replace the one made after, and all requests be refused until the next
+    /// change.
+    pub fn publish(&self, place: &ArcSwap<World>, now: Millis) -> bool {
         let mut inner = self.lock();
-        let entries = inner.roster.entries(now);
+        let world = inner.world(&self.failure_domain, now);
+        let is_complete = world.is_complete;
+        place.store(Arc::new(world));
+        is_complete
+    }
+
+    /// When the world changes by itself, if it does.
+    #[must_use]
+    pub fn next_lapse(&self) -> Option<Millis> {
+        self.lock().roster.next_lapse()
+    }
+}
+
+impl Inner {
+    fn world(&mut self, failure_domain: &Name, now: Millis) -> World {
+        let entries = self.roster.entries(now);
         let mut backends = HashMap::new();
         let mut pools: HashMap<Name, Pool> = HashMap::new();
         for row in &entries {
-            let near = row.failure_domain == self.failure_domain;
-            let known = inner.backends.remove(&row.id);
+            let near = row.failure_domain == *failure_domain;
+            let known = self.backends.remove(&row.id);
             // Another start knows nothing of the one before: neither its caches and load nor its
             // connections are the new one's.
             let known =
@@ -197,30 +217,22 @@
                 pools.entry(row.service.clone()).or_default().backends.push(backend);
             }
         }
-        inner.backends = backends;
-        for service in inner.index.services.keys() {
+        self.backends = backends;
+        for service in self.index.services.keys() {
             pools.entry(service.clone()).or_default();
         }
         for (service, pool) in &mut pools {
-            pool.base = inner.choose_base(service, pool);
-            pool.rollout = inner.rollouts.get(service).map(rollout);
+            pool.base = self.choose_base(service, pool);
+            pool.rollout = self.rollouts.get(service).map(rollout);
         }
         World {
-            index: Arc::clone(&inner.index),
-            revision: inner.roster.revision,
-            is_complete: inner.is_complete(),
+            index: Arc::clone(&self.index),
+            revision: self.roster.revision,
+            is_complete: self.is_complete(),
             pools: pools.into_iter().map(|(service, pool)| (service, Arc::new(pool))).collect(),
         }
     }
 
-    /// When the world changes by itself, if it does.
-    #[must_use]
-    pub fn next_lapse(&self) -> Option<Millis> {
-        self.lock().roster.next_lapse()
-    }
-}
-
-impl Inner {
     fn is_complete(&self) -> bool {
         let is_known = |known: &Known| known.record.is_some();
         self.index.version > 0 && self.has_roster && self.rollouts.values().all(is_known)
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -90,10 +90,7 @@
 impl<S: Store, C: Codec> Watch<S, C> {
     /// Makes the world anew.
     pub fn publish(&self) {
-        let world = self.catalog.world(clock::steady());
-        let is_complete = world.is_complete;
-        self.state.world.store(Arc::new(world));
-        if is_complete {
+        if self.catalog.publish(&self.state.world, clock::steady()) {
             self.state.started.cancel();
         }
     }
