--- a/crates/node/src/watch/peers.rs
+++ b/crates/node/src/watch/peers.rs
@@ -17,15 +17,6 @@
 /// wider than a host's.
 const RELAYED_MAX: usize = 250;
 
-/// From where this host can have what is too long for one message between hosts.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Reach {
-    /// From the store, as far as it knows.
-    Store,
-    /// From its peers only: its last call of the store failed.
-    Peers,
-}
-
 impl<S: Store, C: Codec> Watch<S, C> {
     /// Another host reads a change of a list that is too long to be passed on.
     pub fn incoming(&self, peer: &Name, list: List) {
@@ -91,8 +82,8 @@
             (Some(own), None) if own < position.changed && follow.is_incoming() => {}
             (Some(own), _) if own < position.changed => {
                 if follow.begin_taking() {
-                    let reach = Reach::Store;
-                    tokio::spawn(Arc::clone(self).catch_up(from, position.list, own, reach));
+                    let (list, changed) = (position.list, position.changed);
+                    tokio::spawn(Arc::clone(self).catch_up(from, list, own, changed));
                 }
             }
             (Some(_), _) => {
@@ -119,7 +110,7 @@
         for list in List::ALL {
             let follow = self.follow(list);
             if follow.is_wanting() && follow.begin_taking() {
-                tokio::spawn(Arc::clone(self).catch_up(from, list, 0, Reach::Peers));
+                tokio::spawn(Arc::clone(self).catch_up(from, list, 0, 0));
             }
         }
     }
@@ -133,18 +124,19 @@
         if let (Some(own), Some(from)) = (follow.revision(), follow.missing_source())
             && follow.begin_taking()
         {
-            tokio::spawn(Arc::clone(self).catch_up(from, list, own, Reach::Peers));
+            tokio::spawn(Arc::clone(self).catch_up(from, list, own, own));
         }
     }
 
-    async fn catch_up(self: Arc<Self>, from: SocketAddr, list: List, after: u64, reach: Reach) {
+    /// Takes what another host has behind a revision, at `least` up to another one.
+    async fn catch_up(self: Arc<Self>, from: SocketAddr, list: List, after: u64, least: u64) {
         let follow = self.follow(list);
         let answer = exchange::ask(from, list, after).await;
-        // Backend servers come and go by thousands, and the more hosts, the more of them. A table
-        // is read by each host at the same time: passed on it would be late.
-        let passed_on = reach == Reach::Peers || list == List::Backends;
-        if answer == Ok(None) && passed_on {
-            return self.take_long(from, list, after).await;
+        // Too long for one message. The store's price is each call's, and a table that changes ten
+        // times in a few seconds was read by each of hundreds of hosts each time. One so long that
+        // passed on it would be late is announced, and read by all at once.
+        if answer == Ok(None) {
+            return self.take_long(from, list, after, least).await;
         }
         follow.end_taking();
         let outcome = match &answer {
--- a/crates/node/src/watch/pieces.rs
+++ b/crates/node/src/watch/pieces.rs
@@ -21,11 +21,18 @@
 const BUSY_PAUSE: Duration = Duration::from_millis(40);
 
 impl<S: Store, C: Codec> Watch<S, C> {
-    /// Takes changes behind a revision, however long they are, or asks the store.
-    pub(super) async fn take_long(self: &Arc<Self>, from: SocketAddr, list: List, after: u64) {
+    /// Takes changes behind a revision, at `least` up to another one and however long they are, or
+    /// asks the store.
+    pub(super) async fn take_long(
+        self: &Arc<Self>,
+        from: SocketAddr,
+        list: List,
+        after: u64,
+        least: u64,
+    ) {
         let until = clock::steady() + FIND_MS;
         let waits = || clock::steady() < until;
-        let is_taken = self.take_from_others(from, list, after, after, waits).await;
+        let is_taken = self.take_from_others(from, list, after, least, waits).await;
         self.end_taking(list, is_taken);
     }
 
@@ -41,7 +48,8 @@
     }
 
     /// Takes what this host lacks from another one, or from those that a busy one names; false if
-    /// nobody gave it up to a revision while this host waits.
+    /// nobody gave it, at `least` up to a revision, while this host waits. One that a busy host has
+    /// named may not have the newest change itself.
     pub(super) async fn take_from_others(
         &self,
         from: SocketAddr,
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -64,6 +64,7 @@
     reads: Limiter,
     calls: AtomicU64,
     ranges: Mutex<BTreeMap<Name, u64>>,
+    changes: Mutex<BTreeMap<Name, u64>>,
     /// Wakes calls that are held back.
     changed: watch::Sender<u64>,
     started: Instant,
@@ -79,6 +80,7 @@
             reads: Limiter::default(),
             calls: AtomicU64::new(0),
             ranges: Mutex::default(),
+            changes: Mutex::default(),
             changed: watch::Sender::new(0),
             started: Instant::now(),
         }
@@ -211,11 +213,13 @@
     /// Ranges of a table's rows that were read so far.
     #[must_use]
     pub fn ranges(&self, table: &str) -> u64 {
-        self.lock_ranges().get(table).copied().unwrap_or_default()
+        lock(&self.ranges).get(table).copied().unwrap_or_default()
     }
 
-    fn lock_ranges(&self) -> MutexGuard<'_, BTreeMap<Name, u64>> {
-        self.ranges.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Answers so far that brought changes of a table.
+    #[must_use]
+    pub fn changes(&self, table: &str) -> u64 {
+        lock(&self.changes).get(table).copied().unwrap_or_default()
     }
 
     /// Everything that took effect, in order.
@@ -255,3 +259,12 @@
         audit::bills(objects.iter().map(|(name, bytes)| (name.as_str(), bytes.as_ref())))
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Counts a call by its table.
+fn count(counts: &Mutex<BTreeMap<Name, u64>>, table: &str) {
+    *lock(counts).entry(table.into()).or_default() += 1;
+}
--- a/crates/standin/src/platform/http.rs
+++ b/crates/standin/src/platform/http.rs
@@ -16,7 +16,7 @@
 
 use super::query::Query;
 use super::store::Changed;
-use super::{Platform, Records};
+use super::{Platform, Records, count};
 use crate::fault::Down;
 use crate::reply;
 use crate::server::{Body, Cut, Handler};
@@ -148,7 +148,7 @@
 
     fn read(&self, query: &Query) -> Response<Body> {
         self.publish_hosts();
-        *self.lock_ranges().entry(query.table.as_str().into()).or_default() += 1;
+        count(&self.ranges, &query.table);
         let (rows, version) = self.store().read(&query.table, &query.from, &query.end);
         let has_more = rows.len() > PAGE;
         let rows = rows.iter().take(PAGE).map(row).collect();
@@ -177,6 +177,9 @@
                 continue;
             }
             let rows = changes.iter().map(change).collect();
+            if !is_quiet {
+                count(&self.changes, &query.table);
+            }
             return reply::json(StatusCode::OK, &self.rows_answer(rows, version));
         }
     }
