A stream's version is judged once, by the shortest of its first gaps

Change: each stream is judged once, when its fifth gap has come, by the shortest of them. Streams of fewer gaps are judged by their whole time, against others like them only.

--- a/crates/gateway/src/end.rs
+++ b/crates/gateway/src/end.rs
@@ -42,8 +42,6 @@
     pub pause_ms: u64,
     /// When the last piece was passed on.
     pub last: Option<Instant>,
-    /// When the first piece of this run was passed on, and how many events it held.
-    pub first: Option<(Instant, u32)>,
 }
 
 impl Passed {
@@ -52,16 +50,6 @@
         let pause = self.last.map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
         self.pause_ms = self.pause_ms.max(u64::try_from(pause.as_millis()).unwrap_or(u64::MAX));
         self.last = Some(now);
-        self.first.get_or_insert((now, self.events));
-    }
-
-    /// Events behind the first piece of this run, and the time that they took.
-    #[must_use]
-    pub fn gaps(&self) -> (u32, Duration) {
-        let (Some((first, before)), Some(last)) = (self.first, self.last) else {
-            return Default::default();
-        };
-        (self.events.saturating_sub(before), last.saturating_duration_since(first))
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,6 +10,7 @@
 use entry::server::Lease;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use policy::pace::Pace;
 use policy::silence;
 use tokio::sync::mpsc;
 
@@ -35,8 +36,9 @@
     backend: Arc<Backend>,
     sent_at: Instant,
     passed: Passed,
-    /// It has been counted as slow for a roll-out.
-    is_slow: bool,
+    /// How soon its events follow one another, and when the last ones came.
+    pace: Pace,
+    came: Option<Instant>,
     // Dropped with the stream: closes the connection, which stops the backend server's work.
     _connection: Connection,
     _lease: Lease,
@@ -67,7 +69,8 @@
             backend,
             sent_at,
             passed: Passed::default(),
-            is_slow: false,
+            pace: Pace::default(),
+            came: None,
             _connection: connection,
             _lease: lease,
         };
@@ -92,11 +95,22 @@
             let (events, count) = self.splitter.feed(&data).map_err(|_| Cause::Broken)?;
             self.passed.events += count;
             if !events.is_empty() {
+                self.note_pace(job, count);
                 return Ok(Piece::Events(events));
             }
         }
     }
 
+    /// Events have come; counts the stream for a roll-out once its pace is known.
+    fn note_pace<C: Codec>(&mut self, job: &Job<C>, events: u32) {
+        let now = Instant::now();
+        let Some(before) = self.came.replace(now) else { return };
+        let ms = now.saturating_duration_since(before).as_secs_f64() * 1_000.0;
+        if let Some(pace_ms) = self.pace.note(events, ms) {
+            job.note_pace(&self.backend, pace_ms);
+        }
+    }
+
     /// The next bytes, none at a clean end.
     ///
     /// A silent stream is given up only for another run of it. Where there is none to be had, its
@@ -186,18 +200,12 @@
     if end == End::Answered {
         live.backend.note(false, clock::steady());
         let ms = live.sent_at.elapsed().as_secs_f64() * 1_000.0;
-        if !live.is_slow {
+        if !live.pace.is_known() {
             job.note_version(&live.backend, Some(ms / f64::from(live.passed.events.max(1))));
         }
         if job.timed(&live.backend) {
-            let (events, gaps) = live.passed.gaps();
             let now = clock::steady();
-            job.state.timings.with(job.timing(), |timing| {
-                timing.whole.note(ms, now);
-                if events > 0 {
-                    timing.gap.note(gaps.as_secs_f64() * 1_000.0 / f64::from(events), now);
-                }
-            });
+            job.state.timings.with(job.timing(), |timing| timing.whole.note(ms, now));
         }
     }
     end::log(job, end, live.passed);
@@ -214,7 +222,6 @@
             Ok(Piece::Events(events)) => {
                 send(pieces, events, job).await?;
                 live.passed.piece(Instant::now());
-                live.is_slow |= !live.is_slow && job.note_slow_so_far(&live.backend, &live.passed);
             }
             Ok(Piece::End) => live.ended = true,
             Err(cause) => return Err(End::Broken(cause)),
--- a/crates/gateway/src/timing.rs
+++ b/crates/gateway/src/timing.rs
@@ -9,8 +9,8 @@
     pub first: Patience,
     /// From sending a request to the end of its answer.
     pub whole: Patience,
-    /// The same for each event of a stream, or for a whole plain answer.
+    /// The same for each event of a stream too short to have a pace, or for a whole plain answer.
+    pub short: Patience,
+    /// Between two events of a stream, as `policy::pace` sees it.
     pub pace: Patience,
-    /// Between two events of a stream, from its first to its last.
-    pub gap: Patience,
 }
--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -64,10 +64,8 @@
 const ANSWERS_MIN: u32 = 4;
 /// Answers of the new version in all without which nothing moves.
 const ANSWERS_TO_MOVE: u32 = 12;
-/// An answer that takes this many times the usual time, for each event of it, counts as slow.
+/// An answer that takes this many times the usual time counts as slow.
 const SLOW_FACTOR: f64 = 2.5;
-/// Events behind the first by whose time a stream under way is judged: a pause or two is no sign.
-const EVENTS_MIN: u32 = 5;
 
 domain! {
     /// How far a roll-out has come; shared by all hosts.
@@ -180,20 +178,12 @@
     ((share * all as f64).ceil() as usize).clamp(1, all.max(1))
 }
 
-/// Whether an answer is slow, by its time for each of its events and the usual one, in
-/// milliseconds.
+/// Whether an answer is slow, by its pace or its time and the usual one, in milliseconds.
 #[must_use]
 pub fn is_slow(pace_ms: f64, usual_ms: f64) -> bool {
     pace_ms > usual_ms * SLOW_FACTOR
 }
 
-/// Whether a stream that has not ended is slow, by the time that the events behind its first took
-/// and the usual time between two, in milliseconds.
-#[must_use]
-pub fn is_slow_so_far(events: u32, took_ms: f64, usual_ms: f64) -> bool {
-    events >= EVENTS_MIN && is_slow(took_ms / f64::from(events), usual_ms)
-}
-
 /// Logarithm of how much likelier the new version's failures are from a bad one than from one that
 /// is as good as the old.
 #[must_use]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod gain;
 pub mod limit;
 pub mod name;
+pub mod pace;
 pub mod patience;
 pub mod place;
 pub mod precedence;
--- a/crates/standin/src/routed.rs
+++ b/crates/standin/src/routed.rs
@@ -47,6 +47,8 @@
     pub events: u64,
     /// Between two of them.
     pub pause: Duration,
+    /// More behind the first one of a run: the engine reads other prompts.
+    pub held_up: Duration,
     /// Breaks off in the middle of this event.
     pub cut_in: Option<u64>,
     /// Says nothing more behind this event.
@@ -60,6 +62,7 @@
         Self {
             events: 5,
             pause: Duration::from_millis(2),
+            held_up: Duration::ZERO,
             cut_in: None,
             silent_after: None,
             confidence: None,
@@ -231,6 +234,9 @@
             if id > first {
                 tokio::time::sleep(script.pause).await;
             }
+            if id == first + 1 {
+                tokio::time::sleep(script.held_up).await;
+            }
             match () {
                 () if id < CUT && script.silent_after.is_some_and(|last| id > last) => {
                     std::future::pending().await
