A refused connection takes no repeat from the host's budget

Ruled out: the limit of 24 refused connections (at most five were met).

Change: a repeat that was paid for and led to no arrival is kept for the next try. The bound on arrivals is the same.

stream_goes_on_past_servers_that_refuse_connections failed three times of three before (five of 20 events) and passes five times of five.

--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -1,6 +1,7 @@
 //! Who is to blame for a try that failed: a connection, a backend server, a failure domain.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use entry::clock;
 use entry::connection::Cause;
@@ -17,6 +18,8 @@
         let now = clock::steady();
         match failure {
             Failure::Unsent(cause) => {
+                // Nothing arrived anywhere, so the repeat that was paid for is still to be made.
+                self.tries.paid.fetch_or(self.tries.sent > 0, Ordering::Relaxed);
                 match cause {
                     Cause::Refused => self.tries.refused += 1,
                     _ => self.tries.unsent += 1,
