Refused connections have no limit of their own

A stream whose backend server and two dozen others were lost at the same moment was given up, though other servers lived. The limit of 24 refused connections for one request stood for the time they cost; each costs a millisecond, a server that refused is not asked again by the request, and is held ill by the host, so that the requests behind it skip it.

--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -21,12 +21,9 @@
 use crate::refuse;
 use crate::relay::Live;
 
-/// Connections that may fail to open for want of an answer before a request is given up.
+/// Connections that may fail to open for want of an answer before a request is given up. Refused
+/// ones have no such limit: each costs a millisecond, and a server that refused is not asked again.
 const UNSENT_MAX: u32 = 4;
-/// The same of connections that are refused at once. When half of a pool's servers crash together
-/// four refusals in a row are common, and each costs the request a millisecond.
-const REFUSED_MAX: u32 = 24;
-
 /// An answer that may be passed on.
 pub enum Accepted {
     /// All of it.
@@ -150,9 +147,7 @@
             left_ms: u64::try_from(self.left().as_millis()).unwrap_or(u64::MAX),
             expected_ms: 1,
         };
-        let room = tries.sent < self.route().attempts_max
-            && tries.unsent < UNSENT_MAX
-            && tries.refused < REFUSED_MAX;
+        let room = tries.sent < self.route().attempts_max && tries.unsent < UNSENT_MAX;
         room && retry::may_try_elsewhere(&attempt)
             && (tries.sent == 0
                 || tries.paid.swap(false, Ordering::Relaxed)
