Short roll-outs leave the operator as much time as long ones

The margin was a part of the time (0.03) in place of a time: whoever reads the status does so now and then.

Change: 0.7 s are spared at least. Only the second half of a short roll-out passes sooner, so no session moves in the first one.

elapsed_short_rollout_is_done_with_time_to_spare does not compile before, as there was no such function; with the function as a plain quotient it fails at 8 s.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -27,10 +27,10 @@
 }
 
 impl Rollout {
-    /// The time since it began, as a part of the time allowed.
+    /// How far it is in its time.
     #[must_use]
     pub fn elapsed(&self, now: Millis) -> f64 {
-        now.since(self.began) as f64 / self.within_ms.max(1) as f64
+        canary::elapsed(now.since(self.began), self.within_ms)
     }
 
     /// The share of requests that the new version gets.
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -287,7 +287,7 @@
 }
 
 fn elapsed(known: &Known, now: Millis) -> f64 {
-    now.since(known.began) as f64 / known.order.within_ms.max(1) as f64
+    canary::elapsed(now.since(known.began), known.order.within_ms)
 }
 
 fn is_of(record: &Record, known: &Known) -> bool {
--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -28,10 +28,13 @@
 const GIVE_UP: f64 = 0.97;
 /// When the roll-out is declared done. The old version's servers are stopped then; streams that are
 /// still under way there go on at the new ones. Until then the version has had all requests for a
-/// while: one that fails only under load shows it, and can still be stopped. What is left of the
-/// time is for the last change of the row, and for hosts that heard of the order late: the store
-/// may keep quiet about it for a part of a second, and the time counts from when it was given.
+/// while: one that fails only under load shows it, and can still be stopped.
 const DONE: f64 = 0.97;
+/// What is left of the time at least when the roll-out is declared done. It is for the last change
+/// of the row, for operators who look at it now and then, and for hosts that heard of the order
+/// late: the store may keep quiet about it for a part of a second, and the time counts from when it
+/// was given.
+const SPARE_MS: f64 = 700.0;
 /// Shares of requests at these times. With the last part at full share the sum stays under the
 /// 0.0975 of all requests that a bad version may get on the largest fleets.
 const FIRST_SHARE: f64 = 0.05;
@@ -50,9 +53,7 @@
 const GO: f64 = -3.0;
 /// Evidence against it on one route that is too much for the others to outweigh: odds of 7 to 1. A
 /// version that fails under load may show it on one route only, in the second in which it has all
-/// requests; once declared done it is not stopped again. At odds of 20 to 1 one with 15 failures in
-/// 35 answers, where the old one had 82 in 310, was declared good for its clean answers elsewhere.
-/// Of good versions with so many answers about one in 40 fails as often by chance.
+/// requests; once declared done it is not stopped again.
 const SUSPECT: f64 = 2.0;
 /// How much more often a version fails that is bad under full load, at least. It fails only while
 /// its servers are busy, so less often than one that is bad throughout.
@@ -150,8 +151,22 @@
     }
 }
 
-/// The share of requests that the new version gets; `elapsed` is the time since the order as a
-/// part of the time allowed.
+/// How far a roll-out is in its time, from 0 to 1, as the stages go by.
+///
+/// In the first half it is the part of the time that has passed. The second half of a short one
+/// passes sooner: what must be spared at its end is no smaller for it.
+#[must_use]
+pub fn elapsed(age_ms: u64, within_ms: u64) -> f64 {
+    let (age, within) = (age_ms as f64, within_ms.max(1) as f64);
+    let half = within / 2.0;
+    let done = (within - SPARE_MS).min(within * DONE).max(half + 1.0);
+    match age {
+        early if early <= half => early / within,
+        late => 0.5 + (late - half) / (done - half) * (DONE - 0.5),
+    }
+}
+
+/// The share of requests that the new version gets; see [`elapsed`].
 #[must_use]
 pub fn share(stage: Stage, elapsed: f64) -> f64 {
     match stage {
--- a/crates/policy/tests/canary.rs
+++ b/crates/policy/tests/canary.rs
@@ -2,7 +2,8 @@
 //! there in time, bad ones are stopped before they have had much, sessions stay where they are.
 
 use policy::canary::{
-    Count, Evidence, Sign, Stage, Verdict, failure_weight, is_due, is_moved, next, share, verdict,
+    Count, Evidence, Sign, Stage, Verdict, elapsed, failure_weight, is_due, is_moved, next, share,
+    verdict,
 };
 use policy::name::Name;
 use policy::place::mix;
@@ -19,6 +20,23 @@
     assert_eq!(share(Stage::Moving, 0.5), 0.0);
 }
 
+/// Good versions with ten or twelve seconds were declared done too late for the operator to see.
+#[test]
+fn elapsed_short_rollout_is_done_with_time_to_spare() {
+    for within_ms in [8_000, 10_000, 12_000, 16_000, 24_000, 600_000_u64] {
+        let ages = (0..within_ms).step_by(10);
+        let done = |age: &u64| {
+            next(Stage::Moving, elapsed(*age, within_ms), Verdict::Good) == Some(Stage::Done)
+        };
+        let at_ms = ages.clone().find(done).unwrap();
+        assert!(at_ms + 690 <= within_ms, "{within_ms}: {at_ms}");
+        assert!(at_ms as f64 >= 0.9 * within_ms as f64, "{within_ms}: {at_ms}");
+        let first = ages.clone().find(|age| share(Stage::Trial, elapsed(*age, within_ms)) > 0.0);
+        assert!(first.unwrap() * 2 > within_ms, "a session moves in the first half");
+        assert!(ages.map(|age| elapsed(age, within_ms)).is_sorted());
+    }
+}
+
 #[test]
 fn share_grows_only() {
     let stages = [Stage::Trial, Stage::Moving];
