Slow answers of empty caches do not stop a version that was quick on trial

And slow answers come together, since an engine that is held up is slow for all its streams: odds of 7 to 1 on one route say little. Failures do not come so, and keep that bound.

Change: a version that was quick on trial needs odds of 20 to 1 against it from full load to be stopped for slowness; so does a single route. Versions that were not quick on trial are judged as before.

Tried and given up before the commit: to call a version with few answers clean if it failed no more than the one before.

verdict_quick_on_trial_is_not_stopped_for_empty_caches and verdict_few_slow_answers_together_are_no_proof failed before.

--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -61,6 +61,9 @@
 /// Evidence against it from full load alone, on one route or on all together, with which it is not
 /// declared done: odds of 20 to 1.
 const SUSPECT_AT_FULL: f64 = 3.0;
+/// Evidence of slowness against it with which it is not declared done: odds of 20 to 1. Slow answers
+/// come together, since one engine that is held up is slow for all its streams.
+const SUSPECT_SLOW: f64 = 3.0;
 /// Fewest answers of the new version on which anything is decided.
 const ANSWERS_MIN: u32 = 4;
 /// Answers of the new version in all without which nothing moves.
@@ -143,6 +146,16 @@
         self.slow += u32::from(sign == Sign::Slow);
     }
 
+    /// Those that are not among others of its own.
+    #[must_use]
+    pub fn less(self, others: Self) -> Self {
+        Self {
+            answers: self.answers.saturating_sub(others.answers),
+            bad: self.bad.saturating_sub(others.bad),
+            slow: self.slow.saturating_sub(others.slow),
+        }
+    }
+
     /// Adds another host's count.
     pub fn add(&mut self, other: Self) {
         self.answers += other.answers;
@@ -241,23 +254,47 @@
 pub fn verdict(evidence: &[Evidence]) -> Verdict {
     let answers: u32 = evidence.iter().map(|one| one.new.answers).sum();
     let is_clean = evidence.iter().all(|one| one.new.bad + one.new.slow == 0);
-    let tried = evidence.iter().filter(|one| one.new.answers >= ANSWERS_MIN);
-    let routes = tried.flat_map(|one| [failure_weight(one), slow_weight(one)]);
-    let worst_route = routes.fold(f64::NEG_INFINITY, f64::max);
+    let (failures, slowness) =
+        (worst_route(evidence, failure_weight), worst_route(evidence, slow_weight));
     // Few answers come in a trial; what is wrong on all routes shows soonest in their sum.
-    let pooled = |weight: fn(&Evidence) -> f64| evidence.iter().map(weight).sum::<f64>();
-    let worst_sum = pooled(failure_weight).max(pooled(slow_weight));
+    let sum = pooled(evidence, failure_weight).max(pooled(evidence, slow_weight));
     let worst_at_full = worst_at_full(evidence);
-    let is_good = worst_sum <= GO && worst_route < SUSPECT && worst_at_full < SUSPECT_AT_FULL;
+    let is_suspect =
+        failures >= SUSPECT || slowness >= SUSPECT_SLOW || worst_at_full >= SUSPECT_AT_FULL;
+    let is_good = pooled(evidence, failure_weight) <= GO && is_quick(evidence);
     match answers {
         few if few < ANSWERS_MIN => Verdict::Open,
-        _ if worst_route >= STOP || worst_sum >= STOP || worst_at_full >= STOP => Verdict::Bad,
-        enough if enough >= ANSWERS_TO_MOVE && is_good => Verdict::Good,
+        _ if failures.max(slowness).max(sum).max(worst_at_full) >= STOP => Verdict::Bad,
+        enough if enough >= ANSWERS_TO_MOVE && is_good && !is_suspect => Verdict::Good,
         _ if is_clean => Verdict::Clean,
         _ => Verdict::Open,
     }
 }
 
+/// What speaks most against a version on one route.
+fn worst_route(evidence: &[Evidence], weight: fn(&Evidence) -> f64) -> f64 {
+    let tried = evidence.iter().filter(|one| one.new.answers >= ANSWERS_MIN);
+    tried.map(weight).fold(f64::NEG_INFINITY, f64::max)
+}
+
+/// What speaks against a version on all routes together.
+fn pooled(evidence: &[Evidence], weight: fn(&Evidence) -> f64) -> f64 {
+    evidence.iter().map(weight).sum()
+}
+
+/// Whether a version is as quick as the one before.
+///
+/// When all requests come to it at once its servers' caches are empty, and some answers are slow
+/// for that alone. One that was quick on trial is not stopped for them, unless they are far more.
+fn is_quick(evidence: &[Evidence]) -> bool {
+    let part = |of: fn(&Evidence) -> Count| {
+        let new = |one: &Evidence| Evidence { new: of(one), ..one.clone() };
+        evidence.iter().map(|one| slow_weight(&new(one))).sum::<f64>()
+    };
+    let (on_trial, at_full) = (part(|one| one.new.less(one.full)), part(|one| one.full));
+    on_trial + at_full <= GO || (on_trial <= GO && at_full < SUSPECT_SLOW)
+}
+
 /// What speaks most against a version under full load: one route, or all together.
 fn worst_at_full(evidence: &[Evidence]) -> f64 {
     let seen: Vec<f64> =
--- a/crates/policy/tests/canary.rs
+++ b/crates/policy/tests/canary.rs
@@ -289,3 +289,44 @@
     assert_eq!(verdict(&with_slow(7)), Verdict::Good);
     assert_eq!(verdict(&with_slow(26)), Verdict::Bad);
 }
+
+/// Evidence of three routes, each by the old version's answers and its slow ones, the new one's on
+/// trial and those at full load.
+fn timed(routes: [[(u32, u32); 3]; 3]) -> Vec<Evidence> {
+    let count = |(answers, slow)| Count { answers, bad: 0, slow };
+    let of = |[old, trial, full]: [(u32, u32); 3]| {
+        let mut new = count(trial);
+        new.add(count(full));
+        Evidence { route: Name::from("r"), old: count(old), new, full: count(full) }
+    };
+    routes.map(of).to_vec()
+}
+
+/// A good version was stopped for its first second with all requests, when its caches were empty.
+#[test]
+fn verdict_quick_on_trial_is_not_stopped_for_empty_caches() {
+    let seen = timed([
+        [(211, 20), (4, 1), (14, 4)],
+        [(171, 0), (4, 0), (1, 1)],
+        [(434, 5), (9, 0), (17, 4)],
+    ]);
+    assert_eq!(verdict(&seen), Verdict::Good);
+    // Slower by far, it is stopped.
+    let slow = timed([
+        [(211, 20), (4, 1), (14, 9)],
+        [(171, 0), (4, 0), (1, 1)],
+        [(434, 5), (9, 0), (17, 9)],
+    ]);
+    assert_ne!(verdict(&slow), Verdict::Good);
+}
+
+/// A good version was given up for three slow answers of seven on one route, among 25 in all.
+#[test]
+fn verdict_few_slow_answers_together_are_no_proof() {
+    let seen = timed([
+        [(293, 26), (7, 3), (0, 0)],
+        [(481, 11), (14, 0), (0, 0)],
+        [(168, 4), (4, 0), (0, 0)],
+    ]);
+    assert_eq!(verdict(&seen), Verdict::Good);
+}
