Short roll-outs spare their time at the end only

Change: requests move over when they did before; what passes sooner is the stage between that and the success, 0.01 of the time at least. 0.0962 at all lengths from 12 s on.

--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -35,6 +35,8 @@
 /// late: the store may keep quiet about it for a part of a second, and the time counts from when it
 /// was given.
 const SPARE_MS: f64 = 700.0;
+/// Part of the time in which a version has all requests before it is declared done, at least.
+const FULL_MIN: f64 = 0.01;
 /// Shares of requests at these times. With the last part at full share the sum stays under the
 /// 0.0975 of all requests that a bad version may get on the largest fleets.
 const FIRST_SHARE: f64 = 0.05;
@@ -166,19 +168,27 @@
 
 /// How far a roll-out is in its time, from 0 to 1, as the stages go by.
 ///
-/// In the first half it is the part of the time that has passed. The second half of a short one
-/// passes sooner: what must be spared at its end is no smaller for it.
+/// It is the part of the time that has passed, until requests move over. The end of a short one
+/// passes sooner: what must be spared there is no smaller for it. To move sooner instead would give
+/// a bad version more requests than it may have.
 #[must_use]
 pub fn elapsed(age_ms: u64, within_ms: u64) -> f64 {
     let (age, within) = (age_ms as f64, within_ms.max(1) as f64);
     let half = within / 2.0;
-    let done = (within - SPARE_MS).min(within * DONE).max(half + 1.0);
+    let done = (within - SPARE_MS).min(within * DONE).max(half + 2.0);
+    let moved = (within * MOVE_ALL).min(done - within * FULL_MIN).max(half + 1.0);
     match age {
         early if early <= half => early / within,
-        late => 0.5 + (late - half) / (done - half) * (DONE - 0.5),
+        middle if middle <= moved => between(middle, (half, 0.5), (moved, MOVE_ALL)),
+        late => between(late, (moved, MOVE_ALL), (done, DONE)),
     }
 }
 
+/// On the line through two points.
+fn between(x: f64, (x0, y0): (f64, f64), (x1, y1): (f64, f64)) -> f64 {
+    y0 + (x - x0) / (x1 - x0) * (y1 - y0)
+}
+
 /// The share of requests that the new version gets; see [`elapsed`].
 #[must_use]
 pub fn share(stage: Stage, elapsed: f64) -> f64 {
--- a/crates/policy/tests/canary.rs
+++ b/crates/policy/tests/canary.rs
@@ -232,10 +232,11 @@
 /// A version that fails only when the load rises later got more requests than a bad one may.
 #[test]
 fn share_of_undetected_version_is_within_bound() {
-    const WITHIN_MS: u64 = 24_000;
-    let shares = (0..WITHIN_MS).map(|age_ms| share(Stage::Moving, elapsed(age_ms, WITHIN_MS)));
-    let part = shares.sum::<f64>() / WITHIN_MS as f64;
-    assert!(part <= 0.0975, "{part}");
+    for within_ms in [12_000, 16_000, 20_000, 24_000, 60_000_u64] {
+        let shares = (0..within_ms).map(|age_ms| share(Stage::Moving, elapsed(age_ms, within_ms)));
+        let part = shares.sum::<f64>() / within_ms as f64;
+        assert!(part <= 0.0975, "{part} of {within_ms}");
+    }
 }
 
 /// The version fails only under a load that it never meets before everything has moved, so nothing
