A plain service's new version has the load of a peak until it is done

Change: until it is declared done, a plain service's version gets its requests at half as many servers as would have the usual load.

open_until_done_gives_plain_servers_the_load_of_a_peak is new; open_on_trial_gives_few_servers_the_load_to_come is as it was.

--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use entry::clock;
+use policy::canary;
 use policy::engine::{self, Ask, Engine};
 use policy::name::Name;
 use policy::place::mix;
@@ -27,7 +28,8 @@
 /// background, and serve again a moment after they can be reached.
 pub fn choose<C: Codec>(job: &Job<C>, pool: &Pool, version: &Name) -> Option<Arc<Backend>> {
     let now = clock::steady();
-    let open = pool.open(version, now).into_iter();
+    let load = if is_engine(job) { canary::USUAL_LOAD } else { canary::PEAK_LOAD };
+    let open = pool.open(version, load, now).into_iter();
     let untried = open.filter(|backend| !job.tries.tried.contains(&backend.id));
     let (reachable, unreachable): (Vec<_>, Vec<_>) = untried
         .partition(|backend| !job.tries.unreachable.contains(&backend.server.failure_domain));
@@ -70,17 +72,21 @@
     backends.get(index).map(|backend| Arc::clone(backend))
 }
 
+/// Whether it is answered by an engine, and not by a plain service.
+fn is_engine<C: Codec>(job: &Job<C>) -> bool {
+    !job.ask.parts.is_empty()
+}
+
 fn ask<C: Codec>(job: &Job<C>) -> Ask {
     let timing = job.state.timings.with(job.timing(), |timing| *timing);
     let objective = job.route().objective_ms as f64;
-    let is_engine = !job.ask.parts.is_empty();
     let shared = job.ask.parts.split_last().map_or(&[][..], |(_, shared)| shared);
     Ask {
         prompt: f64::from(job.ask.prompt_tokens),
         shared: shared.iter().map(|part| f64::from(part.tokens)).sum(),
         tokens_per_ms: job.tokens_per_ms(job.tries.model),
         service_ms: timing.whole.mean_ms(objective),
-        far_ms: objective * if is_engine { FAR_ENGINE } else { FAR_PLAIN },
+        far_ms: objective * if is_engine(job) { FAR_ENGINE } else { FAR_PLAIN },
         failure_ms: objective,
     }
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -85,16 +85,17 @@
 
     /// Backend servers of a version that requests are sent to now.
     ///
-    /// A version on trial has few requests. Spread over all of its servers they would leave each one
-    /// idle, and a version that fails only under load would show it when it has all requests, and
-    /// not before. So they go to so few servers that these have the load to come.
+    /// Until a version is declared done its requests go to so few of its servers that each has so
+    /// many times the load to come. Spread over all they would leave each one idle on trial, and a
+    /// version that fails only under load would show it when nothing can be taken back.
     #[must_use]
-    pub fn open<'a>(&'a self, version: &'a Name, now: Millis) -> Vec<&'a Arc<Backend>> {
+    pub fn open<'a>(&'a self, version: &'a Name, load: f64, now: Millis) -> Vec<&'a Arc<Backend>> {
         let mut open: Vec<_> = self.of(version).collect();
-        let trial = self.rollout.as_ref().filter(|rollout| rollout.target == *version);
+        let trial = self.rollout.as_ref();
+        let trial = trial.filter(|trial| trial.target == *version && trial.is_open());
         if let Some(share) = trial.map(|trial| trial.share(now)).filter(|share| *share > 0.0) {
             open.sort_unstable_by_key(|backend| mix(backend.hash));
-            open.truncate(canary::servers(share, open.len()));
+            open.truncate(canary::servers(share, open.len(), load));
         }
         open
     }
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -5,7 +5,7 @@
 
 use gateway::backend::Backend;
 use gateway::pool::{Pool, Rollout};
-use policy::canary::Stage;
+use policy::canary::{self, Stage};
 use policy::name::Name;
 use policy::time::Millis;
 
@@ -70,21 +70,42 @@
     let mut pool = pool(Stage::Trial, false);
     pool.backends.extend((0..59).map(|number| backend(&format!("new-{number}"), "v2")));
     let trial = Name::from("v2");
-    let open = |part: f64| pool.open(&trial, at(part)).len();
+    let open = |part: f64| pool.open(&trial, canary::USUAL_LOAD, at(part)).len();
     for part in [0.52, 0.7, 0.9] {
         let share = pool.rollout.as_ref().unwrap().share(at(part));
         // Each has at most what it will have, and not less than a half of it.
         let load = share * 60.0 / open(part) as f64;
         assert!((0.5..=1.0).contains(&load), "{load} at {part}");
     }
-    assert_eq!(pool.open(&Name::from("v1"), at(0.7)).len(), 1);
-    let same = |part| pool.open(&trial, at(part)).iter().map(|b| b.id.clone()).collect::<Vec<_>>();
+    assert_eq!(pool.open(&Name::from("v1"), canary::USUAL_LOAD, at(0.7)).len(), 1);
+    let same = |part| {
+        pool.open(&trial, canary::USUAL_LOAD, at(part))
+            .iter()
+            .map(|b| b.id.clone())
+            .collect::<Vec<_>>()
+    };
     assert!(same(0.9).starts_with(&same(0.52)), "servers are added, not exchanged");
 }
 
 #[test]
 fn open_with_all_requests_is_all_servers() {
     let pool = pool(Stage::Moving, false);
-    assert_eq!(pool.open(&Name::from("v2"), at(0.96)).len(), 1);
-    assert_eq!(pool.open(&Name::from("v2"), at(0.1)).len(), 1, "nothing is sent there yet");
+    assert_eq!(pool.open(&Name::from("v2"), canary::USUAL_LOAD, at(0.96)).len(), 1);
+    assert_eq!(
+        pool.open(&Name::from("v2"), canary::USUAL_LOAD, at(0.1)).len(),
+        1,
+        "nothing is sent there yet"
+    );
+}
+
+/// A plain service's version that fails only under load was declared done, and failed when the load
+/// rose: it had never had more than the load of a calm moment.
+#[test]
+fn open_until_done_gives_plain_servers_the_load_of_a_peak() {
+    let mut pool = pool(Stage::Moving, false);
+    pool.backends.extend((0..5).map(|number| backend(&format!("new-{number}"), "v2")));
+    let all = |pool: &Pool| pool.open(&Name::from("v2"), canary::PEAK_LOAD, at(0.98)).len();
+    assert_eq!(all(&pool), 3);
+    pool.rollout.as_mut().unwrap().stage = Stage::Done;
+    assert_eq!(all(&pool), 6);
 }
--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -41,6 +41,11 @@
 /// 0.0975 of all requests that a bad version may get on the largest fleets.
 const FIRST_SHARE: f64 = 0.05;
 const SECOND_SHARE: f64 = 0.065;
+/// Load on trial of servers that answer at once: that of a peak.
+pub const PEAK_LOAD: f64 = 2.0;
+/// Load on trial of engines. Their streams last for seconds, so that the load of a peak would build
+/// up only after the trial, and prompts would make good versions slow.
+pub const USUAL_LOAD: f64 = 1.0;
 /// Failures expected of any version, at least: none in the old version's few answers is no proof
 /// that it never fails.
 const FAILURES_MIN: f64 = 0.02;
@@ -209,11 +214,14 @@
     (place as f64) / ((1_u64 << 53) as f64) < share
 }
 
-/// Of so many servers of the new version, those that its share of requests goes to: each has the
-/// load then that it will have with all requests, or less.
+/// Of so many servers of the new version, those that its share of requests goes to until it is
+/// declared done: each has so many times the load that it will have.
+///
+/// A version that fails under load only must show it while the version before is still there: once
+/// it is not, nothing can be taken back when the load rises.
 #[must_use]
-pub fn servers(share: f64, all: usize) -> usize {
-    ((share * all as f64).ceil() as usize).clamp(1, all.max(1))
+pub fn servers(share: f64, all: usize, load: f64) -> usize {
+    ((share * all as f64 / load).ceil() as usize).clamp(1, all.max(1))
 }
 
 /// Whether an answer is slow, by its pace or its time and the usual one, in milliseconds.
