A stream that breaks after it was judged is counted once

Change: the first count is taken back. Hosts take each other's counts of as many answers if they hold more failures.

--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -24,6 +24,7 @@
 /// Connections that may fail to open for want of an answer before a request is given up. Refused
 /// ones have no such limit: each costs a millisecond, and a server that refused is not asked again.
 const UNSENT_MAX: u32 = 4;
+
 /// An answer that may be passed on.
 pub enum Accepted {
     /// All of it.
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -17,6 +17,15 @@
     NewAtFull,
 }
 
+/// An answer as it was counted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Counted {
+    /// Which version gave it.
+    pub origin: Origin,
+    /// What it said of the version.
+    pub sign: Sign,
+}
+
 /// Counts by service and route, for roll-outs under way.
 #[derive(Default)]
 pub struct Tally(Mutex<BTreeMap<Name, BTreeMap<Name, Evidence>>>);
@@ -39,6 +48,23 @@
         }
     }
 
+    /// Takes an answer back. A stream that was counted by its first events and breaks later is counted
+    /// as failed; counted twice, a version that fails so would seem to fail half as often.
+    pub fn forget(&self, service: &Name, route: &Name, counted: Counted) {
+        let mut tally = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(evidence) = tally.get_mut(service).and_then(|routes| routes.get_mut(route)) else {
+            return;
+        };
+        match counted.origin {
+            Origin::Old => evidence.old.forget(counted.sign),
+            Origin::New => evidence.new.forget(counted.sign),
+            Origin::NewAtFull => {
+                evidence.new.forget(counted.sign);
+                evidence.full.forget(counted.sign);
+            }
+        }
+    }
+
     /// What was counted for a service.
     #[must_use]
     pub fn of(&self, service: &Name) -> Vec<Evidence> {
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -18,7 +18,7 @@
 use crate::backend::Backend;
 use crate::carry::Accepted;
 use crate::codec::Codec;
-use crate::evidence::Origin;
+use crate::evidence::{Counted, Origin};
 use crate::job::Job;
 use crate::pool::Pool;
 use crate::relay::Live;
@@ -178,8 +178,13 @@
     ///
     /// Of a slow version few streams end before the verdict. Counted only at their ends, those
     /// that had been fast would speak for it.
-    pub fn note_pace(&self, backend: &Backend, pace_ms: f64) {
-        self.note_sign(backend, self.compare(backend, pace_ms, |timing| &mut timing.pace));
+    pub fn note_pace(&self, backend: &Backend, pace_ms: f64) -> Option<Counted> {
+        self.note_sign(backend, self.compare(backend, pace_ms, |timing| &mut timing.pace))
+    }
+
+    /// Takes a stream back that was counted by its pace, and has broken now.
+    pub fn forget_pace(&self, counted: Counted) {
+        self.state.tally.forget(&self.service, &self.route().name, counted);
     }
 
     /// Whether a time is much longer than usual; the versions before make up what is usual.
@@ -201,16 +206,17 @@
         if canary::is_slow(ms, usual_ms) { Sign::Slow } else { Sign::Good }
     }
 
-    fn note_sign(&self, backend: &Backend, sign: Sign) {
+    fn note_sign(&self, backend: &Backend, sign: Sign) -> Option<Counted> {
         let world = self.state.world.load();
         let pool: Option<&Arc<Pool>> = world.pools.get(&self.service);
         let trial = pool.and_then(|pool| pool.rollout.as_ref()).filter(|trial| trial.is_open());
-        let Some(trial) = trial else { return };
+        let trial = trial?;
         let origin = match backend.version == trial.target {
             false => Origin::Old,
             true if trial.has_all(clock::steady()) => Origin::NewAtFull,
             true => Origin::New,
         };
         self.state.tally.note(&self.service, &self.route().name, origin, sign);
+        Some(Counted { origin, sign })
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,6 +19,7 @@
 use crate::codec::Codec;
 use crate::end::{self, End, Passed};
 use crate::events::Splitter;
+use crate::evidence::Counted;
 use crate::job::Job;
 
 /// Pieces on their way to a caller that reads slowly; then the backend server waits as well.
@@ -39,6 +40,8 @@
     /// How soon its events follow one another, and when the last ones came.
     pace: Pace,
     came: Option<Instant>,
+    /// As it was counted for a roll-out.
+    counted: Option<Counted>,
     // Dropped with the stream: closes the connection, which stops the backend server's work.
     _connection: Connection,
     _lease: Lease,
@@ -71,6 +74,7 @@
             passed: Passed::default(),
             pace: Pace::default(),
             came: None,
+            counted: None,
             _connection: connection,
             _lease: lease,
         };
@@ -107,7 +111,7 @@
         let Some(before) = self.came.replace(now) else { return };
         let ms = now.saturating_duration_since(before).as_secs_f64() * 1_000.0;
         if let Some(pace_ms) = self.pace.note(events, ms) {
-            job.note_pace(&self.backend, pace_ms);
+            self.counted = job.note_pace(&self.backend, pace_ms);
         }
     }
 
@@ -167,6 +171,9 @@
             Err(end) => return finish(&job, &live, end),
         };
         let backend = Arc::clone(&live.backend);
+        if let Some(counted) = live.counted.filter(|_| !job.left().is_zero()) {
+            job.forget_pace(counted);
+        }
         job.blame(&backend, Failure::Lost(cause));
         let last = live.splitter.last();
         let passed = live.passed;
--- a/crates/node/src/counts.rs
+++ b/crates/node/src/counts.rs
@@ -56,11 +56,11 @@
 }
 
 /// Takes a host's count of a route if it is newer: counts only grow, and messages may overtake each
-/// other.
+/// other. A stream that breaks after it was counted makes one more failure of as many answers.
 pub fn merge(held: &mut Vec<Evidence>, one: Evidence) {
-    let answers = |one: &Evidence| one.old.answers + one.new.answers;
+    let seen = |one: &Evidence| (one.old.answers + one.new.answers, one.old.bad + one.new.bad);
     match held.iter_mut().find(|held| held.route == one.route) {
-        Some(known) if answers(known) >= answers(&one) => {}
+        Some(known) if seen(known) >= seen(&one) => {}
         Some(known) => *known = one,
         None => held.push(one),
     }
--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -153,6 +153,13 @@
         self.slow += u32::from(sign == Sign::Slow);
     }
 
+    /// Takes an answer back that was counted.
+    pub fn forget(&mut self, sign: Sign) {
+        let mut one = Self::default();
+        one.note(sign);
+        *self = self.less(one);
+    }
+
     /// Those that are not among others of its own.
     #[must_use]
     pub fn less(self, others: Self) -> Self {
--- a/crates/policy/tests/canary.rs
+++ b/crates/policy/tests/canary.rs
@@ -79,8 +79,6 @@
     assert_eq!(verdict(&[good, bad]), Verdict::Bad);
 }
 
-/// A service whose old version fails one request in seven: the new one fails no more often and is
-/// not worse for it.
 /// A version fails more often under the load that it has for a second before it is declared done,
 /// and shows it on one busy route. The other route's answers are nearly all good. Declared done it
 /// would serve all requests, bad or not, and nothing would stop it.
@@ -120,6 +118,8 @@
     assert_eq!(verdict(&usual), Verdict::Good);
 }
 
+/// A service whose old version fails one request in seven: the new one fails no more often and is
+/// not worse for it.
 #[test]
 fn weight_judged_against_old_version() {
     assert!(failure_weight(&evidence((200, 28), (30, 4))) < 0.0);
