A test waits for hosts to be ready, not only for the generation

Cause: a host is ready once it has also read the list of hosts, in a loop of its own, which the answer does not wait for and need not.

--- a/crates/control/tests/configuration.rs
+++ b/crates/control/tests/configuration.rs
@@ -17,8 +17,9 @@
     assert_eq!(answer.status, 200, "{}", answer.text());
     let hosts = ["host-0", "host-1", "host-2", "host-3"];
     assert_eq!(answer.json(), json!({"generation": 1, "in_force": hosts, "waiting": []}));
+    // A host is ready once it has read the list of hosts, too, which the answer does not wait for.
     for number in 0..4 {
-        assert!(deployment.ready(number).await);
+        wait_for(&format!("host {number} ready"), || deployment.ready(number)).await;
     }
 }
 
