Observability: what a request is, and whether a server ended

A failed try now names the request by a digest of account, method, path, query and body, and a host that loses a connection looks whether its server still listens and says so if not.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use entry::clock;
-use entry::connection::Connection;
+use entry::connection::{Cause, Connection};
 use entry::server::Server;
 use policy::backlog::{Backlog, Prompt};
 use policy::name::Name;
@@ -27,8 +27,10 @@
 const PROBE: Duration = Duration::from_millis(200);
 /// Between two questions to a server that can't be reached, in milliseconds.
 const ASK_MS: u64 = 200;
-/// Until a server that lives is looked at again.
+/// Until a server that lives is looked at again; longest wait for a connection then.
 const LOOK: Duration = Duration::from_millis(100);
+/// The same, in milliseconds.
+const LOOK_MS: u64 = LOOK.as_millis() as u64;
 /// Parts remembered for one engine at most.
 const PARTS_MAX: usize = 4_096;
 
@@ -62,6 +64,8 @@
     /// Connections, requests under way, health.
     pub server: Arc<Server>,
     belief: Mutex<Belief>,
+    /// When it was last looked whether it has ended, and whether it had.
+    looked: tokio::sync::Mutex<Option<(Millis, bool)>>,
 }
 
 /// An answer that has not begun, until dropped.
@@ -129,6 +133,7 @@
             hash: place::hash(row.id.as_bytes()),
             server: Arc::new(Server::new(row.id.clone(), row.address, domain)),
             belief: Mutex::default(),
+            looked: tokio::sync::Mutex::default(),
         }
     }
 
@@ -251,6 +256,31 @@
         }
     }
 
+    /// Looks, in the background, whether it has ended: a connection that breaks alone says nothing of
+    /// the server.
+    pub fn look_soon(self: &Arc<Self>) {
+        let backend = Arc::clone(self);
+        tokio::spawn(async move { backend.has_ended().await });
+    }
+
+    /// Whether nothing listens at its address any more. Those who ask together share one look.
+    pub async fn has_ended(&self) -> bool {
+        let mut looked = self.looked.lock().await;
+        let now = clock::steady();
+        if let Some((at, ended)) = *looked
+            && (ended || now.since(at) < LOOK_MS)
+        {
+            return ended;
+        }
+        let opened = Connection::open(self.server.address, LOOK).await;
+        let ended = opened.is_err_and(|failure| failure.cause == Cause::Refused);
+        *looked = Some((now, ended));
+        if ended {
+            log::info!(target: "route", backend:% = self.id; "backend server ended");
+        }
+        ended
+    }
+
     /// Opens a connection and closes it: a host that is unreachable, or behind a cut, takes none.
     async fn takes_connections(&self) -> bool {
         let taken = Connection::open(self.server.address, PROBE).await.is_ok();
--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -48,7 +48,10 @@
                     backend.note_refused(now);
                 }
             }
-            Failure::Lost(_) => {
+            Failure::Lost(cause) => {
+                if matches!(cause, Cause::Broken | Cause::Truncated) {
+                    backend.look_soon();
+                }
                 self.tries.may_have_run = true;
                 self.tries.new_only = true;
                 self.tries.tried.push(backend.id.clone());
@@ -65,7 +68,8 @@
             }
         }
         log::info!(target: "route", request:% = self.ask.id, backend:% = backend.id,
-            cause:? = failure, sent = self.tries.sent, left_ms = self.left().as_millis() as u64;
+            cause:? = failure, sent = self.tries.sent, digest:% = self.digest(),
+            left_ms = self.left().as_millis() as u64;
             "try failed");
     }
 }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -1,7 +1,7 @@
 //! The way in: route, account, body, then the request is carried.
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use entry::answer::Answer;
@@ -115,6 +115,7 @@
         started,
         until: started + Duration::from_millis(wait_ms),
         known: entered.known,
+        digest: OnceLock::new(),
         tries: Tries::default(),
     };
     match job.answer().await {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,7 +1,7 @@
 //! A request under way, and what its tries have come to.
 
-use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -9,6 +9,7 @@
 use hyper::{HeaderMap, Method, Uri};
 use policy::name::Name;
 use policy::place;
+use policy::poison::Digest;
 use policy::repeat::{Allowance, Window};
 use wire::routing::Route;
 
@@ -43,6 +44,8 @@
     pub started: Instant,
     /// When it is no longer waited for.
     pub until: Instant,
+    /// See [`Job::digest`].
+    pub digest: OnceLock<Digest>,
     /// What the tries so far have come to.
     pub tries: Tries,
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod end;
 pub mod events;
 pub mod evidence;
+pub mod fingerprint;
 pub mod handle;
 pub mod index;
 pub mod job;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod pace;
 pub mod patience;
 pub mod place;
+pub mod poison;
 pub mod precedence;
 pub mod prefill;
 pub mod probe;
