--- a/crates/standin/src/routed.rs
+++ b/crates/standin/src/routed.rs
@@ -12,6 +12,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use platform::names;
+use tokio::sync::Notify;
 
 use crate::reply;
 use crate::server::{Body, Cut, Handler};
@@ -87,6 +88,9 @@
 pub struct Routed {
     usual: Mutex<Act>,
     script: Mutex<VecDeque<Act>>,
+    /// It ends when it runs a request whose body is this.
+    ends_by: Mutex<Option<Bytes>>,
+    ending: Notify,
     arrivals: Mutex<Vec<Arrival>>,
     dropped: Arc<Mutex<Vec<Instant>>>,
 }
@@ -122,6 +126,8 @@
         Self {
             usual: Mutex::new(usual),
             script: Mutex::default(),
+            ends_by: Mutex::default(),
+            ending: Notify::new(),
             arrivals: Mutex::default(),
             dropped: Arc::default(),
         }
@@ -137,6 +143,16 @@
         lock(&self.script).push_back(act);
     }
 
+    /// From now on it ends when it runs a request with this body; see [`Self::ending`].
+    pub fn end_by(&self, body: &'static str) {
+        *lock(&self.ends_by) = Some(Bytes::from(body));
+    }
+
+    /// Waits until it has run such a request. Whoever waits has to close it.
+    pub async fn ending(&self) {
+        self.ending.notified().await;
+    }
+
     /// What reached it.
     #[must_use]
     pub fn arrivals(&self) -> Vec<Arrival> {
@@ -156,8 +172,13 @@
         let body = body.collect().await.map_err(|_| Cut)?.to_bytes();
         let path = head.uri.to_string();
         let headers = head.headers;
+        let ends = lock(&self.ends_by).as_ref() == Some(&body);
         let arrival = Arrival { headers: headers.clone(), path, body, at: Instant::now() };
         lock(&self.arrivals).push(arrival);
+        if ends {
+            self.ending.notify_one();
+            return std::future::pending().await;
+        }
         let act = lock(&self.script).pop_front().unwrap_or_else(|| lock(&self.usual).clone());
         let mut work = Work { dropped: Arc::clone(&self.dropped), is_done: false };
         let answered = act_on(act, &headers, &mut work).await;
