Requests that end the servers that run them are known again and held

Cause: nothing remembered a request beyond its own life. Its caller comes again with another id, at any host, and each time it was sent to as many servers as its route allows. Class: what is decided for one try at one host, though the same thing comes again elsewhere.

The change: a host notes which requests it lost when a server ended (its connections break and nothing listens there any more), and tells the hosts of its failure domain; across domains each host's row in the store is read by the host that speaks for a domain, while servers end. An answer clears a request. After two servers only one host at a time may send it, decided by a row changed under its version; after three it is held: refused at once with 503, not run, and when to come back.

Ruled out: holding after two servers.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -17,6 +17,7 @@
 use wire::backend;
 
 use crate::codec::{Load, Part};
+use crate::poison::Guard;
 
 /// Connection attempts in a row that must time out before the server is held ill. A lost packet
 /// delays one attempt past its time; two in a row are rare on a link that works.
@@ -258,17 +259,17 @@
 
     /// Looks, in the background, whether it has ended: a connection that breaks alone says nothing of
     /// the server.
-    pub fn look_soon(self: &Arc<Self>) {
-        let backend = Arc::clone(self);
-        tokio::spawn(async move { backend.has_ended().await });
+    pub fn look_soon(self: &Arc<Self>, poison: &Arc<Guard>) {
+        let (backend, poison) = (Arc::clone(self), Arc::clone(poison));
+        tokio::spawn(async move { backend.has_ended(&poison).await });
     }
 
     /// Whether nothing listens at its address any more. Those who ask together share one look.
-    pub async fn has_ended(&self) -> bool {
+    pub async fn has_ended(&self, poison: &Guard) -> bool {
         let mut looked = self.looked.lock().await;
         let now = clock::steady();
         if let Some((at, ended)) = *looked
-            && (ended || now.since(at) < LOOK_MS)
+            && now.since(at) < LOOK_MS
         {
             return ended;
         }
@@ -277,6 +278,7 @@
         *looked = Some((now, ended));
         if ended {
             log::info!(target: "route", backend:% = self.id; "backend server ended");
+            poison.ended(&self.id);
         }
         ended
     }
--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -25,7 +25,10 @@
                     _ => self.tries.unsent += 1,
                 }
                 match cause {
-                    Cause::Refused => backend.note_refused(now),
+                    Cause::Refused => {
+                        backend.note_refused(now);
+                        self.state.poison.ended(&backend.id);
+                    }
                     Cause::Silent => {
                         backend.note_timeout(now);
                         // A whole failure domain may be cut off. Trying its servers one after
@@ -46,12 +49,11 @@
                 self.tries.tried.push(backend.id.clone());
                 if misdirected {
                     backend.note_refused(now);
+                    self.state.poison.ended(&backend.id);
                 }
             }
             Failure::Lost(cause) => {
-                if matches!(cause, Cause::Broken | Cause::Truncated) {
-                    backend.look_soon();
-                }
+                self.note_broken(backend, cause);
                 self.tries.may_have_run = true;
                 self.tries.new_only = true;
                 self.tries.tried.push(backend.id.clone());
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Instant;
 
 use bytes::Bytes;
 use entry::carry::{self, Request as _, Step, carry};
@@ -78,6 +79,7 @@
         last_event: Option<u64>,
     ) -> Result<Reply, Failure> {
         self.tries.answering = false;
+        self.tries.head_at = None;
         let sending = Sending {
             backend: &backend.id,
             account: self.account.as_ref(),
@@ -89,6 +91,7 @@
         let reply = attempt::send(self, backend, &sending).await;
         self.tries.answering = reply.is_ok();
         if let Ok(reply) = &reply {
+            self.tries.head_at = Some(Instant::now());
             self.tries.expected_ms = reply.expected_ms as u64;
             self.tries.head_ms = reply.first_ms as u64;
         }
@@ -123,6 +126,9 @@
     }
 
     async fn attempt(&mut self, backend: &Arc<Backend>) -> Step<Accepted, Failure> {
+        if let Err(refusal) = self.permit().await {
+            return Step::Refused(refusal);
+        }
         let reply = match self.try_at(backend, self.ask.last_event).await {
             Ok(reply) => reply,
             Err(failure) => return Step::Failed(failure),
@@ -190,6 +196,9 @@
     }
 
     async fn attempt(&mut self, backend: &Arc<Backend>) -> Step<Live, Failure> {
+        if let Err(refusal) = self.job.permit().await {
+            return Step::Refused(refusal);
+        }
         let last = Some(self.last);
         let reply = match self.job.try_at(backend, last).await {
             Ok(reply) => reply,
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -88,6 +88,10 @@
     pub head_ms: u64,
     /// From its coming in to the beginning of its answer, in milliseconds; 0 before that.
     pub begun_ms: u64,
+    /// When the last try's answer began, if it has.
+    pub head_at: Option<Instant>,
+    /// The last try broke off there, and the server was not looked at yet.
+    pub broke_at: Option<Arc<Backend>>,
     /// The confidence with which a smaller model's answer was dropped.
     pub doubted: Option<u8>,
 }
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -43,6 +43,7 @@
             self.tries.model = larger;
             self.tries.may_have_run = true;
             reply.backend.note(false, clock::steady());
+            self.note_given_up(&reply.backend);
             return Ok(None);
         }
         if self.route().kind.is_stream() && status == StatusCode::OK {
@@ -83,6 +84,7 @@
             Ok(Err(_)) => return Err(Failure::Lost(Cause::Truncated)),
             Err(_) => return Err(Failure::Lost(Cause::Deadline)),
         };
+        self.note_answered();
         if !head.status.is_server_error() {
             backend.note(false, clock::steady());
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod job;
 pub mod judge;
 pub mod pick;
+pub mod poison;
 pub mod pool;
 pub mod refuse;
 pub mod relay;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -206,6 +206,7 @@
 fn finish<C: Codec>(job: &Job<C>, live: &Live, end: End) {
     if end == End::Answered {
         live.backend.note(false, clock::steady());
+        job.note_answered();
         let ms = live.sent_at.elapsed().as_secs_f64() * 1_000.0;
         if !live.pace.is_known() {
             job.note_version(&live.backend, Some(ms / f64::from(live.passed.events.max(1))));
@@ -215,6 +216,9 @@
             job.state.timings.with(job.timing(), |timing| timing.whole.note(ms, now));
         }
     }
+    if end == End::CallerGone {
+        job.note_given_up(&live.backend);
+    }
     end::log(job, end, live.passed);
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,5 +1,6 @@
 //! What all requests share.
 
+use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 
 use arc_swap::ArcSwap;
@@ -14,6 +15,7 @@
 
 use crate::backend::Prefill;
 use crate::evidence::Tally;
+use crate::poison::{Ask, Guard};
 use crate::timing::Timing;
 use crate::world::World;
 
@@ -43,6 +45,8 @@
     pub in_flight: AtomicUsize,
     /// Long prompts that were just sent, for the other hosts of the failure domain.
     pub prefills: mpsc::Sender<Prefill>,
+    /// Requests that were lost with their servers.
+    pub poison: Arc<Guard>,
     /// Cancelled when the store has been read for the first time, or could not be.
     pub started: CancellationToken,
     /// Cancelled when the process is to take no new connections.
@@ -56,10 +60,12 @@
         codec: C,
         allowance: Allowance,
         prefills: mpsc::Sender<Prefill>,
+        trials: mpsc::Sender<Ask>,
         stop: CancellationToken,
     ) -> Self {
         Self {
             prefills,
+            poison: Arc::new(Guard::new(trials)),
             codec,
             world: ArcSwap::default(),
             allowance: ArcSwap::from_pointee(allowance),
--- a/crates/node/src/catalog.rs
+++ b/crates/node/src/catalog.rs
@@ -35,6 +35,15 @@
     pub halted: Arc<AtomicBool>,
 }
 
+/// What became of a world that was made.
+#[derive(Debug, Default)]
+pub struct Published {
+    /// Everything that requests need has been read.
+    pub is_complete: bool,
+    /// Servers that took work until now and are no longer listed, without having said that they leave.
+    pub gone: Vec<Name>,
+}
+
 /// What was read.
 #[derive(Default)]
 struct Inner {
@@ -179,17 +188,19 @@
         self.lock().bases.get(service).cloned().unwrap_or_default()
     }
 
-    /// Makes the world as it is now what requests are decided by; whether it is complete.
+    /// Makes the world as it is now what requests are decided by.
     ///
     /// Both lists publish, on any thread. Were the lock given up in between, a world made before a
     /// table came could replace the one made after, and all requests be refused until the next
     /// change.
-    pub fn publish(&self, place: &ArcSwap<World>, now: Millis) -> bool {
+    pub fn publish(&self, place: &ArcSwap<World>, now: Millis) -> Published {
         let mut inner = self.lock();
+        let before = place.load_full();
         let world = inner.world(&self.failure_domain, now);
         let is_complete = world.is_complete;
+        let gone = inner.gone(&before);
         place.store(Arc::new(world));
-        is_complete
+        Published { is_complete, gone }
     }
 
     /// When the world changes by itself, if it does.
@@ -233,6 +244,16 @@
         }
     }
 
+    /// Servers of an earlier world that are no longer listed, or have started again.
+    fn gone(&self, before: &World) -> Vec<Name> {
+        let served = before.pools.values().flat_map(|pool| &pool.backends);
+        let gone = served.filter(|backend| {
+            let listed = self.backends.get(&backend.id);
+            listed.is_none_or(|listed| listed.born != backend.born)
+        });
+        gone.map(|backend| backend.id.clone()).collect()
+    }
+
     fn is_complete(&self) -> bool {
         let is_known = |known: &Known| known.record.is_some();
         self.index.version > 0 && self.has_roster && self.rollouts.values().all(is_known)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod history;
 pub mod operators;
 pub mod peers;
+pub mod poison;
 pub mod process;
 pub mod record;
 pub mod rollout;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -18,6 +18,8 @@
 use policy::canary::Evidence;
 use policy::domain;
 use policy::name::Name;
+use policy::poison::Suspect;
+use policy::poison::book::Source;
 use policy::time::Millis;
 use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
@@ -71,6 +73,10 @@
         pub reading: Vec<List>,
         /// Lists of which the sender knows nothing yet, and would take from who has them.
         pub lacks: Vec<List>,
+        /// Requests that were lost with their servers, with times of the sender's clock.
+        pub suspects: Vec<Suspect>,
+        /// The sender's clock.
+        pub now: Millis,
     }
 
     /// A host's own row: where it listens.
@@ -175,6 +181,7 @@
                         }
                     }
                     Notice::Counts => self.send_counts(speaker).await,
+                    Notice::Suspects => self.send_suspects(&known).await,
                     Notice::Incoming(list) => {
                         let host = self.host.clone();
                         let message = Message { host, incoming: vec![list], ..Message::default() };
@@ -203,7 +210,26 @@
             true => self.watch.catalog.records(clock::steady()),
             false => Vec::new(),
         };
-        Message { host: self.host.clone(), positions, records, ..Message::default() }
+        let now = clock::steady();
+        let suspects = self.state.poison.with(|book| book.suspects(now));
+        Message { host: self.host.clone(), positions, records, suspects, now, ..Message::default() }
+    }
+
+    /// Tells all hosts known what is new of requests that were lost with their servers, in as many
+    /// messages as it takes.
+    async fn send_suspects(&self, known: &HashMap<SocketAddr, Millis>) {
+        let now = clock::steady();
+        let mut parts = vec![self.state.poison.with(|book| book.for_peers(now))];
+        while let Some(mut suspects) = parts.pop() {
+            let host = self.host.clone();
+            let message = Message { host, suspects: suspects.clone(), now, ..Message::default() };
+            if suspects.len() > 1 && !fits(&message) {
+                let rest = suspects.split_off(suspects.len() / 2);
+                parts.extend([rest, suspects]);
+            } else if !suspects.is_empty() {
+                self.send(known.keys().copied().collect(), message).await;
+            }
+        }
     }
 
     /// Tells the host that speaks for the domain what this one counted, in as many messages as it
@@ -310,6 +336,10 @@
         for counting in message.counted {
             self.watch.counts.take(&message.host, counting);
         }
+        let ours = message.suspects.into_iter().map(|told| told.on_clock(message.now, now));
+        for told in ours {
+            self.state.poison.learn(&told, Source::Peer);
+        }
         let world = self.state.world.load();
         for prefill in &message.prefills {
             let backends = world.pools.values().flat_map(|pool| &pool.backends);
@@ -342,12 +372,14 @@
 /// A message as it is sent: without changes if it is too long with them, which are then had by a
 /// call; without prefills if it is too long still, which are hints only.
 fn write(mut message: Message) -> Option<Vec<u8>> {
-    let shorten: [fn(&mut Message); 4] = [
+    let shorten: [fn(&mut Message); 5] = [
         |_| {},
         |message| message.positions.iter_mut().for_each(|position| position.changes = None),
         |message| message.prefills.clear(),
         // They are read by each host for itself then.
         |message| message.records.clear(),
+        // Those who need them heard of them when they were new, or read the store.
+        |message| message.suspects.clear(),
     ];
     for step in shorten {
         step(&mut message);
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -25,6 +25,7 @@
 use crate::follow::Follow;
 use crate::operators::{self, Subject};
 use crate::peers::Peers;
+use crate::poison::Poison;
 use crate::rollout::Rollouts;
 use crate::store::{List, Store};
 use crate::watch::{self, Watch};
@@ -44,6 +45,8 @@
 const NOTICES: usize = 8;
 /// Prefills that wait to be announced.
 const PREFILLS: usize = 64;
+/// Requests that wait for leave to be tried.
+const TRIALS: usize = 16;
 /// Kept of the time to stop, for the process's own end.
 const RESERVE: Duration = Duration::from_millis(500);
 
@@ -118,7 +121,8 @@
     stop: CancellationToken,
 ) {
     let (prefills, announced) = mpsc::channel(PREFILLS);
-    let state = Arc::new(State::new(codec, allowance(&settings), prefills, stop.clone()));
+    let (trials, asked) = mpsc::channel(TRIALS);
+    let state = Arc::new(State::new(codec, allowance(&settings), prefills, trials, stop.clone()));
     let catalog = Arc::new(Catalog::new(settings.failure_domain.clone()));
     let (orders, ordered) = mpsc::unbounded_channel();
     let (notifier, notices) = mpsc::channel(NOTICES);
@@ -142,6 +146,7 @@
         failure_domain: settings.failure_domain.clone(),
         watch: Arc::clone(&watch),
     };
+    let poison = Poison { host: settings.name.clone(), watch: Arc::clone(&watch) };
     let follows = Arc::clone(&watch.follows);
     let subject = Arc::new(Subject { state: Arc::clone(&state), catalog, follows, metrics });
     let mut background = vec![
@@ -149,6 +154,7 @@
         spawn(Arc::clone(&watch).run(List::Backends)),
         spawn(Arc::clone(&watch).settle()),
         spawn(Arc::new(rollouts).run(ordered)),
+        spawn(Arc::new(poison).run(asked, settings.first_start)),
         spawn(operators::serve(listeners.operators, Arc::clone(&subject))),
     ];
     if let Some(listener) = listeners.metrics {
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -81,13 +81,6 @@
         &self.watch.state
     }
 
-    /// Whether this host calls the store for a roll-out, for its domain or for itself.
-    fn speaks(&self) -> bool {
-        let relay = self.watch.follow(List::Operators).relay();
-        let now = clock::steady();
-        relay.is_alone(now) || relay.reads_for_others(now)
-    }
-
     async fn carry_out(self: Arc<Self>, service: Name) {
         let now = Instant::now();
         let mut course = Course { service, written: ByHost::new(), next: now, tell: now };
@@ -110,7 +103,7 @@
     /// Looks at all hosts' counts if it is time to, or tells this host's.
     async fn advance(&self, course: &mut Course, known: &Known, is_due: bool) {
         let now = Instant::now();
-        if !self.speaks() {
+        if !self.watch.speaks() {
             if now >= course.tell {
                 course.tell = now + TELL;
                 self.watch.tell_counts();
@@ -154,7 +147,7 @@
             if known.record.is_some() {
                 return;
             }
-            if !self.speaks() && began.elapsed() < HEAR {
+            if !self.watch.speaks() && began.elapsed() < HEAR {
                 tokio::time::sleep(LOOK).await;
                 continue;
             }
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -6,6 +6,7 @@
 use policy::canary::Stage;
 use policy::domain;
 use policy::name::Name;
+use policy::poison::{Suspect, Verdict};
 use policy::time::Millis;
 
 use crate::catalog::Catalog;
@@ -34,6 +35,18 @@
         pub services: BTreeMap<Name, Service>,
         /// Requests under way.
         pub requests: u64,
+        /// Requests that servers ended under, which are not sent freely.
+        pub held: Vec<Held>,
+    }
+
+    /// A request that servers ended under.
+    pub struct Held {
+        /// Its digest, as it stands in the logs.
+        pub digest: Name,
+        /// The servers' starts.
+        pub servers: Vec<Name>,
+        /// Until it is tried again, in milliseconds; 0 if one host at a time may send it now.
+        pub hold_ms: u64,
     }
 
     /// One service.
@@ -101,10 +114,27 @@
                 .collect(),
             services: services.collect(),
             requests: requests as u64,
+            held: state
+                .poison
+                .with(|book| book.suspects(now))
+                .iter()
+                .map(|s| held(s, now))
+                .collect(),
         }
     }
 }
 
+fn held(suspect: &Suspect, now: Millis) -> Held {
+    Held {
+        digest: Name::from(suspect.digest.to_string()),
+        servers: suspect.crashes.iter().map(|crash| crash.server.clone()).collect(),
+        hold_ms: match suspect.verdict(now) {
+            Verdict::Hold(ms) => ms,
+            Verdict::Run | Verdict::Trial { .. } => 0,
+        },
+    }
+}
+
 fn service(pool: &gateway::pool::Pool, now: Millis) -> Service {
     let backends =
         pool.backends.iter().map(|backend| (backend.id.clone(), self::backend(backend, now)));
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -79,6 +79,8 @@
     Incoming(List),
     /// All of them: this host is reading all of a list.
     WholeRead(List),
+    /// All of them: what is new of requests that were lost with their servers.
+    Suspects,
 }
 
 /// How long changes may take, as the settings say.
@@ -90,9 +92,16 @@
 impl<S: Store, C: Codec> Watch<S, C> {
     /// Makes the world anew.
     pub fn publish(&self) {
-        if self.catalog.publish(&self.state.world, clock::steady()) {
+        let published = self.catalog.publish(&self.state.world, clock::steady());
+        if published.is_complete {
             self.state.started.cancel();
         }
+        for server in &published.gone {
+            self.state.poison.ended(server);
+        }
+        if !published.gone.is_empty() {
+            self.state.poison.alarm();
+        }
     }
 
     /// A list as it is followed.
@@ -247,7 +256,15 @@
         self.notify(Notice::Counts);
     }
 
-    fn notify(&self, notice: Notice) {
+    /// Whether this host calls the store for what concerns its failure domain, or itself alone.
+    pub fn speaks(&self) -> bool {
+        let relay = self.follow(List::Operators).relay();
+        let now = clock::steady();
+        relay.is_alone(now) || relay.reads_for_others(now)
+    }
+
+    /// Has the other hosts of the failure domain notified.
+    pub fn notify(&self, notice: Notice) {
         if self.notifier.try_send(notice).is_err() {
             // The sender is behind, or there is none. The others hear with the next word, or read
             // for themselves.
--- /dev/null
+++ b/crates/policy/src/poison/book.rs
@@ -0,0 +1,272 @@
+//! What one host knows of requests that were lost with their servers.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use super::{Crash, Digest, Suspect, Verdict};
+use crate::domain;
+use crate::name::Name;
+use crate::time::Millis;
+
+/// Requests remembered at most.
+const SUSPECTS_MAX: usize = 512;
+/// Lost runs remembered at most, until it is known whether their servers have ended.
+const LOST_MAX: usize = 1_024;
+/// How long that may take, in milliseconds. A server that falls silent is known to have ended when
+/// the list of servers says so.
+const LOST_MS: u64 = 5_000;
+/// A run that was given up is its server's doing if that ends within this time, in milliseconds.
+const GIVEN_UP_MS: u64 = 500;
+/// A run that is lost this long after its server's end is lost by it, in milliseconds.
+const ENDED_MS: u64 = 1_000;
+/// Ends of servers remembered at most.
+const ENDED_MAX: usize = 256;
+/// A request lost with one server is told of only if it is not answered elsewhere within this time,
+/// in milliseconds: nearly all are.
+const UNANSWERED_MS: u64 = 1_000;
+/// Requests told of at once at most.
+const TOLD_MAX: usize = 24;
+
+domain! {
+    /// A run of a request.
+    pub struct Run {
+        /// The request.
+        pub digest: Digest,
+        /// The server's start.
+        pub server: Name,
+        /// See [`Crash::is_early`].
+        pub is_early: bool,
+    }
+}
+
+/// Who has to be told of what is known of a request.
+#[derive(Clone, Copy, Debug, Default)]
+struct Untold {
+    store: bool,
+    peers: bool,
+}
+
+#[derive(Debug)]
+struct Lost {
+    run: Run,
+    at: Millis,
+    /// It is its server's doing if the server ends by then.
+    until: Millis,
+}
+
+#[derive(Debug)]
+struct Known {
+    suspect: Suspect,
+    untold: Untold,
+    /// This host lost it with a server, or answered it.
+    is_own: bool,
+    /// Others have been told of it, so they are told when it is cleared.
+    is_told: bool,
+}
+
+/// Where something was learnt of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// From another host of the failure domain, which tells all of them.
+    Peer,
+    /// From the store; the other hosts of the failure domain don't know it yet.
+    Store,
+}
+
+/// What one host knows.
+#[derive(Debug, Default)]
+pub struct Book {
+    known: BTreeMap<Digest, Known>,
+    lost: VecDeque<Lost>,
+    ended: VecDeque<(Name, Millis)>,
+}
+
+impl Book {
+    /// Whether nothing speaks against any request.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    /// A run was lost.
+    pub fn lost(&mut self, run: Run, now: Millis) {
+        self.ended.retain(|(_, at)| now.since(*at) < ENDED_MS);
+        match self.ended.iter().any(|(server, _)| *server == run.server) {
+            true => self.crashed(run, now, now),
+            false => self.await_end(Lost { run, at: now, until: now + LOST_MS }, now),
+        }
+    }
+
+    /// A run was given up while its server worked on it. The server may end of it all the same.
+    pub fn given_up(&mut self, run: Run, now: Millis) {
+        self.await_end(Lost { run, at: now, until: now + GIVEN_UP_MS }, now);
+    }
+
+    fn await_end(&mut self, lost: Lost, now: Millis) {
+        self.lost.retain(|lost| now < lost.until);
+        if self.lost.len() >= LOST_MAX {
+            self.lost.pop_front();
+        }
+        self.lost.push_back(lost);
+    }
+
+    /// A server has ended; the requests that were lost with it.
+    pub fn ended(&mut self, server: &Name, now: Millis) -> Vec<Digest> {
+        self.ended.retain(|(ended, _)| ended != server);
+        if self.ended.len() >= ENDED_MAX {
+            self.ended.pop_front();
+        }
+        self.ended.push_back((server.clone(), now));
+        let lost = std::mem::take(&mut self.lost);
+        let is_here = |lost: &Lost| lost.run.server == *server;
+        let (here, elsewhere): (VecDeque<Lost>, _) = lost.into_iter().partition(is_here);
+        self.lost = elsewhere;
+        let mut digests = Vec::new();
+        for Lost { run, at, .. } in here.into_iter().filter(|lost| now < lost.until) {
+            digests.push(run.digest);
+            self.crashed(run, at, now);
+        }
+        digests
+    }
+
+    fn crashed(&mut self, run: Run, at: Millis, now: Millis) {
+        let Run { digest, server, is_early } = run;
+        let known = self.entry(digest, now);
+        if known.suspect.add(Crash { server, at, is_early }) {
+            known.is_own = true;
+            known.untold = Untold { store: true, peers: true };
+        }
+    }
+
+    /// A server has answered it.
+    pub fn answered(&mut self, digest: Digest, now: Millis) {
+        self.lost.retain(|lost| lost.run.digest != digest);
+        if let Some(known) = self.known.get_mut(&digest) {
+            // Once in a while is enough: a request that comes often is answered often.
+            let is_cleared = known.suspect.crashes.is_empty();
+            if known.suspect.clear(now) && !is_cleared {
+                known.is_own = true;
+                known.untold = Untold { store: true, peers: true };
+            }
+        }
+    }
+
+    /// Something was learnt of a request, with times of this host's clock; whether it is news.
+    pub fn learn(&mut self, told: &Suspect, source: Source, now: Millis) -> bool {
+        let known = self.entry(told.digest, now);
+        let cleared = told.answered_at.is_some_and(|at| known.suspect.clear(at));
+        let added = told.crashes.iter().filter(|crash| known.suspect.add((*crash).clone())).count();
+        let is_news = cleared || added > 0;
+        known.is_told |= is_news;
+        known.untold.peers |= is_news && source == Source::Store;
+        is_news
+    }
+
+    /// What is to be done with a request.
+    #[must_use]
+    pub fn verdict(&self, digest: Digest, now: Millis) -> Verdict {
+        self.known.get(&digest).map_or(Verdict::Run, |known| known.suspect.verdict(now))
+    }
+
+    /// What is known of a request.
+    #[must_use]
+    pub fn suspect(&self, digest: Digest) -> Option<&Suspect> {
+        self.known.get(&digest).map(|known| &known.suspect)
+    }
+
+    /// Whether somebody may have to be told of something, now or soon.
+    #[must_use]
+    pub fn has_untold(&self) -> bool {
+        self.known.values().any(|known| known.untold.store || known.untold.peers)
+    }
+
+    /// What the other hosts of the failure domain are to be told now.
+    pub fn for_peers(&mut self, now: Millis) -> Vec<Suspect> {
+        self.settle(now);
+        let due = self.known.values_mut().filter(|known| known.untold.peers && is_due(known, now));
+        let due = due.take(TOLD_MAX).map(|known| {
+            known.untold.peers = false;
+            known.is_told = true;
+            known.suspect.clone()
+        });
+        due.collect()
+    }
+
+    /// What this host's row in the store is to say now; none if it stays as it is. The newest come
+    /// first where there are too many.
+    pub fn for_store(&mut self, now: Millis) -> Option<Vec<Suspect>> {
+        self.settle(now);
+        let mut due = self.known.values().filter(|known| known.untold.store);
+        if !due.any(|known| is_due(known, now)) {
+            return None;
+        }
+        let own = self.known.values_mut().filter(|known| known.is_own && is_due(known, now));
+        let mut own: Vec<Suspect> = own
+            .map(|known| {
+                known.untold.store = false;
+                known.is_told = true;
+                known.suspect.clone()
+            })
+            .collect();
+        own.sort_by_key(|suspect| std::cmp::Reverse((suspect.servers(now), suspect.last())));
+        own.truncate(TOLD_MAX);
+        Some(own)
+    }
+
+    /// The store did not take this host's row.
+    pub fn untaken(&mut self, row: &[Suspect]) {
+        for suspect in row {
+            if let Some(known) = self.known.get_mut(&suspect.digest) {
+                known.untold.store = true;
+            }
+        }
+    }
+
+    /// Requests that are held or sent by one host at a time, for a host that has just come.
+    #[must_use]
+    pub fn suspects(&self, now: Millis) -> Vec<Suspect> {
+        let all = self.known.values().map(|known| &known.suspect);
+        let suspects = all.filter(|suspect| suspect.verdict(now) != Verdict::Run);
+        suspects.take(TOLD_MAX).cloned().collect()
+    }
+
+    /// Forgets what is over, and does not wait to tell of what nobody needs to know.
+    fn settle(&mut self, now: Millis) {
+        self.known.retain(|_, known| !known.suspect.is_forgotten(now));
+        for known in self.known.values_mut() {
+            let is_cleared = known.suspect.crashes.is_empty() && !known.is_told;
+            let waited = known.suspect.last().is_some_and(|last| now.since(last) > UNANSWERED_MS);
+            let is_minor = waited && !known.suspect.is_notable(now, UNANSWERED_MS);
+            if is_cleared || is_minor && !known.is_told {
+                known.untold = Untold::default();
+            }
+        }
+    }
+
+    fn entry(&mut self, digest: Digest, now: Millis) -> &mut Known {
+        if self.known.len() >= SUSPECTS_MAX && !self.known.contains_key(&digest) {
+            self.make_room(now);
+        }
+        self.known.entry(digest).or_insert_with(|| Known {
+            suspect: Suspect::new(digest),
+            untold: Untold::default(),
+            is_own: false,
+            is_told: false,
+        })
+    }
+
+    /// Gives up the one that least speaks against. Many victims must not push out the one that ends
+    /// servers.
+    fn make_room(&mut self, now: Millis) {
+        let rank = |known: &Known| (known.suspect.servers(now), known.suspect.last());
+        let least = self.known.iter().min_by_key(|(_, known)| rank(known));
+        if let Some(digest) = least.map(|(digest, _)| *digest) {
+            self.known.remove(&digest);
+        }
+    }
+}
+
+/// Whether others should know of it now.
+fn is_due(known: &Known, now: Millis) -> bool {
+    let was_cleared = known.is_told && known.suspect.answered_at.is_some();
+    was_cleared || known.suspect.is_notable(now, UNANSWERED_MS)
+}
--- /dev/null
+++ b/crates/policy/tests/poison.rs
@@ -0,0 +1,391 @@
+//! Requests that end the servers that run them, and their victims.
+
+use fuzz::check;
+use policy::name::Name;
+use policy::poison::book::Source;
+use policy::poison::{Book, Crash, Digest, Polls, Run, Suspect, Verdict, trial_ms};
+use policy::time::Millis;
+
+const START: Millis = Millis(1_000_000);
+const DEADLY: Digest = Digest(7);
+
+fn run(digest: Digest, server: &str) -> Run {
+    Run { digest, server: Name::from(server), is_early: true }
+}
+
+/// It is lost with so many servers, one a second.
+fn lose(book: &mut Book, digest: Digest, servers: u64) -> Millis {
+    for number in 0..servers {
+        let now = START + number * 1_000;
+        let server = format!("server-{number}");
+        book.lost(run(digest, &server), now);
+        book.ended(&Name::from(server.as_str()), now + 2);
+    }
+    START + servers.saturating_sub(1) * 1_000
+}
+
+#[test]
+fn verdict_follows_the_servers_that_ended() {
+    let mut book = Book::default();
+    let last = lose(&mut book, DEADLY, 1);
+    assert_eq!(book.verdict(DEADLY, last), Verdict::Run);
+    let last = lose(&mut book, DEADLY, 2);
+    assert_eq!(book.verdict(DEADLY, last), Verdict::Trial { servers: 2 });
+    let last = lose(&mut book, DEADLY, 3);
+    assert_eq!(book.verdict(DEADLY, last), Verdict::Hold(60_000));
+    assert_eq!(book.verdict(DEADLY, last + 60_000), Verdict::Trial { servers: 3 });
+}
+
+#[test]
+fn verdict_leaves_three_tries_after_the_third_server() {
+    let mut book = Book::default();
+    let mut now = lose(&mut book, DEADLY, 3);
+    let day_ends = now + 20 * 3_600_000;
+    let mut tries = 0;
+    while now < day_ends {
+        match book.verdict(DEADLY, now) {
+            Verdict::Hold(ms) => now = now + ms,
+            Verdict::Run => panic!("sent again as if nothing had happened"),
+            Verdict::Trial { .. } => {
+                tries += 1;
+                let server = format!("late-{tries}");
+                book.lost(run(DEADLY, &server), now);
+                book.ended(&Name::from(server.as_str()), now);
+            }
+        }
+    }
+    assert_eq!(tries, 3);
+}
+
+#[test]
+fn answer_clears_what_was_lost_before() {
+    let mut book = Book::default();
+    let last = lose(&mut book, DEADLY, 2);
+    book.answered(DEADLY, last + 10);
+    assert_eq!(book.verdict(DEADLY, last + 10), Verdict::Run);
+    // Another host tells of a loss that is older than the answer.
+    let crash = Crash { server: Name::from("elsewhere"), at: last, is_early: true };
+    let told = Suspect { crashes: vec![crash], ..Suspect::new(DEADLY) };
+    assert!(!book.learn(&told, Source::Peer, last + 20));
+    assert_eq!(book.verdict(DEADLY, last + 20), Verdict::Run);
+}
+
+#[test]
+fn broken_connection_alone_speaks_against_nothing() {
+    let mut book = Book::default();
+    for number in 0..5 {
+        book.lost(run(DEADLY, &format!("server-{number}")), START);
+    }
+    assert_eq!(book.verdict(DEADLY, START + 100), Verdict::Run);
+}
+
+#[test]
+fn run_given_up_counts_if_its_server_ends_at_once() {
+    let mut book = Book::default();
+    lose(&mut book, DEADLY, 1);
+    book.given_up(run(DEADLY, "dropped"), START + 1_000);
+    book.ended(&Name::from("dropped"), START + 1_050);
+    assert_eq!(book.verdict(DEADLY, START + 1_050), Verdict::Trial { servers: 2 });
+    let mut book = Book::default();
+    lose(&mut book, DEADLY, 1);
+    book.given_up(run(DEADLY, "dropped"), START + 1_000);
+    book.ended(&Name::from("dropped"), START + 4_000);
+    assert_eq!(book.verdict(DEADLY, START + 4_000), Verdict::Run);
+}
+
+#[test]
+fn late_ends_count_half() {
+    let mut book = Book::default();
+    for number in 0..3 {
+        let server = format!("server-{number}");
+        let at = START + number * 1_000;
+        book.lost(Run { is_early: false, ..run(DEADLY, &server) }, at);
+        book.ended(&Name::from(server.as_str()), at);
+    }
+    assert_eq!(book.verdict(DEADLY, START + 2_000), Verdict::Run);
+    book.lost(run(DEADLY, "early"), START + 3_000);
+    book.ended(&Name::from("early"), START + 3_000);
+    assert_eq!(book.verdict(DEADLY, START + 3_000), Verdict::Trial { servers: 2 });
+}
+
+/// Guards against many victims pushing the request that ends servers out of a full table.
+#[test]
+fn full_table_keeps_what_is_held() {
+    let mut book = Book::default();
+    let last = lose(&mut book, DEADLY, 3);
+    for victim in 1_000..3_000 {
+        book.lost(run(Digest(victim), "shared"), last + 10_000);
+        book.ended(&Name::from("shared"), last + 10_000);
+    }
+    assert!(matches!(book.verdict(DEADLY, last + 10_000), Verdict::Hold(_)));
+}
+
+/// Guards against hosts that part: whatever they hear first, and however often, they decide alike.
+#[test]
+fn told_in_any_order_decides_alike() {
+    check(300, |losses: &Vec<(u8, u8, u16, bool, bool)>| {
+        let told: Vec<Suspect> = losses
+            .iter()
+            .map(|(digest, server, at, is_early, answered)| {
+                let mut suspect = Suspect::new(Digest(u64::from(*digest % 3)));
+                let at = START + u64::from(*at) * 10;
+                match answered {
+                    true => suspect.answered_at = Some(at),
+                    false => suspect.crashes.push(Crash {
+                        server: Name::from(format!("server-{server}-{at:?}")),
+                        at,
+                        is_early: *is_early,
+                    }),
+                }
+                suspect
+            })
+            .collect();
+        let now = START + 700_000;
+        let (mut one, mut other) = (Book::default(), Book::default());
+        for told in &told {
+            one.learn(told, Source::Peer, now);
+        }
+        for told in told.iter().rev().chain(&told) {
+            other.learn(told, Source::Store, now);
+        }
+        for digest in 0..3 {
+            let verdicts = [&one, &other].map(|book| book.verdict(Digest(digest), now));
+            assert_eq!(verdicts[0], verdicts[1]);
+        }
+    });
+}
+
+const HOSTS: usize = 300;
+const DOMAINS: usize = 6;
+const SERVERS: u64 = 160;
+const STEP_MS: u64 = 100;
+/// Hosts tell each other what is held whenever they give a sign of life, so often in steps.
+const SIGN_STEPS: u64 = 50;
+/// Hosts in touch know of the third server's end by then.
+const CONTACT_MS: u64 = 3_000;
+/// A list of servers says so late that one has ended.
+const LISTED_MS: u64 = 2_500;
+/// One message of so many between two hosts is lost.
+const LOST_PART: u64 = 10;
+/// Requests under way at a server when it ends.
+const VICTIMS: usize = 8;
+
+/// Many hosts, each with its own book, and what passes between them.
+struct Fleet {
+    now: Millis,
+    hosts: Vec<(Book, Polls)>,
+    rows: Vec<Vec<Suspect>>,
+    /// Told to a host, and when it comes.
+    messages: Vec<(Millis, usize, Suspect)>,
+    ends: Vec<Millis>,
+    trial: Option<Millis>,
+    draws: u64,
+    /// Each came to its end at some host, and may come again.
+    victims: Vec<Digest>,
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Self {
+        Self {
+            now: START,
+            hosts: (0..HOSTS).map(|_| <(Book, Polls)>::default()).collect(),
+            rows: vec![Vec::new(); HOSTS],
+            messages: Vec::new(),
+            ends: Vec::new(),
+            trial: None,
+            draws: seed,
+            victims: Vec::new(),
+        }
+    }
+
+    fn draw(&mut self, below: usize) -> usize {
+        self.draws = policy::place::mix(self.draws.wrapping_add(0x9e37_79b9));
+        (self.draws >> 16) as usize % below
+    }
+
+    /// A server ends under a request at a host, and under others at other hosts.
+    fn end_server(&mut self, host: usize, digest: Digest) {
+        self.ends.push(self.now);
+        let server = Name::from(format!("start-{}", self.ends.len()));
+        let mut lost = vec![(host, digest)];
+        for _ in 0..VICTIMS {
+            let victim = Digest(1_000 + self.victims.len() as u64);
+            self.victims.push(victim);
+            lost.push((self.draw(HOSTS), victim));
+        }
+        for (host, digest) in lost {
+            let (book, polls) = &mut self.hosts[host];
+            book.lost(Run { digest, server: server.clone(), is_early: true }, self.now);
+            book.ended(&server, self.now);
+            polls.hurry(self.now);
+        }
+    }
+
+    /// The deadly request comes to a host, which tries it at servers while it may.
+    fn strike(&mut self, host: usize) {
+        for _ in 0..3 {
+            match self.hosts[host].0.verdict(DEADLY, self.now) {
+                Verdict::Hold(_) => return,
+                Verdict::Run => self.end_server(host, DEADLY),
+                Verdict::Trial { servers } => {
+                    let is_recent = |at: Millis| self.now.since(at) < trial_ms(servers);
+                    if self.trial.is_some_and(is_recent) {
+                        return;
+                    }
+                    self.trial = Some(self.now);
+                    self.end_server(host, DEADLY);
+                }
+            }
+        }
+    }
+
+    fn pass_time(&mut self) {
+        self.now = self.now + STEP_MS;
+        let now = self.now;
+        let listed = |end: &&Millis| now.since(**end).abs_diff(LISTED_MS) < STEP_MS / 2;
+        if self.ends.iter().any(|end| listed(&end)) {
+            self.hosts.iter_mut().for_each(|(_, polls)| polls.alarm(now));
+        }
+        for host in 0..HOSTS {
+            self.tell(host);
+            // The first host of each domain reads for the others.
+            if host < DOMAINS && self.hosts[host].1.is_due(now) {
+                self.read(host);
+            }
+        }
+        let (due, later) = std::mem::take(&mut self.messages).into_iter().partition(|m| m.0 <= now);
+        self.messages = later;
+        let due: Vec<(Millis, usize, Suspect)> = due;
+        for (_, host, told) in due {
+            let (book, polls) = &mut self.hosts[host];
+            if book.learn(&told, Source::Peer, now) {
+                polls.hurry(now);
+            }
+        }
+    }
+
+    fn tell(&mut self, host: usize) {
+        let (book, _) = &mut self.hosts[host];
+        let mut told = Vec::new();
+        if (self.now.0 / STEP_MS + host as u64).is_multiple_of(SIGN_STEPS) {
+            told = book.suspects(self.now);
+        }
+        if book.has_untold() {
+            told.extend(book.for_peers(self.now));
+            if let Some(row) = book.for_store(self.now) {
+                self.rows[host] = row;
+            }
+        }
+        for suspect in told {
+            for peer in (host % DOMAINS..HOSTS).step_by(DOMAINS) {
+                if self.draw(LOST_PART as usize) > 0 {
+                    self.messages.push((self.now + STEP_MS, peer, suspect.clone()));
+                }
+            }
+        }
+    }
+
+    fn read(&mut self, host: usize) {
+        let (book, polls) = &mut self.hosts[host];
+        let news =
+            self.rows.iter().flatten().filter(|told| book.learn(told, Source::Store, self.now));
+        let is_news = news.count() > 0;
+        polls.read(is_news, self.now);
+    }
+
+    /// Servers that ended later than all hosts in touch were to know of the third.
+    fn retries(&self) -> usize {
+        let Some(third) = self.ends.get(2) else { return 0 };
+        self.ends.iter().filter(|end| end.since(*third) > CONTACT_MS).count()
+    }
+
+    /// Victims that some host would not send.
+    fn held_victims(&self) -> usize {
+        let is_held = |victim: &&Digest| {
+            let mut verdicts = self.hosts.iter().map(|(book, _)| book.verdict(**victim, self.now));
+            verdicts.any(|verdict| matches!(verdict, Verdict::Hold(_)))
+        };
+        self.victims.iter().filter(is_held).count()
+    }
+}
+
+#[test]
+fn deadly_request_is_held_by_300_hosts() {
+    for seed in 0..4 {
+        let mut fleet = Fleet::new(seed);
+        for step in 0..1_000 {
+            // It comes twice a second, each time to another host.
+            if step % 5 == 0 {
+                let host = fleet.draw(HOSTS);
+                fleet.strike(host);
+            }
+            fleet.pass_time();
+        }
+        assert!(fleet.retries() <= 3, "seed {seed}: {} servers more", fleet.retries());
+        assert_eq!(fleet.held_victims(), 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn deadly_request_that_comes_rarely_is_held_by_300_hosts() {
+    for seed in 0..4 {
+        let mut fleet = Fleet::new(seed);
+        for step in 0..2_000 {
+            if step % 45 == 0 {
+                let host = fleet.draw(HOSTS);
+                fleet.strike(host);
+            }
+            fleet.pass_time();
+        }
+        assert!(fleet.retries() <= 3, "seed {seed}: {} servers more", fleet.retries());
+    }
+}
+
+/// Guards against innocent requests being turned away because servers fall for other reasons.
+#[test]
+fn long_requests_under_many_ends_are_not_held() {
+    const REQUESTS: usize = 50;
+    /// Time that one takes, in steps.
+    const STEPS: usize = 60;
+    for seed in 0..10 {
+        let mut fleet = Fleet::new(seed);
+        let (mut servers, mut begun) = (vec![0; REQUESTS], vec![0; REQUESTS]);
+        let (mut done, mut held) = (0, 0);
+        let mut digests: Vec<u64> = (0..REQUESTS as u64).collect();
+        for step in 0..600 {
+            for request in 0..REQUESTS {
+                if step - begun[request] >= STEPS {
+                    let digest = Digest(digests[request]);
+                    fleet.hosts[request].0.answered(digest, fleet.now);
+                    digests[request] += REQUESTS as u64;
+                    (servers[request], begun[request]) = (fleet.draw(SERVERS as usize), step);
+                    done += 1;
+                }
+            }
+            // A server ends every half a second.
+            if step % 5 == 0 {
+                let server = fleet.draw(SERVERS as usize);
+                for request in (0..REQUESTS).filter(|request| servers[*request] == server) {
+                    let is_early = step - begun[request] < 10;
+                    let name = Name::from(format!("server-{server}-{step}"));
+                    let (book, _) = &mut fleet.hosts[request];
+                    let run =
+                        Run { digest: Digest(digests[request]), server: name.clone(), is_early };
+                    book.lost(run, fleet.now);
+                    book.ended(&name, fleet.now);
+                    let verdict = book.verdict(Digest(digests[request]), fleet.now);
+                    held += usize::from(matches!(verdict, Verdict::Hold(_)));
+                }
+                for request in 0..REQUESTS {
+                    if servers[request] != server {
+                        continue;
+                    }
+                    (servers[request], begun[request]) = (fleet.draw(SERVERS as usize), step);
+                }
+            }
+            fleet.pass_time();
+        }
+        assert!(done > 300, "seed {seed}: the servers ended too often to see anything");
+        assert_eq!(held, 0, "seed {seed}");
+    }
+}
--- a/crates/wire/src/refusal.rs
+++ b/crates/wire/src/refusal.rs
@@ -44,6 +44,8 @@
         AccountLimit,
         /// The pool can't answer before the deadline.
         Overloaded,
+        /// Servers ended when they ran the request, so it is not sent to more of them for now.
+        Held,
         /// No version that may be used has a backend server.
         NoBackend,
         /// The backend server failed or broke off.
@@ -102,6 +104,7 @@
             Self::BackendFailed => 502,
             Self::HomeUnavailable
             | Self::Overloaded
+            | Self::Held
             | Self::NoBackend
             | Self::BillsFull
             | Self::NotReady
