--- a/crates/chestnutspur/src/command/explain.rs
+++ b/crates/chestnutspur/src/command/explain.rs
@@ -47,6 +47,12 @@
     let hosts: Vec<&str> = own.iter().map(|line| line.text("host")).collect();
     let backends: Vec<&str> = own.iter().map(|line| line.text("backend")).collect();
     let services: Vec<&str> = own.iter().map(|line| line.text("service")).collect();
+    let digests: Vec<&str> = own.iter().map(|line| line.text("digest")).collect();
+    // The same request under other ids, at any host: its other tries, and the servers lost with it.
+    let is_same = |line: &Line| {
+        let digest = line.text("digest");
+        !digest.is_empty() && digests.contains(&digest)
+    };
     let concerns = |line: &&Line| {
         let is_near = (first - BEFORE_S..=last).contains(&line.at());
         let names = |member: &str, all: &[&str]| {
@@ -59,7 +65,8 @@
             "process" => true,
             _ => false,
         };
-        is_near && is_belief && hosts.contains(&line.text("host"))
+        let is_belief = is_near && is_belief && hosts.contains(&line.text("host"));
+        line.text("request") != request && (is_same(line) || is_belief)
     };
     let mut found: Vec<&Line> = own.iter().copied().chain(lines.iter().filter(concerns)).collect();
     found.sort_by(|a, b| a.at().total_cmp(&b.at()));
