--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -102,6 +102,7 @@
     if let Some(load) = said.load {
         backend.note_load(load, clock::steady());
     }
+    backend.note_limit(said.per_second);
     check(job, &head, &said)?;
     if job.timed(backend) {
         let (timing, now) = (job.timing(), clock::steady());
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -99,6 +99,8 @@
     reported_at: Millis,
     heard_at: Millis,
     asked_at: Millis,
+    /// Requests a second that it takes from all hosts together, as it last said.
+    per_second: Option<f64>,
     /// Parts of prompts by model and part, and when they were last used.
     parts: HashMap<(u64, u64), Millis>,
 }
@@ -197,6 +199,25 @@
         self.server.note_load(backend::Load { in_flight, slots: load.slots, draining: false }, now);
     }
 
+    /// Requests a second that it takes from all hosts together, as an answer said; none if it says
+    /// nothing of the kind.
+    pub fn note_limit(&self, per_second: Option<f64>) {
+        let mut belief = self.lock();
+        let before = std::mem::replace(&mut belief.per_second, per_second);
+        drop(belief);
+        match per_second {
+            Some(rate) if before != per_second => {
+                log::info!(target: "route", backend:% = self.id, per_second = rate,
+                    before:? = before; "backend server names a limit");
+            }
+            None if before.is_some() => {
+                log::info!(target: "route", backend:% = self.id, before:? = before;
+                    "backend server names no limit any more");
+            }
+            _ => {}
+        }
+    }
+
     /// It said anything at all.
     pub fn heard(&self, now: Millis) {
         self.lock().heard_at = now;
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -75,6 +75,8 @@
     pub is_encoded: bool,
     /// Its load.
     pub load: Option<Load>,
+    /// Requests a second that it takes from all hosts together, if it is in need.
+    pub per_second: Option<f64>,
     /// Its model's opinion of the answer, 0 to 100.
     pub confidence: Option<u8>,
 }
--- a/crates/standin/src/routed.rs
+++ b/crates/standin/src/routed.rs
@@ -88,6 +88,8 @@
 pub struct Routed {
     usual: Mutex<Act>,
     script: Mutex<VecDeque<Act>>,
+    /// Requests a second that it names in its answers.
+    per_second: Mutex<Option<f64>>,
     /// It ends when it runs a request whose body is this.
     ends_by: Mutex<Option<Bytes>>,
     ending: Notify,
@@ -126,6 +128,7 @@
         Self {
             usual: Mutex::new(usual),
             script: Mutex::default(),
+            per_second: Mutex::default(),
             ends_by: Mutex::default(),
             ending: Notify::new(),
             arrivals: Mutex::default(),
@@ -143,6 +146,11 @@
         lock(&self.script).push_back(act);
     }
 
+    /// From now on it names a limit in its answers, or none.
+    pub fn name_limit(&self, per_second: Option<f64>) {
+        *lock(&self.per_second) = per_second;
+    }
+
     /// From now on it ends when it runs a request with this body; see [`Self::ending`].
     pub fn end_by(&self, body: &'static str) {
         *lock(&self.ends_by) = Some(Bytes::from(body));
@@ -181,14 +189,19 @@
         }
         let act = lock(&self.script).pop_front().unwrap_or_else(|| lock(&self.usual).clone());
         let mut work = Work { dropped: Arc::clone(&self.dropped), is_done: false };
-        let answered = act_on(act, &headers, &mut work).await;
-        answered.map(|body| match body {
+        let made = act_on(act, &headers, &mut work).await?;
+        let mut response = match made {
             Made::Whole(response) => {
                 work.done();
                 response
             }
             Made::Stream(response, script, first) => response.map(|()| events(script, first, work)),
-        })
+        };
+        let limit = lock(&self.per_second).and_then(|rate| rate.to_string().parse().ok());
+        if let Some(limit) = limit {
+            response.headers_mut().insert(names::LIMIT, limit);
+        }
+        Ok(response)
     }
 }
 
