Hosts keep together to the limits that backend servers name

What was seen: a server that takes 1.6 requests a second got 29 in 4 s, 15 allowed; another 29 of 27.

Cause: no code read the header, so each host went on as before. Class: a bound on what all hosts together send, which no host sees alone; the budget of repeats is one that was known.

The change: a host that hears a limit tells its failure domain. The rate is divided by rules that all know: nine tenths for the server's own domain, in parts of one request a second or more for as many hosts by rank as that makes; in each other domain one host sends a request now and then, and so learns that the limit has ended. A host that does not know yet who else is there sends nothing to such a server. Where all servers have reached their limits callers are refused at once, not run, and told when to come back.

Ruled out: equal parts of all hosts (300 of them and 1.6 a second leave each one request in three minutes, and most of it unused); leases of a rate from the store (a call for each server and host every few seconds).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -89,10 +89,10 @@
     if read_ms >= TOLD_MS && backend.near {
         let prefill = Prefill { backend: backend.id.clone(), read_ms: read_ms as u32, rank };
         // When too many wait the rest are not announced; they are hints only.
-        let _ = job.state.prefills.try_send(prefill);
+        let _ = job.state.outbox.prefills.try_send(prefill);
     }
     let lease = Lease::new(Arc::clone(&backend.server));
-    let sent_at = Instant::now();
+    let (sent_at, sent) = (Instant::now(), clock::steady());
     let response = patient(job, backend, connection.send(request, job.left())).await?;
     awaited.began(clock::steady());
     let first_ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
@@ -102,7 +102,10 @@
     if let Some(load) = said.load {
         backend.note_load(load, clock::steady());
     }
-    backend.note_limit(said.per_second);
+    if let Some(limited) = backend.note_limit(said.per_second, sent, clock::steady()) {
+        // When too many wait the others hear of it with the next sign of life.
+        let _ = job.state.outbox.limits.try_send(limited);
+    }
     check(job, &head, &said)?;
     if job.timed(backend) {
         let (timing, now) = (job.timing(), clock::steady());
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -1,7 +1,7 @@
 //! One start of a backend server, and what this host believes of it.
 
 use std::collections::HashMap;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -13,6 +13,7 @@
 use policy::place;
 use policy::silence::{self, Action, Bounds, Silence};
 use policy::suspicion::Suspicion;
+use policy::throttle::{Limit, Throttle};
 use policy::time::Millis;
 use wire::backend;
 
@@ -48,6 +49,16 @@
     }
 }
 
+policy::domain! {
+    /// How many requests a second a backend server takes, as it is told to other hosts.
+    pub struct Limited {
+        /// The backend server's start.
+        pub backend: Name,
+        /// What it said.
+        pub limit: Limit,
+    }
+}
+
 /// A backend server.
 pub struct Backend {
     /// The server's.
@@ -65,6 +76,8 @@
     /// Connections, requests under way, health.
     pub server: Arc<Server>,
     belief: Mutex<Belief>,
+    /// Most servers name no limit, and need not be locked to learn that.
+    is_limited: AtomicBool,
     /// When it was last looked whether it has ended, and whether it had.
     looked: tokio::sync::Mutex<Option<(Millis, bool)>>,
 }
@@ -99,8 +112,7 @@
     reported_at: Millis,
     heard_at: Millis,
     asked_at: Millis,
-    /// Requests a second that it takes from all hosts together, as it last said.
-    per_second: Option<f64>,
+    throttle: Throttle,
     /// Parts of prompts by model and part, and when they were last used.
     parts: HashMap<(u64, u64), Millis>,
 }
@@ -136,6 +148,7 @@
             hash: place::hash(row.id.as_bytes()),
             server: Arc::new(Server::new(row.id.clone(), row.address, domain)),
             belief: Mutex::default(),
+            is_limited: AtomicBool::new(false),
             looked: tokio::sync::Mutex::default(),
         }
     }
@@ -199,25 +212,44 @@
         self.server.note_load(backend::Load { in_flight, slots: load.slots, draining: false }, now);
     }
 
-    /// Requests a second that it takes from all hosts together, as an answer said; none if it says
-    /// nothing of the kind.
-    pub fn note_limit(&self, per_second: Option<f64>) {
-        let mut belief = self.lock();
-        let before = std::mem::replace(&mut belief.per_second, per_second);
-        drop(belief);
-        match per_second {
-            Some(rate) if before != per_second => {
-                log::info!(target: "route", backend:% = self.id, per_second = rate,
-                    before:? = before; "backend server names a limit");
-            }
-            None if before.is_some() => {
-                log::info!(target: "route", backend:% = self.id, before:? = before;
-                    "backend server names no limit any more");
-            }
-            _ => {}
+    /// How many requests a second it takes, as the answer to a request said that was sent then; what
+    /// the other hosts are to be told, if it is news.
+    pub fn note_limit(
+        &self,
+        per_second: Option<f64>,
+        sent: Millis,
+        now: Millis,
+    ) -> Option<Limited> {
+        let is_news = self.with_throttle(|throttle| throttle.heard(per_second, sent, now));
+        is_news.then(|| {
+            log::info!(target: "route", backend:% = self.id, per_second:? = per_second;
+                "backend server names another limit");
+            Limited { backend: self.id.clone(), limit: Limit { per_second, at: now } }
+        })
+    }
+
+    /// The same as another host says.
+    pub fn learn_limit(&self, limit: Limit, now: Millis) {
+        if self.with_throttle(|throttle| throttle.learn(limit, now)) {
+            log::info!(target: "route", backend:% = self.id, per_second:? = limit.per_second;
+                "limit of a backend server heard of");
         }
     }
 
+    /// Uses what is known of how many requests it takes.
+    pub fn with_throttle<T>(&self, use_it: impl FnOnce(&mut Throttle) -> T) -> T {
+        let mut belief = self.lock();
+        let used = use_it(&mut belief.throttle);
+        self.is_limited.store(belief.throttle.is_limited(), Ordering::Relaxed);
+        used
+    }
+
+    /// Whether it takes only so many requests a second.
+    #[must_use]
+    pub fn is_limited(&self) -> bool {
+        self.is_limited.load(Ordering::Relaxed)
+    }
+
     /// It said anything at all.
     pub fn heard(&self, now: Millis) {
         self.lock().heard_at = now;
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -73,6 +73,18 @@
         chosen.inspect(|backend| self.tries.version = Some(backend.version.clone()))
     }
 
+    /// Requests a second that the service's servers take in all, if limits keep this one from them.
+    fn limited(&self) -> Option<f64> {
+        let world = self.state.world.load();
+        let backends = &world.pools.get(&self.service)?.backends;
+        let now = clock::steady();
+        let limited = backends.iter().filter(|backend| backend.server.takes_work(now));
+        let rates = limited
+            .filter_map(|backend| backend.with_throttle(|throttle| throttle.told(now)?.per_second));
+        let rate: f64 = rates.sum();
+        (rate > 0.0).then_some(rate)
+    }
+
     async fn try_at(
         &mut self,
         backend: &Arc<Backend>,
@@ -174,7 +186,10 @@
                 let timing = self.state.timings.with(self.timing(), |timing| *timing);
                 refuse::busy(timing.whole.mean_ms(0.0), rand::random())
             }
-            false => refuse::no_backend(),
+            false => match self.limited() {
+                Some(per_second) => refuse::limited(per_second, rand::random()),
+                None => refuse::no_backend(),
+            },
         })
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod index;
 pub mod job;
 pub mod judge;
+pub mod limits;
 pub mod pick;
 pub mod poison;
 pub mod pool;
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -12,6 +12,7 @@
 use crate::backend::Backend;
 use crate::codec::Codec;
 use crate::job::Job;
+use crate::limits::Limits;
 use crate::pool::Pool;
 
 /// Another failure domain costs an engine's request this part of its objective: the bytes between
@@ -28,21 +29,24 @@
 /// background, and serve again a moment after they can be reached.
 pub fn choose<C: Codec>(job: &Job<C>, pool: &Pool, version: &Name) -> Option<Arc<Backend>> {
     let now = clock::steady();
+    let limits = Limits::of(job, pool);
     let load = if is_engine(job) { canary::USUAL_LOAD } else { canary::PEAK_LOAD };
     let open = pool.open(version, load, now).into_iter();
     let untried = open.filter(|backend| !job.tries.tried.contains(&backend.id));
+    let untried = untried.filter(|backend| limits.has_room(backend, now));
     let (reachable, unreachable): (Vec<_>, Vec<_>) = untried
         .partition(|backend| !job.tries.unreachable.contains(&backend.server.failure_domain));
     let (well, ill): (Vec<_>, Vec<_>) =
         reachable.into_iter().partition(|backend| backend.server.takes_work(now));
-    match (well.as_slice(), unreachable.as_slice()) {
+    let chosen = match (well.as_slice(), unreachable.as_slice()) {
         ([], []) => {
             ill.iter().for_each(|backend| backend.probe_soon());
             None
         }
         ([], unreachable) => best(job, unreachable, now),
         (well, _) => best(job, well, now),
-    }
+    };
+    chosen.inspect(|backend| limits.sent(backend, now))
 }
 
 fn best<C: Codec>(job: &Job<C>, backends: &[&Arc<Backend>], now: Millis) -> Option<Arc<Backend>> {
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -11,6 +11,8 @@
 const NO_BACKEND_RETRY_MS: u64 = 250;
 /// Before there is a table of routes.
 const NOT_READY_RETRY_MS: u64 = 500;
+/// Requests a second of a service below which callers are told to come back as if it took so many.
+const LIMITED_MIN: f64 = 0.2;
 /// Least time after which a caller of a full service comes back.
 const BUSY_RETRY_MS: f64 = 100.0;
 
@@ -40,6 +42,15 @@
     Refusal::not_run(Code::Overloaded, "every backend server is full").retry_after(ms as u64)
 }
 
+/// Every backend server that could be sent to takes only so many requests a second, `per_second` in
+/// all; `draw` as above.
+#[must_use]
+pub fn limited(per_second: f64, draw: f64) -> Refusal {
+    let ms = (1_000.0 / per_second.max(LIMITED_MIN)).max(BUSY_RETRY_MS) * (1.0 + draw);
+    Refusal::not_run(Code::Overloaded, "every backend server has reached its limit")
+        .retry_after(ms as u64)
+}
+
 /// No backend server could be reached.
 #[must_use]
 pub fn no_backend() -> Refusal {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,18 +7,48 @@
 use entry::sharded::Sharded;
 use policy::gain::Gain;
 use policy::patience::Patience;
+use policy::place::mix;
 use policy::prefill::Speed;
 use policy::repeat::{Allowance, Window};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::backend::Prefill;
+use crate::backend::{Limited, Prefill};
 use crate::evidence::Tally;
 use crate::poison::{Ask, Guard};
 use crate::timing::Timing;
 use crate::world::World;
 
+/// What requests have for the other hosts.
+pub struct Outbox {
+    /// Long prompts that were just sent, for the failure domain.
+    pub prefills: mpsc::Sender<Prefill>,
+    /// Backend servers that name another limit, for the failure domain.
+    pub limits: mpsc::Sender<Limited>,
+    /// Requests that one host of all may try.
+    pub trials: mpsc::Sender<Ask>,
+}
+
+/// Hosts of one failure domain, each as a hash of its name.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Peers {
+    /// This host.
+    pub own: u64,
+    /// The others that live.
+    pub others: Vec<u64>,
+}
+
+impl Peers {
+    /// Hosts whose turn at a backend server comes before this one's.
+    #[must_use]
+    pub fn before(&self, backend: u64) -> usize {
+        let turn = |host: &u64| mix(*host ^ backend);
+        let own = turn(&self.own);
+        self.others.iter().filter(|other| turn(other) < own).count()
+    }
+}
+
 /// Shared by every request.
 pub struct State<C> {
     /// How the wire spells what requests say.
@@ -43,8 +73,10 @@
     pub relays: TaskTracker,
     /// Requests under way.
     pub in_flight: AtomicUsize,
-    /// Long prompts that were just sent, for the other hosts of the failure domain.
-    pub prefills: mpsc::Sender<Prefill>,
+    /// What the other hosts are to hear.
+    pub outbox: Outbox,
+    /// The other hosts of the failure domain; none until it is known who is there.
+    pub peers: ArcSwap<Option<Peers>>,
     /// Requests that were lost with their servers.
     pub poison: Arc<Guard>,
     /// Cancelled when the store has been read for the first time, or could not be.
@@ -56,16 +88,11 @@
 impl<C> State<C> {
     /// At the start of the process.
     #[must_use]
-    pub fn new(
-        codec: C,
-        allowance: Allowance,
-        prefills: mpsc::Sender<Prefill>,
-        trials: mpsc::Sender<Ask>,
-        stop: CancellationToken,
-    ) -> Self {
+    pub fn new(codec: C, allowance: Allowance, outbox: Outbox, stop: CancellationToken) -> Self {
         Self {
-            prefills,
-            poison: Arc::new(Guard::new(trials)),
+            poison: Arc::new(Guard::new(outbox.trials.clone())),
+            outbox,
+            peers: ArcSwap::default(),
             codec,
             world: ArcSwap::default(),
             allowance: ArcSwap::from_pointee(allowance),
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use entry::clock;
-use gateway::backend::Prefill;
+use gateway::backend::{Limited, Prefill};
 use gateway::{Codec, State};
 use policy::backlog::Prompt;
 use policy::canary::Evidence;
@@ -49,6 +49,8 @@
 const MESSAGE_BYTES: usize = 1_400;
 /// Prefills in one message, so that it fits.
 const PREFILLS_MAX: usize = 16;
+/// Limits in one message; each host hears the others' from their servers all the same.
+const LIMITS_MAX: usize = 12;
 /// Pause after a failed call of the store.
 const PAUSE: Duration = Duration::from_secs(1);
 
@@ -75,6 +77,8 @@
         pub lacks: Vec<List>,
         /// Requests that were lost with their servers, with times of the sender's clock.
         pub suspects: Vec<Suspect>,
+        /// What backend servers said of how much they take, with times of the sender's clock.
+        pub limits: Vec<Limited>,
         /// The sender's clock.
         pub now: Millis,
     }
@@ -124,6 +128,7 @@
     pub async fn run(
         self,
         mut prefills: mpsc::Receiver<Prefill>,
+        mut limits: mpsc::Receiver<Limited>,
         mut notices: mpsc::Receiver<Notice>,
     ) {
         let mut known: HashMap<SocketAddr, Millis> = HashMap::new();
@@ -173,6 +178,12 @@
                     }
                     self.send(some(&known), message).await;
                 }
+                Some(limited) = limits.recv() => {
+                    let (limits, now) = (vec![limited], clock::steady());
+                    let message =
+                        Message { host: self.host.clone(), limits, now, ..Message::default() };
+                    self.send(known.keys().copied().collect(), message).await;
+                }
                 Some(notice) = notices.recv() => match notice {
                     Notice::Positions => {
                         let message = self.message();
@@ -212,7 +223,19 @@
         };
         let now = clock::steady();
         let suspects = self.state.poison.with(|book| book.suspects(now));
-        Message { host: self.host.clone(), positions, records, suspects, now, ..Message::default() }
+        let (host, limits) = (self.host.clone(), self.limits(now));
+        Message { host, positions, records, suspects, limits, now, ..Message::default() }
+    }
+
+    /// What backend servers said lately of how much they take.
+    fn limits(&self, now: Millis) -> Vec<Limited> {
+        let world = self.state.world.load();
+        let backends = world.pools.values().flat_map(|pool| &pool.backends);
+        let told = backends.filter_map(|backend| {
+            let limit = backend.with_throttle(|throttle| throttle.told(now))?;
+            Some(Limited { backend: backend.id.clone(), limit })
+        });
+        told.take(LIMITS_MAX).collect()
     }
 
     /// Tells all hosts known what is new of requests that were lost with their servers, in as many
@@ -341,11 +364,17 @@
             self.state.poison.learn(&told, Source::Peer);
         }
         let world = self.state.world.load();
+        let named = |id: &Name| {
+            let mut backends = world.pools.values().flat_map(|pool| &pool.backends);
+            backends.find(|backend| backend.id == *id)
+        };
+        for Limited { backend, limit } in &message.limits {
+            if let Some(backend) = named(backend) {
+                backend.learn_limit(limit.on_clock(message.now, now), now);
+            }
+        }
         for prefill in &message.prefills {
-            let backends = world.pools.values().flat_map(|pool| &pool.backends);
-            if let Some(backend) =
-                backends.into_iter().find(|backend| backend.id == prefill.backend)
-            {
+            if let Some(backend) = named(&prefill.backend) {
                 let prompt = Prompt { rank: prefill.rank, read_ms: f64::from(prefill.read_ms) };
                 backend.announced(prompt, now);
             }
@@ -372,7 +401,7 @@
 /// A message as it is sent: without changes if it is too long with them, which are then had by a
 /// call; without prefills if it is too long still, which are hints only.
 fn write(mut message: Message) -> Option<Vec<u8>> {
-    let shorten: [fn(&mut Message); 5] = [
+    let shorten: [fn(&mut Message); 6] = [
         |_| {},
         |message| message.positions.iter_mut().for_each(|position| position.changes = None),
         |message| message.prefills.clear(),
@@ -380,6 +409,7 @@
         |message| message.records.clear(),
         // Those who need them heard of them when they were new, or read the store.
         |message| message.suspects.clear(),
+        |message| message.limits.clear(),
     ];
     for step in shorten {
         step(&mut message);
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use entry::{callers, clock};
+use gateway::state::Outbox;
 use gateway::{Codec, State};
 use metrics_exporter_prometheus::PrometheusHandle;
 use policy::bootstrap::Bootstrap;
@@ -45,6 +46,8 @@
 const NOTICES: usize = 8;
 /// Prefills that wait to be announced.
 const PREFILLS: usize = 64;
+/// Limits of backend servers that wait to be told.
+const LIMITS: usize = 64;
 /// Requests that wait for leave to be tried.
 const TRIALS: usize = 16;
 /// Kept of the time to stop, for the process's own end.
@@ -121,8 +124,10 @@
     stop: CancellationToken,
 ) {
     let (prefills, announced) = mpsc::channel(PREFILLS);
+    let (limits, limited) = mpsc::channel(LIMITS);
     let (trials, asked) = mpsc::channel(TRIALS);
-    let state = Arc::new(State::new(codec, allowance(&settings), prefills, trials, stop.clone()));
+    let outbox = Outbox { prefills, limits, trials };
+    let state = Arc::new(State::new(codec, allowance(&settings), outbox, stop.clone()));
     let catalog = Arc::new(Catalog::new(settings.failure_domain.clone()));
     let (orders, ordered) = mpsc::unbounded_channel();
     let (notifier, notices) = mpsc::channel(NOTICES);
@@ -139,6 +144,7 @@
         notifier,
         counts: Counts::default(),
         fresh: AtomicU64::new(0),
+        host: settings.name.clone(),
         address: listeners.peers.as_ref().and_then(|(socket, _)| socket.local_addr().ok()),
     });
     let rollouts = Rollouts {
@@ -169,7 +175,7 @@
             state: Arc::clone(&state),
             socket,
         };
-        background.push(spawn(peers.run(announced, notices)));
+        background.push(spawn(peers.run(announced, limited, notices)));
         background.push(spawn(exchange::serve(listener, Arc::clone(&watch))));
     }
     let close = CancellationToken::new();
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -11,8 +11,10 @@
 use std::time::Duration;
 
 use entry::clock;
+use gateway::state::Peers;
 use gateway::{Codec, State};
 use policy::name::Name;
+use policy::place;
 use policy::relay::{Action, Bounds};
 use policy::time::Millis;
 use tokio::sync::mpsc;
@@ -60,6 +62,8 @@
     pub counts: Counts,
     /// When the store's state was last known to be new, by any list.
     pub fresh: AtomicU64,
+    /// This host's name.
+    pub host: Name,
     /// Where this host serves the others of its failure domain, if it does.
     pub address: Option<SocketAddr>,
 }
@@ -279,12 +283,26 @@
         }
     }
 
+    /// Lets requests know which hosts of the failure domain live.
+    fn see_peers(&self) {
+        let hash = |name: &Name| place::hash(name.as_bytes());
+        let relay = self.follow(List::Backends).relay();
+        let others = relay.alive(clock::steady()).map(hash).collect();
+        drop(relay);
+        self.state.peers.store(Arc::new(Some(Peers { own: hash(&self.host), others })));
+    }
+
     /// Gives up lapsed backend servers when their time has come, and tells of lists that are behind;
     /// runs until the process ends.
     pub async fn settle(self: Arc<Self>) {
         const EVERY: Duration = Duration::from_millis(100);
-        loop {
+        /// Looks between two at who is there.
+        const PEERS: usize = 10;
+        for look in 1.. {
             tokio::time::sleep(EVERY).await;
+            if look % PEERS == 0 {
+                self.see_peers();
+            }
             self.follows.iter().for_each(|follow| follow.log_behind(clock::steady()));
             if self.catalog.next_lapse().is_some_and(|lapse| lapse <= clock::steady()) {
                 log::info!(target: "watch", "lapsed backend servers given up");
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,4 +31,5 @@
 pub mod select;
 pub mod silence;
 pub mod suspicion;
+pub mod throttle;
 pub mod time;
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -303,7 +303,8 @@
         (self.bounds.change_ms as f64 * part) as u64
     }
 
-    fn alive(&self, now: Millis) -> impl Iterator<Item = &Name> {
+    /// Names of other hosts that were heard of lately.
+    pub fn alive(&self, now: Millis) -> impl Iterator<Item = &Name> {
         let alive = self.peers.iter().filter(move |(_, peer)| now.since(peer.heard) < GONE_MS);
         alive.map(|(name, _)| name)
     }
