--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -86,6 +86,8 @@
         pub suspicion: f64,
         /// No new work for this long, in milliseconds: it was found ill.
         pub ill_ms: u64,
+        /// Requests a second that it takes from all hosts together, if it says so.
+        pub per_second: Option<f64>,
     }
 }
 
@@ -159,5 +161,6 @@
         reported: seen.reported,
         suspicion: seen.suspicion,
         ill_ms: backend.server.health().probe.ill_until.since(now),
+        per_second: backend.with_throttle(|throttle| throttle.told(now)?.per_second),
     }
 }
