Requests that come all the time are no suspects after an outage

Found by reading: a request that is always the same (a question for a state, without a body) is lost with each of many servers that end at once, three marks in a moment, and would be held for a minute once they are back. Its answers of the minute before were known only if something already spoke against it.

request_answered_a_moment_ago_is_no_suspect fails without that memory and passes with it.

--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -198,10 +198,8 @@
 
     /// A server has answered the request.
     pub fn note_answered(&self) {
-        if self.tries.sent > 1 || !self.state.poison.is_calm() {
-            let digest = self.digest();
-            self.state.poison.with(|book| book.answered(digest, clock::steady()));
-        }
+        let digest = self.digest();
+        self.state.poison.with(|book| book.answered(digest, clock::steady()));
     }
 
     fn run_at(&self, backend: &Backend) -> Run {
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -7,11 +7,13 @@
 
 pub mod book;
 pub mod polls;
+pub mod recent;
 
 use std::fmt;
 
 pub use book::{Book, Run};
 pub use polls::Polls;
+pub use recent::Recent;
 
 use crate::domain;
 use crate::name::Name;
--- a/crates/policy/src/poison/book.rs
+++ b/crates/policy/src/poison/book.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use super::{Crash, Digest, Suspect, Verdict};
+use super::{Crash, Digest, Recent, Suspect, Verdict};
 use crate::domain;
 use crate::name::Name;
 use crate::time::Millis;
@@ -78,6 +78,7 @@
     known: BTreeMap<Digest, Known>,
     lost: VecDeque<Lost>,
     ended: VecDeque<(Name, Millis)>,
+    recent: Recent,
 }
 
 impl Book {
@@ -140,6 +141,7 @@
     /// A server has answered it.
     pub fn answered(&mut self, digest: Digest, now: Millis) {
         self.lost.retain(|lost| lost.run.digest != digest);
+        self.recent.answered(digest, now);
         if let Some(known) = self.known.get_mut(&digest) {
             // Once in a while is enough: a request that comes often is answered often.
             let is_cleared = known.suspect.crashes.is_empty();
@@ -246,8 +248,9 @@
         if self.known.len() >= SUSPECTS_MAX && !self.known.contains_key(&digest) {
             self.make_room(now);
         }
+        let answered_at = self.recent.answered_at(digest);
         self.known.entry(digest).or_insert_with(|| Known {
-            suspect: Suspect::new(digest),
+            suspect: Suspect { answered_at, ..Suspect::new(digest) },
             untold: Untold::default(),
             is_own: false,
             is_told: false,
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -70,6 +70,17 @@
     assert_eq!(book.verdict(DEADLY, last + 20), Verdict::Run);
 }
 
+/// Guards against requests that come all the time being held after an outage of many servers.
+#[test]
+fn request_answered_a_moment_ago_is_no_suspect() {
+    let mut book = Book::default();
+    book.answered(DEADLY, START - 5_000);
+    let last = lose(&mut book, DEADLY, 4);
+    assert_eq!(book.verdict(DEADLY, last), Verdict::Run);
+    assert!(book.for_store(last + 2_000).is_none());
+    assert!(book.for_peers(last + 2_000).is_empty());
+}
+
 #[test]
 fn broken_connection_alone_speaks_against_nothing() {
     let mut book = Book::default();
