Rows of trials of suspect requests are bounded

Found by reading: a row stayed for each request that was ever tried alone. A part of the digest is their key now, 4,096 rows at most; two requests that share one wait for each other. A host's peers are only notified when there is something to tell.

--- a/crates/node/src/poison.rs
+++ b/crates/node/src/poison.rs
@@ -27,8 +27,11 @@
 pub const TABLE: &str = "poison";
 /// What keys of hosts' rows begin with.
 const SEEN: &str = "seen/";
-/// What keys of trials begin with.
+/// What keys of trials begin with; a part of the digest follows.
 const TRIAL: &str = "trial/";
+/// The part that does: so many rows there are at most. Two requests that share a row wait for each
+/// other.
+const TRIAL_MASK: u64 = 0xfff;
 /// Between two looks at what has to be told.
 const LOOK: Duration = Duration::from_millis(250);
 /// Pause after a failed call.
@@ -43,9 +46,9 @@
         suspects: Vec<Suspect>,
     }
 
-    /// When a held request was last tried, by the store's clock.
+    /// A host tries a request; no other does so until then, by the store's clock.
     struct Trial {
-        at_ms: u64,
+        until_ms: u64,
     }
 }
 
@@ -94,7 +97,9 @@
     }
 
     async fn step(&self, moment: &mut Option<Moment>) -> Result<(), Error> {
-        self.watch.notify(Notice::Suspects);
+        if self.guard().with(|book| book.has_untold()) {
+            self.watch.notify(Notice::Suspects);
+        }
         if self.guard().polls(|polls| polls.is_due(clock::steady())) && self.watch.speaks() {
             self.read(moment).await?;
         }
@@ -169,15 +174,15 @@
 
     /// Whether this host may try a request, which no other does then for as long as it is held.
     async fn try_grant(&self, digest: Digest, servers: u32) -> Result<bool, Error> {
-        let key = Name::from(format!("{TRIAL}{digest}"));
+        let key = Name::from(format!("{TRIAL}{:03x}", digest.0 & TRIAL_MASK));
         let rows = self.watch.store.rows(TABLE, &key).await?;
         let held = rows.rows.iter().find(|row| row.key == key);
         let last = held.and_then(|row| record::read::<Trial>(&row.value).ok());
-        let is_recent = |last: Trial| rows.now_ms.saturating_sub(last.at_ms) < trial_ms(servers);
-        if last.is_some_and(is_recent) {
+        if last.is_some_and(|last| rows.now_ms < last.until_ms) {
             return Ok(false);
         }
-        let value = record::write(&Trial { at_ms: rows.now_ms }).map_err(Error::Malformed)?;
+        let trial = Trial { until_ms: rows.now_ms + trial_ms(servers) };
+        let value = record::write(&trial).map_err(Error::Malformed)?;
         let expected = held.map_or(0, |row| row.version);
         let change = record::change(TABLE, key, Some(expected), value);
         let outcome = self.watch.store.commit(&change, None).await?;
