What others know of lost requests is read for five seconds after a server's end

Each end that the list of servers tells of had three reads of the store follow; the third told nothing that the first two did not. The pure decision over 300 hosts holds as before.

--- a/crates/policy/src/poison/polls.rs
+++ b/crates/policy/src/poison/polls.rs
@@ -12,7 +12,7 @@
 /// Between two reads at most, in milliseconds.
 const LONGEST_MS: u64 = 4_000;
 /// How long after a server's end is read, in milliseconds: until every host has heard of it.
-const FOR_MS: u64 = 8_000;
+const FOR_MS: u64 = 5_000;
 
 /// When the rows are read.
 #[derive(Clone, Copy, Debug, Default)]
