Soak: requests that end servers; explain is tested

Among the faults of the network a request comes under which each backend server ends; after the faults every node is asked it twice, and at most three servers more may end under it if three had.

--- a/crates/chestnutspur/tests/report.rs
+++ b/crates/chestnutspur/tests/report.rs
@@ -1,4 +1,4 @@
-//! `chestnutspur report decisions`, as operators call it.
+//! `chestnutspur report decisions` and `explain`, as operators call them.
 
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
@@ -6,8 +6,12 @@
 use serde_json::{Value, json};
 
 fn report(arguments: &[&str], logs: &str) -> Output {
+    fed(&[&["report", "decisions"], arguments].concat(), logs)
+}
+
+/// Runs a command that reads logs.
+fn fed(arguments: &[&str], logs: &str) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_chestnutspur"))
-        .args(["report", "decisions"])
         .args(arguments)
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
@@ -52,3 +56,33 @@
     assert_eq!(nothing.status.code(), Some(1));
     assert!(String::from_utf8(nothing.stderr).unwrap().contains("no request ended"));
 }
+
+#[test]
+fn explain_follows_the_same_request_under_other_ids() {
+    let line = |at: f64, host: &str, event: &str, more: Value| {
+        let mut line = json!({"at": at, "host": host, "event": event, "part": "route"});
+        line.as_object_mut().unwrap().extend(more.as_object().unwrap().clone());
+        format!("{line}\n")
+    };
+    let logs = [
+        line(1.0, "host-1", "try failed", json!({"request": "first", "digest": "d1"})),
+        line(
+            1.1,
+            "host-1",
+            "request lost with its server",
+            json!({"digest": "d1", "backend": "b4"}),
+        ),
+        line(1.2, "host-2", "lost request heard of", json!({"digest": "d1", "servers": 3})),
+        line(
+            1.3,
+            "host-2",
+            "request lost with its server",
+            json!({"digest": "d2", "backend": "b5"}),
+        ),
+        line(9.0, "host-2", "request held", json!({"request": "last", "digest": "d1"})),
+    ];
+    let explained = fed(&["explain", "last"], &logs.concat());
+    let text = String::from_utf8(explained.stdout).unwrap();
+    assert_eq!(text.lines().count(), 4, "{text}");
+    assert!(text.contains("b4") && !text.contains("b5"), "{text}");
+}
--- a/crates/chestnutspur/tests/soak.rs
+++ b/crates/chestnutspur/tests/soak.rs
@@ -21,8 +21,8 @@
 use fleet::Fleet;
 use futures::StreamExt;
 
-/// Seeds that CI plays, one of each kind of trouble.
-const CI: [u64; 3] = [0, 1, 2];
+/// Seeds that CI plays: one of each kind of trouble, two more with requests that end servers.
+const CI: [u64; 5] = [0, 1, 2, 3, 6];
 /// Seeds that once failed. 5 to 56: a node that was told to stop took new connections for as long
 /// as any came, so its time ran out and it cut off the requests under way. 4 and 10: a long table
 /// never came over a narrow link, whose answer was given up before its end each time.
@@ -72,6 +72,7 @@
     let mut broken = verdict::judge(&fleet, &told, &seen);
     broken.extend(fleet.has_newest_table().await);
     broken.extend(fleet.serves_again().await);
+    broken.extend(fleet.holds_deadly().await);
     if !broken.is_empty() {
         println!("soak: seed {seed}: logs in {}; {told:#?}", fleet.directory.display());
     }
--- a/crates/chestnutspur/tests/soak/callers.rs
+++ b/crates/chestnutspur/tests/soak/callers.rs
@@ -23,6 +23,10 @@
 const PAUSE: Duration = Duration::from_millis(8);
 /// How long callers wait.
 const PATIENCE_MS: u64 = 2_500;
+/// What callers ask.
+const ASKED: &str = "what is asked";
+/// What ends each backend server that runs it.
+pub const DEADLY: &str = "what no server stands";
 /// Events of each answer.
 pub const EVENTS: u64 = 5;
 
@@ -136,6 +140,14 @@
     ask(target, kind, &mut None).await
 }
 
+/// The request under which backend servers end, once.
+pub async fn strike(target: SocketAddr) {
+    let mut kept = None;
+    let exchanged = exchange(target, Kind::Stream, "deadly", DEADLY, &mut kept);
+    // Whatever comes of it, what it does to servers counts.
+    let _ = tokio::time::timeout(Duration::from_millis(PATIENCE_MS), exchanged).await;
+}
+
 type Sender = SendRequest<Full<Bytes>>;
 
 async fn ask(target: SocketAddr, kind: Kind, kept: &mut Option<Sender>) -> Seen {
@@ -143,7 +155,8 @@
     let id = format!("r{}", NUMBER.fetch_add(1, Ordering::Relaxed));
     let began = Instant::now();
     let within = Duration::from_millis(PATIENCE_MS + 500);
-    let outcome = tokio::time::timeout(within, exchange(target, kind, &id, kept)).await;
+    let exchanged = exchange(target, kind, &id, ASKED, kept);
+    let outcome = tokio::time::timeout(within, exchanged).await;
     let outcome = outcome.unwrap_or(Outcome::Late);
     Seen { id, kind, node: target, outcome, began, took: began.elapsed() }
 }
@@ -155,7 +168,13 @@
     Some(sender)
 }
 
-async fn exchange(target: SocketAddr, kind: Kind, id: &str, kept: &mut Option<Sender>) -> Outcome {
+async fn exchange(
+    target: SocketAddr,
+    kind: Kind,
+    id: &str,
+    body: &'static str,
+    kept: &mut Option<Sender>,
+) -> Outcome {
     let sender = match kept.take().filter(SendRequest::is_ready) {
         Some(sender) => Some(sender),
         None => connect(target).await,
@@ -166,7 +185,7 @@
         .header("authorization", format!("Bearer {KEY}"))
         .header(names::REQUEST_ID, id)
         .header(names::DEADLINE_MS, PATIENCE_MS)
-        .body(Full::from("what is asked"));
+        .body(Full::from(body));
     let response = match sender.try_send_request(request.expect("request")).await {
         Ok(response) => response,
         Err(mut error) => {
--- a/crates/chestnutspur/tests/soak/faults.rs
+++ b/crates/chestnutspur/tests/soak/faults.rs
@@ -93,7 +93,7 @@
     let node = draws.index(fleet.nodes.len());
     let lasts = draws.ms(50, 900);
     let proxy = &fleet.backend_proxies[backend];
-    match draws.below(8) {
+    match draws.below(9) {
         0 => proxy.reset_existing(),
         1 => proxy.silence_existing(),
         mode @ 2..=4 => {
@@ -112,12 +112,16 @@
             fleet.nodes[node].start_again();
             return format!("node {node} killed for {lasts:?}");
         }
-        _ => {
+        7 => {
             fleet.nodes[node].signal("STOP");
             tokio::time::sleep(lasts).await;
             fleet.nodes[node].signal("CONT");
             return format!("node {node} paused for {lasts:?}");
         }
+        _ => {
+            fleet.strike(node).await;
+            return format!("deadly request at node {node}");
+        }
     }
     tokio::time::sleep(lasts / 4).await;
     format!("backend {backend} connections {lasts:?}")
--- a/crates/chestnutspur/tests/soak/fleet.rs
+++ b/crates/chestnutspur/tests/soak/fleet.rs
@@ -23,6 +23,12 @@
 pub const KEY: &str = "key-of-office";
 const NODES: usize = 3;
 const BACKENDS: usize = 4;
+/// Until a server that has ended is back.
+const AWAY: Duration = Duration::from_millis(200);
+/// Nodes in touch with the store know of a third server's end by then.
+const CONTACT: Duration = Duration::from_millis(3_000);
+/// Servers that may end under the same request after that.
+const RETRIES_MAX: usize = 3;
 
 /// One node process.
 pub struct Node {
@@ -113,6 +119,7 @@
         for number in 0..BACKENDS {
             let act = Act::Stream(callers::script());
             let backend = start(any(), Routed::new(act)).expect("backend server");
+            backend.end_by(callers::DEADLY);
             fleet.backend_proxies.push(proxy_to(backend.address).await);
             fleet.backends.push(Arc::new(backend));
             fleet.list(number, "ready");
@@ -156,6 +163,45 @@
         self.list(number, "ready");
     }
 
+    /// The deadly request comes to a node. Servers that run it end, and are back under another id.
+    pub async fn strike(&mut self, node: usize) {
+        let strike = tokio::spawn(callers::strike(self.nodes[node].callers));
+        while !strike.is_finished() {
+            for number in 0..BACKENDS {
+                let ending = self.backends[number].ending();
+                if tokio::time::timeout(Duration::from_millis(2), ending).await.is_ok() {
+                    self.backend_proxies[number].set_mode(Mode::Closed);
+                    tokio::time::sleep(AWAY).await;
+                    self.start_backend_again(number);
+                    self.backend_proxies[number].set_mode(Mode::Pass);
+                }
+            }
+        }
+    }
+
+    /// When the deadly request reached servers.
+    fn struck(&self) -> Vec<Instant> {
+        let arrivals = self.backends.iter().flat_map(|backend| backend.arrivals());
+        let deadly = arrivals.filter(|arrival| arrival.body == callers::DEADLY);
+        let mut struck: Vec<Instant> = deadly.map(|arrival| arrival.at).collect();
+        struck.sort();
+        struck
+    }
+
+    /// After the faults a request under which three servers have ended is held everywhere.
+    pub async fn holds_deadly(&mut self) -> Option<String> {
+        let before = self.struck().len();
+        if before < 3 {
+            return None;
+        }
+        tokio::time::sleep(CONTACT).await;
+        for node in (0..NODES).chain(0..NODES) {
+            self.strike(node).await;
+        }
+        let more = self.struck().len() - before;
+        (more > RETRIES_MAX).then(|| format!("{more} servers more ended under one request"))
+    }
+
     async fn until_ready(&self, number: usize) {
         let began = Instant::now();
         while !callers::is_ready(self.nodes[number].operators).await {
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -15,6 +15,8 @@
 use tokio::sync::watch;
 
 const CHUNK_BYTES: usize = 16 << 10;
+/// Pause between two tries to listen again at an address that was closed for a while.
+const REBIND: Duration = Duration::from_millis(20);
 
 /// What the proxy does with connections.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -24,6 +26,8 @@
     Pass,
     /// Resets every connection and each new one at once.
     Cut,
+    /// Resets every connection and listens no more, as if the target's process had ended.
+    Closed,
     /// Passes nothing on while it lasts, and keeps all connections open: a network partition. New
     /// connections are still accepted, and are as silent.
     Silent,
@@ -65,7 +69,8 @@
 impl Control {
     /// Whether the connection of that number is to be reset.
     fn resets(&self, number: u64) -> bool {
-        self.stopped || self.mode == Mode::Cut || number < self.reset_below
+        let cuts = matches!(self.mode, Mode::Cut | Mode::Closed);
+        self.stopped || cuts || number < self.reset_below
     }
 
     /// Whether the connection of that number passes bytes on now.
@@ -153,11 +158,18 @@
 
 async fn accept(listener: TcpListener, control: watch::Sender<Control>, passed: Arc<AtomicU64>) {
     let mut watching = control.subscribe();
-    loop {
+    let mut listening = Some(listener);
+    while let Some(listener) = listening.take() {
+        let is_shut = |control: &Control| control.stopped || control.mode == Mode::Closed;
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = watching.wait_for(|control| control.stopped) => return,
+            accepted = listener.accept() => Some(accepted),
+            _ = watching.wait_for(is_shut) => None,
+        };
+        let Some(accepted) = accepted else {
+            listening = reopened(listener, &mut watching).await;
+            continue;
         };
+        listening = Some(listener);
         match accepted {
             Ok((stream, _)) => {
                 let mut number = 0;
@@ -173,6 +185,25 @@
     }
 }
 
+/// Listens no more until the proxy is open again; none once it is stopped.
+async fn reopened(
+    listener: TcpListener,
+    watching: &mut watch::Receiver<Control>,
+) -> Option<TcpListener> {
+    let address = listener.local_addr().ok()?;
+    drop(listener);
+    let is_open = |control: &Control| control.stopped || control.mode != Mode::Closed;
+    if watching.wait_for(is_open).await.ok()?.stopped {
+        return None;
+    }
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return Some(listener),
+            Err(_) => tokio::time::sleep(REBIND).await,
+        }
+    }
+}
+
 /// Closes with a reset rather than an orderly end.
 fn reset(stream: &TcpStream) {
     // Fails only on a socket that is gone already.
