--- a/crates/chestnutspur/tests/soak/faults.rs
+++ b/crates/chestnutspur/tests/soak/faults.rs
@@ -93,7 +93,7 @@
     let node = draws.index(fleet.nodes.len());
     let lasts = draws.ms(50, 900);
     let proxy = &fleet.backend_proxies[backend];
-    match draws.below(9) {
+    match draws.below(10) {
         0 => proxy.reset_existing(),
         1 => proxy.silence_existing(),
         mode @ 2..=4 => {
@@ -118,10 +118,15 @@
             fleet.nodes[node].signal("CONT");
             return format!("node {node} paused for {lasts:?}");
         }
-        _ => {
+        8 => {
             fleet.strike(node).await;
             return format!("deadly request at node {node}");
         }
+        _ => {
+            let rate = [None, Some(0.5), Some(2.0), Some(20.0)][draws.index(4)];
+            fleet.backends[backend].name_limit(rate);
+            return format!("backend {backend} limit {rate:?}");
+        }
     }
     tokio::time::sleep(lasts / 4).await;
     format!("backend {backend} connections {lasts:?}")
