Lost requests are read and told of less often

Cause: an answer that is told again has a time some milliseconds off by each host's clock, so each read seemed to bring news, was told on and followed by another. Two answers closer than a second are one now; an answer nobody waits for is no news; the list of servers makes for one read, and only what a host itself learns for more. The test that what is told in any order decides alike caught a first try that left such answers out.

--- a/crates/node/src/poison.rs
+++ b/crates/node/src/poison.rs
@@ -139,7 +139,9 @@
         });
         let suspects = seen.flat_map(|seen| seen.suspects);
         let ours = suspects.map(|suspect| suspect.on_clock(Millis(rows.now_ms), now));
-        let ours: Vec<Suspect> = ours.collect();
+        let mut ours: Vec<Suspect> = ours.collect();
+        // What speaks against a request comes before the answer that clears it.
+        ours.sort_by_key(|suspect| suspect.crashes.is_empty());
         let learn = |suspect: &&Suspect| self.guard().learn(suspect, Source::Store);
         ours.iter().filter(learn).count()
     }
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -43,7 +43,8 @@
 /// For how long a host has the only try of a request that is not held, in milliseconds: until its
 /// server has ended, or has begun to answer.
 const TRIAL_MS: u64 = 2_000;
-/// Two ends of servers of one name that are closer than this are the same one, in milliseconds.
+/// Two ends of servers of one name that are closer than this are the same one, and so are two answers,
+/// in milliseconds.
 const SAME_MS: u64 = 1_000;
 /// Ends kept for one request; they weigh more than is needed to hold it for good.
 const CRASHES_MAX: usize = 12;
@@ -172,14 +173,14 @@
         true
     }
 
-    /// Notes an answer; whether it is news. Ends before it were others' doing.
+    /// Notes an answer; whether it is news. Ends before it were others' doing. One that is told again
+    /// has a time some milliseconds off, by each host's clock.
     fn clear(&mut self, at: Millis) -> bool {
-        if self.answered_at.is_some_and(|known| known >= at) {
-            return false;
-        }
-        self.answered_at = Some(at);
-        self.crashes.retain(|crash| crash.at > at);
-        true
+        let is_news = self.answered_at.is_none_or(|known| at > known + SAME_MS);
+        self.answered_at = self.answered_at.max(Some(at));
+        let answered_at = self.answered_at;
+        self.crashes.retain(|crash| Some(crash.at) > answered_at);
+        is_news
     }
 
     fn is_forgotten(&self, now: Millis) -> bool {
--- a/crates/policy/src/poison/polls.rs
+++ b/crates/policy/src/poison/polls.rs
@@ -1,60 +1,59 @@
 //! When a host reads what the hosts of other failure domains know of lost requests.
 //!
-//! Nothing is read while no server ends. When one does, those who were told elsewhere may know more
-//! of its cause, so their rows are read again and again, less and less often while they say nothing
-//! new.
+//! Nothing is read while no server ends. When the list of servers says that one has, hosts elsewhere may
+//! know more of its cause, and have written it by then: their rows are read once. While this host
+//! itself learns something new they are read again and again, less and less often.
 
 use crate::time::Millis;
 
+/// From what the list says to the read, in milliseconds: servers that end together are listed
+/// together, or one soon after the other.
+const GATHER_MS: u64 = 500;
 /// Between the first two reads, in milliseconds. What every host must know within three seconds is
 /// read by then, also if a call fails.
 const FIRST_MS: u64 = 1_000;
 /// Between two reads at most, in milliseconds.
 const LONGEST_MS: u64 = 4_000;
-/// How long after a server's end is read, in milliseconds: until every host has heard of it.
+/// How long is read after something new was learnt, in milliseconds.
 const FOR_MS: u64 = 5_000;
 
 /// When the rows are read.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Polls {
     until: Millis,
-    next: Millis,
+    next: Option<Millis>,
     pause_ms: u64,
 }
 
 impl Polls {
-    /// A server ended, or something new was learnt of a request.
+    /// A server ended, or this host has started.
     pub fn alarm(&mut self, now: Millis) {
-        let is_asleep = now > self.until;
-        self.until = now + FOR_MS;
-        if is_asleep {
-            self.next = now;
-            self.pause_ms = FIRST_MS;
-        }
+        self.next = self.next.or(Some(now + GATHER_MS));
     }
 
-    /// A request is held, or may be held soon: others must not be later than need be.
+    /// Something was learnt of a request: hosts elsewhere may know more by now.
     pub fn hurry(&mut self, now: Millis) {
-        self.alarm(now);
+        self.until = now + FOR_MS;
         self.pause_ms = FIRST_MS;
-        self.next = self.next.min(now + FIRST_MS);
+        let soon = now + FIRST_MS;
+        self.next = Some(self.next.map_or(soon, |next| next.min(soon)));
     }
 
     /// Whether they are read now.
     #[must_use]
     pub fn is_due(&self, now: Millis) -> bool {
-        now <= self.until && now >= self.next
+        self.next.is_some_and(|next| next <= now)
     }
 
-    /// When that is to be looked at next; none while nothing is read.
+    /// Whether they are read, now or soon.
     #[must_use]
-    pub fn next(&self, now: Millis) -> Option<Millis> {
-        (now <= self.until).then_some(self.next)
+    pub fn is_awake(&self) -> bool {
+        self.next.is_some()
     }
 
     /// They were read, or could not be.
     pub fn read(&mut self, is_news: bool, now: Millis) {
         self.pause_ms = if is_news { FIRST_MS } else { (self.pause_ms * 2).min(LONGEST_MS) };
-        self.next = now + self.pause_ms;
+        self.next = Some(now + self.pause_ms).filter(|next| *next <= self.until);
     }
 }
