Leave to try a suspect request lasts until a server ends under it

Cause: each try of the one host asked for leave anew. Now it keeps it while no more servers have ended.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -88,6 +88,8 @@
     pub head_ms: u64,
     /// From its coming in to the beginning of its answer, in milliseconds; 0 before that.
     pub begun_ms: u64,
+    /// Servers that had ended under it when this host got leave to try it alone.
+    pub trial: Option<u32>,
     /// When the last try's answer began, if it has.
     pub head_at: Option<Instant>,
     /// The last try broke off there, and the server was not looked at yet.
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -149,7 +149,10 @@
         match verdict {
             Verdict::Run => Ok(()),
             Verdict::Hold(ms) => Err(self.held(ms)),
+            // It was not sent yet, or a small model's answer was dropped: no server has ended since.
+            Verdict::Trial { servers } if self.tries.trial == Some(servers) => Ok(()),
             Verdict::Trial { servers } if self.state.poison.may_try(digest, servers).await => {
+                self.tries.trial = Some(servers);
                 log::info!(target: "route", request:% = self.ask.id, digest:% = digest, servers;
                     "suspect request tried");
                 Ok(())
