--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -88,12 +88,17 @@
     /// Something was learnt of a request, with times of this host's clock; whether it is news.
     pub fn learn(&self, told: &Suspect, source: Source) -> bool {
         let now = clock::steady();
-        let is_news = self.with(|book| book.learn(told, source, now));
+        let (is_news, verdict) = self.with(|book| {
+            let is_news = book.learn(told, source, now);
+            (is_news, book.verdict(told.digest, now))
+        });
         if is_news {
             self.polls(|polls| polls.hurry(now));
-            log::info!(target: "route", digest:% = told.digest, servers = told.servers(now),
-                from:? = source, answered = told.answered_at.is_some();
-                "lost request heard of");
+        }
+        // Of victims every host hears; what is decided by is told of.
+        if is_news && verdict != Verdict::Run {
+            log::info!(target: "route", digest:% = told.digest, verdict:? = verdict,
+                from:? = source; "lost request heard of");
         }
         is_news
     }
