What a host hears of lost requests wakes it to read the store

Found by reading: a host that reads for its domain and heard of a lost request from a peer planned a read of what other domains know, and slept on until its own next loss or the list's next change. No test fails without it: the list of servers wakes all hosts as well, a second or two later.

--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -94,6 +94,7 @@
         });
         if is_news {
             self.polls(|polls| polls.hurry(now));
+            self.changed.notify_one();
         }
         // Of victims every host hears; what is decided by is told of.
         if is_news && verdict != Verdict::Run {
