--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -317,7 +317,8 @@
         tokio::spawn(async move { backend.has_ended(&poison).await });
     }
 
-    /// Whether nothing listens at its address any more. Those who ask together share one look.
+    /// Whether nothing listens at its address any more; then the requests that were lost with it are
+    /// noted. Those who ask together share one look.
     pub async fn has_ended(&self, poison: &Guard) -> bool {
         let mut looked = self.looked.lock().await;
         let now = clock::steady();
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -33,7 +33,7 @@
     /// Whether this host may send the server a request now.
     #[must_use]
     pub fn has_room(&self, backend: &Backend, now: Millis) -> bool {
-        // Until it is known who else sends there, none of the others may be there to see.
+        // A host that does not know yet who else is there would take all of the limit.
         !backend.is_limited()
             || self.place(backend).is_some_and(|place| {
                 backend.with_throttle(|throttle| throttle.has_room(&place, now))
