A server that resets connections is not taken for one that has ended

Cause: a connection that is reset before the host has looked at it was counted like one that is refused. Now only "nothing listens there" is an end; a refused request looks before it says so.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -1,12 +1,13 @@
 //! One start of a backend server, and what this host believes of it.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use entry::clock;
-use entry::connection::{Cause, Connection};
+use entry::connection::Connection;
 use entry::server::Server;
 use policy::backlog::{Backlog, Prompt};
 use policy::name::Name;
@@ -15,6 +16,7 @@
 use policy::suspicion::Suspicion;
 use policy::throttle::{Limit, Throttle};
 use policy::time::Millis;
+use tokio::net::TcpStream;
 use wire::backend;
 
 use crate::codec::{Load, Part};
@@ -327,8 +329,10 @@
         {
             return ended;
         }
-        let opened = Connection::open(self.server.address, LOOK).await;
-        let ended = opened.is_err_and(|failure| failure.cause == Cause::Refused);
+        let opened = tokio::time::timeout(LOOK, TcpStream::connect(self.server.address)).await;
+        // One that is reset was taken first: whoever did so lives.
+        let is_refused = |error: std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
+        let ended = opened.is_ok_and(|opened| opened.is_err_and(is_refused));
         *looked = Some((now, ended));
         if ended {
             log::info!(target: "route", backend:% = self.id; "backend server ended");
--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -27,7 +27,8 @@
                 match cause {
                     Cause::Refused => {
                         backend.note_refused(now);
-                        self.state.poison.ended(&backend.id);
+                        // Others were lost there if it has ended.
+                        backend.look_soon(&self.state.poison);
                     }
                     Cause::Silent => {
                         backend.note_timeout(now);
