--- a/crates/chestnutspur/tests/soak/fleet.rs
+++ b/crates/chestnutspur/tests/soak/fleet.rs
@@ -166,7 +166,10 @@
     /// The deadly request comes to a node. Servers that run it end, and are back under another id.
     pub async fn strike(&mut self, node: usize) {
         let strike = tokio::spawn(callers::strike(self.nodes[node].callers));
-        while !strike.is_finished() {
+        let mut is_over = false;
+        while !is_over {
+            // Those that it reached last have yet to end when its caller has an answer.
+            is_over = strike.is_finished();
             for number in 0..BACKENDS {
                 let ending = self.backends[number].ending();
                 if tokio::time::timeout(Duration::from_millis(2), ending).await.is_ok() {
