--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -82,7 +82,7 @@
 
     /// Whether something is to be told or read, now or soon.
     pub fn is_awake(&self) -> bool {
-        self.polls(|polls| polls.is_awake()) || self.lock().has_untold()
+        self.polls(|polls| polls.is_awake()) || self.lock().has_unsent()
     }
 
     /// Something was learnt of a request, with times of this host's clock; whether it is news.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -232,7 +232,7 @@
         let world = self.state.world.load();
         let backends = world.pools.values().flat_map(|pool| &pool.backends);
         let told = backends.filter_map(|backend| {
-            let limit = backend.with_throttle(|throttle| throttle.told(now))?;
+            let limit = backend.with_throttle(|throttle| throttle.shared(now))?;
             Some(Limited { backend: backend.id.clone(), limit })
         });
         told.take(LIMITS_MAX).collect()
--- a/crates/node/src/poison.rs
+++ b/crates/node/src/poison.rs
@@ -97,7 +97,7 @@
     }
 
     async fn step(&self, moment: &mut Option<Moment>) -> Result<(), Error> {
-        if self.guard().with(|book| book.has_untold()) {
+        if self.guard().with(|book| book.has_unsent()) {
             self.watch.notify(Notice::Suspects);
         }
         if self.guard().polls(|polls| polls.is_due(clock::steady())) && self.watch.speaks() {
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -161,6 +161,6 @@
         reported: seen.reported,
         suspicion: seen.suspicion,
         ill_ms: backend.server.health().probe.ill_until.since(now),
-        per_second: backend.with_throttle(|throttle| throttle.told(now)?.per_second),
+        per_second: backend.with_throttle(|throttle| throttle.shared(now)?.per_second),
     }
 }
--- a/crates/policy/src/poison/book.rs
+++ b/crates/policy/src/poison/book.rs
@@ -24,7 +24,7 @@
 /// in milliseconds: nearly all are.
 const UNANSWERED_MS: u64 = 1_000;
 /// Requests told of at once at most.
-const TOLD_MAX: usize = 24;
+const SHARED_MAX: usize = 24;
 
 domain! {
     /// A run of a request.
@@ -40,7 +40,7 @@
 
 /// Who has to be told of what is known of a request.
 #[derive(Clone, Copy, Debug, Default)]
-struct Untold {
+struct Unsent {
     store: bool,
     peers: bool,
 }
@@ -56,11 +56,11 @@
 #[derive(Debug)]
 struct Known {
     suspect: Suspect,
-    untold: Untold,
+    unsent: Unsent,
     /// This host lost it with a server, or answered it.
     is_own: bool,
     /// Others have been told of it, so they are told when it is cleared.
-    is_told: bool,
+    is_shared: bool,
 }
 
 /// Where something was learnt of a request.
@@ -134,7 +134,7 @@
         let known = self.entry(digest, now);
         if known.suspect.add(Crash { server, at, is_early }) {
             known.is_own = true;
-            known.untold = Untold { store: true, peers: true };
+            known.unsent = Unsent { store: true, peers: true };
         }
     }
 
@@ -147,7 +147,7 @@
             let is_cleared = known.suspect.crashes.is_empty();
             if known.suspect.clear(now) && !is_cleared {
                 known.is_own = true;
-                known.untold = Untold { store: true, peers: true };
+                known.unsent = Unsent { store: true, peers: true };
             }
         }
     }
@@ -160,8 +160,8 @@
         let cleared = told.answered_at.is_some_and(|at| known.suspect.clear(at));
         let added = told.crashes.iter().filter(|crash| known.suspect.add((*crash).clone())).count();
         let is_news = matters && (cleared || added > 0);
-        known.is_told |= is_news;
-        known.untold.peers |= is_news && source == Source::Store;
+        known.is_shared |= is_news;
+        known.unsent.peers |= is_news && source == Source::Store;
         is_news
     }
 
@@ -179,17 +179,17 @@
 
     /// Whether somebody may have to be told of something, now or soon.
     #[must_use]
-    pub fn has_untold(&self) -> bool {
-        self.known.values().any(|known| known.untold.store || known.untold.peers)
+    pub fn has_unsent(&self) -> bool {
+        self.known.values().any(|known| known.unsent.store || known.unsent.peers)
     }
 
     /// What the other hosts of the failure domain are to be told now.
     pub fn for_peers(&mut self, now: Millis) -> Vec<Suspect> {
         self.settle(now);
-        let due = self.known.values_mut().filter(|known| known.untold.peers && is_due(known, now));
-        let due = due.take(TOLD_MAX).map(|known| {
-            known.untold.peers = false;
-            known.is_told = true;
+        let due = self.known.values_mut().filter(|known| known.unsent.peers && is_due(known, now));
+        let due = due.take(SHARED_MAX).map(|known| {
+            known.unsent.peers = false;
+            known.is_shared = true;
             known.suspect.clone()
         });
         due.collect()
@@ -199,20 +199,20 @@
     /// first where there are too many.
     pub fn for_store(&mut self, now: Millis) -> Option<Vec<Suspect>> {
         self.settle(now);
-        let mut due = self.known.values().filter(|known| known.untold.store);
+        let mut due = self.known.values().filter(|known| known.unsent.store);
         if !due.any(|known| is_due(known, now)) {
             return None;
         }
         let own = self.known.values_mut().filter(|known| known.is_own && is_due(known, now));
         let mut own: Vec<Suspect> = own
             .map(|known| {
-                known.untold.store = false;
-                known.is_told = true;
+                known.unsent.store = false;
+                known.is_shared = true;
                 known.suspect.clone()
             })
             .collect();
         own.sort_by_key(|suspect| std::cmp::Reverse((suspect.servers(now), suspect.last())));
-        own.truncate(TOLD_MAX);
+        own.truncate(SHARED_MAX);
         Some(own)
     }
 
@@ -220,7 +220,7 @@
     pub fn untaken(&mut self, row: &[Suspect]) {
         for suspect in row {
             if let Some(known) = self.known.get_mut(&suspect.digest) {
-                known.untold.store = true;
+                known.unsent.store = true;
             }
         }
     }
@@ -230,18 +230,18 @@
     pub fn suspects(&self, now: Millis) -> Vec<Suspect> {
         let all = self.known.values().map(|known| &known.suspect);
         let suspects = all.filter(|suspect| suspect.verdict(now) != Verdict::Run);
-        suspects.take(TOLD_MAX).cloned().collect()
+        suspects.take(SHARED_MAX).cloned().collect()
     }
 
     /// Forgets what is over, and does not wait to tell of what nobody needs to know.
     fn settle(&mut self, now: Millis) {
         self.known.retain(|_, known| !known.suspect.is_forgotten(now));
         for known in self.known.values_mut() {
-            let is_cleared = known.suspect.crashes.is_empty() && !known.is_told;
+            let is_cleared = known.suspect.crashes.is_empty() && !known.is_shared;
             let waited = known.suspect.last().is_some_and(|last| now.since(last) > UNANSWERED_MS);
             let is_minor = waited && !known.suspect.is_notable(now, UNANSWERED_MS);
-            if is_cleared || is_minor && !known.is_told {
-                known.untold = Untold::default();
+            if is_cleared || is_minor && !known.is_shared {
+                known.unsent = Unsent::default();
             }
         }
     }
@@ -253,9 +253,9 @@
         let answered_at = self.recent.answered_at(digest);
         self.known.entry(digest).or_insert_with(|| Known {
             suspect: Suspect { answered_at, ..Suspect::new(digest) },
-            untold: Untold::default(),
+            unsent: Unsent::default(),
             is_own: false,
-            is_told: false,
+            is_shared: false,
         })
     }
 
@@ -272,6 +272,6 @@
 
 /// Whether others should know of it now.
 fn is_due(known: &Known, now: Millis) -> bool {
-    let was_cleared = known.is_told && known.suspect.answered_at.is_some();
+    let was_cleared = known.is_shared && known.suspect.answered_at.is_some();
     was_cleared || known.suspect.is_notable(now, UNANSWERED_MS)
 }
--- a/crates/policy/src/throttle.rs
+++ b/crates/policy/src/throttle.rs
@@ -18,7 +18,7 @@
 const BURST_S: f64 = 0.5;
 /// A limit that has ended is told of for this long, in milliseconds: the next sign of life of each
 /// host reaches those that missed the message.
-const TOLD_MS: u64 = 15_000;
+const SHARED_MS: u64 = 15_000;
 
 domain! {
     /// What a server said last of how much it takes.
@@ -69,8 +69,8 @@
 
     /// What the server said last, if others should know it.
     #[must_use]
-    pub fn told(&self, now: Millis) -> Option<Limit> {
-        let is_new = self.limit.at > Millis(0) && now.since(self.limit.at) < TOLD_MS;
+    pub fn shared(&self, now: Millis) -> Option<Limit> {
+        let is_new = self.limit.at > Millis(0) && now.since(self.limit.at) < SHARED_MS;
         (self.is_limited() || is_new).then_some(self.limit)
     }
 
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -281,7 +281,7 @@
         if (self.now.0 / STEP_MS + host as u64).is_multiple_of(SIGN_STEPS) {
             told = book.suspects(self.now);
         }
-        if book.has_untold() {
+        if book.has_unsent() {
             told.extend(book.for_peers(self.now));
             if let Some(row) = book.for_store(self.now) {
                 self.rows[host] = row;
@@ -320,18 +320,25 @@
     }
 }
 
-#[test]
-fn deadly_request_is_held_by_300_hosts() {
-    for seed in 0..4 {
+/// It comes to another host each time, so often in steps; the fleets at the end.
+fn struck(steps: usize, every: usize) -> Vec<Fleet> {
+    let play = |seed| {
         let mut fleet = Fleet::new(seed);
-        for step in 0..1_000 {
-            // It comes twice a second, each time to another host.
-            if step % 5 == 0 {
+        for step in 0..steps {
+            if step % every == 0 {
                 let host = fleet.draw(HOSTS);
                 fleet.strike(host);
             }
             fleet.pass_time();
         }
+        fleet
+    };
+    (0..4).map(play).collect()
+}
+
+#[test]
+fn deadly_request_is_held_by_300_hosts() {
+    for (seed, fleet) in struck(1_000, 5).iter().enumerate() {
         assert!(fleet.retries() <= 3, "seed {seed}: {} servers more", fleet.retries());
         assert_eq!(fleet.held_victims(), 0, "seed {seed}");
     }
@@ -339,15 +346,7 @@
 
 #[test]
 fn deadly_request_that_comes_rarely_is_held_by_300_hosts() {
-    for seed in 0..4 {
-        let mut fleet = Fleet::new(seed);
-        for step in 0..2_000 {
-            if step % 45 == 0 {
-                let host = fleet.draw(HOSTS);
-                fleet.strike(host);
-            }
-            fleet.pass_time();
-        }
+    for (seed, fleet) in struck(2_000, 45).iter().enumerate() {
         assert!(fleet.retries() <= 3, "seed {seed}: {} servers more", fleet.retries());
     }
 }
--- a/crates/policy/tests/throttle.rs
+++ b/crates/policy/tests/throttle.rs
@@ -111,8 +111,8 @@
     assert!(throttle.learn(Limit { per_second: None, at: START + 6 }, START + 10));
     assert!(!throttle.is_limited());
     // Those that missed it are told again, for a while.
-    assert!(throttle.told(START + 5_000).is_some());
-    assert!(throttle.told(START + 60_000).is_none());
+    assert!(throttle.shared(START + 5_000).is_some());
+    assert!(throttle.shared(START + 60_000).is_none());
 }
 
 #[test]
