Tests of control wait until hosts are ready, not only for the generation

Cause: a control takes documents as soon as its operators' address is open, and serves them only when it has asked its peers once. The test waited for the generation alone. No check is changed; the wait is before all of them.

--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -237,6 +237,8 @@
         assert_eq!(answer.status, 200, "{}", answer.text());
         for number in 0..self.hosts.len() {
             self.wait_generation(number, 1).await;
+            // One that still asks its peers serves no document yet.
+            wait_for(&format!("host {number} ready"), || self.ready(number)).await;
         }
     }
 
