Messages between hosts are divided, not shortened: no roll-out's stage is lost

Cause: a message longer than a datagram was shortened until it fitted, records of roll-outs first, lost requests after them. The writer's neighbours never read the row, since somebody speaks for them. Ruled out: that the writer passes nothing on by design; that a lost datagram is enough (each sign of life would mend it).

Change: a message is a list of typed entries, halved until each piece fits; only an entry that fits no datagram is dropped, with a log line and a counter. Who writes a record tells the others also when another host speaks for the domain by then (Notice::Records). Lost requests go with signs of life and when they are new, no longer with each position. peers.rs is split by job: message, find, the loop.

--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -25,7 +25,7 @@
 use crate::exchange;
 use crate::follow::Follow;
 use crate::operators::{self, Subject};
-use crate::peers::Peers;
+use crate::peers::{Inbox, Peers};
 use crate::poison::Poison;
 use crate::rollout::Rollouts;
 use crate::store::{List, Store};
@@ -175,7 +175,8 @@
             state: Arc::clone(&state),
             socket,
         };
-        background.push(spawn(peers.run(announced, limited, notices)));
+        let inbox = Inbox { prefills: announced, limits: limited, notices };
+        background.push(spawn(peers.run(inbox)));
         background.push(spawn(exchange::serve(listener, Arc::clone(&watch))));
     }
     let close = CancellationToken::new();
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -208,7 +208,7 @@
     fn adopt(&self, service: &Name, record: Record, version: u64, now_ms: u64) {
         let age_ms = now_ms.saturating_sub(record.began_ms);
         self.watch.adopt(Snapshot { service: service.clone(), version, record, age_ms });
-        self.watch.tell();
+        self.watch.tell_records();
     }
 
     /// Writes what this host, or its domain, counted, reads what others did, and makes the step
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -77,6 +77,8 @@
 pub enum Notice {
     /// All of them: how new the lists are that this host reads, and how roll-outs stand.
     Positions,
+    /// All of them: how roll-outs stand, as this host has just written or read.
+    Records,
     /// The one that speaks for the domain: what this host counted of roll-outs.
     Counts,
     /// All of them: a change of a list is on its way to this host that is too long to be passed on.
@@ -255,6 +257,12 @@
         self.notify(Notice::Positions);
     }
 
+    /// Tells the others how roll-outs stand. Whoever has written that tells them, also if another
+    /// host speaks for the domain by now.
+    pub fn tell_records(&self) {
+        self.notify(Notice::Records);
+    }
+
     /// Tells the host that speaks for the domain what this one counted.
     pub fn tell_counts(&self) {
         self.notify(Notice::Counts);
--- /dev/null
+++ b/crates/node/tests/message.rs
@@ -0,0 +1,63 @@
+//! Messages between hosts that are too long for one datagram.
+
+use gateway::backend::{Limited, Prefill};
+use node::peers::message::{BYTES_MAX, Entry, Message};
+use node::record::{Record, Snapshot};
+use policy::canary::Stage;
+use policy::name::Name;
+use policy::poison::{Crash, Digest, Suspect};
+use policy::throttle::Limit;
+use policy::time::Millis;
+
+const NOW: Millis = Millis(5_000);
+
+fn record(stage: Stage) -> Entry {
+    let record = Record { target: Name::from("v2"), stage, ..Record::default() };
+    Entry::Record(Snapshot { service: Name::from("desk"), version: 7, record, age_ms: 400 })
+}
+
+fn suspect(number: u64) -> Entry {
+    let crash =
+        |server| Crash { server: Name::from(format!("i-{server}")), at: NOW, is_early: true };
+    let crashes = (0..4).map(crash).collect();
+    Entry::Suspect(Suspect { crashes, ..Suspect::new(Digest(number)) })
+}
+
+fn limit(number: u64) -> Entry {
+    let limit = Limit { per_second: Some(4.0), at: NOW, ..Limit::default() };
+    Entry::Limit(Limited { backend: Name::from(format!("i-{number}")), limit })
+}
+
+fn read(pieces: &[Vec<u8>]) -> Vec<Entry> {
+    let read = |piece: &Vec<u8>| serde_json::from_slice::<Message>(piece).unwrap();
+    pieces.iter().map(read).flat_map(|message| message.entries).collect()
+}
+
+fn message(entries: Vec<Entry>) -> Message {
+    Message { host: Name::from("host-1"), now: NOW, entries }
+}
+
+/// Guards against a stage that is left out because much else is to be said.
+#[test]
+fn pieces_leave_nothing_out() {
+    let suspects = (0..100).map(suspect);
+    let entries: Vec<Entry> =
+        suspects.chain([record(Stage::Done)]).chain((0..50).map(limit)).collect();
+    let pieces = message(entries.clone()).pieces();
+    assert!(pieces.iter().all(|piece| piece.len() <= BYTES_MAX));
+    assert_eq!(read(&pieces), entries);
+}
+
+#[test]
+fn pieces_short_message_is_one() {
+    assert_eq!(message(vec![record(Stage::Moving), limit(1)]).pieces().len(), 1);
+    assert_eq!(message(Vec::new()).pieces().len(), 1);
+}
+
+#[test]
+fn pieces_entry_that_fits_nowhere_does_not_take_others_along() {
+    let backend = Name::from("x".repeat(2 * BYTES_MAX));
+    let long = Entry::Prefill(Prefill { backend, read_ms: 5, rank: 0 });
+    let pieces = message(vec![long, record(Stage::Done)]).pieces();
+    assert_eq!(read(&pieces), [record(Stage::Done)]);
+}
