Evacuations of failure domains are obeyed by all hosts

Cause: no code knew the order; its row was logged as one of no known meaning.

Change: the order rides on the operators' list, which is followed already, passed on within a failure domain and read whole by a host that starts; it costs no call of the store. policy::evacuation holds what is in force, so that neither an older whole list ends an order nor one brings it back. The evacuated domain's servers leave the pools at once: first tries, repeats, streams that go on elsewhere, sessions, affinity and roll-outs all choose from there. A service with no other server is refused at once, not run, with when to return. The key alone is obeyed, whatever the row holds. /status, a gauge and log lines say what is evacuated and whether servers stand there.

--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -86,6 +86,13 @@
         (rate > 0.0).then_some(rate)
     }
 
+    /// Whether all servers of the service stand in evacuated failure domains.
+    fn is_evacuated(&self) -> bool {
+        let world = self.state.world.load();
+        let pool = world.pools.get(&self.service);
+        pool.is_some_and(|pool| pool.backends.is_empty() && pool.evacuated > 0)
+    }
+
     async fn try_at(
         &mut self,
         backend: &Arc<Backend>,
@@ -187,6 +194,7 @@
                 let timing = self.state.timings.with(self.timing(), |timing| *timing);
                 refuse::busy(timing.whole.mean_ms(0.0), rand::random())
             }
+            false if self.is_evacuated() => refuse::evacuated(rand::random()),
             false => match self.limited() {
                 Some(per_second) => refuse::limited(per_second, rand::random()),
                 None => refuse::no_backend(),
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -9,6 +9,9 @@
 
 /// While no backend server can be reached; they are asked again about as often.
 const NO_BACKEND_RETRY_MS: u64 = 250;
+/// While all backend servers of a service stand in evacuated failure domains: operators take orders
+/// back after seconds at the least.
+const EVACUATED_RETRY_MS: f64 = 1_000.0;
 /// Before there is a table of routes.
 const NOT_READY_RETRY_MS: u64 = 500;
 /// Requests a second of a service below which callers are told to come back as if it took so many.
@@ -58,6 +61,14 @@
         .retry_after(NO_BACKEND_RETRY_MS)
 }
 
+/// All backend servers stand in evacuated failure domains; `draw` as above.
+#[must_use]
+pub fn evacuated(draw: f64) -> Refusal {
+    let ms = EVACUATED_RETRY_MS * (1.0 + draw);
+    Refusal::not_run(Code::NoBackend, "all backend servers are in evacuated failure domains")
+        .retry_after(ms as u64)
+}
+
 /// The response that tells a caller.
 #[must_use]
 pub fn response<C: Codec>(codec: &C, id: &Name, mut refusal: Refusal) -> Response<Answer> {
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -37,6 +37,7 @@
         base: Name::from("v1"),
         backends: vec![backend("old", "v1"), backend("new", "v2")],
         rollout: Some(rollout),
+        ..Pool::default()
     }
 }
 
--- a/crates/node/src/catalog.rs
+++ b/crates/node/src/catalog.rs
@@ -11,6 +11,7 @@
 use gateway::pool::{Pool, Rollout};
 use gateway::world::World;
 use policy::canary::Stage;
+use policy::evacuation::{self, Evacuations};
 use policy::name::Name;
 use policy::roster::Roster;
 use policy::time::Millis;
@@ -55,6 +56,7 @@
     bases: HashMap<Name, Name>,
     table_at: Option<Millis>,
     heard_at: BTreeMap<Name, Millis>,
+    evacuations: Evacuations,
 }
 
 /// Everything known, under one lock; requests see only the worlds made of it.
@@ -136,6 +138,30 @@
         true
     }
 
+    /// Takes orders to evacuate failure domains, as a list had them at a revision.
+    pub fn take_evacuations(
+        &self,
+        entries: &[evacuation::Entry],
+        revision: u64,
+        is_whole: bool,
+    ) -> evacuation::Change {
+        self.lock().evacuations.take(entries, revision, is_whole)
+    }
+
+    /// Failure domains that are evacuated.
+    #[must_use]
+    pub fn evacuated(&self) -> Vec<Name> {
+        self.lock().evacuations.failure_domains().cloned().collect()
+    }
+
+    /// Backend servers that stand in a failure domain.
+    #[must_use]
+    pub fn servers_in(&self, failure_domain: &Name) -> usize {
+        let inner = self.lock();
+        let backends = inner.backends.values();
+        backends.filter(|backend| backend.server.failure_domain == *failure_domain).count()
+    }
+
     /// A roll-out.
     #[must_use]
     pub fn rollout(&self, service: &Name) -> Option<Known> {
@@ -224,8 +250,11 @@
                 known.filter(|known| known.server.address == row.address && known.born == row.born);
             let backend = known.unwrap_or_else(|| Arc::new(Backend::new(row, near)));
             backends.insert(row.id.clone(), Arc::clone(&backend));
-            if !row.draining {
-                pools.entry(row.service.clone()).or_default().backends.push(backend);
+            let pool = pools.entry(row.service.clone()).or_default();
+            match row.draining {
+                true => {}
+                false if self.evacuations.covers(&row.failure_domain) => pool.evacuated += 1,
+                false => pool.backends.push(backend),
             }
         }
         self.backends = backends;
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -101,6 +101,7 @@
     let world = subject.state.world.load();
     let in_flight = subject.state.in_flight.load(std::sync::atomic::Ordering::Relaxed);
     metrics::gauge!("node_table_version").set(world.index.version as f64);
+    metrics::gauge!("node_evacuated_domains").set(subject.catalog.evacuated().len() as f64);
     metrics::gauge!("node_backends_revision").set(world.revision as f64);
     metrics::gauge!("gateway_requests_in_flight").set(in_flight as f64);
     for follow in subject.follows.iter() {
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -31,6 +31,8 @@
         pub reads: BTreeMap<Name, bool>,
         /// For how long this host has known of a change of each list that it lacks, in milliseconds.
         pub behind_ms: BTreeMap<Name, u64>,
+        /// Failure domains that operators have evacuated.
+        pub evacuated: Vec<Name>,
         /// By service.
         pub services: BTreeMap<Name, Service>,
         /// Requests under way.
@@ -56,6 +58,8 @@
         pub version: Name,
         /// Its roll-out, if there was one.
         pub rollout: Option<Rollout>,
+        /// Backend servers that would take new work, but stand in evacuated failure domains.
+        pub evacuated: usize,
         /// Backend servers that take new work, by id.
         pub backends: BTreeMap<Name, Backend>,
     }
@@ -114,6 +118,7 @@
                 .iter()
                 .map(|follow| (Name::from(follow.list.name()), follow.behind_ms(now)))
                 .collect(),
+            evacuated: catalog.evacuated(),
             services: services.collect(),
             requests: requests as u64,
             held: state
@@ -148,6 +153,7 @@
             share: rollout.share(now),
             age_ms: now.since(rollout.began),
         }),
+        evacuated: pool.evacuated,
         backends: backends.collect(),
     }
 }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -12,7 +12,7 @@
     /// A list that the store keeps for us to read.
     #[derive(Copy, Eq, Ord, PartialOrd)]
     pub enum List {
-        /// The table of routes, and orders to change versions.
+        /// The table of routes, and orders: to change versions, to evacuate failure domains.
         Operators,
         /// Backend servers, as they report themselves.
         Backends,
@@ -24,6 +24,8 @@
         Table(Arc<Table>),
         /// An order to change a version.
         Order(Order),
+        /// An order to send nothing more to a failure domain's backend servers.
+        Evacuation(Name),
         /// A backend server.
         Backend(Backend),
         /// The entry was removed.
--- a/crates/node/src/watch/take.rs
+++ b/crates/node/src/watch/take.rs
@@ -2,6 +2,7 @@
 
 use entry::clock;
 use gateway::Codec;
+use policy::evacuation::{self, Change};
 use wire::routing::Table;
 
 use super::Watch;
@@ -51,15 +52,45 @@
                     log::error!(target: "watch", key:% = key, revision, why:% = why;
                         "entry unreadable, the one before stays in force");
                 }
-                Fact::Backend(_) | Fact::Removed => {}
+                Fact::Backend(_) | Fact::Evacuation(_) | Fact::Removed => {}
             }
         }
+        changed |= self.take_evacuations(news);
         if changed {
             self.publish();
         }
         true
     }
 
+    /// Takes orders to evacuate failure domains, and their ends; whether there are any.
+    fn take_evacuations(&self, news: &News) -> bool {
+        let entry = |entry: &Entry| {
+            let failure_domain = match &entry.fact {
+                Fact::Evacuation(failure_domain) => Some(failure_domain.clone()),
+                Fact::Removed => None,
+                _ => return None,
+            };
+            let (key, revision) = (entry.key.clone(), entry.revision);
+            Some(evacuation::Entry { key, revision, failure_domain })
+        };
+        let entries: Vec<_> = news.entries.iter().filter_map(entry).collect();
+        let Change { begun, ended } =
+            self.catalog.take_evacuations(&entries, news.revision, news.is_whole);
+        let revision = news.revision;
+        for domain in &begun {
+            let servers = self.catalog.servers_in(domain);
+            log::info!(target: "watch", domain:% = domain, revision, servers; "evacuation begins");
+            if servers == 0 {
+                log::warn!(target: "watch", domain:% = domain, revision;
+                    "no backend server stands in the evacuated failure domain");
+            }
+        }
+        for domain in &ended {
+            log::info!(target: "watch", domain:% = domain, revision; "evacuation ends");
+        }
+        !begun.is_empty() || !ended.is_empty()
+    }
+
     fn take_backends(&self, news: &News) -> bool {
         let now = clock::steady();
         let count = news.entries.len();
@@ -83,7 +114,7 @@
                         Fact::Backend(backend) => roster.put(backend.clone(), entry.revision),
                         Fact::Removed => roster.remove(&entry.key, entry.revision, now),
                         Fact::Unreadable(_) => roster.withdraw(&entry.key, entry.revision, now),
-                        Fact::Table(_) | Fact::Order(_) => {}
+                        Fact::Table(_) | Fact::Order(_) | Fact::Evacuation(_) => {}
                     }
                 }
                 true
@@ -126,6 +157,6 @@
         Fact::Unreadable(why) => {
             log::error!(target: "watch", key:% = entry.key, why:% = why; "entry unreadable");
         }
-        Fact::Table(_) | Fact::Order(_) => {}
+        Fact::Table(_) | Fact::Order(_) | Fact::Evacuation(_) => {}
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod engine;
 pub mod escalate;
 pub mod estimate;
+pub mod evacuation;
 pub mod exposure;
 pub mod gain;
 pub mod limit;
