Servers that are not warm get no more than they take, from all hosts together

Cause: nothing knew that a server warms up; an empty one draws all hosts at once.

Change: policy::throttle, which keeps the limits that servers name, also keeps a second kind of limit, one that ends by itself. The lower of both holds. It is known from the server's entry, from the end of an evacuation (its servers had no requests), and from connections that are refused or time out twice: such a server may be back under its id before its entry says so; whoever sees it tells its failure domain. An entry that says nothing of a server that is new counts as cold, one that says more than a minute is believed for a minute, a rate of zero leaves the server alone until it is warm.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -18,6 +18,7 @@
 use policy::time::Millis;
 use tokio::net::TcpStream;
 use wire::backend;
+use wire::routing::Warmup;
 
 use crate::codec::{Load, Part};
 use crate::poison::Guard;
@@ -226,23 +227,40 @@
         is_news.then(|| {
             log::info!(target: "route", backend:% = self.id, per_second:? = per_second;
                 "backend server names another limit");
-            Limited { backend: self.id.clone(), limit: Limit { per_second, at: now } }
+            let limit = Limit { per_second, at: now, until: None };
+            Limited { backend: self.id.clone(), limit }
         })
     }
 
-    /// The same as another host says.
+    /// How much it takes, as another host or its entry says.
     pub fn learn_limit(&self, limit: Limit, now: Millis) {
         if self.with_throttle(|throttle| throttle.learn(limit, now)) {
-            log::info!(target: "route", backend:% = self.id, per_second:? = limit.per_second;
+            log::info!(target: "route", backend:% = self.id, per_second:? = limit.per_second,
+                until_ms = limit.until.map(|until| until.since(now));
                 "limit of a backend server heard of");
         }
     }
 
+    /// It can't be reached, and may start again before its entry says so; what the other hosts are
+    /// to be told, if it is news.
+    ///
+    /// A server that is back under its id is empty, so that all hosts would send to it at once, and
+    /// end it once more before it is warm.
+    pub fn may_start_again(&self, warmup: Warmup, now: Millis) -> Option<Limited> {
+        let limit = Limit::warmup(warmup.per_second, now + warmup.ms, now);
+        let is_news = self.with_throttle(|throttle| throttle.learn(limit, now));
+        is_news.then(|| {
+            log::info!(target: "route", backend:% = self.id, per_second = warmup.per_second,
+                until_ms = warmup.ms; "backend server may start again");
+            Limited { backend: self.id.clone(), limit }
+        })
+    }
+
     /// Uses what is known of how many requests it takes.
     pub fn with_throttle<T>(&self, use_it: impl FnOnce(&mut Throttle) -> T) -> T {
         let mut belief = self.lock();
         let used = use_it(&mut belief.throttle);
-        self.is_limited.store(belief.throttle.is_limited(), Ordering::Relaxed);
+        self.is_limited.store(belief.throttle.is_limited(clock::steady()), Ordering::Relaxed);
         used
     }
 
--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -27,11 +27,14 @@
                 match cause {
                     Cause::Refused => {
                         backend.note_refused(now);
+                        self.may_start_again(backend);
                         // Others were lost there if it has ended.
                         backend.look_soon(&self.state.poison);
                     }
                     Cause::Silent => {
-                        backend.note_timeout(now);
+                        if backend.note_timeout(now) {
+                            self.may_start_again(backend);
+                        }
                         // A whole failure domain may be cut off. Trying its servers one after
                         // another would use up the request's time.
                         if !backend.near {
@@ -75,4 +78,14 @@
             left_ms = self.left().as_millis() as u64;
             "try failed");
     }
+
+    fn may_start_again(&self, backend: &Backend) {
+        let world = self.state.world.load();
+        let service = world.index.services.get(&self.service);
+        let Some(warmup) = service.and_then(|service| service.warmup) else { return };
+        if let Some(limited) = backend.may_start_again(warmup, clock::steady()) {
+            // When too many wait the others find out for themselves.
+            let _ = self.state.outbox.limits.try_send(limited);
+        }
+    }
 }
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -79,9 +79,8 @@
         let backends = &world.pools.get(&self.service)?.backends;
         let now = clock::steady();
         let limited = backends.iter().filter(|backend| backend.server.takes_work(now));
-        let rates = limited.filter_map(|backend| {
-            backend.with_throttle(|throttle| throttle.shared(now)?.per_second)
-        });
+        let rates = limited
+            .filter_map(|backend| backend.with_throttle(|throttle| throttle.per_second(now)));
         let rate: f64 = rates.sum();
         (rate > 0.0).then_some(rate)
     }
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -21,6 +21,7 @@
         version: Name::from(version),
         slots: 8,
         draining: false,
+        warmup_ms: None,
     };
     Arc::new(Backend::new(&row, true))
 }
--- a/crates/node/src/catalog.rs
+++ b/crates/node/src/catalog.rs
@@ -14,11 +14,15 @@
 use policy::evacuation::{self, Evacuations};
 use policy::name::Name;
 use policy::roster::Roster;
+use policy::throttle::Limit;
 use policy::time::Millis;
 use wire::routing::{Order, Table};
 
 use crate::record::{Record, Snapshot};
 
+/// Longest time for which a backend server is believed not to be warm, in milliseconds.
+const WARMUP_MAX_MS: u64 = 60_000;
+
 /// A roll-out as this host knows it.
 #[derive(Clone, Debug)]
 pub struct Known {
@@ -57,6 +61,8 @@
     table_at: Option<Millis>,
     heard_at: BTreeMap<Name, Millis>,
     evacuations: Evacuations,
+    /// Backend servers that are not warm, and when they are.
+    warming: HashMap<Name, Millis>,
 }
 
 /// Everything known, under one lock; requests see only the worlds made of it.
@@ -114,6 +120,25 @@
         change(&mut self.lock().roster)
     }
 
+    /// A backend server said that it is warm in so long, or has just been listed and says nothing.
+    pub fn warms(&self, backend: &wire::routing::Backend, now: Millis) {
+        let mut inner = self.lock();
+        let service = inner.index.services.get(&backend.service);
+        let usual_ms = service.and_then(|service| service.warmup).map(|warmup| warmup.ms);
+        let known = inner.backends.get(&backend.id);
+        let is_new = known.is_none_or(|known| known.born != backend.born);
+        let ms = backend.warmup_ms.or(usual_ms.filter(|_| is_new)).unwrap_or_default();
+        if ms > WARMUP_MAX_MS {
+            log::warn!(target: "watch", backend:% = backend.id, warmup_ms = ms;
+                "backend server says that it warms up for too long, believed for a minute");
+        }
+        if ms > 0 {
+            let until = now + ms.min(WARMUP_MAX_MS);
+            let held = inner.warming.entry(backend.id.clone()).or_insert(until);
+            *held = until.max(*held);
+        }
+    }
+
     /// The list of backend servers was read whole.
     pub fn set_roster_read(&self) {
         self.lock().has_roster = true;
@@ -144,8 +169,12 @@
         entries: &[evacuation::Entry],
         revision: u64,
         is_whole: bool,
+        now: Millis,
     ) -> evacuation::Change {
-        self.lock().evacuations.take(entries, revision, is_whole)
+        let mut inner = self.lock();
+        let change = inner.evacuations.take(entries, revision, is_whole);
+        inner.cool(&change.ended, now);
+        change
     }
 
     /// Failure domains that are evacuated.
@@ -239,6 +268,7 @@
 impl Inner {
     fn world(&mut self, failure_domain: &Name, now: Millis) -> World {
         let entries = self.roster.entries(now);
+        self.warming.retain(|_, until| now < *until);
         let mut backends = HashMap::new();
         let mut pools: HashMap<Name, Pool> = HashMap::new();
         for row in &entries {
@@ -249,6 +279,9 @@
             let known =
                 known.filter(|known| known.server.address == row.address && known.born == row.born);
             let backend = known.unwrap_or_else(|| Arc::new(Backend::new(row, near)));
+            if let Some(limit) = self.warmup(row, now) {
+                backend.learn_limit(limit, now);
+            }
             backends.insert(row.id.clone(), Arc::clone(&backend));
             let pool = pools.entry(row.service.clone()).or_default();
             match row.draining {
@@ -273,6 +306,25 @@
         }
     }
 
+    /// Backend servers of failure domains that take requests again had none for a while: until they
+    /// say how they stand they are taken for cold.
+    fn cool(&mut self, failure_domains: &[Name], now: Millis) {
+        for row in self.roster.entries(now) {
+            let service = self.index.services.get(&row.service);
+            let warmup = service.and_then(|service| service.warmup);
+            if let Some(warmup) = warmup.filter(|_| failure_domains.contains(&row.failure_domain)) {
+                self.warming.insert(row.id, now + warmup.ms);
+            }
+        }
+    }
+
+    /// What a backend server takes until it is warm.
+    fn warmup(&self, row: &wire::routing::Backend, now: Millis) -> Option<Limit> {
+        let until = self.warming.get(&row.id)?;
+        let warmup = self.index.services.get(&row.service)?.warmup?;
+        Some(Limit::warmup(warmup.per_second, *until, now))
+    }
+
     /// Servers of an earlier world that are no longer listed, or have started again.
     fn gone(&self, before: &World) -> Vec<Name> {
         let served = before.pools.values().flat_map(|pool| &pool.backends);
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -90,8 +90,10 @@
         pub suspicion: f64,
         /// No new work for this long, in milliseconds: it was found ill.
         pub ill_ms: u64,
-        /// Requests a second that it takes from all hosts together, if it says so.
+        /// Requests a second that it takes from all hosts together, if they are limited.
         pub per_second: Option<f64>,
+        /// Until it is believed to be warm, in milliseconds.
+        pub warmup_ms: u64,
     }
 }
 
@@ -167,6 +169,7 @@
         reported: seen.reported,
         suspicion: seen.suspicion,
         ill_ms: backend.server.health().probe.ill_until.since(now),
-        per_second: backend.with_throttle(|throttle| throttle.shared(now)?.per_second),
+        per_second: backend.with_throttle(|throttle| throttle.per_second(now)),
+        warmup_ms: backend.with_throttle(|throttle| throttle.warmup_ms(now)),
     }
 }
--- a/crates/node/src/watch/take.rs
+++ b/crates/node/src/watch/take.rs
@@ -75,7 +75,7 @@
         };
         let entries: Vec<_> = news.entries.iter().filter_map(entry).collect();
         let Change { begun, ended } =
-            self.catalog.take_evacuations(&entries, news.revision, news.is_whole);
+            self.catalog.take_evacuations(&entries, news.revision, news.is_whole, clock::steady());
         let revision = news.revision;
         for domain in &begun {
             let servers = self.catalog.servers_in(domain);
@@ -120,6 +120,13 @@
                 true
             }
         });
+        if taken {
+            let listed = news.entries.iter().filter_map(|entry| match &entry.fact {
+                Fact::Backend(backend) => Some(backend),
+                _ => None,
+            });
+            listed.for_each(|backend| self.catalog.warms(backend, now));
+        }
         // A line for each of thousands of servers costs a host that starts a part of a second.
         match news.is_whole {
             true => log::info!(target: "watch", revision, count; "all backend servers listed"),
--- a/crates/node/tests/message.rs
+++ b/crates/node/tests/message.rs
@@ -24,7 +24,7 @@
 }
 
 fn limit(number: u64) -> Entry {
-    let limit = Limit { per_second: Some(4.0), at: NOW, ..Limit::default() };
+    let limit = Limit { per_second: Some(4.0), at: NOW, until: None };
     Entry::Limit(Limited { backend: Name::from(format!("i-{number}")), limit })
 }
 
--- a/crates/policy/tests/throttle.rs
+++ b/crates/policy/tests/throttle.rs
@@ -2,7 +2,7 @@
 
 use fuzz::check;
 use policy::place::mix;
-use policy::throttle::{Limit, Place, Throttle, rate};
+use policy::throttle::{Limit, Place, Throttle};
 use policy::time::Millis;
 
 const START: Millis = Millis(1_000_000);
@@ -25,6 +25,10 @@
     throttle
 }
 
+fn named(per_second: f64) -> Limit {
+    Limit { per_second: Some(per_second), at: START, until: None }
+}
+
 /// What is sent in each tenth of a second for so long by hosts that each have a request as often as
 /// that.
 fn send(throttles: &mut [Throttle], places: &[Place], ms: u64) -> Vec<usize> {
@@ -86,7 +90,7 @@
         if hosts.is_empty() {
             return;
         }
-        let sum: f64 = places(&hosts).iter().map(|place| rate(limit, place)).sum();
+        let sum: f64 = places(&hosts).iter().map(|place| named(limit).rate(place)).sum();
         assert!((sum - limit).abs() < 1e-6 * limit.max(1.0), "{sum} of {limit}, {hosts:?}");
     });
 }
@@ -95,9 +99,9 @@
 fn heard_without_a_limit_ends_it_unless_older() {
     let mut throttle = limited(2.0);
     assert!(!throttle.heard(None, START - 10, START + 10));
-    assert!(throttle.is_limited());
+    assert!(throttle.is_limited(START + 40));
     assert!(throttle.heard(None, START + 20, START + 40));
-    assert!(!throttle.is_limited());
+    assert!(!throttle.is_limited(START + 40));
     let alone = Place { before: 9, hosts: 10, is_near: false, domains: 4 };
     assert!(throttle.has_room(&alone, START + 40));
 }
@@ -105,11 +109,13 @@
 #[test]
 fn learn_takes_the_newest_only() {
     let mut throttle = limited(2.0);
-    assert!(!throttle.learn(Limit { per_second: None, at: START - 1 }, START + 10));
-    assert!(throttle.is_limited());
-    assert!(throttle.learn(Limit { per_second: Some(1.0), at: START + 5 }, START + 10));
-    assert!(throttle.learn(Limit { per_second: None, at: START + 6 }, START + 10));
-    assert!(!throttle.is_limited());
+    assert!(!throttle.learn(Limit { per_second: None, at: START - 1, until: None }, START + 10));
+    assert!(throttle.is_limited(START + 40));
+    assert!(
+        throttle.learn(Limit { per_second: Some(1.0), at: START + 5, until: None }, START + 10)
+    );
+    assert!(throttle.learn(Limit { per_second: None, at: START + 6, until: None }, START + 10));
+    assert!(!throttle.is_limited(START + 40));
     // Those that missed it are told again, for a while.
     assert!(throttle.shared(START + 5_000).is_some());
     assert!(throttle.shared(START + 60_000).is_none());
--- a/crates/wire/src/routing.rs
+++ b/crates/wire/src/routing.rs
@@ -87,6 +87,18 @@
         pub models: Vec<Model>,
         /// Connections that one backend server takes from all callers together.
         pub connections_max: u32,
+        /// How its backend servers warm up, if they do.
+        #[serde(default)]
+        pub warmup: Option<Warmup>,
+    }
+
+    /// What a backend server stands before it is warm; at more it ends.
+    #[derive(Copy)]
+    pub struct Warmup {
+        /// From its start until it is warm, in milliseconds.
+        pub ms: u64,
+        /// Requests a second that it takes until then, from all hosts together.
+        pub per_second: f64,
     }
 
     /// A model that engines serve.
@@ -139,6 +151,9 @@
         pub slots: u32,
         /// It is leaving: no new work.
         pub draining: bool,
+        /// Until it is warm, in milliseconds; none if it does not say.
+        #[serde(default)]
+        pub warmup_ms: Option<u64>,
     }
 
     /// An operator's wish to move a service to another version.
--- a/crates/wire/tests/routing.rs
+++ b/crates/wire/tests/routing.rs
@@ -18,7 +18,8 @@
         targets: vec![Target { service: Name::from("s"), weight: 1 }],
         models: Vec::new(),
     };
-    let service = Service { name: Name::from("s"), models: Vec::new(), connections_max: 9 };
+    let service =
+        Service { name: Name::from("s"), models: Vec::new(), connections_max: 9, warmup: None };
     let account =
         Account { name: Name::from("a"), keys: vec![Name::from("secret")], priority: None };
     Table {
