--- a/crates/chestnutspur/tests/soak.rs
+++ b/crates/chestnutspur/tests/soak.rs
@@ -21,8 +21,9 @@
 use fleet::Fleet;
 use futures::StreamExt;
 
-/// Seeds that CI plays: one of each kind of trouble, two more with requests that end servers.
-const CI: [u64; 5] = [0, 1, 2, 3, 6];
+/// Seeds that CI plays: one of each kind of trouble, two more with requests that end servers, two with
+/// evacuations and servers that have to warm up.
+const CI: [u64; 7] = [0, 1, 2, 3, 6, 1_000, 1_001];
 /// Seeds that once failed. 5 to 56: a node that was told to stop took new connections for as long
 /// as any came, so its time ran out and it cut off the requests under way. 4 and 10: a long table
 /// never came over a narrow link, whose answer was given up before its end each time.
--- a/crates/chestnutspur/tests/soak/faults.rs
+++ b/crates/chestnutspur/tests/soak/faults.rs
@@ -7,7 +7,9 @@
 use standin::platform::fault::Faults;
 use standin::proxy::Mode;
 
-use crate::fleet::Fleet;
+use wire::routing::Warmup;
+
+use crate::fleet::{Fleet, domain};
 
 /// What kind of trouble a seed brings.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -18,6 +20,35 @@
     Store,
     /// Only what operators plan: restarts, changes, servers that leave.
     Planned,
+    /// Failure domains are evacuated, and servers start again that have to warm up.
+    Evacuations,
+}
+
+/// Seeds from this one on bring evacuations; those below stay as they were.
+const EVACUATIONS_FROM: u64 = 1_000;
+/// What servers take there until they are warm.
+const WARMUP: Warmup = Warmup { ms: 2_000, per_second: 4.0 };
+
+/// How servers warm up in a seed's play, if they have to.
+pub fn warmup(seed: u64) -> Option<Warmup> {
+    (seed >= EVACUATIONS_FROM).then_some(WARMUP)
+}
+
+/// A failure domain that was evacuated.
+#[derive(Clone, Copy, Debug)]
+pub struct Evacuated {
+    pub domain: &'static str,
+    pub at: Instant,
+    pub back_at: Instant,
+}
+
+/// A backend server that started again and had to warm up.
+#[derive(Clone, Debug)]
+pub struct Cold {
+    pub number: usize,
+    /// The id of its start; what was meant for the start before does not count.
+    pub id: String,
+    pub at: Instant,
 }
 
 /// A backend server that left.
@@ -34,6 +65,8 @@
     pub trouble: Trouble,
     pub steps: Vec<String>,
     pub left: Vec<Left>,
+    pub evacuated: Vec<Evacuated>,
+    pub cold: Vec<Cold>,
     /// When nodes were started again, by where callers reach them.
     pub restarted: Vec<(SocketAddr, Instant)>,
     /// Nodes that did not end in time after SIGTERM.
@@ -65,12 +98,17 @@
 
 /// Brings faults about for a time.
 pub async fn run(fleet: &mut Fleet, seed: u64, length: Duration) -> Told {
-    let trouble = [Trouble::Network, Trouble::Store, Trouble::Planned][(seed % 3) as usize];
+    let trouble = match seed {
+        EVACUATIONS_FROM.. => Trouble::Evacuations,
+        _ => [Trouble::Network, Trouble::Store, Trouble::Planned][(seed % 3) as usize],
+    };
     let mut draws = Draws(seed ^ 0x50a4);
     let mut told = Told {
         trouble,
         steps: Vec::new(),
         left: Vec::new(),
+        evacuated: Vec::new(),
+        cold: Vec::new(),
         restarted: Vec::new(),
         stuck: Vec::new(),
     };
@@ -82,6 +120,7 @@
             Trouble::Network => network(fleet, &mut draws).await,
             Trouble::Store => store(fleet, &mut draws, &mut version).await,
             Trouble::Planned => planned(fleet, &mut draws, &mut version, &mut told).await,
+            Trouble::Evacuations => evacuations(fleet, &mut draws, &mut told).await,
         };
         told.steps.push(format!("{at} ms: {step}"));
     }
@@ -216,6 +255,42 @@
     }
 }
 
+async fn evacuations(fleet: &mut Fleet, draws: &mut Draws, told: &mut Told) -> String {
+    let node = draws.index(fleet.nodes.len());
+    let backend = draws.index(fleet.backends.len());
+    match draws.below(3) {
+        0 => {
+            let (domain, at) = (domain(backend), Instant::now());
+            fleet.evacuate(domain, true);
+            // A node that starts in the middle has to know of it.
+            tokio::time::sleep(draws.ms(10, 1_000)).await;
+            fleet.nodes[node].kill();
+            fleet.nodes[node].start_again();
+            tokio::time::sleep(draws.ms(2_000, 3_000)).await;
+            told.evacuated.push(Evacuated { domain, at, back_at: Instant::now() });
+            fleet.evacuate(domain, false);
+            format!("{domain} evacuated, node {node} killed in the middle")
+        }
+        1 => {
+            let lasts = draws.ms(50, 900);
+            fleet.backend_proxies[backend].set_mode(Mode::Closed);
+            tokio::time::sleep(lasts).await;
+            let at = Instant::now();
+            fleet.backend_proxies[backend].set_mode(Mode::Pass);
+            fleet.start_backend_again(backend);
+            told.cold.push(Cold { number: backend, id: fleet.id(backend), at });
+            format!("backend {backend} started again, cold, after {lasts:?}")
+        }
+        _ => {
+            let lasts = draws.ms(50, 500);
+            fleet.nodes[node].kill();
+            tokio::time::sleep(lasts).await;
+            fleet.nodes[node].start_again();
+            format!("node {node} killed for {lasts:?}")
+        }
+    }
+}
+
 fn change_table(fleet: &mut Fleet, version: &mut u64) {
     *version += 1 + *version % 3;
     fleet.put_table(*version);
--- a/crates/chestnutspur/tests/soak/fleet.rs
+++ b/crates/chestnutspur/tests/soak/fleet.rs
@@ -14,10 +14,10 @@
 use standin::proxy::{self, Mode, Proxy};
 use standin::routed::{Act, Routed};
 use standin::server::{Running, start};
-use wire::routing::{Account, Limits, Route, Service, Table, Target};
+use wire::routing::{Account, Limits, Route, Service, Table, Target, Warmup};
 
 use crate::callers::{self, Kind, Outcome};
-use crate::ports;
+use crate::{faults, ports};
 
 pub const HOST: &str = "callers.example";
 pub const KEY: &str = "key-of-office";
@@ -55,16 +55,23 @@
     pub nodes: Vec<Node>,
     /// Routes that tables have more, from now on.
     pub more_routes: usize,
+    /// What backend servers take until they are warm, if they have to warm up.
+    pub warmup: Option<Warmup>,
     /// The version of the newest table.
     version: u64,
 }
 
+/// Where a node or backend server stands.
+pub fn domain(number: usize) -> &'static str {
+    if number.is_multiple_of(2) { "a" } else { "b" }
+}
+
 fn any() -> SocketAddr {
     "127.0.0.1:0".parse().expect("address")
 }
 
 /// The table of routes of a version, with so many routes more that nobody asks for.
-pub fn table(version: u64, more: usize) -> Value {
+pub fn table(version: u64, more: usize, warmup: Option<Warmup>) -> Value {
     let route = |kind: Kind| Route {
         name: Name::from(kind.name()),
         host: Name::from(HOST),
@@ -79,7 +86,8 @@
         targets: vec![Target { service: Name::from("desk"), weight: 1 }],
         models: Vec::new(),
     };
-    let service = Service { name: Name::from("desk"), models: Vec::new(), connections_max: 100 };
+    let service =
+        Service { name: Name::from("desk"), models: Vec::new(), connections_max: 100, warmup };
     let account =
         Account { name: Name::from("office"), keys: vec![Name::from(KEY)], priority: None };
     let unused = |number| Route {
@@ -113,6 +121,7 @@
             backend_proxies: Vec::new(),
             nodes: Vec::new(),
             more_routes: 0,
+            warmup: faults::warmup(seed),
             version: 0,
         };
         fleet.put_table(1);
@@ -137,7 +146,7 @@
 
     /// Puts a table of routes in force.
     pub fn put_table(&mut self, version: u64) {
-        let table = table(version, self.more_routes);
+        let table = table(version, self.more_routes, self.warmup);
         self.store.put(names::table::OPERATORS, names::key::CONFIGURATION, &table);
         self.version = version;
     }
@@ -146,13 +155,29 @@
     pub fn list(&self, number: usize, state: &str) {
         let entry = json!({
             "service": "desk", "address": self.backend_proxies[number].address.to_string(),
-            "zone": if number.is_multiple_of(2) { "a" } else { "b" }, "version": "v1", "slots": 32,
-            "state": state,
+            "zone": domain(number), "version": "v1", "slots": 32, "state": state,
+            "coldRemainingMs": self.warmup_ms(number),
         });
         self.store.put(names::table::BACKENDS, &self.id(number), &entry);
     }
 
-    fn id(&self, number: usize) -> String {
+    /// Only those that have been started again are cold.
+    fn warmup_ms(&self, number: usize) -> u64 {
+        let warmup = self.warmup.filter(|_| self.starts[number] > 0);
+        warmup.map_or(0, |warmup| warmup.ms)
+    }
+
+    /// Orders that a failure domain be evacuated, or takes that back.
+    pub fn evacuate(&self, domain: &str, is_ordered: bool) {
+        let key = format!("{}{domain}", names::key::EVACUATION);
+        match is_ordered {
+            true => self.store.put(names::table::OPERATORS, &key, &json!({})),
+            false => self.store.remove(names::table::OPERATORS, &key),
+        }
+    }
+
+    /// The id of a backend server's start.
+    pub fn id(&self, number: usize) -> String {
         format!("b{number}-{}", self.starts[number])
     }
 
@@ -297,7 +322,7 @@
     pub fn write_settings(&self, store: SocketAddr, number: usize, window_ms: u64) {
         let settings = json!({
             "role": "node", "name": format!("node-{number}"),
-            "failure_domain": if number.is_multiple_of(2) { "a" } else { "b" },
+            "failure_domain": domain(number),
             "listen": self.callers, "operators": self.operators, "platform": store,
             "peers": "127.0.0.1:0", "drain_ms": 6_000,
             "repeats": {"share": 0.9, "slack": 50, "window_ms": window_ms},
--- a/crates/chestnutspur/tests/soak/verdict.rs
+++ b/crates/chestnutspur/tests/soak/verdict.rs
@@ -1,17 +1,24 @@
 //! The promises, judged from what callers and backend servers saw.
 
 use std::collections::HashMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use platform::names;
+use standin::routed::Arrival;
 
 use crate::callers::{EVENTS, Kind, Outcome, Seen};
-use crate::faults::{Told, Trouble};
-use crate::fleet::Fleet;
+use crate::faults::{Cold, Evacuated, Told, Trouble};
+use crate::fleet::{Fleet, domain};
 
 /// A leaving backend server gets no new work later than this.
 const LEAVING: Duration = Duration::from_millis(2_000);
 
+/// An evacuated failure domain gets no new work later than this.
+const EVACUATING: Duration = Duration::from_millis(2_000);
+/// What a server that is not warm gets in a second at most, in parts of its rate, and beyond that.
+const COLD_OVERRUN: f64 = 1.5;
+const COLD_SLACK: f64 = 5.0;
+
 /// Until a node that was started has read the store.
 const STARTING: Duration = Duration::from_millis(400);
 
@@ -30,6 +37,8 @@
         }
     }
     broken.extend(late_work(fleet, told));
+    broken.extend(evacuated_work(fleet, told));
+    broken.extend(cold_work(fleet, told));
     broken.extend(told.stuck.iter().map(|node| format!("node {node} did not end after SIGTERM")));
     let served = seen.iter().filter(|one| served(one)).count();
     if served * 10 < seen.len() {
@@ -88,6 +97,41 @@
     }
 }
 
+/// Work that reached evacuated failure domains long after the order.
+fn evacuated_work(fleet: &Fleet, told: &Told) -> Vec<String> {
+    let late = |order: &Evacuated| {
+        let servers = fleet.backends.iter().enumerate();
+        let servers = servers.filter(|(number, _)| domain(*number) == order.domain);
+        let arrivals = servers.flat_map(|(_, server)| server.arrivals());
+        let late = arrivals.filter(|one| one.at > order.at + EVACUATING && one.at < order.back_at);
+        late.count()
+    };
+    let counts = told.evacuated.iter().map(|order| (order.domain, late(order)));
+    let counts = counts.filter(|(_, count)| *count > 0);
+    counts.map(|(domain, count)| format!("{count} requests reached evacuated {domain}")).collect()
+}
+
+/// Work that reached backend servers, in one second, beyond what they take until they are warm.
+fn cold_work(fleet: &Fleet, told: &Told) -> Vec<String> {
+    let Some(warmup) = fleet.warmup else { return Vec::new() };
+    let allowed = (warmup.per_second * COLD_OVERRUN + COLD_SLACK) as usize;
+    let most = |cold: &Cold| {
+        let until = cold.at + Duration::from_millis(warmup.ms);
+        let arrivals = fleet.backends[cold.number].arrivals();
+        let is_meant = |one: &&Arrival| one.headers[names::EXPECT_BACKEND] == cold.id.as_str();
+        let arrivals = arrivals.iter().filter(is_meant).map(|one| one.at);
+        let reached: Vec<Instant> = arrivals.filter(|at| (cold.at..until).contains(at)).collect();
+        let second = |from: &Instant| {
+            let within = *from..*from + Duration::from_secs(1);
+            reached.iter().filter(|at| within.contains(at)).count()
+        };
+        reached.iter().map(second).max().unwrap_or_default()
+    };
+    let counts = told.cold.iter().map(|cold| (cold.number, most(cold)));
+    let counts = counts.filter(|(_, count)| *count > allowed);
+    counts.map(|(number, count)| format!("{count} requests in a second at cold {number}")).collect()
+}
+
 /// Work that reached backend servers long after they said that they leave.
 fn late_work(fleet: &Fleet, told: &Told) -> Vec<String> {
     let mut broken = Vec::new();
--- a/crates/wire/src/routing/check.rs
+++ b/crates/wire/src/routing/check.rs
@@ -25,6 +25,12 @@
         }
     }
     check_keys(table, &mut faults);
+    for (index, service) in table.services.iter().enumerate() {
+        if service.warmup.is_some_and(|warmup| warmup.per_second <= 0.0) {
+            let path = format!("services[{index}].warmup.per_second");
+            faults.push(Fault::at(path, "must be more than 0: servers get nothing until warm"));
+        }
+    }
     faults
 }
 
