--- a/crates/node/src/catalog.rs
+++ b/crates/node/src/catalog.rs
@@ -1,7 +1,7 @@
 //! All that is known from the store, and the world made of it.
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
@@ -11,6 +11,7 @@
 use gateway::pool::{Pool, Rollout};
 use gateway::world::World;
 use policy::canary::Stage;
+use policy::domain;
 use policy::evacuation::{self, Evacuations};
 use policy::name::Name;
 use policy::roster::Roster;
@@ -23,6 +24,17 @@
 /// Longest time for which a backend server is believed not to be warm, in milliseconds.
 const WARMUP_MAX_MS: u64 = 60_000;
 
+domain! {
+    /// An evacuated failure domain.
+    #[derive(Copy, Default)]
+    pub struct Evacuated {
+        /// Backend servers that stand there.
+        pub servers: usize,
+        /// Requests of this host under way there, which began before the order.
+        pub requests: u32,
+    }
+}
+
 /// A roll-out as this host knows it.
 #[derive(Clone, Debug)]
 pub struct Known {
@@ -177,18 +189,21 @@
         change
     }
 
-    /// Failure domains that are evacuated.
+    /// Failure domains that are evacuated, and what this host still has there.
     #[must_use]
-    pub fn evacuated(&self) -> Vec<Name> {
-        self.lock().evacuations.failure_domains().cloned().collect()
+    pub fn evacuated(&self) -> BTreeMap<Name, Evacuated> {
+        let inner = self.lock();
+        let domains = inner.evacuations.failure_domains();
+        domains.map(|domain| (domain.clone(), inner.evacuated(domain))).collect()
     }
 
-    /// Backend servers that stand in a failure domain.
+    /// Backend servers that stand in a failure domain; none before their list was read.
     #[must_use]
-    pub fn servers_in(&self, failure_domain: &Name) -> usize {
+    pub fn servers_in(&self, failure_domain: &Name) -> Option<usize> {
         let inner = self.lock();
         let backends = inner.backends.values();
-        backends.filter(|backend| backend.server.failure_domain == *failure_domain).count()
+        let here = backends.filter(|backend| backend.server.failure_domain == *failure_domain);
+        inner.has_roster.then(|| here.count())
     }
 
     /// A roll-out.
@@ -306,6 +321,15 @@
         }
     }
 
+    fn evacuated(&self, failure_domain: &Name) -> Evacuated {
+        let servers = self.backends.values().map(|backend| &backend.server);
+        let here = servers.filter(|server| server.failure_domain == *failure_domain);
+        here.fold(Evacuated::default(), |sum, server| Evacuated {
+            servers: sum.servers + 1,
+            requests: sum.requests + server.in_flight.load(Ordering::Relaxed),
+        })
+    }
+
     /// Backend servers of failure domains that take requests again had none for a while: until they
     /// say how they stand they are taken for cold.
     fn cool(&mut self, failure_domains: &[Name], now: Millis) {
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -9,7 +9,7 @@
 use policy::poison::{Suspect, Verdict};
 use policy::time::Millis;
 
-use crate::catalog::Catalog;
+use crate::catalog::{Catalog, Evacuated};
 use crate::follow::Follow;
 
 domain! {
@@ -32,7 +32,7 @@
         /// For how long this host has known of a change of each list that it lacks, in milliseconds.
         pub behind_ms: BTreeMap<Name, u64>,
         /// Failure domains that operators have evacuated.
-        pub evacuated: Vec<Name>,
+        pub evacuated: BTreeMap<Name, Evacuated>,
         /// By service.
         pub services: BTreeMap<Name, Service>,
         /// Requests under way.
--- a/crates/node/src/watch/take.rs
+++ b/crates/node/src/watch/take.rs
@@ -80,7 +80,7 @@
         for domain in &begun {
             let servers = self.catalog.servers_in(domain);
             log::info!(target: "watch", domain:% = domain, revision, servers; "evacuation begins");
-            if servers == 0 {
+            if servers == Some(0) {
                 log::warn!(target: "watch", domain:% = domain, revision;
                     "no backend server stands in the evacuated failure domain");
             }
