Soaks at once have directories of their own

Two runs of the script were at work (the first had been ended, its cargo test had not), 5 s apart. Shown: two soaks of seed 1001, 2 s apart, fail so on the code before and hold now. A directory goes when its play has held.

--- a/crates/chestnutspur/tests/soak.rs
+++ b/crates/chestnutspur/tests/soak.rs
@@ -74,8 +74,9 @@
     broken.extend(fleet.has_newest_table().await);
     broken.extend(fleet.serves_again().await);
     broken.extend(fleet.holds_deadly().await);
-    if !broken.is_empty() {
-        println!("soak: seed {seed}: logs in {}; {told:#?}", fleet.directory.display());
+    match broken.is_empty() {
+        true => drop(std::fs::remove_dir_all(&fleet.directory)),
+        false => println!("soak: seed {seed}: logs in {}; {told:#?}", fleet.directory.display()),
     }
     broken
 }
--- a/crates/chestnutspur/tests/soak/fleet.rs
+++ b/crates/chestnutspur/tests/soak/fleet.rs
@@ -108,7 +108,10 @@
 impl Fleet {
     /// Starts everything and waits until all nodes are ready.
     pub async fn start(seed: u64) -> Self {
-        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+        // Settings files of two soaks at once must not be the same: nodes that start again would read
+        // the other's.
+        let name = format!("soak-{seed}-{}", std::process::id());
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         let _ = std::fs::remove_dir_all(&directory);
         std::fs::create_dir_all(&directory).expect("directory");
         let store = start(any(), Platform::default()).expect("store");
