--- a/crates/chestnutspur/tests/soak.rs
+++ b/crates/chestnutspur/tests/soak.rs
@@ -24,7 +24,7 @@
 /// Seeds that CI plays: one of each kind of trouble, two more with requests that end servers, two with
 /// evacuations and servers that have to warm up.
 const CI: [u64; 7] = [0, 1, 2, 3, 6, 1_000, 1_001];
-/// Seeds that once failed. 5 to 56: a node that was told to stop took new connections for as long
+/// Seeds that once failed. 5 to 56: a node that was asked to stop took new connections for as long
 /// as any came, so its time ran out and it cut off the requests under way. 4 and 10: a long table
 /// never came over a narrow link, whose answer was given up before its end each time.
 /// 19 and 37: a host that had been without the store read each change of a long table, one after the
@@ -66,17 +66,17 @@
 async fn play(seed: u64) -> Vec<String> {
     let mut fleet = Fleet::start(seed).await;
     let callers = callers::start(&fleet);
-    let told = faults::run(&mut fleet, seed, LENGTH).await;
+    let played = faults::run(&mut fleet, seed, LENGTH).await;
     fleet.heal().await;
     tokio::time::sleep(Duration::from_secs(1)).await;
     let seen = callers.stop().await;
-    let mut broken = verdict::judge(&fleet, &told, &seen);
+    let mut broken = verdict::judge(&fleet, &played, &seen);
     broken.extend(fleet.has_newest_table().await);
     broken.extend(fleet.serves_again().await);
     broken.extend(fleet.holds_deadly().await);
     match broken.is_empty() {
         true => drop(std::fs::remove_dir_all(&fleet.directory)),
-        false => println!("soak: seed {seed}: logs in {}; {told:#?}", fleet.directory.display()),
+        false => println!("soak: seed {seed}: logs in {}; {played:#?}", fleet.directory.display()),
     }
     broken
 }
--- a/crates/chestnutspur/tests/soak/faults.rs
+++ b/crates/chestnutspur/tests/soak/faults.rs
@@ -61,7 +61,7 @@
 
 /// What was done.
 #[derive(Debug)]
-pub struct Told {
+pub struct Played {
     pub trouble: Trouble,
     pub steps: Vec<String>,
     pub left: Vec<Left>,
@@ -97,13 +97,13 @@
 }
 
 /// Brings faults about for a time.
-pub async fn run(fleet: &mut Fleet, seed: u64, length: Duration) -> Told {
+pub async fn run(fleet: &mut Fleet, seed: u64, length: Duration) -> Played {
     let trouble = match seed {
         EVACUATIONS_FROM.. => Trouble::Evacuations,
         _ => [Trouble::Network, Trouble::Store, Trouble::Planned][(seed % 3) as usize],
     };
     let mut draws = Draws(seed ^ 0x50a4);
-    let mut told = Told {
+    let mut played = Played {
         trouble,
         steps: Vec::new(),
         left: Vec::new(),
@@ -119,12 +119,12 @@
         let step = match trouble {
             Trouble::Network => network(fleet, &mut draws).await,
             Trouble::Store => store(fleet, &mut draws, &mut version).await,
-            Trouble::Planned => planned(fleet, &mut draws, &mut version, &mut told).await,
-            Trouble::Evacuations => evacuations(fleet, &mut draws, &mut told).await,
+            Trouble::Planned => planned(fleet, &mut draws, &mut version, &mut played).await,
+            Trouble::Evacuations => evacuations(fleet, &mut draws, &mut played).await,
         };
-        told.steps.push(format!("{at} ms: {step}"));
+        played.steps.push(format!("{at} ms: {step}"));
     }
-    told
+    played
 }
 
 async fn network(fleet: &mut Fleet, draws: &mut Draws) -> String {
@@ -215,7 +215,7 @@
     fleet: &mut Fleet,
     draws: &mut Draws,
     version: &mut u64,
-    told: &mut Told,
+    played: &mut Played,
 ) -> String {
     let node = draws.index(fleet.nodes.len());
     let backend = draws.index(fleet.backends.len());
@@ -224,9 +224,9 @@
             fleet.nodes[node].signal("TERM");
             change_table(fleet, version);
             if !fleet.nodes[node].ended(Duration::from_secs(8)).await {
-                told.stuck.push(node);
+                played.stuck.push(node);
             }
-            told.restarted.push((fleet.nodes[node].callers, Instant::now()));
+            played.restarted.push((fleet.nodes[node].callers, Instant::now()));
             fleet.nodes[node].start_again();
             tokio::time::sleep(Duration::from_millis(400)).await;
             format!("node {node} stopped and started")
@@ -247,7 +247,7 @@
             let at = Instant::now();
             fleet.list(backend, "draining");
             tokio::time::sleep(Duration::from_millis(2_600)).await;
-            told.left.push(Left { number: backend, at, back_at: Instant::now() });
+            played.left.push(Left { number: backend, at, back_at: Instant::now() });
             fleet.start_backend_again(backend);
             tokio::time::sleep(Duration::from_millis(100)).await;
             format!("backend {backend} left")
@@ -255,7 +255,7 @@
     }
 }
 
-async fn evacuations(fleet: &mut Fleet, draws: &mut Draws, told: &mut Told) -> String {
+async fn evacuations(fleet: &mut Fleet, draws: &mut Draws, played: &mut Played) -> String {
     let node = draws.index(fleet.nodes.len());
     let backend = draws.index(fleet.backends.len());
     match draws.below(3) {
@@ -267,7 +267,7 @@
             fleet.nodes[node].kill();
             fleet.nodes[node].start_again();
             tokio::time::sleep(draws.ms(2_000, 3_000)).await;
-            told.evacuated.push(Evacuated { domain, at, back_at: Instant::now() });
+            played.evacuated.push(Evacuated { domain, at, back_at: Instant::now() });
             fleet.evacuate(domain, false);
             format!("{domain} evacuated, node {node} killed in the middle")
         }
@@ -278,7 +278,7 @@
             let at = Instant::now();
             fleet.backend_proxies[backend].set_mode(Mode::Pass);
             fleet.start_backend_again(backend);
-            told.cold.push(Cold { number: backend, id: fleet.id(backend), at });
+            played.cold.push(Cold { number: backend, id: fleet.id(backend), at });
             format!("backend {backend} started again, cold, after {lasts:?}")
         }
         _ => {
--- a/crates/chestnutspur/tests/soak/verdict.rs
+++ b/crates/chestnutspur/tests/soak/verdict.rs
@@ -7,7 +7,7 @@
 use standin::routed::Arrival;
 
 use crate::callers::{EVENTS, Kind, Outcome, Seen};
-use crate::faults::{Cold, Evacuated, Told, Trouble};
+use crate::faults::{Cold, Evacuated, Played, Trouble};
 use crate::fleet::{Fleet, domain};
 
 /// A leaving backend server gets no new work later than this.
@@ -23,12 +23,12 @@
 const STARTING: Duration = Duration::from_millis(400);
 
 /// What was broken.
-pub fn judge(fleet: &Fleet, told: &Told, seen: &[Seen]) -> Vec<String> {
+pub fn judge(fleet: &Fleet, played: &Played, seen: &[Seen]) -> Vec<String> {
     let runs = runs(fleet);
     let mut broken: Vec<String> = Vec::new();
     for one in seen {
         let ran = runs.get(&one.id).copied().unwrap_or_default();
-        let planned = told.trouble == Trouble::Planned && !is_starting(one, told);
+        let planned = played.trouble == Trouble::Planned && !is_starting(one, played);
         if let Some(why) = judge_one(one, ran, planned) {
             let Seen { id, kind, node, outcome, took, .. } = one;
             broken.push(format!(
@@ -36,10 +36,10 @@
             ));
         }
     }
-    broken.extend(late_work(fleet, told));
-    broken.extend(evacuated_work(fleet, told));
-    broken.extend(cold_work(fleet, told));
-    broken.extend(told.stuck.iter().map(|node| format!("node {node} did not end after SIGTERM")));
+    broken.extend(late_work(fleet, played));
+    broken.extend(evacuated_work(fleet, played));
+    broken.extend(cold_work(fleet, played));
+    broken.extend(played.stuck.iter().map(|node| format!("node {node} did not end after SIGTERM")));
     let served = seen.iter().filter(|one| served(one)).count();
     if served * 10 < seen.len() {
         broken.push(format!("only {served} of {} requests were served", seen.len()));
@@ -65,9 +65,9 @@
 
 /// These callers go to a node whose port is open, whether it says that it is ready or not. One
 /// that has just started and not yet read the store refuses, truly: it can't know better.
-fn is_starting(one: &Seen, told: &Told) -> bool {
+fn is_starting(one: &Seen, played: &Played) -> bool {
     let refused = matches!(one.outcome, Outcome::Answered { status: 503, .. });
-    let started = told.restarted.iter().filter(|(node, _)| *node == one.node);
+    let started = played.restarted.iter().filter(|(node, _)| *node == one.node);
     refused && started.into_iter().any(|(_, at)| one.began >= *at && one.began < *at + STARTING)
 }
 
@@ -98,7 +98,7 @@
 }
 
 /// Work that reached evacuated failure domains long after the order.
-fn evacuated_work(fleet: &Fleet, told: &Told) -> Vec<String> {
+fn evacuated_work(fleet: &Fleet, played: &Played) -> Vec<String> {
     let late = |order: &Evacuated| {
         let servers = fleet.backends.iter().enumerate();
         let servers = servers.filter(|(number, _)| domain(*number) == order.domain);
@@ -106,13 +106,13 @@
         let late = arrivals.filter(|one| one.at > order.at + EVACUATING && one.at < order.back_at);
         late.count()
     };
-    let counts = told.evacuated.iter().map(|order| (order.domain, late(order)));
+    let counts = played.evacuated.iter().map(|order| (order.domain, late(order)));
     let counts = counts.filter(|(_, count)| *count > 0);
     counts.map(|(domain, count)| format!("{count} requests reached evacuated {domain}")).collect()
 }
 
 /// Work that reached backend servers, in one second, beyond what they take until they are warm.
-fn cold_work(fleet: &Fleet, told: &Told) -> Vec<String> {
+fn cold_work(fleet: &Fleet, played: &Played) -> Vec<String> {
     let Some(warmup) = fleet.warmup else { return Vec::new() };
     let allowed = (warmup.per_second * COLD_OVERRUN + COLD_SLACK) as usize;
     let most = |cold: &Cold| {
@@ -127,15 +127,15 @@
         };
         reached.iter().map(second).max().unwrap_or_default()
     };
-    let counts = told.cold.iter().map(|cold| (cold.number, most(cold)));
+    let counts = played.cold.iter().map(|cold| (cold.number, most(cold)));
     let counts = counts.filter(|(_, count)| *count > allowed);
     counts.map(|(number, count)| format!("{count} requests in a second at cold {number}")).collect()
 }
 
 /// Work that reached backend servers long after they said that they leave.
-fn late_work(fleet: &Fleet, told: &Told) -> Vec<String> {
+fn late_work(fleet: &Fleet, played: &Played) -> Vec<String> {
     let mut broken = Vec::new();
-    for left in &told.left {
+    for left in &played.left {
         let arrivals = fleet.backends[left.number].arrivals();
         let late = arrivals
             .iter()
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -53,7 +53,7 @@
 }
 
 policy::domain! {
-    /// How many requests a second a backend server takes, as it is told to other hosts.
+    /// How many requests a second a backend server takes, as other hosts are notified of it.
     pub struct Limited {
         /// The backend server's start.
         pub backend: Name,
@@ -216,7 +216,7 @@
     }
 
     /// How many requests a second it takes, as the answer to a request said that was sent then; what
-    /// the other hosts are to be told, if it is news.
+    /// the other hosts are to be notified of, if it is news.
     pub fn note_limit(
         &self,
         per_second: Option<f64>,
@@ -242,7 +242,7 @@
     }
 
     /// It can't be reached, and may start again before its entry says so; what the other hosts are
-    /// to be told, if it is news.
+    /// to be notified of, if it is news.
     ///
     /// A server that is back under its id is empty, so that all hosts would send to it at once, and
     /// end it once more before it is warm.
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -86,11 +86,11 @@
     }
 
     /// Something was learnt of a request, with times of this host's clock; whether it is news.
-    pub fn learn(&self, told: &Suspect, source: Source) -> bool {
+    pub fn learn(&self, heard: &Suspect, source: Source) -> bool {
         let now = clock::steady();
         let (is_news, verdict) = self.with(|book| {
-            let is_news = book.learn(told, source, now);
-            (is_news, book.verdict(told.digest, now))
+            let is_news = book.learn(heard, source, now);
+            (is_news, book.verdict(heard.digest, now))
         });
         if is_news {
             self.polls(|polls| polls.hurry(now));
@@ -98,7 +98,7 @@
         }
         // Of victims every host hears; what is decided by is told of.
         if is_news && verdict != Verdict::Run {
-            log::info!(target: "route", digest:% = told.digest, verdict:? = verdict,
+            log::info!(target: "route", digest:% = heard.digest, verdict:? = verdict,
                 from:? = source; "lost request heard of");
         }
         is_news
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -14,7 +14,7 @@
 const EVACUATED_RETRY_MS: f64 = 1_000.0;
 /// Before there is a table of routes.
 const NOT_READY_RETRY_MS: u64 = 500;
-/// Requests a second of a service below which callers are told to come back as if it took so many.
+/// Requests a second of a service below which callers are asked to come back as if it took so many.
 const LIMITED_MIN: f64 = 0.2;
 /// Least time after which a caller of a full service comes back.
 const BUSY_RETRY_MS: f64 = 100.0;
--- a/crates/node/src/counts.rs
+++ b/crates/node/src/counts.rs
@@ -11,7 +11,7 @@
 pub type ByHost = BTreeMap<Name, Vec<Evidence>>;
 
 domain! {
-    /// What one host counted of a roll-out, as it tells the one that speaks for the domain.
+    /// What one host counted of a roll-out, as it is sent to the delegate of the domain.
     pub struct Counting {
         /// The service.
         pub service: Name,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -50,8 +50,8 @@
 struct Taken {
     /// It was not known before.
     is_new: bool,
-    /// It speaks for the domain.
-    speaks: bool,
+    /// It is the delegate of its failure domain.
+    is_delegate: bool,
     /// It has just started, and lacks lists that this host has.
     lacks: bool,
 }
@@ -86,7 +86,7 @@
     /// Exchanges messages until the process ends.
     pub async fn run(self, mut inbox: Inbox) {
         let mut known: HashMap<SocketAddr, Millis> = HashMap::new();
-        let mut speaker = None;
+        let mut delegate = None;
         let mut greeted = tokio::time::Instant::now();
         let mut buffer = vec![0; message::BYTES_MAX];
         // Messages are taken meanwhile: a host that starts while the store is away finds nobody,
@@ -110,8 +110,8 @@
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => {
                         let taken = self.take(&buffer[..length], from, &mut known);
-                        if taken.speaks {
-                            speaker = Some(from);
+                        if taken.is_delegate {
+                            delegate = Some(from);
                         }
                         // It knows this host's address from the store, but not yet its name. A
                         // host that lacks the lists waits to hear who has them.
@@ -135,7 +135,7 @@
                     self.send(all(&known), vec![Entry::Limit(limited)]).await;
                 }
                 Some(notice) = inbox.notices.recv() => {
-                    self.notify(notice, &known, speaker).await;
+                    self.notify(notice, &known, delegate).await;
                 }
                 () = tokio::time::sleep_until(greeted + EVERY) => {
                     greeted = tokio::time::Instant::now();
@@ -151,12 +151,12 @@
         &self,
         notice: Notice,
         known: &HashMap<SocketAddr, Millis>,
-        speaker: Option<SocketAddr>,
+        delegate: Option<SocketAddr>,
     ) {
         let (to, entries) = match notice {
             Notice::Positions => (all(known), self.positions()),
             Notice::Records => (all(known), self.records()),
-            Notice::Counts => (speaker.into_iter().collect(), self.counts()),
+            Notice::Counts => (delegate.into_iter().collect(), self.counts()),
             Notice::Suspects => {
                 let new = self.state.poison.with(|book| book.for_peers(clock::steady()));
                 (all(known), new.into_iter().map(Entry::Suspect).collect())
@@ -177,12 +177,12 @@
         self.positions().into_iter().chain(suspects).chain(self.limits(now)).collect()
     }
 
-    /// How new the lists are that this host reads, and how roll-outs stand if it speaks for the
+    /// How new the lists are that this host reads, and how roll-outs stand if it is the delegate of its
     /// domain.
     fn positions(&self) -> Vec<Entry> {
         let positions = self.watch.positions();
-        let speaks = positions.iter().any(|position| position.list == List::Operators);
-        let records = if speaks { self.records() } else { Vec::new() };
+        let is_delegate = positions.iter().any(|position| position.list == List::Operators);
+        let records = if is_delegate { self.records() } else { Vec::new() };
         positions.into_iter().map(Entry::Position).chain(records).collect()
     }
 
@@ -242,7 +242,7 @@
         for entry in message.entries {
             match entry {
                 Entry::Position(position) => {
-                    taken.speaks |= position.list == List::Operators;
+                    taken.is_delegate |= position.list == List::Operators;
                     self.watch.hear_position(&message.host, from, position);
                 }
                 Entry::Record(snapshot) => self.watch.adopt(snapshot),
--- a/crates/node/src/poison.rs
+++ b/crates/node/src/poison.rs
@@ -1,7 +1,7 @@
 //! What all hosts know of requests that end the servers that run them, brought together.
 //!
 //! Hosts of a failure domain send each other what they know. Across domains it goes by the store:
-//! each host that lost such a request writes a row of its own, and the host that speaks for a domain
+//! each host that lost such a request writes a row of its own, and the delegate of a domain
 //! reads all rows while servers end. A request that is held is tried again by one host of all; which
 //! one a row of the store decides, changed only under its version.
 
@@ -32,7 +32,7 @@
 /// The part that does: so many rows there are at most. Two requests that share a row wait for each
 /// other.
 const TRIAL_MASK: u64 = 0xfff;
-/// Between two looks at what has to be told.
+/// Between two looks at what has to be sent.
 const LOOK: Duration = Duration::from_millis(250);
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(300);
@@ -63,7 +63,7 @@
 pub struct Poison<S, C> {
     /// The host's name.
     pub host: Name,
-    /// The store, and who speaks for the domain.
+    /// The store, and who is its delegate.
     pub watch: Arc<Watch<S, C>>,
 }
 
@@ -100,7 +100,7 @@
         if self.guard().with(|book| book.has_unsent()) {
             self.watch.notify(Notice::Suspects);
         }
-        if self.guard().polls(|polls| polls.is_due(clock::steady())) && self.watch.speaks() {
+        if self.guard().polls(|polls| polls.is_due(clock::steady())) && self.watch.is_delegate() {
             self.read(moment).await?;
         }
         let Some(row) = self.guard().with(|book| book.for_store(clock::steady())) else {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -46,7 +46,7 @@
 const NOTICES: usize = 8;
 /// Prefills that wait to be announced.
 const PREFILLS: usize = 64;
-/// Limits of backend servers that wait to be told.
+/// Limits of backend servers that wait to be sent.
 const LIMITS: usize = 64;
 /// Requests that wait for leave to be tried.
 const TRIALS: usize = 16;
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -6,7 +6,7 @@
 //! not missed.
 //!
 //! Calls of the store are few: of a failure domain's hosts the one that reads the operators' list
-//! for the others speaks for them here as well. The others tell it what they counted and hear from
+//! for the others is their delegate here as well. The others tell it what they counted and hear from
 //! it how the roll-out stands. A host that stands alone, or hears nothing, asks the store itself.
 
 use std::collections::HashMap;
@@ -35,11 +35,11 @@
 const EVERY: Duration = Duration::from_millis(900);
 /// Between two looks at this host's own counts.
 const LOOK: Duration = Duration::from_millis(150);
-/// Between two tellings of this host's counts to the one that speaks for the domain.
+/// Between two tellings of this host's counts to the delegate of the domain.
 const TELL: Duration = Duration::from_millis(200);
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(300);
-/// How long a host waits to hear of an order from the one that speaks for the domain, before it
+/// How long a host waits to hear of an order from the delegate of the domain, before it
 /// reads for itself. That one needs a call or two.
 const HEAR: Duration = Duration::from_millis(1_500);
 
@@ -103,10 +103,10 @@
     /// Looks at all hosts' counts if it is time to, or tells this host's.
     async fn advance(&self, course: &mut Course, known: &Known, is_due: bool) {
         let now = Instant::now();
-        if !self.watch.speaks() {
+        if !self.watch.is_delegate() {
             if now >= course.tell {
                 course.tell = now + TELL;
-                self.watch.tell_counts();
+                self.watch.share_counts();
             }
             return;
         }
@@ -147,7 +147,7 @@
             if known.record.is_some() {
                 return;
             }
-            if !self.watch.speaks() && began.elapsed() < HEAR {
+            if !self.watch.is_delegate() && began.elapsed() < HEAR {
                 tokio::time::sleep(LOOK).await;
                 continue;
             }
@@ -208,7 +208,7 @@
     fn adopt(&self, service: &Name, record: Record, version: u64, now_ms: u64) {
         let age_ms = now_ms.saturating_sub(record.began_ms);
         self.watch.adopt(Snapshot { service: service.clone(), version, record, age_ms });
-        self.watch.tell_records();
+        self.watch.share_records();
     }
 
     /// Writes what this host, or its domain, counted, reads what others did, and makes the step
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -223,7 +223,7 @@
             return Ok(false);
         }
         follow.read(clock::steady());
-        self.tell();
+        self.share_positions();
         Ok(is_news)
     }
 
@@ -253,23 +253,23 @@
     }
 
     /// Tells the others how new the lists are that this host reads, and how roll-outs stand.
-    pub fn tell(&self) {
+    pub fn share_positions(&self) {
         self.notify(Notice::Positions);
     }
 
     /// Tells the others how roll-outs stand. Whoever has written that tells them, also if another
-    /// host speaks for the domain by now.
-    pub fn tell_records(&self) {
+    /// host is the delegate by now.
+    pub fn share_records(&self) {
         self.notify(Notice::Records);
     }
 
-    /// Tells the host that speaks for the domain what this one counted.
-    pub fn tell_counts(&self) {
+    /// Tells the delegate of the domain what this one counted.
+    pub fn share_counts(&self) {
         self.notify(Notice::Counts);
     }
 
     /// Whether this host calls the store for what concerns its failure domain, or itself alone.
-    pub fn speaks(&self) -> bool {
+    pub fn is_delegate(&self) -> bool {
         let relay = self.follow(List::Operators).relay();
         let now = clock::steady();
         relay.is_alone(now) || relay.reads_for_others(now)
--- a/crates/policy/src/poison/book.rs
+++ b/crates/policy/src/poison/book.rs
@@ -153,12 +153,13 @@
     }
 
     /// Something was learnt of a request, with times of this host's clock; whether it is news.
-    pub fn learn(&mut self, told: &Suspect, source: Source, now: Millis) -> bool {
+    pub fn learn(&mut self, heard: &Suspect, source: Source, now: Millis) -> bool {
         // An answer matters to nobody until something speaks against the request.
-        let matters = !told.crashes.is_empty() || self.known.contains_key(&told.digest);
-        let known = self.entry(told.digest, now);
-        let cleared = told.answered_at.is_some_and(|at| known.suspect.clear(at));
-        let added = told.crashes.iter().filter(|crash| known.suspect.add((*crash).clone())).count();
+        let matters = !heard.crashes.is_empty() || self.known.contains_key(&heard.digest);
+        let known = self.entry(heard.digest, now);
+        let cleared = heard.answered_at.is_some_and(|at| known.suspect.clear(at));
+        let added =
+            heard.crashes.iter().filter(|crash| known.suspect.add((*crash).clone())).count();
         let is_news = matters && (cleared || added > 0);
         known.is_shared |= is_news;
         known.unsent.peers |= is_news && source == Source::Store;
