Observability: why a stream that broke off was not taken up elsewhere

A stream whose server is lost ended with a line that says why its last server was lost, and nothing said why no other took it: its attempts, its host's repeats, its time, connections that did not open, no server known, or held back.

A line and a counter (`gateway_streams_stranded_total`) now say which, with what the host believed of the roll-out and its servers. What may be tried again is decided as before; tests of streams and of hosts beside each other pass unchanged (17).

--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use entry::carry::{self, Request as _, Step, carry};
+use entry::carry::{self, Step, carry};
 use entry::clock;
 use entry::connection::Cause;
 use hyper::StatusCode;
@@ -26,6 +26,25 @@
 /// ones have no such limit: each costs a millisecond, and a server that refused is not asked again.
 const UNSENT_MAX: u32 = 4;
 
+/// What stands against another try of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Obstacle {
+    /// Its time is over.
+    Late,
+    /// It may have run, and its kind may not run again.
+    Kind,
+    /// It was sent to as many backend servers as its route allows.
+    Attempts,
+    /// Too many connections did not open in time.
+    Connections,
+    /// The host has no repeat left.
+    Repeats,
+    /// No backend server is known that takes it.
+    NoServer,
+    /// It is held, since servers ended under it.
+    Held,
+}
+
 /// An answer that may be passed on.
 pub enum Accepted {
     /// All of it.
@@ -45,10 +64,40 @@
     }
 
     /// Goes on with a stream that broke, behind the last event that the caller has.
-    pub async fn resume(&mut self, last: u64) -> Option<Live> {
-        match self.may_go_on() {
-            true => carry(&mut Resumption { job: self, last }).await.ok(),
-            false => None,
+    ///
+    /// # Errors
+    /// Why no other backend server has taken it up.
+    pub async fn resume(&mut self, last: u64) -> Result<Live, Obstacle> {
+        self.go_on()?;
+        let mut resumption = Resumption { job: self, last, obstacle: Obstacle::NoServer };
+        let resumed = carry(&mut resumption).await;
+        let obstacle = resumption.obstacle;
+        resumed.map_err(|_| obstacle)
+    }
+
+    /// Takes what another try costs: a repeat, if the request was sent.
+    ///
+    /// # Errors
+    /// What stands against another try.
+    fn go_on(&self) -> Result<(), Obstacle> {
+        let tries = &self.tries;
+        let attempt = Attempt {
+            may_repeat: self.route().kind.may_repeat(),
+            first_byte_written: tries.may_have_run,
+            answer_begun: false,
+            left_ms: u64::try_from(self.left().as_millis()).unwrap_or(u64::MAX),
+            expected_ms: 1,
+        };
+        match () {
+            () if self.left().is_zero() => Err(Obstacle::Late),
+            () if !retry::may_try_elsewhere(&attempt) => Err(Obstacle::Kind),
+            () if tries.sent >= self.route().attempts_max => Err(Obstacle::Attempts),
+            () if tries.unsent >= UNSENT_MAX => Err(Obstacle::Connections),
+            () if tries.sent == 0 || tries.paid.swap(false, Ordering::Relaxed) => Ok(()),
+            () if self.window(|window, allowance| window.take(allowance, clock::steady())) => {
+                Ok(())
+            }
+            () => Err(Obstacle::Repeats),
         }
     }
 
@@ -163,21 +212,8 @@
         self.blame(backend, failure);
     }
 
-    /// Takes a repeat from the budget if the request was sent.
     fn may_go_on(&mut self) -> bool {
-        let tries = &self.tries;
-        let attempt = Attempt {
-            may_repeat: self.route().kind.may_repeat(),
-            first_byte_written: tries.may_have_run,
-            answer_begun: false,
-            left_ms: u64::try_from(self.left().as_millis()).unwrap_or(u64::MAX),
-            expected_ms: 1,
-        };
-        let room = tries.sent < self.route().attempts_max && tries.unsent < UNSENT_MAX;
-        room && retry::may_try_elsewhere(&attempt)
-            && (tries.sent == 0
-                || tries.paid.swap(false, Ordering::Relaxed)
-                || self.window(|window, allowance| window.take(allowance, clock::steady())))
+        self.go_on().is_ok()
     }
 
     /// The last answer there is: a backend server's own failure, or a refusal.
@@ -207,6 +243,8 @@
     job: &'a mut Job<C>,
     /// The last event that the caller has.
     last: u64,
+    /// What stands against another try, if none is made.
+    obstacle: Obstacle,
 }
 
 impl<C: Codec> carry::Request for Resumption<'_, C> {
@@ -215,11 +253,13 @@
     type Failure = Failure;
 
     fn choose(&mut self) -> Option<Arc<Backend>> {
+        self.obstacle = Obstacle::NoServer;
         self.job.next_backend()
     }
 
     async fn attempt(&mut self, backend: &Arc<Backend>) -> Step<Live, Failure> {
         if let Err(refusal) = self.job.permit().await {
+            self.obstacle = Obstacle::Held;
             return Step::Refused(refusal);
         }
         let last = Some(self.last);
@@ -242,7 +282,9 @@
     }
 
     fn may_go_on(&mut self) -> bool {
-        self.job.may_go_on()
+        let leave = self.job.go_on();
+        self.obstacle = leave.err().unwrap_or(self.obstacle);
+        leave.is_ok()
     }
 
     /// The caller learns of it by a connection that closes before the stream's end.
--- a/crates/gateway/src/end.rs
+++ b/crates/gateway/src/end.rs
@@ -2,8 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+use entry::clock;
 use entry::connection::Cause;
 
+use crate::carry::Obstacle;
 use crate::codec::Codec;
 use crate::job::Job;
 
@@ -33,6 +35,22 @@
     }
 }
 
+impl Obstacle {
+    /// For metrics.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Late => "late",
+            Self::Kind => "kind",
+            Self::Attempts => "attempts",
+            Self::Connections => "connections",
+            Self::Repeats => "repeats",
+            Self::NoServer => "no_server",
+            Self::Held => "held",
+        }
+    }
+}
+
 /// What was passed on of a stream; nothing of a plain answer.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Passed {
@@ -73,6 +91,31 @@
         table = job.state.world.load().index.version, outcome:? = end; "request ended");
 }
 
+/// Logs and counts a stream that broke off and that no other backend server took up.
+pub fn log_stranded<C: Codec>(job: &Job<C>, obstacle: Obstacle) {
+    let now = clock::steady();
+    let tries = &job.tries;
+    let repeats = job.window(|window, allowance| window.left(allowance, now));
+    let world = job.state.world.load();
+    let pool = world.pools.get(&job.service);
+    let takes_work = |version| {
+        let servers = pool.into_iter().flat_map(|pool| pool.of(version));
+        servers.filter(|backend| backend.server.takes_work(now)).count()
+    };
+    let rollout = pool.and_then(|pool| pool.rollout.as_ref());
+    metrics::counter!("gateway_streams_stranded_total", "why" => obstacle.label()).increment(1);
+    log::warn!(target: "route", request:% = job.ask.id, why:? = obstacle, sent = tries.sent,
+        unsent = tries.unsent, refused = tries.refused, not_run = tries.not_run,
+        repeats, left_ms = job.left().as_millis() as u64,
+        version:% = shown(tries.version.as_ref()),
+        servers = tries.version.as_ref().map_or(0, takes_work),
+        target:% = shown(rollout.map(|rollout| &rollout.target)),
+        stage:? = rollout.map(|rollout| rollout.stage),
+        share = rollout.map_or(0.0, |rollout| rollout.share(now)),
+        target_servers = rollout.map_or(0, |rollout| takes_work(&rollout.target));
+        "stream not taken up elsewhere");
+}
+
 /// A value that may be absent, as it stands in a log.
 fn shown<T: std::fmt::Display>(value: Option<T>) -> String {
     value.map(|value| value.to_string()).unwrap_or_default()
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,6 +16,7 @@
 
 use crate::attempt::{Failure, Reply};
 use crate::backend::Backend;
+use crate::carry::Obstacle;
 use crate::codec::Codec;
 use crate::end::{self, End, Passed};
 use crate::events::Splitter;
@@ -184,16 +185,17 @@
                 () = pieces.closed() => return end::log(&job, End::CallerGone, passed),
                 resumed = job.resume(last) => resumed,
             },
-            None => None,
+            None => Err(Obstacle::Kind),
         };
         match resumed {
-            Some(next) => {
+            Ok(next) => {
                 live = Box::new(next);
                 // A pause that another run ends is a pause for the caller.
                 let Passed { pause_ms, last, .. } = passed;
                 live.passed = Passed { pause_ms, last, ..live.passed };
             }
-            None => {
+            Err(obstacle) => {
+                end::log_stranded(&job, obstacle);
                 end::log(&job, End::Broken(cause), passed);
                 // The caller learns of it by a connection that closes before the stream's end.
                 let _ = pieces.send(Err(Broken)).await;
