--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -94,13 +94,17 @@
             () if tries.sent >= self.route().attempts_max => Err(Obstacle::Attempts),
             () if tries.unsent >= UNSENT_MAX => Err(Obstacle::Connections),
             () if tries.sent == 0 || tries.paid.swap(false, Ordering::Relaxed) => Ok(()),
-            () if self.window(|window, allowance| window.take(allowance, clock::steady())) => {
-                Ok(())
-            }
+            () if self.take_repeat() => Ok(()),
             () => Err(Obstacle::Repeats),
         }
     }
 
+    /// Takes a repeat of the host's, if there is one for this request.
+    pub fn take_repeat(&self) -> bool {
+        let streams = if self.tries.is_passed_on { 0 } else { self.state.relays.len() };
+        self.window(|window, allowance| window.take_beside(streams, allowance, clock::steady()))
+    }
+
     fn next_backend(&mut self) -> Option<Arc<Backend>> {
         let world = self.state.world.load_full();
         let pool = world.pools.get(&self.service)?;
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -86,6 +86,8 @@
     pub expected_ms: u64,
     /// See `expected_ms`.
     pub head_ms: u64,
+    /// The caller has the beginning of a stream.
+    pub is_passed_on: bool,
     /// From its coming in to the beginning of its answer, in milliseconds; 0 before that.
     pub begun_ms: u64,
     /// Servers that had ended under it when this host got leave to try it alone.
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -162,6 +162,7 @@
     pub fn note_begun(&mut self) {
         let waited = self.started.elapsed().as_secs_f64() * 1_000.0;
         self.tries.begun_ms = waited as u64;
+        self.tries.is_passed_on = true;
         let part = waited / self.route().objective_ms.max(1) as f64;
         self.state.delays.with(&self.service, |delay| delay.note(part, clock::steady()));
     }
--- a/crates/gateway/src/wait.rs
+++ b/crates/gateway/src/wait.rs
@@ -57,7 +57,7 @@
         let way_on = self.route().kind.may_repeat()
             && sent < self.route().attempts_max
             && pool.of(&backend.version).any(|other| is_other(&other));
-        let paid = way_on && self.window(|w, allowance| w.take(allowance, clock::steady()));
+        let paid = way_on && self.take_repeat();
         self.tries.paid.fetch_or(paid, Ordering::Relaxed);
         paid
     }
--- a/crates/policy/src/repeat.rs
+++ b/crates/policy/src/repeat.rs
@@ -62,9 +62,21 @@
 
     /// Takes one repeat if it is allowed.
     pub fn take(&mut self, allowance: &Allowance, now: Millis) -> bool {
-        let allowed = self.left(allowance, now) >= 1.0;
-        self.cell(allowance, now).repeats += u32::from(allowed);
-        allowed
+        self.take_beside(0, allowance, now)
+    }
+
+    /// Takes one repeat for a request whose caller has nothing of its answer yet, beside so many
+    /// streams under way.
+    ///
+    /// Such a request can be refused and come back; a stream that breaks off has failed, and all that
+    /// was done for it is lost. Where full servers turn new requests away, each uses up two repeats for
+    /// nothing, and streams whose server is lost would find none. So for each stream one is kept.
+    pub fn take_beside(&mut self, streams: usize, allowance: &Allowance, now: Millis) -> bool {
+        let (allowed, made) = self.allowed_and_made(allowance, now);
+        let kept = (streams as f64).min(allowed * KEPT_PART);
+        let may_take = allowed - made >= 1.0 + kept;
+        self.cell(allowance, now).repeats += u32::from(may_take);
+        may_take
     }
 
     /// Repeats that are left now.
--- a/crates/policy/tests/repeat.rs
+++ b/crates/policy/tests/repeat.rs
@@ -99,3 +99,27 @@
     let streams = (0..8).filter(|_| window.take(&ALLOWANCE, START)).count();
     assert_eq!(streams, 8);
 }
+
+/// Guards against streams that break off because requests that full servers turn away have taken all
+/// repeats.
+#[test]
+fn take_beside_streams_leaves_one_for_each() {
+    let mut window = Window::default();
+    for _ in 0..100 {
+        window.request(&ALLOWANCE, START);
+    }
+    while window.take_beside(12, &ALLOWANCE, START) {}
+    let streams = (0..20).filter(|_| window.take(&ALLOWANCE, START)).count();
+    assert_eq!(streams, 12);
+}
+
+/// Guards against a host with many streams and few requests that tries no request a second time.
+#[test]
+fn take_beside_many_streams_leaves_repeats_for_others() {
+    let mut window = Window::default();
+    for _ in 0..10 {
+        window.request(&ALLOWANCE, START);
+    }
+    let others = (0..20).filter(|_| window.take_beside(500, &ALLOWANCE, START)).count();
+    assert!(others >= 6, "{others}");
+}
