--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -127,14 +127,21 @@
     mut gate: watch::Receiver<Gate>,
 ) {
     let mut listening = Some(listener);
+    // Connections are cut once nothing listens any more: whoever loses one and looks finds the port
+    // closed, as after a process has ended.
+    let (mut serving, _) = watch::channel(());
     loop {
         let state = *gate.borrow_and_update();
         match (state, listening.take()) {
-            (Gate::Stopped, _) => return,
+            (Gate::Stopped, listener) => {
+                drop(listener);
+                return;
+            }
             (Gate::Closed, listener) => {
                 // Bound here and dropped now: left in the matched value it would go on listening
                 // until the gate opens, and connections would hang instead of being refused.
                 drop(listener);
+                (serving, _) = watch::channel(());
                 if gate.changed().await.is_err() {
                     return;
                 }
@@ -147,7 +154,7 @@
                 tokio::select! {
                     accepted = listener.accept() => match accepted {
                         Ok((stream, _)) => {
-                            tokio::spawn(connection(stream, Arc::clone(&handler), gate.clone()));
+                            tokio::spawn(connection(stream, Arc::clone(&handler), serving.subscribe()));
                         }
                         Err(error) => log::warn!("standin: accepting failed: {error}"),
                     },
@@ -164,7 +171,7 @@
 async fn connection<H: Handler>(
     stream: TcpStream,
     handler: Arc<H>,
-    mut gate: watch::Receiver<Gate>,
+    mut served: watch::Receiver<()>,
 ) {
     if stream.set_nodelay(true).is_err() {
         return;
@@ -174,6 +181,6 @@
         hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     tokio::select! {
         _ = serving => {}
-        _ = gate.wait_for(|state| *state != Gate::Open) => {}
+        _ = served.changed() => {}
     }
 }
