--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -81,6 +81,8 @@
     belief: Mutex<Belief>,
     /// Most servers name no limit, and need not be locked to learn that.
     is_limited: AtomicBool,
+    /// It refused the last connection, or another server answered at its address.
+    has_ended: AtomicBool,
     /// When it was last looked whether it has ended, and whether it had.
     looked: tokio::sync::Mutex<Option<(Millis, bool)>>,
 }
@@ -152,6 +154,7 @@
             server: Arc::new(Server::new(row.id.clone(), row.address, domain)),
             belief: Mutex::default(),
             is_limited: AtomicBool::new(false),
+            has_ended: AtomicBool::new(false),
             looked: tokio::sync::Mutex::default(),
         }
     }
@@ -272,9 +275,16 @@
 
     /// It said anything at all.
     pub fn heard(&self, now: Millis) {
+        self.has_ended.store(false, Ordering::Relaxed);
         self.lock().heard_at = now;
     }
 
+    /// Whether it refused connections when it was last tried. One that is out of reach doesn't.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.has_ended.load(Ordering::Relaxed)
+    }
+
     /// When it last said anything.
     #[must_use]
     pub fn heard_at(&self) -> Millis {
@@ -294,6 +304,7 @@
 
     /// It refuses connections.
     pub fn note_refused(&self, now: Millis) {
+        self.has_ended.store(true, Ordering::Relaxed);
         self.lock().suspicion.note(true, now);
         self.server.note_failure(now);
     }
@@ -334,12 +345,12 @@
     /// the server.
     pub fn look_soon(self: &Arc<Self>, poison: &Arc<Guard>) {
         let (backend, poison) = (Arc::clone(self), Arc::clone(poison));
-        tokio::spawn(async move { backend.has_ended(&poison).await });
+        tokio::spawn(async move { backend.look(&poison).await });
     }
 
     /// Whether nothing listens at its address any more; then the requests that were lost with it are
     /// noted. Those who ask together share one look.
-    pub async fn has_ended(&self, poison: &Guard) -> bool {
+    pub async fn look(&self, poison: &Guard) -> bool {
         let mut looked = self.looked.lock().await;
         let now = clock::steady();
         if let Some((at, ended)) = *looked
@@ -353,6 +364,7 @@
         let ended = opened.is_ok_and(|opened| opened.is_err_and(is_refused));
         *looked = Some((now, ended));
         if ended {
+            self.has_ended.store(true, Ordering::Relaxed);
             log::info!(target: "route", backend:% = self.id; "backend server ended");
             poison.ended(&self.id);
         }
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -144,7 +144,7 @@
     pub async fn permit(&mut self) -> Result<(), Refusal> {
         if let Some(backend) = self.tries.broke_at.take() {
             // What the last try came to decides about the next one.
-            backend.has_ended(&self.state.poison).await;
+            backend.look(&self.state.poison).await;
         }
         if self.state.poison.is_calm() {
             return Ok(());
