--- a/crates/standin/src/routed.rs
+++ b/crates/standin/src/routed.rs
@@ -2,6 +2,7 @@
 //! reached it.
 
 use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -90,6 +91,8 @@
     script: Mutex<VecDeque<Act>>,
     /// Requests a second that it names in its answers.
     per_second: Mutex<Option<f64>>,
+    /// It says in its answers that it leaves.
+    leaves: AtomicBool,
     /// It ends when it runs a request whose body is this.
     ends_by: Mutex<Option<Bytes>>,
     ending: Notify,
@@ -129,6 +132,7 @@
             usual: Mutex::new(usual),
             script: Mutex::default(),
             per_second: Mutex::default(),
+            leaves: AtomicBool::new(false),
             ends_by: Mutex::default(),
             ending: Notify::new(),
             arrivals: Mutex::default(),
@@ -151,6 +155,11 @@
         *lock(&self.per_second) = per_second;
     }
 
+    /// From now on it says in its answers that it leaves, or doesn't.
+    pub fn leave(&self, leaves: bool) {
+        self.leaves.store(leaves, Ordering::Relaxed);
+    }
+
     /// From now on it ends when it runs a request with this body; see [`Self::ending`].
     pub fn end_by(&self, body: &'static str) {
         *lock(&self.ends_by) = Some(Bytes::from(body));
@@ -201,6 +210,9 @@
         if let Some(limit) = limit {
             response.headers_mut().insert(names::LIMIT, limit);
         }
+        if self.leaves.load(Ordering::Relaxed) {
+            response.headers_mut().insert(names::LEAVING, reply::value("1"));
+        }
         Ok(response)
     }
 }
