Hosts obey what servers say of leaving in their answers (DRAIN)

What operators saw: a server that says in its answers that it leaves gets requests for as long as the list does not say so, which may be many seconds while the store is away. Cause: no code knew the header; what a host believes of a server came from the list and from failures, but for a limit, which had a mechanism of its own. Class: something that a server says of itself in its answers and that must bind all that sends. So it is one part now: `policy::intake` takes what answers say (a limit, a leave) and answers one question, whether a request may go there now; the throttle is inside it. New requests, repeats, streams that go on, cascades and sessions all ask it, since all choose a server in one place. Change beyond that: a leave is passed on within the failure domain, with the server's start, and takes the server out of the pool at once; what servers said is kept for as long as their entries may come back (before, a lapse of the entry forgot a limit too); an answer of another server at the address (421) says nothing of the one that was meant; a leave ends with the server's start only; where all servers leave, callers are refused at once and told when to return.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,10 +1,11 @@
 //! Backend servers as this process knows them: idle connections, health, load reports.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use policy::intake::Intake;
 use policy::name::Name;
 use policy::time::Millis;
 use policy::{place, probe};
@@ -46,6 +47,9 @@
     hash: u64,
     idle: Mutex<Vec<Connection>>,
     health: Mutex<Health>,
+    intake: Mutex<Intake>,
+    /// Most servers say nothing of what they take, and need not be locked to learn that.
+    is_restricted: AtomicBool,
 }
 
 impl Server {
@@ -60,6 +64,8 @@
             in_flight: AtomicU32::new(0),
             idle: Mutex::default(),
             health: Mutex::default(),
+            intake: Mutex::default(),
+            is_restricted: AtomicBool::new(false),
         }
     }
 
@@ -115,7 +121,28 @@
     #[must_use]
     pub fn takes_work(&self, now: Millis) -> bool {
         let health = self.lock();
-        !health.load.draining && health.probe.ill_until <= now
+        !health.load.draining && health.probe.ill_until <= now && !self.is_leaving()
+    }
+
+    /// Uses what it says of how much it takes.
+    pub fn with_intake<T>(&self, now: Millis, use_it: impl FnOnce(&mut Intake) -> T) -> T {
+        let mut intake = self.intake.lock().unwrap_or_else(PoisonError::into_inner);
+        let used = use_it(&mut intake);
+        self.is_restricted.store(intake.is_restricted(now), Ordering::Relaxed);
+        used
+    }
+
+    /// Whether it says anything that keeps requests from it.
+    #[must_use]
+    pub fn is_restricted(&self) -> bool {
+        self.is_restricted.load(Ordering::Relaxed)
+    }
+
+    /// Whether it has said that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        let intake = || self.intake.lock().unwrap_or_else(PoisonError::into_inner);
+        self.is_restricted() && intake().is_leaving()
     }
 
     /// As placement sees it.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -99,12 +99,15 @@
     let (head, body) = response.into_parts();
     let said = job.state.codec.head(head.status, &head.headers);
     backend.heard(clock::steady());
-    if let Some(load) = said.load {
-        backend.note_load(load, clock::steady());
-    }
-    if let Some(limited) = backend.note_limit(said.per_second, sent, clock::steady()) {
-        // When too many wait the others hear of it with the next sign of life.
-        let _ = job.state.outbox.limits.try_send(limited);
+    // Another server at the address of one that is gone speaks for itself only.
+    if !said.misdirected {
+        if let Some(load) = said.load {
+            backend.note_load(load, clock::steady());
+        }
+        for restricted in backend.note_statement(&said.statement, sent, clock::steady()) {
+            // When too many wait the others hear of it with the next sign of life.
+            let _ = job.state.outbox.restrictions.try_send(restricted);
+        }
     }
     check(job, &head, &said)?;
     if job.timed(backend) {
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -10,11 +10,12 @@
 use entry::connection::Connection;
 use entry::server::Server;
 use policy::backlog::{Backlog, Prompt};
+use policy::intake::{Intake, Statement};
 use policy::name::Name;
 use policy::place;
 use policy::silence::{self, Action, Bounds, Silence};
 use policy::suspicion::Suspicion;
-use policy::throttle::{Limit, Throttle};
+use policy::throttle::Limit;
 use policy::time::Millis;
 use tokio::net::TcpStream;
 use wire::backend;
@@ -53,12 +54,34 @@
 }
 
 policy::domain! {
-    /// How many requests a second a backend server takes, as other hosts are notified of it.
-    pub struct Limited {
-        /// The backend server's start.
+    /// What a backend server says of how much it takes, as other hosts are notified of it.
+    pub struct Restricted {
+        /// The backend server.
         pub backend: Name,
-        /// What it said.
-        pub limit: Limit,
+        /// When the start of it began that says so, see [`Backend::born`].
+        #[serde(default)]
+        pub born: u64,
+        /// What it says.
+        pub restriction: Restriction,
+    }
+
+    /// What keeps requests from a backend server.
+    pub enum Restriction {
+        /// It takes so many requests a second.
+        Limit(Limit),
+        /// It leaves.
+        Leaving,
+    }
+}
+
+impl Restriction {
+    /// The same with its times on another clock; `from` and `to` are the same moment on both.
+    #[must_use]
+    pub fn on_clock(&self, from: Millis, to: Millis) -> Self {
+        match self {
+            Self::Limit(limit) => Self::Limit(limit.on_clock(from, to)),
+            Self::Leaving => Self::Leaving,
+        }
     }
 }
 
@@ -79,8 +102,6 @@
     /// Connections, requests under way, health.
     pub server: Arc<Server>,
     belief: Mutex<Belief>,
-    /// Most servers name no limit, and need not be locked to learn that.
-    is_limited: AtomicBool,
     /// It refused the last connection, or another server answered at its address.
     has_ended: AtomicBool,
     /// When it was last looked whether it has ended, and whether it had.
@@ -117,7 +138,6 @@
     reported_at: Millis,
     heard_at: Millis,
     asked_at: Millis,
-    throttle: Throttle,
     /// Parts of prompts by model and part, and when they were last used.
     parts: HashMap<(u64, u64), Millis>,
 }
@@ -153,7 +173,6 @@
             hash: place::hash(row.id.as_bytes()),
             server: Arc::new(Server::new(row.id.clone(), row.address, domain)),
             belief: Mutex::default(),
-            is_limited: AtomicBool::new(false),
             has_ended: AtomicBool::new(false),
             looked: tokio::sync::Mutex::default(),
         }
@@ -218,26 +237,49 @@
         self.server.note_load(backend::Load { in_flight, slots: load.slots, draining: false }, now);
     }
 
-    /// How many requests a second it takes, as the answer to a request said that was sent then; what
-    /// the other hosts are to be notified of, if it is news.
-    pub fn note_limit(
+    /// What it says of how much it takes, in the answer to a request that was sent then; what the other
+    /// hosts are to be notified of.
+    pub fn note_statement(
         &self,
-        per_second: Option<f64>,
+        statement: &Statement,
         sent: Millis,
         now: Millis,
-    ) -> Option<Limited> {
-        let is_news = self.with_throttle(|throttle| throttle.heard(per_second, sent, now));
-        is_news.then(|| {
+    ) -> Vec<Restricted> {
+        let news = self.with_intake(|intake| intake.heard(statement, sent, now));
+        let limit = news.is_limit.then(|| {
+            let per_second = statement.per_second;
             log::info!(target: "route", backend:% = self.id, per_second:? = per_second;
                 "backend server names another limit");
-            let limit = Limit { per_second, at: now, until: None };
-            Limited { backend: self.id.clone(), limit }
-        })
+            Restriction::Limit(Limit { per_second, at: now, until: None })
+        });
+        let leaving = news.is_leave.then(|| {
+            log::info!(target: "route", backend:% = self.id; "backend server says that it leaves");
+            Restriction::Leaving
+        });
+        limit.into_iter().chain(leaving).map(|restriction| self.restricted(restriction)).collect()
+    }
+
+    /// What it takes, as another host says of this start of it; whether the world is another one now.
+    pub fn learn(&self, restriction: &Restriction, now: Millis) -> bool {
+        match restriction {
+            Restriction::Limit(limit) => {
+                self.learn_limit(*limit, now);
+                false
+            }
+            Restriction::Leaving => {
+                let is_news = self.with_intake(Intake::leave);
+                if is_news {
+                    log::info!(target: "route", backend:% = self.id;
+                        "leave of a backend server heard of");
+                }
+                is_news
+            }
+        }
     }
 
     /// How much it takes, as another host or its entry says.
     pub fn learn_limit(&self, limit: Limit, now: Millis) {
-        if self.with_throttle(|throttle| throttle.learn(limit, now)) {
+        if self.with_intake(|intake| intake.learn(limit, now)) {
             log::info!(target: "route", backend:% = self.id, per_second:? = limit.per_second,
                 until_ms = limit.until.map(|until| until.since(now));
                 "limit of a backend server heard of");
@@ -249,28 +291,32 @@
     ///
     /// A server that is back under its id is empty, so that all hosts would send to it at once, and
     /// end it once more before it is warm.
-    pub fn may_start_again(&self, warmup: Warmup, now: Millis) -> Option<Limited> {
+    pub fn may_start_again(&self, warmup: Warmup, now: Millis) -> Option<Restricted> {
         let limit = Limit::warmup(warmup.per_second, now + warmup.ms, now);
-        let is_news = self.with_throttle(|throttle| throttle.learn(limit, now));
+        let is_news = self.with_intake(|intake| intake.learn(limit, now));
         is_news.then(|| {
             log::info!(target: "route", backend:% = self.id, per_second = warmup.per_second,
                 until_ms = warmup.ms; "backend server may start again");
-            Limited { backend: self.id.clone(), limit }
+            self.restricted(Restriction::Limit(limit))
         })
     }
 
-    /// Uses what is known of how many requests it takes.
-    pub fn with_throttle<T>(&self, use_it: impl FnOnce(&mut Throttle) -> T) -> T {
-        let mut belief = self.lock();
-        let used = use_it(&mut belief.throttle);
-        self.is_limited.store(belief.throttle.is_limited(clock::steady()), Ordering::Relaxed);
-        used
+    /// What the other hosts should know of how much it takes.
+    #[must_use]
+    pub fn restrictions(&self, now: Millis) -> Vec<Restricted> {
+        let intake = self.with_intake(|intake| *intake);
+        let limit = intake.throttle.shared(now).map(Restriction::Limit);
+        let leaving = intake.is_leaving().then_some(Restriction::Leaving);
+        limit.into_iter().chain(leaving).map(|restriction| self.restricted(restriction)).collect()
     }
 
-    /// Whether it takes only so many requests a second.
-    #[must_use]
-    pub fn is_limited(&self) -> bool {
-        self.is_limited.load(Ordering::Relaxed)
+    fn restricted(&self, restriction: Restriction) -> Restricted {
+        Restricted { backend: self.id.clone(), born: self.born, restriction }
+    }
+
+    /// Uses what is known of how much it takes.
+    pub fn with_intake<T>(&self, use_it: impl FnOnce(&mut Intake) -> T) -> T {
+        self.server.with_intake(clock::steady(), use_it)
     }
 
     /// It said anything at all.
--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -83,9 +83,9 @@
         let world = self.state.world.load();
         let service = world.index.services.get(&self.service);
         let Some(warmup) = service.and_then(|service| service.warmup) else { return };
-        if let Some(limited) = backend.may_start_again(warmup, clock::steady()) {
+        if let Some(restricted) = backend.may_start_again(warmup, clock::steady()) {
             // When too many wait the others find out for themselves.
-            let _ = self.state.outbox.limits.try_send(limited);
+            let _ = self.state.outbox.restrictions.try_send(restricted);
         }
     }
 }
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -133,7 +133,7 @@
         let now = clock::steady();
         let limited = backends.iter().filter(|backend| backend.server.takes_work(now));
         let rates = limited
-            .filter_map(|backend| backend.with_throttle(|throttle| throttle.per_second(now)));
+            .filter_map(|backend| backend.with_intake(|intake| intake.throttle.per_second(now)));
         let rate: f64 = rates.sum();
         (rate > 0.0).then_some(rate)
     }
@@ -145,6 +145,19 @@
         pool.is_some_and(|pool| pool.backends.is_empty() && pool.evacuated > 0)
     }
 
+    /// Whether all servers of the service leave.
+    fn is_leaving(&self) -> bool {
+        let world = self.state.world.load();
+        let pool = world.pools.get(&self.service);
+        pool.is_some_and(|pool| {
+            let mut backends = pool.backends.iter();
+            let has_leaving = pool.leaving > 0 || !pool.backends.is_empty();
+            has_leaving
+                && pool.evacuated == 0
+                && backends.all(|backend| backend.server.is_leaving())
+        })
+    }
+
     async fn try_at(
         &mut self,
         backend: &Arc<Backend>,
@@ -233,6 +246,7 @@
                 let timing = self.state.timings.with(self.timing(), |timing| *timing);
                 refuse::busy(timing.whole.mean_ms(0.0), rand::random())
             }
+            false if self.is_leaving() => refuse::leaving(rand::random()),
             false if self.is_evacuated() => refuse::evacuated(rand::random()),
             false => match self.limited() {
                 Some(per_second) => refuse::limited(per_second, rand::random()),
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -2,6 +2,7 @@
 
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, StatusCode};
+use policy::intake::Statement;
 use policy::name::Name;
 use wire::refusal::Refusal;
 
@@ -75,8 +76,8 @@
     pub is_encoded: bool,
     /// Its load.
     pub load: Option<Load>,
-    /// Requests a second that it takes from all hosts together, if it is in need.
-    pub per_second: Option<f64>,
+    /// What it says of how much it takes.
+    pub statement: Statement,
     /// Its model's opinion of the answer, 0 to 100.
     pub confidence: Option<u8>,
 }
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
+use policy::intake::Verdict;
 use policy::throttle::Place;
 use policy::time::Millis;
 
@@ -22,8 +23,8 @@
     /// As it is now.
     #[must_use]
     pub fn of<C: Codec>(job: &Job<C>, pool: &Pool) -> Self {
-        let is_limited = pool.backends.iter().any(|backend| backend.is_limited());
-        let domains = match is_limited {
+        let is_restricted = pool.backends.iter().any(|backend| backend.server.is_restricted());
+        let domains = match is_restricted {
             true => domains(pool),
             false => 1,
         };
@@ -32,18 +33,19 @@
 
     /// Whether this host may send the server a request now.
     #[must_use]
-    pub fn has_room(&self, backend: &Backend, now: Millis) -> bool {
-        // A host that does not know yet who else is there would take all of the limit.
-        !backend.is_limited()
-            || self.place(backend).is_some_and(|place| {
-                backend.with_throttle(|throttle| throttle.has_room(&place, now))
-            })
+    pub fn may_send(&self, backend: &Backend, now: Millis) -> bool {
+        if !backend.server.is_restricted() {
+            return true;
+        }
+        let place = self.place(backend);
+        backend.with_intake(|intake| intake.verdict(place.as_ref(), now)) == Verdict::Open
     }
 
     /// This host sends the server a request.
     pub fn sent(&self, backend: &Backend, now: Millis) {
-        if let Some(place) = self.place(backend).filter(|_| backend.is_limited()) {
-            backend.with_throttle(|throttle| throttle.sent(&place, now));
+        if backend.server.is_restricted() {
+            let place = self.place(backend);
+            backend.with_intake(|intake| intake.sent(place.as_ref(), now));
         }
     }
 
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -33,7 +33,7 @@
     let load = if is_engine(job) { canary::USUAL_LOAD } else { canary::PEAK_LOAD };
     let open = pool.open(version, load, now).into_iter();
     let untried = open.filter(|backend| !job.tries.tried.contains(&backend.id));
-    let untried = untried.filter(|backend| limits.has_room(backend, now));
+    let untried = untried.filter(|backend| limits.may_send(backend, now));
     let (reachable, unreachable): (Vec<_>, Vec<_>) = untried
         .partition(|backend| !job.tries.unreachable.contains(&backend.server.failure_domain));
     let (well, ill): (Vec<_>, Vec<_>) =
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -62,6 +62,8 @@
     pub base: Name,
     /// All that take new work, of every version.
     pub backends: Vec<Arc<Backend>>,
+    /// Others that leave.
+    pub leaving: usize,
     /// Others that would, but stand in evacuated failure domains.
     pub evacuated: usize,
     /// The roll-out under way or last decided.
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -12,6 +12,9 @@
 /// While all backend servers of a service stand in evacuated failure domains: operators take orders
 /// back after seconds at the least.
 const EVACUATED_RETRY_MS: f64 = 1_000.0;
+/// While all backend servers of a service leave: those that come in their place take about as long to
+/// start and to be listed.
+const LEAVING_RETRY_MS: f64 = 1_000.0;
 /// Before there is a table of routes.
 const NOT_READY_RETRY_MS: u64 = 500;
 /// Requests a second of a service below which callers are asked to come back as if it took so many.
@@ -69,6 +72,13 @@
         .retry_after(ms as u64)
 }
 
+/// All backend servers leave; `draw` as above.
+#[must_use]
+pub fn leaving(draw: f64) -> Refusal {
+    let ms = LEAVING_RETRY_MS * (1.0 + draw);
+    Refusal::not_run(Code::NoBackend, "all backend servers leave").retry_after(ms as u64)
+}
+
 /// The response that tells a caller.
 #[must_use]
 pub fn response<C: Codec>(codec: &C, id: &Name, mut refusal: Refusal) -> Response<Answer> {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::backend::{Limited, Prefill};
+use crate::backend::{Prefill, Restricted};
 use crate::evidence::Tally;
 use crate::poison::{Ask, Guard};
 use crate::timing::Timing;
@@ -24,8 +24,8 @@
 pub struct Outbox {
     /// Long prompts that were just sent, for the failure domain.
     pub prefills: mpsc::Sender<Prefill>,
-    /// Backend servers that name another limit, for the failure domain.
-    pub limits: mpsc::Sender<Limited>,
+    /// What backend servers say of how much they take, for the failure domain.
+    pub restrictions: mpsc::Sender<Restricted>,
     /// Requests that one host of all may try.
     pub trials: mpsc::Sender<Ask>,
 }
--- a/crates/node/src/catalog.rs
+++ b/crates/node/src/catalog.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::ArcSwap;
 use entry::clock;
-use gateway::backend::Backend;
+use gateway::backend::{Backend, Restricted};
 use gateway::index::Index;
 use gateway::pool::{Pool, Rollout};
 use gateway::world::World;
@@ -68,6 +68,9 @@
     roster: Roster<wire::routing::Backend>,
     has_roster: bool,
     backends: HashMap<Name, Arc<Backend>>,
+    /// Those that are not listed any more, for as long as their entries may come back: what they said
+    /// of themselves still holds then.
+    departed: HashMap<Name, Arc<Backend>>,
     rollouts: BTreeMap<Name, Known>,
     bases: HashMap<Name, Name>,
     table_at: Option<Millis>,
@@ -197,6 +200,29 @@
         domains.map(|domain| (domain.clone(), inner.evacuated(domain))).collect()
     }
 
+    /// A backend server that is listed.
+    #[must_use]
+    pub fn backend(&self, id: &Name) -> Option<Arc<Backend>> {
+        self.lock().backends.get(id).cloned()
+    }
+
+    /// What backend servers said lately of how much they take.
+    #[must_use]
+    pub fn restrictions(&self, now: Millis) -> Vec<Restricted> {
+        let inner = self.lock();
+        let restricted = inner.backends.values().filter(|backend| backend.server.is_restricted());
+        restricted.flat_map(|backend| backend.restrictions(now)).collect()
+    }
+
+    /// Takes what another host heard of a backend server, with times of its clock; whether the world is
+    /// another one now. What was said of another start means nothing.
+    pub fn restrict(&self, restricted: &Restricted, from: Millis, now: Millis) -> bool {
+        let backend = self.backend(&restricted.backend);
+        let backend = backend.filter(|backend| backend.born == restricted.born);
+        let restriction = restricted.restriction.on_clock(from, now);
+        backend.is_some_and(|backend| backend.learn(&restriction, now))
+    }
+
     /// Backend servers that stand in a failure domain; none before their list was read.
     #[must_use]
     pub fn servers_in(&self, failure_domain: &Name) -> Option<usize> {
@@ -288,7 +314,7 @@
         let mut pools: HashMap<Name, Pool> = HashMap::new();
         for row in &entries {
             let near = row.failure_domain == *failure_domain;
-            let known = self.backends.remove(&row.id);
+            let known = self.backends.remove(&row.id).or_else(|| self.departed.remove(&row.id));
             // Another start knows nothing of the one before: neither its caches and load nor its
             // connections are the new one's.
             let known =
@@ -299,13 +325,14 @@
             }
             backends.insert(row.id.clone(), Arc::clone(&backend));
             let pool = pools.entry(row.service.clone()).or_default();
-            match row.draining {
-                true => {}
+            match row.draining || backend.server.is_leaving() {
+                true => pool.leaving += 1,
                 false if self.evacuations.covers(&row.failure_domain) => pool.evacuated += 1,
                 false => pool.backends.push(backend),
             }
         }
-        self.backends = backends;
+        let departed = std::mem::replace(&mut self.backends, backends);
+        self.depart(departed);
         for service in self.index.services.keys() {
             pools.entry(service.clone()).or_default();
         }
@@ -321,6 +348,14 @@
         }
     }
 
+    /// Keeps servers that are no longer listed.
+    fn depart(&mut self, departed: HashMap<Name, Arc<Backend>>) {
+        departed.values().for_each(|backend| backend.server.retire(true));
+        self.departed.extend(departed);
+        let roster = &self.roster;
+        self.departed.retain(|id, _| roster.remembers(id));
+    }
+
     fn evacuated(&self, failure_domain: &Name) -> Evacuated {
         let servers = self.backends.values().map(|backend| &backend.server);
         let here = servers.filter(|server| server.failure_domain == *failure_domain);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use entry::clock;
-use gateway::backend::{Backend, Limited, Prefill};
+use gateway::backend::{Prefill, Restricted, Restriction};
 use gateway::{Codec, State};
 use policy::backlog::Prompt;
 use policy::name::Name;
@@ -42,8 +42,8 @@
 const FORGET_MS: u64 = 20_000;
 /// Prefills in one message.
 const PREFILLS_MAX: usize = 16;
-/// Limits in one sign of life; each host hears the others' from their servers all the same.
-const LIMITS_MAX: usize = 48;
+/// What servers say of how much they take, in one sign of life; each host hears it from them all the same.
+const RESTRICTIONS_MAX: usize = 48;
 
 /// What is known of a message's sender.
 #[derive(Clone, Copy, Debug, Default)]
@@ -76,8 +76,8 @@
 pub struct Inbox {
     /// Long prompts that were just sent.
     pub prefills: mpsc::Receiver<Prefill>,
-    /// Backend servers that take another number of requests.
-    pub limits: mpsc::Receiver<Limited>,
+    /// What backend servers say of how much they take.
+    pub restrictions: mpsc::Receiver<Restricted>,
     /// What else is new.
     pub notices: mpsc::Receiver<Notice>,
 }
@@ -131,8 +131,11 @@
                     }
                     self.send(some(&known), entries).await;
                 }
-                Some(limited) = inbox.limits.recv() => {
-                    self.send(all(&known), vec![Entry::Limit(limited)]).await;
+                Some(restricted) = inbox.restrictions.recv() => {
+                    if matches!(restricted.restriction, Restriction::Leaving) {
+                        self.watch.publish();
+                    }
+                    self.send(all(&known), vec![Entry::Restricted(restricted)]).await;
                 }
                 Some(notice) = inbox.notices.recv() => {
                     self.notify(notice, &known, delegate).await;
@@ -174,7 +177,7 @@
         let now = clock::steady();
         let suspects = self.state.poison.with(|book| book.suspects(now));
         let suspects = suspects.into_iter().map(Entry::Suspect);
-        self.positions().into_iter().chain(suspects).chain(self.limits(now)).collect()
+        self.positions().into_iter().chain(suspects).chain(self.restrictions(now)).collect()
     }
 
     /// How new the lists are that this host reads, and how roll-outs stand if it is the delegate of its
@@ -192,14 +195,9 @@
     }
 
     /// What backend servers said lately of how much they take.
-    fn limits(&self, now: Millis) -> Vec<Entry> {
-        let world = self.state.world.load();
-        let backends = world.pools.values().flat_map(|pool| &pool.backends);
-        let shared = backends.filter_map(|backend| {
-            let limit = backend.with_throttle(|throttle| throttle.shared(now))?;
-            Some(Entry::Limit(Limited { backend: backend.id.clone(), limit }))
-        });
-        shared.take(LIMITS_MAX).collect()
+    fn restrictions(&self, now: Millis) -> Vec<Entry> {
+        let restricted = self.watch.catalog.restrictions(now).into_iter();
+        restricted.take(RESTRICTIONS_MAX).map(Entry::Restricted).collect()
     }
 
     /// What this host counted of roll-outs, by route.
@@ -256,14 +254,14 @@
                     let suspect = suspect.on_clock(message.now, now);
                     self.state.poison.learn(&suspect, Source::Peer);
                 }
-                Entry::Limit(Limited { backend, limit }) => {
-                    if let Some(backend) = self.backend(&backend) {
-                        backend.learn_limit(limit.on_clock(message.now, now), now);
+                Entry::Restricted(restricted) => {
+                    if self.watch.catalog.restrict(&restricted, message.now, now) {
+                        self.watch.publish();
                     }
                 }
                 Entry::Prefill(Prefill { backend, read_ms, rank }) => {
                     metrics::counter!("node_peer_prefills_total").increment(1);
-                    if let Some(backend) = self.backend(&backend) {
+                    if let Some(backend) = self.watch.catalog.backend(&backend) {
                         backend.announced(Prompt { rank, read_ms: f64::from(read_ms) }, now);
                     }
                 }
@@ -272,12 +270,6 @@
         taken
     }
 
-    fn backend(&self, id: &Name) -> Option<Arc<Backend>> {
-        let world = self.state.world.load();
-        let mut backends = world.pools.values().flat_map(|pool| &pool.backends);
-        backends.find(|backend| backend.id == *id).cloned()
-    }
-
     async fn send(&self, to: Vec<SocketAddr>, entries: Vec<Entry>) {
         let message = Message { host: self.host.clone(), now: clock::steady(), entries };
         for piece in message.pieces() {
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -1,6 +1,6 @@
 //! A message between hosts of one failure domain, and how a long one is sent in pieces.
 
-use gateway::backend::{Limited, Prefill};
+use gateway::backend::{Prefill, Restricted};
 use policy::domain;
 use policy::name::Name;
 use policy::poison::Suspect;
@@ -42,8 +42,8 @@
         Counted(Counting),
         /// A request that was lost with servers.
         Suspect(Suspect),
-        /// What a backend server takes.
-        Limit(Limited),
+        /// What a backend server says of how much it takes.
+        Restricted(Restricted),
         /// A prompt that was just sent.
         Prefill(Prefill),
     }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -47,7 +47,7 @@
 /// Prefills that wait to be announced.
 const PREFILLS: usize = 64;
 /// Limits of backend servers that wait to be sent.
-const LIMITS: usize = 64;
+const RESTRICTIONS: usize = 64;
 /// Requests that wait for leave to be tried.
 const TRIALS: usize = 16;
 /// Kept of the time to stop, for the process's own end.
@@ -124,9 +124,9 @@
     stop: CancellationToken,
 ) {
     let (prefills, announced) = mpsc::channel(PREFILLS);
-    let (limits, limited) = mpsc::channel(LIMITS);
+    let (restrictions, restricted) = mpsc::channel(RESTRICTIONS);
     let (trials, asked) = mpsc::channel(TRIALS);
-    let outbox = Outbox { prefills, limits, trials };
+    let outbox = Outbox { prefills, restrictions, trials };
     let state = Arc::new(State::new(codec, allowance(&settings), outbox, stop.clone()));
     let catalog = Arc::new(Catalog::new(settings.failure_domain.clone()));
     let (orders, ordered) = mpsc::unbounded_channel();
@@ -175,7 +175,7 @@
             state: Arc::clone(&state),
             socket,
         };
-        let inbox = Inbox { prefills: announced, limits: limited, notices };
+        let inbox = Inbox { prefills: announced, restrictions: restricted, notices };
         background.push(spawn(peers.run(inbox)));
         background.push(spawn(exchange::serve(listener, Arc::clone(&watch))));
     }
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -58,6 +58,8 @@
         pub version: Name,
         /// Its roll-out, if there was one.
         pub rollout: Option<Rollout>,
+        /// Backend servers that leave.
+        pub leaving: usize,
         /// Backend servers that would take new work, but stand in evacuated failure domains.
         pub evacuated: usize,
         /// Backend servers that take new work, by id.
@@ -155,6 +157,7 @@
             share: rollout.share(now),
             age_ms: now.since(rollout.began),
         }),
+        leaving: pool.leaving,
         evacuated: pool.evacuated,
         backends: backends.collect(),
     }
@@ -169,7 +172,7 @@
         reported: seen.reported,
         suspicion: seen.suspicion,
         ill_ms: backend.server.health().probe.ill_until.since(now),
-        per_second: backend.with_throttle(|throttle| throttle.per_second(now)),
-        warmup_ms: backend.with_throttle(|throttle| throttle.warmup_ms(now)),
+        per_second: backend.with_intake(|intake| intake.throttle.per_second(now)),
+        warmup_ms: backend.with_intake(|intake| intake.throttle.warmup_ms(now)),
     }
 }
--- a/crates/node/tests/catalog.rs
+++ b/crates/node/tests/catalog.rs
@@ -80,7 +80,7 @@
 fn left(place: &ArcSwap<World>, now: Millis) -> u64 {
     let world = place.load();
     let backend = &world.pools[SERVICE].backends[0];
-    backend.with_throttle(|throttle| throttle.warmup_ms(now))
+    backend.with_intake(|intake| intake.throttle.warmup_ms(now))
 }
 
 #[test]
--- a/crates/node/tests/message.rs
+++ b/crates/node/tests/message.rs
@@ -1,6 +1,6 @@
 //! Messages between hosts that are too long for one datagram.
 
-use gateway::backend::{Limited, Prefill};
+use gateway::backend::{Prefill, Restricted, Restriction};
 use node::peers::message::{BYTES_MAX, Entry, Message};
 use node::record::{Record, Snapshot};
 use policy::canary::Stage;
@@ -25,7 +25,11 @@
 
 fn limit(number: u64) -> Entry {
     let limit = Limit { per_second: Some(4.0), at: NOW, until: None };
-    Entry::Limit(Limited { backend: Name::from(format!("i-{number}")), limit })
+    Entry::Restricted(Restricted {
+        backend: Name::from(format!("i-{number}")),
+        born: 1,
+        restriction: Restriction::Limit(limit),
+    })
 }
 
 fn read(pieces: &[Vec<u8>]) -> Vec<Entry> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod evacuation;
 pub mod exposure;
 pub mod gain;
+pub mod intake;
 pub mod limit;
 pub mod name;
 pub mod pace;
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -170,6 +170,12 @@
             .collect()
     }
 
+    /// Whether an entry of that id was listed lately.
+    #[must_use]
+    pub fn remembers(&self, id: &Name) -> bool {
+        self.known.contains_key(id)
+    }
+
     /// When the next lapsed entry is given up, if any is waited for.
     #[must_use]
     pub fn next_lapse(&self) -> Option<Millis> {
