--- a/crates/standin/src/routed.rs
+++ b/crates/standin/src/routed.rs
@@ -10,7 +10,7 @@
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::header::CONTENT_TYPE;
+use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use platform::names;
 use tokio::sync::Notify;
@@ -32,6 +32,8 @@
     Unsigned,
     /// Says that it did not run the request.
     Shed,
+    /// The same, and asks for a pause: what `Retry-After` says.
+    Pause(&'static str),
     /// Says that it is not the server that was meant.
     Misdirected,
     /// Closes the connection without an answer.
@@ -249,6 +251,12 @@
             response.headers_mut().insert(names::NOT_RUN, reply::value("1"));
             response
         }
+        Act::Pause(retry_after) => {
+            let mut response = reply::bytes(StatusCode::SERVICE_UNAVAILABLE, "");
+            response.headers_mut().insert(names::NOT_RUN, reply::value("1"));
+            response.headers_mut().insert(RETRY_AFTER, reply::value(retry_after));
+            response
+        }
         Act::Misdirected => reply::bytes(StatusCode::MISDIRECTED_REQUEST, ""),
         Act::Reset => {
             work.done();
