--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -4,10 +4,11 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::Response;
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONTENT_TYPE, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_TYPE, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
+use hyper::{HeaderMap, Response, StatusCode};
+use policy::pause;
 use wire::backend::REQUEST_ID;
 
 use crate::connection::{Cause, Connection, Failure};
@@ -112,6 +113,20 @@
     }
 }
 
+/// The pause that a server asks for as it turns a request away, in milliseconds.
+///
+/// One that can't be read is a short one: the server wants less work, so none at all is the graver
+/// error.
+#[must_use]
+pub fn pause_ms(status: StatusCode, headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get(RETRY_AFTER).filter(|_| status == StatusCode::SERVICE_UNAVAILABLE)?;
+    let ms = value.to_str().ok().and_then(pause::from_seconds);
+    if ms.is_none() {
+        log::warn!("entry: a backend server asks for a pause that can't be read: {value:?}");
+    }
+    Some(ms.unwrap_or(pause::UNREADABLE_MS))
+}
+
 /// Whether an answer is a stream of events.
 #[must_use]
 pub fn is_event_stream(head: &Parts) -> bool {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -121,7 +121,13 @@
     #[must_use]
     pub fn takes_work(&self, now: Millis) -> bool {
         let health = self.lock();
-        !health.load.draining && health.probe.ill_until <= now && !self.is_leaving()
+        !health.load.draining && health.probe.ill_until <= now && self.closed_until(now).is_none()
+    }
+
+    /// Whether it was found ill.
+    #[must_use]
+    pub fn is_ill(&self, now: Millis) -> bool {
+        self.lock().probe.ill_until > now
     }
 
     /// Uses what it says of how much it takes.
@@ -138,6 +144,13 @@
         self.is_restricted.load(Ordering::Relaxed)
     }
 
+    /// Until when it wants nothing, as it says itself; none if it takes requests.
+    #[must_use]
+    pub fn closed_until(&self, now: Millis) -> Option<Millis> {
+        let intake = || self.intake.lock().unwrap_or_else(PoisonError::into_inner);
+        if self.is_restricted() { intake().closed_until(now) } else { None }
+    }
+
     /// Whether it has said that it leaves.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -245,7 +245,13 @@
         sent: Millis,
         now: Millis,
     ) -> Vec<Restricted> {
-        let news = self.with_intake(|intake| intake.heard(statement, sent, now));
+        let draw = rand::random();
+        let news = self.with_intake(|intake| intake.heard(statement, sent, draw, now));
+        if news.is_pause {
+            metrics::counter!("gateway_pauses_total").increment(1);
+            log::info!(target: "route", backend:% = self.id, pause_ms:? = statement.pause_ms;
+                "backend server asks for a pause");
+        }
         let limit = news.is_limit.then(|| {
             let per_second = statement.per_second;
             log::info!(target: "route", backend:% = self.id, per_second:? = per_second;
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -12,6 +12,7 @@
 use hyper::http::response::Parts;
 use policy::precedence;
 use policy::retry::{self, Attempt};
+use policy::time::Millis;
 use wire::refusal::{Code, Refusal};
 
 use crate::attempt::{self, Failure, Reply};
@@ -145,6 +146,19 @@
         pool.is_some_and(|pool| pool.backends.is_empty() && pool.evacuated > 0)
     }
 
+    /// How long all servers of the service still want nothing from this host, in milliseconds; none if
+    /// one of them takes requests, or if none can be reached.
+    fn paused_ms(&self) -> Option<u64> {
+        let world = self.state.world.load();
+        let now = clock::steady();
+        let backends = &world.pools.get(&self.service)?.backends;
+        let mut well = backends.iter().filter(|backend| !backend.server.is_ill(now));
+        let first_end = well.try_fold(Millis(u64::MAX), |first, backend| {
+            backend.server.closed_until(now).map(|until| first.min(until))
+        });
+        first_end.filter(|end| *end < Millis(u64::MAX)).map(|end| end.since(now))
+    }
+
     /// Whether all servers of the service leave.
     fn is_leaving(&self) -> bool {
         let world = self.state.world.load();
@@ -239,9 +253,11 @@
             return Ok(Accepted::Whole(head, body));
         }
         let late = self.left().is_zero();
+        let paused_ms = self.paused_ms();
         Err(match self.tries.may_have_run {
             true if late => Refusal::may_have_run(Code::DeadlinePassed, "the deadline passed"),
             true => Refusal::may_have_run(Code::BackendFailed, "the backend server failed"),
+            false if let Some(ms) = paused_ms => refuse::paused(ms, rand::random()),
             false if self.tries.not_run > 0 => {
                 let timing = self.state.timings.with(self.timing(), |timing| *timing);
                 refuse::busy(timing.whole.mean_ms(0.0), rand::random())
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -57,6 +57,16 @@
         .retry_after(ms as u64)
 }
 
+/// Every backend server that could be sent to wants a pause from this host, the first for so many
+/// milliseconds; `draw` as above. Callers return over a quarter of that more, so that they don't all
+/// come in the moment in which it ends.
+#[must_use]
+pub fn paused(ms: u64, draw: f64) -> Refusal {
+    let spread = draw * (ms as f64 / 4.0).max(BUSY_RETRY_MS);
+    Refusal::not_run(Code::Overloaded, "every backend server wants a pause")
+        .retry_after(ms + spread as u64)
+}
+
 /// No backend server could be reached.
 #[must_use]
 pub fn no_backend() -> Refusal {
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -94,6 +94,8 @@
         pub ill_ms: u64,
         /// Requests a second that it takes from all hosts together, if they are limited.
         pub per_second: Option<f64>,
+        /// It wants nothing from this host for so long, in milliseconds.
+        pub pause_ms: u64,
         /// Until it is believed to be warm, in milliseconds.
         pub warmup_ms: u64,
     }
@@ -173,6 +175,7 @@
         suspicion: seen.suspicion,
         ill_ms: backend.server.health().probe.ill_until.since(now),
         per_second: backend.with_intake(|intake| intake.throttle.per_second(now)),
+        pause_ms: backend.server.closed_until(now).map_or(0, |until| until.since(now)),
         warmup_ms: backend.with_intake(|intake| intake.throttle.warmup_ms(now)),
     }
 }
--- a/crates/policy/src/intake.rs
+++ b/crates/policy/src/intake.rs
@@ -1,9 +1,10 @@
 //! What a backend server says of itself in its answers, and whether a host may send it a request.
 //!
 //! A server may take only so many requests a second from all hosts together, because it says so or
-//! because it is not warm; and it may leave. Whoever sends asks one question for all of that. Nothing
+//! because it is not warm; it may want a pause from this host; and it may leave. Whoever sends asks one question for all of that. Nothing
 //! here outlives a start of the server: another start begins with an intake of its own.
 
+use crate::pause::Pause;
 use crate::throttle::{Limit, Place, Throttle};
 use crate::time::Millis;
 
@@ -14,6 +15,8 @@
     pub per_second: Option<f64>,
     /// It leaves.
     pub is_leaving: bool,
+    /// It has turned the request away and wants nothing from this host for so long, in milliseconds.
+    pub pause_ms: Option<u64>,
 }
 
 /// What was news in an answer.
@@ -23,6 +26,8 @@
     pub is_limit: bool,
     /// It leaves.
     pub is_leave: bool,
+    /// It wants a pause.
+    pub is_pause: bool,
 }
 
 /// Whether a request may go to a server now.
@@ -32,6 +37,8 @@
     Open,
     /// This host's part of what the server takes is used up.
     Limited,
+    /// Not before then: the server wants a pause from this host.
+    Paused(Millis),
     /// Never again: the server leaves.
     Leaving,
 }
@@ -41,13 +48,18 @@
 pub struct Intake {
     /// How many requests a second.
     pub throttle: Throttle,
+    pause: Pause,
     is_leaving: bool,
 }
 
 impl Intake {
-    /// An answer came to a request that was sent then.
-    pub fn heard(&mut self, statement: &Statement, sent: Millis, now: Millis) -> News {
+    /// An answer came to a request that was sent then; `draw` is a uniform draw.
+    pub fn heard(&mut self, statement: &Statement, sent: Millis, draw: f64, now: Millis) -> News {
+        if statement.pause_ms.is_none() {
+            self.pause.answered(sent);
+        }
         News {
+            is_pause: statement.pause_ms.is_some_and(|ms| self.pause.ask(ms, draw, now)),
             is_limit: self.throttle.heard(statement.per_second, sent, now),
             is_leave: statement.is_leaving && self.leave(),
         }
@@ -70,10 +82,16 @@
         self.is_leaving
     }
 
+    /// Until when nothing may go there, limits aside; none if something may.
+    #[must_use]
+    pub fn closed_until(&self, now: Millis) -> Option<Millis> {
+        if self.is_leaving { Some(Millis(u64::MAX)) } else { self.pause.until(now) }
+    }
+
     /// Whether there is anything to ask [`Self::verdict`] for.
     #[must_use]
     pub fn is_restricted(&self, now: Millis) -> bool {
-        self.is_leaving || self.throttle.is_limited(now)
+        self.is_leaving || self.pause.is_set() || self.throttle.is_limited(now)
     }
 
     /// Whether a request may go there now. A host that does not know where it stands among the others
@@ -81,15 +99,17 @@
     #[must_use]
     pub fn verdict(&self, place: Option<&Place>, now: Millis) -> Verdict {
         let has_room = |place| self.throttle.has_room(place, now);
-        match () {
-            () if self.is_leaving => Verdict::Leaving,
-            () if !self.throttle.is_limited(now) || place.is_some_and(has_room) => Verdict::Open,
-            () => Verdict::Limited,
+        match self.pause.until(now) {
+            _ if self.is_leaving => Verdict::Leaving,
+            Some(until) => Verdict::Paused(until),
+            None if !self.throttle.is_limited(now) || place.is_some_and(has_room) => Verdict::Open,
+            None => Verdict::Limited,
         }
     }
 
     /// The host sends it a request.
     pub fn sent(&mut self, place: Option<&Place>, now: Millis) {
+        self.pause.sent(now);
         if let Some(place) = place {
             self.throttle.sent(place, now);
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod name;
 pub mod pace;
 pub mod patience;
+pub mod pause;
 pub mod place;
 pub mod poison;
 pub mod precedence;
