The product's own interface obeys what servers say in their answers

`entry` knew of a server's leave by the list and by its report only, and of a full server nothing: one that answered 503 with `Retry-After` was asked again at once. It has the same part now, `policy::intake` in `entry::server`, which placement and admission already ask by whether a server takes work: a paused pool is closed until the first pause ends, and its callers are refused with that time. A report of the server's own is newer than any answer, so one that has started again under its name takes work. The stand-ins say in all answers that they leave, and count what they turn away. Two tests, both failing without the reading of answers: 1 run allowed at a server whose reports don't come and whose answers say that it leaves; two requests in 0.7 s of a pause of 1 s.

--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -50,7 +50,10 @@
     server.retire(false);
     let asked = clock::now();
     match tokio::time::timeout(WITHIN, load(server)).await {
-        Ok(Ok(Some(load))) => server.note_load(load, clock::now()),
+        Ok(Ok(Some(load))) => {
+            server.with_intake(clock::now(), |intake| intake.reported(load.draining));
+            server.note_load(load, clock::now());
+        }
         // It answers, if not with a report.
         Ok(Ok(None)) => server.note_success(clock::now()),
         Ok(Err(failure)) if failure.cause == Cause::Refused => server.note_failure(clock::now()),
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -8,12 +8,15 @@
 use hyper::header::{CONTENT_TYPE, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Response, StatusCode};
+use policy::intake::Statement;
 use policy::pause;
-use wire::backend::REQUEST_ID;
+use policy::time::Millis;
+use wire::backend::{LEAVING, REQUEST_ID};
 
+use crate::clock;
 use crate::connection::{Cause, Connection, Failure};
 use crate::job::Job;
-use crate::server::Lease;
+use crate::server::{Lease, Server};
 use crate::sse::Watch;
 
 /// An answer up to this size is read to its end before it is passed on: if it breaks off, the
@@ -67,9 +70,11 @@
     response: Response<Incoming>,
     connection: Connection,
     lease: Lease,
+    sent: Millis,
     sent_at: Instant,
 ) -> Result<Reply, Failure> {
     let (head, body) = response.into_parts();
+    note_statement(&lease.server, &head, sent);
     check(job, &head).map_err(Failure::sent)?;
     let is_events = is_event_stream(&head);
     let is_stream = is_events && job.version.is_some();
@@ -113,6 +118,25 @@
     }
 }
 
+/// What a server says of how much it takes binds whoever sends there next, whatever becomes of this
+/// answer.
+fn note_statement(server: &Server, head: &Parts, sent: Millis) {
+    let statement = Statement {
+        per_second: None,
+        is_leaving: head.headers.contains_key(LEAVING),
+        pause_ms: pause_ms(head.status, &head.headers),
+    };
+    if statement == Statement::default() && !server.is_restricted() {
+        return;
+    }
+    let now = clock::now();
+    let news =
+        server.with_intake(now, |intake| intake.heard(&statement, sent, rand::random(), now));
+    if news.is_leave || news.is_pause {
+        log::info!("entry: backend server {} says: {statement:?}", server.name);
+    }
+}
+
 /// The pause that a server asks for as it turns a request away, in milliseconds.
 ///
 /// One that can't be read is a short one: the server wants less work, so none at all is the graver
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -151,6 +151,11 @@
         if self.is_restricted() { intake().closed_until(now) } else { None }
     }
 
+    fn pause_end(&self) -> Millis {
+        let intake = || self.intake.lock().unwrap_or_else(PoisonError::into_inner);
+        if self.is_restricted() { intake().pause_end() } else { Millis(0) }
+    }
+
     /// Whether it has said that it leaves.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
@@ -174,8 +179,8 @@
                 slots: health.load.slots,
                 at: health.load_at,
             }),
-            draining: health.load.draining,
-            ill_until: health.probe.ill_until,
+            draining: health.load.draining || self.is_leaving(),
+            ill_until: health.probe.ill_until.max(self.pause_end()),
             hash: self.hash,
         }
     }
--- a/crates/entry/tests/leaving.rs
+++ b/crates/entry/tests/leaving.rs
@@ -9,6 +9,7 @@
 use common::{until, until_async};
 use hyper::{Method, Request};
 use standin::backend::Faults;
+use standin::fault::Down;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
@@ -38,6 +39,62 @@
     assert_eq!(bench.engines[0].runs().len(), before);
 }
 
+/// Guards against a server that says only in its answers that it leaves, since its reports do not come.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_says_leaving_stops_new_work() {
+    let bench = Bench::start().await;
+    let mut proxies = Vec::new();
+    for engine in &bench.engines {
+        proxies.push(no_reports(engine.address).await);
+    }
+    bench.control.change(|view| {
+        for (host, proxy) in view.hosts.hosts.iter_mut().zip(&proxies) {
+            host.address = proxy.0.to_string().into();
+        }
+    });
+    bench.settled().await;
+    bench.engines[0].set_faults(Faults { draining: true, ..Faults::default() });
+    let ask = async |number: usize| {
+        let body = chat_body("feed-1", false).replace("plan the", &format!("{number}: plan the"));
+        let answer = bench.call(Method::POST, "/v1/chat/completions", &[TAG], &body).await.unwrap();
+        assert_eq!(answer.status(), 200);
+    };
+    let mut number = 0;
+    while bench.engines[0].runs().is_empty() {
+        ask(number).await;
+        number += 1;
+    }
+    for number in 0..30 {
+        ask(1_000 + number).await;
+    }
+    assert_eq!(bench.engines[0].runs().len(), 1);
+}
+
+/// Guards against requests at a server that has asked for a pause.
+#[tokio::test(flavor = "multi_thread")]
+async fn server_that_asks_for_a_pause_is_left_alone() {
+    let bench = Bench::start().await;
+    let ask = |number: usize| {
+        let body = chat_body("feed-1", false).replace("plan the", &format!("{number}: plan the"));
+        let bench = &bench;
+        async move { bench.call(Method::POST, "/v1/chat/completions", &[TAG], &body).await }
+    };
+    bench.engines[0].set_faults(Faults { down: Down::Unavailable, ..Faults::default() });
+    let tried = || bench.engines[0].turned_away();
+    let mut number = 0;
+    while tried() == 0 {
+        ask(number).await.unwrap();
+        number += 1;
+    }
+    let began = std::time::Instant::now();
+    let before = tried();
+    while began.elapsed() < Duration::from_millis(700) {
+        ask(number).await.unwrap();
+        number += 1;
+    }
+    assert!(tried() - before <= 2, "{}", tried() - before);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn listed_as_leaving_gets_nothing_new() {
     let bench = Bench::start().await;
--- a/crates/policy/src/intake.rs
+++ b/crates/policy/src/intake.rs
@@ -76,12 +76,24 @@
         !std::mem::replace(&mut self.is_leaving, true)
     }
 
+    /// The server reports whether it leaves, asked for just that. A report is newer than any answer, so
+    /// one that has started again under its name takes work.
+    pub fn reported(&mut self, is_leaving: bool) {
+        self.is_leaving = is_leaving;
+    }
+
     /// Whether the server leaves.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
         self.is_leaving
     }
 
+    /// When a request may be sent again, of a server that asked for a pause; it may have passed.
+    #[must_use]
+    pub fn pause_end(&self) -> Millis {
+        self.pause.until(Millis(0)).unwrap_or_default()
+    }
+
     /// Until when nothing may go there, limits aside; none if something may.
     #[must_use]
     pub fn closed_until(&self, now: Millis) -> Option<Millis> {
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -4,14 +4,14 @@
 mod fault;
 mod relay;
 
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use hyper::{Response, StatusCode};
 use policy::domain;
 use policy::name::Name;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use wire::backend::Load;
+use wire::backend::{LEAVING, Load};
 
 pub use self::fault::{Faults, Plan};
 pub use self::relay::{Piece, wait};
@@ -43,6 +43,7 @@
     capacity: Capacity,
     slots: Arc<Semaphore>,
     waiting: AtomicU32,
+    turned_away: AtomicUsize,
     faults: Mutex<Faults>,
     log: Arc<Log>,
 }
@@ -60,8 +61,8 @@
     pub fn new(seed: u64, capacity: Capacity) -> Self {
         let slots = Arc::new(Semaphore::new(capacity.slots as usize));
         let log = Arc::new(Log::default());
-        let waiting = AtomicU32::new(0);
-        Self { seed, capacity, slots, waiting, faults: Mutex::default(), log }
+        let (waiting, turned_away) = (AtomicU32::new(0), AtomicUsize::new(0));
+        Self { seed, capacity, slots, waiting, turned_away, faults: Mutex::default(), log }
     }
 
     /// Replaces the faults.
@@ -90,6 +91,27 @@
         Load { in_flight, slots: self.capacity.slots, draining: self.faults().draining }
     }
 
+    /// Requests that it turned away.
+    #[must_use]
+    pub fn turned_away(&self) -> usize {
+        self.turned_away.load(Ordering::Relaxed)
+    }
+
+    /// Asks for a pause.
+    fn turn_away(&self) -> Response<Body> {
+        self.turned_away.fetch_add(1, Ordering::Relaxed);
+        reply::later(StatusCode::SERVICE_UNAVAILABLE)
+    }
+
+    /// An answer with what the server says of itself.
+    #[must_use]
+    pub fn with_state(&self, mut response: Response<Body>) -> Response<Body> {
+        if self.faults().draining {
+            response.headers_mut().insert(LEAVING, reply::value("1"));
+        }
+        response
+    }
+
     /// Records a request and waits for its slot.
     ///
     /// # Errors
@@ -98,9 +120,7 @@
         match self.faults().down {
             Down::No => {}
             Down::Cut => return Err(Err(Cut)),
-            Down::Unavailable => {
-                return Err(Ok(reply::later(StatusCode::SERVICE_UNAVAILABLE)));
-            }
+            Down::Unavailable => return Err(Ok(self.turn_away())),
         }
         let request = run.request.clone();
         let mut guard = self.log.begin(run);
@@ -111,7 +131,7 @@
             }
             None => {
                 guard.end(Outcome::Refused);
-                Err(Ok(reply::later(StatusCode::SERVICE_UNAVAILABLE)))
+                Err(Ok(self.turn_away()))
             }
         }
     }
--- a/crates/standin/src/backend/fault.rs
+++ b/crates/standin/src/backend/fault.rs
@@ -15,7 +15,7 @@
     pub struct Faults {
         /// Whether it takes requests.
         pub down: Down,
-        /// It says in its load that it is leaving.
+        /// It says in its load and its answers that it is leaving.
         pub draining: bool,
         /// Extra time before each answer, in milliseconds.
         pub delay_ms: u64,
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -139,7 +139,10 @@
                 let body = reply::body(request).await?;
                 Ok(reply::set(&body, |faults| self.set_faults(faults)))
             }
-            (&Method::POST, "/v1/chat/completions") => self.complete(request).await,
+            (&Method::POST, "/v1/chat/completions") => {
+                let answer = self.complete(request).await;
+                answer.map(|answer| self.with_state(answer))
+            }
             _ => Ok(reply::status(StatusCode::NOT_FOUND)),
         }
     }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -85,7 +85,7 @@
                 let body = reply::body(request).await?;
                 Ok(reply::set(&body, |faults| self.set_faults(faults)))
             }
-            _ => self.call(request).await,
+            _ => self.call(request).await.map(|answer| self.with_state(answer)),
         }
     }
 }
--- a/crates/wire/src/backend.rs
+++ b/crates/wire/src/backend.rs
@@ -14,6 +14,8 @@
 pub const DEADLINE: &str = "chestnutspur-deadline";
 /// The caller's idempotency key.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// The backend server leaves; it says so in all its answers.
+pub const LEAVING: &str = "chestnutspur-leaving";
 /// 0 is served first; sent to model engines.
 pub const PRIORITY: &str = "chestnutspur-priority";
 
