Soak: servers that say in their answers that they leave, or ask for a pause

Two checks more, each node judged by what it was answered itself: nothing sent two seconds after it passed on such an answer; two requests at most in the rest of a pause. A request that was turned away did not run, so it does not count as a run.

--- a/crates/chestnutspur/tests/soak/faults.rs
+++ b/crates/chestnutspur/tests/soak/faults.rs
@@ -3,12 +3,15 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use platform::names;
 use policy::place::mix;
 use standin::platform::fault::Faults;
 use standin::proxy::Mode;
+use standin::routed::Act;
 
 use wire::routing::Warmup;
 
+use crate::callers;
 use crate::fleet::{Fleet, domain};
 
 /// What kind of trouble a seed brings.
@@ -22,16 +25,31 @@
     Planned,
     /// Failure domains are evacuated, and servers start again that have to warm up.
     Evacuations,
+    /// Servers say in their answers that they leave, or ask for a pause.
+    Statements,
+}
+
+impl Trouble {
+    const ALL: [Self; 5] =
+        [Self::Network, Self::Store, Self::Planned, Self::Evacuations, Self::Statements];
+
+    /// What a seed brings. Small seeds stay as they were when a kind of trouble was added.
+    pub fn of(seed: u64) -> Self {
+        match seed {
+            0..1_000 => Self::ALL[(seed % 3) as usize],
+            1_000..2_000 => Self::Evacuations,
+            2_000..10_000 => Self::Statements,
+            _ => Self::ALL[(seed % 5) as usize],
+        }
+    }
 }
 
-/// Seeds from this one on bring evacuations; those below stay as they were.
-const EVACUATIONS_FROM: u64 = 1_000;
 /// What servers take there until they are warm.
 const WARMUP: Warmup = Warmup { ms: 2_000, per_second: 4.0 };
 
 /// How servers warm up in a seed's play, if they have to.
 pub fn warmup(seed: u64) -> Option<Warmup> {
-    (seed >= EVACUATIONS_FROM).then_some(WARMUP)
+    (Trouble::of(seed) == Trouble::Evacuations).then_some(WARMUP)
 }
 
 /// A failure domain that was evacuated.
@@ -65,6 +83,8 @@
     pub trouble: Trouble,
     pub steps: Vec<String>,
     pub left: Vec<Left>,
+    /// Servers that said in their answers that they leave.
+    pub said: Vec<Left>,
     pub evacuated: Vec<Evacuated>,
     pub cold: Vec<Cold>,
     /// When nodes were started again, by where callers reach them.
@@ -98,15 +118,13 @@
 
 /// Brings faults about for a time.
 pub async fn run(fleet: &mut Fleet, seed: u64, length: Duration) -> Played {
-    let trouble = match seed {
-        EVACUATIONS_FROM.. => Trouble::Evacuations,
-        _ => [Trouble::Network, Trouble::Store, Trouble::Planned][(seed % 3) as usize],
-    };
+    let trouble = Trouble::of(seed);
     let mut draws = Draws(seed ^ 0x50a4);
     let mut played = Played {
         trouble,
         steps: Vec::new(),
         left: Vec::new(),
+        said: Vec::new(),
         evacuated: Vec::new(),
         cold: Vec::new(),
         restarted: Vec::new(),
@@ -121,6 +139,7 @@
             Trouble::Store => store(fleet, &mut draws, &mut version).await,
             Trouble::Planned => planned(fleet, &mut draws, &mut version, &mut played).await,
             Trouble::Evacuations => evacuations(fleet, &mut draws, &mut played).await,
+            Trouble::Statements => statements(fleet, &mut draws, &mut played).await,
         };
         played.steps.push(format!("{at} ms: {step}"));
     }
@@ -291,6 +310,47 @@
     }
 }
 
+async fn statements(fleet: &mut Fleet, draws: &mut Draws, played: &mut Played) -> String {
+    let node = draws.index(fleet.nodes.len());
+    let backend = draws.index(fleet.backends.len());
+    match draws.below(4) {
+        0 => {
+            // The list says nothing of it, or can't be read.
+            if draws.below(2) == 0 {
+                fleet.store.set_faults(Faults::unavailable());
+            }
+            let at = Instant::now();
+            fleet.backends[backend].leave(true);
+            tokio::time::sleep(draws.ms(2_500, 4_000)).await;
+            played.said.push(Left { number: backend, at, back_at: Instant::now() });
+            fleet.backends[backend].leave(false);
+            fleet.store.set_faults(Faults::default());
+            fleet.start_backend_again(backend);
+            format!("backend {backend} said that it leaves")
+        }
+        1 => {
+            fleet.nodes[node].kill();
+            fleet.nodes[node].start_again();
+            played.restarted.push((fleet.nodes[node].callers, Instant::now()));
+            format!("node {node} killed")
+        }
+        2 => {
+            // The entry lapses and is back; what the server said still holds.
+            fleet.store.remove(names::table::BACKENDS, &fleet.id(backend));
+            tokio::time::sleep(draws.ms(50, 600)).await;
+            fleet.list(backend, "ready");
+            format!("backend {backend} lapsed")
+        }
+        _ => {
+            let lasts = draws.ms(500, 2_500);
+            fleet.backends[backend].set(Act::Pause(["0.8", "1.5", "3"][draws.index(3)]));
+            tokio::time::sleep(lasts).await;
+            fleet.backends[backend].set(Act::Stream(callers::script()));
+            format!("backend {backend} asked for pauses for {lasts:?}")
+        }
+    }
+}
+
 fn change_table(fleet: &mut Fleet, version: &mut u64) {
     *version += 1 + *version % 3;
     fleet.put_table(*version);
--- a/crates/chestnutspur/tests/soak/fleet.rs
+++ b/crates/chestnutspur/tests/soak/fleet.rs
@@ -245,7 +245,10 @@
     /// Ends all faults and starts what is down.
     pub async fn heal(&mut self) {
         self.store.set_faults(Faults::default());
-        self.backends.iter().for_each(|backend| backend.name_limit(None));
+        self.backends.iter().for_each(|backend| {
+            backend.name_limit(None);
+            backend.set(Act::Stream(callers::script()));
+        });
         for proxy in self.store_proxies.iter().chain(&self.backend_proxies) {
             proxy.set_mode(Mode::Pass);
             proxy.set_delay(Duration::ZERO);
--- a/crates/chestnutspur/tests/soak/verdict.rs
+++ b/crates/chestnutspur/tests/soak/verdict.rs
@@ -1,6 +1,7 @@
 //! The promises, judged from what callers and backend servers saw.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use platform::names;
@@ -18,6 +19,10 @@
 /// What a server that is not warm gets in a second at most, in parts of its rate, and beyond that.
 const COLD_OVERRUN: f64 = 1.5;
 const COLD_SLACK: f64 = 5.0;
+/// What reaches a server this soon after it has asked for a pause was under way.
+const UNDER_WAY: Duration = Duration::from_millis(500);
+/// Requests of one node that may reach it in the rest of the pause.
+const IN_A_PAUSE: usize = 2;
 
 /// Until a node that was started has read the store.
 const STARTING: Duration = Duration::from_millis(400);
@@ -39,6 +44,8 @@
     broken.extend(late_work(fleet, played));
     broken.extend(evacuated_work(fleet, played));
     broken.extend(cold_work(fleet, played));
+    broken.extend(work_at_leaving(fleet, played, seen));
+    broken.extend(work_in_pauses(fleet, played, seen));
     broken.extend(played.stuck.iter().map(|node| format!("node {node} did not end after SIGTERM")));
     let served = seen.iter().filter(|one| served(one)).count();
     if served * 10 < seen.len() {
@@ -51,11 +58,11 @@
     matches!(one.outcome, Outcome::Answered { status: 200, whole: true, .. })
 }
 
-/// How often backend servers ran each request.
+/// How often backend servers ran each request; what they turned away they did not run.
 fn runs(fleet: &Fleet) -> HashMap<String, usize> {
     let mut runs = HashMap::new();
     for backend in &fleet.backends {
-        for arrival in backend.arrivals() {
+        for arrival in backend.arrivals().iter().filter(|one| one.pause.is_none()) {
             let id = arrival.headers[names::REQUEST_ID].to_str().unwrap_or_default().to_owned();
             *runs.entry(id).or_default() += 1;
         }
@@ -111,6 +118,70 @@
     counts.map(|(domain, count)| format!("{count} requests reached evacuated {domain}")).collect()
 }
 
+/// Callers' requests by their ids.
+fn by_id(seen: &[Seen]) -> HashMap<&str, &Seen> {
+    seen.iter().map(|one| (one.id.as_str(), one)).collect()
+}
+
+fn id(arrival: &Arrival) -> &str {
+    arrival.headers[names::REQUEST_ID].to_str().unwrap_or_default()
+}
+
+/// Whether a node was started again in that time: it knows nothing of before.
+fn is_restarted(played: &Played, node: SocketAddr, from: Instant, to: Instant) -> bool {
+    let mut starts = played.restarted.iter().filter(|(started, _)| *started == node);
+    starts.any(|(_, at)| (from..=to).contains(at))
+}
+
+/// Requests sent to a server long after the same node had passed on an answer with which it said that it
+/// leaves.
+fn work_at_leaving(fleet: &Fleet, played: &Played, seen: &[Seen]) -> Vec<String> {
+    let asked = by_id(seen);
+    let mut broken = Vec::new();
+    for said in &played.said {
+        let arrivals = fleet.backends[said.number].arrivals();
+        let arrivals = arrivals.iter().filter(|one| (said.at..said.back_at).contains(&one.at));
+        let asked: Vec<&Seen> = arrivals.filter_map(|one| asked.get(id(one)).copied()).collect();
+        for late in &asked {
+            let is_told = |one: &&&Seen| {
+                let passed_on = one.began + one.took;
+                one.node == late.node
+                    && served(one)
+                    && late.began > passed_on + LEAVING
+                    && !is_restarted(played, late.node, passed_on, late.began)
+            };
+            if asked.iter().any(|one| is_told(&one)) {
+                broken.push(format!("{} sent to leaving backend {}", late.id, said.number));
+            }
+        }
+    }
+    broken
+}
+
+/// Requests of a node that reached a server in a pause that it had asked that node for.
+fn work_in_pauses(fleet: &Fleet, played: &Played, seen: &[Seen]) -> Vec<String> {
+    let asked = by_id(seen);
+    let mut broken = Vec::new();
+    for (number, backend) in fleet.backends.iter().enumerate() {
+        let arrivals = backend.arrivals();
+        let of: Vec<(&Arrival, SocketAddr)> = arrivals
+            .iter()
+            .filter_map(|one| asked.get(id(one)).map(|seen| (one, seen.node)))
+            .collect();
+        for (first, node) in &of {
+            let Some(pause) = first.pause else { continue };
+            let (from, to) = (first.at + UNDER_WAY, first.at + pause);
+            let within =
+                |(one, by): &&(&Arrival, SocketAddr)| by == node && one.at > from && one.at < to;
+            let count = of.iter().filter(within).count();
+            if count > IN_A_PAUSE && !is_restarted(played, *node, first.at, to) {
+                broken.push(format!("{count} requests in a pause at backend {number}"));
+            }
+        }
+    }
+    broken
+}
+
 /// Work that reached backend servers, in one second, beyond what they take until they are warm.
 fn cold_work(fleet: &Fleet, played: &Played) -> Vec<String> {
     let Some(warmup) = fleet.warmup else { return Vec::new() };
--- a/crates/standin/src/routed.rs
+++ b/crates/standin/src/routed.rs
@@ -44,6 +44,14 @@
     Stream(Script),
 }
 
+impl Act {
+    /// The pause that it asks for, if that can be read.
+    fn pause(&self) -> Option<Duration> {
+        let Self::Pause(text) = self else { return None };
+        text.parse().ok().and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
+    }
+}
+
 /// How it streams.
 #[derive(Clone, Debug)]
 pub struct Script {
@@ -85,6 +93,8 @@
     pub body: Bytes,
     /// When.
     pub at: Instant,
+    /// The pause that it was answered with.
+    pub pause: Option<Duration>,
 }
 
 /// The backend server.
@@ -192,13 +202,15 @@
         let path = head.uri.to_string();
         let headers = head.headers;
         let ends = lock(&self.ends_by).as_ref() == Some(&body);
-        let arrival = Arrival { headers: headers.clone(), path, body, at: Instant::now() };
-        lock(&self.arrivals).push(arrival);
-        if ends {
+        let act = || lock(&self.script).pop_front().unwrap_or_else(|| lock(&self.usual).clone());
+        let act = (!ends).then(act);
+        let pause = act.as_ref().and_then(Act::pause);
+        let at = Instant::now();
+        lock(&self.arrivals).push(Arrival { headers: headers.clone(), path, body, at, pause });
+        let Some(act) = act else {
             self.ending.notify_one();
             return std::future::pending().await;
-        }
-        let act = lock(&self.script).pop_front().unwrap_or_else(|| lock(&self.usual).clone());
+        };
         let mut work = Work { dropped: Arc::clone(&self.dropped), is_done: false };
         let made = act_on(act, &headers, &mut work).await?;
         let mut response = match made {
