A doubtful answer is dropped only if another can be asked for

The small model's answer was dropped in between, and nothing was left. Class: a thing checked first and taken later. The same gap was there before for two requests that looked at once. Change: the repeat is taken when the decision is made, and the next try is paid for then, as it is when a silent server is left.

--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -106,6 +106,15 @@
         self.window(|window, allowance| window.take_beside(streams, allowance, clock::steady()))
     }
 
+    /// Takes a repeat for a better answer; the next try is paid for then.
+    pub fn take_spare_repeat(&self) -> bool {
+        let streams = self.state.relays.len();
+        let taken =
+            self.window(|window, allowance| window.take_spare(streams, allowance, clock::steady()));
+        self.tries.paid.fetch_or(taken, Ordering::Relaxed);
+        taken
+    }
+
     fn next_backend(&mut self) -> Option<Arc<Backend>> {
         let world = self.state.world.load_full();
         let pool = world.pools.get(&self.service)?;
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -125,9 +125,7 @@
             objective_ms,
             delay: self.delay(),
         };
-        let may_repeat =
-            self.window(|window, allowance| window.has_spare(allowance, clock::steady()));
-        (escalate::escalate(&doubt) && may_repeat).then_some(larger)
+        (escalate::escalate(&doubt) && self.take_spare_repeat()).then_some(larger)
     }
 
     /// How long callers wait for streams to begin lately, as a part of their objective.
--- a/crates/policy/src/repeat.rs
+++ b/crates/policy/src/repeat.rs
@@ -79,6 +79,15 @@
         may_take
     }
 
+    /// Takes one repeat for a better answer beside so many streams under way, if one is left that is not
+    /// needed to put a failure right: some are kept for those.
+    ///
+    /// It is taken before the answer that there is gets dropped: were it looked for afterwards, another
+    /// request might have it, and the caller would get neither answer.
+    pub fn take_spare(&mut self, streams: usize, allowance: &Allowance, now: Millis) -> bool {
+        self.has_spare(allowance, now) && self.take_beside(streams, allowance, now)
+    }
+
     /// Repeats that are left now.
     #[must_use]
     pub fn left(&self, allowance: &Allowance, now: Millis) -> f64 {
--- a/crates/policy/tests/repeat.rs
+++ b/crates/policy/tests/repeat.rs
@@ -123,3 +123,16 @@
     let others = (0..20).filter(|_| window.take_beside(500, &ALLOWANCE, START)).count();
     assert!(others >= 6, "{others}");
 }
+
+/// Guards against a spare repeat that is promised and then, beside many streams, not to be had.
+#[test]
+fn take_spare_is_the_repeat() {
+    let mut window = Window::default();
+    for _ in 0..100 {
+        window.request(&ALLOWANCE, START);
+    }
+    let spare = (0..100).filter(|_| window.take_spare(15, &ALLOWANCE, START)).count();
+    assert!(spare > 0);
+    let left = window.left(&ALLOWANCE, START);
+    assert!((15.0..17.0).contains(&left), "{left}");
+}
