A model of a fleet under overload, and the test that an overload ends with its cause

Cause: nothing showed the second half of the collapse: an overload that goes on when what started it is over. Change: crate `experiment`, a seeded discrete-event model in simulated time. Engines with places, steps that grow with what runs, prompts read in chunks, memory, preemption, a queue that rejects; hosts that each hold their own view and decide by policy::engine, backlog, repeat, suspicion, throttle, silence, precedence, prefill, probe and gateway::refuse as they are; callers that come back once and leave. Nothing of the router changes.

In the model it is preemption by the order that we give engines that keeps the overload up.

--- /dev/null
+++ b/crates/experiment/src/host.rs
@@ -0,0 +1,284 @@
+//! A host of the router: its own view of each engine, and its decisions.
+//!
+//! The view is kept as `gateway` keeps it, by the same functions of `policy`; which numbers go into
+//! them is what `gateway::pick`, `gateway::attempt` and `gateway::blame` put there.
+
+pub mod view;
+
+use gateway::state::Peers;
+use gateway::timing::Timing;
+use gateway::wait::STREAM_BUSY;
+use policy::engine::{self, Ask, Engine};
+use policy::place::mix;
+use policy::precedence::Request;
+use policy::prefill::Speed;
+use policy::repeat::{Allowance, Window};
+use policy::retry::{self, Attempt};
+use policy::silence::{self, Action, Bounds, Silence};
+use policy::throttle::Place;
+use policy::time::Millis;
+
+use self::view::View;
+use crate::request::Tries;
+use crate::scenario::{Kind, Repeats, Scenario};
+use crate::way::{self, Pick, Way};
+
+/// What another failure domain costs, as a part of the objective; the same as the router's.
+const FAR_PART: f64 = 1.0 / 8.0;
+/// Connections that may time out before a request is given up; the same as the router's.
+const UNSENT_MAX: u32 = 4;
+
+/// Keeps hashes of engines apart from those of hosts.
+const ENGINES: u64 = 1 << 32;
+
+/// A host.
+pub struct Host {
+    /// Its failure domain.
+    pub domain: usize,
+    /// What it believes of each engine.
+    pub views: Vec<View>,
+    /// Times of answers, by kind.
+    pub timings: Vec<Timing>,
+    speed: Speed,
+    window: Window,
+    allowance: Allowance,
+    attempts_max: u32,
+    domains: usize,
+    /// Hosts of its failure domain, itself included.
+    hosts: usize,
+}
+
+/// What became of the search for an engine.
+pub enum Choice {
+    /// This one.
+    Engine(usize),
+    /// None that the request may be sent to; requests a second that limited ones take.
+    None(f64),
+}
+
+impl Host {
+    /// One that has just started, one of several in its failure domain.
+    #[must_use]
+    pub fn new(scenario: &Scenario, index: usize) -> Self {
+        let domains = scenario.domains as usize;
+        let domain = index % domains;
+        let Repeats { share, spare, window_ms, attempts_max } = scenario.repeats;
+        let others = (domain..scenario.hosts as usize).step_by(domains);
+        let others = others.filter(|other| *other != index).map(|other| mix(other as u64));
+        let peers = Peers { own: mix(index as u64), others: others.collect() };
+        Self {
+            domain,
+            views: (0..scenario.engines.count as usize)
+                .map(|engine| {
+                    let before = peers.before(mix(ENGINES + engine as u64));
+                    View::new(engine % domains == domain, before, scenario.engines.slots)
+                })
+                .collect(),
+            timings: vec![Timing::default(); scenario.kinds.len()],
+            speed: Speed::default(),
+            window: Window::default(),
+            allowance: Allowance { share, spare, window_ms },
+            attempts_max,
+            domains,
+            hosts: peers.others.len() + 1,
+        }
+    }
+
+    /// A request came in.
+    pub fn came(&mut self, now: Millis) {
+        self.window.request(&self.allowance, now);
+    }
+
+    /// Where engines put a prompt among others.
+    #[must_use]
+    pub fn rank(&self, way: &Way, kind: &Kind, tries: &Tries, received: u32) -> u8 {
+        way.order.place(&Request {
+            read_ms: f64::from(kind.prompt_tokens) / self.speed.tokens_per_ms(),
+            priority: kind.priority,
+            is_again: tries.sent > 0,
+            is_resumed: received > 0,
+        })
+    }
+
+    /// Prompt tokens that it believes an engine to read in a millisecond.
+    #[must_use]
+    pub fn tokens_per_ms(&self) -> f64 {
+        self.speed.tokens_per_ms()
+    }
+
+    /// An answer began; what it says of the engines' speed and of the kind.
+    pub fn began(&mut self, kind: usize, ms: f64, wait_ms: f64, tokens: f64, now: Millis) {
+        self.timings[kind].first.note(ms, now);
+        self.speed.note(ms, wait_ms, tokens);
+    }
+
+    /// The engine that a request goes to.
+    pub fn choose(
+        &mut self,
+        way: &Way,
+        kind: (usize, &Kind),
+        tries: &Tries,
+        received: u32,
+        now: Millis,
+        draw: u64,
+    ) -> Choice {
+        let rank = self.rank(way, kind.1, tries, received);
+        let open = self.open(tries, now);
+        let well: Vec<usize> =
+            open.into_iter().filter(|engine| self.views[*engine].takes_work(now)).collect();
+        let ask = self.ask(kind, received);
+        let known: Vec<Engine> =
+            well.iter().map(|engine| self.views[*engine].known(rank, now)).collect();
+        let Some(chosen) = pick(way.pick, &known, &ask, draw).map(|index| well[index]) else {
+            return Choice::None(self.limited(now));
+        };
+        let place = self.place(chosen);
+        self.views[chosen].sent_to(&place, now);
+        Choice::Engine(chosen)
+    }
+
+    /// Engines listed, not tried and not at their limit.
+    fn open(&self, tries: &Tries, now: Millis) -> Vec<usize> {
+        let all = 0..self.views.len();
+        all.filter(|engine| {
+            let view = &self.views[*engine];
+            view.is_listed
+                && !tries.tried.contains(engine)
+                && (!view.is_limited(now) || view.has_room(&self.place(*engine), now))
+        })
+        .collect()
+    }
+
+    fn place(&self, engine: usize) -> Place {
+        let view = &self.views[engine];
+        let View { before, is_near, .. } = *view;
+        Place { before, hosts: self.hosts, is_near, domains: self.domains }
+    }
+
+    fn limited(&self, now: Millis) -> f64 {
+        let takes_work = self.views.iter().filter(|view| view.takes_work(now));
+        takes_work.filter_map(|view| view.per_second(now)).sum()
+    }
+
+    fn ask(&self, (index, kind): (usize, &Kind), received: u32) -> Ask {
+        let objective = kind.objective_ms as f64;
+        Ask {
+            prompt: f64::from(kind.prompt_tokens + received),
+            shared: 0.0,
+            tokens_per_ms: self.speed.tokens_per_ms(),
+            service_ms: self.timings[index].whole.mean_ms(objective),
+            far_ms: objective * FAR_PART,
+            failure_ms: objective,
+        }
+    }
+
+    /// How long a caller is asked to stay away whose request every engine tried was too full for.
+    pub fn return_ms(&mut self, way: &Way, kind: (usize, &Kind), now: Millis, draw: f64) -> u64 {
+        let service_ms = self.timings[kind.0].whole.mean_ms(0.0);
+        let backlog_ms = match way.returns {
+            way::Returns::Ours => 0.0,
+            way::Returns::Backlog => self.backlog_ms(way, kind, now),
+        };
+        way.returns.after_ms(service_ms, backlog_ms, draw)
+    }
+
+    /// Mean expected time to the beginning of an answer.
+    fn backlog_ms(&mut self, way: &Way, kind: (usize, &Kind), now: Millis) -> f64 {
+        let rank = self.rank(way, kind.1, &Tries::default(), 0);
+        let ask = self.ask(kind, 0);
+        let listed = self.views.iter_mut().filter(|view| view.is_listed);
+        let costs: Vec<f64> = listed.map(|view| view.known(rank, now).cost_ms(&ask)).collect();
+        costs.iter().sum::<f64>() / costs.len().max(1) as f64
+    }
+
+    /// Whether a request may be tried again; pays for it.
+    pub fn may_go_on(
+        &mut self,
+        way: &Way,
+        tries: &mut Tries,
+        has_begun: bool,
+        left_ms: u64,
+        now: Millis,
+    ) -> bool {
+        let attempt = Attempt {
+            may_repeat: true,
+            first_byte_written: tries.may_have_run || has_begun,
+            answer_begun: false,
+            left_ms,
+            expected_ms: 1,
+        };
+        let has_room = tries.sent < self.attempts_max && tries.unsent < UNSENT_MAX;
+        has_room
+            && retry::may_try_elsewhere(&attempt)
+            && (tries.sent == 0 || std::mem::take(&mut tries.paid) || self.take_repeat(way, now))
+    }
+
+    fn take_repeat(&mut self, way: &Way, now: Millis) -> bool {
+        match way.repeats {
+            way::Repeats::Ours => self.window.take(&self.allowance, now),
+            way::Repeats::Off => false,
+        }
+    }
+
+    /// Leaves a silent engine, if the request has another way; pays for the repeat.
+    pub fn leave(&mut self, way: &Way, tries: &mut Tries, engine: usize, now: Millis) -> bool {
+        let mut others = self.views.iter().enumerate();
+        let way_on = tries.sent < self.attempts_max
+            && others.any(|(other, view)| {
+                other != engine
+                    && view.is_listed
+                    && !tries.tried.contains(&other)
+                    && view.takes_work(now)
+            });
+        let paid = way_on && self.take_repeat(way, now);
+        tries.paid |= paid;
+        paid
+    }
+
+    /// An engine was left, since it said nothing.
+    pub fn was_left(&mut self, (index, kind): (usize, &Kind), now: Millis) {
+        let waited = kind.objective_ms as f64 * STREAM_BUSY;
+        self.timings[index].first.note_cut(waited, now);
+    }
+
+    /// What to do about an engine that has said nothing for a time; none if it is waited for to the
+    /// end.
+    #[must_use]
+    pub fn silence(
+        &self,
+        (index, kind): (usize, &Kind),
+        tries: &Tries,
+        silent_ms: f64,
+        now: Millis,
+    ) -> Option<Action> {
+        let current = tries.current?;
+        let first = self.timings[index].first.mean_ms(0.0);
+        let objective = kind.objective_ms as f64;
+        let (bounds, useful_ms): (&Bounds, f64) = match () {
+            () if current.has_begun => (&silence::BETWEEN, kind.gap_ms as f64),
+            () if tries.sent + 1 >= self.attempts_max => return None,
+            () if first > objective * STREAM_BUSY => (&silence::FIRST_BUSY, objective),
+            () => (&silence::FIRST, objective),
+        };
+        let heard_ms = now.since(self.views[current.engine].heard_at);
+        Some(silence::act(bounds, &Silence { silent_ms, useful_ms, heard_ms }))
+    }
+}
+
+/// The engine chosen, as an index into those known.
+fn pick(pick: Pick, known: &[Engine], ask: &Ask, draw: u64) -> Option<usize> {
+    let count = known.len() as u64;
+    let any = |salt: u64| (mix(draw ^ salt) % count.max(1)) as usize;
+    let lighter = |a: &usize, b: &usize| known[*a].load().total_cmp(&known[*b].load());
+    match pick {
+        _ if known.is_empty() => None,
+        Pick::Ours => engine::choose(known, ask, draw),
+        Pick::Random => Some(any(0)),
+        Pick::TwoChoices => [any(1), any(2)].into_iter().min_by(lighter),
+        Pick::LeastLoad => {
+            let tie = |index: &usize| mix(draw.wrapping_add(*index as u64));
+            let all = 0..known.len();
+            all.min_by(|a, b| lighter(a, b).then_with(|| tie(a).cmp(&tie(b))))
+        }
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/run/cause.rs
@@ -0,0 +1,75 @@
+//! What goes wrong, and how hosts come to know of engines that end and start.
+
+use policy::throttle::Limit;
+
+use super::agenda::Event;
+use super::{World, micros};
+use crate::scenario::{Cause, What};
+
+impl World<'_> {
+    /// A cause begins or ends.
+    pub(super) fn cause(&mut self, index: usize, begins: bool) {
+        let cause = self.scenario.causes[index];
+        match cause.what {
+            What::Lost => {
+                for engine in self.concerned(&cause) {
+                    self.lose_or_start(engine, begins);
+                }
+            }
+            What::Slow => {
+                let slowness = if begins { cause.times } else { 1.0 };
+                for engine in self.concerned(&cause) {
+                    self.engines[engine].engine.slowness = slowness;
+                }
+            }
+            What::Cut => {
+                self.cut_until = if begins { self.now + micros(cause.for_s * 1e3) } else { 0 }
+            }
+            What::Traffic => self.traffic = if begins { cause.times } else { 1.0 },
+        }
+    }
+
+    /// The engines that a cause concerns: the first ones, which stand in all failure domains.
+    fn concerned(&self, cause: &Cause) -> std::ops::Range<usize> {
+        0..(self.engines.len() as f64 * cause.share).round() as usize
+    }
+
+    fn lose_or_start(&mut self, engine: usize, is_lost: bool) {
+        let network = self.scenario.network;
+        let after_ms = if is_lost { network.lapse_ms } else { network.list_ms };
+        match is_lost {
+            true => self.lose(engine),
+            false => {
+                self.engines[engine].is_alive = true;
+                self.engines[engine].start += 1;
+            }
+        }
+        let start = self.engines[engine].start;
+        self.agenda.at(self.now + after_ms * 1_000, Event::List { engine, start });
+    }
+
+    /// Hosts hear that an engine is gone, or that it has started again.
+    pub(super) fn list(&mut self, engine: usize, start: u32) {
+        if self.engines[engine].start != start {
+            return;
+        }
+        let now = self.clock();
+        let is_alive = self.engines[engine].is_alive;
+        let warmup = self.scenario.engines.warmup;
+        let left = |ms: u64| now + ms.saturating_sub(self.scenario.network.list_ms);
+        let limit = warmup.map(|warmup| Limit::warmup(warmup.per_second, left(warmup.ms), now));
+        for host in &mut self.hosts {
+            match is_alive {
+                true => host.views[engine].restarted(limit, now),
+                false => host.views[engine].is_listed = false,
+            }
+        }
+    }
+
+    /// Whether a host can't reach an engine.
+    pub(super) fn is_cut(&self, host: usize, engine: usize) -> bool {
+        self.now < self.cut_until
+            && self.hosts[host].domain == 0
+            && self.engines[engine].domain != 0
+    }
+}
