chestnutspur experiment: a scenario's ways beside each other, as table, JSON and pictures

Cause: ways to decide about an overload were compared by scratch files that can't be run again. A scenario's faults are printed with their paths, exit code 2.

--- a/crates/chestnutspur/src/command.rs
+++ b/crates/chestnutspur/src/command.rs
@@ -6,6 +6,7 @@
 mod control;
 mod demo;
 mod entry;
+mod experiment;
 mod explain;
 mod load;
 mod node;
@@ -106,6 +107,13 @@
     /// Stand-ins for the platform and the backend servers, each its own process
     #[bpaf(command)]
     Standin(#[bpaf(external(standin::standin))] standin::Standin),
+    /// Play a fleet under overload in simulated time, and compare ways to decide
+    ///
+    /// Every way of the scenario is played from every seed. Prints what became of requests, and how
+    /// many seconds after the cause's end all were served again, in the worst run. Exit code 2 if
+    /// the scenario has faults; each is printed with its path in the file.
+    #[bpaf(command)]
+    Experiment(#[bpaf(external(experiment::arguments))] experiment::Arguments),
     /// Replay recorded traces and check their stated outcomes
     #[bpaf(command)]
     Replay(#[bpaf(external(replay::arguments))] replay::Arguments),
@@ -138,6 +146,7 @@
         Command::Demo(arguments) => demo::run(&arguments),
         Command::Load(arguments) => load::run(&arguments),
         Command::Standin(standin) => standin::run(standin),
+        Command::Experiment(arguments) => experiment::run(&arguments),
         Command::Replay(arguments) => replay::run(&arguments),
         Command::Trace(arguments) => trace::run(&arguments),
         Command::Version => {
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod engine;
 pub mod host;
+pub mod plot;
+pub mod report;
 pub mod request;
 pub mod run;
 pub mod scenario;
--- /dev/null
+++ b/crates/experiment/src/plot.rs
@@ -0,0 +1,69 @@
+//! A picture of an experiment, as SVG.
+
+use plotters::prelude::{
+    BLACK, ChartBuilder, Color, IntoDrawingArea, IntoFont, LineSeries, Palette, Palette99,
+    PathElement, SVGBackend, WHITE,
+};
+
+use crate::report::Row;
+
+const WIDTH: u32 = 900;
+const HEIGHT: u32 = 400;
+
+type Drawn = Result<(), Box<dyn std::error::Error>>;
+
+/// Which requests a line shows the share of.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Shown {
+    /// Answered, in time or not.
+    Served,
+    /// Answered in time.
+    InTime,
+}
+
+/// The share of requests served, by the second in which they came; one line for each way.
+///
+/// # Errors
+/// When the plotting library refuses; the message is its own.
+pub fn shares(rows: &[Row], shown: Shown) -> Result<String, String> {
+    let mut text = String::new();
+    draw(&mut text, rows, shown).map_err(|error| error.to_string())?;
+    Ok(text)
+}
+
+fn draw(text: &mut String, rows: &[Row], shown: Shown) -> Drawn {
+    let caption = match shown {
+        Shown::Served => "requests served",
+        Shown::InTime => "requests served in time",
+    };
+    let seconds = rows.iter().map(|row| row.seconds.len()).max().unwrap_or_default();
+    let root = SVGBackend::with_string(text, (WIDTH, HEIGHT)).into_drawing_area();
+    root.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&root)
+        .caption(caption, ("sans-serif", 16).into_font())
+        .margin(8)
+        .x_label_area_size(32)
+        .y_label_area_size(48)
+        .build_cartesian_2d(0.0..seconds.max(1) as f64, 0.0..1.0)?;
+    chart.configure_mesh().x_desc("seconds").y_desc("share").draw()?;
+    for (index, row) in rows.iter().enumerate() {
+        let color = Palette99::pick(index).to_rgba();
+        chart
+            .draw_series(LineSeries::new(points(row, shown), &color))?
+            .label(&row.way)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color));
+    }
+    chart.configure_series_labels().background_style(WHITE).border_style(BLACK).draw()?;
+    root.present()?;
+    Ok(())
+}
+
+fn points(row: &Row, shown: Shown) -> impl Iterator<Item = (f64, f64)> + '_ {
+    row.seconds.iter().enumerate().map(move |(at, counts)| {
+        let count = match shown {
+            Shown::Served => counts.served(),
+            Shown::InTime => counts.in_time,
+        };
+        (at as f64, counts.share(count))
+    })
+}
--- a/crates/experiment/src/tally.rs
+++ b/crates/experiment/src/tally.rs
@@ -33,7 +33,7 @@
         pub full: u64,
         /// Streams that callers left before their end.
         pub left: u64,
-        /// Runs that engines ended for nobody.
+        /// Requests that engines worked off for callers that had left.
         pub wasted: u64,
     }
 }
