Model of engines: a part of what a preempted request had read may still be cached

Cause: in the model all that a preempted request had read is read again, and that keeps the overload up; the users' page says both that it is "read in again" and that cached parts are not. Change: `engines.kept` of a scenario, from 0 (the default: figures and tests as before) to 1.

--- a/crates/experiment/src/engine.rs
+++ b/crates/experiment/src/engine.rs
@@ -2,7 +2,7 @@
 //!
 //! Of equally urgent requests the one that came first goes first. A prompt that is being read is
 //! not broken off. A request that is preempted gives its memory back, and reads its prompt and what
-//! it has generated once more.
+//! it has generated once more, but for what caches still hold.
 
 use crate::scenario::Engines;
 
@@ -36,7 +36,7 @@
     job: Job,
     /// The order in which requests came.
     number: u64,
-    /// Tokens that it holds in memory.
+    /// Tokens that it holds in memory; while it waits, that caches hold for it.
     held: u32,
     /// Tokens still to be read.
     to_read: u32,
@@ -172,7 +172,7 @@
             let first = first.min_by_key(|(_, run)| (run.job.rank, run.number));
             let Some((index, &run)) = first else { return };
             let has_slot = (self.running.len() as u32) < self.settings.slots;
-            let has_memory = self.used() + run.to_read <= self.settings.memory_tokens;
+            let has_memory = self.used() + run.held + run.to_read <= self.settings.memory_tokens;
             match () {
                 () if has_slot && has_memory => self.running.push(self.waiting.remove(index)),
                 () if self.settings.preempts && self.preempt(Some(run.job.rank)) => {}
@@ -201,7 +201,9 @@
         }
         let run = self.running.remove(index);
         self.preempted += 1;
-        self.waiting.push(Run { held: 0, to_read: run.held + run.to_read, steps: false, ..run });
+        let held = (f64::from(run.held) * self.settings.kept) as u32;
+        let to_read = run.to_read + run.held - held;
+        self.waiting.push(Run { held, to_read, steps: false, ..run });
         true
     }
 }
--- a/crates/experiment/src/scenario.rs
+++ b/crates/experiment/src/scenario.rs
@@ -65,6 +65,9 @@
         /// Whether a request that waits preempts a less urgent one.
         #[serde(default = "yes")]
         pub preempts: bool,
+        /// Part of a preempted request's tokens that its caches still hold when it runs again.
+        #[serde(default)]
+        pub kept: f64,
         /// Whether it drops a request when the connection closes.
         #[serde(default = "yes")]
         pub drops: bool,
--- a/crates/experiment/src/scenario/check.rs
+++ b/crates/experiment/src/scenario/check.rs
@@ -70,6 +70,7 @@
     rules.positive(engines.read_tokens_per_ms, "engines.read_tokens_per_ms");
     rules.positive(f64::from(engines.chunk_tokens), "engines.chunk_tokens");
     rules.positive(f64::from(engines.event_tokens), "engines.event_tokens");
+    rules.unless((0.0..=1.0).contains(&engines.kept), "engines.kept", "must be from 0 to 1");
     if let Some(warmup) = &engines.warmup {
         rules.positive(warmup.per_second, "engines.warmup.per_second");
         rules.positive(warmup.ms as f64, "engines.warmup.ms");
--- a/crates/experiment/tests/model.rs
+++ b/crates/experiment/tests/model.rs
@@ -104,6 +104,21 @@
     assert!((ms - (read_ms + 4.0 * 3.37 + 39.0 * 3.37)).abs() < 1e-6, "{ms}");
 }
 
+#[test]
+fn engine_preempted_does_not_read_what_is_kept() {
+    let read_again_ms = |kept: f64| {
+        let mut engine = engine(|engines| (engines.slots, engines.kept) = (1, kept));
+        assert!(engine.offer(job(1, 7, 1_000, 2)));
+        engine.begin().unwrap();
+        engine.finish(&mut Vec::new());
+        assert!(engine.offer(job(2, 3, 1_000, 1)));
+        finish(&mut engine).1
+    };
+    // The other's prompt, and 1,001 tokens or half of them again.
+    assert!((read_again_ms(0.0) - 2_001.0 / 125.0).abs() < 1e-6, "{}", read_again_ms(0.0));
+    assert!((read_again_ms(0.5) - 1_501.0 / 125.0).abs() < 1e-6, "{}", read_again_ms(0.5));
+}
+
 #[test]
 fn engine_drops_what_is_no_longer_waited_for() {
     let mut engine = engine(|engines| engines.slots = 1);
