A version on trial is not flooded while old servers refuse connections

And every error in opening a connection counted as a refusal: no way to the server, or no descriptor left, said that it had ended. Change: servers that refuse connections make a version gone only from the time on at which a roll-out may be done; a refusal is remembered for five seconds, and only a real one counts. What can't be opened for another reason has a cause of its own.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -1,5 +1,6 @@
 //! One connection to a backend server, and what is known of a request given to it.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -17,6 +18,8 @@
 pub enum Cause {
     /// The backend server refuses connections.
     Refused,
+    /// No connection can be opened from here: no way there, or nothing left to open one with.
+    Unreachable,
     /// Nothing came within the time.
     Silent,
     /// The connection closed or broke the protocol.
@@ -73,7 +76,7 @@
     pub async fn open(address: SocketAddr, within: Duration) -> Result<Self, Failure> {
         let stream = match tokio::time::timeout(within, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(_)) => return Err(Failure::not_sent(Cause::Refused)),
+            Ok(Err(error)) => return Err(Failure::not_sent(Cause::of(&error))),
             Err(_) => return Err(Failure::not_sent(Cause::Silent)),
         };
         let nodelay = stream.set_nodelay(true);
@@ -146,11 +149,20 @@
 }
 
 impl Cause {
+    /// Why a connection did not open. Only a refusal says that nothing listens there.
+    fn of(error: &std::io::Error) -> Self {
+        match error.kind() {
+            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => Self::Refused,
+            _ => Self::Unreachable,
+        }
+    }
+
     /// For people, after "the backend server".
     #[must_use]
     pub fn message(self) -> &'static str {
         match self {
             Self::Refused => "refuses connections",
+            Self::Unreachable => "can't be reached",
             Self::Silent => "went silent",
             Self::Broken => "closed the connection",
             Self::Crossed => "answered another request",
@@ -165,6 +177,7 @@
     pub fn label(self) -> &'static str {
         match self {
             Self::Refused => "refused",
+            Self::Unreachable => "unreachable",
             Self::Silent => "silent",
             Self::Broken => "broken",
             Self::Crossed => "crossed",
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -226,7 +226,7 @@
             tries.old_failed = true;
             tries.new_only = true;
         }
-        Cause::Silent | Cause::Broken | Cause::Refused if !alone => {
+        Cause::Silent | Cause::Broken | Cause::Refused | Cause::Unreachable if !alone => {
             server.note_failure(clock::now());
             tries.tried.push(server.name.clone());
             job.note(state, true);
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -56,7 +56,9 @@
         }
         // It answers, if not with a report.
         Ok(Ok(None)) => server.note_success(clock::now()),
-        Ok(Err(failure)) if failure.cause == Cause::Refused => server.note_failure(clock::now()),
+        Ok(Err(failure)) if matches!(failure.cause, Cause::Refused | Cause::Unreachable) => {
+            server.note_failure(clock::now());
+        }
         // A busy server can be slow with its report and serve requests all the same: refusing
         // those for it would make a slow pool a closed one.
         Ok(Err(_)) | Err(_) if server.worked_since(asked) => {}
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::io::ErrorKind;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -37,6 +37,9 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// The same, in milliseconds.
 const LOOK_MS: u64 = LOOK.as_millis() as u64;
+/// A server that refused connections is believed to have ended for this long, in milliseconds. Its entry
+/// lapses within that time if it has.
+const ENDED_MS: u64 = 5_000;
 /// Parts remembered for one engine at most.
 const PARTS_MAX: usize = 4_096;
 
@@ -102,8 +105,8 @@
     /// Connections, requests under way, health.
     pub server: Arc<Server>,
     belief: Mutex<Belief>,
-    /// It refused the last connection, or another server answered at its address.
-    has_ended: AtomicBool,
+    /// When it last refused a connection, in milliseconds; 0 if it has answered since.
+    refused_at: AtomicU64,
     /// When it was last looked whether it has ended, and whether it had.
     looked: tokio::sync::Mutex<Option<(Millis, bool)>>,
 }
@@ -173,7 +176,7 @@
             hash: place::hash(row.id.as_bytes()),
             server: Arc::new(Server::new(row.id.clone(), row.address, domain)),
             belief: Mutex::default(),
-            has_ended: AtomicBool::new(false),
+            refused_at: AtomicU64::new(0),
             looked: tokio::sync::Mutex::default(),
         }
     }
@@ -327,14 +330,20 @@
 
     /// It said anything at all.
     pub fn heard(&self, now: Millis) {
-        self.has_ended.store(false, Ordering::Relaxed);
+        self.refused_at.store(0, Ordering::Relaxed);
         self.lock().heard_at = now;
     }
 
-    /// Whether it refused connections when it was last tried. One that is out of reach doesn't.
+    /// Whether it refused connections when it was last tried, lately. One that is out of reach doesn't.
     #[must_use]
-    pub fn has_ended(&self) -> bool {
-        self.has_ended.load(Ordering::Relaxed)
+    pub fn has_ended(&self, now: Millis) -> bool {
+        let refused_at = Millis(self.refused_at.load(Ordering::Relaxed));
+        refused_at > Millis(0) && now.since(refused_at) < ENDED_MS
+    }
+
+    /// Nothing listens at its address.
+    pub fn note_ended(&self, now: Millis) {
+        self.refused_at.store(now.0, Ordering::Relaxed);
     }
 
     /// When it last said anything.
@@ -356,7 +365,6 @@
 
     /// It refuses connections.
     pub fn note_refused(&self, now: Millis) {
-        self.has_ended.store(true, Ordering::Relaxed);
         self.lock().suspicion.note(true, now);
         self.server.note_failure(now);
     }
@@ -416,7 +424,7 @@
         let ended = opened.is_ok_and(|opened| opened.is_err_and(is_refused));
         *looked = Some((now, ended));
         if ended {
-            self.has_ended.store(true, Ordering::Relaxed);
+            self.note_ended(now);
             log::info!(target: "route", backend:% = self.id; "backend server ended");
             poison.ended(&self.id);
         }
--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -21,11 +21,14 @@
                 // Nothing arrived anywhere, so the repeat that was paid for is still to be made.
                 self.tries.paid.fetch_or(self.tries.sent > 0, Ordering::Relaxed);
                 match cause {
-                    Cause::Refused => self.tries.refused += 1,
+                    Cause::Refused | Cause::Unreachable => self.tries.refused += 1,
                     _ => self.tries.unsent += 1,
                 }
                 match cause {
-                    Cause::Refused => {
+                    Cause::Refused | Cause::Unreachable => {
+                        if cause == Cause::Refused {
+                            backend.note_ended(now);
+                        }
                         backend.note_refused(now);
                         self.may_start_again(backend);
                         // Others were lost there if it has ended.
@@ -44,7 +47,7 @@
                     // An old connection was closed by the other end; a new one is tried.
                     _ => self.tries.new_only = true,
                 }
-                if matches!(cause, Cause::Refused | Cause::Silent) {
+                if matches!(cause, Cause::Refused | Cause::Unreachable | Cause::Silent) {
                     self.tries.tried.push(backend.id.clone());
                 }
             }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -123,12 +123,15 @@
     /// From a trial it falls back on the version before. Never the other way round while the
     /// version before has servers: trouble there would flood a version that is not yet trusted.
     ///
-    /// Servers that refuse connections, all of them, were stopped, though the list has them for some
-    /// seconds more: a host that has not heard of the roll-out's success would give up all its streams.
+    /// Once a roll-out may be done, servers that refuse connections, all of them, were stopped, though the
+    /// list has them for some seconds more: a host that has not heard of the success would give up all its
+    /// streams.
     #[must_use]
     pub fn fallback(&self, version: &Name, now: Millis) -> Option<&Name> {
         let rollout = self.rollout.as_ref()?;
-        let is_base_gone = || self.of(&self.base).all(|backend| backend.has_ended());
+        let may_be_done = canary::may_be_done(rollout.stage, rollout.elapsed(now));
+        let is_gone = |backend: &Arc<Backend>| may_be_done && backend.has_ended(now);
+        let is_base_gone = || self.of(&self.base).all(is_gone);
         match () {
             () if *version == rollout.target => Some(&self.base),
             () if rollout.share(now) > 0.0 && is_base_gone() => Some(&rollout.target),
--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -217,6 +217,13 @@
     }
 }
 
+/// Whether a roll-out may have been declared done by now, as far as a host that has not heard of it can
+/// tell. It may have heard of the order late, and then believes less time to have passed.
+#[must_use]
+pub fn may_be_done(stage: Stage, elapsed: f64) -> bool {
+    stage != Stage::Stopped && elapsed >= MOVE
+}
+
 /// Whether a request goes to the new version; `subject` is its session, or the request itself.
 #[must_use]
 pub fn is_moved(subject: &str, target: &str, share: f64) -> bool {
