A doubtful answer is kept where no server is left to ask

Found by the review: a small model's doubtful answer whose head says that its server, the last one, leaves was dropped, and its caller got 502. The same where all others are in a pause or at their limits. Change: before an answer is dropped it is looked whether any server of the service takes the request now. Evidence: doubtful_answer_of_the_last_server_that_leaves_is_passed_on fails without the change; tests of requests, streams and leaves pass.

--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -20,6 +20,7 @@
 use crate::codec::Codec;
 use crate::evidence::{Counted, Origin};
 use crate::job::Job;
+use crate::pick;
 use crate::pool::Pool;
 use crate::relay::Live;
 use crate::timing::Timing;
@@ -125,7 +126,8 @@
             objective_ms,
             delay: self.delay(),
         };
-        (escalate::escalate(&doubt) && self.take_spare_repeat()).then_some(larger)
+        let may_ask = escalate::escalate(&doubt) && pick::has_server(self);
+        (may_ask && self.take_spare_repeat()).then_some(larger)
     }
 
     /// How long callers wait for streams to begin lately, as a part of their objective.
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -49,6 +49,23 @@
     chosen.inspect(|backend| limits.sent(backend, now))
 }
 
+/// Whether a backend server of the service takes the request now, whichever it is. An answer must not be
+/// dropped where there is nobody to ask for another one.
+#[must_use]
+pub fn has_server<C: Codec>(job: &Job<C>) -> bool {
+    let world = job.state.world.load();
+    let Some(pool) = world.pools.get(&job.service) else { return false };
+    let now = clock::steady();
+    let limits = Limits::of(job, pool);
+    let version = job.tries.version.as_ref();
+    let mut backends = pool.backends.iter().filter(|backend| {
+        version.is_none_or(|version| backend.version == *version)
+            && !job.tries.tried.contains(&backend.id)
+            && backend.server.takes_work(now)
+    });
+    backends.any(|backend| limits.may_send(backend, now))
+}
+
 fn best<C: Codec>(job: &Job<C>, backends: &[&Arc<Backend>], now: Millis) -> Option<Arc<Backend>> {
     let model = job.model_hash();
     let preferred = preferred(job, backends);
