Streams lost together share one look at their server

Found by the review, older than this work: a look whether a server has ended stored when it began, so whoever had waited for one of 100 ms found it outdated and looked again. Ten streams lost with a server that takes no connections waited 1.01 s, one after the other, before each asked the next server; fifty would wait five. Change: the time after the look is stored.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -422,6 +422,8 @@
         // One that is reset was taken first: whoever did so lives.
         let is_refused = |error: std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
         let ended = opened.is_ok_and(|opened| opened.is_err_and(is_refused));
+        // From its end on: those who wait for a look that takes all its time share what it found.
+        let now = clock::steady();
         *looked = Some((now, ended));
         if ended {
             self.note_ended(now);
