A stream waits for the end of a short pause of all servers

Found by the review: a stream whose server is lost while all others are in a pause of a second was given up after 13 ms, with most of its time left. A refused request can come back; a stream's caller can't come back for the rest. Change: if all servers want a pause and the first ends within 1.5 s, the stream waits for it and goes on; it takes the repeat that was paid for. Callers leave a stream after two seconds without an event at the earliest.

--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use entry::carry::{self, Step, carry};
@@ -27,6 +27,12 @@
 /// ones have no such limit: each costs a millisecond, and a server that refused is not asked again.
 const UNSENT_MAX: u32 = 4;
 
+/// Longest pause of all servers that a stream waits out. Callers leave a stream after two seconds without
+/// an event, at the earliest.
+const OUTWAITED_MAX: Duration = Duration::from_millis(1_500);
+/// A pause that has just ended is over within this time.
+const OUTWAITED_MIN: Duration = Duration::from_millis(10);
+
 /// What stands against another try of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Obstacle {
@@ -70,10 +76,29 @@
     /// Why no other backend server has taken it up.
     pub async fn resume(&mut self, last: u64) -> Result<Live, Obstacle> {
         self.go_on()?;
-        let mut resumption = Resumption { job: self, last, obstacle: Obstacle::NoServer };
-        let resumed = carry(&mut resumption).await;
-        let obstacle = resumption.obstacle;
-        resumed.map_err(|_| obstacle)
+        loop {
+            let mut resumption = Resumption { job: self, last, obstacle: Obstacle::NoServer };
+            let resumed = carry(&mut resumption).await;
+            let obstacle = resumption.obstacle;
+            match resumed {
+                Ok(live) => return Ok(live),
+                // What is paid for is still to be made.
+                Err(_) if obstacle == Obstacle::NoServer && self.outwaits_pauses().await => {}
+                Err(_) => return Err(obstacle),
+            }
+        }
+    }
+
+    /// Waits until the first server takes requests again, if all want a pause and that is soon: a caller
+    /// that has the beginning of a stream can't come back for the rest.
+    async fn outwaits_pauses(&self) -> bool {
+        let pause = self.paused_ms().map(Duration::from_millis);
+        let pause = pause.filter(|pause| *pause <= OUTWAITED_MAX.min(self.left()));
+        match pause {
+            Some(pause) => tokio::time::sleep(pause.max(OUTWAITED_MIN)).await,
+            None => return false,
+        }
+        true
     }
 
     /// Takes what another try costs: a repeat, if the request was sent.
