A server is asked once more before a request is sent to it

Found by the review: between the choice of a server and the first byte a connection is opened (250 ms), leave for a suspect request may be asked for (500 ms), and a look at a lost server awaited. Together that is more than the half second after which a pause binds, and nothing looked again. Change: after the connection is open, a server that has said meanwhile that it leaves or wants a pause gets nothing; the request goes on to another and keeps its repeat. A trial after a pause does not keep itself back. The gap itself was read, not shown.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -58,6 +58,8 @@
 pub enum Failure {
     /// Not one byte was written.
     Unsent(Cause),
+    /// The same: the backend server has said meanwhile that it takes nothing.
+    Unwanted,
     /// The backend server says that it did not run the request.
     NotRun {
         /// It is not the one that the request was for.
@@ -77,6 +79,9 @@
     sending: &Sending<'_>,
 ) -> Result<Reply, Failure> {
     let mut connection = open(job, backend).await?;
+    if backend.is_closed(clock::steady()) {
+        return Err(Failure::Unwanted);
+    }
     let request = request(job, sending).ok_or(Failure::Unsent(Cause::Broken))?;
     let model = job.model_hash();
     let rank = sending.priority.unwrap_or_default();
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -328,6 +328,12 @@
         self.server.with_intake(clock::steady(), use_it)
     }
 
+    /// Whether it has said that it takes nothing now.
+    #[must_use]
+    pub fn is_closed(&self, now: Millis) -> bool {
+        self.server.is_restricted() && self.with_intake(|intake| intake.is_closed(now))
+    }
+
     /// It said anything at all.
     pub fn heard(&self, now: Millis) {
         self.refused_at.store(0, Ordering::Relaxed);
--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -51,6 +51,10 @@
                     self.tries.tried.push(backend.id.clone());
                 }
             }
+            Failure::Unwanted => {
+                self.tries.paid.fetch_or(self.tries.sent > 0, Ordering::Relaxed);
+                self.tries.tried.push(backend.id.clone());
+            }
             Failure::NotRun { misdirected } => {
                 self.tries.not_run += 1;
                 self.tries.tried.push(backend.id.clone());
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -228,7 +228,7 @@
             self.tries.expected_ms = reply.expected_ms as u64;
             self.tries.head_ms = reply.first_ms as u64;
         }
-        if !matches!(reply, Err(Failure::Unsent(_))) {
+        if !matches!(reply, Err(Failure::Unsent(_) | Failure::Unwanted)) {
             self.tries.sent += 1;
             self.tries.backend = Some(backend.id.clone());
         }
--- a/crates/policy/src/intake.rs
+++ b/crates/policy/src/intake.rs
@@ -88,6 +88,13 @@
         self.is_leaving
     }
 
+    /// Whether the server has said since a request was meant for it that it takes nothing. Between that
+    /// choice and the first byte a connection is opened, and leave may be asked for elsewhere.
+    #[must_use]
+    pub fn is_closed(&self, now: Millis) -> bool {
+        self.is_leaving || self.pause.is_running(now)
+    }
+
     /// When a request may be sent again, of a server that asked for a pause; it may have passed.
     #[must_use]
     pub fn pause_end(&self) -> Millis {
--- a/crates/policy/src/pause.rs
+++ b/crates/policy/src/pause.rs
@@ -68,6 +68,12 @@
         self.until.is_some()
     }
 
+    /// Whether the server wants nothing now, trials aside.
+    #[must_use]
+    pub fn is_running(&self, now: Millis) -> bool {
+        self.until.is_some_and(|until| until > now)
+    }
+
     /// When a request may be sent, if not now.
     #[must_use]
     pub fn until(&self, now: Millis) -> Option<Millis> {
--- a/crates/policy/tests/intake.rs
+++ b/crates/policy/tests/intake.rs
@@ -146,3 +146,17 @@
     assert!(!intake.heard(&pause(0), START, 0.5, START).is_pause);
     assert_eq!(intake.verdict(Some(&ALONE), START), Verdict::Open);
 }
+
+/// Guards against a request that is sent though its server has asked for a pause since it was chosen, and
+/// against a trial that keeps itself from being sent.
+#[test]
+fn is_closed_in_a_pause_and_not_by_a_trial() {
+    let mut intake = Intake::default();
+    intake.heard(&pause(1_000), START, 0.0, START);
+    assert!(intake.is_closed(START + 999));
+    assert_eq!(intake.verdict(Some(&ALONE), START + 1_000), Verdict::Open);
+    intake.sent(Some(&ALONE), START + 1_000);
+    assert!(!intake.is_closed(START + 1_001));
+    intake.leave();
+    assert!(intake.is_closed(START + 1_001));
+}
