Repeats are kept for streams only of services that have streams; one new world for each message

Found by the review, by reading. A plain service lost up to a quarter of its repeats to streams of other services that could not use them. And a message that tells of many leaves made the world of requests anew for each. Tests of streams, leaves, pauses, limits and hosts beside each other pass unchanged.

--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -127,13 +127,19 @@
 
     /// Takes a repeat of the host's, if there is one for this request.
     pub fn take_repeat(&self) -> bool {
-        let streams = if self.tries.is_passed_on { 0 } else { self.state.relays.len() };
+        let streams = if self.tries.is_passed_on { 0 } else { self.streams() };
         self.window(|window, allowance| window.take_beside(streams, allowance, clock::steady()))
     }
 
+    /// Streams under way that may need a repeat of those that this request's service has; a plain
+    /// service has none.
+    fn streams(&self) -> usize {
+        if self.route().kind.is_stream() { self.state.relays.len() } else { 0 }
+    }
+
     /// Takes a repeat for a better answer; the next try is paid for then.
     pub fn take_spare_repeat(&self) -> bool {
-        let streams = self.state.relays.len();
+        let streams = self.streams();
         let taken =
             self.window(|window, allowance| window.take_spare(streams, allowance, clock::steady()));
         self.tries.paid.fetch_or(taken, Ordering::Relaxed);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -237,6 +237,7 @@
             self.watch.take_over(from);
         }
         let mut taken = Taken { is_new, ..Taken::default() };
+        let mut is_changed = false;
         for entry in message.entries {
             match entry {
                 Entry::Position(position) => {
@@ -255,9 +256,7 @@
                     self.state.poison.learn(&suspect, Source::Peer);
                 }
                 Entry::Restricted(restricted) => {
-                    if self.watch.catalog.restrict(&restricted, message.now, now) {
-                        self.watch.publish();
-                    }
+                    is_changed |= self.watch.catalog.restrict(&restricted, message.now, now);
                 }
                 Entry::Prefill(Prefill { backend, read_ms, rank }) => {
                     metrics::counter!("node_peer_prefills_total").increment(1);
@@ -267,6 +266,9 @@
                 }
             }
         }
+        if is_changed {
+            self.watch.publish();
+        }
         taken
     }
 
