A version that nobody ordered gets nothing while the other one leaves

Found by the review: when all servers of a service's version say that they leave, or are evacuated, another version's listed servers became the base, though nobody had ordered it: 38 of 40 requests went there, and 40 of 40 still when a new server of the first version was listed. Change: a version exists for as long as one of its servers is listed, whatever it says; until then callers are refused with when to return. Evidence: leave_of_a_version_brings_no_unordered_one fails without the change; tests of roll-outs, evacuations and lists pass. Two tests of leaves and pauses say and check more exactly what they are for.

--- a/crates/node/src/catalog.rs
+++ b/crates/node/src/catalog.rs
@@ -337,7 +337,10 @@
             pools.entry(service.clone()).or_default();
         }
         for (service, pool) in &mut pools {
-            pool.base = self.choose_base(service, pool);
+            let exists = |version: &Name| {
+                entries.iter().any(|row| row.service == *service && row.version == *version)
+            };
+            pool.base = self.choose_base(service, pool, exists);
             pool.rollout = self.rollouts.get(service).map(rollout);
         }
         World {
@@ -400,11 +403,11 @@
     }
 
     /// A version that nobody ordered gets no requests: servers of a new version may be listed
-    /// before the order to try it has come.
-    fn choose_base(&mut self, service: &Name, pool: &Pool) -> Name {
+    /// before the order to try it has come. A version exists for as long as one of its servers is listed,
+    /// also if all leave or are evacuated: else the other one would get all requests, and keep them.
+    fn choose_base(&mut self, service: &Name, pool: &Pool, exists: impl Fn(&Name) -> bool) -> Name {
         let known = self.rollouts.get(service);
         let record = known.and_then(|known| known.record.as_ref());
-        let exists = |version: &Name| pool.of(version).next().is_some();
         let held = self.bases.get(service).filter(|held| exists(held)).cloned();
         let chosen = match record {
             Some(record) if record.stage == Stage::Done => Some(record.target.clone()),
