A version on trial meets the load of a peak

Cause: a version that fails from half of its servers' places on never had half taken before it was declared done: a trial's share, spread or on one server, is too small, and with all requests engines fill up over seconds.

Change: from 0.66 of the time until all requests move the trial's requests go to one server until 0.65 of its places are believed taken, then to the next (policy::peak); plain services' with all requests too. Slow answers of that time say nothing against a version, quick ones speak for it; its failures are weighed apart (Evidence::peak). Nodes have a setting exposure_share; at 0.15 the trial's share is 0.155.

Tests changed: canary.rs and pool.rs pass ALLOWED_MIN to share, Evidence has a member more; no bound was changed.

--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -13,6 +13,8 @@
     Old,
     /// The one under trial, with a share of the requests.
     New,
+    /// The one under trial, to a request that came while few servers had the load of a peak.
+    NewAtPeak,
     /// The one under trial, with all requests.
     NewAtFull,
 }
@@ -41,6 +43,10 @@
         match origin {
             Origin::Old => evidence.old.note(sign),
             Origin::New => evidence.new.note(sign),
+            Origin::NewAtPeak => {
+                evidence.new.note(sign);
+                evidence.peak.note(sign);
+            }
             Origin::NewAtFull => {
                 evidence.new.note(sign);
                 evidence.full.note(sign);
@@ -58,6 +64,10 @@
         match counted.origin {
             Origin::Old => evidence.old.forget(counted.sign),
             Origin::New => evidence.new.forget(counted.sign),
+            Origin::NewAtPeak => {
+                evidence.new.forget(counted.sign);
+                evidence.peak.forget(counted.sign);
+            }
             Origin::NewAtFull => {
                 evidence.new.forget(counted.sign);
                 evidence.full.forget(counted.sign);
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -213,9 +213,13 @@
         let pool: Option<&Arc<Pool>> = world.pools.get(&self.service);
         let trial = pool.and_then(|pool| pool.rollout.as_ref()).filter(|trial| trial.is_open());
         let trial = trial?;
+        let now = clock::steady();
+        let came = now - self.started.elapsed().as_millis() as u64;
         let origin = match backend.version == trial.target {
             false => Origin::Old,
-            true if trial.has_all(clock::steady()) => Origin::NewAtFull,
+            // What came then is under way for a while with all that came with it.
+            true if canary::is_peak(trial.elapsed(came)) => Origin::NewAtPeak,
+            true if trial.has_all(now) => Origin::NewAtFull,
             true => Origin::New,
         };
         self.state.tally.note(&self.service, &self.route().name, origin, sign);
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -6,6 +6,7 @@
 use policy::canary;
 use policy::engine::{self, Ask, Engine};
 use policy::name::Name;
+use policy::peak;
 use policy::place::mix;
 use policy::time::Millis;
 
@@ -44,16 +45,40 @@
             None
         }
         ([], unreachable) => best(job, unreachable, now),
-        (well, _) => best(job, well, now),
+        (well, _) => best(job, loaded(job, pool, version, well, now), now),
     };
     chosen.inspect(|backend| limits.sent(backend, now))
 }
 
+/// Of the servers of a version on trial, the one that is to have the load of a peak; all of other
+/// versions'.
+fn loaded<'a, 'b, C: Codec>(
+    job: &Job<C>,
+    pool: &Pool,
+    version: &Name,
+    backends: &'a [&'b Arc<Backend>],
+    now: Millis,
+) -> &'a [&'b Arc<Backend>] {
+    if !pool.is_at_peak(version, is_engine(job), now) {
+        return backends;
+    }
+    match peak::next(&engines(job, backends, now)) {
+        Some(next) => &backends[next..=next],
+        None => backends,
+    }
+}
+
 fn best<C: Codec>(job: &Job<C>, backends: &[&Arc<Backend>], now: Millis) -> Option<Arc<Backend>> {
+    let index = engine::choose(&engines(job, backends, now), &ask(job), rand::random())?;
+    backends.get(index).map(|backend| Arc::clone(backend))
+}
+
+/// What is believed of each.
+fn engines<C: Codec>(job: &Job<C>, backends: &[&Arc<Backend>], now: Millis) -> Vec<Engine> {
     let model = job.model_hash();
     let preferred = preferred(job, backends);
     let rank = job.engine_priority().unwrap_or_default();
-    let engines: Vec<Engine> = backends
+    backends
         .iter()
         .enumerate()
         .map(|(index, backend)| {
@@ -71,9 +96,7 @@
                 suspicion: seen.suspicion,
             }
         })
-        .collect();
-    let index = engine::choose(&engines, &ask(job), rand::random())?;
-    backends.get(index).map(|backend| Arc::clone(backend))
+        .collect()
 }
 
 /// Whether it is answered by an engine, and not by a plain service.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -21,6 +21,8 @@
     pub began: Millis,
     /// How long it may take, in milliseconds.
     pub within_ms: u64,
+    /// Part of all requests that a bad version may get in that time.
+    pub allowed: f64,
     /// This host's own answers speak against the new version: it stops at once, before the other
     /// hosts know.
     pub halted: Arc<AtomicBool>,
@@ -38,14 +40,14 @@
     pub fn share(&self, now: Millis) -> f64 {
         match self.halted.load(Ordering::Relaxed) {
             true => 0.0,
-            false => canary::share(self.stage, self.elapsed(now)),
+            false => canary::share(self.stage, self.elapsed(now), self.allowed),
         }
     }
 
     /// Whether the new version gets all requests.
     #[must_use]
     pub fn has_all(&self, now: Millis) -> bool {
-        canary::share(self.stage, self.elapsed(now)) >= 1.0
+        canary::share(self.stage, self.elapsed(now), self.allowed) >= 1.0
     }
 
     /// Whether answers are counted for a verdict.
@@ -85,6 +87,19 @@
         self.backends.iter().filter(move |backend| backend.version == *version)
     }
 
+    /// Whether so few servers of a version are to be sent requests that these have the load of a
+    /// peak.
+    ///
+    /// With all requests engines are not: their load builds up over seconds, and until it is known all
+    /// hosts would send to the same one.
+    #[must_use]
+    pub fn is_at_peak(&self, version: &Name, is_engine: bool, now: Millis) -> bool {
+        let trial = self.rollout.as_ref().filter(|trial| trial.is_open());
+        trial.filter(|trial| trial.target == *version).is_some_and(|trial| {
+            canary::is_peak(trial.elapsed(now)) || (!is_engine && trial.has_all(now))
+        })
+    }
+
     /// Backend servers of a version that requests are sent to now.
     ///
     /// Until a version is declared done its requests go to so few of its servers that each has so
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -32,6 +32,7 @@
         stage,
         began: Millis(0),
         within_ms: WITHIN_MS,
+        allowed: canary::ALLOWED_MIN,
         halted: Arc::new(AtomicBool::new(halted)),
     };
     Pool {
@@ -111,3 +112,20 @@
     pool.rollout.as_mut().unwrap().stage = Stage::Done;
     assert_eq!(all(&pool), 6);
 }
+
+/// An engine's version on trial had the usual load at most, and was declared done unseen.
+#[test]
+fn is_at_peak_for_engines_late_on_trial_and_for_plain_servers_to_the_end() {
+    let (trial, old) = (Name::from("v2"), Name::from("v1"));
+    let mut pool = pool(Stage::Trial, false);
+    let at_peak = |pool: &Pool, is_engine| {
+        [0.4, 0.6, 0.7, 0.9, 0.96].map(|part| pool.is_at_peak(&trial, is_engine, at(part)))
+    };
+    assert_eq!(at_peak(&pool, true), [false, false, true, true, false]);
+    assert!(!pool.is_at_peak(&old, true, at(0.9)));
+    pool.rollout.as_mut().unwrap().stage = Stage::Moving;
+    assert_eq!(at_peak(&pool, true), [false, false, true, true, false]);
+    assert_eq!(at_peak(&pool, false), [false, false, true, true, true]);
+    pool.rollout.as_mut().unwrap().stage = Stage::Done;
+    assert_eq!(at_peak(&pool, false), [false; 5]);
+}
--- a/crates/node/src/catalog.rs
+++ b/crates/node/src/catalog.rs
@@ -10,7 +10,7 @@
 use gateway::index::Index;
 use gateway::pool::{Pool, Rollout};
 use gateway::world::World;
-use policy::canary::Stage;
+use policy::canary::{self, Stage};
 use policy::domain;
 use policy::evacuation::{self, Evacuations};
 use policy::name::Name;
@@ -80,6 +80,8 @@
 /// Everything known, under one lock; requests see only the worlds made of it.
 pub struct Catalog {
     failure_domain: Name,
+    /// Part of a service's requests that a bad version may get in a roll-out.
+    exposure_share: f64,
     inner: Mutex<Inner>,
 }
 
@@ -87,7 +89,14 @@
     /// Nothing known yet.
     #[must_use]
     pub fn new(failure_domain: Name) -> Self {
-        Self { failure_domain, inner: Mutex::default() }
+        let exposure_share = canary::ALLOWED_MIN;
+        Self { failure_domain, exposure_share, inner: Mutex::default() }
+    }
+
+    /// With this part of a service's requests that a bad version may get.
+    #[must_use]
+    pub fn exposing(self, exposure_share: f64) -> Self {
+        Self { exposure_share, ..self }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -266,7 +275,7 @@
     pub fn publish(&self, place: &ArcSwap<World>, now: Millis) -> Published {
         let mut inner = self.lock();
         let before = place.load_full();
-        let world = inner.world(&self.failure_domain, now);
+        let world = inner.world(self, now);
         let is_complete = world.is_complete;
         let gone = inner.gone(&before);
         place.store(Arc::new(world));
@@ -281,13 +290,13 @@
 }
 
 impl Inner {
-    fn world(&mut self, failure_domain: &Name, now: Millis) -> World {
+    fn world(&mut self, at: &Catalog, now: Millis) -> World {
         let entries = self.roster.entries(now);
         self.warming.retain(|_, until| now < *until);
         let mut backends = HashMap::new();
         let mut pools: HashMap<Name, Pool> = HashMap::new();
         for row in &entries {
-            let near = row.failure_domain == *failure_domain;
+            let near = row.failure_domain == at.failure_domain;
             let known = self.backends.remove(&row.id);
             // Another start knows nothing of the one before: neither its caches and load nor its
             // connections are the new one's.
@@ -311,7 +320,8 @@
         }
         for (service, pool) in &mut pools {
             pool.base = self.choose_base(service, pool);
-            pool.rollout = self.rollouts.get(service).map(rollout);
+            pool.rollout =
+                self.rollouts.get(service).map(|known| rollout(known, at.exposure_share));
         }
         World {
             index: Arc::clone(&self.index),
@@ -398,12 +408,13 @@
         .map(|(version, _)| (*version).clone())
 }
 
-fn rollout(known: &Known) -> Rollout {
+fn rollout(known: &Known, allowed: f64) -> Rollout {
     Rollout {
         target: known.order.target.clone(),
         stage: known.record.as_ref().map(|record| record.stage).unwrap_or_default(),
         began: known.began,
         within_ms: known.order.within_ms,
+        allowed,
         halted: Arc::clone(&known.halted),
     }
 }
--- a/crates/node/src/counts.rs
+++ b/crates/node/src/counts.rs
@@ -76,6 +76,7 @@
                 held.old.add(one.old);
                 held.new.add(one.new);
                 held.full.add(one.full);
+                held.peak.add(one.peak);
             }
             None => sum.push(one.clone()),
         }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -128,7 +128,8 @@
     let (trials, asked) = mpsc::channel(TRIALS);
     let outbox = Outbox { prefills, limits, trials };
     let state = Arc::new(State::new(codec, allowance(&settings), outbox, stop.clone()));
-    let catalog = Arc::new(Catalog::new(settings.failure_domain.clone()));
+    let catalog = Catalog::new(settings.failure_domain.clone());
+    let catalog = Arc::new(catalog.exposing(settings.exposure_share));
     let (orders, ordered) = mpsc::unbounded_channel();
     let (notifier, notices) = mpsc::channel(NOTICES);
     let (changes_within, now) = (watch::bounds(&settings), clock::steady());
--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -17,6 +17,10 @@
 const BEGIN: f64 = 0.51;
 /// When its first share grows.
 const GROW: f64 = 0.58;
+/// When its requests go to so few servers that these have the load of a peak. Until then they have
+/// the usual load, at which it shows whether the version is quick: under that of a peak a good one
+/// is slow as well.
+const PEAK: f64 = 0.66;
 /// When it is decided that requests move over, if the answers are good.
 const MOVE: f64 = 0.8;
 /// When that is decided although few have come, if none of their answers was bad.
@@ -37,10 +41,15 @@
 const SPARE_MS: f64 = 700.0;
 /// Part of the time in which a version has all requests before it is declared done, at least.
 const FULL_MIN: f64 = 0.01;
-/// Shares of requests at these times. With the last part at full share the sum stays under the
-/// 0.0975 of all requests that a bad version may get on the largest fleets.
+/// Part of all requests that a bad version may get at least, wherever it is named.
+pub const ALLOWED_MIN: f64 = 0.0975;
+/// Shares of requests at these times. With the last part at full share the sum stays under what a
+/// bad version may get at least.
 const FIRST_SHARE: f64 = 0.05;
 const SECOND_SHARE: f64 = 0.065;
+/// Where a bad version may get more, this part of it is added to the second share: a larger share
+/// for seconds gives one server the load of a peak. The rest is for shares that come out higher.
+const ALLOWED_USED: f64 = 0.6;
 /// Load on trial of servers that answer at once: that of a peak.
 pub const PEAK_LOAD: f64 = 2.0;
 /// Load on trial of engines. Their streams last for seconds, so that the load of a peak would build
@@ -132,6 +141,10 @@
         /// Of those, the ones since the new version has had all requests.
         #[serde(default)]
         pub full: Count,
+        /// Of those, the ones to requests that came while few servers had the load of a peak. How
+        /// long they took says nothing.
+        #[serde(default)]
+        pub peak: Count,
     }
 
     /// What follows from the evidence.
@@ -204,19 +217,26 @@
     y0 + (x - x0) / (x1 - x0) * (y1 - y0)
 }
 
-/// The share of requests that the new version gets; see [`elapsed`].
+/// The share of requests that the new version gets; see [`elapsed`]. A bad one may get `allowed` of
+/// all requests in the time.
 #[must_use]
-pub fn share(stage: Stage, elapsed: f64) -> f64 {
+pub fn share(stage: Stage, elapsed: f64, allowed: f64) -> f64 {
     match stage {
         Stage::Stopped => 0.0,
         Stage::Done => 1.0,
         _ if elapsed < BEGIN => 0.0,
         _ if elapsed < GROW => FIRST_SHARE,
         Stage::Moving if elapsed >= MOVE_ALL => 1.0,
-        Stage::Trial | Stage::Moving => SECOND_SHARE,
+        Stage::Trial | Stage::Moving => second_share(allowed),
     }
 }
 
+/// The share of the longest part of a trial.
+fn second_share(allowed: f64) -> f64 {
+    let more = (allowed - ALLOWED_MIN).clamp(0.0, ALLOWED_MIN);
+    SECOND_SHARE + more * ALLOWED_USED / (MOVE_ALL - GROW)
+}
+
 /// Whether a request goes to the new version; `subject` is its session, or the request itself.
 #[must_use]
 pub fn is_moved(subject: &str, target: &str, share: f64) -> bool {
@@ -224,6 +244,12 @@
     (place as f64) / ((1_u64 << 53) as f64) < share
 }
 
+/// Whether the new version's requests go to few servers, that have the load of a peak.
+#[must_use]
+pub fn is_peak(elapsed: f64) -> bool {
+    (PEAK..MOVE_ALL).contains(&elapsed)
+}
+
 /// Of so many servers of the new version, those that its share of requests goes to until it is
 /// declared done: each has so many times the load that it will have.
 ///
@@ -254,16 +280,30 @@
 /// added up, those answers outweigh the failures of its last second.
 #[must_use]
 pub fn full_weight(evidence: &Evidence) -> f64 {
-    let Evidence { old, full, .. } = evidence;
+    loaded_weight(evidence.old, evidence.full)
+}
+
+/// The same of its failures under the load of a peak.
+#[must_use]
+pub fn peak_weight(evidence: &Evidence) -> f64 {
+    loaded_weight(evidence.old, evidence.peak)
+}
+
+fn loaded_weight(old: Count, new: Count) -> f64 {
     let worse_by = [WORSE_BY, WORSE_AT_FULL_BY];
-    let weigh = |by| weight((old.bad, old.answers), (full.bad, full.answers), FAILURES_MIN, by);
+    let weigh = |by| weight((old.bad, old.answers), (new.bad, new.answers), FAILURES_MIN, by);
     worse_by.map(weigh).into_iter().fold(f64::NEG_INFINITY, f64::max)
 }
 
 /// The same of its slow answers.
 #[must_use]
 pub fn slow_weight(evidence: &Evidence) -> f64 {
-    let Evidence { old, new, .. } = evidence;
+    let Evidence { old, new, peak, .. } = evidence;
+    // Quick ones under the load of a peak speak for it, slow ones not against it.
+    timed_weight(*old, *new).min(timed_weight(*old, new.less(*peak)))
+}
+
+fn timed_weight(old: Count, new: Count) -> f64 {
     let judged = new.answers.saturating_sub(new.bad);
     weight((old.slow, old.answers), (new.slow, judged), SLOW_MIN, WORSE_BY)
 }
@@ -281,18 +321,19 @@
 #[must_use]
 pub fn verdict(evidence: &[Evidence]) -> Verdict {
     let answers: u32 = evidence.iter().map(|one| one.new.answers).sum();
-    let is_clean = evidence.iter().all(|one| one.new.bad + one.new.slow == 0);
+    let is_clean = evidence.iter().all(|one| one.new.bad + one.new.less(one.peak).slow == 0);
     let (failures, slowness) =
         (worst_route(evidence, failure_weight), worst_route(evidence, slow_weight));
     // Few answers come in a trial; what is wrong on all routes shows soonest in their sum.
     let sum = pooled(evidence, failure_weight).max(pooled(evidence, slow_weight));
-    let worst_at_full = worst_at_full(evidence);
+    let worst_loaded = worst_under_load(evidence, |one| (one.full, full_weight(one)))
+        .max(worst_under_load(evidence, |one| (one.peak, peak_weight(one))));
     let is_suspect =
-        failures >= SUSPECT || slowness >= SUSPECT_SLOW || worst_at_full >= SUSPECT_AT_FULL;
+        failures >= SUSPECT || slowness >= SUSPECT_SLOW || worst_loaded >= SUSPECT_AT_FULL;
     let is_good = pooled(evidence, failure_weight) <= GO && is_quick(evidence);
     match answers {
         few if few < ANSWERS_MIN => Verdict::Open,
-        _ if failures.max(slowness).max(sum).max(worst_at_full) >= STOP => Verdict::Bad,
+        _ if failures.max(slowness).max(sum).max(worst_loaded) >= STOP => Verdict::Bad,
         enough if enough >= ANSWERS_TO_MOVE && is_good && !is_suspect => Verdict::Good,
         _ if is_clean => Verdict::Clean,
         _ => Verdict::Open,
@@ -315,18 +356,22 @@
 /// When all requests come to it at once its servers' caches are empty, and some answers are slow
 /// for that alone. One that was quick on trial is not stopped for them, unless they are far more.
 fn is_quick(evidence: &[Evidence]) -> bool {
-    let part = |of: fn(&Evidence) -> Count| {
-        let new = |one: &Evidence| Evidence { new: of(one), ..one.clone() };
+    let part = |of: fn(&Evidence) -> (Count, Count)| {
+        let new = |one: &Evidence| {
+            let (new, peak) = of(one);
+            Evidence { new, peak, ..one.clone() }
+        };
         evidence.iter().map(|one| slow_weight(&new(one))).sum::<f64>()
     };
-    let (on_trial, at_full) = (part(|one| one.new.less(one.full)), part(|one| one.full));
+    let on_trial = part(|one| (one.new.less(one.full), one.peak));
+    let at_full = part(|one| (one.full, Count::default()));
     on_trial + at_full <= GO || (on_trial <= GO && at_full < SUSPECT_SLOW)
 }
 
-/// What speaks most against a version under full load: one route, or all together.
-fn worst_at_full(evidence: &[Evidence]) -> f64 {
-    let seen: Vec<f64> =
-        evidence.iter().filter(|one| one.full.answers >= ANSWERS_MIN).map(full_weight).collect();
+/// What speaks most against a version under load: one route, or all together.
+fn worst_under_load(evidence: &[Evidence], of: fn(&Evidence) -> (Count, f64)) -> f64 {
+    let seen = evidence.iter().map(of).filter(|(count, _)| count.answers >= ANSWERS_MIN);
+    let seen: Vec<f64> = seen.map(|(_, weight)| weight).collect();
     let sum = seen.iter().sum();
     seen.into_iter().fold(sum, f64::max)
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod name;
 pub mod pace;
 pub mod patience;
+pub mod peak;
 pub mod place;
 pub mod poison;
 pub mod precedence;
--- a/crates/policy/tests/canary.rs
+++ b/crates/policy/tests/canary.rs
@@ -2,22 +2,22 @@
 //! there in time, bad ones are stopped before they have had much, sessions stay where they are.
 
 use policy::canary::{
-    Count, Evidence, Sign, Stage, Verdict, elapsed, failure_weight, is_due, is_moved, next, share,
-    verdict,
+    ALLOWED_MIN, Count, Evidence, Sign, Stage, Verdict, elapsed, failure_weight, is_due, is_moved,
+    next, share, verdict,
 };
 use policy::name::Name;
 use policy::place::mix;
 
 fn evidence(old: (u32, u32), new: (u32, u32)) -> Evidence {
     let count = |(answers, bad)| Count { answers, bad, slow: 0 };
-    Evidence { route: Name::from("r"), old: count(old), new: count(new), full: Count::default() }
+    Evidence { route: Name::from("r"), old: count(old), new: count(new), ..Evidence::default() }
 }
 
 #[test]
 fn share_nothing_in_first_half() {
-    assert_eq!(share(Stage::Trial, 0.0), 0.0);
-    assert_eq!(share(Stage::Trial, 0.5), 0.0);
-    assert_eq!(share(Stage::Moving, 0.5), 0.0);
+    assert_eq!(share(Stage::Trial, 0.0, ALLOWED_MIN), 0.0);
+    assert_eq!(share(Stage::Trial, 0.5, ALLOWED_MIN), 0.0);
+    assert_eq!(share(Stage::Moving, 0.5, ALLOWED_MIN), 0.0);
 }
 
 /// Good versions with ten or twelve seconds were declared done too late for the operator to see.
@@ -31,7 +31,9 @@
         let at_ms = ages.clone().find(done).unwrap();
         assert!(at_ms + 690 <= within_ms, "{within_ms}: {at_ms}");
         assert!(at_ms as f64 >= 0.9 * within_ms as f64, "{within_ms}: {at_ms}");
-        let first = ages.clone().find(|age| share(Stage::Trial, elapsed(*age, within_ms)) > 0.0);
+        let first = ages
+            .clone()
+            .find(|age| share(Stage::Trial, elapsed(*age, within_ms), ALLOWED_MIN) > 0.0);
         assert!(first.unwrap() * 2 > within_ms, "a session moves in the first half");
         assert!(ages.map(|age| elapsed(age, within_ms)).is_sorted());
     }
@@ -41,14 +43,15 @@
 fn share_grows_only() {
     let stages = [Stage::Trial, Stage::Moving];
     for stage in stages {
-        let shares: Vec<f64> = (0..100).map(|step| share(stage, f64::from(step) / 100.0)).collect();
+        let shares: Vec<f64> =
+            (0..100).map(|step| share(stage, f64::from(step) / 100.0, ALLOWED_MIN)).collect();
         assert!(shares.is_sorted(), "{stage:?}");
     }
     assert!((0..100).all(|step| {
         let elapsed = f64::from(step) / 100.0;
-        share(Stage::Moving, elapsed) >= share(Stage::Trial, elapsed)
+        share(Stage::Moving, elapsed, ALLOWED_MIN) >= share(Stage::Trial, elapsed, ALLOWED_MIN)
     }));
-    assert_eq!(share(Stage::Stopped, 0.9), 0.0);
+    assert_eq!(share(Stage::Stopped, 0.9, ALLOWED_MIN), 0.0);
 }
 
 #[test]
@@ -160,7 +163,7 @@
     for number in 0..1_440_u64 {
         let elapsed = number as f64 / 1_440.0;
         let draw = mix(seed ^ mix(number));
-        let is_new = is_moved(&format!("s{draw}"), "v2", share(stage, elapsed));
+        let is_new = is_moved(&format!("s{draw}"), "v2", share(stage, elapsed, ALLOWED_MIN));
         let bad = if is_new { fails(elapsed, draw) } else { draw.is_multiple_of(100) };
         played.all += 1;
         played.exposed += u32::from(is_new);
@@ -169,7 +172,7 @@
             true => sum.new.note(sign),
             false => sum.old.note(sign),
         }
-        if is_new && share(stage, elapsed) == 1.0 {
+        if is_new && share(stage, elapsed, ALLOWED_MIN) == 1.0 {
             sum.full.note(sign);
         }
         if number % 60 == 0 || is_due(stage, elapsed) {
@@ -233,7 +236,8 @@
 #[test]
 fn share_of_undetected_version_is_within_bound() {
     for within_ms in [12_000, 16_000, 20_000, 24_000, 60_000_u64] {
-        let shares = (0..within_ms).map(|age_ms| share(Stage::Moving, elapsed(age_ms, within_ms)));
+        let shares = (0..within_ms)
+            .map(|age_ms| share(Stage::Moving, elapsed(age_ms, within_ms), ALLOWED_MIN));
         let part = shares.sum::<f64>() / within_ms as f64;
         assert!(part <= 0.0975, "{part} of {within_ms}");
     }
@@ -265,8 +269,8 @@
         for number in 0..REQUESTS {
             let elapsed = number as f64 / REQUESTS as f64;
             let draw = mix(seed ^ mix(number));
-            let is_new = is_moved(&format!("s{draw}"), "v2", share(stage, elapsed));
-            let has_all = share(stage, elapsed) == 1.0;
+            let is_new = is_moved(&format!("s{draw}"), "v2", share(stage, elapsed, ALLOWED_MIN));
+            let has_all = share(stage, elapsed, ALLOWED_MIN) == 1.0;
             let bad = is_new && has_all && (draw / 7).is_multiple_of(2);
             let mut sum = sums[sums.len() - 1].clone();
             let sign = if bad { Sign::Failed } else { Sign::Good };
@@ -307,7 +311,13 @@
     let of = |[old, trial, full]: [(u32, u32); 3]| {
         let mut new = count(trial);
         new.add(count(full));
-        Evidence { route: Name::from("r"), old: count(old), new, full: count(full) }
+        Evidence {
+            route: Name::from("r"),
+            old: count(old),
+            new,
+            full: count(full),
+            ..Evidence::default()
+        }
     };
     routes.map(of).to_vec()
 }
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -130,6 +130,9 @@
         /// How often requests may be sent to another backend server, on all hosts together.
         #[serde(default)]
         pub repeats: Repeats,
+        /// Part of a service's requests that a bad version may get in the time of a roll-out.
+        #[serde(default = "default_exposure_share")]
+        pub exposure_share: f64,
     }
 
     /// Bounds on requests sent again.
@@ -211,6 +214,10 @@
     30_000
 }
 
+fn default_exposure_share() -> f64 {
+    0.0975
+}
+
 fn default_bills_max() -> u64 {
     200_000
 }
@@ -329,6 +336,9 @@
     if !(0.0..=1e6).contains(&node.repeats.slack) {
         faults.push(Fault::at("repeats.slack", "must be from 0 to 1000000"));
     }
+    if !(0.0..=1.0).contains(&node.exposure_share) {
+        faults.push(Fault::at("exposure_share", "must be from 0 to 1"));
+    }
     for (member, wrong) in [
         ("repeats.window_ms", node.repeats.window_ms < 100),
         ("change_ms", node.change_ms < 500),
