Under load fewer failures are taken as usual

Cause: two failures of eleven answers with all requests, where the version before had 3 of 484, were odds of 13 to 1 only: any version was expected to fail 0.02.

Change: under load 0.01 is expected at least; by then the version before has given hundreds of answers.

The tests' bounds follow: 60 and 420 bad ones (160 and 620 in the commit before). Conclusion: a plain service's few answers with all requests stay the limit.

--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -58,6 +58,8 @@
 /// Failures expected of any version, at least: none in the old version's few answers is no proof
 /// that it never fails.
 const FAILURES_MIN: f64 = 0.02;
+/// The same under load. By then the old version has answered for most of the time.
+const LOADED_FAILURES_MIN: f64 = 0.01;
 /// Slow answers expected of any version on trial, at least: its few servers have the load of a busy
 /// day, and now and then a long prompt stands before others.
 const SLOW_MIN: f64 = 0.12;
@@ -291,7 +293,8 @@
 
 fn loaded_weight(old: Count, new: Count) -> f64 {
     let worse_by = [WORSE_BY, WORSE_AT_FULL_BY];
-    let weigh = |by| weight((old.bad, old.answers), (new.bad, new.answers), FAILURES_MIN, by);
+    let weigh =
+        |by| weight((old.bad, old.answers), (new.bad, new.answers), LOADED_FAILURES_MIN, by);
     worse_by.map(weigh).into_iter().fold(f64::NEG_INFINITY, f64::max)
 }
 
--- a/crates/policy/tests/loaded.rs
+++ b/crates/policy/tests/loaded.rs
@@ -205,14 +205,14 @@
 fn play_engines_bad_under_load_are_stopped() {
     let (good, bad) = (done(&ENGINES, false, 2_000), done(&ENGINES, true, 2_000));
     assert!(good >= 1_990, "{good} good ones of 2,000 done");
-    assert!(bad <= 160, "{bad} bad ones of 2,000 done");
+    assert!(bad <= 60, "{bad} bad ones of 2,000 done");
 }
 
-/// With few answers at full load, one in four bad versions is declared done: to find more of
+/// With few answers at full load, one in five or six bad versions is declared done: to find more of
 /// them would stop good ones. As many good ones are late as by the verdict without load.
 #[test]
 fn play_plain_service_bad_under_load_is_mostly_stopped() {
     let (good, bad) = (done(&PLAIN, false, 2_000), done(&PLAIN, true, 2_000));
     assert!(good >= 1_870, "{good} good ones of 2,000 done");
-    assert!(bad <= 620, "{bad} bad ones of 2,000 done");
+    assert!(bad <= 420, "{bad} bad ones of 2,000 done");
 }
