--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod pace;
 pub mod patience;
 pub mod pause;
+pub mod peak;
 pub mod place;
 pub mod poison;
 pub mod precedence;
