Own interface: leaves and pauses by the steady clock, reports by when they were asked for

Found by the review of the own interface's part: a report asked for before an answer said that the server leaves took the leave back; pauses were kept by the time of day, so a clock set back by an hour left a server out for an hour; and `chestnutspur-leaving: 0` was a leave here and none on the platform's side. Change: a leave keeps when it was said; all of `policy::intake` is kept by the steady clock; one function reads the flag for both. Evidence: reported_only_a_newer_report_takes_a_leave_back; all tests of `entry`, and those of pauses, leaves and codec, pass.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -184,15 +184,15 @@
         let lease = Lease::new(Arc::clone(server));
         let request = job.request(server).map_err(unsent)?;
         let limit = if reused { job.reused_first_byte } else { job.first_byte };
-        let (sent_at, began) = (Instant::now(), clock::now());
+        let (sent_at, began, sent) = (Instant::now(), clock::now(), clock::steady());
         if server.is_restricted() {
-            server.with_intake(began, |intake| intake.sent(None, began));
+            server.with_intake(sent, |intake| intake.sent(None, sent));
         }
         if let Some(claimed) = &mut tries.claimed {
             claimed.use_up();
         }
         let result = match connection.send(request, limit.min(job.left())).await {
-            Ok(response) => reply::read(job, response, connection, lease, began, sent_at).await,
+            Ok(response) => reply::read(job, response, connection, lease, sent, sent_at).await,
             Err(failure) => Err(failure),
         };
         result.inspect(|_| self.answered(server)).map_err(|failure| {
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -48,10 +48,11 @@
 /// a server held ill must show, and no old connection is kept from being retired.
 async fn ask(server: &Server) {
     server.retire(false);
-    let asked = clock::now();
+    let (asked, asked_at) = (clock::now(), clock::steady());
     match tokio::time::timeout(WITHIN, load(server)).await {
         Ok(Ok(Some(load))) => {
-            server.with_intake(clock::now(), |intake| intake.reported(load.draining));
+            let now = clock::steady();
+            server.with_intake(now, |intake| intake.reported(load.draining, asked_at, now));
             server.note_load(load, clock::now());
         }
         // It answers, if not with a report.
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -123,13 +123,13 @@
 fn note_statement(server: &Server, head: &Parts, sent: Millis) {
     let statement = Statement {
         per_second: None,
-        is_leaving: head.headers.contains_key(LEAVING),
+        is_leaving: is_set(&head.headers, LEAVING),
         pause_ms: pause_ms(head.status, &head.headers),
     };
     if statement == Statement::default() && !server.is_restricted() {
         return;
     }
-    let now = clock::now();
+    let now = clock::steady();
     let news =
         server.with_intake(now, |intake| intake.heard(&statement, sent, rand::random(), now));
     if news.is_leave || news.is_pause {
@@ -137,6 +137,13 @@
     }
 }
 
+/// A flag counts as set unless it says that it is not: to take a leave for none is the graver error.
+#[must_use]
+pub fn is_set(headers: &HeaderMap, name: &str) -> bool {
+    let value = headers.get(name).map(|value| value.as_bytes().trim_ascii());
+    value.is_some_and(|value| !matches!(value, b"0" | b"false"))
+}
+
 /// The pause that a server asks for as it turns a request away, in milliseconds.
 ///
 /// One that can't be read is a short one: the server wants less work, so none at all is the graver
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -11,6 +11,7 @@
 use policy::{place, probe};
 use wire::backend::Load;
 
+use crate::clock;
 use crate::connection::{Connection, Failure};
 
 /// An idle connection older than this is retired: something between the two ends may have lost
@@ -121,7 +122,8 @@
     #[must_use]
     pub fn takes_work(&self, now: Millis) -> bool {
         let health = self.lock();
-        !health.load.draining && health.probe.ill_until <= now && self.closed_until(now).is_none()
+        let is_well = !health.load.draining && health.probe.ill_until <= now;
+        is_well && self.closed_until(clock::steady()).is_none()
     }
 
     /// Whether it was found ill.
@@ -130,7 +132,7 @@
         self.lock().probe.ill_until > now
     }
 
-    /// Uses what it says of how much it takes.
+    /// Uses what it says of how much it takes; `now` is of the steady clock.
     pub fn with_intake<T>(&self, now: Millis, use_it: impl FnOnce(&mut Intake) -> T) -> T {
         let mut intake = self.intake.lock().unwrap_or_else(PoisonError::into_inner);
         let used = use_it(&mut intake);
@@ -144,16 +146,18 @@
         self.is_restricted.load(Ordering::Relaxed)
     }
 
-    /// Until when it wants nothing, as it says itself; none if it takes requests.
+    /// Until when it wants nothing, as it says itself, by the steady clock; none if it takes requests.
     #[must_use]
     pub fn closed_until(&self, now: Millis) -> Option<Millis> {
         let intake = || self.intake.lock().unwrap_or_else(PoisonError::into_inner);
         if self.is_restricted() { intake().closed_until(now) } else { None }
     }
 
+    /// When a pause ends, by the time of day, as health is kept; 0 if there is none. Pauses are kept by the
+    /// steady clock: the other one may be set back.
     fn pause_end(&self) -> Millis {
-        let intake = || self.intake.lock().unwrap_or_else(PoisonError::into_inner);
-        if self.is_restricted() { intake().pause_end() } else { Millis(0) }
+        let now = clock::steady();
+        self.closed_until(now).map_or(Millis(0), |until| clock::now() + until.since(now))
     }
 
     /// Whether it has said that it leaves.
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -276,7 +276,7 @@
                 false
             }
             Restriction::Leaving => {
-                let is_news = self.with_intake(Intake::leave);
+                let is_news = self.with_intake(|intake| intake.leave(now));
                 if is_news {
                     log::info!(target: "route", backend:% = self.id;
                         "leave of a backend server heard of");
--- a/crates/policy/src/intake.rs
+++ b/crates/policy/src/intake.rs
@@ -49,7 +49,8 @@
     /// How many requests a second.
     pub throttle: Throttle,
     pause: Pause,
-    is_leaving: bool,
+    /// When it said so, if it leaves.
+    leaving_at: Option<Millis>,
 }
 
 impl Intake {
@@ -61,7 +62,7 @@
         News {
             is_pause: statement.pause_ms.is_some_and(|ms| self.pause.ask(ms, draw, now)),
             is_limit: self.throttle.heard(statement.per_second, sent, now),
-            is_leave: statement.is_leaving && self.leave(),
+            is_leave: statement.is_leaving && self.leave(now),
         }
     }
 
@@ -72,45 +73,45 @@
 
     /// The server leaves, as it said itself or another host says; whether that is news. It is not
     /// taken back: an answer that does not say so may be older than one that did.
-    pub fn leave(&mut self) -> bool {
-        !std::mem::replace(&mut self.is_leaving, true)
+    pub fn leave(&mut self, now: Millis) -> bool {
+        let is_news = self.leaving_at.is_none();
+        self.leaving_at.get_or_insert(now);
+        is_news
     }
 
-    /// The server reports whether it leaves, asked for just that. A report is newer than any answer, so
-    /// one that has started again under its name takes work.
-    pub fn reported(&mut self, is_leaving: bool) {
-        self.is_leaving = is_leaving;
+    /// The server reports whether it leaves, asked for just that at a time. A report that was asked for
+    /// later than it last said so is newer: one that has started again under its name takes work.
+    pub fn reported(&mut self, is_leaving: bool, asked: Millis, now: Millis) {
+        match is_leaving {
+            true => drop(self.leave(now)),
+            false if self.leaving_at.is_some_and(|at| at < asked) => self.leaving_at = None,
+            false => {}
+        }
     }
 
     /// Whether the server leaves.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
-        self.is_leaving
+        self.leaving_at.is_some()
     }
 
     /// Whether the server has said since a request was meant for it that it takes nothing. Between that
     /// choice and the first byte a connection is opened, and leave may be asked for elsewhere.
     #[must_use]
     pub fn is_closed(&self, now: Millis) -> bool {
-        self.is_leaving || self.pause.is_running(now)
-    }
-
-    /// When a request may be sent again, of a server that asked for a pause; it may have passed.
-    #[must_use]
-    pub fn pause_end(&self) -> Millis {
-        self.pause.until(Millis(0)).unwrap_or_default()
+        self.is_leaving() || self.pause.is_running(now)
     }
 
     /// Until when nothing may go there, limits aside; none if something may.
     #[must_use]
     pub fn closed_until(&self, now: Millis) -> Option<Millis> {
-        if self.is_leaving { Some(Millis(u64::MAX)) } else { self.pause.until(now) }
+        if self.is_leaving() { Some(Millis(u64::MAX)) } else { self.pause.until(now) }
     }
 
     /// Whether there is anything to ask [`Self::verdict`] for.
     #[must_use]
     pub fn is_restricted(&self, now: Millis) -> bool {
-        self.is_leaving || self.pause.is_set() || self.throttle.is_limited(now)
+        self.is_leaving() || self.pause.is_set() || self.throttle.is_limited(now)
     }
 
     /// Whether a request may go there now. A host that does not know where it stands among the others
@@ -119,7 +120,7 @@
     pub fn verdict(&self, place: Option<&Place>, now: Millis) -> Verdict {
         let has_room = |place| self.throttle.has_room(place, now);
         match self.pause.until(now) {
-            _ if self.is_leaving => Verdict::Leaving,
+            _ if self.is_leaving() => Verdict::Leaving,
             Some(until) => Verdict::Paused(until),
             None if !self.throttle.is_limited(now) || place.is_some_and(has_room) => Verdict::Open,
             None => Verdict::Limited,
--- a/crates/policy/tests/intake.rs
+++ b/crates/policy/tests/intake.rs
@@ -157,6 +157,19 @@
     assert_eq!(intake.verdict(Some(&ALONE), START + 1_000), Verdict::Open);
     intake.sent(Some(&ALONE), START + 1_000);
     assert!(!intake.is_closed(START + 1_001));
-    intake.leave();
+    intake.leave(START + 1_001);
     assert!(intake.is_closed(START + 1_001));
 }
+
+/// Guards against a report that was asked for before the server said that it leaves.
+#[test]
+fn reported_only_a_newer_report_takes_a_leave_back() {
+    let mut intake = Intake::default();
+    intake.heard(&LEAVING, START, 0.0, START + 100);
+    intake.reported(false, START + 50, START + 2_000);
+    assert!(intake.is_leaving());
+    intake.reported(false, START + 101, START + 2_000);
+    assert!(!intake.is_leaving());
+    intake.reported(true, START + 3_000, START + 3_010);
+    assert!(intake.is_leaving());
+}
