--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -1,45 +1,28 @@
 //! One start of a backend server, and what this host believes of it.
 
+mod look;
+mod restriction;
+
 use std::collections::HashMap;
-use std::io::ErrorKind;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
-use entry::clock;
-use entry::connection::Connection;
 use entry::server::Server;
 use policy::backlog::{Backlog, Prompt};
-use policy::intake::{Intake, Statement};
 use policy::name::Name;
 use policy::place;
-use policy::silence::{self, Action, Bounds, Silence};
 use policy::suspicion::Suspicion;
-use policy::throttle::Limit;
 use policy::time::Millis;
-use tokio::net::TcpStream;
 use wire::backend;
-use wire::routing::Warmup;
 
+pub use self::restriction::{Restricted, Restriction};
 use crate::codec::{Load, Part};
-use crate::poison::Guard;
 
 /// Connection attempts in a row that must time out before the server is held ill. A lost packet
 /// delays one attempt past its time; two in a row are rare on a link that works.
 const TIMEOUTS_TO_ILL: u32 = 2;
 /// How long a prompt's part is believed to stay in an engine's cache, in milliseconds.
 const CACHED_MS: u64 = 30_000;
-/// Longest wait for a connection that is opened only to see whether the server lives.
-const PROBE: Duration = Duration::from_millis(200);
-/// Between two questions to a server that can't be reached, in milliseconds.
-const ASK_MS: u64 = 200;
-/// Until a server that lives is looked at again; longest wait for a connection then.
-const LOOK: Duration = Duration::from_millis(100);
-/// The same, in milliseconds.
-const LOOK_MS: u64 = LOOK.as_millis() as u64;
-/// A server that refused connections is believed to have ended for this long, in milliseconds. Its entry
-/// lapses within that time if it has.
-const ENDED_MS: u64 = 5_000;
 /// Parts remembered for one engine at most.
 const PARTS_MAX: usize = 4_096;
 
@@ -56,38 +39,6 @@
     }
 }
 
-policy::domain! {
-    /// What a backend server says of how much it takes, as other hosts are notified of it.
-    pub struct Restricted {
-        /// The backend server.
-        pub backend: Name,
-        /// When the start of it began that says so, see [`Backend::born`].
-        #[serde(default)]
-        pub born: u64,
-        /// What it says.
-        pub restriction: Restriction,
-    }
-
-    /// What keeps requests from a backend server.
-    pub enum Restriction {
-        /// It takes so many requests a second.
-        Limit(Limit),
-        /// It leaves.
-        Leaving,
-    }
-}
-
-impl Restriction {
-    /// The same with its times on another clock; `from` and `to` are the same moment on both.
-    #[must_use]
-    pub fn on_clock(&self, from: Millis, to: Millis) -> Self {
-        match self {
-            Self::Limit(limit) => Self::Limit(limit.on_clock(from, to)),
-            Self::Leaving => Self::Leaving,
-        }
-    }
-}
-
 /// A backend server.
 pub struct Backend {
     /// The server's.
@@ -240,124 +191,12 @@
         self.server.note_load(backend::Load { in_flight, slots: load.slots, draining: false }, now);
     }
 
-    /// What it says of how much it takes, in the answer to a request that was sent then; what the other
-    /// hosts are to be notified of.
-    pub fn note_statement(
-        &self,
-        statement: &Statement,
-        sent: Millis,
-        now: Millis,
-    ) -> Vec<Restricted> {
-        let draw = rand::random();
-        let news = self.with_intake(|intake| intake.heard(statement, sent, draw, now));
-        if news.is_pause {
-            metrics::counter!("gateway_pauses_total").increment(1);
-            log::info!(target: "route", backend:% = self.id, pause_ms:? = statement.pause_ms;
-                "backend server asks for a pause");
-        }
-        let limit = news.is_limit.then(|| {
-            let per_second = statement.per_second;
-            log::info!(target: "route", backend:% = self.id, per_second:? = per_second;
-                "backend server names another limit");
-            Restriction::Limit(Limit { per_second, at: now, until: None })
-        });
-        let leaving = news.is_leave.then(|| {
-            log::info!(target: "route", backend:% = self.id; "backend server says that it leaves");
-            Restriction::Leaving
-        });
-        limit.into_iter().chain(leaving).map(|restriction| self.restricted(restriction)).collect()
-    }
-
-    /// What it takes, as another host says of this start of it; whether the world is another one now.
-    pub fn learn(&self, restriction: &Restriction, now: Millis) -> bool {
-        match restriction {
-            Restriction::Limit(limit) => {
-                self.learn_limit(*limit, now);
-                false
-            }
-            Restriction::Leaving => {
-                let is_news = self.with_intake(|intake| intake.leave(now));
-                if is_news {
-                    log::info!(target: "route", backend:% = self.id;
-                        "leave of a backend server heard of");
-                }
-                is_news
-            }
-        }
-    }
-
-    /// How much it takes, as another host or its entry says.
-    pub fn learn_limit(&self, limit: Limit, now: Millis) {
-        if self.with_intake(|intake| intake.learn(limit, now)) {
-            log::info!(target: "route", backend:% = self.id, per_second:? = limit.per_second,
-                until_ms = limit.until.map(|until| until.since(now));
-                "limit of a backend server heard of");
-        }
-    }
-
-    /// It can't be reached, and may start again before its entry says so; what the other hosts are
-    /// to be notified of, if it is news.
-    ///
-    /// A server that is back under its id is empty, so that all hosts would send to it at once, and
-    /// end it once more before it is warm.
-    pub fn may_start_again(&self, warmup: Warmup, now: Millis) -> Option<Restricted> {
-        let limit = Limit::warmup(warmup.per_second, now + warmup.ms, now);
-        let is_news = self.with_intake(|intake| intake.learn(limit, now));
-        is_news.then(|| {
-            log::info!(target: "route", backend:% = self.id, per_second = warmup.per_second,
-                until_ms = warmup.ms; "backend server may start again");
-            self.restricted(Restriction::Limit(limit))
-        })
-    }
-
-    /// What the other hosts should know of how much it takes.
-    #[must_use]
-    pub fn restrictions(&self, now: Millis) -> Vec<Restricted> {
-        let intake = self.with_intake(|intake| *intake);
-        let limit = intake.throttle.shared(now).map(Restriction::Limit);
-        let leaving = intake.is_leaving().then_some(Restriction::Leaving);
-        limit.into_iter().chain(leaving).map(|restriction| self.restricted(restriction)).collect()
-    }
-
-    fn restricted(&self, restriction: Restriction) -> Restricted {
-        Restricted { backend: self.id.clone(), born: self.born, restriction }
-    }
-
-    /// Uses what is known of how much it takes.
-    pub fn with_intake<T>(&self, use_it: impl FnOnce(&mut Intake) -> T) -> T {
-        self.server.with_intake(clock::steady(), use_it)
-    }
-
-    /// Whether it has said that it takes nothing now.
-    #[must_use]
-    pub fn is_closed(&self, now: Millis) -> bool {
-        self.server.is_restricted() && self.with_intake(|intake| intake.is_closed(now))
-    }
-
     /// It said anything at all.
     pub fn heard(&self, now: Millis) {
         self.refused_at.store(0, Ordering::Relaxed);
         self.lock().heard_at = now;
     }
 
-    /// Whether it refused connections when it was last tried, lately. One that is out of reach doesn't.
-    #[must_use]
-    pub fn has_ended(&self, now: Millis) -> bool {
-        let refused_at = Millis(self.refused_at.load(Ordering::Relaxed));
-        refused_at > Millis(0) && now.since(refused_at) < ENDED_MS
-    }
-
-    /// Nothing listens at its address.
-    pub fn note_ended(&self, now: Millis) {
-        self.refused_at.store(now.0, Ordering::Relaxed);
-    }
-
-    /// When it last said anything.
-    #[must_use]
-    pub fn heard_at(&self) -> Millis {
-        self.lock().heard_at
-    }
-
     /// A request that it worked on ended well, or did not.
     pub fn note(&self, failed: bool, now: Millis) {
         let mut belief = self.lock();
@@ -388,84 +227,6 @@
         ill
     }
 
-    /// How long its silence is still tolerated; none if it is to be left.
-    pub async fn tolerates(
-        &self,
-        bounds: &Bounds,
-        silent: Duration,
-        useful_ms: f64,
-    ) -> Option<Duration> {
-        let silence = Silence {
-            silent_ms: silent.as_secs_f64() * 1_000.0,
-            useful_ms,
-            heard_ms: clock::steady().since(self.heard_at()),
-        };
-        match silence::act(bounds, &silence) {
-            Action::Wait(ms) => Some(Duration::from_secs_f64(ms / 1_000.0)),
-            Action::Probe if self.takes_connections().await => Some(LOOK),
-            Action::Probe | Action::Leave => None,
-        }
-    }
-
-    /// Looks, in the background, whether it has ended: a connection that breaks alone says nothing of
-    /// the server.
-    pub fn look_soon(self: &Arc<Self>, poison: &Arc<Guard>) {
-        let (backend, poison) = (Arc::clone(self), Arc::clone(poison));
-        tokio::spawn(async move { backend.look(&poison).await });
-    }
-
-    /// Whether nothing listens at its address any more; then the requests that were lost with it are
-    /// noted. Those who ask together share one look.
-    pub async fn look(&self, poison: &Guard) -> bool {
-        let mut looked = self.looked.lock().await;
-        let now = clock::steady();
-        if let Some((at, ended)) = *looked
-            && now.since(at) < LOOK_MS
-        {
-            return ended;
-        }
-        let opened = tokio::time::timeout(LOOK, TcpStream::connect(self.server.address)).await;
-        // One that is reset was taken first: whoever did so lives.
-        let is_refused = |error: std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
-        let ended = opened.is_ok_and(|opened| opened.is_err_and(is_refused));
-        // From its end on: those who wait for a look that takes all its time share what it found.
-        let now = clock::steady();
-        *looked = Some((now, ended));
-        if ended {
-            self.note_ended(now);
-            log::info!(target: "route", backend:% = self.id; "backend server ended");
-            poison.ended(&self.id);
-        }
-        ended
-    }
-
-    /// Opens a connection and closes it: a host that is unreachable, or behind a cut, takes none.
-    async fn takes_connections(&self) -> bool {
-        let taken = Connection::open(self.server.address, PROBE).await.is_ok();
-        if taken {
-            self.heard(clock::steady());
-        }
-        taken
-    }
-
-    /// Asks in the background whether it takes connections again, unless that was just done.
-    pub fn probe_soon(self: &Arc<Self>) {
-        let now = clock::steady();
-        let mut belief = self.lock();
-        if now.since(belief.asked_at) < ASK_MS {
-            return;
-        }
-        belief.asked_at = now;
-        drop(belief);
-        let backend = Arc::clone(self);
-        tokio::spawn(async move {
-            if backend.takes_connections().await {
-                log::info!(target: "route", backend:% = backend.id; "backend server reached again");
-                backend.server.note_success(clock::steady());
-            }
-        });
-    }
-
     fn lock(&self) -> MutexGuard<'_, Belief> {
         self.belief.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- /dev/null
+++ b/crates/gateway/src/backend/look.rs
@@ -0,0 +1,124 @@
+//! Looks at backend servers that are silent, can't be reached, or may have ended.
+
+use std::io::ErrorKind;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use entry::clock;
+use entry::connection::Connection;
+use policy::silence::{self, Action, Bounds, Silence};
+use policy::time::Millis;
+use tokio::net::TcpStream;
+
+use super::Backend;
+use crate::poison::Guard;
+
+/// Longest wait for a connection that is opened only to see whether the server lives.
+const PROBE: Duration = Duration::from_millis(200);
+/// Between two questions to a server that can't be reached, in milliseconds.
+const ASK_MS: u64 = 200;
+/// Until a server that lives is looked at again; longest wait for a connection then.
+const LOOK: Duration = Duration::from_millis(100);
+/// The same, in milliseconds.
+const LOOK_MS: u64 = LOOK.as_millis() as u64;
+/// A server that refused connections is believed to have ended for this long, in milliseconds. Its entry
+/// lapses within that time if it has.
+const ENDED_MS: u64 = 5_000;
+impl Backend {
+    /// Whether it refused connections when it was last tried, lately. One that is out of reach doesn't.
+    #[must_use]
+    pub fn has_ended(&self, now: Millis) -> bool {
+        let refused_at = Millis(self.refused_at.load(Ordering::Relaxed));
+        refused_at > Millis(0) && now.since(refused_at) < ENDED_MS
+    }
+
+    /// Nothing listens at its address.
+    pub fn note_ended(&self, now: Millis) {
+        self.refused_at.store(now.0, Ordering::Relaxed);
+    }
+
+    /// When it last said anything.
+    #[must_use]
+    pub fn heard_at(&self) -> Millis {
+        self.lock().heard_at
+    }
+
+    /// How long its silence is still tolerated; none if it is to be left.
+    pub async fn tolerates(
+        &self,
+        bounds: &Bounds,
+        silent: Duration,
+        useful_ms: f64,
+    ) -> Option<Duration> {
+        let silence = Silence {
+            silent_ms: silent.as_secs_f64() * 1_000.0,
+            useful_ms,
+            heard_ms: clock::steady().since(self.heard_at()),
+        };
+        match silence::act(bounds, &silence) {
+            Action::Wait(ms) => Some(Duration::from_secs_f64(ms / 1_000.0)),
+            Action::Probe if self.takes_connections().await => Some(LOOK),
+            Action::Probe | Action::Leave => None,
+        }
+    }
+
+    /// Looks, in the background, whether it has ended: a connection that breaks alone says nothing of
+    /// the server.
+    pub fn look_soon(self: &Arc<Self>, poison: &Arc<Guard>) {
+        let (backend, poison) = (Arc::clone(self), Arc::clone(poison));
+        tokio::spawn(async move { backend.look(&poison).await });
+    }
+
+    /// Whether nothing listens at its address any more; then the requests that were lost with it are
+    /// noted. Those who ask together share one look.
+    pub async fn look(&self, poison: &Guard) -> bool {
+        let mut looked = self.looked.lock().await;
+        let now = clock::steady();
+        if let Some((at, ended)) = *looked
+            && now.since(at) < LOOK_MS
+        {
+            return ended;
+        }
+        let opened = tokio::time::timeout(LOOK, TcpStream::connect(self.server.address)).await;
+        // One that is reset was taken first: whoever did so lives.
+        let is_refused = |error: std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
+        let ended = opened.is_ok_and(|opened| opened.is_err_and(is_refused));
+        // From its end on: those who wait for a look that takes all its time share what it found.
+        let now = clock::steady();
+        *looked = Some((now, ended));
+        if ended {
+            self.note_ended(now);
+            log::info!(target: "route", backend:% = self.id; "backend server ended");
+            poison.ended(&self.id);
+        }
+        ended
+    }
+
+    /// Opens a connection and closes it: a host that is unreachable, or behind a cut, takes none.
+    async fn takes_connections(&self) -> bool {
+        let taken = Connection::open(self.server.address, PROBE).await.is_ok();
+        if taken {
+            self.heard(clock::steady());
+        }
+        taken
+    }
+
+    /// Asks in the background whether it takes connections again, unless that was just done.
+    pub fn probe_soon(self: &Arc<Self>) {
+        let now = clock::steady();
+        let mut belief = self.lock();
+        if now.since(belief.asked_at) < ASK_MS {
+            return;
+        }
+        belief.asked_at = now;
+        drop(belief);
+        let backend = Arc::clone(self);
+        tokio::spawn(async move {
+            if backend.takes_connections().await {
+                log::info!(target: "route", backend:% = backend.id; "backend server reached again");
+                backend.server.note_success(clock::steady());
+            }
+        });
+    }
+}
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -2,56 +2,28 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use entry::carry::{self, Step, carry};
 use entry::clock;
-use entry::connection::Cause;
-use hyper::StatusCode;
 use hyper::http::response::Parts;
 use policy::precedence;
 use policy::retry::{self, Attempt};
-use policy::time::Millis;
-use wire::refusal::{Code, Refusal};
+use wire::refusal::Refusal;
 
 use crate::attempt::{self, Failure, Reply};
 use crate::backend::Backend;
 use crate::codec::{Codec, Sending};
 use crate::job::Job;
 use crate::pick;
-use crate::refuse;
 use crate::relay::Live;
+use crate::resume::Obstacle;
 
 /// Connections that may fail to open for want of an answer before a request is given up. Refused
 /// ones have no such limit: each costs a millisecond, and a server that refused is not asked again.
 const UNSENT_MAX: u32 = 4;
 
-/// Longest pause of all servers that a stream waits out. Callers leave a stream after two seconds without
-/// an event, at the earliest.
-const OUTWAITED_MAX: Duration = Duration::from_millis(1_500);
-/// A pause that has just ended is over within this time.
-const OUTWAITED_MIN: Duration = Duration::from_millis(10);
-
-/// What stands against another try of a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Obstacle {
-    /// Its time is over.
-    Late,
-    /// It may have run, and its kind may not run again.
-    Kind,
-    /// It was sent to as many backend servers as its route allows.
-    Attempts,
-    /// Too many connections did not open in time.
-    Connections,
-    /// The host has no repeat left.
-    Repeats,
-    /// No backend server is known that takes it.
-    NoServer,
-    /// It is held, since servers ended under it.
-    Held,
-}
-
 /// An answer that may be passed on.
 pub enum Accepted {
     /// All of it.
@@ -70,43 +42,11 @@
         carry(self).await
     }
 
-    /// Goes on with a stream that broke, behind the last event that the caller has.
-    ///
-    /// # Errors
-    /// Why no other backend server has taken it up.
-    pub async fn resume(&mut self, last: u64) -> Result<Live, Obstacle> {
-        self.go_on()?;
-        loop {
-            let mut resumption = Resumption { job: self, last, obstacle: Obstacle::NoServer };
-            let resumed = carry(&mut resumption).await;
-            let obstacle = resumption.obstacle;
-            match resumed {
-                Ok(live) => return Ok(live),
-                // What is paid for is still to be made.
-                Err(_) if obstacle == Obstacle::NoServer && self.outwaits_pauses().await => {}
-                Err(_) => return Err(obstacle),
-            }
-        }
-    }
-
-    /// Waits until the first server takes requests again, if all want a pause and that is soon: a caller
-    /// that has the beginning of a stream can't come back for the rest.
-    async fn outwaits_pauses(&self) -> bool {
-        let is_untried = |backend: &Backend| !self.tries.tried.contains(&backend.id);
-        let pause = self.paused_ms(is_untried).map(Duration::from_millis);
-        let pause = pause.filter(|pause| *pause <= OUTWAITED_MAX.min(self.left()));
-        match pause {
-            Some(pause) => tokio::time::sleep(pause.max(OUTWAITED_MIN)).await,
-            None => return false,
-        }
-        true
-    }
-
     /// Takes what another try costs: a repeat, if the request was sent.
     ///
     /// # Errors
     /// What stands against another try.
-    fn go_on(&self) -> Result<(), Obstacle> {
+    pub fn go_on(&self) -> Result<(), Obstacle> {
         let tries = &self.tries;
         let attempt = Attempt {
             may_repeat: self.route().kind.may_repeat(),
@@ -147,7 +87,8 @@
         taken
     }
 
-    fn next_backend(&mut self) -> Option<Arc<Backend>> {
+    /// The backend server that is tried next.
+    pub fn next_backend(&mut self) -> Option<Arc<Backend>> {
         let world = self.state.world.load_full();
         let pool = world.pools.get(&self.service)?;
         let now = clock::steady();
@@ -168,53 +109,11 @@
         chosen.inspect(|backend| self.tries.version = Some(backend.version.clone()))
     }
 
-    /// Requests a second that the service's servers take in all, if limits keep this one from them.
-    fn limited(&self) -> Option<f64> {
-        let world = self.state.world.load();
-        let backends = &world.pools.get(&self.service)?.backends;
-        let now = clock::steady();
-        let limited = backends.iter().filter(|backend| backend.server.takes_work(now));
-        let rates = limited
-            .filter_map(|backend| backend.with_intake(|intake| intake.throttle.per_second(now)));
-        let rate: f64 = rates.sum();
-        (rate > 0.0).then_some(rate)
-    }
-
-    /// Whether all servers of the service stand in evacuated failure domains.
-    fn is_evacuated(&self) -> bool {
-        let world = self.state.world.load();
-        let pool = world.pools.get(&self.service);
-        pool.is_some_and(|pool| pool.backends.is_empty() && pool.evacuated > 0)
-    }
-
-    /// How long all servers of the service that count still want nothing from this host, in milliseconds;
-    /// none if one of them takes requests, or if none can be reached.
-    fn paused_ms(&self, counts: impl Fn(&Backend) -> bool) -> Option<u64> {
-        let world = self.state.world.load();
-        let now = clock::steady();
-        let backends = &world.pools.get(&self.service)?.backends;
-        let counted = backends.iter().filter(|backend| counts(backend));
-        let mut well = counted.filter(|backend| !backend.server.is_ill(now));
-        let first_end = well.try_fold(Millis(u64::MAX), |first, backend| {
-            backend.server.closed_until(now).map(|until| first.min(until))
-        });
-        first_end.filter(|end| *end < Millis(u64::MAX)).map(|end| end.since(now))
-    }
-
-    /// Whether all servers of the service leave.
-    fn is_leaving(&self) -> bool {
-        let world = self.state.world.load();
-        let pool = world.pools.get(&self.service);
-        pool.is_some_and(|pool| {
-            let mut backends = pool.backends.iter();
-            let has_leaving = pool.leaving > 0 || !pool.backends.is_empty();
-            has_leaving
-                && pool.evacuated == 0
-                && backends.all(|backend| backend.server.is_leaving())
-        })
-    }
-
-    async fn try_at(
+    /// Sends the request to a backend server and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// See [`attempt::send`].
+    pub async fn try_at(
         &mut self,
         backend: &Arc<Backend>,
         last_event: Option<u64>,
@@ -294,77 +193,6 @@
         if let Some((head, body)) = self.tries.failure.take() {
             return Ok(Accepted::Whole(head, body));
         }
-        let late = self.left().is_zero();
-        let paused_ms = self.paused_ms(|_| true);
-        Err(match self.tries.may_have_run {
-            true if late => Refusal::may_have_run(Code::DeadlinePassed, "the deadline passed"),
-            true => Refusal::may_have_run(Code::BackendFailed, "the backend server failed"),
-            false if let Some(ms) = paused_ms => refuse::paused(ms, rand::random()),
-            false if self.tries.not_run > 0 => {
-                let timing = self.state.timings.with(self.timing(), |timing| *timing);
-                refuse::busy(timing.whole.mean_ms(0.0), rand::random())
-            }
-            false if self.is_leaving() => refuse::leaving(rand::random()),
-            false if self.is_evacuated() => refuse::evacuated(rand::random()),
-            false => match self.limited() {
-                Some(per_second) => refuse::limited(per_second, rand::random()),
-                None => refuse::no_backend(),
-            },
-        })
-    }
-}
-
-/// A stream that goes on elsewhere, in the answer that its caller has begun to read.
-struct Resumption<'a, C> {
-    job: &'a mut Job<C>,
-    /// The last event that the caller has.
-    last: u64,
-    /// What stands against another try, if none is made.
-    obstacle: Obstacle,
-}
-
-impl<C: Codec> carry::Request for Resumption<'_, C> {
-    type Server = Arc<Backend>;
-    type Answer = Live;
-    type Failure = Failure;
-
-    fn choose(&mut self) -> Option<Arc<Backend>> {
-        self.obstacle = Obstacle::NoServer;
-        self.job.next_backend()
-    }
-
-    async fn attempt(&mut self, backend: &Arc<Backend>) -> Step<Live, Failure> {
-        if let Err(refusal) = self.job.permit().await {
-            self.obstacle = Obstacle::Held;
-            return Step::Refused(refusal);
-        }
-        let last = Some(self.last);
-        let reply = match self.job.try_at(backend, last).await {
-            Ok(reply) => reply,
-            Err(failure) => return Step::Failed(failure),
-        };
-        let status = reply.head.status;
-        if status != StatusCode::OK {
-            return Step::Failed(Failure::Lost(Cause::Failed(status.as_u16())));
-        }
-        match Live::begin(self.job, reply, last).await {
-            Ok(live) => Step::Answered(live),
-            Err(failure) => Step::Failed(failure),
-        }
-    }
-
-    fn failed(&mut self, backend: &Arc<Backend>, failure: Failure) {
-        self.job.blame(backend, failure);
-    }
-
-    fn may_go_on(&mut self) -> bool {
-        let leave = self.job.go_on();
-        self.obstacle = leave.err().unwrap_or(self.obstacle);
-        leave.is_ok()
-    }
-
-    /// The caller learns of it by a connection that closes before the stream's end.
-    fn give_up(&mut self) -> Result<Live, Refusal> {
-        Err(Refusal::may_have_run(Code::BackendFailed, "the stream broke off"))
+        Err(self.refusal())
     }
 }
--- a/crates/gateway/src/end.rs
+++ b/crates/gateway/src/end.rs
@@ -5,9 +5,9 @@
 use entry::clock;
 use entry::connection::Cause;
 
-use crate::carry::Obstacle;
 use crate::codec::Codec;
 use crate::job::Job;
+use crate::resume::Obstacle;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,12 +16,12 @@
 
 use crate::attempt::{Failure, Reply};
 use crate::backend::Backend;
-use crate::carry::Obstacle;
 use crate::codec::Codec;
 use crate::end::{self, End, Passed};
 use crate::events::Splitter;
 use crate::evidence::Counted;
 use crate::job::Job;
+use crate::resume::Obstacle;
 
 /// Pieces on their way to a caller that reads slowly; then the backend server waits as well.
 const AHEAD: usize = 16;
--- /dev/null
+++ b/crates/gateway/src/resume.rs
@@ -0,0 +1,129 @@
+//! A stream that goes on at another backend server, in the answer that its caller has begun to read.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use entry::carry::{self, Step, carry};
+use entry::connection::Cause;
+use hyper::StatusCode;
+use wire::refusal::{Code, Refusal};
+
+use crate::attempt::Failure;
+use crate::backend::Backend;
+use crate::codec::Codec;
+use crate::job::Job;
+use crate::relay::Live;
+
+/// Longest pause of all servers that a stream waits out. Callers leave a stream after two seconds without
+/// an event, at the earliest.
+const OUTWAITED_MAX: Duration = Duration::from_millis(1_500);
+/// A pause that has just ended is over within this time.
+const OUTWAITED_MIN: Duration = Duration::from_millis(10);
+
+/// What stands against another try of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Obstacle {
+    /// Its time is over.
+    Late,
+    /// It may have run, and its kind may not run again.
+    Kind,
+    /// It was sent to as many backend servers as its route allows.
+    Attempts,
+    /// Too many connections did not open in time.
+    Connections,
+    /// The host has no repeat left.
+    Repeats,
+    /// No backend server is known that takes it.
+    NoServer,
+    /// It is held, since servers ended under it.
+    Held,
+}
+
+impl<C: Codec> Job<C> {
+    /// Goes on with a stream that broke, behind the last event that the caller has.
+    ///
+    /// # Errors
+    /// Why no other backend server has taken it up.
+    pub async fn resume(&mut self, last: u64) -> Result<Live, Obstacle> {
+        self.go_on()?;
+        loop {
+            let mut resumption = Resumption { job: self, last, obstacle: Obstacle::NoServer };
+            let resumed = carry(&mut resumption).await;
+            let obstacle = resumption.obstacle;
+            match resumed {
+                Ok(live) => return Ok(live),
+                // What is paid for is still to be made.
+                Err(_) if obstacle == Obstacle::NoServer && self.outwaits_pauses().await => {}
+                Err(_) => return Err(obstacle),
+            }
+        }
+    }
+
+    /// Waits until the first server takes requests again, if all want a pause and that is soon: a caller
+    /// that has the beginning of a stream can't come back for the rest.
+    async fn outwaits_pauses(&self) -> bool {
+        let is_untried = |backend: &Backend| !self.tries.tried.contains(&backend.id);
+        let pause = self.paused_ms(is_untried).map(Duration::from_millis);
+        let pause = pause.filter(|pause| *pause <= OUTWAITED_MAX.min(self.left()));
+        match pause {
+            Some(pause) => tokio::time::sleep(pause.max(OUTWAITED_MIN)).await,
+            None => return false,
+        }
+        true
+    }
+}
+
+/// A stream that goes on elsewhere, in the answer that its caller has begun to read.
+struct Resumption<'a, C> {
+    job: &'a mut Job<C>,
+    /// The last event that the caller has.
+    last: u64,
+    /// What stands against another try, if none is made.
+    obstacle: Obstacle,
+}
+
+impl<C: Codec> carry::Request for Resumption<'_, C> {
+    type Server = Arc<Backend>;
+    type Answer = Live;
+    type Failure = Failure;
+
+    fn choose(&mut self) -> Option<Arc<Backend>> {
+        self.obstacle = Obstacle::NoServer;
+        self.job.next_backend()
+    }
+
+    async fn attempt(&mut self, backend: &Arc<Backend>) -> Step<Live, Failure> {
+        if let Err(refusal) = self.job.permit().await {
+            self.obstacle = Obstacle::Held;
+            return Step::Refused(refusal);
+        }
+        let last = Some(self.last);
+        let reply = match self.job.try_at(backend, last).await {
+            Ok(reply) => reply,
+            Err(failure) => return Step::Failed(failure),
+        };
+        let status = reply.head.status;
+        if status != StatusCode::OK {
+            return Step::Failed(Failure::Lost(Cause::Failed(status.as_u16())));
+        }
+        match Live::begin(self.job, reply, last).await {
+            Ok(live) => Step::Answered(live),
+            Err(failure) => Step::Failed(failure),
+        }
+    }
+
+    fn failed(&mut self, backend: &Arc<Backend>, failure: Failure) {
+        self.job.blame(backend, failure);
+    }
+
+    fn may_go_on(&mut self) -> bool {
+        let leave = self.job.go_on();
+        self.obstacle = leave.err().unwrap_or(self.obstacle);
+        leave.is_ok()
+    }
+
+    /// The caller learns of it by a connection that closes before the stream's end.
+    fn give_up(&mut self) -> Result<Live, Refusal> {
+        Err(Refusal::may_have_run(Code::BackendFailed, "the stream broke off"))
+    }
+}
