Model of a host: repeats are taken beside its streams, as the router takes them

Cause: the model's host called Window::take for every repeat; the router keeps repeats for streams under way (Window::take_beside) and takes plainly only for requests whose callers have a beginning.

Change: a host counts its streams whose callers have their beginnings, and gives that number for requests whose callers have nothing.

--- a/crates/experiment/src/host.rs
+++ b/crates/experiment/src/host.rs
@@ -39,6 +39,8 @@
     pub views: Vec<View>,
     /// Times of answers, by kind.
     pub timings: Vec<Timing>,
+    /// Streams under way whose callers have their beginnings.
+    pub streams: usize,
     speed: Speed,
     window: Window,
     allowance: Allowance,
@@ -75,6 +77,7 @@
                 })
                 .collect(),
             timings: vec![Timing::default(); scenario.kinds.len()],
+            streams: 0,
             speed: Speed::default(),
             window: Window::default(),
             allowance: Allowance { share, spare, window_ms },
@@ -210,12 +213,15 @@
         let has_room = tries.sent < self.attempts_max && tries.unsent < UNSENT_MAX;
         has_room
             && retry::may_try_elsewhere(&attempt)
-            && (tries.sent == 0 || std::mem::take(&mut tries.paid) || self.take_repeat(way, now))
+            && (tries.sent == 0
+                || std::mem::take(&mut tries.paid)
+                || self.take_repeat(way, tries, now))
     }
 
-    fn take_repeat(&mut self, way: &Way, now: Millis) -> bool {
+    fn take_repeat(&mut self, way: &Way, tries: &Tries, now: Millis) -> bool {
+        let streams = if tries.is_passed_on { 0 } else { self.streams };
         match way.repeats {
-            way::Repeats::Ours => self.window.take(&self.allowance, now),
+            way::Repeats::Ours => self.window.take_beside(streams, &self.allowance, now),
             way::Repeats::Off => false,
         }
     }
@@ -230,7 +236,7 @@
                     && !tries.tried.contains(&other)
                     && view.takes_work(now)
             });
-        let paid = way_on && self.take_repeat(way, now);
+        let paid = way_on && self.take_repeat(way, tries, now);
         tries.paid |= paid;
         paid
     }
--- a/crates/experiment/src/request.rs
+++ b/crates/experiment/src/request.rs
@@ -48,6 +48,8 @@
     pub not_run: u32,
     /// It may have run.
     pub may_have_run: bool,
+    /// Its caller has the beginning of its answer.
+    pub is_passed_on: bool,
     /// Engines not to be tried again.
     pub tried: Vec<usize>,
     /// The next try is paid for.
--- a/crates/experiment/src/run/carry.rs
+++ b/crates/experiment/src/run/carry.rs
@@ -128,6 +128,8 @@
         host.began(kind, ms, current.wait_ms, current.tokens, now);
         let held = &mut self.requests[request];
         held.tries.sent += 1;
+        host.streams += usize::from(!held.tries.is_passed_on);
+        held.tries.is_passed_on = true;
         held.tries.current = Some(Try { has_begun: true, ..current });
         self.look_soon(request);
     }
@@ -207,6 +209,7 @@
     fn come_back(&mut self, request: usize, after_ms: u64, else_outcome: Outcome) {
         let host = self.draw_host();
         let way = micros(self.scenario.network.caller_ms);
+        self.leave_host(request);
         let held = &mut self.requests[request];
         let left = held.until.saturating_sub(self.now + way);
         if held.returned >= self.scenario.returns || left == 0 {
@@ -222,8 +225,16 @@
         self.send_to_host(request, way + wait);
     }
 
+    /// Its host is done with it.
+    fn leave_host(&mut self, request: usize) {
+        let held = &mut self.requests[request];
+        let was_passed_on = std::mem::take(&mut held.tries.is_passed_on);
+        self.hosts[held.host].streams -= usize::from(was_passed_on);
+    }
+
     /// It has come to its end.
     pub(super) fn end(&mut self, request: usize, outcome: Outcome) {
+        self.leave_host(request);
         let held = &mut self.requests[request];
         held.tries.current = None;
         held.outcome = Some(outcome);
