--- a/crates/entry/tests/leaving.rs
+++ b/crates/entry/tests/leaving.rs
@@ -43,16 +43,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_that_says_leaving_stops_new_work() {
     let bench = Bench::start().await;
-    let mut proxies = Vec::new();
-    for engine in &bench.engines {
-        proxies.push(no_reports(engine.address).await);
-    }
-    bench.control.change(|view| {
-        for (host, proxy) in view.hosts.hosts.iter_mut().zip(&proxies) {
-            host.address = proxy.0.to_string().into();
-        }
-    });
-    bench.settled().await;
+    let _proxies = without_reports(&bench).await;
     bench.engines[0].set_faults(Faults { draining: true, ..Faults::default() });
     let ask = async |number: usize| {
         let body = chat_body("feed-1", false).replace("plan the", &format!("{number}: plan the"));
@@ -132,16 +123,7 @@
     // Both servers answer requests but never their load reports. Held ill for that, they would
     // be refused work that they can do.
     let bench = Bench::start().await;
-    let mut proxies = Vec::new();
-    for engine in &bench.engines {
-        proxies.push(no_reports(engine.address).await);
-    }
-    bench.control.change(|view| {
-        for (host, proxy) in view.hosts.hosts.iter_mut().zip(&proxies) {
-            host.address = proxy.0.to_string().into();
-        }
-    });
-    bench.settled().await;
+    let _proxies = without_reports(&bench).await;
     // Long enough for reports to be found silent; the prompts differ, so both servers are used.
     let started = std::time::Instant::now();
     let mut late = Vec::new();
@@ -161,6 +143,21 @@
     }
 }
 
+/// Puts a proxy before each engine that passes everything on but load reports.
+async fn without_reports(bench: &Bench) -> Vec<(SocketAddr, AbortOnDropHandle<()>)> {
+    let mut proxies = Vec::new();
+    for engine in &bench.engines {
+        proxies.push(no_reports(engine.address).await);
+    }
+    bench.control.change(|view| {
+        for (host, proxy) in view.hosts.hosts.iter_mut().zip(&proxies) {
+            host.address = proxy.0.to_string().into();
+        }
+    });
+    bench.settled().await;
+    proxies
+}
+
 /// Passes connections on, but not those that ask for a load report: these stay silent.
 async fn no_reports(to: SocketAddr) -> (SocketAddr, AbortOnDropHandle<()>) {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
