--- a/crates/chestnutspur/src/command/experiment.rs
+++ b/crates/chestnutspur/src/command/experiment.rs
@@ -9,7 +9,7 @@
 
 use crate::exit::Exit;
 
-/// Which scenario, and how it is told
+/// Which scenario, and how the result is printed
 #[derive(Clone, Debug, Bpaf)]
 pub struct Arguments {
     /// Print one JSON line for each way
@@ -48,10 +48,10 @@
 }
 
 fn draw(directory: &Path, rows: &[Row]) -> Result<(), String> {
-    let told = |error: std::io::Error| format!("{}: {error}", directory.display());
-    std::fs::create_dir_all(directory).map_err(told)?;
+    let unwritten = |error: std::io::Error| format!("{}: {error}", directory.display());
+    std::fs::create_dir_all(directory).map_err(unwritten)?;
     for (name, shown) in [("served.svg", Shown::Served), ("in-time.svg", Shown::InTime)] {
-        std::fs::write(directory.join(name), plot::shares(rows, shown)?).map_err(told)?;
+        std::fs::write(directory.join(name), plot::shares(rows, shown)?).map_err(unwritten)?;
     }
     Ok(())
 }
--- a/crates/gateway/src/closed.rs
+++ b/crates/gateway/src/closed.rs
@@ -1,4 +1,4 @@
-//! Why no backend server takes a request, and what its caller is told.
+//! Why no backend server takes a request, and what its caller gets.
 
 use entry::clock;
 use policy::time::Millis;
