--- a/crates/wire/tests/settings.rs
+++ b/crates/wire/tests/settings.rs
@@ -71,3 +71,17 @@
         let _ = settings::parse(&String::from_utf8_lossy(&bytes));
     });
 }
+
+#[test]
+fn parse_exposure_share_is_a_part() {
+    let text = |share: &str| {
+        format!(
+            r#"{{"role": "node", "name": "a", "failure_domain": "d", "listen": "127.0.0.1:1",
+                "operators": "127.0.0.1:2", "platform": "127.0.0.1:3", "exposure_share": {share}}}"#
+        )
+    };
+    assert!(settings::parse(&text("0.15")).is_ok());
+    for wrong in ["1.5", "-0.1"] {
+        assert_eq!(paths(&text(wrong)), ["exposure_share"], "{wrong}");
+    }
+}
