Placement: engines that differ in speed, learnt by the hosts of a domain together

Change: policy::slowdown, from the shortest gap between a stream's events against what is usual for its route and model; each host tells 24 others every two seconds what its streams showed. Loads whose sum wraps round, and room set aside for bodies that never come, on the way.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -14,6 +14,9 @@
 /// A body may take this many times the limit between two of its pieces altogether, so that a
 /// caller that sends single bytes just in time is cut off too.
 const BODY_SLOW_FACTOR: u32 = 6;
+/// Room made for a body before its first byte. Its length is the caller's word: one that announces a
+/// long body and never sends it would hold that much for nothing.
+const BODY_BEGUN_BYTES_MAX: usize = 64 << 10;
 /// Longest header value taken as a name of the caller's own: key, session, task.
 pub const NAME_BYTES_MAX: usize = 256;
 
@@ -153,7 +156,8 @@
     if declared > max as u64 {
         return Err(too_large(max));
     }
-    let mut bytes = BytesMut::with_capacity(usize::try_from(declared).unwrap_or_default());
+    let begun = usize::try_from(declared).unwrap_or_default().min(BODY_BEGUN_BYTES_MAX);
+    let mut bytes = BytesMut::with_capacity(begun);
     loop {
         let until = whole.min(tokio::time::Instant::now() + slow);
         let frame = match tokio::time::timeout_at(until, body.frame()).await {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -179,7 +179,7 @@
             report: known.then_some(place::Report {
                 // Placement takes its own count off again. Taking today's off an old report would
                 // make others' load of every request of ours that ended since.
-                in_flight: own + health.others,
+                in_flight: own.saturating_add(health.others),
                 slots: health.load.slots,
                 at: health.load_at,
             }),
--- a/crates/experiment/src/host/view.rs
+++ b/crates/experiment/src/host/view.rs
@@ -93,6 +93,7 @@
             preferred: false,
             near: self.is_near,
             suspicion: self.suspicion.share(now),
+            slowdown: 0.0,
         }
     }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -88,7 +88,7 @@
     let seen = backend.seen(model, &job.ask.parts, rank, clock::steady());
     let tokens = (f64::from(job.ask.prompt_tokens) - seen.cached).max(0.0);
     let rate = job.tokens_per_ms(job.tries.model);
-    let read_ms = tokens / rate;
+    let read_ms = tokens / rate * seen.slowdown;
     let prompt = Prompt { rank, read_ms };
     let awaited = backend.sent(model, &job.ask.parts, prompt, clock::steady());
     if read_ms >= TOLD_MS && backend.near {
@@ -119,7 +119,7 @@
         let (timing, now) = (job.timing(), clock::steady());
         job.state.timings.with(timing, |timing| timing.first.note(first_ms, now));
         job.state.speeds.with(job.speed(job.tries.model), |speed| {
-            speed.note(first_ms, seen.wait_ms, tokens);
+            speed.note(first_ms / seen.slowdown, seen.wait_ms, tokens);
         });
     }
     let backend = Arc::clone(backend);
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -11,6 +11,7 @@
 use policy::backlog::{Backlog, Prompt};
 use policy::name::Name;
 use policy::place;
+use policy::slowdown::{Shown, Slowdown};
 use policy::suspicion::Suspicion;
 use policy::time::Millis;
 use wire::backend;
@@ -84,6 +85,7 @@
 #[derive(Default)]
 struct Belief {
     suspicion: Suspicion,
+    slowdown: Slowdown,
     timeouts: u32,
     /// Prompts sent there.
     backlog: Backlog,
@@ -111,6 +113,8 @@
     pub cached: f64,
     /// Share of requests that it is expected to fail.
     pub suspicion: f64,
+    /// Factor by which its work takes longer than usual.
+    pub slowdown: f64,
 }
 
 impl Backend {
@@ -149,6 +153,7 @@
             wait_ms,
             cached: cached.map(|part| f64::from(part.tokens)).sum(),
             suspicion: belief.suspicion.share(now),
+            slowdown: belief.slowdown.factor(now),
         }
     }
 
@@ -179,6 +184,11 @@
         self.lock().backlog.announced(prompt, now);
     }
 
+    /// Streams of it were seen, by this host or by another one.
+    pub fn note_streams(&self, shown: Shown, now: Millis) {
+        self.lock().slowdown.note(shown, now);
+    }
+
     /// Its load as reported with an answer.
     pub fn note_load(&self, load: Load, now: Millis) {
         let own = self.server.in_flight.load(Ordering::Relaxed);
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -185,6 +185,15 @@
         self.note_sign(backend, self.compare(backend, pace_ms, |timing| &mut timing.pace))
     }
 
+    /// Learns from the pace of a stream that has ended how fast its engine is.
+    pub fn note_speed(&self, backend: &Backend, pace_ms: f64) {
+        let shown = self.state.timings.with(self.timing(), |timing| timing.best.note(pace_ms));
+        backend.note_streams(shown, clock::steady());
+        if backend.near {
+            self.state.paces.note(&backend.id, shown);
+        }
+    }
+
     /// Takes a stream back that was counted by its pace, and has broken now.
     pub fn forget_pace(&self, counted: Counted) {
         self.state.tally.forget(&self.service, &self.route().name, counted);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod job;
 pub mod judge;
 pub mod limits;
+pub mod paces;
 pub mod pick;
 pub mod poison;
 pub mod pool;
--- /dev/null
+++ b/crates/gateway/src/paces.rs
@@ -0,0 +1,36 @@
+//! What streams of this host showed of their engines' speeds, until the other hosts are told.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
+
+use policy::name::Name;
+use policy::slowdown::Shown;
+
+policy::domain! {
+    /// What streams of one engine showed, as other hosts are told of it.
+    pub struct Seen {
+        /// The backend server's start.
+        pub backend: Name,
+        /// What they showed.
+        pub shown: Shown,
+    }
+}
+
+/// By backend server.
+#[derive(Default)]
+pub struct Paces(Mutex<HashMap<Name, Shown>>);
+
+impl Paces {
+    /// A stream of a backend server has ended.
+    pub fn note(&self, backend: &Name, shown: Shown) {
+        let mut paces = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let held = paces.entry(backend.clone()).or_default();
+        *held = held.and(shown);
+    }
+
+    /// What the others have not been told yet.
+    pub fn take(&self) -> Vec<Seen> {
+        let paces = std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner));
+        paces.into_iter().map(|(backend, shown)| Seen { backend, shown }).collect()
+    }
+}
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -111,6 +111,7 @@
                 preferred: preferred == Some(index),
                 near: backend.near,
                 suspicion: seen.suspicion,
+                slowdown: seen.slowdown - 1.0,
             }
         })
         .collect()
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -116,6 +116,13 @@
         }
     }
 
+    /// No more events come; its engine is judged by all that have.
+    fn note_speed<C: Codec>(&self, job: &Job<C>) {
+        if let Some(pace_ms) = self.pace.best_ms() {
+            job.note_speed(&self.backend, pace_ms);
+        }
+    }
+
     /// The next bytes, none at a clean end.
     ///
     /// A silent stream is given up only for another run of it. Where there is none to be had, its
@@ -171,6 +178,7 @@
             Err(End::Broken(cause)) => cause,
             Err(end) => return finish(&job, &live, end),
         };
+        live.note_speed(&job);
         let backend = Arc::clone(&live.backend);
         if let Some(counted) = live.counted.filter(|_| !job.left().is_zero()) {
             job.forget_pace(counted);
@@ -206,6 +214,7 @@
 }
 
 fn finish<C: Codec>(job: &Job<C>, live: &Live, end: End) {
+    live.note_speed(job);
     if end == End::Answered {
         live.backend.note(false, clock::steady());
         job.note_answered();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,6 +16,7 @@
 
 use crate::backend::{Prefill, Restricted};
 use crate::evidence::Tally;
+use crate::paces::Paces;
 use crate::poison::{Ask, Guard};
 use crate::timing::Timing;
 use crate::world::World;
@@ -63,6 +64,8 @@
     pub timings: Sharded<Timing>,
     /// How fast engines read prompts, by model, or by service where the caller chooses the model.
     pub speeds: Sharded<Speed>,
+    /// How fast engines' streams were, for the other hosts.
+    pub paces: Paces,
     /// How much more confidence models have than the smallest of a route, by model.
     pub gains: Sharded<Gain>,
     /// How long callers wait for streams to begin lately, as parts of their objectives, by service.
@@ -99,6 +102,7 @@
             windows: Sharded::default(),
             timings: Sharded::default(),
             speeds: Sharded::default(),
+            paces: Paces::default(),
             gains: Sharded::default(),
             delays: Sharded::default(),
             tally: Tally::default(),
--- a/crates/gateway/src/timing.rs
+++ b/crates/gateway/src/timing.rs
@@ -1,6 +1,7 @@
 //! Times of answers, by route and model, as requests and roll-outs are judged by.
 
 use policy::patience::Patience;
+use policy::slowdown::Usual;
 
 /// Times of one route's answers by one model.
 #[derive(Clone, Copy, Debug, Default)]
@@ -13,4 +14,6 @@
     pub short: Patience,
     /// Between two events of a stream, as `policy::pace` sees it.
     pub pace: Patience,
+    /// The same at its best, by which engines' speeds are compared.
+    pub best: Usual,
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -16,6 +16,7 @@
 
 use entry::clock;
 use gateway::backend::{Prefill, Restricted, Restriction};
+use gateway::paces::Seen;
 use gateway::{Codec, State};
 use policy::backlog::Prompt;
 use policy::name::Name;
@@ -36,6 +37,8 @@
 /// Hosts notified of a prefill at once, at most; of more, others each time. In a domain of 50 hosts
 /// every notice still reaches half of them.
 const NOTIFIED_MAX: usize = 24;
+/// Between two messages of what streams showed of engines.
+const SHOW_EVERY: Duration = Duration::from_secs(2);
 /// Between two signs of life to all hosts known.
 const EVERY: Duration = Duration::from_secs(5);
 /// A host not heard of for this long is forgotten, in milliseconds.
@@ -88,6 +91,7 @@
         let mut known: HashMap<SocketAddr, Millis> = HashMap::new();
         let mut delegate = None;
         let mut greeted = tokio::time::Instant::now();
+        let mut shown = tokio::time::interval(SHOW_EVERY);
         let mut buffer = vec![0; message::BYTES_MAX];
         // Messages are taken meanwhile: a host that starts while the store is away finds nobody,
         // but is found by those who knew it before.
@@ -140,6 +144,12 @@
                 Some(notice) = inbox.notices.recv() => {
                     self.notify(notice, &known, delegate).await;
                 }
+                _ = shown.tick() => {
+                    let seen: Vec<Entry> = self.state.paces.take().into_iter().map(Entry::Seen).collect();
+                    if !seen.is_empty() {
+                        self.send(some(&known), seen).await;
+                    }
+                }
                 () = tokio::time::sleep_until(greeted + EVERY) => {
                     greeted = tokio::time::Instant::now();
                     let now = clock::steady();
@@ -258,6 +268,11 @@
                 Entry::Restricted(restricted) => {
                     is_changed |= self.watch.catalog.restrict(&restricted, message.now, now);
                 }
+                Entry::Seen(Seen { backend, shown }) => {
+                    if let Some(backend) = self.watch.catalog.backend(&backend) {
+                        backend.note_streams(shown, now);
+                    }
+                }
                 Entry::Prefill(Prefill { backend, read_ms, rank }) => {
                     metrics::counter!("node_peer_prefills_total").increment(1);
                     if let Some(backend) = self.watch.catalog.backend(&backend) {
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -1,6 +1,7 @@
 //! A message between hosts of one failure domain, and how a long one is sent in pieces.
 
 use gateway::backend::{Prefill, Restricted};
+use gateway::paces::Seen;
 use policy::domain;
 use policy::name::Name;
 use policy::poison::Suspect;
@@ -46,6 +47,8 @@
         Restricted(Restricted),
         /// A prompt that was just sent.
         Prefill(Prefill),
+        /// What streams of an engine showed.
+        Seen(Seen),
     }
 }
 
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -90,6 +90,8 @@
         pub reported: u32,
         /// Share of requests that it is expected to fail.
         pub suspicion: f64,
+        /// The factor by which its work takes longer than that of others.
+        pub slowdown: f64,
         /// No new work for this long, in milliseconds: it was found ill.
         pub ill_ms: u64,
         /// Requests a second that it takes from all hosts together, if they are limited.
@@ -173,6 +175,7 @@
         requests: backend.server.in_flight.load(std::sync::atomic::Ordering::Relaxed),
         reported: seen.reported,
         suspicion: seen.suspicion,
+        slowdown: seen.slowdown,
         ill_ms: backend.server.health().probe.ill_until.since(now),
         per_second: backend.with_intake(|intake| intake.throttle.per_second(now)),
         pause_ms: backend.server.closed_until(now).map_or(0, |until| until.since(now)),
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -46,6 +46,8 @@
         pub near: bool,
         /// Share of requests that it is expected to fail, 0 to 1.
         pub suspicion: f64,
+        /// Part by which its work takes longer than usual; 0 if as long.
+        pub slowdown: f64,
     }
 
     /// The request, and what is known of its like.
@@ -85,15 +87,17 @@
     pub fn cost_ms(&self, ask: &Ask) -> f64 {
         let slots = f64::from(self.slots.max(1));
         let load = self.load();
+        let pace = 1.0 + self.slowdown;
         let waiting = (load - slots).max(0.0) / slots;
         let cached = match self.preferred {
             true => self.cached.max(ask.shared * SHARED_BELIEF),
             false => self.cached,
         };
         let read_ms = (ask.prompt - cached).max(0.0) / ask.tokens_per_ms.max(1e-3);
-        (load / slots).min(1.0) * FULL_BATCH_MS
+        let work_ms = (load / slots).min(1.0) * FULL_BATCH_MS
             + waiting * ask.service_ms * WAITING_PART
-            + read_ms
+            + read_ms;
+        work_ms * pace
             + self.wait_ms
             + if self.near { 0.0 } else { ask.far_ms }
             + self.suspicion * ask.failure_ms
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod roster;
 pub mod select;
 pub mod silence;
+pub mod slowdown;
 pub mod suspicion;
 pub mod throttle;
 pub mod time;
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -16,6 +16,8 @@
     pub struct Pace {
         gaps: u32,
         shortest_ms: f64,
+        /// The shortest so far, for as long as the stream lasts.
+        best_ms: f64,
     }
 }
 
@@ -24,15 +26,26 @@
     /// that the stream is judged by, in milliseconds an event: once, when enough events have come,
     /// and as early for a good stream as for a slow one.
     pub fn note(&mut self, events: u32, ms: f64) -> Option<f64> {
-        if events == 0 || self.is_known() {
+        if events == 0 {
             return None;
         }
         let gap_ms = ms / f64::from(events);
+        self.best_ms = if self.gaps == 0 { gap_ms } else { gap_ms.min(self.best_ms) };
+        if self.is_known() {
+            return None;
+        }
         self.shortest_ms = if self.gaps == 0 { gap_ms } else { gap_ms.min(self.shortest_ms) };
         self.gaps += events;
         self.is_known().then_some(self.shortest_ms)
     }
 
+    /// The shortest gap between two events, in milliseconds, of a stream that has been judged. A
+    /// disturbance shorter than the stream does not lengthen it.
+    #[must_use]
+    pub fn best_ms(&self) -> Option<f64> {
+        self.is_known().then_some(self.best_ms)
+    }
+
     /// Whether the stream has been judged.
     #[must_use]
     pub fn is_known(&self) -> bool {
--- a/crates/policy/tests/engine.rs
+++ b/crates/policy/tests/engine.rs
@@ -13,6 +13,7 @@
     preferred: false,
     near: true,
     suspicion: 0.0,
+    slowdown: 0.0,
 };
 
 const ASK: Ask = Ask {
