Relay: one host reads for a small failure domain where that saves calls

Cause: a domain of fewer than five hosts had each of them read for itself, whatever the time in which changes must be in force. Where that is 5 s the one that reads for all asks each 2 s, fewer calls than two hosts asking each 3.5 s.

Change: a host is alone if its domain's hosts together would ask no more often each for itself; at 2 s that is four hosts, as before, at 5 s one. Bound: the calls of a domain at rest are at most hosts / 3.5 s and 1 / (0.4 x change time).

--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -28,9 +28,6 @@
 const STALE_PART: f64 = 0.62;
 /// Between the turns of two ranks, in milliseconds: a read and its telling take a few.
 const TURN_MS: u64 = 50;
-/// Other hosts without which every host reads for itself. With four the calls of one that reads
-/// often are as many as those of five that read seldom.
-const OTHERS_MIN: usize = 4;
 /// Pause of a host that could not read, for each other host, in milliseconds: together they ask so
 /// often.
 const LOST_EACH_MS: u64 = 100;
@@ -213,10 +210,12 @@
         self.forced = true;
     }
 
-    /// Whether this host has too few others to rely on.
+    /// Whether this host reads for itself: among so few hosts the calls of one that reads for all,
+    /// and so more often, would be as many as those of each for itself.
     #[must_use]
     pub fn is_alone(&self, now: Millis) -> bool {
-        self.others(now) < OTHERS_MIN
+        let hosts = self.others(now) as u64 + 1;
+        hosts * self.part(READ_PART) <= self.bounds.alone_ms
     }
 
     /// Time without new state, in milliseconds, after which the store is believed to have been
--- a/crates/policy/tests/relay.rs
+++ b/crates/policy/tests/relay.rs
@@ -49,6 +49,7 @@
 }
 
 struct Domain {
+    bounds: Bounds,
     hosts: Vec<Host>,
     now: u64,
     revision: u64,
@@ -64,10 +65,14 @@
 
 impl Domain {
     fn new(count: usize) -> Self {
+        Self::within(BOUNDS, count)
+    }
+
+    fn within(bounds: Bounds, count: usize) -> Self {
         let host = |number| {
             let name = Name::from(format!("host-{number}"));
             Host {
-                relay: Relay::new(BOUNDS, &name, "list", Bootstrap::new(Millis(1))),
+                relay: Relay::new(bounds, &name, "list", Bootstrap::new(Millis(1))),
                 name,
                 path: Path::Open,
                 troubled: None,
@@ -79,6 +84,7 @@
         };
         let hosts = (0..count).map(host).collect();
         let mut domain = Self {
+            bounds,
             hosts,
             now: 1,
             revision: 0,
@@ -117,7 +123,7 @@
     fn restart(&mut self, number: usize) {
         let (name, now) = (self.hosts[number].name.clone(), self.now);
         let host = &mut self.hosts[number];
-        host.relay = Relay::new(BOUNDS, &name, "list", Bootstrap::new(Millis(now)));
+        host.relay = Relay::new(self.bounds, &name, "list", Bootstrap::new(Millis(now)));
         (host.revision, host.call, host.troubled) = (0, None, Some(now));
     }
 
@@ -200,7 +206,7 @@
         for host in &self.hosts {
             let in_touch = host.troubled.is_none_or(|at| self.now > at + TOUCH_MS);
             let missed = self.made.get(host.revision as usize + 1);
-            let late = missed.is_some_and(|made| self.now > made + BOUNDS.change_ms);
+            let late = missed.is_some_and(|made| self.now > made + self.bounds.change_ms);
             assert!(
                 !(in_touch && late),
                 "{} at {}: knows {}, made at {missed:?}",
@@ -250,6 +256,32 @@
     assert!(domain.hosts.iter().all(|host| host.calls >= 8));
 }
 
+/// Guards against small failure domains in which each host reads although one that reads for all would
+/// make fewer calls: where changes may take longer, it reads less often.
+#[test]
+fn action_few_hosts_one_reads_where_that_saves_calls() {
+    for (change_ms, hosts, is_shared) in [
+        (2_000, 4, false),
+        (2_000, 5, true),
+        (5_000, 2, true),
+        (5_000, 4, true),
+        (10_000, 1, false),
+    ] {
+        let mut domain = Domain::within(Bounds { change_ms, ..BOUNDS }, hosts);
+        domain.run(10_000);
+        let begun = domain.calls();
+        domain.change();
+        domain.run(40_000);
+        let made = domain.calls() - begun;
+        let alone = hosts as u64 * 40_000 / BOUNDS.alone_ms;
+        let shared = 40_000 / (change_ms * 2 / 5);
+        println!("{change_ms} ms, {hosts} hosts: {made} calls, alone {alone}, shared {shared}");
+        assert!(made <= alone.min(shared) + 3 + hosts as u64, "{change_ms} {hosts} {made}");
+        let readers = domain.hosts.iter().filter(|host| host.relay.reads()).count();
+        assert_eq!(readers == 1 && hosts > 1, is_shared, "{change_ms} {hosts}");
+    }
+}
+
 #[test]
 fn action_many_hosts_one_reads() {
     // The load: 22 hosts, nothing changes. Each for itself they would make 22 calls in 3.5 s.
@@ -361,28 +393,33 @@
 #[test]
 fn action_generated_sequences() {
     fuzz::check::<(u8, Vec<(u8, u8, u8)>)>(60, |(size, steps)| {
-        let mut domain = Domain::new(1 + usize::from(*size) % 24);
-        let count = domain.hosts.len();
-        domain.run(3_000);
-        for (what, which, how_long) in steps.iter().take(24) {
-            let number = usize::from(*which) % count;
-            let ms = 200 + u64::from(*how_long) * 20;
-            match what % 8 {
-                0 => domain.hosts[number].frozen_until = domain.now + ms,
-                1 => domain.restart(number),
-                2 => domain.set_path(number, Path::Silent),
-                3 => domain.set_path(number, Path::Refused),
-                4 => (0..count).for_each(|number| domain.set_path(number, Path::Open)),
-                5 => domain.lose_every = 2 + u64::from(*which % 40),
-                // A third of the hosts at once.
-                6 => (number..count).step_by(3).for_each(|number| {
-                    domain.set_path(number, Path::Silent);
-                }),
-                _ => domain.change(),
-            }
-            domain.run(ms / 3);
+        for change_ms in [2_000, 5_000] {
+            play(Bounds { change_ms, ..BOUNDS }, 1 + usize::from(*size) % 24, steps);
         }
-        domain.change();
-        domain.run(3_000);
     });
 }
+
+fn play(bounds: Bounds, hosts: usize, steps: &[(u8, u8, u8)]) {
+    let mut domain = Domain::within(bounds, hosts);
+    domain.run(3_000);
+    for (what, which, how_long) in steps.iter().take(24) {
+        let number = usize::from(*which) % hosts;
+        let ms = 200 + u64::from(*how_long) * 20;
+        match what % 8 {
+            0 => domain.hosts[number].frozen_until = domain.now + ms,
+            1 => domain.restart(number),
+            2 => domain.set_path(number, Path::Silent),
+            3 => domain.set_path(number, Path::Refused),
+            4 => (0..hosts).for_each(|number| domain.set_path(number, Path::Open)),
+            5 => domain.lose_every = 2 + u64::from(*which % 40),
+            // A third of the hosts at once.
+            6 => (number..hosts).step_by(3).for_each(|number| {
+                domain.set_path(number, Path::Silent);
+            }),
+            _ => domain.change(),
+        }
+        domain.run(ms / 3);
+    }
+    domain.change();
+    domain.run(bounds.change_ms + 1_000);
+}
