Logs: one line for many backend servers that change together

Cause: 9,999 servers list themselves while a fleet starts, and each of 985 hosts wrote a line for each: 592 MB of logs before the first request. Change: of more than 16 changes at once a line says how many there are, drain and are removed.

--- a/crates/node/src/watch/take.rs
+++ b/crates/node/src/watch/take.rs
@@ -8,6 +8,10 @@
 use super::Watch;
 use crate::store::{Entry, Fact, List, News, Store};
 
+/// Changes of backend servers with a log line each; of more at once a line says how many of each kind there
+/// are. Thousands list themselves together when a deployment starts.
+const LOGGED_MAX: usize = 16;
+
 impl<S: Store, C: Codec> Watch<S, C> {
     /// Takes what came; false if it is older than what is known.
     pub(super) fn take(&self, list: List, news: &News) -> bool {
@@ -127,9 +131,9 @@
             });
             listed.for_each(|backend| self.catalog.warms(backend, now));
         }
-        // A line for each of thousands of servers costs a host that starts a part of a second.
         match news.is_whole {
             true => log::info!(target: "watch", revision, count; "all backend servers listed"),
+            false if count > LOGGED_MAX => log_backends(news),
             false => news.entries.iter().for_each(log_backend),
         }
         if !taken {
@@ -150,6 +154,16 @@
     news.entries.iter().filter(|entry| matches!(entry.fact, Fact::Unreadable(_)))
 }
 
+fn log_backends(news: &News) {
+    let count = |is: fn(&Fact) -> bool| news.entries.iter().filter(|entry| is(&entry.fact)).count();
+    let is_draining = |fact: &Fact| matches!(fact, Fact::Backend(backend) if backend.draining);
+    log::info!(target: "watch", revision = news.revision, count = news.entries.len(),
+        draining = count(is_draining), removed = count(|fact| *fact == Fact::Removed);
+        "many backend servers changed");
+    let unreadable = unreadable(news).take(LOGGED_MAX);
+    unreadable.for_each(log_backend);
+}
+
 fn log_backend(entry: &Entry) {
     match &entry.fact {
         Fact::Backend(backend) => {
