Hosts list themselves by failure domain, and look before they write again

Cause: all hosts' rows lay in one group of rows, which takes 300 changes a second. At 985 hosts a write waits in the store's queue for longer than a host waits for its answer; the write is carried out all the same, and the host wrote its row again without a look, each second, for good. Hosts x 1 / s against 300 / s: above 300 hosts nobody was listed by chance only.

Change: a group of rows for each failure domain; policy::listing reads before it writes again, and waits longer each time. Also gone: the bound of 128 hosts remembered (4,096, for memory only), and a whole read of all lists at each failed try. Bound: a domain's hosts / 300 s at a first start, one read a host at later ones. It ends where hosts / 300 s is longer than callers may wait for a deployment's first start: 7,200 hosts a domain at 24 s.

--- a/crates/control/src/configuration/accept.rs
+++ b/crates/control/src/configuration/accept.rs
@@ -126,7 +126,7 @@
         ];
         writes.extend(self.outlived(generation).await?);
         let conditions = vec![condition(CURRENT, version), condition(&change_row, 0)];
-        Ok(Transaction { conditions, writes })
+        Ok(Transaction { conditions, writes, ..Transaction::default() })
     }
 
     /// Deletes the rows of the one generation that is no longer kept.
--- a/crates/control/src/quarantine.rs
+++ b/crates/control/src/quarantine.rs
@@ -41,6 +41,12 @@
     let version = row.map_or(0, |row| row.version);
     let condition = Condition { table: table.clone(), key: key.clone(), version };
     let write = Write { table, key, value: Some(value) };
-    platform.commit(&Transaction { conditions: vec![condition], writes: vec![write] }).await?;
+    platform
+        .commit(&Transaction {
+            conditions: vec![condition],
+            writes: vec![write],
+            ..Transaction::default()
+        })
+        .await?;
     Ok(())
 }
--- a/crates/control/src/rollout.rs
+++ b/crates/control/src/rollout.rs
@@ -212,7 +212,11 @@
         let (table, key) = (Name::from(TABLE), name.clone());
         let condition = Condition { table: table.clone(), key: key.clone(), version };
         let write = Write { table, key, value: Some(value.clone()) };
-        let transaction = Transaction { conditions: vec![condition], writes: vec![write] };
+        let transaction = Transaction {
+            conditions: vec![condition],
+            writes: vec![write],
+            ..Transaction::default()
+        };
         match self.node.store.commit(&transaction).await? {
             Outcome::Committed(version) => {
                 info!("rollout: {name}: step {}", describe(&stand.progress));
--- a/crates/control/src/shards/table.rs
+++ b/crates/control/src/shards/table.rs
@@ -228,5 +228,5 @@
     let (table, key) = (Name::from(TABLE), Name::from(key));
     let condition = Condition { table: table.clone(), key: key.clone(), version };
     let write = Write { table, key, value: Some(value) };
-    Transaction { conditions: vec![condition], writes: vec![write] }
+    Transaction { conditions: vec![condition], writes: vec![write], ..Transaction::default() }
 }
--- a/crates/control/tests/store.rs
+++ b/crates/control/tests/store.rs
@@ -35,7 +35,7 @@
 
 async fn write(client: &Client, value: &str) {
     let write = Write { table: "t".into(), key: "k".into(), value: Some(value.into()) };
-    let transaction = Transaction { conditions: Vec::new(), writes: vec![write] };
+    let transaction = Transaction { writes: vec![write], ..Transaction::default() };
     assert!(matches!(client.commit(&transaction).await, Ok(Outcome::Committed(_))));
 }
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -29,7 +29,6 @@
 use crate::counts::Counting;
 use crate::store::{List, Store};
 use crate::watch::{Notice, Watch};
-use find::PEERS_MAX;
 use message::{Entry, Message};
 
 /// Prefills are gathered for this long before they are sent.
@@ -41,6 +40,8 @@
 const SHOW_EVERY: Duration = Duration::from_secs(2);
 /// Between two signs of life to all hosts known.
 const EVERY: Duration = Duration::from_secs(5);
+/// Hosts remembered at most, which bounds memory only.
+const PEERS_MAX: usize = 4_096;
 /// A host not heard of for this long is forgotten, in milliseconds.
 const FORGET_MS: u64 = 20_000;
 /// Prefills in one message.
--- a/crates/node/src/peers/find.rs
+++ b/crates/node/src/peers/find.rs
@@ -3,21 +3,20 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use entry::clock;
 use gateway::Codec;
 use policy::domain;
+use policy::listing::{Listing, Step};
 use policy::name::Name;
-use wire::store::{Error, Rows};
+use wire::store::{Error, Transaction};
 
 use super::Peers;
 use crate::record;
 use crate::store::Store;
 
-/// The table in which hosts are listed, by failure domain and name.
+/// The table in which hosts are listed, by failure domain and name; those of a domain lie in a group of
+/// their own, so that the domains do not wait for each other's changes.
 const TABLE: &str = "nodes";
-/// Hosts remembered at most.
-pub const PEERS_MAX: usize = 128;
-/// Pause after a failed call of the store.
-const PAUSE: Duration = Duration::from_secs(1);
 
 domain! {
     /// A host's own row: where it listens.
@@ -28,6 +27,7 @@
 }
 
 /// A host as it is listed.
+#[derive(Clone, Debug)]
 pub struct Found {
     /// Its name.
     pub name: Name,
@@ -36,41 +36,53 @@
 }
 
 impl<S: Store, C: Codec> Peers<S, C> {
-    /// Finds the other hosts that are listed, and lists this one unless it is. Of two hosts that are
-    /// listed at the same time the one that reads later finds the other, and makes itself known to
-    /// it.
+    /// Lists this host, unless it is listed, and finds the others that are.
     pub(super) async fn find(&self) -> Vec<Found> {
+        let mut listing = Listing::new(self.is_first_start);
+        let mut found = Vec::new();
         loop {
-            match self.try_find().await {
-                Ok(found) => return found,
-                Err(error) => {
-                    // Nobody is waited for: the lists are read, or had from whoever is heard of.
-                    self.watch.found(&[]);
-                    log::warn!(target: "peers", error:% = error; "peers not found, tried again");
+            let done = match listing.step(clock::steady()) {
+                Step::Done => return found,
+                Step::Wait(until) => {
+                    let pause = Duration::from_millis(until.since(clock::steady()).max(1));
+                    tokio::time::sleep(pause).await;
+                    continue;
                 }
+                Step::Write => self.list().await.map(|()| listing.wrote()),
+                Step::Read => self.listed().await.map(|(hosts, is_listed)| {
+                    listing.read(is_listed);
+                    found = hosts;
+                }),
+            };
+            if let Err(error) = done {
+                log::warn!(target: "peers", error:% = error; "peers not found, tried again");
+                listing.failed(rand::random(), clock::steady());
             }
-            tokio::time::sleep(PAUSE.mul_f64(0.5 + rand::random::<f64>())).await;
         }
     }
 
-    async fn try_find(&self) -> Result<Vec<Found>, Error> {
-        let own = self.socket.local_addr().map_err(|error| Error::Refused(error.to_string()))?;
-        let prefix = format!("{}/", self.failure_domain);
-        let listed = record::write(&Listed { address: own }).map_err(Error::Malformed)?;
-        let key = Name::from(format!("{prefix}{}", self.host));
-        // A host that starts again is listed already, and its callers wait.
-        let rows = match self.is_first_start {
-            true => Rows::default(),
-            false => self.watch.store.rows(TABLE, &prefix).await?,
-        };
-        let is_listed = rows.rows.iter().any(|row| row.key == key && row.value == listed);
-        let rows = match is_listed {
-            true => rows,
-            false => {
-                self.watch.store.commit(&record::change(TABLE, key, None, listed), None).await?;
-                self.watch.store.rows(TABLE, &prefix).await?
-            }
-        };
+    fn own(&self) -> Result<SocketAddr, Error> {
+        self.socket.local_addr().map_err(|error| Error::Refused(error.to_string()))
+    }
+
+    /// What the keys of the domain's rows begin with.
+    fn prefix(&self) -> String {
+        format!("{}/", self.failure_domain)
+    }
+
+    /// Writes this host's row.
+    async fn list(&self) -> Result<(), Error> {
+        let listed = record::write(&Listed { address: self.own()? }).map_err(Error::Malformed)?;
+        let key = Name::from(format!("{}{}", self.prefix(), self.host));
+        let change = record::change(TABLE, key, None, listed);
+        let change = Transaction { group: self.failure_domain.clone(), ..change };
+        self.watch.store.commit(&change, None).await.map(drop)
+    }
+
+    /// The other hosts that are listed, and whether this one is.
+    async fn listed(&self) -> Result<(Vec<Found>, bool), Error> {
+        let (own, prefix) = (self.own()?, self.prefix());
+        let rows = self.watch.store.rows(&self.failure_domain, TABLE, &prefix).await?;
         let found = rows.rows.iter().filter_map(|row| {
             let listed = record::read::<Listed>(&row.value);
             let listed = listed.inspect_err(|error| {
@@ -79,6 +91,8 @@
             let name = Name::from(row.key.strip_prefix(&prefix)?);
             Some(Found { name, address: listed.ok()?.address })
         });
-        Ok(found.filter(|host| host.address != own).take(PEERS_MAX).collect())
+        let (own, others): (Vec<_>, Vec<_>) = found.partition(|host| host.address == own);
+        let is_listed = own.iter().any(|host| host.name == self.host);
+        Ok((others, is_listed))
     }
 }
--- a/crates/node/src/poison.rs
+++ b/crates/node/src/poison.rs
@@ -115,7 +115,7 @@
 
     /// Reads what all hosts wrote.
     async fn read(&self, moment: &mut Option<Moment>) -> Result<(), Error> {
-        let rows = self.watch.store.rows(TABLE, SEEN).await;
+        let rows = self.watch.store.rows(record::NO_GROUP, TABLE, SEEN).await;
         let now = clock::steady();
         let learnt = rows.as_ref().map_or(0, |rows| self.learn(rows, now));
         self.guard().polls(|polls| polls.read(learnt > 0, now));
@@ -177,7 +177,7 @@
     /// Whether this host may try a request, which no other does then for as long as it is held.
     async fn try_grant(&self, digest: Digest, servers: u32) -> Result<bool, Error> {
         let key = Name::from(format!("{TRIAL}{:03x}", digest.0 & TRIAL_MASK));
-        let rows = self.watch.store.rows(TABLE, &key).await?;
+        let rows = self.watch.store.rows(record::NO_GROUP, TABLE, &key).await?;
         let held = rows.rows.iter().find(|row| row.key == key);
         let last = held.and_then(|row| record::read::<Trial>(&row.value).ok());
         if last.is_some_and(|last| rows.now_ms < last.until_ms) {
--- a/crates/node/src/record.rs
+++ b/crates/node/src/record.rs
@@ -9,6 +9,8 @@
 
 /// The table that they lie in.
 pub const TABLE: &str = "rollout";
+/// The group of rows that lie in none of their own.
+pub const NO_GROUP: &str = "";
 
 domain! {
     /// How a service's roll-out stands; one row, changed only under its revision.
@@ -89,7 +91,7 @@
     let condition = |version| Condition { table: table.clone(), key: key.clone(), version };
     let conditions = expected.map(condition).into_iter().collect();
     let write = Write { table: table.clone(), key: key.clone(), value: Some(value) };
-    Transaction { conditions, writes: vec![write] }
+    Transaction { conditions, writes: vec![write], ..Transaction::default() }
 }
 
 /// The version before, when an order comes on top of an earlier roll-out.
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -165,7 +165,11 @@
     }
 
     async fn try_begin(&self, service: &Name, known: &Known) -> Result<(), Error> {
-        let rows = self.watch.store.rows(record::TABLE, &record::prefix(service)).await?;
+        let rows = self
+            .watch
+            .store
+            .rows(record::NO_GROUP, record::TABLE, &record::prefix(service))
+            .await?;
         let held = find_record(&rows, service);
         if let Some((record, version)) = held.as_ref().filter(|(r, _)| is_of(r, known)) {
             self.adopt(service, record.clone(), *version, rows.now_ms);
@@ -215,7 +219,11 @@
     /// that follows.
     async fn decide(&self, course: &mut Course, known: &Known) -> Result<(), Error> {
         let service = &course.service;
-        let rows = self.watch.store.rows(record::TABLE, &record::prefix(service)).await?;
+        let rows = self
+            .watch
+            .store
+            .rows(record::NO_GROUP, record::TABLE, &record::prefix(service))
+            .await?;
         let mut hosts = gather(&rows, service, known.revision);
         for (host, routes) in self.counted(course, known) {
             let held = hosts.entry(host).or_default();
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -130,8 +130,13 @@
         on_head: impl FnOnce(u64) -> bool + Send,
     ) -> impl Future<Output = Result<Answer, Error>> + Send;
 
-    /// Rows of a table of our own whose keys begin so.
-    fn rows(&self, table: &str, prefix: &str) -> impl Future<Output = Result<Rows, Error>> + Send;
+    /// Rows of a group, in a table of our own, whose keys begin so.
+    fn rows(
+        &self,
+        group: &str,
+        table: &str,
+        prefix: &str,
+    ) -> impl Future<Output = Result<Rows, Error>> + Send;
 
     /// Changes rows of our own if all are as expected, and tells operators of an order with it.
     fn commit(
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod gain;
 pub mod intake;
 pub mod limit;
+pub mod listing;
 pub mod name;
 pub mod pace;
 pub mod patience;
--- /dev/null
+++ b/crates/policy/tests/listing.rs
@@ -0,0 +1,160 @@
+//! Hosts that list themselves at the same time, before a store that carries out so many changes a
+//! second in one group of rows.
+
+use std::collections::BTreeSet;
+
+use policy::listing::{Listing, Step};
+use policy::place::mix;
+use policy::time::Millis;
+
+/// Changes that the store carries out in a second in one group, one after another.
+const WRITES_PER_S: f64 = 300.0;
+/// Changes that would wait for longer are turned away, in milliseconds.
+const QUEUE_MS: f64 = 1_000.0;
+/// How long a host waits for an answer, in milliseconds.
+const ANSWER_MS: f64 = 700.0;
+/// A call of a store that is well, in milliseconds.
+const CALL_MS: u64 = 4;
+
+fn draw(seed: &mut u64) -> f64 {
+    *seed = mix(*seed);
+    (*seed >> 11) as f64 / (1_u64 << 53) as f64
+}
+
+/// What it took until all hosts were listed and had read.
+#[derive(Debug)]
+struct Outcome {
+    ms: u64,
+    writes: usize,
+    reads: usize,
+    /// Hosts found by the one that found most.
+    found: usize,
+}
+
+/// Hosts of one group that start at the same time, each with what it does.
+fn start(hosts: usize, is_first_start: bool, down_ms: u64) -> Outcome {
+    let mut seed = hosts as u64;
+    let mut listings = vec![Listing::new(is_first_start); hosts];
+    let mut busy_until = vec![0_u64; hosts];
+    let mut free_at = 0.0_f64;
+    // Rows that are written, and when.
+    let mut written: Vec<(u64, usize)> = Vec::new();
+    let mut outcome = Outcome { ms: 0, writes: 0, reads: 0, found: 0 };
+    let mut done = BTreeSet::new();
+    while done.len() < hosts {
+        outcome.ms += 1;
+        assert!(outcome.ms < 60_000, "{} of {hosts} after a minute: {outcome:?}", done.len());
+        let now = Millis(outcome.ms);
+        for host in 0..hosts {
+            if outcome.ms < busy_until[host] || done.contains(&host) {
+                continue;
+            }
+            match listings[host].step(now) {
+                Step::Wait(_) => {}
+                Step::Done => drop(done.insert(host)),
+                _ if outcome.ms < down_ms => {
+                    let draw = draw(&mut seed);
+                    listings[host].failed(draw, now);
+                }
+                Step::Read => {
+                    outcome.reads += 1;
+                    let is_written = |(at, row): &&(u64, usize)| *at <= outcome.ms && *row == host;
+                    listings[host].read(written.iter().any(|row| is_written(&row)));
+                    let seen = written.iter().filter(|(at, _)| *at <= outcome.ms);
+                    let found: BTreeSet<usize> = seen.map(|(_, row)| *row).collect();
+                    outcome.found = outcome.found.max(found.len());
+                    busy_until[host] = outcome.ms + CALL_MS;
+                }
+                Step::Write => {
+                    outcome.writes += 1;
+                    let waits_ms = free_at - outcome.ms as f64;
+                    let is_turned_away = waits_ms > QUEUE_MS;
+                    if !is_turned_away {
+                        free_at = free_at.max(outcome.ms as f64) + 1_000.0 / WRITES_PER_S;
+                        written.push((free_at as u64, host));
+                    }
+                    let draw = draw(&mut seed);
+                    let answered_ms = (free_at - outcome.ms as f64) as u64;
+                    match () {
+                        () if is_turned_away => listings[host].failed(draw, now),
+                        () if answered_ms as f64 > ANSWER_MS => {
+                            busy_until[host] = outcome.ms + ANSWER_MS as u64;
+                            listings[host].failed(draw, now + ANSWER_MS as u64);
+                        }
+                        () => {
+                            busy_until[host] = outcome.ms + answered_ms;
+                            listings[host].wrote();
+                        }
+                    }
+                }
+            }
+        }
+    }
+    outcome
+}
+
+/// Hosts that write their row again and again, since each time no answer comes before they give up,
+/// and so never find each other.
+#[test]
+fn step_many_hosts_are_listed_at_their_first_start() {
+    for hosts in [1, 10, 100, 200, 400, 1_000] {
+        let outcome = start(hosts, true, 0);
+        println!("{hosts} hosts: {outcome:?}");
+        let least_ms = hosts as f64 / WRITES_PER_S * 1_000.0;
+        assert!((outcome.ms as f64) < 2.0 * least_ms + 6_000.0, "{outcome:?}");
+        // The store carries out what it does not turn away, once for each host.
+        assert!(outcome.writes <= hosts * 4, "{outcome:?}");
+        assert!(outcome.reads <= hosts * 5, "{outcome:?}");
+        assert_eq!(outcome.found, hosts);
+    }
+}
+
+#[test]
+fn step_host_that_starts_again_writes_nothing() {
+    let mut listing = Listing::new(false);
+    assert_eq!(listing.step(Millis(1)), Step::Read);
+    listing.read(true);
+    assert_eq!(listing.step(Millis(2)), Step::Done);
+}
+
+#[test]
+fn step_new_host_reads_behind_its_write() {
+    let mut listing = Listing::new(false);
+    listing.read(false);
+    assert_eq!(listing.step(Millis(1)), Step::Write);
+    listing.wrote();
+    assert_eq!(listing.step(Millis(2)), Step::Read);
+    listing.read(true);
+    assert_eq!(listing.step(Millis(3)), Step::Done);
+}
+
+#[test]
+fn step_lost_answer_is_looked_for_before_it_is_written_again() {
+    let mut listing = Listing::new(true);
+    assert_eq!(listing.step(Millis(1)), Step::Write);
+    listing.failed(0.5, Millis(1));
+    let Step::Wait(until) = listing.step(Millis(2)) else { panic!("{listing:?}") };
+    assert_eq!(listing.step(until), Step::Read);
+    listing.read(true);
+    assert_eq!(listing.step(until), Step::Done);
+}
+
+/// A store that is away is asked less and less often, and found again within some seconds.
+#[test]
+fn step_store_that_is_away_is_asked_seldom() {
+    let outcome = start(200, true, 20_000);
+    println!("{outcome:?}");
+    assert!(outcome.ms < 28_000, "{outcome:?}");
+    let mut listing = Listing::new(false);
+    let (mut now, mut calls) = (Millis(1), 0);
+    while now < Millis(60_000) {
+        match listing.step(now) {
+            Step::Wait(until) => now = until,
+            _ => {
+                calls += 1;
+                listing.failed(0.5, now);
+            }
+        }
+    }
+    assert!(calls < 25, "{calls}");
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -101,8 +101,8 @@
     pub fn new(settings: Settings) -> Self {
         let platform = Self::default();
         let transaction = Transaction {
-            conditions: Vec::new(),
             writes: settings.rows.into_iter().map(store::write).collect(),
+            ..Transaction::default()
         };
         if !transaction.writes.is_empty() {
             // Without conditions there is nothing to conflict with.
--- a/crates/standin/src/platform/http.rs
+++ b/crates/standin/src/platform/http.rs
@@ -12,6 +12,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use platform::names::call;
 use platform::store::message::{Answer, Objects, Reference, Row, Transaction};
+use policy::name::Name;
 use wire::store::{Condition, Write};
 
 use super::query::Query;
@@ -149,7 +150,8 @@
     fn read(&self, query: &Query) -> Response<Body> {
         self.publish_hosts();
         count(&self.ranges, &query.table);
-        let (rows, version) = self.store().read(&query.table, &query.from, &query.end);
+        let (rows, version) =
+            self.store().read(&query.group, &query.table, &query.from, &query.end);
         let has_more = rows.len() > PAGE;
         let rows = rows.iter().take(PAGE).map(row).collect();
         reply::json(StatusCode::OK, &Answer { has_more, ..self.rows_answer(rows, version) })
@@ -271,6 +273,7 @@
 }
 
 fn read_transaction(transaction: Transaction) -> Result<wire::store::Transaction, String> {
+    let group = group(&transaction)?;
     let conditions = transaction.expected.into_iter().map(|reference| Condition {
         version: reference.row_version.unwrap_or_default(),
         table: reference.table,
@@ -290,5 +293,17 @@
     let mut writes: Vec<Write> = writes.collect::<Result<_, String>>()?;
     let removed = transaction.remove.into_iter();
     writes.extend(removed.map(|r| Write { table: r.table, key: r.key, value: None }));
-    Ok(wire::store::Transaction { conditions: conditions.collect(), writes })
+    Ok(wire::store::Transaction { group, conditions: conditions.collect(), writes })
+}
+
+/// The one group that all rows of a transaction lie in.
+fn group(transaction: &Transaction) -> Result<Name, String> {
+    let Transaction { expected, writes, remove } = transaction;
+    let references = expected.iter().chain(writes).chain(remove);
+    let mut groups = references.map(|reference| &reference.part);
+    let first = groups.next().cloned().unwrap_or_default();
+    match groups.all(|other| *other == first) {
+        true => Ok(first),
+        false => Err("rows of several groups".to_owned()),
+    }
 }
--- a/crates/standin/src/platform/query.rs
+++ b/crates/standin/src/platform/query.rs
@@ -9,6 +9,8 @@
 pub struct Query {
     /// The table.
     pub table: Name,
+    /// The group of rows; empty for those without one.
+    pub group: Name,
     /// The first key wanted.
     pub from: String,
     /// The first key behind those wanted; empty for no end.
@@ -30,6 +32,7 @@
             let value = reply::decode(value);
             match name {
                 "table" => query.table = Name::from(value),
+                "part" => query.group = Name::from(value),
                 "from" => query.from = value,
                 "target" => query.end = value,
                 "after" => query.after = value,
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -28,8 +28,8 @@
     }
 }
 
-/// Rows by key.
-type Table = BTreeMap<Name, Row>;
+/// Rows by group and key.
+type Table = BTreeMap<(Name, Name), Row>;
 
 /// A change of a row.
 #[derive(Clone, Debug)]
@@ -66,13 +66,17 @@
 }
 
 impl Store {
-    /// One row, if there is one.
+    /// One row of those without a group, if there is one.
     #[must_use]
     pub fn row(&self, table: &str, key: &str) -> Option<Row> {
-        self.tables.get(table)?.get(key).cloned()
+        self.row_of(&Name::default(), table, key)
     }
 
-    /// All rows of a table, by key.
+    fn row_of(&self, group: &Name, table: &str, key: &str) -> Option<Row> {
+        self.tables.get(table)?.get(&(group.clone(), Name::from(key))).cloned()
+    }
+
+    /// All rows of a table, by group and key.
     #[must_use]
     pub fn rows(&self, table: &str) -> Vec<Row> {
         self.tables.get(table).map(|rows| rows.values().cloned().collect()).unwrap_or_default()
@@ -84,15 +88,17 @@
         self.version
     }
 
-    /// What a reader gets: a range of a table's rows, and the version that they are as of.
+    /// What a reader gets: a range of a group's rows of a table, and the version that they are as of.
     #[must_use]
-    pub fn read(&self, table: &str, from: &str, end: &str) -> (Vec<Row>, u64) {
+    pub fn read(&self, group: &Name, table: &str, from: &str, end: &str) -> (Vec<Row>, u64) {
         let (tables, version) = match &self.stale {
             Some((tables, version)) => (tables, *version),
             None => (&self.tables, self.version),
         };
-        let rows = tables.get(table).into_iter().flat_map(|rows| rows.range(Name::from(from)..));
-        let rows = rows.take_while(|(key, _)| end.is_empty() || key.as_str() < end);
+        let from = (group.clone(), Name::from(from));
+        let rows = tables.get(table).into_iter().flat_map(|rows| rows.range(from.clone()..));
+        let rows =
+            rows.take_while(|((of, key), _)| of == group && (end.is_empty() || key.as_str() < end));
         (rows.map(|(_, row)| row.clone()).collect(), version)
     }
 
@@ -119,32 +125,39 @@
     /// # Errors
     /// The rows whose conditions failed; absent ones are left out.
     pub fn transact(&mut self, transaction: Transaction) -> Result<u64, Vec<Row>> {
-        let failed: Vec<&Condition> =
-            transaction.conditions.iter().filter(|condition| !self.holds(condition)).collect();
+        let group = &transaction.group;
+        let conditions = transaction.conditions.iter();
+        let failed: Vec<&Condition> = conditions.filter(|one| !self.holds(group, one)).collect();
         if !failed.is_empty() {
-            return Err(failed.iter().filter_map(|c| self.row(&c.table, &c.key)).collect());
+            let rows = failed.iter().filter_map(|c| self.row_of(group, &c.table, &c.key));
+            return Err(rows.collect());
         }
-        let version = self.apply(transaction.writes.clone());
+        let version = self.apply_to(group, transaction.writes.clone());
         self.records.push(Record::Transaction { transaction, version });
         Ok(version)
     }
 
-    fn holds(&self, condition: &Condition) -> bool {
-        let held = self.row(&condition.table, &condition.key);
+    fn holds(&self, group: &Name, condition: &Condition) -> bool {
+        let held = self.row_of(group, &condition.table, &condition.key);
         held.map_or(0, |row| row.version) == condition.version
     }
 
     /// Makes changes, as others than the system do; they are no records.
     pub fn apply(&mut self, writes: Vec<Write>) -> u64 {
+        self.apply_to(&Name::default(), writes)
+    }
+
+    fn apply_to(&mut self, group: &Name, writes: Vec<Write>) -> u64 {
         self.version += 1;
         for Write { table, key, value } in writes {
             let rows = self.tables.entry(table.clone()).or_default();
             let version = self.version;
             let row =
                 value.map(|value| Row { table: table.clone(), key: key.clone(), version, value });
+            let place = (group.clone(), key.clone());
             match &row {
-                Some(row) => drop(rows.insert(key.clone(), row.clone())),
-                None => drop(rows.remove(&key)),
+                Some(row) => drop(rows.insert(place, row.clone())),
+                None => drop(rows.remove(&place)),
             }
             self.history.push(Changed { version, table, key, row });
         }
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -38,6 +38,10 @@
     #[derive(Default)]
     #[serde(deny_unknown_fields)]
     pub struct Transaction {
+        /// The group that all its rows lie in; each takes only so many changes a second. Nearly all rows
+        /// lie in the one without a name.
+        #[serde(default)]
+        pub group: Name,
         /// What must hold.
         pub conditions: Vec<Condition>,
         /// What to write then.
