Turns of hosts that would all do the same grow with the logarithm of those before

Cause: a host that hears of no reading waits 0.62 of the time, and then 50 ms for each host before it by rank: hosts x 50 ms, 6.5 s at 130, where 1.9 s are left. At the first read of a list it was hosts x 20 ms for rows of hosts that are gone.

Change: policy::turn, 50 ms x log2(1 + rank); the first turns are as far apart as before. Bound: 0.38 s at 200 hosts, 0.5 s at 1,000; with 2 s for a change 0.26 s are left beside a slow answer's 0.5 s, so it ends beyond 1,000 hosts a domain.

Test: action_host_that_hears_of_no_reading_is_in_time at 6, 50 and 200 hosts; failed before at 50 (host-0 knew nothing 2 s after the change).

--- a/crates/policy/src/bootstrap.rs
+++ b/crates/policy/src/bootstrap.rs
@@ -11,6 +11,7 @@
 
 use crate::domain;
 use crate::time::Millis;
+use crate::turn;
 
 /// How long a host looks for others before it reads by itself, in milliseconds: a call of a store
 /// that is well takes a tenth of it.
@@ -18,9 +19,11 @@
 /// The same when the whole deployment starts for the first time, in milliseconds: all hosts list
 /// themselves at once, and no callers are there yet.
 const FIND_FIRST_MS: u64 = 2_000;
-/// Between the turns of two ranks, in milliseconds. With a short list the first has read,
-/// and said so, before the second begins.
+/// Between the first two turns, in milliseconds. With a short list the first has read, and said so,
+/// before the second begins.
 const TURN_MS: u64 = 20;
+/// Between two hosts that read since nobody has given them the list in time, in milliseconds.
+const LATE_TURN_MS: u64 = 20;
 /// For how long another host that reads, or gives the list, puts a turn off, in milliseconds. It
 /// says so more often; silence for so long means that it has been lost.
 const PATIENCE_MS: u64 = 400;
@@ -58,12 +61,12 @@
     /// gone: their turns pass.
     pub fn found(&mut self, others: usize, rank: u64, now: Millis) {
         (self.others, self.rank) = (others, rank);
-        self.turn = if others < OTHERS_MIN { now } else { now + rank * TURN_MS };
+        self.turn = if others < OTHERS_MIN { now } else { now + turn::delay_ms(rank, TURN_MS) };
     }
 
     /// Another host is reading the list, or is giving it to this one.
     pub fn wait(&mut self, now: Millis) {
-        let put_off = now + PATIENCE_MS + self.rank * TURN_MS;
+        let put_off = now + PATIENCE_MS + turn::delay_ms(self.rank, TURN_MS);
         self.turn = self.turn.max(put_off.min(self.last()));
     }
 
@@ -81,6 +84,6 @@
     }
 
     fn last(&self) -> Millis {
-        self.started + LAST_MS + self.rank * TURN_MS
+        self.started + LAST_MS + self.rank * LATE_TURN_MS
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,3 +39,4 @@
 pub mod suspicion;
 pub mod throttle;
 pub mod time;
+pub mod turn;
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -19,6 +19,7 @@
 use crate::name::Name;
 use crate::place::{hash, mix};
 use crate::time::Millis;
+use crate::turn;
 
 /// Part of the time in which changes must be in force for which the reader lets the store hold a
 /// call back. Each call that comes back proves that the state is new.
@@ -26,7 +27,7 @@
 /// Part of it after which a host that heard nothing reads for itself. The rest is left for that
 /// read, and for hosts of lower rank that could not.
 const STALE_PART: f64 = 0.62;
-/// Between the turns of two ranks, in milliseconds: a read and its telling take a few.
+/// Between the first two turns, in milliseconds: a read and its telling take a few.
 const TURN_MS: u64 = 50;
 /// Pause of a host that could not read, for each other host, in milliseconds: together they ask so
 /// often.
@@ -283,7 +284,7 @@
             self.reads = false;
         }
         let newest = self.peers.values().filter_map(|peer| peer.fresh).max().unwrap_or_default();
-        let due = newest.max(self.read) + stale_ms + self.rank(now) * TURN_MS;
+        let due = newest.max(self.read) + stale_ms + turn::delay_ms(self.rank(now), TURN_MS);
         match () {
             () if self.reads => {
                 let hold_ms = if self.first { 0 } else { self.part(READ_PART) };
--- a/crates/policy/tests/relay.rs
+++ b/crates/policy/tests/relay.rs
@@ -61,6 +61,8 @@
     /// Words are lost when this divides their number.
     lose_every: u64,
     words: u64,
+    /// A host that hears of nobody's reading.
+    deaf: Option<usize>,
 }
 
 impl Domain {
@@ -92,6 +94,7 @@
             body_ms: 0,
             lose_every: u64::MAX,
             words: 0,
+            deaf: None,
         };
         domain.greet();
         domain
@@ -187,7 +190,8 @@
         for number in (0..self.hosts.len()).filter(|number| *number != from) {
             self.words += 1;
             let host = &mut self.hosts[number];
-            if self.words.is_multiple_of(self.lose_every) || host.frozen_until > self.now {
+            let is_lost = self.words.is_multiple_of(self.lose_every) || self.deaf == Some(number);
+            if is_lost || host.frozen_until > self.now {
                 continue;
             }
             host.relay.heard(&name, Millis(self.now), Millis(self.now));
@@ -296,6 +300,22 @@
     assert_eq!(readers.count(), 1);
 }
 
+/// Guards against a host that waits for the turns of hundreds before it, none of which it hears of: the
+/// reader's messages don't reach it, though all others' signs of life do.
+#[test]
+fn action_host_that_hears_of_no_reading_is_in_time() {
+    for hosts in [6, 50, 200] {
+        let mut domain = Domain::new(hosts);
+        // Whichever host comes last by its rank is the one to wait longest.
+        for deaf in (0..hosts).step_by(hosts.div_ceil(3)) {
+            domain.deaf = Some(deaf);
+            domain.run(3_000);
+            domain.change();
+            domain.run(2_500);
+        }
+    }
+}
+
 #[test]
 fn action_reader_is_gone() {
     // The host that reads is stopped. The others hear nothing, one of them reads for itself in
