Changes of the table travel as edits within a failure domain

Change: wire::routing::Edit, what makes one version of the one before; the host that reads tells it in its datagram, keeps the last sixteen, and sends a host that missed some all of them. A host that does not know the version it is of reads the store. Only an answer four times as long as the list is still announced and read by each. It ends where a change names a quarter of the table: that one goes whole.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -1,5 +1,6 @@
 //! One list of the store as this host follows it: by itself, or through the host that reads it.
 
+use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -10,14 +11,17 @@
 use policy::time::Millis;
 use tokio::sync::Notify;
 
+use crate::exchange;
 use crate::history::History;
-use crate::store::{List, News};
+use crate::store::{Entry, Fact, List, News};
 
 /// Changes sent with a position at most; more are had by a call.
 const TOLD_MAX: usize = 4;
 /// Changes this many times as long as the list are not read. Two changes of one long entry are, and
 /// an entry that has grown by half is not.
 const AFRESH_FACTOR: f64 = 1.6;
+/// A change this many times as long as the list, and a message more, is read by each host.
+const LONG_FACTOR: u64 = 4;
 /// A list that has been behind for this long is logged, in milliseconds. Most changes
 /// are taken over in a few.
 const BEHIND_LOGGED_MS: u64 = 1_000;
@@ -33,6 +37,9 @@
         pub changed: u64,
         /// How long ago it read that, in milliseconds.
         pub age_ms: u64,
+        /// Length of the list as the store sends it, in bytes.
+        #[serde(default)]
+        pub bytes: u64,
         /// What it has last read, if that is little.
         #[serde(default)]
         pub changes: Option<Changes>,
@@ -223,6 +230,14 @@
         bytes as f64 > AFRESH_FACTOR * self.bytes.load(Ordering::Relaxed) as f64
     }
 
+    /// Whether an answer of so many bytes is so much longer than the list was that what is new in it
+    /// can't be passed on in time. Several versions of a table in one answer are not.
+    #[must_use]
+    pub fn is_long_change(&self, bytes: u64) -> bool {
+        let usual = self.bytes.load(Ordering::Relaxed);
+        bytes > LONG_FACTOR * usual + exchange::MESSAGE_BYTES_MAX as u64
+    }
+
     /// A long answer of the store has begun, or its call has ended.
     pub fn set_incoming(&self, incoming: bool) {
         self.incoming.store(incoming, Ordering::Relaxed);
@@ -258,16 +273,24 @@
         let changed = lock(&self.history).changed();
         let age_ms = now.since(read_at);
         let changes = self.changes();
-        Some(Position { list: self.list, revision, changed, age_ms, changes })
+        let bytes = self.bytes.load(Ordering::Relaxed);
+        Some(Position { list: self.list, revision, changed, age_ms, bytes, changes })
     }
 
-    /// The last news, if they are few. Tables of routes are not sent: they are seldom small.
+    /// The last news, if they are few. A whole table of routes is not sent: it is seldom small.
     fn changes(&self) -> Option<Changes> {
         let after = *lock(&self.before);
         let news = self.behind(after)?;
-        let is_little =
-            self.list == List::Backends && news.entries.len() <= TOLD_MAX && !news.is_whole;
-        (is_little && !news.entries.is_empty()).then_some(Changes { after, news })
+        let is_table = |entry: &Entry| matches!(entry.fact, Fact::Table(_));
+        let is_little = news.entries.len() <= TOLD_MAX && !news.entries.iter().any(is_table);
+        (is_little && !news.is_whole && !news.entries.is_empty()).then_some(Changes { after, news })
+    }
+
+    /// News with the tables that their edits make; none if this host does not know what they are made
+    /// of.
+    #[must_use]
+    pub fn resolve<'a>(&self, news: &'a News) -> Option<Cow<'a, News>> {
+        lock(&self.history).resolve(news)
     }
 }
 
--- a/crates/node/src/history.rs
+++ b/crates/node/src/history.rs
@@ -1,8 +1,11 @@
 //! A list of the store as this host knows it, for hosts that take it from this one.
 
-use std::collections::{BTreeMap, HashSet};
+use std::borrow::Cow;
+use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::sync::Arc;
 
 use policy::name::Name;
+use wire::routing::{Edit, Table};
 
 use crate::store::{Entry, Fact, News};
 
@@ -10,6 +13,20 @@
 /// designed for change once each in some minutes.
 const REMOVED_MAX: usize = 2_048;
 
+/// Edits of the table kept: a host that missed some of a storm of changes is told all of them at once.
+const EDITS_MAX: usize = 16;
+/// An edit that names more than this part of a table is as well sent whole.
+const EDIT_PART_MAX: f64 = 0.25;
+
+/// An edit of the table.
+#[derive(Clone, Debug)]
+struct Edited {
+    /// Revision of the entry that it is made of.
+    before: u64,
+    /// As others are told of it.
+    entry: Entry,
+}
+
 /// Each entry's last change. All entries are here, and changes behind a revision are complete.
 #[derive(Debug, Default)]
 pub struct History {
@@ -21,6 +38,8 @@
     revision: Option<u64>,
     /// That of the newest change.
     changed: u64,
+    /// The last edits of the table, each made of what the one before it makes.
+    edits: VecDeque<Edited>,
 }
 
 impl History {
@@ -53,6 +72,7 @@
             self.changed = self.changed.max(entry.revision);
             let held = self.entries.get(&entry.key);
             if held.is_none_or(|held| held.revision < entry.revision) {
+                self.note_edit(entry);
                 self.entries.insert(entry.key.clone(), entry.clone());
             }
         }
@@ -60,6 +80,52 @@
         self.forget();
     }
 
+    /// Keeps what makes a new table of the one before.
+    fn note_edit(&mut self, entry: &Entry) {
+        let Fact::Table(new) = &entry.fact else { return };
+        let held = self.entries.get(&entry.key);
+        let Some(Entry { fact: Fact::Table(old), revision: before, .. }) = held else { return };
+        let edit = Edit::between(old, new).filter(|edit| is_small(edit, new));
+        match edit {
+            Some(edit) => {
+                let fact = Fact::Edit(Arc::new(edit));
+                let (key, revision) = (entry.key.clone(), entry.revision);
+                let entry = Entry { key, revision, fact };
+                self.edits.push_back(Edited { before: *before, entry });
+                self.edits.drain(..self.edits.len().saturating_sub(EDITS_MAX));
+            }
+            None => self.edits.clear(),
+        }
+    }
+
+    /// News with the tables that their edits make; none if this host does not know what an edit is made
+    /// of.
+    #[must_use]
+    pub fn resolve<'a>(&self, news: &'a News) -> Option<Cow<'a, News>> {
+        let has_edit = |news: &News| news.entries.iter().any(|e| matches!(e.fact, Fact::Edit(_)));
+        if !has_edit(news) {
+            return Some(Cow::Borrowed(news));
+        }
+        let mut news = news.clone();
+        let mut tables: BTreeMap<Name, Arc<Table>> = BTreeMap::new();
+        for entry in &mut news.entries {
+            let Fact::Edit(edit) = &entry.fact else { continue };
+            let held = match self.entries.get(&entry.key).map(|held| &held.fact) {
+                Some(Fact::Table(table)) => Some(table),
+                _ => None,
+            };
+            let table = tables.get(&entry.key).or(held)?;
+            // What this host knows already, or something newer, stays.
+            let table = match table.version >= edit.to {
+                true => Arc::clone(table),
+                false => Arc::new(edit.apply(table)?),
+            };
+            tables.insert(entry.key.clone(), Arc::clone(&table));
+            entry.fact = Fact::Table(table);
+        }
+        Some(Cow::Owned(news))
+    }
+
     /// What a list read afresh no longer holds was removed since.
     ///
     /// With that, changes behind older revisions stay complete. Without it every host of the failure
@@ -103,8 +169,32 @@
             true => entry.fact != Fact::Removed,
             false => entry.revision > revision,
         };
-        let mut entries: Vec<Entry> = self.entries.values().filter(is_wanted).cloned().collect();
+        let wanted = self.entries.values().filter(is_wanted);
+        let mut entries: Vec<Entry> = wanted
+            .flat_map(|entry| match is_whole {
+                true => vec![entry.clone()],
+                false => self.edits_behind(revision, entry),
+            })
+            .collect();
         entries.sort_by_key(|entry| entry.revision);
         Some(News { entries, revision: newest, is_whole })
     }
+
+    /// An entry as those are told of it that know the list as of a revision: a table by its edits since,
+    /// if they are all known.
+    fn edits_behind(&self, revision: u64, entry: &Entry) -> Vec<Entry> {
+        let edits = self.edits.iter().filter(|edited| edited.entry.key == entry.key);
+        let mut edits = edits.skip_while(|edited| edited.entry.revision <= revision).peekable();
+        match (&entry.fact, edits.peek()) {
+            (Fact::Table(_), Some(first)) if first.before <= revision => {
+                edits.map(|edited| edited.entry.clone()).collect()
+            }
+            _ => vec![entry.clone()],
+        }
+    }
+}
+
+fn is_small(edit: &Edit, table: &Table) -> bool {
+    let all = table.routes.len() + table.services.len() + table.accounts.len();
+    edit.len() as f64 <= EDIT_PART_MAX * all as f64
 }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -5,7 +5,7 @@
 
 use policy::domain;
 use policy::name::Name;
-use wire::routing::{Backend, Order, Progress, Table};
+use wire::routing::{Backend, Edit, Order, Progress, Table};
 use wire::store::{Error, Outcome, Rows, Transaction};
 
 domain! {
@@ -22,6 +22,8 @@
     pub enum Fact {
         /// The table of routes; shared, since it can be long and each host keeps it to pass on.
         Table(Arc<Table>),
+        /// What makes it of the version before, as hosts tell each other.
+        Edit(Arc<Edit>),
         /// An order to change a version.
         Order(Order),
         /// An order to send nothing more to a failure domain's backend servers.
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -183,17 +183,18 @@
         }
     }
 
-    /// An answer of the store has begun; whether it is read on. A table that is too long to be passed
-    /// on the others read themselves, and begin now: once this host has all of it, as much time again
-    /// would be late.
+    /// An answer of the store has begun; whether it is read on. A change of the table that is too long
+    /// to be passed on the others read themselves, and begin now: once this host has all of it, as much
+    /// time again would be late. A long table in which little has changed is passed on as an edit.
     fn announce(&self, list: List, bytes: u64) -> bool {
         if bytes <= exchange::MESSAGE_BYTES_MAX as u64 {
             return true;
         }
         let follow = self.follow(list);
         let is_table = list == List::Operators;
-        follow.set_incoming(is_table);
-        if is_table && follow.relay().reads_for_others(clock::steady()) {
+        let is_long_change = is_table && follow.is_long_change(bytes);
+        follow.set_incoming(is_long_change);
+        if is_long_change && follow.relay().reads_for_others(clock::steady()) {
             log::info!(target: "watch", list:? = list, bytes; "long answer begins, others notified");
             self.notify(Notice::Incoming(list));
         }
--- a/crates/node/src/watch/peers.rs
+++ b/crates/node/src/watch/peers.rs
@@ -65,6 +65,7 @@
         let follow = self.follow(position.list);
         let now = clock::steady();
         follow.relay().heard(peer, now - position.age_ms, now);
+        follow.note_bytes(position.bytes, false);
         self.reached(position.list, now - position.age_ms);
         if follow.revision().is_some_and(|own| own < position.changed) {
             follow.note_missing(position.changed, from, now);
@@ -75,7 +76,9 @@
             {
                 log::info!(target: "watch", list:? = position.list, from:% = from, after = own,
                     revision = news.revision, count = news.entries.len(); "news sent by a peer");
-                self.take(position.list, news);
+                if !self.take(position.list, news) {
+                    follow.relay().force();
+                }
                 follow.wake();
             }
             // This host is being sent it, or something newer.
@@ -150,7 +153,9 @@
             Ok(Some(news)) => {
                 log::info!(target: "watch", list:? = list, from:% = from, after,
                     revision = news.revision, count = news.entries.len(); "news taken from a peer");
-                self.take(list, &news);
+                if !self.take(list, &news) {
+                    follow.relay().force();
+                }
                 if news.is_whole && list == List::Operators {
                     self.take_records(from).await;
                 }
@@ -182,6 +187,7 @@
 fn is_small(news: &News) -> bool {
     let weight = |entry: &Entry| match &entry.fact {
         Fact::Table(table) => table.routes.len() + table.accounts.len(),
+        Fact::Edit(edit) => edit.len(),
         _ => 1,
     };
     news.entries.iter().map(weight).sum::<usize>() <= RELAYED_MAX
--- a/crates/node/src/watch/take.rs
+++ b/crates/node/src/watch/take.rs
@@ -13,14 +13,20 @@
 const LOGGED_MAX: usize = 16;
 
 impl<S: Store, C: Codec> Watch<S, C> {
-    /// Takes what came; false if it is older than what is known.
+    /// Takes what came; false if it is older than what is known, or made of what is not known.
     pub(super) fn take(&self, list: List, news: &News) -> bool {
+        let follow = self.follow(list);
+        let Some(news) = follow.resolve(news) else {
+            log::info!(target: "watch", list:? = list, revision = news.revision;
+                "edit of a table that this host does not know");
+            return false;
+        };
         let taken = match list {
-            List::Operators => self.take_operators(news),
-            List::Backends => self.take_backends(news),
+            List::Operators => self.take_operators(&news),
+            List::Backends => self.take_backends(&news),
         };
         if taken {
-            self.follow(list).taken(news, clock::steady());
+            follow.taken(&news, clock::steady());
         }
         taken
     }
@@ -56,7 +62,7 @@
                     log::error!(target: "watch", key:% = key, revision, why:% = why;
                         "entry unreadable, the one before stays in force");
                 }
-                Fact::Backend(_) | Fact::Evacuation(_) | Fact::Removed => {}
+                Fact::Backend(_) | Fact::Edit(_) | Fact::Evacuation(_) | Fact::Removed => {}
             }
         }
         changed |= self.take_evacuations(news);
@@ -118,7 +124,7 @@
                         Fact::Backend(backend) => roster.put(backend.clone(), entry.revision),
                         Fact::Removed => roster.remove(&entry.key, entry.revision, now),
                         Fact::Unreadable(_) => roster.withdraw(&entry.key, entry.revision, now),
-                        Fact::Table(_) | Fact::Order(_) | Fact::Evacuation(_) => {}
+                        Fact::Table(_) | Fact::Edit(_) | Fact::Order(_) | Fact::Evacuation(_) => {}
                     }
                 }
                 true
@@ -178,6 +184,6 @@
         Fact::Unreadable(why) => {
             log::error!(target: "watch", key:% = entry.key, why:% = why; "entry unreadable");
         }
-        Fact::Table(_) | Fact::Order(_) | Fact::Evacuation(_) => {}
+        Fact::Table(_) | Fact::Edit(_) | Fact::Order(_) | Fact::Evacuation(_) => {}
     }
 }
--- a/crates/node/tests/history.rs
+++ b/crates/node/tests/history.rs
@@ -1,10 +1,12 @@
 //! What a host that has read a list can tell others that know an older state of it.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use node::history::History;
 use node::store::{Entry, Fact, News};
 use policy::name::Name;
+use wire::routing::{Kind, Route, Table};
 
 fn entry(key: &str, revision: u64) -> Entry {
     let fact = Fact::Unreadable("any".to_owned());
@@ -76,3 +78,75 @@
     assert_eq!(history.behind(30).unwrap().entries, []);
     assert_eq!(history.revision(), Some(30));
 }
+
+/// A table of so many routes, all with a time.
+fn table(version: u64, timeout_ms: u64) -> Fact {
+    let route = |number: u64| Route {
+        name: Name::from(format!("route-{number}")),
+        host: Name::from("callers.example"),
+        prefix: Name::from(format!("/{number}/")),
+        kind: Kind::Idempotent,
+        attempts_max: 3,
+        timeout_ms: if number == 0 { timeout_ms } else { 5_000 },
+        objective_ms: 300,
+        gap_ms: None,
+        priority: 1,
+        anonymous: false,
+        targets: Vec::new(),
+        models: Vec::new(),
+    };
+    let routes = (0..40).map(route).collect();
+    Fact::Table(Arc::new(Table { version, routes, ..Table::default() }))
+}
+
+fn table_news(version: u64, is_whole: bool) -> News {
+    let revision = version * 10;
+    let fact = table(version, 1_000 + version);
+    let entries = vec![Entry { key: Name::from("config"), revision, fact }];
+    News { entries, revision, is_whole }
+}
+
+fn is_edit(entry: &Entry) -> bool {
+    matches!(entry.fact, Fact::Edit(_))
+}
+
+/// Guards against hosts that each read a long table from the store for a change of one route.
+#[test]
+fn behind_table_is_told_as_edits() {
+    let (mut reader, mut other) = (History::default(), History::default());
+    reader.take(&table_news(1, true));
+    other.take(&table_news(1, true));
+    (2..6).for_each(|version| reader.take(&table_news(version, false)));
+    let behind = reader.behind(10).unwrap();
+    assert_eq!(behind.entries.len(), 4);
+    assert!(behind.entries.iter().all(is_edit));
+    assert!(serde_json::to_vec(&behind).unwrap().len() < 3_000);
+    let made = other.resolve(&behind).unwrap();
+    assert_eq!(made.entries.last().unwrap().fact, table(5, 1_005));
+    other.take(&made);
+    assert_eq!(other.behind(40).unwrap(), reader.behind(40).unwrap());
+    // Heard twice, or late, they change nothing.
+    assert_eq!(other.resolve(&behind).unwrap().entries.last().unwrap().fact, table(5, 1_005));
+}
+
+/// Guards against an edit that is applied to another table than the one that it is of.
+#[test]
+fn resolve_edit_of_an_unknown_table_is_none() {
+    let mut reader = History::default();
+    (1..4).for_each(|version| reader.take(&table_news(version, version == 1)));
+    let behind = reader.behind(20).unwrap();
+    assert!(behind.entries.iter().all(is_edit));
+    assert!(History::default().resolve(&behind).is_none());
+    let mut older = History::default();
+    older.take(&table_news(1, true));
+    assert!(older.resolve(&behind).is_none());
+}
+
+/// A host that knows a table from before all edits that are kept is told the whole one.
+#[test]
+fn behind_older_than_the_edits_is_the_whole_table() {
+    let mut reader = History::default();
+    (1..40).for_each(|version| reader.take(&table_news(version, version == 1)));
+    assert!(!is_edit(&reader.behind(100).unwrap().entries[0]));
+    assert!(is_edit(&reader.behind(380).unwrap().entries[0]));
+}
--- a/crates/wire/src/routing.rs
+++ b/crates/wire/src/routing.rs
@@ -4,6 +4,7 @@
 //! turns them into these types once, at the edge; nothing behind that edge knows the other form.
 
 mod check;
+mod edit;
 
 use std::net::SocketAddr;
 
@@ -11,6 +12,7 @@
 use policy::name::Name;
 
 pub use check::check;
+pub use edit::Edit;
 
 domain! {
     /// Everything operators decide, as one version of it.
