History of a list keeps as many removals as there are entries

Cause, by reading: 2,048 removals were kept; where more of ten thousand servers are replaced within seconds, hosts that are behind were sent the whole list. Change: at least 2,048, and as many as are listed; counted, so that a change no longer looks at all entries for it. Bound: twice the list. It ends where all servers are replaced twice while a host is behind.

Tests: behind_half_of_a_large_fleet_is_replaced at 10 to 10,000 servers (the whole list at 10,000 before), take_removals_are_bounded_by_what_is_listed.

--- a/crates/node/src/history.rs
+++ b/crates/node/src/history.rs
@@ -9,9 +9,9 @@
 
 use crate::store::{Entry, Fact, News};
 
-/// Removed entries kept; of more, those that changed first are forgotten. The servers of the size
-/// designed for change once each in some minutes.
-const REMOVED_MAX: usize = 2_048;
+/// Removed entries kept, at least, and as many as are listed: all servers may be replaced within a
+/// minute. Of more, those that changed first are forgotten.
+const REMOVED_MIN: usize = 2_048;
 
 /// Edits of the table kept: a host that missed some of a storm of changes is told all of them at once.
 const EDITS_MAX: usize = 16;
@@ -31,6 +31,8 @@
 #[derive(Debug, Default)]
 pub struct History {
     entries: BTreeMap<Name, Entry>,
+    /// How many of them are removals.
+    removed: usize,
     /// Changes behind this revision are all here, removals included.
     base: u64,
     /// The newest revision taken in; none before the list was read. An empty store is at revision
@@ -73,7 +75,9 @@
             let held = self.entries.get(&entry.key);
             if held.is_none_or(|held| held.revision < entry.revision) {
                 self.note_edit(entry);
-                self.entries.insert(entry.key.clone(), entry.clone());
+                let before = self.entries.insert(entry.key.clone(), entry.clone());
+                self.removed += usize::from(entry.fact == Fact::Removed);
+                self.removed -= usize::from(before.is_some_and(|e| e.fact == Fact::Removed));
             }
         }
         self.revision = self.revision.max(Some(news.revision));
@@ -135,6 +139,7 @@
         for (key, entry) in &mut self.entries {
             if !listed.contains(key) && entry.fact != Fact::Removed {
                 entry.fact = Fact::Removed;
+                self.removed += 1;
                 entry.revision = news.revision;
                 self.changed = self.changed.max(news.revision);
             }
@@ -143,14 +148,16 @@
 
     /// Forgets the oldest removals beyond those kept.
     fn forget(&mut self) {
-        let removed = self.entries.values().filter(|entry| entry.fact == Fact::Removed);
-        let mut revisions: Vec<u64> = removed.map(|entry| entry.revision).collect();
-        if revisions.len() <= REMOVED_MAX {
+        let kept = REMOVED_MIN.max(self.entries.len() - self.removed);
+        if self.removed <= kept {
             return;
         }
+        let removed = self.entries.values().filter(|entry| entry.fact == Fact::Removed);
+        let mut revisions: Vec<u64> = removed.map(|entry| entry.revision).collect();
         revisions.sort_unstable();
-        let last = revisions[revisions.len() - REMOVED_MAX - 1];
+        let last = revisions[revisions.len() - kept - 1];
         self.entries.retain(|_, entry| entry.fact != Fact::Removed || entry.revision > last);
+        self.removed = self.entries.values().filter(|entry| entry.fact == Fact::Removed).count();
         self.base = self.base.max(last);
     }
 
--- a/crates/node/tests/history.rs
+++ b/crates/node/tests/history.rs
@@ -150,3 +150,40 @@
     assert!(!is_edit(&reader.behind(100).unwrap().entries[0]));
     assert!(is_edit(&reader.behind(380).unwrap().entries[0]));
 }
+
+/// Guards against hosts that are sent the whole list since more servers were replaced than removals are
+/// kept: 45 in 100 of ten thousand within some seconds.
+#[test]
+fn behind_half_of_a_large_fleet_is_replaced() {
+    for servers in [10, 1_000, 10_000] {
+        let mut history = History::default();
+        let keys: Vec<String> = (0..2 * servers).map(|number| format!("i-{number}")).collect();
+        let first: Vec<(&str, u64)> = keys[..servers].iter().map(|key| (key.as_str(), 1)).collect();
+        history.take(&news(1, true, &first));
+        let replaced = servers * 9 / 20;
+        for number in 0..replaced {
+            let revision = 2 + 2 * number as u64;
+            history.take(&news(revision, false, &[(&keys[servers + number], revision)]));
+            let gone = Entry { fact: Fact::Removed, ..entry(&keys[number], revision + 1) };
+            history.take(&News { entries: vec![gone], revision: revision + 1, is_whole: false });
+        }
+        let behind = history.behind(1).unwrap();
+        assert!(!behind.is_whole);
+        assert_eq!(behind.entries.len(), 2 * replaced);
+        assert_eq!(history.behind(0).unwrap().entries.len(), servers);
+    }
+}
+
+/// Removals do not pile up for as long as a host runs.
+#[test]
+fn take_removals_are_bounded_by_what_is_listed() {
+    let mut history = History::default();
+    history.take(&news(1, true, &[("first", 1)]));
+    for revision in 2..6_000 {
+        let key = format!("i-{revision}");
+        let gone = Entry { fact: Fact::Removed, ..entry(&key, revision) };
+        history.take(&News { entries: vec![gone], revision, is_whole: false });
+    }
+    assert!(history.behind(1).unwrap().is_whole);
+    assert_eq!(history.behind(5_000).unwrap().entries.len(), 999);
+}
