Hosts tell their delegate only new counts of a roll-out

Change: what has not changed is told again after a second only. Bound: the domain's requests and its hosts a second, whichever are fewer by what they count.

--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -16,7 +16,7 @@
 
 use entry::clock;
 use gateway::{Codec, State};
-use policy::canary::{self, Stage, Verdict};
+use policy::canary::{self, Evidence, Stage, Verdict};
 use policy::name::Name;
 use policy::time::Millis;
 use tokio::sync::mpsc;
@@ -37,6 +37,8 @@
 const LOOK: Duration = Duration::from_millis(150);
 /// Between two tellings of this host's counts to the delegate of the domain.
 const TELL: Duration = Duration::from_millis(200);
+/// The same when it has counted nothing since: a message may be lost, and the delegate may be another.
+const TELL_AGAIN: Duration = Duration::from_secs(1);
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(300);
 /// How long a host waits to hear of an order from the delegate of the domain, before it
@@ -62,6 +64,8 @@
     next: Instant,
     /// When this host's counts are reported next.
     tell: Instant,
+    /// What the delegate was told last, and until when that is not said again.
+    told: (Vec<Evidence>, Instant),
 }
 
 impl<S: Store, C: Codec> Rollouts<S, C> {
@@ -83,7 +87,13 @@
 
     async fn carry_out(self: Arc<Self>, service: Name) {
         let now = Instant::now();
-        let mut course = Course { service, written: ByHost::new(), next: now, tell: now };
+        let mut course = Course {
+            service,
+            written: ByHost::new(),
+            next: now,
+            tell: now,
+            told: (Vec::new(), now),
+        };
         self.begin(&course.service).await;
         loop {
             let Some(known) = self.watch.catalog.rollout(&course.service) else { return };
@@ -106,7 +116,7 @@
         if !self.watch.is_delegate() {
             if now >= course.tell {
                 course.tell = now + TELL;
-                self.watch.share_counts();
+                self.tell_counts(course, now);
             }
             return;
         }
@@ -122,6 +132,17 @@
         }
     }
 
+    /// Tells the delegate what this host counted, if that is new: of hundreds of hosts most have counted
+    /// nothing since they last told it.
+    fn tell_counts(&self, course: &mut Course, now: Instant) {
+        let own = self.state().tally.of(&course.service);
+        let (told, until) = &course.told;
+        if *told != own || now >= *until {
+            course.told = (own, now + TELL_AGAIN);
+            self.watch.share_counts();
+        }
+    }
+
     /// What this host counted, and what the others of its domain reported.
     fn counted(&self, course: &Course, known: &Known) -> ByHost {
         let mut hosts = self.watch.counts.of(&course.service, known.revision);
