--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -1,6 +1,5 @@
 //! Keeps to what backend servers say that they take, together with the other hosts.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 
 use policy::intake::Verdict;
@@ -23,12 +22,7 @@
     /// As it is now.
     #[must_use]
     pub fn of<C: Codec>(job: &Job<C>, pool: &Pool) -> Self {
-        let is_restricted = pool.backends.iter().any(|backend| backend.server.is_restricted());
-        let domains = match is_restricted {
-            true => domains(pool),
-            false => 1,
-        };
-        Self { peers: job.state.peers.load_full(), domains }
+        Self { peers: job.state.peers.load_full(), domains: pool.domains() }
     }
 
     /// Whether this host may send the server a request now.
@@ -59,8 +53,3 @@
         })
     }
 }
-
-fn domains(pool: &Pool) -> usize {
-    let domains = pool.backends.iter().map(|backend| &backend.server.failure_domain);
-    domains.collect::<HashSet<_>>().len()
-}
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -8,13 +8,14 @@
 use policy::name::Name;
 use policy::peak;
 use policy::place::mix;
+use policy::sample;
 use policy::time::Millis;
 
 use crate::backend::Backend;
 use crate::codec::Codec;
 use crate::job::Job;
 use crate::limits::Limits;
-use crate::pool::Pool;
+use crate::pool::{Looked, Pool};
 
 /// Another failure domain costs an engine's request this part of its objective: the bytes between
 /// failure domains have a price, and a near answer is soon enough until its queue is that long.
@@ -22,6 +23,9 @@
 /// The same for a plain service, whose requests are small and short.
 const FAR_PLAIN: f64 = 1.0 / 4.0;
 
+/// Backend servers that can't be reached and are asked for one request, at most.
+const PROBED_MAX: usize = 64;
+
 /// A backend server of a version that was not tried yet; none if there is none.
 ///
 /// Failure domains that did not answer this request are tried last. Servers held ill take no
@@ -30,24 +34,42 @@
 /// background, and serve again a moment after they can be reached.
 pub fn choose<C: Codec>(job: &Job<C>, pool: &Pool, version: &Name) -> Option<Arc<Backend>> {
     let now = clock::steady();
-    let limits = Limits::of(job, pool);
     let load = if is_engine(job) { canary::USUAL_LOAD } else { canary::PEAK_LOAD };
-    let open = pool.open(version, load, now).into_iter();
+    let looked = pool.look(version, load, subject(job), rand::random(), now);
+    let chosen = choose_of(job, pool, version, &looked, now);
+    // None of those drawn takes it; of thousands another one does, if the service works.
+    let chosen = chosen.or_else(|| {
+        let all = || Looked { backends: pool.open(version, load, now), ..Looked::default() };
+        if looked.is_sample { choose_of(job, pool, version, &all(), now) } else { None }
+    });
+    chosen.inspect(|backend| Limits::of(job, pool).sent(backend, now))
+}
+
+/// The best of those that the request looks at.
+fn choose_of<C: Codec>(
+    job: &Job<C>,
+    pool: &Pool,
+    version: &Name,
+    looked: &Looked<'_>,
+    now: Millis,
+) -> Option<Arc<Backend>> {
+    let limits = Limits::of(job, pool);
+    let open = looked.backends.iter().copied();
     let untried = open.filter(|backend| !job.tries.tried.contains(&backend.id));
     let untried = untried.filter(|backend| limits.may_send(backend, now));
     let (reachable, unreachable): (Vec<_>, Vec<_>) = untried
         .partition(|backend| !job.tries.unreachable.contains(&backend.server.failure_domain));
     let (well, ill): (Vec<_>, Vec<_>) =
         reachable.into_iter().partition(|backend| backend.server.takes_work(now));
-    let chosen = match (well.as_slice(), unreachable.as_slice()) {
+    match (well.as_slice(), unreachable.as_slice()) {
         ([], []) => {
-            ill.iter().for_each(|backend| backend.probe_soon());
+            let probed = sample::draw(ill.len(), PROBED_MAX, rand::random());
+            probed.for_each(|index| ill[index].probe_soon());
             None
         }
-        ([], unreachable) => best(job, unreachable, now),
-        (well, _) => best(job, loaded(job, pool, version, well, now), now),
-    };
-    chosen.inspect(|backend| limits.sent(backend, now))
+        ([], unreachable) => best(job, unreachable, looked.preferred, now),
+        (well, _) => best(job, loaded(job, pool, version, well, now), looked.preferred, now),
+    }
 }
 
 /// Whether a backend server of the service takes the request now, whichever it is. An answer must not be
@@ -79,21 +101,35 @@
     if !pool.is_at_peak(version, is_engine(job), now) {
         return backends;
     }
-    match peak::next(&engines(job, backends, now)) {
+    match peak::next(&engines(job, backends, None, now)) {
         Some(next) => &backends[next..=next],
         None => backends,
     }
 }
 
-fn best<C: Codec>(job: &Job<C>, backends: &[&Arc<Backend>], now: Millis) -> Option<Arc<Backend>> {
-    let index = engine::choose(&engines(job, backends, now), &ask(job), rand::random())?;
+fn best<C: Codec>(
+    job: &Job<C>,
+    backends: &[&Arc<Backend>],
+    preferred: Option<&Arc<Backend>>,
+    now: Millis,
+) -> Option<Arc<Backend>> {
+    let engines = engines(job, backends, preferred, now);
+    let index = engine::choose(&engines, &ask(job), rand::random())?;
     backends.get(index).map(|backend| Arc::clone(backend))
 }
 
-/// What is believed of each.
-fn engines<C: Codec>(job: &Job<C>, backends: &[&Arc<Backend>], now: Millis) -> Vec<Engine> {
+/// What is believed of each; one of them may be known to be the preferred one.
+fn engines<C: Codec>(
+    job: &Job<C>,
+    backends: &[&Arc<Backend>],
+    preferred: Option<&Arc<Backend>>,
+    now: Millis,
+) -> Vec<Engine> {
     let model = job.model_hash();
-    let preferred = preferred(job, backends);
+    let preferred = match preferred {
+        Some(known) => backends.iter().position(|backend| Arc::ptr_eq(backend, known)),
+        None => self::preferred(job, backends),
+    };
     let rank = job.engine_priority().unwrap_or_default();
     backends
         .iter()
@@ -136,10 +172,15 @@
     }
 }
 
+/// The last part of the prompt that other requests share.
+fn subject<C: Codec>(job: &Job<C>) -> Option<u64> {
+    let (_, shared) = job.ask.parts.split_last()?;
+    shared.last().map(|part| part.id)
+}
+
 /// The near engine that all hosts of the failure domain prefer for the prompt's last shared part.
 fn preferred<C: Codec>(job: &Job<C>, backends: &[&Arc<Backend>]) -> Option<usize> {
-    let (_, shared) = job.ask.parts.split_last()?;
-    let subject = shared.last()?.id;
+    let subject = subject(job)?;
     let near = backends.iter().enumerate().filter(|(_, backend)| backend.near);
     near.max_by_key(|(_, backend)| mix(backend.hash ^ subject)).map(|(index, _)| index)
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,11 +1,13 @@
 //! The backend servers of one service, by version, and the roll-out under way among them.
 
-use std::sync::Arc;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 
 use policy::canary::{self, Stage};
 use policy::name::Name;
 use policy::place::mix;
+use policy::sample::{self, FAR_MAX, NEAR_MAX};
 use policy::time::Millis;
 
 use crate::backend::Backend;
@@ -57,6 +59,67 @@
     }
 }
 
+/// Backend servers of one version, as requests look for them.
+#[derive(Default)]
+pub struct Members {
+    /// All of them, in an order that all hosts share.
+    pub all: Vec<Arc<Backend>>,
+    /// Those of the host's own failure domain, in the same order.
+    near: Vec<Arc<Backend>>,
+    /// Their places in that order.
+    near_places: Vec<u64>,
+    /// The others.
+    far: Vec<Arc<Backend>>,
+}
+
+/// Backend servers that one request looks at.
+#[derive(Default)]
+pub struct Looked<'a> {
+    /// They.
+    pub backends: Vec<&'a Arc<Backend>>,
+    /// The one that all hosts of the failure domain prefer for the request's subject, if these are not
+    /// all that there are.
+    pub preferred: Option<&'a Arc<Backend>>,
+    /// These are not all.
+    pub is_sample: bool,
+}
+
+/// What is worked out of a pool's backend servers once, when the first request looks for one.
+struct Worked {
+    versions: HashMap<Name, Members>,
+    domains: usize,
+}
+
+impl Members {
+    fn new(mut all: Vec<Arc<Backend>>) -> Self {
+        all.sort_unstable_by_key(|backend| mix(backend.hash));
+        let (near, far): (Vec<_>, Vec<_>) = all.iter().cloned().partition(|backend| backend.near);
+        let near_places = near.iter().map(|backend| mix(backend.hash)).collect();
+        Self { all, near, near_places, far }
+    }
+
+    /// Whether there are more than one request looks at.
+    #[must_use]
+    pub fn is_large(&self) -> bool {
+        self.near.len() > NEAR_MAX || self.far.len() > FAR_MAX
+    }
+
+    /// Some that a seed draws, and the preferred one for a subject.
+    #[must_use]
+    pub fn some(&self, subject: Option<u64>, seed: u64) -> Looked<'_> {
+        let preferred =
+            subject.and_then(|subject| sample::successor(&self.near_places, mix(subject)));
+        let preferred = preferred.map(|index| &self.near[index]);
+        let near = sample::draw(self.near.len(), NEAR_MAX, seed).map(|index| &self.near[index]);
+        let far = sample::draw(self.far.len(), FAR_MAX, seed).map(|index| &self.far[index]);
+        let is_other = |backend: &&Arc<Backend>| {
+            preferred.is_none_or(|preferred| !Arc::ptr_eq(preferred, backend))
+        };
+        let backends = preferred.into_iter().chain(near.chain(far).filter(is_other)).collect();
+        Looked { backends, preferred, is_sample: true }
+    }
+}
+
 /// One service's backend servers that take new work.
 #[derive(Default)]
 pub struct Pool {
@@ -70,9 +133,49 @@
     pub evacuated: usize,
     /// The roll-out under way or last decided.
     pub rollout: Option<Rollout>,
+    worked: OnceLock<Worked>,
 }
 
 impl Pool {
+    /// Of these backend servers.
+    #[must_use]
+    pub fn new(base: Name, backends: Vec<Arc<Backend>>) -> Self {
+        Self { base, backends, ..Self::default() }
+    }
+
+    /// With a roll-out.
+    #[must_use]
+    pub fn with_rollout(self, rollout: Rollout) -> Self {
+        Self { rollout: Some(rollout), ..self }
+    }
+
+    fn worked(&self) -> &Worked {
+        self.worked.get_or_init(|| {
+            let mut versions: HashMap<Name, Vec<Arc<Backend>>> = HashMap::new();
+            for backend in &self.backends {
+                versions.entry(backend.version.clone()).or_default().push(Arc::clone(backend));
+            }
+            let versions = versions.into_iter();
+            let domains = self.backends.iter().map(|backend| &backend.server.failure_domain);
+            Worked {
+                versions: versions.map(|(name, all)| (name, Members::new(all))).collect(),
+                domains: domains.collect::<HashSet<_>>().len(),
+            }
+        })
+    }
+
+    /// Failure domains that its backend servers stand in.
+    #[must_use]
+    pub fn domains(&self) -> usize {
+        self.worked().domains
+    }
+
+    /// The backend servers of a version; none if it has none.
+    #[must_use]
+    pub fn members(&self, version: &Name) -> Option<&Members> {
+        self.worked().versions.get(version)
+    }
+
     /// The version for a request; `subject` is its session, or the request itself.
     #[must_use]
     pub fn version(&self, subject: &str, now: Millis) -> &Name {
@@ -85,8 +188,8 @@
     }
 
     /// Backend servers of a version.
-    pub fn of<'a>(&'a self, version: &'a Name) -> impl Iterator<Item = &'a Arc<Backend>> {
-        self.backends.iter().filter(move |backend| backend.version == *version)
+    pub fn of<'a>(&'a self, version: &Name) -> impl Iterator<Item = &'a Arc<Backend>> {
+        self.members(version).into_iter().flat_map(|members| &members.all)
     }
 
     /// Whether so few servers of a version are to be sent requests that these have the load of a
@@ -108,15 +211,33 @@
     /// many times the load to come. Spread over all they would leave each one idle on trial, and a
     /// version that fails only under load would show it when nothing can be taken back.
     #[must_use]
-    pub fn open<'a>(&'a self, version: &'a Name, load: f64, now: Millis) -> Vec<&'a Arc<Backend>> {
-        let mut open: Vec<_> = self.of(version).collect();
+    pub fn open<'a>(&'a self, version: &Name, load: f64, now: Millis) -> Vec<&'a Arc<Backend>> {
+        let all = self.members(version).map(|members| members.all.as_slice()).unwrap_or_default();
         let trial = self.rollout.as_ref();
         let trial = trial.filter(|trial| trial.target == *version && trial.is_open());
-        if let Some(share) = trial.map(|trial| trial.share(now)).filter(|share| *share > 0.0) {
-            open.sort_unstable_by_key(|backend| mix(backend.hash));
-            open.truncate(canary::servers(share, open.len(), load));
+        let share = trial.map(|trial| trial.share(now)).filter(|share| *share > 0.0);
+        let count = share.map_or(all.len(), |share| canary::servers(share, all.len(), load));
+        all.iter().take(count).collect()
+    }
+
+    /// Those of them that one request looks at: of thousands, some that a seed draws.
+    #[must_use]
+    pub fn look<'a>(
+        &'a self,
+        version: &Name,
+        load: f64,
+        subject: Option<u64>,
+        seed: u64,
+        now: Millis,
+    ) -> Looked<'a> {
+        let trial = self.rollout.as_ref().filter(|trial| trial.target == *version);
+        match (trial.filter(|trial| trial.is_open()), self.members(version)) {
+            (None, Some(members)) if members.is_large() => members.some(subject, seed),
+            _ => {
+                let backends = self.open(version, load, now);
+                Looked { backends, preferred: None, is_sample: false }
+            }
         }
-        open
     }
 
     /// Whether a stream or session that is on a version stays there.
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -35,12 +35,8 @@
         allowed: canary::ALLOWED_MIN,
         halted: Arc::new(AtomicBool::new(halted)),
     };
-    Pool {
-        base: Name::from("v1"),
-        backends: vec![backend("old", "v1"), backend("new", "v2")],
-        rollout: Some(rollout),
-        ..Pool::default()
-    }
+    let backends = vec![backend("old", "v1"), backend("new", "v2")];
+    Pool::new(Name::from("v1"), backends).with_rollout(rollout)
 }
 
 fn at(part: f64) -> Millis {
@@ -129,3 +125,55 @@
     pool.rollout.as_mut().unwrap().stage = Stage::Done;
     assert_eq!(at_peak(&pool, false), [false; 5]);
 }
+
+fn large(near: usize, far: usize) -> Pool {
+    let row = |number: usize| wire::routing::Backend {
+        id: Name::from(format!("i-{number}")),
+        born: 0,
+        service: Name::from("s"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        failure_domain: Name::from(if number < near { "a" } else { "b" }),
+        version: Name::from("v1"),
+        slots: 8,
+        draining: false,
+        warmup_ms: None,
+    };
+    let backends = (0..near + far).map(|number| Backend::new(&row(number), number < near));
+    Pool::new(Name::from("v1"), backends.map(Arc::new).collect())
+}
+
+/// Guards against requests that look at each of thousands of servers.
+#[test]
+fn look_does_not_grow_with_the_servers() {
+    for (near, far) in [(1, 0), (30, 60), (128, 64), (1_700, 8_300), (0, 5_000), (3_400, 16_600)] {
+        let pool = large(near, far);
+        let looked = pool.look(&Name::from("v1"), canary::USUAL_LOAD, Some(7), 3, at(0.1));
+        assert!(looked.backends.len() <= 193, "{near} {far} {}", looked.backends.len());
+        assert_eq!(looked.is_sample, near > 128 || far > 64);
+        let near_looked = looked.backends.iter().filter(|backend| backend.near).count();
+        assert!(near_looked >= near.min(128), "{near} {near_looked}");
+        let ids: std::collections::BTreeSet<_> = looked.backends.iter().map(|b| &b.id).collect();
+        assert_eq!(ids.len(), looked.backends.len());
+    }
+}
+
+/// Guards against caches that each host fills at another engine.
+#[test]
+fn look_hosts_agree_on_an_engine_for_a_subject() {
+    let pools = [large(1_700, 8_300), large(1_700, 8_300)];
+    for subject in 0..50 {
+        let preferred = pools.each_ref().map(|pool| {
+            let seed = rand_like(subject);
+            let looked = pool.look(&Name::from("v1"), 1.0, Some(subject), seed, at(0.1));
+            assert!(looked.backends.iter().any(|b| Arc::ptr_eq(b, looked.preferred.unwrap())));
+            looked.preferred.unwrap().id.clone()
+        });
+        assert_eq!(preferred[0], preferred[1]);
+    }
+}
+
+/// Another seed at each call.
+fn rand_like(subject: u64) -> u64 {
+    static CALLS: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
+    policy::place::mix(subject ^ CALLS.fetch_add(1, Ordering::Relaxed))
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod rollout;
 pub mod roster;
 pub mod select;
+pub mod sample;
 pub mod silence;
 pub mod slowdown;
 pub mod suspicion;
