At a first start hosts meet before one of them reads the lists

Cause: at the first start of the whole fleet 1,012 to 1,115 whole lists were read from the store in the first second. Hosts are listed one by one, so the first find nobody and each reads for itself; their lists, read while thousands of servers list themselves, are then too short to go on from, and are read again (910 to 973 times).

Change: at a first start nobody reads for two seconds, whoever is found; turns are counted from then. Callers come after ten seconds at the least. Bound: one read a domain, and those whose turns come while it lasts.

--- a/crates/policy/src/bootstrap.rs
+++ b/crates/policy/src/bootstrap.rs
@@ -16,8 +16,9 @@
 /// How long a host looks for others before it reads by itself, in milliseconds: a call of a store
 /// that is well takes a tenth of it.
 const FIND_MS: u64 = 150;
-/// The same when the whole deployment starts for the first time, in milliseconds: all hosts list
-/// themselves at once, and no callers are there yet.
+/// The same when the whole deployment starts for the first time, in milliseconds. All hosts list
+/// themselves at once, so those listed first find nobody: each would read for itself. No callers are there
+/// yet, and by then all have met.
 const FIND_FIRST_MS: u64 = 2_000;
 /// Between the first two turns, in milliseconds. With a short list the first has read, and said so,
 /// before the second begins.
@@ -27,7 +28,8 @@
 /// For how long another host that reads, or gives the list, puts a turn off, in milliseconds. It
 /// says so more often; silence for so long means that it has been lost.
 const PATIENCE_MS: u64 = 400;
-/// By then the first turn comes, whoever reads, in milliseconds from the start.
+/// By then the first turn comes, whoever reads, in milliseconds from the start, or from when hosts have
+/// met.
 const LAST_MS: u64 = 2_000;
 /// Other hosts listed without which a host reads at once.
 const OTHERS_MIN: usize = 4;
@@ -38,6 +40,10 @@
     pub struct Bootstrap {
         /// When the host started.
         pub started: Millis,
+        /// The others are met until then, whoever is found listed; none if they are listed already.
+        meets_until: Option<Millis>,
+        /// Turns are counted from then.
+        counted_from: Millis,
         turn: Millis,
         rank: u64,
         others: usize,
@@ -48,18 +54,38 @@
     /// At the start of a host.
     #[must_use]
     pub fn new(now: Millis) -> Self {
-        Self { started: now, turn: now + FIND_MS, rank: 0, others: 0 }
+        Self { started: now, counted_from: now, turn: now + FIND_MS, ..Self::default() }
     }
 
     /// At the start of a host, when the whole deployment starts for the first time.
     #[must_use]
     pub fn first(now: Millis) -> Self {
-        Self { turn: now + FIND_FIRST_MS, ..Self::new(now) }
+        let until = now + FIND_FIRST_MS;
+        Self { turn: until, meets_until: Some(until), ..Self::new(now) }
     }
 
     /// So many others are listed, this many of them with turns before this host's. Some may be
     /// gone: their turns pass.
     pub fn found(&mut self, others: usize, rank: u64, now: Millis) {
+        if self.meets_until.is_none() {
+            self.take_place(others, rank, now);
+        }
+    }
+
+    /// Whether the time has come in which the hosts of a first start have met.
+    #[must_use]
+    pub fn has_met(&self, now: Millis) -> bool {
+        self.meets_until.is_some_and(|until| until <= now)
+    }
+
+    /// At a first start so many others were met, this many of them with turns before this host's.
+    pub fn met(&mut self, others: usize, rank: u64, now: Millis) {
+        self.meets_until = None;
+        self.counted_from = now;
+        self.take_place(others, rank, now);
+    }
+
+    fn take_place(&mut self, others: usize, rank: u64, now: Millis) {
         (self.others, self.rank) = (others, rank);
         self.turn = if others < OTHERS_MIN { now } else { now + turn::delay_ms(rank, TURN_MS) };
     }
@@ -84,6 +110,6 @@
     }
 
     fn last(&self) -> Millis {
-        self.started + LAST_MS + self.rank * LATE_TURN_MS
+        self.counted_from + LAST_MS + self.rank * LATE_TURN_MS
     }
 }
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -274,6 +274,9 @@
         }
         self.reads = true;
         Action::Read { hold_ms: if self.first { 0 } else { self.bounds.alone_ms } }
+        if self.bootstrap.has_met(now) {
+            self.bootstrap.met(self.others(now), self.rank(now), now);
+        }
     }
 
     fn action_among_others(&mut self, now: Millis) -> Action {
--- a/crates/policy/tests/bootstrap.rs
+++ b/crates/policy/tests/bootstrap.rs
@@ -1,6 +1,8 @@
 //! Hundreds of hosts that start within the same second: who reads the whole list, and when each has
 //! it, in simulated time.
 
+use std::collections::BTreeSet;
+
 use policy::bootstrap::Bootstrap;
 use policy::name::Name;
 use policy::relay::{Action, Bounds, Relay};
@@ -224,3 +226,56 @@
     (20..20_000).for_each(|now| bootstrap.wait(Millis(now)));
     assert!(bootstrap.turn() <= Millis(3_000), "{:?}", bootstrap.turn());
 }
+
+/// Guards against a first start at which each host that is listed early finds nobody, and reads the list
+/// for itself.
+#[test]
+fn first_start_is_read_once_by_hosts_that_find_each_other_one_by_one() {
+    let names: Vec<Name> = (0..80).map(|number| Name::from(format!("host-{number}"))).collect();
+    let mut relays: Vec<Relay> = names
+        .iter()
+        .map(|name| Relay::new(BOUNDS, name, "list", Bootstrap::first(Millis(1))))
+        .collect();
+    /// A long list on a narrow link.
+    const READ_MS: u64 = 600;
+    let mut readers = BTreeSet::new();
+    let mut listed = 0;
+    let mut reading: Option<(usize, u64)> = None;
+    let mut has = vec![false; names.len()];
+    for now in 2..4_000_u64 {
+        // Three hosts are listed in ten milliseconds, each finds those before it, and greets them.
+        let before = listed;
+        listed = names.len().min(now as usize * 3 / 10);
+        for number in before..listed {
+            relays[number].found(names[..number].iter(), Millis(now));
+            for other in 0..number {
+                relays[other].met(&names[number], Millis(now));
+                relays[number].met(&names[other], Millis(now));
+            }
+        }
+        if let Some((reader, until)) = reading {
+            let others = (0..names.len()).filter(|other| *other != reader);
+            if now == until {
+                relays[reader].read(Millis(now));
+                reading = None;
+            }
+            // Told at once, and then each 100 ms.
+            let is_told = (until - now).is_multiple_of(100) || until - now == READ_MS - 1;
+            for other in others.filter(|_| is_told) {
+                relays[other].reading(&names[reader], Millis(now));
+                if now == until && relays[other].may_take(Millis(now), Millis(now)) {
+                    relays[other].took(Millis(now));
+                    has[other] = true;
+                }
+            }
+        }
+        for number in (0..names.len()).filter(|number| !has[*number]).collect::<Vec<_>>() {
+            if matches!(relays[number].action(Millis(now)), Action::Read { .. }) {
+                readers.insert(number);
+                has[number] = true;
+                reading = reading.or(Some((number, now + READ_MS)));
+            }
+        }
+    }
+    assert!(readers.len() <= 2, "{readers:?}");
+}
