--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -2,16 +2,17 @@
 //!
 //! Calls are few, and a connection that is kept can go silent while new ones work.
 
-use std::collections::VecDeque;
+use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
-use entry::clock;
+use flate2::Compression;
+use flate2::read::ZlibDecoder;
+use flate2::write::ZlibEncoder;
 use futures::StreamExt;
 use policy::domain;
-use policy::limit::{Limit, Usage, Verdict};
 use tarpc::client;
 use tarpc::client::RpcError;
 use tarpc::context::{Context, current as context};
@@ -25,54 +26,69 @@
 use crate::record::Snapshot;
 use crate::store::{List, News};
 
-/// Longest time that one call may take. Past it the store is asked.
-const WITHIN: Duration = Duration::from_millis(250);
-/// Longest message. Longer news are read in pieces, or from the store, whose link is wider than a
-/// host's.
+/// Longest wait for a connection. Past it another host is asked.
+const CONNECT: Duration = Duration::from_millis(250);
+/// Longest time that one call may take: a host with a small part of a core that is taking thousands of
+/// changes itself needs some hundred milliseconds.
+const WITHIN: Duration = Duration::from_millis(700);
+/// Longest message.
 pub const MESSAGE_BYTES_MAX: usize = 64 << 10;
-/// Length of a piece: each comes within the time of a call on a narrow link, so that the whole may
-/// be of any length.
+/// Length of a piece: each comes within the time of a call on a narrow link that several share, so that
+/// the whole may be of any length.
 const PIECE_BYTES: usize = 32 << 10;
-/// Longest news that are read in pieces.
-const LONG_BYTES_MAX: u64 = 32 << 20;
-/// Hosts that read in pieces from one host at once. More of them would share its link, and fill it
-/// for longer than their callers wait; they find another host that has the news, or the store.
-const READERS_MAX: usize = 2;
-/// Hosts that were given news lately, remembered for those that find this one busy.
-const GIVEN_MAX: usize = 32;
-/// Exchanges served in a second at most, and in one burst: what a core's fiftieth can do. Who is not
-/// served asks the store.
-const SERVED: Limit = Limit { requests_per_second: 100.0, in_flight: 0 };
+/// Longest news that are passed on, compressed and not.
+const PACKED_BYTES_MAX: u64 = 8 << 20;
+const LONG_BYTES_MAX: u64 = 64 << 20;
+/// All packed news that are kept together take so many bytes at most, but for the newest.
+const SHELF_BYTES_MAX: usize = 4 << 20;
+/// Packed news kept: for those that start, and for those that know one of the last few revisions.
+const PACKED_MAX: usize = 6;
+/// Hosts that read from one host at once: those that ask it first, and some whose own sources are lost.
+/// More of them would share its link, and fill it for longer than their callers wait.
+const READERS_MAX: usize = 6;
+/// How long a host that is about to have the news keeps one that asks for them.
+const KEPT: Duration = Duration::from_millis(120);
+/// Between two looks whether it has them.
+const LOOK: Duration = Duration::from_millis(15);
 
 /// Served by each host to the others of its failure domain.
 #[tarpc::service]
 pub trait Host {
-    /// What a host lacks that knows a list as of a revision; none if it is to be had from the
-    /// store.
-    async fn news(list: List, after: u64) -> Option<News>;
+    /// Opens what a host lacks that knows a list as of a revision, 0 for nothing, if it reaches at least up
+    /// to another one.
+    async fn give(list: List, after: u64, least: u64) -> Offer;
     /// A piece of what was opened, from a byte on; empty behind the last one.
     async fn piece(from: u64) -> Bytes;
     /// How roll-outs stand.
     async fn records() -> Vec<Snapshot>;
-    /// Opens what a host lacks that knows a list as of a revision, 0 for nothing, and that serves
-    /// others at an address.
-    async fn give(list: List, after: u64, host: SocketAddr) -> Offer;
 }
 
 domain! {
     /// What a host is offered.
     pub enum Offer {
-        /// What it lacks, to be read in pieces on this connection.
+        /// What it lacks, compressed, to be read in pieces on this connection.
         Opened {
+            /// The revision that it reaches up to.
+            revision: u64,
             /// Its length in bytes.
             bytes: u64,
+            /// The first piece.
+            first: Bytes,
         },
-        /// Enough other hosts are reading; these were given news lately.
-        Busy {
-            /// Where they serve others.
-            others: Vec<SocketAddr>,
-        },
-        /// This host has not read the list.
+        /// This host is being given it itself, or gives to enough others.
+        Later,
+        /// This host has not got it.
+        Nothing,
+    }
+
+    /// Whether a host has what another one lacks.
+    #[derive(Copy, Eq)]
+    pub enum Holds {
+        /// It has, and the newest change that it knows is this one.
+        Up(u64),
+        /// It is being given it itself.
+        Later,
+        /// It has not.
         Nothing,
     }
 
@@ -80,8 +96,8 @@
     pub enum Given {
         /// What it lacks.
         News(News),
-        /// Nothing yet; these hosts may have it.
-        Busy(Vec<SocketAddr>),
+        /// Nothing yet.
+        Later,
         /// Nothing.
         Nothing,
     }
@@ -89,17 +105,56 @@
 
 /// What has the news.
 pub trait Source: Send + Sync + 'static {
-    /// What a host lacks that knows a list as of a revision, if that is little.
+    /// Whether this host knows a list at least up to a revision.
+    fn holds(&self, list: List, least: u64) -> Holds;
+    /// What a host lacks that knows a list as of a revision.
     fn news(&self, list: List, after: u64) -> Option<News>;
-    /// The same, however much that is.
-    fn all_news(&self, list: List, after: u64) -> Option<News>;
     /// How roll-outs stand.
     fn records(&self) -> Vec<Snapshot>;
 }
 
+/// News as they are passed on, until newer ones are.
+///
+/// Most of those who ask know the same, and what this host was given itself it gives to others as it
+/// came: to unpack and to pack thousands of entries at each step takes a small core longer than its
+/// link.
+#[derive(Clone, Debug)]
+struct Packed {
+    list: List,
+    after: u64,
+    revision: u64,
+    bytes: Bytes,
+}
+
+/// What this host passes on.
+#[derive(Clone, Default)]
+pub struct Shelf(Arc<Mutex<Vec<Packed>>>);
+
+impl Shelf {
+    /// What was packed for those who know a list as of a revision, if it reaches up to another one.
+    fn find(&self, list: List, after: u64, least: u64) -> Option<Packed> {
+        let held = lock(&self.0);
+        let is_it =
+            |held: &&Packed| (held.list, held.after) == (list, after) && held.revision >= least;
+        held.iter().find(is_it).cloned()
+    }
+
+    fn put(&self, packed: Packed) {
+        let mut held = lock(&self.0);
+        held.retain(|other| (other.list, other.after) != (packed.list, packed.after));
+        held.insert(0, packed);
+        let mut bytes = 0;
+        held.retain(|packed| {
+            bytes += packed.bytes.len();
+            bytes <= SHELF_BYTES_MAX || bytes == packed.bytes.len()
+        });
+        held.truncate(PACKED_MAX);
+    }
+}
+
 /// What is read in pieces on one connection.
 struct Opened {
-    text: Bytes,
+    packed: Bytes,
     /// Frees the place for another host when the connection ends.
     _place: OwnedSemaphorePermit,
 }
@@ -107,9 +162,8 @@
 /// Serves one connection.
 struct Server<S> {
     source: Arc<S>,
-    served: Arc<Mutex<Usage>>,
     places: Arc<Semaphore>,
-    given: Arc<Mutex<VecDeque<SocketAddr>>>,
+    shelf: Shelf,
     opened: Arc<Mutex<Option<Opened>>>,
 }
 
@@ -117,84 +171,100 @@
     fn clone(&self) -> Self {
         Self {
             source: Arc::clone(&self.source),
-            served: Arc::clone(&self.served),
             places: Arc::clone(&self.places),
-            given: Arc::clone(&self.given),
+            shelf: self.shelf.clone(),
             opened: Arc::clone(&self.opened),
         }
     }
 }
 
 impl<S: Source> Host for Server<S> {
-    async fn news(self, _: Context, list: List, after: u64) -> Option<News> {
-        match self.is_served() {
-            true => self.source.news(list, after),
-            false => None,
+    async fn give(self, _: Context, list: List, after: u64, least: u64) -> Offer {
+        let until = tokio::time::Instant::now() + KEPT;
+        loop {
+            let offer = self.offer(list, after, least);
+            if offer != Offer::Later || tokio::time::Instant::now() >= until {
+                return offer;
+            }
+            tokio::time::sleep(LOOK).await;
         }
     }
 
     async fn piece(self, _: Context, from: u64) -> Bytes {
         let opened = lock(&self.opened);
-        let text = opened.as_ref().map(|opened| opened.text.clone()).unwrap_or_default();
-        let from = usize::try_from(from).unwrap_or(usize::MAX).min(text.len());
-        text.slice(from..text.len().min(from + PIECE_BYTES))
+        let packed = opened.as_ref().map(|opened| opened.packed.clone()).unwrap_or_default();
+        piece(&packed, from)
     }
 
     async fn records(self, _: Context) -> Vec<Snapshot> {
-        match self.is_served() {
-            true => self.source.records(),
-            false => Vec::new(),
-        }
+        self.source.records()
     }
+}
 
-    async fn give(self, _: Context, list: List, after: u64, host: SocketAddr) -> Offer {
-        let Ok(place) = Arc::clone(&self.places).try_acquire_owned() else {
-            return Offer::Busy { others: lock(&self.given).iter().copied().collect() };
+impl<S: Source> Server<S> {
+    /// Makes news ready for being read in pieces.
+    fn offer(&self, list: List, after: u64, least: u64) -> Offer {
+        let Ok(place) = Arc::clone(&self.places).try_acquire_owned() else { return Offer::Later };
+        let held = self.source.holds(list, least);
+        // What has just come to this host is passed on before the host has taken it in itself.
+        let newest = if let Holds::Up(changed) = held { changed.max(least) } else { least };
+        let packed = self.shelf.find(list, after, newest);
+        let packed = match (packed, held) {
+            (Some(packed), _) => packed,
+            (None, Holds::Up(_)) => match self.pack(list, after) {
+                Some(packed) => packed,
+                None => return Offer::Nothing,
+            },
+            (None, Holds::Later) => return Offer::Later,
+            (None, Holds::Nothing) => return Offer::Nothing,
         };
-        let Some(bytes) = self.open_news(list, after, place) else { return Offer::Nothing };
-        let mut given = lock(&self.given);
-        given.retain(|other| *other != host);
-        given.push_back(host);
-        let beyond = given.len().saturating_sub(GIVEN_MAX);
-        given.drain(..beyond);
-        Offer::Opened { bytes }
+        let Packed { revision, bytes, .. } = packed;
+        let first = piece(&bytes, 0);
+        let length = bytes.len() as u64;
+        *lock(&self.opened) = Some(Opened { packed: bytes, _place: place });
+        Offer::Opened { revision, bytes: length, first }
     }
-}
 
-impl<S: Source> Server<S> {
-    /// Makes news ready for being read in pieces; their length.
-    fn open_news(&self, list: List, after: u64, place: OwnedSemaphorePermit) -> Option<u64> {
-        let news = self.source.all_news(list, after)?;
-        let text = rmp_serde::to_vec(&news).inspect_err(|error| {
+    fn pack(&self, list: List, after: u64) -> Option<Packed> {
+        let news = self.source.news(list, after)?;
+        let bytes = pack(&news).inspect_err(|error| {
             log::error!(target: "peers", list:? = list, error:% = error; "news not written");
         });
-        let text = Bytes::from(text.ok()?);
-        let length = text.len() as u64;
-        *lock(&self.opened) = Some(Opened { text, _place: place });
-        Some(length)
+        let packed = Packed { list, after, revision: news.revision, bytes: bytes.ok()? };
+        self.shelf.put(packed.clone());
+        Some(packed)
     }
 }
 
-impl<S> Server<S> {
-    fn is_served(&self) -> bool {
-        let mut served = lock(&self.served);
-        matches!(served.take(&SERVED, 1, 0.0, clock::steady()), Verdict::Granted)
-    }
+fn piece(packed: &Bytes, from: u64) -> Bytes {
+    let from = usize::try_from(from).unwrap_or(usize::MAX).min(packed.len());
+    packed.slice(from..packed.len().min(from + PIECE_BYTES))
+}
+
+/// News as they are passed on. Thousands of entries that are much alike take a fourth of the bytes, and
+/// the links are what hosts that start together wait for.
+fn pack(news: &News) -> Result<Bytes, Error> {
+    let malformed = |error: &dyn std::fmt::Display| Error::Malformed(error.to_string());
+    let mut packer = ZlibEncoder::new(Vec::new(), Compression::fast());
+    rmp_serde::encode::write(&mut packer, news).map_err(|error| malformed(&error))?;
+    packer.finish().map(Bytes::from).map_err(|error| malformed(&error))
+}
+
+fn unpack(packed: &[u8]) -> Result<News, Error> {
+    let unpacked = ZlibDecoder::new(packed).take(LONG_BYTES_MAX);
+    rmp_serde::from_read(unpacked).map_err(|error| Error::Malformed(error.to_string()))
 }
 
 /// Serves other hosts until the process ends.
-pub async fn serve<S: Source>(listener: TcpListener, source: Arc<S>) {
-    let served = Arc::default();
+pub async fn serve<S: Source>(listener: TcpListener, source: Arc<S>, shelf: Shelf) {
     let places = Arc::new(Semaphore::new(READERS_MAX));
-    let given = Arc::default();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let server = Server {
                     source: Arc::clone(&source),
-                    served: Arc::clone(&served),
                     places: Arc::clone(&places),
-                    given: Arc::clone(&given),
+                    shelf: shelf.clone(),
                     opened: Arc::default(),
                 };
                 tokio::spawn(serve_one(stream, server));
@@ -220,33 +290,24 @@
     }
 }
 
-/// Asks another host for what this one lacks.
-///
-/// # Errors
-/// When it gives no answer in time; reading has no effect.
-pub async fn ask(from: SocketAddr, list: List, after: u64) -> Result<Option<News>, Error> {
-    within(async {
-        let answer = connect(from).await?.news(context(), list, after).await;
-        answer.map_err(|error| Error::Lost(error.to_string()))
-    })
-    .await
-}
-
-/// Reads from another host, in pieces, what this one lacks, however long it is; this one serves
-/// others at an address.
+/// Asks another host for what this one lacks of a list behind a revision, at least up to another one,
+/// and passes it on from then on.
 ///
 /// # Errors
 /// When a piece does not come in time, or the whole can't be read; reading has no effect.
-pub async fn ask_given(
+pub async fn ask(
     from: SocketAddr,
-    list: List,
-    after: u64,
-    own: SocketAddr,
+    (list, after, least): (List, u64, u64),
+    shelf: &Shelf,
 ) -> Result<Given, Error> {
-    let host = within(connect(from)).await?;
-    match within(async { host.give(context(), list, after, own).await.map_err(lost) }).await? {
-        Offer::Opened { bytes } => read_pieces(&host, bytes).await.map(Given::News),
-        Offer::Busy { others } => Ok(Given::Busy(others)),
+    let host = connect(from).await?;
+    match within(async { host.give(context(), list, after, least).await.map_err(lost) }).await? {
+        Offer::Opened { revision, bytes, first } => {
+            let bytes = read_pieces(&host, bytes, first).await?;
+            shelf.put(Packed { list, after, revision, bytes: bytes.clone() });
+            unpack(&bytes).map(Given::News)
+        }
+        Offer::Later => Ok(Given::Later),
         Offer::Nothing => Ok(Given::Nothing),
     }
 }
@@ -255,21 +316,21 @@
     Error::Lost(error.to_string())
 }
 
-/// Reads what another host has opened.
-async fn read_pieces(host: &HostClient, length: u64) -> Result<News, Error> {
-    if length > LONG_BYTES_MAX {
+/// Reads on in what another host has opened.
+async fn read_pieces(host: &HostClient, length: u64, first: Bytes) -> Result<Bytes, Error> {
+    if length > PACKED_BYTES_MAX {
         return Err(Error::Malformed(format!("{length} bytes")));
     }
-    let mut text = Vec::new();
-    while (text.len() as u64) < length {
-        let from = text.len() as u64;
+    let mut packed = first.to_vec();
+    while (packed.len() as u64) < length {
+        let from = packed.len() as u64;
         let piece = within(async { host.piece(context(), from).await.map_err(lost) }).await?;
         if piece.is_empty() {
             return Err(Error::Partial(format!("the end after {from} bytes of {length}")));
         }
-        text.extend_from_slice(&piece);
+        packed.extend_from_slice(&piece);
     }
-    rmp_serde::from_slice(&text).map_err(|error| Error::Malformed(error.to_string()))
+    Ok(Bytes::from(packed))
 }
 
 /// Asks another host how roll-outs stand.
@@ -290,7 +351,9 @@
 }
 
 async fn connect(to: SocketAddr) -> Result<HostClient, Error> {
-    let stream = TcpStream::connect(to).await.map_err(|e| Error::Refused(e.to_string()))?;
+    let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(to)).await;
+    let connected = connecting.map_err(|_| Error::Refused("no connection in time".to_owned()))?;
+    let stream = connected.map_err(|error| Error::Refused(error.to_string()))?;
     Ok(HostClient::new(client::Config::default(), transport(stream)).spawn())
 }
 
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -1,12 +1,12 @@
 //! One list of the store as this host follows it: by itself, or through the host that reads it.
 
 use std::borrow::Cow;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use policy::domain;
+use policy::name::Name;
 use policy::relay::{Action, Relay};
 use policy::time::Millis;
 use tokio::sync::Notify;
@@ -77,11 +77,11 @@
 }
 
 /// A change that this host knows of and lacks.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Missing {
     revision: u64,
     /// Who announced it last.
-    from: SocketAddr,
+    from: Name,
     since: Millis,
     /// The log says so.
     is_logged: bool,
@@ -133,6 +133,12 @@
         lock(&self.history).revision()
     }
 
+    /// The revision of the list's newest change that was taken in.
+    #[must_use]
+    pub fn changed(&self) -> u64 {
+        lock(&self.history).changed()
+    }
+
     /// News were taken in.
     pub fn taken(&self, news: &News, now: Millis) {
         let mut history = lock(&self.history);
@@ -153,22 +159,22 @@
     }
 
     /// Another host has read a change that this one lacks.
-    pub fn note_missing(&self, revision: u64, from: SocketAddr, now: Millis) {
+    pub fn note_missing(&self, revision: u64, from: &Name, now: Millis) {
         let mut missing = lock(&self.missing);
-        let new = Missing { revision, from, since: now, is_logged: false };
-        missing.get_or_insert(new).from = from;
+        let new = Missing { revision, from: from.clone(), since: now, is_logged: false };
+        missing.get_or_insert(new).from = from.clone();
     }
 
     /// A host that has a change which this one lacks, if there is one.
     #[must_use]
-    pub fn missing_source(&self) -> Option<SocketAddr> {
-        lock(&self.missing).map(|missing| missing.from)
+    pub fn missing_source(&self) -> Option<Name> {
+        lock(&self.missing).as_ref().map(|missing| missing.from.clone())
     }
 
     /// For how long this host has known of a change that it lacks, in milliseconds; 0 if of none.
     #[must_use]
     pub fn behind_ms(&self, now: Millis) -> u64 {
-        lock(&self.missing).map_or(0, |missing| now.since(missing.since))
+        lock(&self.missing).as_ref().map_or(0, |missing| now.since(missing.since))
     }
 
     /// Tells the log once that the list has been behind for long.
@@ -207,6 +213,12 @@
         !self.taking.swap(true, Ordering::Relaxed)
     }
 
+    /// Whether news are being taken from another host.
+    #[must_use]
+    pub fn is_taking(&self) -> bool {
+        self.taking.load(Ordering::Relaxed)
+    }
+
     /// News were taken, or were not to be had.
     pub fn end_taking(&self) {
         self.taking.store(false, Ordering::Relaxed);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod catalog;
 pub mod counts;
+pub mod directory;
 pub mod error;
 pub mod exchange;
 pub mod follow;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -9,7 +9,6 @@
 mod find;
 pub mod message;
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,6 +28,7 @@
 use crate::counts::Counting;
 use crate::store::{List, Store};
 use crate::watch::{Notice, Watch};
+pub use find::Found;
 use message::{Entry, Message};
 
 /// Prefills are gathered for this long before they are sent.
@@ -38,12 +38,6 @@
 const NOTIFIED_MAX: usize = 24;
 /// Between two messages of what streams showed of engines.
 const SHOW_EVERY: Duration = Duration::from_secs(2);
-/// Between two signs of life to all hosts known.
-const EVERY: Duration = Duration::from_secs(5);
-/// Hosts remembered at most, which bounds memory only.
-const PEERS_MAX: usize = 4_096;
-/// A host not heard of for this long is forgotten, in milliseconds.
-const FORGET_MS: u64 = 20_000;
 /// Prefills in one message.
 const PREFILLS_MAX: usize = 16;
 /// What servers say of how much they take, in one sign of life; each host hears it from them all the same.
@@ -89,7 +83,6 @@
 impl<S: Store, C: Codec> Peers<S, C> {
     /// Exchanges messages until the process ends.
     pub async fn run(self, mut inbox: Inbox) {
-        let mut known: HashMap<SocketAddr, Millis> = HashMap::new();
         let mut delegate = None;
         let mut greeted = tokio::time::Instant::now();
         let mut shown = tokio::time::interval(SHOW_EVERY);
@@ -102,19 +95,19 @@
             tokio::select! {
                 found = &mut find, if !has_found => {
                     has_found = true;
-                    let now = clock::steady();
-                    known.extend(found.iter().map(|host| (host.address, now)));
+                    for Found { name, address, class } in &found {
+                        self.watch.directory.note(name, *address, *class, clock::steady());
+                    }
                     log::info!(target: "peers", domain:% = self.failure_domain,
-                        found = known.len(); "peers found");
-                    let names: Vec<Name> = found.into_iter().map(|host| host.name).collect();
+                        found = found.len(); "peers found");
                     let lacks = self.watch.lacking().into_iter().map(Entry::Lacks);
                     let greeting = lacks.chain(self.greeting()).collect();
-                    self.send(all(&known), greeting).await;
-                    self.watch.found(&names);
+                    self.send(self.all(), greeting).await;
+                    self.watch.found(&found);
                 }
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => {
-                        let taken = self.take(&buffer[..length], from, &mut known);
+                        let taken = self.take(&buffer[..length], from);
                         if taken.is_delegate {
                             delegate = Some(from);
                         }
@@ -134,49 +127,43 @@
                         let Ok(prefill) = inbox.prefills.try_recv() else { break };
                         entries.push(Entry::Prefill(prefill));
                     }
-                    self.send(some(&known), entries).await;
+                    self.send(self.some(), entries).await;
                 }
                 Some(restricted) = inbox.restrictions.recv() => {
                     if matches!(restricted.restriction, Restriction::Leaving) {
                         self.watch.publish();
                     }
-                    self.send(all(&known), vec![Entry::Restricted(restricted)]).await;
+                    self.send(self.all(), vec![Entry::Restricted(restricted)]).await;
                 }
                 Some(notice) = inbox.notices.recv() => {
-                    self.notify(notice, &known, delegate).await;
+                    self.notify(notice, delegate).await;
                 }
                 _ = shown.tick() => {
                     let seen: Vec<Entry> = self.state.paces.take().into_iter().map(Entry::Seen).collect();
                     if !seen.is_empty() {
-                        self.send(some(&known), seen).await;
+                        self.send(self.some(), seen).await;
                     }
                 }
-                () = tokio::time::sleep_until(greeted + EVERY) => {
+                () = tokio::time::sleep_until(greeted + self.watch.directory.pulse()) => {
                     greeted = tokio::time::Instant::now();
-                    let now = clock::steady();
-                    known.retain(|_, heard| now.since(*heard) < FORGET_MS);
-                    self.send(all(&known), self.greeting()).await;
+                    self.watch.directory.forget(clock::steady());
+                    self.send(self.all(), self.greeting()).await;
                 }
             }
         }
     }
 
-    async fn notify(
-        &self,
-        notice: Notice,
-        known: &HashMap<SocketAddr, Millis>,
-        delegate: Option<SocketAddr>,
-    ) {
+    async fn notify(&self, notice: Notice, delegate: Option<SocketAddr>) {
         let (to, entries) = match notice {
-            Notice::Positions => (all(known), self.positions()),
-            Notice::Records => (all(known), self.records()),
+            Notice::Positions => (self.all(), self.positions()),
+            Notice::Records => (self.all(), self.records()),
             Notice::Counts => (delegate.into_iter().collect(), self.counts()),
             Notice::Suspects => {
                 let new = self.state.poison.with(|book| book.for_peers(clock::steady()));
-                (all(known), new.into_iter().map(Entry::Suspect).collect())
+                (self.all(), new.into_iter().map(Entry::Suspect).collect())
             }
-            Notice::Incoming(list) => (all(known), vec![Entry::Incoming(list)]),
-            Notice::WholeRead(list) => (all(known), vec![Entry::Reading(list)]),
+            Notice::Incoming(list) => (self.all(), vec![Entry::Incoming(list)]),
+            Notice::WholeRead(list) => (self.all(), vec![Entry::Reading(list)]),
         };
         if !entries.is_empty() {
             self.send(to, entries).await;
@@ -225,12 +212,7 @@
     }
 
     /// Takes a message.
-    fn take(
-        &self,
-        bytes: &[u8],
-        from: SocketAddr,
-        known: &mut HashMap<SocketAddr, Millis>,
-    ) -> Taken {
+    fn take(&self, bytes: &[u8], from: SocketAddr) -> Taken {
         let now = clock::steady();
         let message: Message = match serde_json::from_slice(bytes) {
             Ok(message) => message,
@@ -239,21 +221,21 @@
                 return Taken::default();
             }
         };
-        let is_new = !known.contains_key(&from) && known.len() < PEERS_MAX;
-        if known.len() < PEERS_MAX || known.contains_key(&from) {
-            known.insert(from, now);
-        }
-        if !message.host.is_empty() {
-            self.watch.met(&message.host);
-            self.watch.take_over(from);
+        if message.host.is_empty() || message.host == self.host {
+            log::debug!(target: "peers", from:% = from, host:% = message.host; "message of nobody");
+            return Taken::default();
         }
+        let class = message.class;
+        let is_new = self.watch.directory.note(&message.host, from, class, now);
+        self.watch.met(&message.host, class);
+        self.watch.take_over(&message.host);
         let mut taken = Taken { is_new, ..Taken::default() };
         let mut is_changed = false;
         for entry in message.entries {
             match entry {
                 Entry::Position(position) => {
                     taken.is_delegate |= position.list == List::Operators;
-                    self.watch.hear_position(&message.host, from, position);
+                    self.watch.hear_position(&message.host, position);
                 }
                 Entry::Record(snapshot) => self.watch.adopt(snapshot),
                 Entry::Incoming(list) => self.watch.incoming(&message.host, list),
@@ -288,8 +270,24 @@
         taken
     }
 
+    /// All hosts known.
+    fn all(&self) -> Vec<SocketAddr> {
+        self.watch.directory.addresses()
+    }
+
+    /// All hosts known, or as many as are notified at once.
+    fn some(&self) -> Vec<SocketAddr> {
+        let mut some = self.all();
+        if some.len() > NOTIFIED_MAX {
+            some.shuffle(&mut rand::rng());
+            some.truncate(NOTIFIED_MAX);
+        }
+        some
+    }
+
     async fn send(&self, to: Vec<SocketAddr>, entries: Vec<Entry>) {
-        let message = Message { host: self.host.clone(), now: clock::steady(), entries };
+        let (host, class) = (self.host.clone(), self.watch.class);
+        let message = Message { host, class, now: clock::steady(), entries };
         for piece in message.pieces() {
             for address in &to {
                 if let Err(error) = self.socket.send_to(&piece, address).await {
@@ -300,18 +298,3 @@
         }
     }
 }
-
-/// All hosts known.
-fn all(known: &HashMap<SocketAddr, Millis>) -> Vec<SocketAddr> {
-    known.keys().copied().collect()
-}
-
-/// All hosts known, or as many as are notified at once.
-fn some(known: &HashMap<SocketAddr, Millis>) -> Vec<SocketAddr> {
-    let mut all = all(known);
-    if all.len() > NOTIFIED_MAX {
-        all.shuffle(&mut rand::rng());
-        all.truncate(NOTIFIED_MAX);
-    }
-    all
-}
--- a/crates/node/src/peers/find.rs
+++ b/crates/node/src/peers/find.rs
@@ -23,6 +23,9 @@
     pub struct Listed {
         /// The address.
         pub address: SocketAddr,
+        /// Its strength.
+        #[serde(default)]
+        pub class: u8,
     }
 }
 
@@ -33,6 +36,8 @@
     pub name: Name,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Its strength.
+    pub class: u8,
 }
 
 impl<S: Store, C: Codec> Peers<S, C> {
@@ -72,7 +77,8 @@
 
     /// Writes this host's row.
     async fn list(&self) -> Result<(), Error> {
-        let listed = record::write(&Listed { address: self.own()? }).map_err(Error::Malformed)?;
+        let listed = Listed { address: self.own()?, class: self.watch.class };
+        let listed = record::write(&listed).map_err(Error::Malformed)?;
         let key = Name::from(format!("{}{}", self.prefix(), self.host));
         let change = record::change(TABLE, key, None, listed);
         let change = Transaction { group: self.failure_domain.clone(), ..change };
@@ -89,7 +95,8 @@
                 log::warn!(target: "peers", key:% = row.key, error:% = error; "row unreadable");
             });
             let name = Name::from(row.key.strip_prefix(&prefix)?);
-            Some(Found { name, address: listed.ok()?.address })
+            let Listed { address, class } = listed.ok()?;
+            Some(Found { name, address, class })
         });
         let (own, others): (Vec<_>, Vec<_>) = found.partition(|host| host.address == own);
         let is_listed = own.iter().any(|host| host.name == self.host);
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -21,6 +21,9 @@
     pub struct Message {
         /// The sender's name.
         pub host: Name,
+        /// The sender's strength.
+        #[serde(default)]
+        pub class: u8,
         /// The sender's clock; times in the entries are of it.
         pub now: Millis,
         /// What it says; none if only that the sender is there.
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -12,6 +12,7 @@
 use policy::bootstrap::Bootstrap;
 use policy::relay::Relay;
 use policy::repeat::Allowance;
+use policy::strength;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -21,8 +22,9 @@
 
 use crate::catalog::Catalog;
 use crate::counts::Counts;
+use crate::directory::Directory;
 use crate::error::Error;
-use crate::exchange;
+use crate::exchange::{self, Shelf};
 use crate::follow::Follow;
 use crate::operators::{self, Subject};
 use crate::peers::{Inbox, Peers};
@@ -134,7 +136,11 @@
     let (notifier, notices) = mpsc::channel(NOTICES);
     let (changes_within, now) = (watch::bounds(&settings), clock::steady());
     let bootstrap = if settings.first_start { Bootstrap::first(now) } else { Bootstrap::new(now) };
-    let relay = |list: List| Relay::new(changes_within, &settings.name, list.name(), bootstrap);
+    let class = strength::class(settings.resources.core_share, settings.resources.link_mbps);
+    let relay = |list: List| {
+        let relay = Relay::new(changes_within, &settings.name, list.name(), bootstrap);
+        relay.with_class(&settings.name, class)
+    };
     let follow = |list| Follow::new(list, relay(list));
     let watch = Arc::new(Watch {
         store: Arc::new(store),
@@ -145,8 +151,10 @@
         notifier,
         counts: Counts::default(),
         fresh: AtomicU64::new(0),
+        directory: Directory::default(),
+        shelf: Shelf::default(),
         host: settings.name.clone(),
-        address: listeners.peers.as_ref().and_then(|(socket, _)| socket.local_addr().ok()),
+        class,
     });
     let rollouts = Rollouts {
         host: settings.name.clone(),
@@ -178,7 +186,7 @@
         };
         let inbox = Inbox { prefills: announced, restrictions: restricted, notices };
         background.push(spawn(peers.run(inbox)));
-        background.push(spawn(exchange::serve(listener, Arc::clone(&watch))));
+        background.push(spawn(exchange::serve(listener, Arc::clone(&watch), watch.shelf.clone())));
     }
     let close = CancellationToken::new();
     let connections = TaskTracker::new();
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -1,11 +1,10 @@
 //! Follows the store's lists, and makes the world anew when they change.
 
 mod peers;
-mod pieces;
+mod share;
 mod start;
 mod take;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -22,7 +21,8 @@
 
 use crate::catalog::Catalog;
 use crate::counts::Counts;
-use crate::exchange;
+use crate::directory::Directory;
+use crate::exchange::{self, Shelf};
 use crate::follow::Follow;
 use crate::store::{Answer, List, News, Store};
 
@@ -38,8 +38,6 @@
 /// go together; one question for each of them would make most of a large fleet's calls. Work must
 /// not go to a leaving server for longer than about two seconds.
 const GATHER: Duration = Duration::from_secs(1);
-/// The same of a host that reads for the others: one question of it saves one of each of them.
-const GATHER_FOR_OTHERS: Duration = Duration::from_millis(300);
 /// Pause after a failed call, first and longest; drawn from half of it up to all of it.
 const PAUSE_MS: u64 = 100;
 const PAUSE_MAX_MS: u64 = 800;
@@ -60,12 +58,16 @@
     pub notifier: mpsc::Sender<Notice>,
     /// What other hosts of the failure domain counted of roll-outs.
     pub counts: Counts,
+    /// Who they are.
+    pub directory: Directory,
+    /// What is passed on to them.
+    pub shelf: Shelf,
     /// When the store's state was last known to be new, by any list.
     pub fresh: AtomicU64,
     /// This host's name.
     pub host: Name,
-    /// Where this host serves the others of its failure domain, if it does.
-    pub address: Option<SocketAddr>,
+    /// Its strength.
+    pub class: u8,
 }
 
 /// Clocks of two hosts, or a host's and the store's, may part by this much in what they say of a
@@ -152,14 +154,14 @@
                 self.away(list);
             }
             let news = answer.map(|answer| answer.news);
-            let gathers = match self.hear(list, news) {
-                Ok(is_news) => {
+            let changes = match self.hear(list, news) {
+                Ok(count) => {
                     if !reached {
                         log::info!(target: "watch", list:? = list; "store regained");
                     }
                     reached = true;
                     pause_ms = PAUSE_MS;
-                    is_news && list == List::Backends
+                    if list == List::Backends { count } else { 0 }
                 }
                 Err(error) => {
                     if reached {
@@ -173,12 +175,11 @@
                     // while it is silent is never answered, and its return must be heard at once.
                     follow.relay().failed(pause_ms, rand::random(), clock::steady());
                     pause_ms = (pause_ms * 2).min(PAUSE_MAX_MS);
-                    false
+                    0
                 }
             };
-            if gathers {
-                let for_others = follow.relay().reads_for_others(clock::steady());
-                tokio::time::sleep(if for_others { GATHER_FOR_OTHERS } else { GATHER }).await;
+            if changes > 0 {
+                tokio::time::sleep(self.gather(list, changes)).await;
             }
         }
     }
@@ -201,15 +202,24 @@
         !follow.is_shorter_afresh(bytes)
     }
 
-    /// What the store answered; whether it was news.
-    fn hear(&self, list: List, news: Result<News, Error>) -> Result<bool, Error> {
+    /// How long changes gather before the store is asked for more, behind so many.
+    fn gather(&self, list: List, changes: usize) -> Duration {
+        let relay = self.follow(list).relay();
+        match relay.reads_for_others(clock::steady()) {
+            true => Duration::from_millis(relay.gather_ms(changes)),
+            false => GATHER,
+        }
+    }
+
+    /// What the store answered; how many changes it brought.
+    fn hear(&self, list: List, news: Result<News, Error>) -> Result<usize, Error> {
         let follow = self.follow(list);
         let news = match news {
             Ok(news) => news,
             Err(error @ (Error::Forgotten | Error::Declined)) => {
                 log::info!(target: "watch", list:? = list, why:% = error; "list read afresh");
                 follow.forgotten();
-                return Ok(false);
+                return Ok(0);
             }
             Err(error) => {
                 self.away(list);
@@ -217,15 +227,14 @@
             }
         };
         self.reached(list, clock::steady());
-        let is_news = !news.entries.is_empty();
         if !self.take(list, &news) {
             // Read afresh in a moment: the store has answered from an old state.
             follow.relay().failed(PAUSE_MS, rand::random(), clock::steady());
-            return Ok(false);
+            return Ok(0);
         }
         follow.read(clock::steady());
         self.share_positions();
-        Ok(is_news)
+        Ok(news.entries.len())
     }
 
     /// The store's state was new at that time, as this host read or heard.
--- a/crates/node/src/watch/start.rs
+++ b/crates/node/src/watch/start.rs
@@ -1,17 +1,14 @@
-//! How a host that starts comes by the lists: from the store, or from another host of its failure
-//! domain.
+//! How a host that starts reads a list of the store, and what others are told meanwhile.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use entry::clock;
 use gateway::Codec;
 use policy::name::Name;
-use policy::time::Millis;
 use wire::store::Error;
 
 use super::{Notice, Watch};
+use crate::peers::Found;
 use crate::store::{Answer, List, Store};
 
 /// Between two tellings that this host is reading all of a list. Several may be lost before the
@@ -31,9 +28,10 @@
     }
 
     /// These other hosts of the failure domain are listed.
-    pub fn found(&self, listed: &[Name]) {
+    pub fn found(&self, listed: &[Found]) {
         for follow in self.follows.iter() {
-            follow.relay().found(listed.iter(), clock::steady());
+            let listed = listed.iter().map(|host| (&host.name, host.class));
+            follow.relay().found(listed, clock::steady());
             follow.wake();
         }
     }
@@ -49,26 +47,4 @@
     pub fn peer_reads(&self, peer: &Name, list: List) {
         self.follow(list).relay().reading(peer, clock::steady());
     }
-
-    /// Takes all of a list from another host, until it is had or this host's turn has come to read
-    /// it from the store. `changed` is the list's newest change that the other host announced,
-    /// `fresh` when nothing newer was there.
-    pub(super) async fn take_first(
-        self: Arc<Self>,
-        from: SocketAddr,
-        list: List,
-        changed: u64,
-        fresh: Millis,
-    ) {
-        let relay = || self.follow(list).relay();
-        let waits = || {
-            relay().taking(clock::steady());
-            relay().may_take(fresh, clock::steady())
-        };
-        let is_taken = self.take_from_others(from, list, 0, changed, waits).await;
-        if is_taken {
-            relay().took(fresh);
-        }
-        self.end_taking(list, is_taken);
-    }
 }
--- /dev/null
+++ b/crates/node/tests/exchange.rs
@@ -0,0 +1,163 @@
+//! Hosts that give each other news of a list.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use node::exchange::{self, Given, Holds, Shelf, Source};
+use node::record::Snapshot;
+use node::store::{Entry, Fact, List, News};
+use policy::name::Name;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use wire::store::Error;
+
+const LIST: List = List::Backends;
+const REVISION: u64 = 900;
+
+/// A host that has so many entries, or is being given them.
+struct Giver {
+    entries: usize,
+    holds: Holds,
+    /// How often all of them were looked up.
+    asked: AtomicUsize,
+}
+
+impl Source for Giver {
+    fn holds(&self, _: List, least: u64) -> Holds {
+        match self.holds {
+            Holds::Up(changed) if changed < least => Holds::Nothing,
+            holds => holds,
+        }
+    }
+
+    fn news(&self, _: List, _: u64) -> Option<News> {
+        self.asked.fetch_add(1, Ordering::Relaxed);
+        Some(news(self.entries))
+    }
+
+    fn records(&self) -> Vec<Snapshot> {
+        Vec::new()
+    }
+}
+
+fn news(entries: usize) -> News {
+    let entry = |number: usize| Entry {
+        key: Name::from(format!("i-{number:08x}")),
+        revision: 1 + number as u64 % REVISION,
+        fact: Fact::Unreadable(format!("{}", policy::place::mix(number as u64))),
+    };
+    News { entries: (0..entries).map(entry).collect(), revision: REVISION, is_whole: true }
+}
+
+async fn give(entries: usize, holds: Holds, shelf: &Shelf) -> (SocketAddr, Arc<Giver>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let giver = Arc::new(Giver { entries, holds, asked: AtomicUsize::new(0) });
+    tokio::spawn(exchange::serve(listener, Arc::clone(&giver), shelf.clone()));
+    (address, giver)
+}
+
+async fn ask(from: SocketAddr, after: u64, least: u64) -> Result<Given, Error> {
+    exchange::ask(from, (LIST, after, least), &Shelf::default()).await
+}
+
+/// Guards against a host that packs thousands of entries anew for each of those that ask.
+#[tokio::test(flavor = "multi_thread")]
+async fn ask_the_same_news_are_packed_once() {
+    let (from, giver) = give(10_000, Holds::Up(REVISION), &Shelf::default()).await;
+    for _ in 0..8 {
+        assert_eq!(ask(from, 0, REVISION).await, Ok(Given::News(news(10_000))));
+    }
+    assert_eq!(giver.asked.load(Ordering::Relaxed), 1);
+}
+
+/// What was given to a host it passes on before it has taken it in, and without packing it.
+#[tokio::test(flavor = "multi_thread")]
+async fn ask_news_are_passed_on_as_they_came() {
+    let (first, _) = give(5_000, Holds::Up(REVISION), &Shelf::default()).await;
+    let shelf = Shelf::default();
+    let (second, busy) = give(0, Holds::Later, &shelf).await;
+    assert_eq!(ask(second, 0, REVISION).await, Ok(Given::Later));
+    let given = exchange::ask(first, (LIST, 0, REVISION), &shelf).await;
+    assert_eq!(given, Ok(Given::News(news(5_000))));
+    assert_eq!(ask(second, 0, REVISION).await, Ok(Given::News(news(5_000))));
+    assert_eq!(busy.asked.load(Ordering::Relaxed), 0);
+    // Those who know another revision lack something else.
+    assert_eq!(ask(second, 7, REVISION).await, Ok(Given::Later));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn ask_a_host_that_is_behind_gives_nothing() {
+    let (from, _) = give(10, Holds::Up(REVISION), &Shelf::default()).await;
+    assert_eq!(ask(from, 5, REVISION + 1).await, Ok(Given::Nothing));
+}
+
+/// Guards against old news that are passed on when a host has newer ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn ask_newer_changes_are_not_answered_with_what_was_packed_before() {
+    let (first, _) = give(10, Holds::Up(REVISION), &Shelf::default()).await;
+    let shelf = Shelf::default();
+    drop(exchange::ask(first, (LIST, 0, 0), &shelf).await);
+    let (newer, giver) = give(20, Holds::Up(REVISION + 50), &shelf).await;
+    assert_eq!(ask(newer, 0, 0).await, Ok(Given::News(news(20))));
+    assert_eq!(giver.asked.load(Ordering::Relaxed), 1);
+}
+
+/// A host that gives way for so many bytes, and then closes.
+async fn cut_after(to: SocketAddr, bytes: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (caller, _) = listener.accept().await.unwrap();
+        let (mut from, mut asks) = caller.into_split();
+        let (mut answers, mut on) = TcpStream::connect(to).await.unwrap().into_split();
+        tokio::spawn(async move { tokio::io::copy(&mut from, &mut on).await });
+        let mut left = bytes;
+        let mut buffer = vec![0; 4_096];
+        while left > 0 {
+            let read = answers.read(&mut buffer).await.unwrap_or_default().min(left);
+            if read == 0 || asks.write_all(&buffer[..read]).await.is_err() {
+                return;
+            }
+            left -= read;
+        }
+    });
+    address
+}
+
+/// Guards against half a list that is taken for all of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn ask_list_that_is_cut_off_is_an_error() {
+    let (from, _) = give(20_000, Holds::Up(REVISION), &Shelf::default()).await;
+    for bytes in [0, 10, 5_000, 40_000, 100_000] {
+        let shelf = Shelf::default();
+        let cut = cut_after(from, bytes).await;
+        let given = exchange::ask(cut, (LIST, 0, REVISION), &shelf).await;
+        assert!(given.is_err(), "{bytes} {given:?}");
+        // Nor is it passed on.
+        let (next, _) = give(0, Holds::Later, &shelf).await;
+        assert_eq!(ask(next, 0, REVISION).await, Ok(Given::Later));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn ask_host_that_speaks_something_else_is_an_error() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut caller, _)) = listener.accept().await {
+            let _ = caller.write_all(b"HTTP/1.1 400 Bad Request\r\n\r\n").await;
+        }
+    });
+    assert!(ask(address, 0, 1).await.is_err());
+}
+
+/// A host that says nothing is left in time for the next one.
+#[tokio::test(flavor = "multi_thread")]
+async fn ask_silent_host_is_left() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let asked = ask(listener.local_addr().unwrap(), 0, 1);
+    assert!(tokio::time::timeout(Duration::from_secs(3), asked).await.unwrap().is_err());
+}
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -18,6 +18,8 @@
 use crate::domain;
 use crate::name::Name;
 use crate::place::{hash, mix};
+use crate::pulse;
+use crate::strength;
 use crate::time::Millis;
 use crate::turn;
 
@@ -27,6 +29,12 @@
 /// Part of it after which a host that heard nothing reads for itself. The rest is left for that
 /// read, and for hosts of lower rank that could not.
 const STALE_PART: f64 = 0.62;
+/// Pause of the host that reads for the others behind few changes, in milliseconds, and part of the time
+/// in which changes must be in force behind many: each time they are passed on through the whole domain.
+const GATHER_MS: u64 = 300;
+const GATHER_PART: f64 = 0.2;
+/// Changes that are many.
+const MANY: usize = 16;
 /// Between the first two turns, in milliseconds: a read and its telling take a few.
 const TURN_MS: u64 = 50;
 /// Pause of a host that could not read, for each other host, in milliseconds: together they ask so
@@ -40,8 +48,6 @@
 /// How long a host waits after its first read to meet others, in milliseconds. They answer within a
 /// few.
 const MEET_MS: u64 = 150;
-/// A host that was not heard of for this long has no rank, in milliseconds.
-const GONE_MS: u64 = 12_000;
 
 domain! {
     /// How long things may take, in milliseconds.
@@ -76,6 +82,8 @@
     heard: Millis,
     /// When its state was last new; none if it has not said.
     fresh: Option<Millis>,
+    /// Its strength.
+    class: u8,
 }
 
 /// One list's reading in one failure domain, as one host sees it.
@@ -109,7 +117,7 @@
     pub fn new(bounds: Bounds, host: &Name, list: &str, bootstrap: Bootstrap) -> Self {
         let list = hash(list.as_bytes());
         Self {
-            own: rank_of(host, list),
+            own: rank_of(host, 0, list),
             list,
             bounds,
             peers: BTreeMap::new(),
@@ -124,9 +132,17 @@
         }
     }
 
-    /// These other hosts of the domain are listed; some may be gone, and have rows still.
-    pub fn found<'a>(&mut self, listed: impl Iterator<Item = &'a Name>, now: Millis) {
-        let ranks: Vec<u64> = listed.map(|name| rank_of(name, self.list)).collect();
+    /// Of a host of a strength.
+    #[must_use]
+    pub fn with_class(mut self, host: &Name, class: u8) -> Self {
+        self.own = rank_of(host, class, self.list);
+        self
+    }
+
+    /// These other hosts of the domain are listed, each with its strength; some may be gone, and have
+    /// rows still.
+    pub fn found<'a>(&mut self, listed: impl Iterator<Item = (&'a Name, u8)>, now: Millis) {
+        let ranks: Vec<u64> = listed.map(|(name, class)| rank_of(name, class, self.list)).collect();
         let before = ranks.iter().filter(|rank| **rank < self.own).count();
         self.bootstrap.found(ranks.len(), before as u64, now);
     }
@@ -157,6 +173,12 @@
         self.lost = None;
     }
 
+    /// In which a change must be in force on all hosts, in milliseconds.
+    #[must_use]
+    pub fn change_ms(&self) -> u64 {
+        self.bounds.change_ms
+    }
+
     /// Sets how long things may take.
     pub fn set_bounds(&mut self, bounds: Bounds) {
         self.bounds = bounds;
@@ -167,6 +189,12 @@
         self.peers.entry(peer.clone()).or_default().heard = now;
     }
 
+    /// Another host of the domain is there, and says how strong it is.
+    pub fn met_class(&mut self, peer: &Name, class: u8, now: Millis) {
+        let held = self.peers.entry(peer.clone()).or_default();
+        (held.heard, held.class) = (now, class);
+    }
+
     /// Another host has read; its state was new at that time.
     pub fn heard(&mut self, peer: &Name, fresh: Millis, now: Millis) {
         let held = self.peers.entry(peer.clone()).or_default();
@@ -251,11 +279,21 @@
         self.reads && !self.is_alone(now)
     }
 
+    /// How long the host that reads for the others lets changes gather before it asks for more, having
+    /// just read so many, in milliseconds.
+    #[must_use]
+    pub fn gather_ms(&self, changes: usize) -> u64 {
+        if changes < MANY { GATHER_MS } else { GATHER_MS.max(self.part(GATHER_PART)) }
+    }
+
     /// What to do now.
     pub fn action(&mut self, now: Millis) -> Action {
         if let Some(lost) = self.lost.filter(|lost| now < *lost) {
             return Action::Listen { until: lost };
         }
+        if self.bootstrap.has_met(now) {
+            self.bootstrap.met(self.others(now), self.rank(now), now);
+        }
         let turn = self.bootstrap.turn();
         match self.begun {
             _ if self.forced => Action::Read { hold_ms: 0 },
@@ -274,15 +312,12 @@
         }
         self.reads = true;
         Action::Read { hold_ms: if self.first { 0 } else { self.bounds.alone_ms } }
-        if self.bootstrap.has_met(now) {
-            self.bootstrap.met(self.others(now), self.rank(now), now);
-        }
     }
 
     fn action_among_others(&mut self, now: Millis) -> Action {
         let stale_ms = self.part(STALE_PART);
         let is_new = |peer: &Peer| peer.fresh.is_some_and(|fresh| now.since(fresh) < stale_ms);
-        let senior = self.peers.iter().filter(|(name, _)| rank_of(name, self.list) < self.own);
+        let senior = self.peers.iter().filter(|(name, peer)| self.is_before(name, peer));
         if self.reads && senior.map(|(_, peer)| peer).any(is_new) {
             self.reads = false;
         }
@@ -308,8 +343,16 @@
 
     /// Names of other hosts that were heard of lately.
     pub fn alive(&self, now: Millis) -> impl Iterator<Item = &Name> {
-        let alive = self.peers.iter().filter(move |(_, peer)| now.since(peer.heard) < GONE_MS);
-        alive.map(|(name, _)| name)
+        self.living(now).map(|(name, _)| name)
+    }
+
+    fn living(&self, now: Millis) -> impl Iterator<Item = (&Name, &Peer)> {
+        let gone_ms = pulse::gone_ms(self.peers.len());
+        self.peers.iter().filter(move |(_, peer)| now.since(peer.heard) < gone_ms)
+    }
+
+    fn is_before(&self, name: &Name, peer: &Peer) -> bool {
+        rank_of(name, peer.class, self.list) < self.own
     }
 
     /// Other hosts that were heard of lately.
@@ -320,11 +363,11 @@
 
     /// Hosts whose turn comes before this one's.
     fn rank(&self, now: Millis) -> u64 {
-        self.alive(now).filter(|name| rank_of(name, self.list) < self.own).count() as u64
+        self.living(now).filter(|(name, peer)| self.is_before(name, peer)).count() as u64
     }
 }
 
-/// Hosts have other ranks for each list, so that one host need not read them all.
-fn rank_of(host: &Name, list: u64) -> u64 {
-    mix(hash(host.as_bytes()) ^ list)
+/// Equally strong hosts have other ranks for each list, so that one host need not read them all.
+fn rank_of(host: &Name, class: u8, list: u64) -> u64 {
+    strength::rank(class, mix(hash(host.as_bytes()) ^ list))
 }
--- a/crates/policy/tests/bootstrap.rs
+++ b/crates/policy/tests/bootstrap.rs
@@ -79,7 +79,7 @@
     fn greet(&mut self, number: usize, now: u64) {
         let names: Vec<Name> = self.hosts.iter().map(|host| host.name.clone()).collect();
         let others = names.iter().filter(|name| **name != names[number]);
-        self.hosts[number].relay.found(others, Millis(now));
+        self.hosts[number].relay.found(others.map(|name| (name, 0)), Millis(now));
         for other in 0..self.hosts.len() {
             let tells =
                 self.hosts[other].has_at.is_some() && self.hosts[other].relay.tells(Millis(now));
@@ -247,7 +247,7 @@
         let before = listed;
         listed = names.len().min(now as usize * 3 / 10);
         for number in before..listed {
-            relays[number].found(names[..number].iter(), Millis(now));
+            relays[number].found(names[..number].iter().map(|name| (name, 0)), Millis(now));
             for other in 0..number {
                 relays[other].met(&names[number], Millis(now));
                 relays[number].met(&names[other], Millis(now));
--- a/crates/policy/tests/relay.rs
+++ b/crates/policy/tests/relay.rs
@@ -316,6 +316,30 @@
     }
 }
 
+/// Guards against lists of thousands of servers that are read over a narrow link while the domain has
+/// hosts with wide ones.
+#[test]
+fn action_a_strong_host_reads() {
+    let mut domain = Domain::new(30);
+    let is_strong = |number: usize| number.is_multiple_of(10);
+    let classes = |number: usize| if is_strong(number) { 9 } else { 1 };
+    let names: Vec<Name> = domain.hosts.iter().map(|host| host.name.clone()).collect();
+    for number in 0..30 {
+        let host = &mut domain.hosts[number];
+        host.relay = host.relay.clone().with_class(&names[number], classes(number));
+        for other in (0..30).filter(|other| *other != number) {
+            host.relay.met_class(&names[other], classes(other), Millis(1));
+        }
+    }
+    domain.run(6_000);
+    assert!(is_strong(domain.reader()));
+    // While strong ones are lost, others read.
+    (0..30).step_by(10).for_each(|strong| domain.set_path(strong, Path::Refused));
+    domain.change();
+    domain.run(3_000);
+    assert!(!is_strong(domain.reader()));
+}
+
 #[test]
 fn action_reader_is_gone() {
     // The host that reads is stopped. The others hear nothing, one of them reads for itself in
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -133,6 +133,20 @@
         /// Part of a service's requests that a bad version may get in the time of a roll-out.
         #[serde(default = "default_exposure_share")]
         pub exposure_share: f64,
+        /// What the host may use: of the hosts of a failure domain a stronger one reads the store's
+        /// lists for the others.
+        #[serde(default)]
+        pub resources: Resources,
+    }
+
+    /// What a host may use.
+    #[derive(Copy)]
+    #[serde(default)]
+    pub struct Resources {
+        /// Of a core.
+        pub core_share: f64,
+        /// Its link, in megabits a second.
+        pub link_mbps: f64,
     }
 
     /// Bounds on requests sent again.
@@ -193,6 +207,12 @@
     }
 }
 
+impl Default for Resources {
+    fn default() -> Self {
+        Self { core_share: 1.0, link_mbps: 1_000.0 }
+    }
+}
+
 fn default_threads() -> u32 {
     1
 }
@@ -336,6 +356,15 @@
     if !(0.0..=1e6).contains(&node.repeats.slack) {
         faults.push(Fault::at("repeats.slack", "must be from 0 to 1000000"));
     }
+    let resources = [
+        ("resources.core_share", node.resources.core_share),
+        ("resources.link_mbps", node.resources.link_mbps),
+    ];
+    for (path, value) in resources {
+        if !(value.is_finite() && value > 0.0) {
+            faults.push(Fault::at(path, "must be more than 0"));
+        }
+    }
     if !(0.0..=1.0).contains(&node.exposure_share) {
         faults.push(Fault::at("exposure_share", "must be from 0 to 1"));
     }
--- a/crates/wire/tests/settings.rs
+++ b/crates/wire/tests/settings.rs
@@ -72,6 +72,20 @@
     });
 }
 
+#[test]
+fn parse_resources_are_more_than_nothing() {
+    let text = |resources: &str| {
+        format!(
+            r#"{{"role": "node", "name": "n", "failure_domain": "a", "listen": "127.0.0.1:1",
+                "operators": "127.0.0.1:2", "platform": "127.0.0.1:3", "resources": {resources}}}"#
+        )
+    };
+    assert!(settings::parse(&text(r#"{"core_share": 0.12, "link_mbps": 20}"#)).is_ok());
+    assert!(settings::parse(&text("{}")).is_ok());
+    assert_eq!(paths(&text(r#"{"core_share": 0}"#)), ["resources.core_share"]);
+    assert_eq!(paths(&text(r#"{"link_mbps": -20}"#)), ["resources.link_mbps"]);
+}
+
 #[test]
 fn parse_exposure_share_is_a_part() {
     let text = |share: &str| {
