A store that is away is asked as seldom as changes allow

Cause, by arithmetic: while the store is away each host asked it every 0.75 to 1.5 s, hosts / 1.1 s: 890 calls a second at 985 hosts, each priced. Change: the longest pause is 0.75 of the time in which changes must be in force (1.5 s at 2 s, as before, 3.75 s at 5 s): a store that serves one host only is found by it in that time. Bound: hosts / (0.56 x change time).

--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -40,8 +40,9 @@
 /// Pause of a host that could not read, for each other host, in milliseconds: together they ask so
 /// often.
 const LOST_EACH_MS: u64 = 100;
-/// Most of that pause, in milliseconds: a store that serves only this host must be found by it.
-const LOST_MAX_MS: u64 = 1_500;
+/// Most of that pause, as a part of the time in which changes must be in force: a store that serves
+/// only this host must be found by it.
+const LOST_PART: f64 = 0.75;
 /// Time without new state beyond [`STALE_PART`] after which the store is believed to have been
 /// away, in milliseconds; within it some host takes over whose turn it is.
 const AWAY_MS: u64 = 1_000;
@@ -219,7 +220,8 @@
     /// This host could not read; `draw` is a uniform draw from 0 to 1.
     pub fn failed(&mut self, pause_ms: u64, draw: f64, now: Millis) {
         let others = self.others(now) as u64;
-        let spread_ms = (others * LOST_EACH_MS).clamp(pause_ms, LOST_MAX_MS.max(pause_ms));
+        let most_ms = self.part(LOST_PART).max(pause_ms);
+        let spread_ms = (others * LOST_EACH_MS).clamp(pause_ms, most_ms);
         let ms = spread_ms as f64 * (0.5 + draw / 2.0);
         self.lost = Some(now + ms as u64);
         self.failed = true;
