Trial's servers are filled by all hosts together, not by each one's belief

What callers saw: on fleets of 80 hosts and more a good version was stopped.

Cause: each host sent a trial's requests to the first server that it believed to have room. A host hears of a server with its own answers, each ten seconds or so at 295 hosts; all of them fill a server within one. What one host decides is right, and N of them at once are not.

Change: policy::peak. How many requests will be at the trial's servers at once follows from what servers of the version before reported and the trial's share; each host gives each server the part of its own requests that fills it if all do so. Belief only keeps a request from a server that is full. Where one server has room for all, nothing changes. Independent of the number of hosts; a host that has heard of no server spreads over all.

Test: next_server_is_not_flooded_by_many_hosts, 1 to 1,000 hosts: none turned away (more than a fifth by each host's own belief at 300 hosts), a server still has more than half of its places taken.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -157,6 +157,13 @@
         }
     }
 
+    /// Requests that it had by its last report; none if it gave none.
+    #[must_use]
+    pub fn reported(&self) -> Option<u32> {
+        let belief = self.lock();
+        (belief.reported_at > Millis(0)).then_some(belief.reported)
+    }
+
     /// A prompt was sent there, which will keep it for a time. The answer is waited for until what
     /// is returned is dropped.
     #[must_use]
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -101,7 +101,8 @@
     if !pool.is_at_peak(version, is_engine(job), now) {
         return backends;
     }
-    match peak::next(&engines(job, backends, None, now)) {
+    let expected = pool.expected_on_trial(rand::random(), now);
+    match peak::next(&engines(job, backends, None, now), expected, rand::random()) {
         Some(next) => &backends[next..=next],
         None => backends,
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -6,6 +6,7 @@
 
 use policy::canary::{self, Stage};
 use policy::name::Name;
+use policy::peak;
 use policy::place::mix;
 use policy::sample::{self, FAR_MAX, NEAR_MAX};
 use policy::time::Millis;
@@ -205,6 +206,17 @@
         })
     }
 
+    /// Requests that all hosts together are expected to have at the version on trial at once, by what some
+    /// servers of the version before said, which a seed draws; none if this host has heard of none.
+    #[must_use]
+    pub fn expected_on_trial(&self, seed: u64, now: Millis) -> Option<f64> {
+        let share = self.rollout.as_ref()?.share(now);
+        let before = &self.members(&self.base)?.all;
+        let drawn = sample::draw(before.len(), NEAR_MAX, seed);
+        let reported = drawn.filter_map(|index| before[index].reported());
+        peak::expected(share, before.len(), reported)
+    }
+
     /// Backend servers of a version that requests are sent to now.
     ///
     /// Until a version is declared done its requests go to so few of its servers that each has so
--- a/crates/policy/tests/loaded.rs
+++ b/crates/policy/tests/loaded.rs
@@ -17,11 +17,105 @@
 /// Requests of a trial were spread over servers, and none of them ever had half of its places taken.
 #[test]
 fn next_loads_one_server_before_another() {
-    assert_eq!(peak::next(&[server(0), server(0)]), Some(0));
-    assert_eq!(peak::next(&[server(25), server(0)]), Some(0), "more than half of its places");
-    assert_eq!(peak::next(&[server(40), server(3)]), Some(1), "some places are left");
-    assert_eq!(peak::next(&[server(40), server(40)]), None);
-    assert_eq!(peak::next(&[]), None);
+    for draw in [0.0, 0.5, 0.999] {
+        assert_eq!(peak::next(&[server(0), server(0)], Some(20.0), draw), Some(0));
+        let half = [server(25), server(0)];
+        assert_eq!(peak::next(&half, Some(25.0), draw), Some(0), "more than half of its places");
+        let taken = [server(40), server(3)];
+        assert_eq!(peak::next(&taken, Some(25.0), draw), Some(1), "some places are left");
+        assert_eq!(peak::next(&[server(40), server(40)], Some(25.0), draw), None);
+        assert_eq!(peak::next(&[], Some(25.0), draw), None);
+    }
+}
+
+#[test]
+fn next_of_a_host_that_knows_no_load_is_any() {
+    let servers = [server(0), server(0), server(0), server(0)];
+    let chosen = |draw| peak::next(&servers, peak::expected(0.06, 100, [].into_iter()), draw);
+    assert_eq!([0.1, 0.3, 0.6, 0.9].map(chosen), [0, 1, 2, 3].map(Some));
+}
+
+/// A trial before so many hosts, each of which hears of a server with its own answers only.
+#[derive(Clone, Copy)]
+struct Hosts {
+    count: usize,
+    /// Requests at the trial's servers at once.
+    at_once: f64,
+    /// What hosts expect there.
+    expected: Option<f64>,
+}
+
+const SERVICE_MS: f64 = 2_000.0;
+const SLOTS: u32 = 24;
+/// Requests that a server keeps waiting beyond its places.
+const WAITING_MAX: usize = 8;
+
+/// Plays ten seconds of it: the part of the requests that is turned away, and the most that any server had
+/// at once.
+fn trial(Hosts { count, at_once, expected }: Hosts) -> (f64, usize) {
+    const SERVERS: usize = 10;
+    let mut seed = 7;
+    let mut draw = || {
+        seed = mix(seed);
+        (seed >> 11) as f64 / (1_u64 << 53) as f64
+    };
+    let mut believed = vec![[Engine { slots: SLOTS, ..Engine::default() }; SERVERS]; count];
+    let mut heard_at = vec![[0.0; SERVERS]; count];
+    let mut under_way: Vec<(f64, usize, usize)> = Vec::new();
+    let (mut now, mut all, mut turned_away, mut most) = (0.0, 0.0, 0.0, 0);
+    while now < 10_000.0 {
+        now += -draw().max(1e-9).ln() * SERVICE_MS / at_once;
+        let at = |under_way: &[(f64, usize, usize)], server| {
+            under_way.iter().filter(|one| one.2 == server).count()
+        };
+        while let Some(index) = under_way.iter().position(|one| one.0 <= now) {
+            let (ended, host, server) = under_way.swap_remove(index);
+            let own = |one: &&(f64, usize, usize)| (one.1, one.2) == (host, server);
+            let own = under_way.iter().filter(own).count() as u32;
+            let belief = &mut believed[host][server];
+            (belief.own, belief.own_then) = (own, own);
+            belief.reported = at(&under_way, server) as u32;
+            heard_at[host][server] = ended;
+        }
+        let host = (draw() * count as f64) as usize;
+        let mut seen = believed[host];
+        for (engine, heard) in seen.iter_mut().zip(heard_at[host]) {
+            engine.report_age_ms = (heard > 0.0).then(|| (now - heard) as u64);
+        }
+        let Some(server) = peak::next(&seen, expected, draw()) else { continue };
+        all += 1.0;
+        if at(&under_way, server) >= SLOTS as usize + WAITING_MAX {
+            turned_away += 1.0;
+            continue;
+        }
+        believed[host][server].own += 1;
+        under_way.push((now + SERVICE_MS, host, server));
+        most = most.max(at(&under_way, server));
+    }
+    (turned_away / all, most)
+}
+
+/// Hundreds of hosts sent a trial's requests to the one server that each believed to have room, and a good
+/// version was stopped for those that it turned away.
+#[test]
+fn next_server_is_not_flooded_by_many_hosts() {
+    for count in [1, 10, 100, 300, 1_000] {
+        let (turned_away, most) = trial(Hosts { count, at_once: 80.0, expected: Some(80.0) });
+        println!("{count} hosts: {turned_away:.3} turned away, {most} at once");
+        assert!(turned_away < 0.01, "{count} hosts: {turned_away}");
+        assert!(most >= SLOTS as usize / 2, "{count} hosts: {most}");
+    }
+    // Each by its own belief alone.
+    let (turned_away, _) = trial(Hosts { count: 300, at_once: 80.0, expected: Some(0.0) });
+    assert!(turned_away > 0.2, "{turned_away}");
+}
+
+#[test]
+fn expected_follows_from_what_the_version_before_has() {
+    let expected = |reported: &[u32]| peak::expected(0.065, 160, reported.iter().copied());
+    assert_eq!(expected(&[]), None);
+    let some = expected(&[6, 10, 8]).unwrap_or_default();
+    assert!((some - 0.065 * 160.0 * 8.0).abs() < 1e-9, "{some}");
 }
 
 /// Where a bad version may get more, one that fails unseen got more than that.
