Repeats beyond the share: each failure domain has an equal part, and its hosts share that

Cause, by arithmetic: each host took up to two repeats beyond the share of its requests, whatever all hosts together may send: 2 x hosts, 1,970 at 985 hosts, where 1,040 are allowed (BUDGET). At up to some 500 hosts the bound grows by two with each host, and it was right; above it is fixed.

Change: policy::repeat::spare, slack / domains / hosts of the host's own domain, and no more than two. The sum over all hosts is the slack whatever the domains' sizes, and nobody has to know the hosts of other domains. New setting failure_domains; a host that has not found the others takes its domain for a large one.

Tests: spare_of_all_hosts_is_within_the_bound (1 to 1,000 hosts, domains of unlike sizes), parse_failure_domains_are_few_and_name_the_own.

--- a/crates/chestnutspur/tests/soak/fleet.rs
+++ b/crates/chestnutspur/tests/soak/fleet.rs
@@ -331,6 +331,7 @@
             "failure_domain": domain(number),
             "listen": self.callers, "operators": self.operators, "platform": store,
             "peers": "127.0.0.1:0", "drain_ms": 6_000,
+            "failure_domains": ["a", "b"],
             "repeats": {"share": 0.9, "slack": 50, "window_ms": window_ms},
         });
         std::fs::write(&self.settings, settings.to_string()).expect("settings");
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -60,6 +60,12 @@
         Duration::from_millis(pulse::every_ms(self.lock().len()))
     }
 
+    /// How many are known, also of those that may be gone.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.lock().len()
+    }
+
     /// Where all of them listen.
     #[must_use]
     pub fn addresses(&self) -> Vec<SocketAddr> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`process`] starts and stops it all. How the store spells and sends things is behind
 //! [`store::Store`].
 
+pub mod budget;
 pub mod catalog;
 pub mod counts;
 pub mod directory;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -104,6 +104,7 @@
                     let greeting = lacks.chain(self.greeting()).collect();
                     self.send(self.all(), greeting).await;
                     self.watch.found(&found);
+                    self.watch.share_repeats();
                 }
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => {
@@ -113,6 +114,9 @@
                         }
                         // It knows this host's address from the store, but not yet its name. A
                         // host that lacks the lists waits to hear who has them.
+                        if taken.is_new && has_found {
+                            self.watch.share_repeats();
+                        }
                         if taken.is_new || taken.lacks {
                             self.send(vec![from], self.greeting()).await;
                         }
@@ -147,6 +151,9 @@
                 () = tokio::time::sleep_until(greeted + self.watch.directory.pulse()) => {
                     greeted = tokio::time::Instant::now();
                     self.watch.directory.forget(clock::steady());
+                    if has_found {
+                        self.watch.share_repeats();
+                    }
                     self.send(self.all(), self.greeting()).await;
                 }
             }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -11,7 +11,6 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use policy::bootstrap::Bootstrap;
 use policy::relay::Relay;
-use policy::repeat::Allowance;
 use policy::strength;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
@@ -20,6 +19,7 @@
 use tokio_util::task::{AbortOnDropHandle, TaskTracker};
 use wire::settings;
 
+use crate::budget::Budget;
 use crate::catalog::Catalog;
 use crate::counts::Counts;
 use crate::directory::Directory;
@@ -33,12 +33,6 @@
 use crate::store::{List, Store};
 use crate::watch::{self, Watch};
 
-/// Hosts that share the repeats beyond the share, at least. A host does not count the others: a
-/// wrong count would break the bound, and few repeats are lost by assuming many hosts.
-const HOSTS_MIN: f64 = 16.0;
-/// Repeats beyond the share that one host may send at most, however many all may: the bound on
-/// all grows by two with each host.
-const SPARE_MAX: f64 = 2.0;
 /// After the signal to stop new connections are still taken for a while: the balancer goes on
 /// sending them until it has seen twice, a second apart, that the process is not ready.
 const LINGER: Duration = Duration::from_millis(2_600);
@@ -106,13 +100,6 @@
     }
 }
 
-/// How often this host may send requests again.
-#[must_use]
-pub fn allowance(settings: &settings::Node) -> Allowance {
-    let settings::Repeats { share, slack, window_ms } = settings.repeats;
-    Allowance { share, spare: (slack / HOSTS_MIN).min(SPARE_MAX), window_ms }
-}
-
 /// Runs until `stop`, then shuts down without cutting off a request that can still end in time.
 ///
 /// New settings that come while it runs take effect where they can: how often requests may be sent
@@ -129,7 +116,8 @@
     let (restrictions, restricted) = mpsc::channel(RESTRICTIONS);
     let (trials, asked) = mpsc::channel(TRIALS);
     let outbox = Outbox { prefills, restrictions, trials };
-    let state = Arc::new(State::new(codec, allowance(&settings), outbox, stop.clone()));
+    let budget = Budget::new(&settings);
+    let state = Arc::new(State::new(codec, budget.allowance(), outbox, stop.clone()));
     let catalog = Catalog::new(settings.failure_domain.clone());
     let catalog = Arc::new(catalog.exposing(settings.exposure_share));
     let (orders, ordered) = mpsc::unbounded_channel();
@@ -153,6 +141,7 @@
         fresh: AtomicU64::new(0),
         directory: Directory::default(),
         shelf: Shelf::default(),
+        budget,
         host: settings.name.clone(),
         class,
     });
@@ -199,7 +188,7 @@
     loop {
         tokio::select! {
             () = stop.cancelled() => break,
-            Some(changed) = changes.recv() => current = reload(&state, current, changed),
+            Some(changed) = changes.recv() => current = reload(&watch, current, changed),
         }
     }
     let deadline = Instant::now() + Duration::from_millis(current.drain_ms).saturating_sub(RESERVE);
@@ -216,10 +205,16 @@
     AbortOnDropHandle::new(tokio::spawn(task))
 }
 
-fn reload<C>(state: &State<C>, current: settings::Node, changed: settings::Node) -> settings::Node {
-    state.allowance.store(Arc::new(allowance(&changed)));
+fn reload<S: Store, C: Codec>(
+    watch: &Watch<S, C>,
+    current: settings::Node,
+    changed: settings::Node,
+) -> settings::Node {
+    watch.budget.set(&changed);
+    watch.state.allowance.store(Arc::new(watch.budget.allowance()));
     let same = settings::Node {
         repeats: current.repeats.clone(),
+        failure_domains: current.failure_domains.clone(),
         drain_ms: current.drain_ms,
         log: current.log.clone(),
         first_start: current.first_start,
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -19,6 +19,7 @@
 use tokio::sync::mpsc;
 use wire::store::Error;
 
+use crate::budget::Budget;
 use crate::catalog::Catalog;
 use crate::counts::Counts;
 use crate::directory::Directory;
@@ -62,6 +63,8 @@
     pub directory: Directory,
     /// What is passed on to them.
     pub shelf: Shelf,
+    /// This host's part of the requests that may be sent again.
+    pub budget: Budget,
     /// When the store's state was last known to be new, by any list.
     pub fresh: AtomicU64,
     /// This host's name.
@@ -262,6 +265,12 @@
         });
     }
 
+    /// The hosts of the failure domain that are known by now share its requests that may be sent again.
+    pub fn share_repeats(&self) {
+        self.budget.set_hosts(self.directory.count() + 1);
+        self.state.allowance.store(Arc::new(self.budget.allowance()));
+    }
+
     /// Tells the others how new the lists are that this host reads, and how roll-outs stand.
     pub fn share_positions(&self) {
         self.notify(Notice::Positions);
--- a/crates/policy/src/repeat.rs
+++ b/crates/policy/src/repeat.rs
@@ -19,6 +19,13 @@
 /// on every poor answer of a small model.
 const KEPT_MAX: f64 = 10.0;
 const KEPT_PART: f64 = 0.25;
+/// Repeats beyond the share that one host may send at most, however many all may: more would all be sent by
+/// one host in a moment.
+const SPARE_MAX: f64 = 2.0;
+/// Failure domains that a deployment is taken to have which names none, and hosts that a domain is taken to
+/// have by one that has not found the others.
+const DOMAINS_UNKNOWN: usize = 16;
+const HOSTS_UNKNOWN: usize = 256;
 
 domain! {
     /// What all hosts together may do.
@@ -47,6 +54,18 @@
     }
 }
 
+/// Repeats beyond the share of its requests that one host may send, where all hosts together may send
+/// `slack`. `hosts` are those of its failure domain, itself among them.
+///
+/// Each failure domain has an equal part, which its hosts share. So the sum keeps to the bound however
+/// many hosts there are and wherever they stand, and no host has to know of those of other domains.
+#[must_use]
+pub fn spare(slack: f64, domains: Option<usize>, hosts: Option<usize>) -> f64 {
+    let domains = domains.unwrap_or(DOMAINS_UNKNOWN).max(1) as f64;
+    let hosts = hosts.unwrap_or(HOSTS_UNKNOWN).max(1) as f64;
+    (slack / domains / hosts).min(SPARE_MAX)
+}
+
 impl Default for Allowance {
     /// One repeat for five requests; no spare ones.
     fn default() -> Self {
--- a/crates/policy/tests/repeat.rs
+++ b/crates/policy/tests/repeat.rs
@@ -1,6 +1,6 @@
 //! Repeats: each host keeps to its own share, and so all hosts together to theirs.
 
-use policy::repeat::{Allowance, Window};
+use policy::repeat::{Allowance, Window, spare};
 use policy::time::Millis;
 
 const ALLOWANCE: Allowance = Allowance { share: 0.9, spare: 2.0, window_ms: 10_000 };
@@ -136,3 +136,17 @@
     let left = window.left(&ALLOWANCE, START);
     assert!((15.0..17.0).contains(&left), "{left}");
 }
+
+/// Above some hundred hosts, two repeats of each beyond its share were more than all may send.
+#[test]
+fn spare_of_all_hosts_is_within_the_bound() {
+    let slack = 1_040.0;
+    for domains in [vec![1], vec![1, 1, 2, 2], vec![50; 6], vec![154, 180, 160, 10], vec![200; 5]] {
+        let spare_of = |hosts| spare(slack, Some(domains.len()), Some(hosts));
+        let sum: f64 = domains.iter().map(|hosts| spare_of(*hosts) * *hosts as f64).sum();
+        assert!(sum <= slack + 1e-6, "{domains:?}: {sum}");
+        let unknown = spare(slack, None, None) * domains.iter().sum::<usize>() as f64;
+        assert!(unknown <= slack, "{domains:?}: {unknown}");
+    }
+    assert_eq!(spare(52.0, Some(4), Some(2)), 2.0, "a few hosts have as many as one may have");
+}
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -127,6 +127,10 @@
         /// From the signal to stop until the process must have ended, in milliseconds.
         #[serde(default = "default_drain_ms")]
         pub drain_ms: u64,
+        /// All failure domains of the deployment, this host's among them; how many there are decides which
+        /// part of the repeats of all hosts is this one's. Without them they are taken for many.
+        #[serde(default)]
+        pub failure_domains: Vec<Name>,
         /// How often requests may be sent to another backend server, on all hosts together.
         #[serde(default)]
         pub repeats: Repeats,
@@ -348,6 +352,22 @@
     }
 }
 
+/// Failure domains of one deployment.
+const DOMAINS_MAX: usize = 1_000;
+
+fn check_domains(node: &Node, faults: &mut Vec<Fault>) {
+    let domains = &node.failure_domains;
+    let names: std::collections::BTreeSet<&Name> = domains.iter().collect();
+    let fault = match () {
+        () if domains.is_empty() => return,
+        () if domains.len() > DOMAINS_MAX => "must name no more than 1000",
+        () if names.len() < domains.len() => "names a failure domain twice",
+        () if !names.contains(&node.failure_domain) => "must name the host's own",
+        () => return,
+    };
+    faults.push(Fault::at("failure_domains", fault));
+}
+
 fn check_node(node: &Node, faults: &mut Vec<Fault>) {
     check_common(&node.name, &node.failure_domain, &node.log, faults);
     if !(0.0..=10.0).contains(&node.repeats.share) {
@@ -356,6 +376,7 @@
     if !(0.0..=1e6).contains(&node.repeats.slack) {
         faults.push(Fault::at("repeats.slack", "must be from 0 to 1000000"));
     }
+    check_domains(node, faults);
     let resources = [
         ("resources.core_share", node.resources.core_share),
         ("resources.link_mbps", node.resources.link_mbps),
--- a/crates/wire/tests/settings.rs
+++ b/crates/wire/tests/settings.rs
@@ -86,6 +86,23 @@
     assert_eq!(paths(&text(r#"{"link_mbps": -20}"#)), ["resources.link_mbps"]);
 }
 
+#[test]
+fn parse_failure_domains_are_few_and_name_the_own() {
+    let text = |domains: &str| {
+        format!(
+            r#"{{"role": "node", "name": "a", "failure_domain": "d", "listen": "127.0.0.1:1",
+                "operators": "127.0.0.1:2", "platform": "127.0.0.1:3", "failure_domains": {domains}}}"#
+        )
+    };
+    assert!(settings::parse(&text("[]")).is_ok());
+    assert!(settings::parse(&text(r#"["c", "d"]"#)).is_ok());
+    let many: Vec<String> = (0..9_999).map(|number| format!("\"{number}\"")).collect();
+    let many = format!(r#"["d", {}]"#, many.join(", "));
+    for wrong in [r#"["c"]"#, r#"["d", "c", "d"]"#, &many] {
+        assert_eq!(paths(&text(wrong)), ["failure_domains"], "{:.20}", wrong);
+    }
+}
+
 #[test]
 fn parse_exposure_share_is_a_part() {
     let text = |share: &str| {
