The largest model is asked at once where a host has no repeat left for a second answer

What callers got: poor answers while engines stood idle. A small model's doubtful answer is dropped only if a repeat is left, and repeats come by a host's own requests: 985 hosts before 570 prompts a second have six in ten seconds, and want four more each.

Change: policy::escalate::begins_with_largest. A request that comes where no repeat for a better answer is left begins with the largest model, if that answers in time, engines are idle and the request is urgent; else as before. No repeat is spent.

--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -39,6 +39,7 @@
     /// A refusal; one that says "not run" only if no backend server can have run it.
     pub async fn answer(&mut self) -> Result<Accepted, Refusal> {
         self.window(|window, allowance| window.request(allowance, clock::steady()));
+        self.choose_first_model();
         carry(self).await
     }
 
@@ -87,6 +88,12 @@
         taken
     }
 
+    /// Whether a repeat for a better answer is left.
+    pub fn has_spare_repeat(&self) -> bool {
+        let streams = self.streams();
+        self.window(|window, allowance| window.has_spare_beside(streams, allowance, clock::steady()))
+    }
+
     /// The backend server that is tried next.
     pub fn next_backend(&mut self) -> Option<Arc<Backend>> {
         let world = self.state.world.load_full();
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -112,22 +112,39 @@
             return None;
         }
         let larger = self.larger(reply.said.confidence?, self.delay());
+        let doubt = self.doubt(larger, reply.said.confidence);
+        let may_ask = escalate::escalate(&doubt) && pick::has_server(self);
+        (may_ask && self.take_spare_repeat()).then_some(larger)
+    }
+
+    /// Chooses the model that is asked first: the smallest, unless a doubtful answer of it would have to be
+    /// passed on.
+    pub fn choose_first_model(&mut self) {
+        let largest = self.route().models.len().saturating_sub(1);
+        if largest == 0 || !self.route().kind.may_repeat() || self.has_spare_repeat() {
+            return;
+        }
+        if escalate::begins_with_largest(&self.doubt(largest, None)) {
+            self.tries.model = largest;
+        }
+    }
+
+    /// What is known of an answer that a larger model would give in place of a doubtful one.
+    fn doubt(&self, larger: usize, confidence: Option<u8>) -> Doubt {
         let objective_ms = self.route().objective_ms as f64;
         let timing = self.state.timings.with(&self.known.timings[larger], |timing| *timing);
         let usual_ms = timing.first.faded_ms(objective_ms / 4.0, clock::steady());
         // A prompt far longer than usual keeps an engine for seconds, and all that wait there.
         let read_ms = f64::from(self.ask.prompt_tokens) / self.tokens_per_ms(larger);
-        let doubt = Doubt {
-            confidence: reply.said.confidence,
+        Doubt {
+            confidence,
             priority: self.priority,
             waited_ms: self.started.elapsed().as_secs_f64() * 1_000.0,
             larger_ms: usual_ms.max(read_ms),
             read_ms,
             objective_ms,
             delay: self.delay(),
-        };
-        let may_ask = escalate::escalate(&doubt) && pick::has_server(self);
-        (may_ask && self.take_spare_repeat()).then_some(larger)
+        }
     }
 
     /// How long callers wait for streams to begin lately, as a part of their objective.
--- a/crates/policy/src/escalate.rs
+++ b/crates/policy/src/escalate.rs
@@ -56,11 +56,26 @@
     wanted * room
 }
 
+/// Whether a request begins with the largest model, where its host has no repeat left for a second
+/// answer; `doubt` is of a small model that was not asked yet.
+///
+/// The load this answers: hundreds of hosts with a few requests each. Repeats come by a host's own requests,
+/// so that now and then it has none left while engines stand idle, and would have to pass a poor answer on.
+/// The largest model costs more than it brings where requests are not urgent.
+#[must_use]
+pub fn begins_with_largest(doubt: &Doubt) -> bool {
+    is_in_time(doubt) && doubt.delay < IDLE && threshold(doubt.priority, doubt.delay) > EVEN
+}
+
+fn is_in_time(doubt: &Doubt) -> bool {
+    doubt.waited_ms + doubt.larger_ms <= doubt.objective_ms * IN_TIME
+}
+
 /// Whether the answer is dropped and a larger model asked.
 #[must_use]
 pub fn escalate(doubt: &Doubt) -> bool {
     let Some(confidence) = doubt.confidence else { return false };
-    let in_time = doubt.waited_ms + doubt.larger_ms <= doubt.objective_ms * IN_TIME;
+    let in_time = is_in_time(doubt);
     // With room to spare a late right answer is still better than a poor one. But not one that is
     // late because of its own prompt: reading it would make others late as well.
     let has_room = doubt.delay < IDLE && doubt.read_ms < doubt.objective_ms * LONG;
--- a/crates/policy/src/repeat.rs
+++ b/crates/policy/src/repeat.rs
@@ -91,9 +91,7 @@
     /// was done for it is lost. Where full servers turn new requests away, each uses up two repeats for
     /// nothing, and streams whose server is lost would find none. So for each stream one is kept.
     pub fn take_beside(&mut self, streams: usize, allowance: &Allowance, now: Millis) -> bool {
-        let (allowed, made) = self.allowed_and_made(allowance, now);
-        let kept = (streams as f64).min(allowed * KEPT_PART);
-        let may_take = allowed - made >= 1.0 + kept;
+        let may_take = self.has_beside(streams, allowance, now);
         self.cell(allowance, now).repeats += u32::from(may_take);
         may_take
     }
@@ -107,6 +105,18 @@
         self.has_spare(allowance, now) && self.take_beside(streams, allowance, now)
     }
 
+    /// Whether [`Self::take_spare`] would take one now.
+    #[must_use]
+    pub fn has_spare_beside(&self, streams: usize, allowance: &Allowance, now: Millis) -> bool {
+        self.has_spare(allowance, now) && self.has_beside(streams, allowance, now)
+    }
+
+    fn has_beside(&self, streams: usize, allowance: &Allowance, now: Millis) -> bool {
+        let (allowed, made) = self.allowed_and_made(allowance, now);
+        let kept = (streams as f64).min(allowed * KEPT_PART);
+        allowed - made >= 1.0 + kept
+    }
+
     /// Repeats that are left now.
     #[must_use]
     pub fn left(&self, allowance: &Allowance, now: Millis) -> f64 {
