A request waits longer for a host that starts, by how long its caller waits

Cause: 300 ms was the time in which a list came from the store to a small domain. In a large one it comes through log4(hosts) others, on narrow links and a tenth of a core.

Change: policy::bootstrap::wait_ms, a fifth of the caller's time, 300 to 800 ms: callers give up a host that does not read for a second. While the store can't be read nobody waits, as before. It ends where the lists take more than 800 ms to come.

Test: wait_lasts_until_the_list_has_come_through_a_large_domain, the tree of hosts at 1 to 1,000, 150 ms a step: none refused, more than half before at 200.

--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -91,7 +91,9 @@
     /// Whether a repeat for a better answer is left.
     pub fn has_spare_repeat(&self) -> bool {
         let streams = self.streams();
-        self.window(|window, allowance| window.has_spare_beside(streams, allowance, clock::steady()))
+        self.window(|window, allowance| {
+            window.has_spare_beside(streams, allowance, clock::steady())
+        })
     }
 
     /// The backend server that is tried next.
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::{HeaderMap, Request, Response};
+use policy::bootstrap;
 use policy::name::Name;
 use policy::place::{hash, mix};
 use wire::refusal::Refusal;
@@ -29,10 +30,6 @@
 /// Callers that send a body slower than this between two pieces are cut off, in milliseconds.
 const BODY_SLOW_MS: u64 = 3_000;
 
-/// Longest wait of a request for a process that has just started to read the store. A read takes
-/// some ten milliseconds; one that takes this long may well fail.
-const START_WAIT: Duration = Duration::from_millis(300);
-
 /// A request counted as under way until dropped.
 struct Counted<C>(Arc<State<C>>);
 
@@ -90,7 +87,7 @@
 ) -> Result<Response<Answer>, Refusal> {
     let started = Instant::now();
     let (head, body) = request.into_parts();
-    wait_for_start(state).await;
+    wait_for_start(state, ask.patience_ms).await;
     let entered = enter(&state.world.load().index, &ask, &head.headers, head.uri.path())?;
     let bounds = wire::settings::Bounds {
         body_bytes: entered.body_bytes,
@@ -144,10 +141,11 @@
 /// When all hosts of a failure domain are restarted together, callers' connections come to them
 /// before they are ready. A refusal would cost such a caller its retry and half a second, for want
 /// of a table that is there ten milliseconds later. While the store can't be read nobody waits.
-async fn wait_for_start<C>(state: &State<C>) {
+async fn wait_for_start<C>(state: &State<C>, patience_ms: Option<u64>) {
     if !state.world.load().is_complete {
+        let longest = Duration::from_millis(bootstrap::wait_ms(patience_ms));
         // Read or not: what is known by then decides.
-        let _ = tokio::time::timeout(START_WAIT, state.started.cancelled()).await;
+        let _ = tokio::time::timeout(longest, state.started.cancelled()).await;
     }
 }
 
--- a/crates/policy/src/bootstrap.rs
+++ b/crates/policy/src/bootstrap.rs
@@ -33,6 +33,25 @@
 const LAST_MS: u64 = 2_000;
 /// Other hosts listed without which a host reads at once.
 const OTHERS_MIN: usize = 4;
+/// Part of the time that its caller waits for which a request waits for a host that is about to have the
+/// lists.
+const WAIT_PART: f64 = 0.2;
+/// Least and longest such wait, in milliseconds. A list that has come through all hosts of a large failure
+/// domain has come by then; callers give up a host that does not read their request for a second.
+const WAIT_MIN_MS: u64 = 300;
+const WAIT_MAX_MS: u64 = 800;
+
+/// How long a request waits for a host that has just started and is about to have the lists, in
+/// milliseconds, by how long its caller waits for the answer.
+///
+/// The load this answers: all hosts start together while callers go on sending. A refusal would cost a caller
+/// its retry, and the hosts would have its request again when they have the lists; one that is in a hurry
+/// does better to come back than to wait.
+#[must_use]
+pub fn wait_ms(patience_ms: Option<u64>) -> u64 {
+    let part = patience_ms.map(|patience| (patience as f64 * WAIT_PART) as u64);
+    part.unwrap_or(WAIT_MIN_MS).clamp(WAIT_MIN_MS, WAIT_MAX_MS)
+}
 
 domain! {
     /// One list's first read, as the host sees it that starts.
--- a/crates/policy/tests/loaded.rs
+++ b/crates/policy/tests/loaded.rs
@@ -80,7 +80,7 @@
         let host = (draw() * count as f64) as usize;
         let mut seen = believed[host];
         for (engine, heard) in seen.iter_mut().zip(heard_at[host]) {
-            engine.report_age_ms = (heard > 0.0).then(|| (now - heard) as u64);
+            engine.report_age_ms = (heard > 0.0).then_some((now - heard) as u64);
         }
         let Some(server) = peak::next(&seen, expected, draw()) else { continue };
         all += 1.0;
--- a/crates/policy/tests/tree.rs
+++ b/crates/policy/tests/tree.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use policy::bootstrap::wait_ms;
 use policy::name::Name;
 use policy::tree::sources;
 
@@ -86,3 +87,27 @@
     // Behind ten strong hosts three steps are left to the weak ones at most.
     assert!(steps.iter().all(|steps| *steps <= 2), "{:?}", steps.iter().max());
 }
+
+/// All hosts of a domain start together, and callers come at once: the part of these that is refused, if a
+/// host has the list so much later than its source and keeps a caller for that long.
+fn refused(count: usize, step_ms: u64, wait_ms: u64) -> f64 {
+    let hosts = hosts(count);
+    let steps = |own: &Name| {
+        let sources = sources((own, 0), &hosts[0], hosts.iter().map(|other| (other, 0)));
+        sources.len() as u64
+    };
+    let refused = hosts.iter().filter(|own| steps(own) * step_ms > wait_ms).count();
+    refused as f64 / count as f64
+}
+
+/// At the last hosts of a large domain, which have the lists after several steps, callers were refused that
+/// had twenty seconds.
+#[test]
+fn wait_lasts_until_the_list_has_come_through_a_large_domain() {
+    for count in [1, 30, 200, 1_000] {
+        assert_eq!(refused(count, 150, wait_ms(Some(20_000))), 0.0, "{count} hosts");
+    }
+    assert!(refused(200, 150, 300) > 0.5);
+    assert_eq!(wait_ms(Some(1_500)), 300, "a caller in a hurry comes back sooner");
+    assert_eq!(wait_ms(None), 300);
+}
--- a/crates/wire/tests/settings.rs
+++ b/crates/wire/tests/settings.rs
@@ -99,7 +99,7 @@
     let many: Vec<String> = (0..9_999).map(|number| format!("\"{number}\"")).collect();
     let many = format!(r#"["d", {}]"#, many.join(", "));
     for wrong in [r#"["c"]"#, r#"["d", "c", "d"]"#, &many] {
-        assert_eq!(paths(&text(wrong)), ["failure_domains"], "{:.20}", wrong);
+        assert_eq!(paths(&text(wrong)), ["failure_domains"], "{wrong:.20}");
     }
 }
 
