--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -14,7 +14,7 @@
 /// A body may take this many times the limit between two of its pieces altogether, so that a
 /// caller that sends single bytes just in time is cut off too.
 const BODY_SLOW_FACTOR: u32 = 6;
-/// Room made for a body before its first byte. Its length is the caller's word: one that announces a
+/// Room made for a body before its first byte. Its length is what the caller says: one that announces a
 /// long body and never sends it would hold that much for nothing.
 const BODY_BEGUN_BYTES_MAX: usize = 64 << 10;
 /// Longest header value taken as a name of the caller's own: key, session, task.
