Test: hosts that reach no backend server (RECOVER), failing, listed

The test runs hosts in two failure domains, each with links of its own to the same servers, and cuts those of the host that stands alone in its domain, in four forms: packets lost, connections refused, reset, and kept ones living on while new ones are refused. The proxy learns the last one and the first.

--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -11,13 +11,16 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
 const CHUNK_BYTES: usize = 16 << 10;
 /// Pause between two tries to listen again at an address that was closed for a while.
 const REBIND: Duration = Duration::from_millis(20);
 
+/// A connection on this machine that has not opened within this time does not open.
+const FILL: Duration = Duration::from_millis(40);
+
 /// What the proxy does with connections.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Mode {
@@ -28,6 +31,10 @@
     Cut,
     /// Resets every connection and listens no more, as if the target's process had ended.
     Closed,
+    /// Connections live on, and new ones are refused.
+    Full,
+    /// Connections are silent, and new ones do not open: packets are lost on the way.
+    Unreachable,
     /// Passes nothing on while it lasts, and keeps all connections open: a network partition. New
     /// connections are still accepted, and are as silent.
     Silent,
@@ -75,7 +82,12 @@
 
     /// Whether the connection of that number passes bytes on now.
     fn passes(&self, number: u64) -> bool {
-        self.mode != Mode::Silent && number >= self.silent_below
+        !matches!(self.mode, Mode::Silent | Mode::Unreachable) && number >= self.silent_below
+    }
+
+    /// Whether it takes no connections.
+    fn is_shut(&self) -> bool {
+        self.stopped || matches!(self.mode, Mode::Closed | Mode::Full | Mode::Unreachable)
     }
 }
 
@@ -160,10 +172,9 @@
     let mut watching = control.subscribe();
     let mut listening = Some(listener);
     while let Some(listener) = listening.take() {
-        let is_shut = |control: &Control| control.stopped || control.mode == Mode::Closed;
         let accepted = tokio::select! {
             accepted = listener.accept() => Some(accepted),
-            _ = watching.wait_for(is_shut) => None,
+            _ = watching.wait_for(Control::is_shut) => None,
         };
         let Some(accepted) = accepted else {
             listening = reopened(listener, &mut watching).await;
@@ -192,10 +203,17 @@
 ) -> Option<TcpListener> {
     let address = listener.local_addr().ok()?;
     drop(listener);
-    let is_open = |control: &Control| control.stopped || control.mode != Mode::Closed;
-    if watching.wait_for(is_open).await.ok()?.stopped {
+    let mode = watching.borrow().mode;
+    // Held until it is open again: whoever dials meanwhile waits for a place in its queue.
+    let hole = match mode {
+        Mode::Unreachable => hole(address).await,
+        _ => None,
+    };
+    let changed = |control: &Control| control.stopped || control.mode != mode;
+    if watching.wait_for(changed).await.ok()?.stopped {
         return None;
     }
+    drop(hole);
     loop {
         match TcpListener::bind(address).await {
             Ok(listener) => return Some(listener),
@@ -204,6 +222,19 @@
     }
 }
 
+/// A port at which no connection opens: its queue of new ones is full and nobody takes any.
+async fn hole(address: SocketAddr) -> Option<(TcpListener, Vec<TcpStream>)> {
+    let socket = TcpSocket::new_v4().ok()?;
+    socket.set_reuseaddr(true).ok()?;
+    socket.bind(address).ok()?;
+    let listener = socket.listen(1).ok()?;
+    let mut queue = Vec::new();
+    while let Ok(Ok(stream)) = tokio::time::timeout(FILL, TcpStream::connect(address)).await {
+        queue.push(stream);
+    }
+    Some((listener, queue))
+}
+
 /// Closes with a reset rather than an orderly end.
 fn reset(stream: &TcpStream) {
     // Fails only on a socket that is gone already.
