Servers that bear few rejected requests are sent no more than they have room for (LIMIT)

Servers of a service may say (Server-Brittle: N) that each of them falls over when it has to reject more than N requests in a second for want of room. Nothing read it. What N hosts do together counts, and a free place in a report is seen by all of them.

policy::brittle: a server's places are divided by rules that all hosts know, as a limit is. Each host of its failure domain has a part of them, one host of each other domain one place; that fills the places exactly. Fewer hosts than half of N send one more at a time by a fresh report of free places. Whoever is turned away stays away for a second or more. The service's statement holds for all of its servers, also those not used yet, from the first answer that says so until a later one doesn't. A caller whose servers are all spared is refused at once, with when to return.

Not done: the statement is not passed on between hosts. One that has heard none for three seconds sends the service less than a request in that time.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -130,6 +130,11 @@
 
 /// What a backend server says of itself in an answer binds this host, and is told to the others.
 pub fn note_statement<C: Codec>(job: &Job<C>, backend: &Backend, said: &Head, sent: Millis) {
+    let now = clock::steady();
+    if job.state.brittle.with(&job.service, |named| named.heard(said.brittle, sent, now)) {
+        log::info!(target: "route", service:% = job.service, backend:% = backend.id,
+            rejected_per_second:? = said.brittle; "servers say how many rejected requests they bear");
+    }
     for restricted in backend.note_statement(&said.statement, sent, clock::steady()) {
         // When too many wait the others hear of it with the next sign of life.
         let _ = job.state.outbox.restrictions.try_send(restricted);
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -10,10 +10,12 @@
 
 use entry::server::Server;
 use policy::backlog::{Backlog, Prompt};
+use policy::brittle::{self, Room};
 use policy::name::Name;
 use policy::place;
 use policy::slowdown::{Shown, Slowdown};
 use policy::suspicion::Suspicion;
+use policy::throttle::Place;
 use policy::time::Millis;
 use wire::backend;
 
@@ -99,6 +101,8 @@
     reported_at: Millis,
     heard_at: Millis,
     asked_at: Millis,
+    /// What this host may send it, if it falls over when it turns away too many requests.
+    room: Room,
     /// Parts of prompts by model and part, and when they were last used.
     parts: HashMap<(u64, u64), Millis>,
 }
@@ -189,6 +193,27 @@
         }
     }
 
+    /// Whether this host may send it a request, if it bears so many rejected ones a second.
+    #[must_use]
+    pub fn has_room(&self, per_second: f64, place: &Place, now: Millis) -> bool {
+        let own = self.server.in_flight.load(Ordering::Relaxed);
+        let belief = self.lock();
+        let age_ms = now.since(belief.reported_at);
+        let reported = (belief.reported_at > Millis(0)).then_some((belief.reported, age_ms));
+        let load = brittle::Load { slots: self.slots, own, reported };
+        belief.room.is_open(per_second, &load, place, now)
+    }
+
+    /// A request is about to be sent there.
+    pub fn chosen(&self, now: Millis) {
+        self.lock().room.sent(now);
+    }
+
+    /// It turned a request away, and bears so many a second; `draw` is a uniform draw.
+    pub fn note_rejected(&self, per_second: f64, draw: f64, now: Millis) {
+        self.lock().room.rejected(per_second, self.slots, draw, now);
+    }
+
     /// Requests that it had by its last report; none if it gave none.
     #[must_use]
     pub fn reported(&self) -> Option<u32> {
--- a/crates/gateway/src/closed.rs
+++ b/crates/gateway/src/closed.rs
@@ -1,5 +1,7 @@
 //! Why no backend server takes a request, and what its caller gets.
 
+use std::sync::Arc;
+
 use entry::clock;
 use policy::time::Millis;
 use wire::refusal::{Code, Refusal};
@@ -20,7 +22,7 @@
             true if late => Refusal::may_have_run(Code::DeadlinePassed, "the deadline passed"),
             true => Refusal::may_have_run(Code::BackendFailed, "the backend server failed"),
             false if let Some(ms) = paused_ms => refuse::paused(ms, rand::random()),
-            false if self.tries.not_run > 0 => {
+            false if self.tries.not_run > 0 || self.is_spared() => {
                 let timing = self.state.timings.with(self.timing(), |timing| *timing);
                 refuse::busy(timing.whole.mean_ms(0.0), rand::random())
             }
@@ -33,6 +35,15 @@
         }
     }
 
+    /// Whether servers that work are left alone, since they bear only so many rejected requests.
+    fn is_spared(&self) -> bool {
+        let world = self.state.world.load();
+        let Some(pool) = world.pools.get(&self.service) else { return false };
+        let now = clock::steady();
+        let takes_work = |backend: &Arc<Backend>| backend.server.takes_work(now);
+        self.brittle().is_some() && pool.backends.iter().any(takes_work)
+    }
+
     /// Requests a second that the service's servers take in all, if limits keep this one from them.
     fn limited(&self) -> Option<f64> {
         let world = self.state.world.load();
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -78,6 +78,8 @@
     pub load: Option<Load>,
     /// What it says of how much it takes.
     pub statement: Statement,
+    /// Rejected requests a second that a server of its service bears, if they fall over beyond that.
+    pub brittle: Option<f64>,
     /// Its model's opinion of the answer, 0 to 100.
     pub confidence: Option<u8>,
 }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -168,6 +168,12 @@
         trial.is_none_or(|trial| trial.target != backend.version)
     }
 
+    /// Rejected requests a second that a server of the service bears, if they fall over beyond that.
+    #[must_use]
+    pub fn brittle(&self) -> Option<f64> {
+        self.state.brittle.with(&self.service, |named| named.per_second())
+    }
+
     /// Uses the service's count of requests and repeats.
     pub fn window<T>(&self, use_it: impl FnOnce(&mut Window, &Allowance) -> T) -> T {
         let allowance = self.state.allowance.load();
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use policy::intake::Verdict;
+use policy::intake::{Intake, Verdict};
 use policy::throttle::Place;
 use policy::time::Millis;
 
@@ -16,23 +16,32 @@
 pub struct Limits {
     peers: Arc<Option<Peers>>,
     domains: usize,
+    /// Rejected requests a second that a server of the service bears, if they fall over beyond that.
+    brittle: Option<f64>,
 }
 
 impl Limits {
     /// As it is now.
     #[must_use]
     pub fn of<C: Codec>(job: &Job<C>, pool: &Pool) -> Self {
-        Self { peers: job.state.peers.load_full(), domains: pool.domains() }
+        Self { peers: job.state.peers.load_full(), domains: pool.domains(), brittle: job.brittle() }
     }
 
     /// Whether this host may send the server a request now.
     #[must_use]
     pub fn may_send(&self, backend: &Backend, now: Millis) -> bool {
-        if !backend.server.is_restricted() {
+        if !backend.server.is_restricted() && self.brittle.is_none() {
             return true;
         }
         let place = self.place(backend);
-        backend.with_intake(|intake| intake.verdict(place.as_ref(), now)) == Verdict::Open
+        let has_room = match (self.brittle, &place) {
+            (None, _) => true,
+            (Some(per_second), Some(place)) => backend.has_room(per_second, place, now),
+            // It would take all parts of a server.
+            (Some(_), None) => false,
+        };
+        let verdict = |intake: &mut Intake| intake.verdict(place.as_ref(), now);
+        has_room && backend.with_intake(verdict) == Verdict::Open
     }
 
     /// This host sends the server a request.
@@ -41,6 +50,9 @@
             let place = self.place(backend);
             backend.with_intake(|intake| intake.sent(place.as_ref(), now));
         }
+        if self.brittle.is_some() {
+            backend.chosen(now);
+        }
     }
 
     fn place(&self, backend: &Backend) -> Option<Place> {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,6 +5,7 @@
 
 use arc_swap::ArcSwap;
 use entry::sharded::Sharded;
+use policy::brittle::Named;
 use policy::gain::Gain;
 use policy::patience::Patience;
 use policy::place::mix;
@@ -72,6 +73,8 @@
     pub gains: Sharded<Gain>,
     /// How long callers wait for streams to begin lately, as parts of their objectives, by service.
     pub delays: Sharded<Patience>,
+    /// Rejected requests that servers bear which fall over beyond that, by service.
+    pub brittle: Sharded<Named>,
     /// How versions under roll-out answer.
     pub tally: Tally,
     /// Streams on their way to callers.
@@ -114,6 +117,7 @@
             paces: Paces::default(),
             gains: Sharded::default(),
             delays: Sharded::default(),
+            brittle: Sharded::default(),
             tally: Tally::default(),
             relays: TaskTracker::new(),
             in_flight: AtomicUsize::new(0),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admit;
 pub mod backlog;
 pub mod bootstrap;
+pub mod brittle;
 pub mod burn;
 pub mod canary;
 pub mod derive;
--- a/crates/standin/src/routed.rs
+++ b/crates/standin/src/routed.rs
@@ -2,7 +2,7 @@
 //! reached it.
 
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -10,7 +10,7 @@
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{CONTENT_TYPE, HeaderName, RETRY_AFTER};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use platform::names;
 use tokio::sync::Notify;
@@ -103,6 +103,12 @@
     script: Mutex<VecDeque<Act>>,
     /// Requests a second that it names in its answers.
     per_second: Mutex<Option<f64>>,
+    /// Rejected requests a second that it says it bears.
+    brittle: Mutex<Option<u32>>,
+    /// How many requests it works on at once, and for how long on each; none if on any number.
+    places: Mutex<Option<(usize, Duration)>>,
+    working: Arc<AtomicUsize>,
+    rejected: Mutex<Vec<Instant>>,
     /// It says in its answers that it leaves.
     leaves: AtomicBool,
     /// It ends when it runs a request whose body is this.
@@ -132,6 +138,26 @@
     }
 }
 
+/// A request that it works on, until dropped.
+struct Place {
+    working: Arc<AtomicUsize>,
+    /// Requests before it.
+    number: usize,
+}
+
+impl Place {
+    fn take(working: &Arc<AtomicUsize>) -> Self {
+        let number = working.fetch_add(1, Ordering::Relaxed);
+        Self { working: Arc::clone(working), number }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.working.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -144,6 +170,10 @@
             usual: Mutex::new(usual),
             script: Mutex::default(),
             per_second: Mutex::default(),
+            brittle: Mutex::default(),
+            places: Mutex::default(),
+            working: Arc::default(),
+            rejected: Mutex::default(),
             leaves: AtomicBool::new(false),
             ends_by: Mutex::default(),
             ending: Notify::new(),
@@ -167,6 +197,22 @@
         *lock(&self.per_second) = per_second;
     }
 
+    /// From now on it says that it bears so many rejected requests a second, or nothing.
+    pub fn name_brittle(&self, per_second: Option<u32>) {
+        *lock(&self.brittle) = per_second;
+    }
+
+    /// From now on it works on so many requests at once, on each for that long, and rejects the others.
+    pub fn limit_places(&self, places: usize, work: Duration) {
+        *lock(&self.places) = Some((places, work));
+    }
+
+    /// When it rejected requests for want of room.
+    #[must_use]
+    pub fn rejected(&self) -> Vec<Instant> {
+        lock(&self.rejected).clone()
+    }
+
     /// From now on it says in its answers that it leaves, or doesn't.
     pub fn leave(&self, leaves: bool) {
         self.leaves.store(leaves, Ordering::Relaxed);
@@ -212,7 +258,21 @@
             return std::future::pending().await;
         };
         let mut work = Work { dropped: Arc::clone(&self.dropped), is_done: false };
+        let places = *lock(&self.places);
+        let place = Place::take(&self.working);
+        let act = match places {
+            Some((places, _)) if place.number >= places => {
+                lock(&self.rejected).push(at);
+                Act::Shed
+            }
+            Some((_, work)) => {
+                tokio::time::sleep(work).await;
+                act
+            }
+            None => act,
+        };
         let made = act_on(act, &headers, &mut work).await?;
+        drop(place);
         let mut response = match made {
             Made::Whole(response) => {
                 work.done();
@@ -224,6 +284,16 @@
         if let Some(limit) = limit {
             response.headers_mut().insert(names::LIMIT, limit);
         }
+        if let Some(places) = places {
+            let working = self.working.load(Ordering::Relaxed);
+            let load = format!("{working},0,{}", places.0).parse();
+            response
+                .headers_mut()
+                .extend(load.ok().map(|load| (HeaderName::from_static(names::LOAD), load)));
+        }
+        if let Some(per_second) = *lock(&self.brittle) {
+            response.headers_mut().insert(names::BRITTLE, per_second.into());
+        }
         if self.leaves.load(Ordering::Relaxed) {
             response.headers_mut().insert(names::LEAVING, reply::value("1"));
         }
