A silence that many requests meet counts once against its server

Each request that found the server silent doubled the time for which it is held ill (twenty: half a minute) and spoke against it once more in placement (share 0.97, halved each 3 s).

A failure that comes while the server is held ill is of the same outage: no new work goes there, so it was under way before. It counts no more. One that comes after the time still doubles it (note_failure_after_another_holds_for_longer).

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -211,7 +211,13 @@
 
     /// It refused a connection, or failed on a new one.
     pub fn note_failure(&self, now: Millis) {
-        self.lock().probe.failed(now);
+        let mut health = self.lock();
+        // Others that were under way when it was found ill say nothing new. Were each to double the time,
+        // a second of silence would keep a busy server out for half a minute.
+        if health.probe.ill_until <= now {
+            health.probe.failed(now);
+        }
+        drop(health);
         self.retire(true);
     }
 
--- /dev/null
+++ b/crates/entry/tests/health.rs
@@ -0,0 +1,36 @@
+//! How long a backend server is held ill.
+
+use std::net::SocketAddr;
+
+use entry::server::Server;
+use policy::name::Name;
+use policy::probe::ILL_MS;
+use policy::time::Millis;
+
+const START: Millis = Millis(1_000_000);
+
+fn server() -> Server {
+    let address: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    Server::new(Name::from("s"), address, Name::from("a"))
+}
+
+/// Guards against a server that is silent for a second and held ill for half a minute, since many
+/// requests found it silent.
+#[test]
+fn note_failure_of_many_requests_at_once_is_one() {
+    let server = server();
+    (0..20).for_each(|n| server.note_failure(START + n * 10));
+    assert!(server.is_ill(START + ILL_MS - 1));
+    assert!(!server.is_ill(START + ILL_MS));
+}
+
+/// Guards against a server that is gone and tried again each second.
+#[test]
+fn note_failure_after_another_holds_for_longer() {
+    let server = server();
+    server.note_failure(START);
+    let again = START + ILL_MS;
+    server.note_failure(again);
+    assert!(server.is_ill(again + 2 * ILL_MS - 1));
+    assert!(!server.is_ill(again + 2 * ILL_MS));
+}
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -284,12 +284,19 @@
 
     /// It refuses connections.
     pub fn note_refused(&self, now: Millis) {
-        self.lock().suspicion.note(true, now);
+        if !self.server.is_ill(now) {
+            self.lock().suspicion.note(true, now);
+        }
         self.server.note_failure(now);
     }
 
     /// A connection to it timed out; true if it is now held ill.
     pub fn note_timeout(&self, now: Millis) -> bool {
+        // What others under way find then is the same silence. Counted for each, it would speak against
+        // the server long after it goes on.
+        if self.server.is_ill(now) {
+            return true;
+        }
         let mut belief = self.lock();
         belief.suspicion.note(true, now);
         belief.timeouts += 1;
