--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -71,6 +71,10 @@
 impl Connection {
     /// Opens one.
     ///
+    /// Neither TCP_USER_TIMEOUT nor keep-alive is set on it, nor on any other socket of ours, and no
+    /// library opens one for us. A silent connection is found by the times that requests on it are given;
+    /// one of the system's would end those that are still waited for on purpose.
+    ///
     /// # Errors
     /// Always with `sent: false`.
     pub async fn open(address: SocketAddr, within: Duration) -> Result<Self, Failure> {
