--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -26,6 +26,8 @@
         pub store_age_ms: BTreeMap<Name, u64>,
         /// Other hosts of the failure domain that were heard of lately.
         pub peers: usize,
+        /// Whether this host reaches no backend server, so that requests go by way of others.
+        pub isolated: bool,
         /// Whether this host reads each of the store's lists itself, for others or for itself
         /// alone; else it takes them from the host of its failure domain that does.
         pub reads: BTreeMap<Name, bool>,
@@ -128,6 +130,7 @@
                 .collect(),
             evacuated: catalog.evacuated(),
             services: services.collect(),
+            isolated: state.reach.is_isolated(),
             requests: requests as u64,
             held: state
                 .poison
