A host that can't serve one service is not held ill for all

With one service down everywhere each host would hold all others ill for up to half a minute, and a cut in that time would leave its callers without a way. Now a host that takes nothing at all (cut off, or not ready) says so and is left alone for a second; one that has no server for this request is only not asked again for it. A host that gives a sign of life is usable at once. A host that has just started no longer keeps requests of others waiting for its first read.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -11,6 +11,7 @@
 use entry::server::Server;
 use policy::backlog::{Backlog, Prompt};
 use policy::brittle::{self, Room};
+use policy::intake::Statement;
 use policy::name::Name;
 use policy::place;
 use policy::slowdown::{Shown, Slowdown};
@@ -27,6 +28,8 @@
 const TIMEOUTS_TO_ILL: u32 = 2;
 /// How long a prompt's part is believed to stay in an engine's cache, in milliseconds.
 const CACHED_MS: u64 = 30_000;
+/// How long a host is left alone that takes no requests, in milliseconds.
+const AWAY_MS: u64 = 1_000;
 /// How long what a host says of its requests is believed, in milliseconds.
 const REPORT_MS: u64 = 1_000;
 /// Parts remembered for one engine at most.
@@ -163,6 +166,12 @@
         Self { is_host: true, ..Self::new(&row, near) }
     }
 
+    /// It is a host and says that it takes no requests now.
+    pub fn note_away(&self, now: Millis) {
+        let pause = Statement { pause_ms: Some(AWAY_MS), ..Statement::default() };
+        self.server.with_intake(now, |intake| intake.heard(&pause, now, rand::random(), now));
+    }
+
     /// Requests under way there, as it said lately.
     #[must_use]
     pub fn requests(&self, now: Millis) -> Option<f64> {
--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -34,13 +34,14 @@
                 self.tries.new_only = true;
                 self.tries.tried.retain(|tried| *tried != host.id);
             }
-            Failure::Unsent(_) | Failure::Unwanted | Failure::NotRun { .. } => {
-                host.server.note_failure(now);
-            }
+            Failure::Unsent(_) => host.server.note_failure(now),
+            // It is well, and may serve again at any time.
+            Failure::NotRun { misdirected: true } => host.note_away(now),
+            Failure::NotRun { misdirected: false } | Failure::Unwanted => {}
             Failure::Lost(cause) => {
                 self.tries.may_have_run = true;
                 self.tries.new_only = true;
-                if cause != Cause::Deadline {
+                if matches!(cause, Cause::Silent | Cause::Broken | Cause::Truncated) {
                     host.server.note_failure(now);
                 }
             }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -21,7 +21,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use policy::detour;
 use policy::name::Name;
-use wire::forward::{LOAD, SERVER, TRIES};
+use wire::forward::{AWAY, LOAD, SERVER, TRIES};
 use wire::refusal::{Code, Refusal};
 use wire::routing::Kind;
 
@@ -77,10 +77,12 @@
 
 /// The refusal of a request that another host is to be asked for.
 #[must_use]
-pub fn misdirected(response: Response<Answer>) -> Response<Answer> {
-    let (mut head, body) = response.into_parts();
-    head.status = StatusCode::MISDIRECTED_REQUEST;
-    Response::from_parts(head, body)
+pub fn misdirected<C>(state: &State<C>, mut response: Response<Answer>) -> Response<Answer> {
+    *response.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+    if state.reach.is_isolated() || !state.world.load().is_complete {
+        response.headers_mut().insert(AWAY, HeaderValue::from_static("1"));
+    }
+    response
 }
 
 /// What another host says beside an answer.
@@ -161,7 +163,8 @@
     /// Passes the request on to another host and waits for the head of its answer.
     ///
     /// # Errors
-    /// [`Failure`]; [`Failure::NotRun`] if another host is to be asked.
+    /// [`Failure`]; [`Failure::NotRun`] if another host is to be asked, "misdirected" if this one takes no
+    /// requests at all.
     pub async fn pass_on(
         &mut self,
         host: &Arc<Backend>,
@@ -192,7 +195,7 @@
         let outcome = if is_refused { "misdirected" } else { "answered" };
         metrics::counter!("gateway_detours_total", "outcome" => outcome).increment(1);
         if is_refused {
-            return Err(Failure::NotRun { misdirected: true });
+            return Err(Failure::NotRun { misdirected: head.headers.contains_key(AWAY) });
         }
         if said.id.as_ref().is_some_and(|id| *id != self.ask.id) {
             return Err(Failure::Lost(Cause::Crossed));
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -104,7 +104,7 @@
             metrics::counter!("gateway_refusals_total", "status" => code.to_string()).increment(1);
             let is_misdirected = origin != Origin::Caller && forward::is_for_another_host(&refusal);
             let response = refuse::response(&state.codec, &id, refusal);
-            if is_misdirected { forward::misdirected(response) } else { response }
+            if is_misdirected { forward::misdirected(state, response) } else { response }
         }
     };
     if state.stop.is_cancelled() {
@@ -121,7 +121,9 @@
 ) -> Result<Response<Answer>, Refusal> {
     let started = Instant::now();
     let (head, body) = request.into_parts();
-    wait_for_start(state, ask.patience_ms).await;
+    if origin == Origin::Caller {
+        wait_for_start(state, ask.patience_ms).await;
+    }
     let entered = enter(&state.world.load().index, &ask, &head.headers, head.uri.path())?;
     let bounds = wire::settings::Bounds {
         body_bytes: entered.body_bytes,
--- a/crates/gateway/src/helpers.rs
+++ b/crates/gateway/src/helpers.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use entry::clock;
 use policy::detour::{Choice, Domain, Load};
 use policy::name::Name;
 use policy::time::Millis;
@@ -26,10 +27,15 @@
     /// A host passes requests on that come to an address.
     pub fn add(&self, name: &Name, address: SocketAddr, failure_domain: &Name, near: bool) {
         let mut hosts = self.lock();
-        let is_known = hosts.get(name).is_some_and(|known| known.server.address == address);
-        if !is_known {
-            let host = Backend::host(name.clone(), address, failure_domain.clone(), near);
-            hosts.insert(name.clone(), Arc::new(host));
+        match hosts.get(name) {
+            // Whatever it failed before, it lives.
+            Some(known) if known.server.address == address => {
+                known.server.note_success(clock::steady());
+            }
+            _ => {
+                let host = Backend::host(name.clone(), address, failure_domain.clone(), near);
+                hosts.insert(name.clone(), Arc::new(host));
+            }
         }
     }
 
--- a/crates/policy/src/detour.rs
+++ b/crates/policy/src/detour.rs
@@ -11,6 +11,9 @@
 /// Hosts that a host wants to know beside the one that it takes: one may have been lost, and one be cut
 /// off as well.
 pub const WANTED_MIN: usize = 3;
+/// Hosts that are cut off for each neighbour that serves, from which on those of other domains are looked
+/// for. It takes a call of the store for each host.
+const NEIGHBOURS_MAX: usize = 2;
 /// Hosts that are compared for one request.
 const DRAWN: usize = 4;
 /// Other hosts that one request is sent by, at most.
@@ -46,7 +49,8 @@
     /// Whether a host is to find some of other domains, where it knows so many.
     #[must_use]
     pub fn wants_far(&self, known: usize) -> bool {
-        self.serving < self.isolated.max(WANTED_MIN) && known < WANTED_MIN
+        let is_few = self.serving * NEIGHBOURS_MAX < self.isolated || self.serving < WANTED_MIN;
+        is_few && known < WANTED_MIN
     }
 
     /// Which host a request goes by, of those with these loads, some of them unknown; a seed draws it. One
--- a/crates/wire/src/forward.rs
+++ b/crates/wire/src/forward.rs
@@ -6,5 +6,7 @@
 pub const TRIES: &str = "forward-tries";
 /// The start of the backend server whose answer this is.
 pub const SERVER: &str = "forward-server";
+/// The host that it was passed on to takes no requests now, whatever they ask for.
+pub const AWAY: &str = "forward-away";
 /// Requests under way at the host that passed it on.
 pub const LOAD: &str = "forward-load";
