A request that may have run here is not called 'not run' since another host refuses it

Callers of a request that may be repeated could be told 503 with ran=no although a server had taken it and broken off: it then went by another host, which knew nothing of that try and refused it as not run, and the refusal was passed on as it came. Requests that may run once are not sent on after such a try, so they were not met.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -22,7 +22,7 @@
 use policy::detour;
 use policy::name::Name;
 use wire::forward::{AWAY, LOAD, SERVER, TRIES};
-use wire::refusal::{Code, Refusal};
+use wire::refusal::{Code, Ran, Refusal};
 use wire::routing::Kind;
 
 use crate::attempt::{self, Failure, Reply};
@@ -231,7 +231,11 @@
     pub async fn judge_passed_on(&mut self, reply: Reply) -> Result<Passed, Failure> {
         let status = reply.head.status;
         if !reply.said.is_signed {
-            return Ok(Passed::Refused(refusal(&reply.head)));
+            return Ok(Passed::Refused(match refusal(&reply.head) {
+                // The other host knows nothing of what was tried here.
+                Refusal { ran: Ran::No, .. } if self.tries.may_have_run => self.refusal(),
+                refusal => refusal,
+            }));
         }
         if self.route().kind.is_stream() && status == StatusCode::OK {
             let head = reply.head.clone();
