Names: rejected requests that a server tolerates, requests that are forwarded

policy::brittle is policy::rejection, its statement a Tolerance; what one host passes on to another is forwarded, one word for it in all places. No change of behaviour. A test of the own interface prints what it got.

--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -26,7 +26,7 @@
     let body = common::bench::chat_body("feed-2", true);
     let order = [("chestnutspur-task", "order")];
     let answer = bench.call(Method::POST, "/v1/chat/completions", &order, &body).await.unwrap();
-    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.status(), 200, "{:?}", answer.body());
     assert!(answer.body().ends_with(b"data: [DONE]\n\n"));
     let id = header(&answer, "x-request-id");
     assert_eq!(text(&answer).request.as_str(), id);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -128,12 +128,16 @@
     Ok(Reply { head, said, body, connection, lease, backend, sent_at, first_ms, expected_ms })
 }
 
-/// What a backend server says of itself in an answer binds this host, and is told to the others.
+/// What a backend server says of itself in an answer binds this host, and is passed on to the others.
 pub fn note_statement<C: Codec>(job: &Job<C>, backend: &Backend, said: &Head, sent: Millis) {
     let now = clock::steady();
-    if job.state.brittle.with(&job.service, |named| named.heard(said.brittle, sent, now)) {
+    if job
+        .state
+        .tolerances
+        .with(&job.service, |tolerance| tolerance.heard(said.tolerance, sent, now))
+    {
         log::info!(target: "route", service:% = job.service, backend:% = backend.id,
-            rejected_per_second:? = said.brittle; "servers say how many rejected requests they bear");
+            rejected_per_second:? = said.tolerance; "servers say how many rejected requests they tolerate");
     }
     for restricted in backend.note_statement(&said.statement, sent, clock::steady()) {
         // When too many wait the others hear of it with the next sign of life.
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -10,10 +10,10 @@
 
 use entry::server::Server;
 use policy::backlog::{Backlog, Prompt};
-use policy::brittle::{self, Room};
 use policy::intake::Statement;
 use policy::name::Name;
 use policy::place;
+use policy::rejection::{self, Room};
 use policy::slowdown::{Shown, Slowdown};
 use policy::suspicion::Suspicion;
 use policy::throttle::Place;
@@ -202,14 +202,14 @@
         }
     }
 
-    /// Whether this host may send it a request, if it bears so many rejected ones a second.
+    /// Whether this host may send it a request, if it tolerates so many rejected ones a second.
     #[must_use]
     pub fn has_room(&self, per_second: f64, place: &Place, now: Millis) -> bool {
         let own = self.server.in_flight.load(Ordering::Relaxed);
         let belief = self.lock();
         let age_ms = now.since(belief.reported_at);
         let reported = (belief.reported_at > Millis(0)).then_some((belief.reported, age_ms));
-        let load = brittle::Load { slots: self.slots, own, reported };
+        let load = rejection::Load { slots: self.slots, own, reported };
         belief.room.is_open(per_second, &load, place, now)
     }
 
@@ -218,7 +218,7 @@
         self.lock().room.sent(now);
     }
 
-    /// It turned a request away, and bears so many a second; `draw` is a uniform draw.
+    /// It turned a request away, and tolerates so many a second; `draw` is a uniform draw.
     pub fn note_rejected(&self, per_second: f64, draw: f64, now: Millis) {
         self.lock().room.rejected(per_second, self.slots, draw, now);
     }
--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -97,7 +97,7 @@
             Failure::NotRun { misdirected } => {
                 self.tries.not_run += 1;
                 self.tries.tried.push(backend.id.clone());
-                if let Some(per_second) = self.brittle().filter(|_| !misdirected) {
+                if let Some(per_second) = self.tolerance().filter(|_| !misdirected) {
                     backend.note_rejected(per_second, rand::random(), now);
                 }
                 if misdirected {
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -15,7 +15,7 @@
 use crate::attempt::{self, Failure, Reply};
 use crate::backend::Backend;
 use crate::codec::{Codec, Sending};
-use crate::forward::Passed;
+use crate::forward::Forwarded;
 use crate::job::Job;
 use crate::pick;
 use crate::relay::Live;
@@ -134,7 +134,7 @@
     /// Sends the request to a backend server or another host, and waits for the head of its answer.
     ///
     /// # Errors
-    /// See [`attempt::send`] and [`Job::pass_on`].
+    /// See [`attempt::send`] and [`Job::forward`].
     pub async fn try_at(
         &mut self,
         backend: &Arc<Backend>,
@@ -143,7 +143,7 @@
         self.tries.answering = false;
         self.tries.head_at = None;
         let reply = match backend.is_host {
-            true => self.pass_on(backend, last_event).await,
+            true => self.forward(backend, last_event).await,
             false => self.send(backend, last_event).await,
         };
         self.tries.answering = reply.is_ok();
@@ -212,9 +212,9 @@
             Err(failure) => return Step::Failed(failure),
         };
         if backend.is_host {
-            return match self.judge_passed_on(reply).await {
-                Ok(Passed::Accepted(accepted)) => Step::Answered(accepted),
-                Ok(Passed::Refused(refusal)) => Step::Refused(refusal),
+            return match self.judge_forwarded(reply).await {
+                Ok(Forwarded::Accepted(accepted)) => Step::Answered(accepted),
+                Ok(Forwarded::Refused(refusal)) => Step::Refused(refusal),
                 Err(failure) => Step::Failed(failure),
             };
         }
--- a/crates/gateway/src/closed.rs
+++ b/crates/gateway/src/closed.rs
@@ -35,13 +35,13 @@
         }
     }
 
-    /// Whether servers that work are left alone, since they bear only so many rejected requests.
+    /// Whether servers that work are left alone, since they tolerate only so many rejected requests.
     fn is_spared(&self) -> bool {
         let world = self.state.world.load();
         let Some(pool) = world.pools.get(&self.service) else { return false };
         let now = clock::steady();
         let takes_work = |backend: &Arc<Backend>| backend.server.takes_work(now);
-        self.brittle().is_some() && pool.backends.iter().any(takes_work)
+        self.tolerance().is_some() && pool.backends.iter().any(takes_work)
     }
 
     /// Requests a second that the service's servers take in all, if limits keep this one from them.
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -78,8 +78,8 @@
     pub load: Option<Load>,
     /// What it says of how much it takes.
     pub statement: Statement,
-    /// Rejected requests a second that a server of its service bears, if they fall over beyond that.
-    pub brittle: Option<f64>,
+    /// Rejected requests a second that a server of its service tolerates, if they fall over beyond that.
+    pub tolerance: Option<f64>,
     /// Its model's opinion of the answer, 0 to 100.
     pub confidence: Option<u8>,
 }
@@ -94,7 +94,12 @@
 
     /// The headers for another host, which does what this one would have done: the caller's, with the
     /// time that is left and the last event that the caller has.
-    fn pass_on(&self, headers: &HeaderMap, left_ms: u64, last_event: Option<u64>) -> HeaderMap;
+    fn forward_to_host(
+        &self,
+        headers: &HeaderMap,
+        left_ms: u64,
+        last_event: Option<u64>,
+    ) -> HeaderMap;
 
     /// Reads what a backend server says.
     fn head(&self, status: StatusCode, headers: &HeaderMap) -> Head;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -112,7 +112,7 @@
 }
 
 /// What another host's answer comes to.
-pub enum Passed {
+pub enum Forwarded {
     /// The caller gets it.
     Accepted(Accepted),
     /// The host refuses the request, as any other would.
@@ -165,7 +165,7 @@
     /// # Errors
     /// [`Failure`]; [`Failure::NotRun`] if another host is to be asked, "misdirected" if this one takes no
     /// requests at all.
-    pub async fn pass_on(
+    pub async fn forward(
         &mut self,
         host: &Arc<Backend>,
         last_event: Option<u64>,
@@ -174,9 +174,9 @@
         self.tries.tried.push(host.id.clone());
         let mut connection = attempt::open(self, host).await?;
         if self.tries.hosts == 1 && self.tries.sent == 0 {
-            self.window(|window, allowance| window.passed_on(allowance, clock::steady()));
+            self.window(|window, allowance| window.forwarded(allowance, clock::steady()));
         }
-        let request = self.passed_on(last_event).ok_or(Failure::Unsent(Cause::Broken))?;
+        let request = self.forwarded(last_event).ok_or(Failure::Unsent(Cause::Broken))?;
         let lease = Lease::new(Arc::clone(&host.server));
         let (sent_at, sent) = (Instant::now(), clock::steady());
         let response = connection.send(request, self.left());
@@ -212,12 +212,13 @@
     }
 
     /// The request for another host: as the caller sent it.
-    fn passed_on(&self, last_event: Option<u64>) -> Option<Request<Full<bytes::Bytes>>> {
+    fn forwarded(&self, last_event: Option<u64>) -> Option<Request<Full<bytes::Bytes>>> {
         let left_ms = u64::try_from(self.left().as_millis()).unwrap_or(u64::MAX);
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.path.clone();
-        *request.headers_mut() = self.state.codec.pass_on(&self.headers, left_ms, last_event);
+        *request.headers_mut() =
+            self.state.codec.forward_to_host(&self.headers, left_ms, last_event);
         request.headers_mut().insert(HOST, self.headers.get(HOST)?.clone());
         let tries = HeaderName::from_static(TRIES);
         request.headers_mut().insert(tries, HeaderValue::from(self.tries.sent));
@@ -228,10 +229,10 @@
     ///
     /// # Errors
     /// The answer broke; the request may have run.
-    pub async fn judge_passed_on(&mut self, reply: Reply) -> Result<Passed, Failure> {
+    pub async fn judge_forwarded(&mut self, reply: Reply) -> Result<Forwarded, Failure> {
         let status = reply.head.status;
         if !reply.said.is_signed {
-            return Ok(Passed::Refused(match refusal(&reply.head) {
+            return Ok(Forwarded::Refused(match refusal(&reply.head) {
                 // The other host knows nothing of what was tried here.
                 Refusal { ran: Ran::No, .. } if self.tries.may_have_run => self.refusal(),
                 refusal => refusal,
@@ -241,7 +242,7 @@
             let head = reply.head.clone();
             let live = Live::begin(self, reply, self.ask.last_event).await?;
             self.note_begun();
-            return Ok(Passed::Accepted(Accepted::Stream(head, Box::new(live))));
+            return Ok(Forwarded::Accepted(Accepted::Stream(head, Box::new(live))));
         }
         let Reply { head, body, mut connection, lease, .. } = reply;
         let body = self.collect(body).await?;
@@ -249,7 +250,7 @@
             connection.mark_proven();
             lease.server.put_idle(connection);
         }
-        Ok(Passed::Accepted(Accepted::Whole(head, body)))
+        Ok(Forwarded::Accepted(Accepted::Whole(head, body)))
     }
 
     /// A backend server of the request's service.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -168,10 +168,10 @@
         trial.is_none_or(|trial| trial.target != backend.version)
     }
 
-    /// Rejected requests a second that a server of the service bears, if they fall over beyond that.
+    /// Rejected requests a second that a server of the service tolerates, if they fall over beyond that.
     #[must_use]
-    pub fn brittle(&self) -> Option<f64> {
-        self.state.brittle.with(&self.service, |named| named.per_second())
+    pub fn tolerance(&self) -> Option<f64> {
+        self.state.tolerances.with(&self.service, |tolerance| tolerance.per_second())
     }
 
     /// Uses the service's count of requests and repeats.
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -16,25 +16,29 @@
 pub struct Limits {
     peers: Arc<Option<Peers>>,
     domains: usize,
-    /// Rejected requests a second that a server of the service bears, if they fall over beyond that.
-    brittle: Option<f64>,
+    /// Rejected requests a second that a server of the service tolerates, if they fall over beyond that.
+    tolerance: Option<f64>,
 }
 
 impl Limits {
     /// As it is now.
     #[must_use]
     pub fn of<C: Codec>(job: &Job<C>, pool: &Pool) -> Self {
-        Self { peers: job.state.peers.load_full(), domains: pool.domains(), brittle: job.brittle() }
+        Self {
+            peers: job.state.peers.load_full(),
+            domains: pool.domains(),
+            tolerance: job.tolerance(),
+        }
     }
 
     /// Whether this host may send the server a request now.
     #[must_use]
     pub fn may_send(&self, backend: &Backend, now: Millis) -> bool {
-        if !backend.server.is_restricted() && self.brittle.is_none() {
+        if !backend.server.is_restricted() && self.tolerance.is_none() {
             return true;
         }
         let place = self.place(backend);
-        let has_room = match (self.brittle, &place) {
+        let has_room = match (self.tolerance, &place) {
             (None, _) => true,
             (Some(per_second), Some(place)) => backend.has_room(per_second, place, now),
             // It would take all parts of a server.
@@ -50,7 +54,7 @@
             let place = self.place(backend);
             backend.with_intake(|intake| intake.sent(place.as_ref(), now));
         }
-        if self.brittle.is_some() {
+        if self.tolerance.is_some() {
             backend.chosen(now);
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,11 +5,11 @@
 
 use arc_swap::ArcSwap;
 use entry::sharded::Sharded;
-use policy::brittle::Named;
 use policy::gain::Gain;
 use policy::patience::Patience;
 use policy::place::mix;
 use policy::prefill::Speed;
+use policy::rejection::Tolerance;
 use policy::repeat::{Allowance, Window};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
@@ -73,8 +73,8 @@
     pub gains: Sharded<Gain>,
     /// How long callers wait for streams to begin lately, as parts of their objectives, by service.
     pub delays: Sharded<Patience>,
-    /// Rejected requests that servers bear which fall over beyond that, by service.
-    pub brittle: Sharded<Named>,
+    /// Rejected requests that servers tolerate which fall over beyond that, by service.
+    pub tolerances: Sharded<Tolerance>,
     /// How versions under roll-out answer.
     pub tally: Tally,
     /// Streams on their way to callers.
@@ -117,7 +117,7 @@
             paces: Paces::default(),
             gains: Sharded::default(),
             delays: Sharded::default(),
-            brittle: Sharded::default(),
+            tolerances: Sharded::default(),
             tally: Tally::default(),
             relays: TaskTracker::new(),
             in_flight: AtomicUsize::new(0),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,7 +6,6 @@
 pub mod admit;
 pub mod backlog;
 pub mod bootstrap;
-pub mod brittle;
 pub mod burn;
 pub mod canary;
 pub mod derive;
@@ -32,6 +31,7 @@
 pub mod prefill;
 pub mod probe;
 pub mod pulse;
+pub mod rejection;
 pub mod relay;
 pub mod repeat;
 pub mod retry;
--- a/crates/policy/src/brittle.rs
+++ b/crates/policy/src/rejection.rs
@@ -10,7 +10,7 @@
 use crate::throttle::Place;
 use crate::time::Millis;
 
-/// Part of the rejected requests that a server bears which hosts risk beyond their parts.
+/// Part of the rejected requests that a server tolerates which hosts risk beyond their parts.
 const RISKED: f64 = 0.5;
 /// Part of the places that must be free by a report for a host to send beyond its own part.
 const FREE_MIN: f64 = 0.25;
@@ -25,8 +25,8 @@
 
 /// What the servers of a service say of it.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Named {
-    /// Rejected requests a second that one of them bears; none if any number.
+pub struct Tolerance {
+    /// Rejected requests a second that one of them tolerates; none if any number.
     per_second: Option<f64>,
     at: Millis,
 }
@@ -50,7 +50,7 @@
     paused_until: Millis,
 }
 
-impl Named {
+impl Tolerance {
     /// An answer came to a request that was sent then; whether it says something new. One that does not
     /// say it says nothing if it was named since: answers overtake each other.
     pub fn heard(&mut self, per_second: Option<f64>, sent: Millis, now: Millis) -> bool {
@@ -62,7 +62,7 @@
         is_news
     }
 
-    /// Rejected requests a second that a server bears; none if any number.
+    /// Rejected requests a second that a server tolerates; none if any number.
     #[must_use]
     pub fn per_second(&self) -> Option<f64> {
         self.per_second
@@ -86,7 +86,7 @@
     }
 
     /// It has turned a request away: this host stays away for so long that all hosts with a part of it,
-    /// turned away in turn, don't add up to more than it bears; `draw` is a uniform draw.
+    /// turned away in turn, don't add up to more than it tolerates; `draw` is a uniform draw.
     pub fn rejected(&mut self, per_second: f64, slots: u32, draw: f64, now: Millis) {
         let ms = f64::from(slots) * 1_000.0 / per_second.max(f64::MIN_POSITIVE);
         let ms = ms.clamp(PAUSE_MS, PAUSE_MAX_MS) * (1.0 + draw);
--- a/crates/policy/src/repeat.rs
+++ b/crates/policy/src/repeat.rs
@@ -81,7 +81,7 @@
 
     /// A request that came in goes by another host, which counts it as its own. Counted by both it would
     /// allow repeats twice.
-    pub fn passed_on(&mut self, allowance: &Allowance, now: Millis) {
+    pub fn forwarded(&mut self, allowance: &Allowance, now: Millis) {
         let cell = self.cell(allowance, now);
         cell.requests = cell.requests.saturating_sub(1);
     }
--- a/crates/policy/tests/brittle.rs
+++ b/crates/policy/tests/rejection.rs
@@ -2,15 +2,15 @@
 
 use std::collections::BinaryHeap;
 
-use policy::brittle::{Load, Named, Room, part};
 use policy::place::mix;
+use policy::rejection::{Load, Room, Tolerance, part};
 use policy::throttle::Place;
 use policy::time::Millis;
 
 const DOMAINS: usize = 4;
 const SLOTS: u32 = 6;
-/// Rejected requests a second that a server bears.
-const BORNE: f64 = 4.0;
+/// Rejected requests a second that a server tolerates.
+const TOLERATED: f64 = 4.0;
 const SERVICE_MS: u64 = 20;
 /// Hosts keep to it from then on, in milliseconds.
 const CONTACT_MS: u64 = 3_000;
@@ -98,13 +98,13 @@
                 };
                 let room = &mut rooms[host][server];
                 let time = Millis(START + at);
-                if !room.is_open(BORNE, &load, place, time) {
+                if !room.is_open(TOLERATED, &load, place, time) {
                     continue;
                 }
                 room.sent(time);
                 if running[server] >= SLOTS {
                     rejected[server][(at / 100) as usize % (TIME_MS / 100) as usize] += 1;
-                    room.rejected(BORNE, SLOTS, draw(&mut seed), time);
+                    room.rejected(TOLERATED, SLOTS, draw(&mut seed), time);
                 } else {
                     running[server] += 1;
                     own[host][server] += 1;
@@ -129,12 +129,15 @@
 
 /// Guards against servers that fall over since each of many hosts sends what alone would be borne.
 #[test]
-fn server_turns_away_no_more_than_it_bears_from_any_number_of_hosts() {
+fn server_turns_away_no_more_than_it_tolerates_from_any_number_of_hosts() {
     for (hosts, servers) in [(1, 4), (6, 4), (30, 12), (300, 100), (1_000, 100)] {
         for load in [0.5, 3.0] {
             let outcome = Fleet { hosts, servers, load }.play(hosts as u64);
             println!("{hosts} hosts, {servers} servers, load {load}: {outcome:?}");
-            assert!(outcome.rejected as f64 <= BORNE, "{hosts} hosts, load {load}: {outcome:?}");
+            assert!(
+                outcome.rejected as f64 <= TOLERATED,
+                "{hosts} hosts, load {load}: {outcome:?}"
+            );
         }
     }
 }
@@ -165,12 +168,12 @@
 
 #[test]
 fn heard_without_it_ends_it_unless_it_is_older() {
-    let mut named = Named::default();
-    assert!(!named.heard(None, Millis(10), Millis(20)));
-    assert!(named.heard(Some(3.0), Millis(20), Millis(30)));
-    assert!(!named.heard(Some(3.0), Millis(30), Millis(40)));
-    assert!(!named.heard(None, Millis(35), Millis(50)));
-    assert_eq!(named.per_second(), Some(3.0));
-    assert!(named.heard(None, Millis(45), Millis(60)));
-    assert_eq!(named.per_second(), None);
+    let mut tolerance = Tolerance::default();
+    assert!(!tolerance.heard(None, Millis(10), Millis(20)));
+    assert!(tolerance.heard(Some(3.0), Millis(20), Millis(30)));
+    assert!(!tolerance.heard(Some(3.0), Millis(30), Millis(40)));
+    assert!(!tolerance.heard(None, Millis(35), Millis(50)));
+    assert_eq!(tolerance.per_second(), Some(3.0));
+    assert!(tolerance.heard(None, Millis(45), Millis(60)));
+    assert_eq!(tolerance.per_second(), None);
 }
--- a/crates/standin/src/routed.rs
+++ b/crates/standin/src/routed.rs
@@ -103,8 +103,8 @@
     script: Mutex<VecDeque<Act>>,
     /// Requests a second that it names in its answers.
     per_second: Mutex<Option<f64>>,
-    /// Rejected requests a second that it says it bears.
-    brittle: Mutex<Option<u32>>,
+    /// Rejected requests a second that it says it tolerates.
+    tolerance: Mutex<Option<u32>>,
     /// How many requests it works on at once, and for how long on each; none if on any number.
     places: Mutex<Option<(usize, Duration)>>,
     working: Arc<AtomicUsize>,
@@ -170,7 +170,7 @@
             usual: Mutex::new(usual),
             script: Mutex::default(),
             per_second: Mutex::default(),
-            brittle: Mutex::default(),
+            tolerance: Mutex::default(),
             places: Mutex::default(),
             working: Arc::default(),
             rejected: Mutex::default(),
@@ -197,9 +197,9 @@
         *lock(&self.per_second) = per_second;
     }
 
-    /// From now on it says that it bears so many rejected requests a second, or nothing.
-    pub fn name_brittle(&self, per_second: Option<u32>) {
-        *lock(&self.brittle) = per_second;
+    /// From now on it says that it tolerates so many rejected requests a second, or nothing.
+    pub fn name_tolerance(&self, per_second: Option<u32>) {
+        *lock(&self.tolerance) = per_second;
     }
 
     /// From now on it works on so many requests at once, on each for that long, and rejects the others.
@@ -291,7 +291,7 @@
                 .headers_mut()
                 .extend(load.ok().map(|load| (HeaderName::from_static(names::LOAD), load)));
         }
-        if let Some(per_second) = *lock(&self.brittle) {
+        if let Some(per_second) = *lock(&self.tolerance) {
             response.headers_mut().insert(names::BRITTLE, per_second.into());
         }
         if self.leaves.load(Ordering::Relaxed) {
