A request that ends servers is held, though its host may be cut off

Callers of a service would lose more servers to it.

Supposed cause, by reading: where a host may be cut off, a server that refuses counts as ended only if one of two others keeps a connection, and the two drawn may be ones that the same request has ended (1 in 28 with nine servers). Now four others are looked at, none of which has failed since a server last answered, and one that answers ends the doubt. A host that believes itself cut off also sent such a request on by another host without asking whether it is to be held; it asks now, and leaves only the leave to try it to that host. The test is listed.

--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -201,10 +201,7 @@
     }
 
     async fn attempt(&mut self, backend: &Arc<Backend>) -> Step<Accepted, Failure> {
-        // Another host asks for leave itself: of all hosts one may have it.
-        if !backend.is_host
-            && let Err(refusal) = self.permit().await
-        {
+        if let Err(refusal) = self.permit(backend).await {
             return Step::Refused(refusal);
         }
         let reply = match self.try_at(backend, self.ask.last_event).await {
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -141,11 +141,11 @@
 }
 
 impl<C: Codec> Job<C> {
-    /// Whether the request may be sent to one more server.
+    /// Whether the request may be sent to one more server, or by way of another host.
     ///
     /// # Errors
     /// A refusal: it is held back, since it was lost with server after server.
-    pub async fn permit(&mut self) -> Result<(), Refusal> {
+    pub async fn permit(&mut self, place: &Backend) -> Result<(), Refusal> {
         if let Some(backend) = self.tries.broke_at.take() {
             // What the last try came to decides about the next one.
             self.state.look(&backend).await;
@@ -159,6 +159,8 @@
         match verdict {
             Verdict::Run => Ok(()),
             Verdict::Hold(ms) => Err(self.held(ms)),
+            // The other host asks for leave itself: of all hosts one may have it.
+            Verdict::Trial { .. } if place.is_host => Ok(()),
             // It was not sent yet, or a small model's answer was dropped: no server has ended since.
             Verdict::Trial { servers } if self.tries.trial == Some(servers) => Ok(()),
             Verdict::Trial { servers } if self.state.poison.may_try(digest, servers).await => {
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -18,6 +18,9 @@
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 /// Servers that are looked at at once.
 const LOOKED_AT: usize = 2;
+/// Others that are looked at before a server that refuses is taken for ended: some may have ended as
+/// well, and nobody knows yet.
+const CONTROLS: usize = 4;
 
 /// What this host knows of its way to the backend servers.
 #[derive(Default)]
@@ -42,6 +45,11 @@
         !is_calm && self.with(|isolation| isolation.is_doubtful(clock::steady()))
     }
 
+    /// Whether a server is among those that failed since one last answered.
+    fn has_failed(&self, backend: &Backend) -> bool {
+        self.with(|isolation| isolation.has_failed(backend.hash))
+    }
+
     /// Tells when that changes.
     #[must_use]
     pub fn watch(&self) -> watch::Receiver<bool> {
@@ -98,7 +106,7 @@
         let mut isolated = self.reach.watch();
         // The sender lives as long as the state.
         while isolated.wait_for(|isolated| *isolated).await.is_ok() {
-            if any_keeps(&self.some_servers(|_| true)).await {
+            if any_keeps(&self.some_servers(LOOKED_AT, |_| true)).await {
                 self.reached();
             }
             tokio::time::sleep(LOOK_EVERY).await;
@@ -115,16 +123,20 @@
     /// Whether a server has ended.
     pub async fn look(&self, backend: &Arc<Backend>) -> bool {
         let now = clock::steady();
-        let is_other = |other: &Backend| other.id != backend.id && !other.server.is_ill(now);
-        backend.look(&self.poison, || self.some_servers(is_other)).await
+        let is_well = |other: &Backend| !other.server.is_ill(now) && !self.reach.has_failed(other);
+        let has_ended = backend.look(&self.poison, || self.some_servers(CONTROLS, is_well)).await;
+        if has_ended && self.reach.is_doubtful() {
+            self.reached();
+        }
+        has_ended
     }
 
-    /// Some of the servers that are so.
-    fn some_servers(&self, is_so: impl Fn(&Backend) -> bool) -> Vec<Arc<Backend>> {
+    /// Some of the servers that are so, so many at most.
+    fn some_servers(&self, max: usize, is_so: impl Fn(&Backend) -> bool) -> Vec<Arc<Backend>> {
         let world = self.world.load();
         let backends = world.pools.values().flat_map(|pool| &pool.backends);
         let backends: Vec<&Arc<Backend>> = backends.filter(|backend| is_so(backend)).collect();
-        let drawn = sample::draw(backends.len(), LOOKED_AT, rand::random());
+        let drawn = sample::draw(backends.len(), max, rand::random());
         drawn.map(|index| Arc::clone(backends[index])).collect()
     }
 }
--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -93,9 +93,7 @@
     }
 
     async fn attempt(&mut self, backend: &Arc<Backend>) -> Step<Live, Failure> {
-        if !backend.is_host
-            && let Err(refusal) = self.job.permit().await
-        {
+        if let Err(refusal) = self.job.permit(backend).await {
             self.obstacle = Obstacle::Held;
             return Step::Refused(refusal);
         }
--- a/crates/policy/src/isolation.rs
+++ b/crates/policy/src/isolation.rs
@@ -58,6 +58,12 @@
         self.is_isolated() || recent + 1 >= FAILED_MIN
     }
 
+    /// Whether a server is among those that failed since one last answered.
+    #[must_use]
+    pub fn has_failed(&self, server: u64) -> bool {
+        self.failed.iter().any(|(other, _)| *other == server)
+    }
+
     /// Whether anything speaks for it.
     #[must_use]
     pub fn is_calm(&self) -> bool {
--- a/crates/policy/tests/isolation.rs
+++ b/crates/policy/tests/isolation.rs
@@ -19,6 +19,7 @@
     let mut isolation = failed(0..2);
     assert!(isolation.failed(2, Millis(1_300)), "the third one");
     assert!(!isolation.failed(3, Millis(1_400)), "it was known");
+    assert!(isolation.has_failed(0) && !isolation.has_failed(3));
     assert_eq!(isolation.reached(Millis(5_300)), Some(4_000));
     assert!(!isolation.is_isolated() && isolation.is_calm());
 }
