Logs: a try that failed names the parts of its prompt

'try failed' now names the parts that other requests may have too; the last one is the request's own. No logic changes.

--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -8,7 +8,7 @@
 
 use crate::attempt::Failure;
 use crate::backend::Backend;
-use crate::codec::Codec;
+use crate::codec::{Codec, Ids};
 use crate::job::Job;
 use crate::wait::STREAM_BUSY;
 
@@ -21,7 +21,7 @@
         }
         log::info!(target: "route", request:% = self.ask.id, backend:% = backend.id,
             cause:? = failure, sent = self.tries.sent, digest:% = self.digest(),
-            left_ms = self.left().as_millis() as u64;
+            parts:% = Ids(self.ask.shared_parts()), left_ms = self.left().as_millis() as u64;
             "try failed");
     }
 
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -1,5 +1,7 @@
 //! What requests and answers say of themselves, apart from how the wire spells it.
 
+use std::fmt;
+
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, StatusCode};
 use policy::intake::Statement;
@@ -35,6 +37,27 @@
     pub last_event: Option<u64>,
 }
 
+impl Ask {
+    /// The parts of its prompt that other requests may have as well.
+    #[must_use]
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
+
+/// Parts of a prompt as they stand in a log: their ids.
+pub struct Ids<'a>(pub &'a [Part]);
+
+impl fmt::Display for Ids<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (number, part) in self.0.iter().enumerate() {
+            let comma = if number == 0 { "" } else { "," };
+            write!(f, "{comma}{:x}", part.id)?;
+        }
+        Ok(())
+    }
+}
+
 /// What a request is sent to a backend server with.
 #[derive(Clone, Copy, Debug)]
 pub struct Sending<'a> {
