--- a/crates/standin/src/routed.rs
+++ b/crates/standin/src/routed.rs
@@ -113,6 +113,8 @@
     leaves: AtomicBool,
     /// It ends when it runs a request whose body is this.
     ends_by: Mutex<Option<Bytes>>,
+    /// It ends when it runs a request with one of these parts in its prompt; the last part doesn't count.
+    ends_by_parts: Mutex<Vec<String>>,
     ending: Notify,
     arrivals: Mutex<Vec<Arrival>>,
     dropped: Arc<Mutex<Vec<Instant>>>,
@@ -176,6 +178,7 @@
             rejected: Mutex::default(),
             leaves: AtomicBool::new(false),
             ends_by: Mutex::default(),
+            ends_by_parts: Mutex::default(),
             ending: Notify::new(),
             arrivals: Mutex::default(),
             dropped: Arc::default(),
@@ -223,6 +226,23 @@
         *lock(&self.ends_by) = Some(Bytes::from(body));
     }
 
+    /// From now on it ends when it runs a request with one of these parts in its prompt, but for the last
+    /// part; see [`Self::ending`].
+    pub fn end_by_parts(&self, ids: &[&str]) {
+        *lock(&self.ends_by_parts) = ids.iter().map(|id| (*id).to_owned()).collect();
+    }
+
+    /// Whether it ends of this request.
+    fn ends_of(&self, headers: &HeaderMap, body: &Bytes) -> bool {
+        let prompt = headers.get(names::PROMPT_PARTS).and_then(|parts| parts.to_str().ok());
+        let mut ids = prompt.into_iter().flat_map(|parts| parts.split(',').rev().skip(1));
+        let parts = lock(&self.ends_by_parts);
+        let is_deadly = |part: &str| {
+            part.split(':').next().is_some_and(|id| parts.iter().any(|deadly| deadly == id))
+        };
+        lock(&self.ends_by).as_ref() == Some(body) || ids.any(is_deadly)
+    }
+
     /// Waits until it has run such a request. Whoever waits has to close it.
     pub async fn ending(&self) {
         self.ending.notified().await;
@@ -247,7 +267,7 @@
         let body = body.collect().await.map_err(|_| Cut)?.to_bytes();
         let path = head.uri.to_string();
         let headers = head.headers;
-        let ends = lock(&self.ends_by).as_ref() == Some(&body);
+        let ends = self.ends_of(&headers, &body);
         let act = || lock(&self.script).pop_front().unwrap_or_else(|| lock(&self.usual).clone());
         let act = (!ends).then(act);
         let pause = act.as_ref().and_then(Act::pause);
