--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -20,7 +20,7 @@
             false => self.blame_server(backend, failure),
         }
         log::info!(target: "route", request:% = self.ask.id, backend:% = backend.id,
-            cause:? = failure, sent = self.tries.sent, digest:% = self.digest(),
+            cause:? = failure, sent = self.tries.sent, digest:% = self.fingerprint().request,
             parts:% = Ids(self.ask.shared_parts()), left_ms = self.left().as_millis() as u64;
             "try failed");
     }
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Instant;
 
 use bytes::Bytes;
 use entry::carry::{self, Step, carry};
@@ -141,14 +140,13 @@
         last_event: Option<u64>,
     ) -> Result<Reply, Failure> {
         self.tries.answering = false;
-        self.tries.head_at = None;
+        self.tries.begun_at = None;
         let reply = match backend.is_host {
             true => self.forward(backend, last_event).await,
             false => self.send(backend, last_event).await,
         };
         self.tries.answering = reply.is_ok();
         if let Ok(reply) = &reply {
-            self.tries.head_at = Some(Instant::now());
             self.tries.expected_ms = reply.expected_ms as u64;
             self.tries.head_ms = reply.first_ms as u64;
         }
--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -1,33 +1,53 @@
-//! Knows a request again that comes with another id, at any host.
+//! Knows a request again that comes with another id, at any host, and the parts of its prompt.
 
-use policy::poison::Digest;
+use policy::poison::{Digest, Fingerprint};
 use sha2::{Digest as _, Sha256};
 
 use crate::codec::Codec;
 use crate::job::Job;
 
+/// Parts of one prompt that are watched; a caller could fill the table with one request otherwise.
+const PARTS_MAX: usize = 64;
+
 /// The digest of what a caller sent. Every host works out the same one; nobody can make a request
 /// that is taken for another account's.
 #[must_use]
 pub fn digest(account: &str, method: &str, path: &str, body: &[u8]) -> Digest {
+    hash(&[account.as_bytes(), method.as_bytes(), path.as_bytes(), body])
+}
+
+/// The digest of a part of prompts to a service, whichever account sends it: what the service's servers
+/// do with it doesn't depend on that.
+#[must_use]
+pub fn part(service: &str, id: u64) -> Digest {
+    hash(&[service.as_bytes(), &id.to_be_bytes()])
+}
+
+fn hash(pieces: &[&[u8]]) -> Digest {
     let mut hash = Sha256::new();
-    for part in [account.as_bytes(), method.as_bytes(), path.as_bytes(), body] {
+    for piece in pieces {
         // With its length, so that no two splits of the same bytes are alike.
-        hash.update((part.len() as u64).to_be_bytes());
-        hash.update(part);
+        hash.update((piece.len() as u64).to_be_bytes());
+        hash.update(piece);
     }
     let bytes = hash.finalize();
     Digest(bytes.iter().take(8).fold(0, |number, byte| number << 8 | u64::from(*byte)))
 }
 
 impl<C: Codec> Job<C> {
-    /// Names the request, whichever try of its caller's this is; worked out once.
+    /// Names the request, whichever try of its caller's this is, and the parts of its prompt; worked out
+    /// once.
     #[must_use]
-    pub fn digest(&self) -> Digest {
-        *self.digest.get_or_init(|| {
+    pub fn fingerprint(&self) -> &Fingerprint {
+        self.fingerprint.get_or_init(|| {
             let account = self.account.as_deref().unwrap_or_default();
             let path = self.path.path_and_query().map(|path| path.as_str()).unwrap_or_default();
-            digest(account, self.method.as_str(), path, &self.body)
+            let parts = self.ask.shared_parts().iter().take(PARTS_MAX);
+            Fingerprint {
+                request: digest(account, self.method.as_str(), path, &self.body),
+                parts: parts.map(|shared| part(&self.service, shared.id)).collect(),
+                service: self.service.clone(),
+            }
         })
     }
 }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -148,7 +148,7 @@
         started,
         until: started + Duration::from_millis(wait_ms),
         known: entered.known,
-        digest: OnceLock::new(),
+        fingerprint: OnceLock::new(),
         origin,
         tries: Tries { sent: origin.sent(), ..Tries::default() },
     };
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -9,7 +9,7 @@
 use hyper::{HeaderMap, Method, Uri};
 use policy::name::Name;
 use policy::place;
-use policy::poison::Digest;
+use policy::poison::{Digest, Fingerprint};
 use policy::repeat::{Allowance, Window};
 use wire::routing::Route;
 
@@ -47,8 +47,8 @@
     pub started: Instant,
     /// When it is no longer waited for.
     pub until: Instant,
-    /// See [`Job::digest`].
-    pub digest: OnceLock<Digest>,
+    /// See [`Job::fingerprint`].
+    pub fingerprint: OnceLock<Fingerprint>,
     /// What the tries so far have come to.
     pub tries: Tries,
 }
@@ -95,10 +95,11 @@
     pub is_passed_on: bool,
     /// From its coming in to the beginning of its answer, in milliseconds; 0 before that.
     pub begun_ms: u64,
-    /// Servers that had ended under it when this host got leave to try it alone.
-    pub trial: Option<u32>,
-    /// When the last try's answer began, if it has.
-    pub head_at: Option<Instant>,
+    /// What speaks against it, and the servers that had ended under that, when this host got leave to try it
+    /// alone.
+    pub trial: Option<(Digest, u32)>,
+    /// When the last try's answer began, if it has: a stream with its first event.
+    pub begun_at: Option<Instant>,
     /// The last try broke off there, and the server was not looked at yet.
     pub broke_at: Option<Arc<Backend>>,
     /// The confidence with which a smaller model's answer was dropped.
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -1,18 +1,21 @@
 //! What becomes of an answer: passed on, dropped for a larger model's, or tried again.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use entry::clock;
 use entry::connection::Cause;
 use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
+use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response::Parts;
 use policy::canary::{self, Sign};
 use policy::escalate::{self, Doubt};
 use policy::gain;
 use policy::patience::Patience;
+use policy::poison::Answer;
 use wire::routing::Kind;
 
 use crate::attempt::{Failure, Reply};
@@ -29,6 +32,12 @@
 /// Largest answer that is not a stream.
 const ANSWER_BYTES_MAX: usize = 16 << 20;
 
+/// Whether the end of an answer's body can be told from a connection that is lost.
+#[must_use]
+pub fn is_framed(reply: &Reply) -> bool {
+    reply.body.size_hint().exact().is_some() || reply.head.headers.contains_key(TRANSFER_ENCODING)
+}
+
 impl<C: Codec> Job<C> {
     /// What becomes of an answer: passed on, or none yet.
     ///
@@ -51,9 +60,11 @@
         if self.route().kind.is_stream() && status == StatusCode::OK {
             let head = reply.head.clone();
             let live = Live::begin(self, reply, self.ask.last_event).await?;
+            self.tries.begun_at = Some(Instant::now());
             self.note_begun();
             return Ok(Some(Accepted::Stream(head, Box::new(live))));
         }
+        self.tries.begun_at = Some(Instant::now());
         let (head, body) = self.read_whole(reply).await?;
         Ok(Some(Accepted::Whole(head, body)))
     }
@@ -92,9 +103,14 @@
     }
 
     async fn read_whole(&self, reply: Reply) -> Result<(Parts, Bytes), Failure> {
+        let is_framed = is_framed(&reply);
         let Reply { head, body, mut connection, lease, backend, sent_at, .. } = reply;
         let body = self.collect(body).await?;
-        self.note_answered();
+        self.note_answered(match () {
+            () if head.status.is_server_error() => Answer::Failure,
+            () if is_framed => Answer::Whole,
+            () => Answer::Unframed,
+        });
         if !head.status.is_server_error() {
             backend.note(false, clock::steady());
         }
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -1,4 +1,5 @@
-//! Holds back requests that end the servers that run them; see [`policy::poison`].
+//! Holds back requests that end the servers that run them, by themselves or by a part of their prompts;
+//! see [`policy::poison`].
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -8,7 +9,7 @@
 use entry::connection::Cause;
 use policy::name::Name;
 use policy::poison::book::Source;
-use policy::poison::{Book, Digest, Polls, Run, Suspect, Verdict};
+use policy::poison::{Answer, Book, Digest, Kind, Polls, Run, Suspect, Verdict};
 use tokio::sync::{Notify, mpsc, oneshot};
 use wire::refusal::{Code, Refusal};
 
@@ -24,10 +25,23 @@
 /// When a caller may come back whose request another host is trying, in milliseconds.
 const TRIED_MS: u64 = 2_000;
 
-/// Asks for leave to try a request that servers ended under: of all hosts one may.
+/// What whoever speaks with the store for all requests is to do about a try that one host of all may make.
+pub enum Trial {
+    /// A request asks for leave.
+    Ask(Ask),
+    /// A server has answered the one that had leave: hosts that ask are to hear of it.
+    Answered(Digest),
+}
+
+/// Asks for leave to try a request that servers ended under, or one with a part that they ended under: of
+/// all hosts one may.
 pub struct Ask {
-    /// The request.
+    /// The request or part.
     pub digest: Digest,
+    /// Which of the two.
+    pub kind: Kind,
+    /// For how long no other host may then, in milliseconds.
+    pub alone_ms: u64,
     /// Servers known to have ended under it.
     pub servers: u32,
     /// Whether it may be tried here.
@@ -44,13 +58,13 @@
     pub changed: Notify,
     /// Whether this host reaches any server: one that it can't reach has not ended.
     pub reach: Arc<Reach>,
-    trials: mpsc::Sender<Ask>,
+    trials: mpsc::Sender<Trial>,
 }
 
 impl Guard {
     /// Nothing known yet.
     #[must_use]
-    pub fn new(trials: mpsc::Sender<Ask>) -> Self {
+    pub fn new(trials: mpsc::Sender<Trial>) -> Self {
         Self {
             book: Mutex::default(),
             polls: Mutex::default(),
@@ -116,13 +130,21 @@
     pub fn ended(&self, server: &Name) {
         let now = clock::steady();
         let lost = self.with(|book| {
-            let digests = book.ended(server, now).into_iter();
+            let requests = book.ended(server, now).into_iter();
             let count = |digest| book.suspect(digest).map_or(0, |suspect| suspect.servers(now));
-            digests.map(|digest| (digest, count(digest))).collect::<Vec<_>>()
+            let counted = requests.map(|request| {
+                let parts = request.parts.iter().map(|part| (*part, count(*part)));
+                let worst = parts.max_by_key(|(_, servers)| *servers);
+                (request.request, count(request.request), worst.filter(|part| part.1 > 0))
+            });
+            counted.collect::<Vec<_>>()
         });
-        for (digest, servers) in &lost {
+        for (digest, servers, part) in &lost {
             metrics::counter!("gateway_requests_lost_with_server_total").increment(1);
-            log::info!(target: "route", digest:% = digest, backend:% = server, servers;
+            let (part, part_servers) = part.unzip();
+            log::info!(target: "route", digest:% = digest, backend:% = server, servers,
+                part:% = part.map(|part| part.to_string()).unwrap_or_default(),
+                part_servers = part_servers.unwrap_or_default();
                 "request lost with its server");
         }
         if !lost.is_empty() {
@@ -131,9 +153,10 @@
         }
     }
 
-    async fn may_try(&self, digest: Digest, servers: u32) -> bool {
+    async fn may_try(&self, (digest, kind): (Digest, Kind), servers: u32, alone_ms: u64) -> bool {
         let (granted, answer) = oneshot::channel();
-        if self.trials.try_send(Ask { digest, servers, granted }).is_err() {
+        let ask = Ask { digest, kind, servers, alone_ms, granted };
+        if self.trials.try_send(Trial::Ask(ask)).is_err() {
             return false;
         }
         matches!(tokio::time::timeout(TRIAL_WAIT, answer).await, Ok(Ok(true)))
@@ -154,43 +177,61 @@
             return Ok(());
         }
         let now = clock::steady();
-        let digest = self.digest();
-        let verdict = self.state.poison.with(|book| book.verdict(digest, now));
-        match verdict {
+        let judged = self.state.poison.with(|book| book.judge(self.fingerprint(), now));
+        let Some(cause) = judged.cause else { return Ok(()) };
+        match judged.verdict {
             Verdict::Run => Ok(()),
-            Verdict::Hold(ms) => Err(self.held(ms)),
+            Verdict::Hold(ms) => Err(self.held(cause, ms)),
             // The other host asks for leave itself: of all hosts one may have it.
             Verdict::Trial { .. } if place.is_host => Ok(()),
             // It was not sent yet, or a small model's answer was dropped: no server has ended since.
-            Verdict::Trial { servers } if self.tries.trial == Some(servers) => Ok(()),
-            Verdict::Trial { servers } if self.state.poison.may_try(digest, servers).await => {
-                self.tries.trial = Some(servers);
-                log::info!(target: "route", request:% = self.ask.id, digest:% = digest, servers;
-                    "suspect request tried");
+            Verdict::Trial { servers, .. } if self.tries.trial == Some((cause.0, servers)) => {
                 Ok(())
             }
-            Verdict::Trial { .. } => Err(self.held(TRIED_MS)),
+            Verdict::Trial { servers, alone_ms }
+                if self.state.poison.may_try(cause, servers, alone_ms).await =>
+            {
+                self.tries.trial = Some((cause.0, servers));
+                log::info!(target: "route", request:% = self.ask.id, digest:% = cause.0,
+                    kind:? = cause.1, servers; "suspect request tried");
+                Ok(())
+            }
+            Verdict::Trial { .. } => Err(self.held(cause, TRIED_MS)),
         }
     }
 
-    fn held(&self, ms: u64) -> Refusal {
-        let digest = self.digest();
-        metrics::counter!("gateway_requests_held_total").increment(1);
+    fn held(&self, (digest, kind): (Digest, Kind), ms: u64) -> Refusal {
+        let label = match kind {
+            Kind::Request => "request",
+            Kind::Part => "part",
+        };
+        metrics::counter!("gateway_requests_held_total", "cause" => label).increment(1);
         let crashes = self.state.poison.with(|book| {
             let suspect = book.suspect(digest);
             suspect.map(|suspect| suspect.crashes.clone()).unwrap_or_default()
         });
         let servers: Vec<&str> = crashes.iter().map(|crash| &*crash.server).collect();
-        log::warn!(target: "route", request:% = self.ask.id, digest:% = digest, hold_ms = ms,
+        log::warn!(target: "route", request:% = self.ask.id, digest:% = digest, kind:? = kind,
+            part:% = self.part_id(digest).unwrap_or_default(), hold_ms = ms,
             servers:% = servers.join(" "), sent = self.tries.sent;
             "request held, servers ended under it");
         const WHY: &str = "held back, servers ended when they ran this request";
+        const WHY_PART: &str =
+            "held back, servers ended when they ran a prompt with one of its parts";
+        let why = if kind == Kind::Part { WHY_PART } else { WHY };
         match self.tries.may_have_run {
-            true => Refusal::may_have_run(Code::BackendFailed, WHY),
-            false => Refusal::not_run(Code::Held, WHY).retry_after(ms),
+            true => Refusal::may_have_run(Code::BackendFailed, why),
+            false => Refusal::not_run(Code::Held, why).retry_after(ms),
         }
     }
 
+    /// The id of the part of its prompt that a digest names, as callers write it.
+    fn part_id(&self, digest: Digest) -> Option<String> {
+        let mut parts = self.fingerprint().parts.iter();
+        let index = parts.position(|part| *part == digest)?;
+        self.ask.parts.get(index).map(|part| format!("{:x}", part.id))
+    }
+
     /// A try broke off; what it says of the request is known when its server was looked at.
     pub fn note_broken(&mut self, backend: &Arc<Backend>, cause: Cause) {
         if !matches!(cause, Cause::Broken | Cause::Truncated | Cause::Silent) {
@@ -214,14 +255,23 @@
     }
 
     /// A server has answered the request.
-    pub fn note_answered(&self) {
-        let digest = self.digest();
-        self.state.poison.with(|book| book.answered(digest, clock::steady()));
+    pub fn note_answered(&self, answer: Answer) {
+        let now = clock::steady();
+        self.state.poison.with(|book| book.answered(self.fingerprint(), answer, now));
+        let acquitted = self.tries.trial.filter(|_| answer == Answer::Whole);
+        if let Some((digest, _)) = acquitted {
+            // When too many wait the others find out by tries of their own.
+            let _ = self.state.poison.trials.try_send(Trial::Answered(digest));
+        }
     }
 
     fn run_at(&self, backend: &Backend) -> Run {
         let is_settled = |begun: Instant| begun.elapsed() >= SETTLED;
-        let is_early = !self.tries.head_at.is_some_and(is_settled);
-        Run { digest: self.digest(), server: backend.id.clone(), is_early }
+        Run {
+            request: self.fingerprint().clone(),
+            server: backend.id.clone(),
+            born: backend.born,
+            is_early: !self.tries.begun_at.is_some_and(is_settled),
+        }
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,6 +11,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use policy::pace::Pace;
+use policy::poison;
 use policy::silence;
 use tokio::sync::mpsc;
 
@@ -21,6 +22,7 @@
 use crate::events::Splitter;
 use crate::evidence::Counted;
 use crate::job::Job;
+use crate::judge::is_framed;
 use crate::resume::Obstacle;
 
 /// Pieces on their way to a caller that reads slowly; then the backend server waits as well.
@@ -35,6 +37,8 @@
     /// Events that have come and are not yet passed on.
     begun: Bytes,
     ended: bool,
+    /// Its end can be told from a connection that is lost.
+    is_framed: bool,
     backend: Arc<Backend>,
     sent_at: Instant,
     passed: Passed,
@@ -64,12 +68,14 @@
         reply: Reply,
         last: Option<u64>,
     ) -> Result<Self, Failure> {
+        let is_framed = is_framed(&reply);
         let Reply { body, connection, lease, backend, sent_at, .. } = reply;
         let mut live = Self {
             body,
             splitter: Splitter::behind(last),
             begun: Bytes::new(),
             ended: false,
+            is_framed,
             backend,
             sent_at,
             passed: Passed::default(),
@@ -217,7 +223,11 @@
     live.note_speed(job);
     if end == End::Answered {
         live.backend.note(false, clock::steady());
-        job.note_answered();
+        job.note_answered(if live.is_framed {
+            poison::Answer::Whole
+        } else {
+            poison::Answer::Unframed
+        });
         let ms = live.sent_at.elapsed().as_secs_f64() * 1_000.0;
         if !live.pace.is_known() {
             job.note_version(&live.backend, Some(ms / f64::from(live.passed.events.max(1))));
--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -1,7 +1,7 @@
 //! A stream that goes on at another backend server, in the answer that its caller has begun to read.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use entry::carry::{self, Step, carry};
 use entry::connection::Cause;
@@ -107,7 +107,10 @@
             return Step::Failed(Failure::Lost(Cause::Failed(status.as_u16())));
         }
         match Live::begin(self.job, reply, last).await {
-            Ok(live) => Step::Answered(live),
+            Ok(live) => {
+                self.job.tries.begun_at = Some(Instant::now());
+                Step::Answered(live)
+            }
             Err(failure) => Step::Failed(failure),
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,7 +19,7 @@
 use crate::evidence::Tally;
 use crate::helpers::Helpers;
 use crate::paces::Paces;
-use crate::poison::{Ask, Guard};
+use crate::poison::{Guard, Trial};
 use crate::reach::Reach;
 use crate::timing::Timing;
 use crate::world::World;
@@ -31,7 +31,7 @@
     /// What backend servers say of how much they take, for the failure domain.
     pub restrictions: mpsc::Sender<Restricted>,
     /// Requests that one host of all may try.
-    pub trials: mpsc::Sender<Ask>,
+    pub trials: mpsc::Sender<Trial>,
 }
 
 /// Hosts of one failure domain, each as a hash of its name.
--- a/crates/node/src/poison.rs
+++ b/crates/node/src/poison.rs
@@ -1,4 +1,4 @@
-//! What all hosts know of requests that end the servers that run them, brought together.
+//! What all hosts know of requests and parts of prompts that end servers, brought together.
 //!
 //! Hosts of a failure domain send each other what they know. Across domains it goes by the store:
 //! each host that lost such a request writes a row of its own, and the delegate of a domain
@@ -9,12 +9,12 @@
 use std::time::Duration;
 
 use entry::clock;
-use gateway::poison::{Ask, Guard};
+use gateway::poison::{Ask, Guard, Trial};
 use gateway::{Codec, State};
 use policy::domain;
 use policy::name::Name;
 use policy::poison::book::Source;
-use policy::poison::{Digest, Suspect, hold_ms, trial_ms};
+use policy::poison::{Digest, Fingerprint, Suspect, TRIAL_MS, Verdict};
 use policy::time::Millis;
 use tokio::sync::mpsc;
 use wire::store::{Error, Outcome, Rows};
@@ -28,10 +28,10 @@
 /// What keys of hosts' rows begin with.
 const SEEN: &str = "seen/";
 /// What keys of trials begin with; a part of the digest follows.
-const TRIAL: &str = "trial/";
+const CLAIM: &str = "trial/";
 /// The part that does: so many rows there are at most. Two requests that share a row wait for each
 /// other.
-const TRIAL_MASK: u64 = 0xfff;
+const CLAIM_MASK: u64 = 0xfff;
 /// Between two looks at what has to be sent.
 const LOOK: Duration = Duration::from_millis(250);
 /// Pause after a failed call.
@@ -46,9 +46,13 @@
         suspects: Vec<Suspect>,
     }
 
-    /// A host tries a request; no other does so until then, by the store's clock.
-    struct Trial {
+    /// A host tries a request, or one with a part; by the store's clock.
+    struct Claim {
+        digest: Digest,
+        /// No other host does so until then.
         until_ms: u64,
+        /// When a server answered it.
+        answered_ms: Option<u64>,
     }
 }
 
@@ -69,7 +73,7 @@
 
 impl<S: Store, C: Codec> Poison<S, C> {
     /// Runs until the process ends. A host that starts again may have forgotten what it knew.
-    pub async fn run(self: Arc<Self>, mut trials: mpsc::Receiver<Ask>, is_first_start: bool) {
+    pub async fn run(self: Arc<Self>, mut trials: mpsc::Receiver<Trial>, is_first_start: bool) {
         if !is_first_start {
             self.guard().alarm();
         }
@@ -78,9 +82,9 @@
             tokio::select! {
                 () = self.guard().changed.notified() => {}
                 () = tokio::time::sleep(LOOK), if self.guard().is_awake() => {}
-                Some(ask) = trials.recv() => {
+                Some(trial) = trials.recv() => {
                     let this = Arc::clone(&self);
-                    tokio::spawn(async move { this.answer(ask).await });
+                    tokio::spawn(async move { this.attend(trial).await });
                     continue;
                 }
             }
@@ -161,11 +165,24 @@
         Ok(())
     }
 
+    async fn attend(&self, trial: Trial) {
+        match trial {
+            Trial::Ask(ask) => self.answer(ask).await,
+            Trial::Answered(digest) => {
+                let written = self.write_answered(digest).await;
+                written.unwrap_or_else(|error| {
+                    log::warn!(target: "poison", digest:% = digest, error:% = error;
+                        "answer of a trial not written, others try for themselves");
+                });
+            }
+        }
+    }
+
     /// Without the store nobody can tell whether another host tries it. What is held stays held then;
     /// what is not would be turned away for the store's sake.
     async fn answer(&self, ask: Ask) {
-        let granted = self.try_grant(ask.digest, ask.servers).await.unwrap_or_else(|error| {
-            let granted = hold_ms(ask.servers) == 0;
+        let granted = self.try_grant(&ask).await.unwrap_or_else(|error| {
+            let granted = ask.alone_ms <= TRIAL_MS;
             log::warn!(target: "poison", digest:% = ask.digest, servers = ask.servers, granted,
                 error:% = error; "trial decided without the store");
             granted
@@ -174,20 +191,50 @@
         let _ = ask.granted.send(granted);
     }
 
-    /// Whether this host may try a request, which no other does then for as long as it is held.
-    async fn try_grant(&self, digest: Digest, servers: u32) -> Result<bool, Error> {
-        let key = Name::from(format!("{TRIAL}{:03x}", digest.0 & TRIAL_MASK));
+    /// Whether this host may try a request, which no other does then for a while. It may if a server has
+    /// answered the try of another.
+    async fn try_grant(&self, ask: &Ask) -> Result<bool, Error> {
+        let key = claim_key(ask.digest);
         let rows = self.watch.store.rows(record::NO_GROUP, TABLE, &key).await?;
+        let now = clock::steady();
         let held = rows.rows.iter().find(|row| row.key == key);
-        let last = held.and_then(|row| record::read::<Trial>(&row.value).ok());
+        let last = held.and_then(|row| record::read::<Claim>(&row.value).ok());
+        let answered = last.as_ref().filter(|last| last.digest == ask.digest);
+        if let Some(answered_ms) = answered.and_then(|last| last.answered_ms) {
+            let answered = Suspect {
+                answered_at: Some(Millis(answered_ms)),
+                ..Suspect::new(ask.digest).with_kind(ask.kind)
+            };
+            self.guard().learn(&answered.on_clock(Millis(rows.now_ms), now), Source::Store);
+            let fingerprint = Fingerprint::of_request(ask.digest);
+            if self.guard().with(|book| book.judge(&fingerprint, now)).verdict == Verdict::Run {
+                return Ok(true);
+            }
+        }
         if last.is_some_and(|last| rows.now_ms < last.until_ms) {
             return Ok(false);
         }
-        let trial = Trial { until_ms: rows.now_ms + trial_ms(servers) };
-        let value = record::write(&trial).map_err(Error::Malformed)?;
+        let until_ms = rows.now_ms + ask.alone_ms;
+        let claim = Claim { digest: ask.digest, until_ms, answered_ms: None };
+        let value = record::write(&claim).map_err(Error::Malformed)?;
         let expected = held.map_or(0, |row| row.version);
         let change = record::change(TABLE, key, Some(expected), value);
         let outcome = self.watch.store.commit(&change, None).await?;
         Ok(matches!(outcome, Outcome::Committed(_)))
     }
+
+    /// The hosts of other failure domains would go on holding what was answered here: nothing makes
+    /// them read what others know once no server ends.
+    async fn write_answered(&self, digest: Digest) -> Result<(), Error> {
+        let key = claim_key(digest);
+        let rows = self.watch.store.rows(record::NO_GROUP, TABLE, &key).await?;
+        let claim = Claim { digest, until_ms: 0, answered_ms: Some(rows.now_ms) };
+        let value = record::write(&claim).map_err(Error::Malformed)?;
+        self.watch.store.commit(&record::change(TABLE, key, None, value), None).await?;
+        Ok(())
+    }
+}
+
+fn claim_key(digest: Digest) -> Name {
+    Name::from(format!("{CLAIM}{:03x}", digest.0 & CLAIM_MASK))
 }
--- a/crates/node/tests/message.rs
+++ b/crates/node/tests/message.rs
@@ -17,8 +17,12 @@
 }
 
 fn suspect(number: u64) -> Entry {
-    let crash =
-        |server| Crash { server: Name::from(format!("i-{server}")), at: NOW, is_early: true };
+    let crash = |server| Crash {
+        server: Name::from(format!("i-{server}")),
+        born: 1_700_000_000_000,
+        at: NOW,
+        is_early: true,
+    };
     let crashes = (0..4).map(crash).collect();
     Entry::Suspect(Suspect { crashes, ..Suspect::new(Digest(number)) })
 }
--- a/crates/policy/src/poison/book.rs
+++ b/crates/policy/src/poison/book.rs
@@ -1,13 +1,15 @@
-//! What one host knows of requests that were lost with their servers.
+//! What one host knows of what was lost with servers: requests, and parts of prompts.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
-use super::{Crash, Digest, Recent, Suspect, Verdict};
-use crate::domain;
+use super::judge::{self, Judged};
+use super::{
+    CLEARED_MS, Crash, Digest, Fingerprint, Kind, Recent, SAME_MS, SUSPECT, Suspect, Verdict,
+};
 use crate::name::Name;
 use crate::time::Millis;
 
-/// Requests remembered at most.
+/// Requests and parts remembered at most.
 const SUSPECTS_MAX: usize = 512;
 /// Lost runs remembered at most, until it is known whether their servers have ended.
 const LOST_MAX: usize = 1_024;
@@ -25,19 +27,40 @@
 const UNANSWERED_MS: u64 = 1_000;
 /// Requests told of at once at most.
 const SHARED_MAX: usize = 24;
+/// Runs lost in a row, with not one answer of their service between, after which ends of its servers say
+/// nothing of parts: the service is down, and parts that all requests have would be held once it is back.
+const DOWN_AFTER: u32 = 16;
 
-domain! {
-    /// A run of a request.
-    pub struct Run {
-        /// The request.
-        pub digest: Digest,
-        /// The server's start.
-        pub server: Name,
-        /// See [`Crash::is_early`].
-        pub is_early: bool,
+/// A run of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Run {
+    /// The request.
+    pub request: Fingerprint,
+    /// The server.
+    pub server: Name,
+    /// See [`Crash::born`].
+    pub born: u64,
+    /// See [`Crash::is_early`].
+    pub is_early: bool,
+}
+
+impl Run {
+    fn crash(&self, at: Millis) -> Crash {
+        Crash { server: self.server.clone(), born: self.born, at, is_early: self.is_early }
     }
 }
 
+/// How a server has answered a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Answer {
+    /// With success, whole.
+    Whole,
+    /// With a failure. That says nothing of its prompt: perhaps it was never looked at.
+    Failure,
+    /// With what looks whole, but would look the same if the server had ended on the way.
+    Unframed,
+}
+
 /// Who has to be told of what is known of a request.
 #[derive(Clone, Copy, Debug, Default)]
 struct Unsent {
@@ -63,6 +86,17 @@
     is_shared: bool,
 }
 
+impl Known {
+    /// What the others need most comes first: what is held or may soon be, then what was cleared, then
+    /// the rest.
+    fn urgency(&self, now: Millis) -> (u32, bool, Option<Millis>) {
+        let servers = self.suspect.servers(now);
+        let is_cleared = self.is_shared && self.suspect.crashes.is_empty();
+        let heard = self.suspect.last().max(self.suspect.answered_at);
+        (if servers < SUSPECT { 0 } else { servers }, is_cleared, heard)
+    }
+}
+
 /// Where something was learnt of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Source {
@@ -79,6 +113,9 @@
     lost: VecDeque<Lost>,
     ended: VecDeque<(Name, Millis)>,
     recent: Recent,
+    recent_parts: Recent,
+    /// Runs lost since a server of the service last answered.
+    lost_in_a_row: HashMap<Name, u32>,
 }
 
 impl Book {
@@ -92,7 +129,7 @@
     pub fn lost(&mut self, run: Run, now: Millis) {
         self.ended.retain(|(_, at)| now.since(*at) < ENDED_MS);
         match self.ended.iter().any(|(server, _)| *server == run.server) {
-            true => self.crashed(run, now, now),
+            true => self.crashed(&run, now, now),
             false => self.await_end(Lost { run, at: now, until: now + LOST_MS }, now),
         }
     }
@@ -111,7 +148,7 @@
     }
 
     /// A server has ended; the requests that were lost with it.
-    pub fn ended(&mut self, server: &Name, now: Millis) -> Vec<Digest> {
+    pub fn ended(&mut self, server: &Name, now: Millis) -> Vec<Fingerprint> {
         self.ended.retain(|(ended, _)| ended != server);
         if self.ended.len() >= ENDED_MAX {
             self.ended.pop_front();
@@ -121,27 +158,52 @@
         let is_here = |lost: &Lost| lost.run.server == *server;
         let (here, elsewhere): (VecDeque<Lost>, _) = lost.into_iter().partition(is_here);
         self.lost = elsewhere;
-        let mut digests = Vec::new();
+        let mut requests = Vec::new();
         for Lost { run, at, .. } in here.into_iter().filter(|lost| now < lost.until) {
-            digests.push(run.digest);
-            self.crashed(run, at, now);
+            self.crashed(&run, at, now);
+            requests.push(run.request);
         }
-        digests
+        requests
     }
 
-    fn crashed(&mut self, run: Run, at: Millis, now: Millis) {
-        let Run { digest, server, is_early } = run;
-        let known = self.entry(digest, now);
-        if known.suspect.add(Crash { server, at, is_early }) {
+    fn crashed(&mut self, run: &Run, at: Millis, now: Millis) {
+        self.note_crash(run.request.request, Kind::Request, run.crash(at), now);
+        let in_a_row = self.lost_in_a_row.entry(run.request.service.clone()).or_default();
+        *in_a_row = in_a_row.saturating_add(1);
+        let is_down = *in_a_row > DOWN_AFTER;
+        for part in run.request.parts.iter() {
+            match run.is_early {
+                // A server that ends of a part does so when it begins to answer.
+                false => self.clear(*part, Kind::Part, at),
+                true if is_down || self.was_answered_lately(*part, at) => {}
+                true => self.note_crash(*part, Kind::Part, run.crash(at), now),
+            }
+        }
+    }
+
+    fn note_crash(&mut self, digest: Digest, kind: Kind, crash: Crash, now: Millis) {
+        let known = self.entry(digest, kind, now);
+        if known.suspect.add(crash) {
             known.is_own = true;
             known.unsent = Unsent { store: true, peers: true };
         }
     }
 
     /// A server has answered it.
-    pub fn answered(&mut self, digest: Digest, now: Millis) {
-        self.lost.retain(|lost| lost.run.digest != digest);
-        self.recent.answered(digest, now);
+    pub fn answered(&mut self, request: &Fingerprint, answer: Answer, now: Millis) {
+        if answer == Answer::Unframed {
+            return;
+        }
+        self.lost.retain(|lost| lost.run.request.request != request.request);
+        self.clear(request.request, Kind::Request, now);
+        self.lost_in_a_row.remove(&request.service);
+        if answer == Answer::Whole {
+            request.parts.iter().for_each(|part| self.clear(*part, Kind::Part, now));
+        }
+    }
+
+    fn clear(&mut self, digest: Digest, kind: Kind, now: Millis) {
+        self.recent_mut(kind).answered(digest, now);
         if let Some(known) = self.known.get_mut(&digest) {
             // Once in a while is enough: a request that comes often is answered often.
             let is_cleared = known.suspect.crashes.is_empty();
@@ -152,21 +214,50 @@
         }
     }
 
-    /// Something was learnt of a request, with times of this host's clock; whether it is news.
+    fn recent_mut(&mut self, kind: Kind) -> &mut Recent {
+        match kind {
+            Kind::Request => &mut self.recent,
+            Kind::Part => &mut self.recent_parts,
+        }
+    }
+
+    fn was_answered_lately(&self, part: Digest, now: Millis) -> bool {
+        self.recent_parts.answered_at(part).is_some_and(|at| now.since(at) < CLEARED_MS)
+    }
+
+    /// Something was learnt of a request or part, with times of this host's clock; whether it is news.
     pub fn learn(&mut self, heard: &Suspect, source: Source, now: Millis) -> bool {
         // An answer matters to nobody until something speaks against the request.
         let matters = !heard.crashes.is_empty() || self.known.contains_key(&heard.digest);
-        let known = self.entry(heard.digest, now);
+        let known = self.entry(heard.digest, heard.kind, now);
+        let answered_here = known.suspect.answered_at;
         let cleared = heard.answered_at.is_some_and(|at| known.suspect.clear(at));
         let added =
             heard.crashes.iter().filter(|crash| known.suspect.add((*crash).clone())).count();
         let is_news = matters && (cleared || added > 0);
         known.is_shared |= is_news;
         known.unsent.peers |= is_news && source == Source::Store;
+        // Who suspects it does not know that it was answered here.
+        let is_answer_news = answered_here
+            .filter(|at| !heard.crashes.is_empty() && now.since(*at) < CLEARED_MS)
+            .is_some_and(|at| heard.answered_at.is_none_or(|known| at > known + SAME_MS));
+        if is_answer_news {
+            known.is_own = true;
+            known.is_shared = true;
+            known.unsent.peers = true;
+            known.unsent.store |= source == Source::Store;
+        }
         is_news
     }
 
-    /// What is to be done with a request.
+    /// What is to be done with a request, and why.
+    #[must_use]
+    pub fn judge(&self, request: &Fingerprint, now: Millis) -> Judged {
+        let all = self.known.values().map(|known| &known.suspect);
+        judge::judge(request, |digest| self.suspect(digest), all, now)
+    }
+
+    /// What is to be done with a request, by what is known of it alone.
     #[must_use]
     pub fn verdict(&self, digest: Digest, now: Millis) -> Verdict {
         self.known.get(&digest).map_or(Verdict::Run, |known| known.suspect.verdict(now))
@@ -188,7 +279,9 @@
     pub fn for_peers(&mut self, now: Millis) -> Vec<Suspect> {
         self.settle(now);
         let due = self.known.values_mut().filter(|known| known.unsent.peers && is_due(known, now));
-        let due = due.take(SHARED_MAX).map(|known| {
+        let mut due: Vec<&mut Known> = due.collect();
+        due.sort_by_key(|known| std::cmp::Reverse(known.urgency(now)));
+        let due = due.into_iter().take(SHARED_MAX).map(|known| {
             known.unsent.peers = false;
             known.is_shared = true;
             known.suspect.clone()
@@ -205,14 +298,14 @@
             return None;
         }
         let own = self.known.values_mut().filter(|known| known.is_own && is_due(known, now));
-        let mut own: Vec<Suspect> = own
-            .map(|known| {
-                known.unsent.store = false;
-                known.is_shared = true;
-                known.suspect.clone()
-            })
-            .collect();
-        own.sort_by_key(|suspect| std::cmp::Reverse((suspect.servers(now), suspect.last())));
+        let mut own: Vec<&mut Known> = own.collect();
+        own.sort_by_key(|known| std::cmp::Reverse(known.urgency(now)));
+        let own = own.into_iter().map(|known| {
+            known.unsent.store = false;
+            known.is_shared = true;
+            known.suspect.clone()
+        });
+        let mut own: Vec<Suspect> = own.collect();
         own.truncate(SHARED_MAX);
         Some(own)
     }
@@ -226,12 +319,15 @@
         }
     }
 
-    /// Requests that are held or sent by one host at a time, for a host that has just come.
+    /// What is held or sent by one host at a time, for a host that has just come; what most servers ended
+    /// under comes first.
     #[must_use]
     pub fn suspects(&self, now: Millis) -> Vec<Suspect> {
         let all = self.known.values().map(|known| &known.suspect);
-        let suspects = all.filter(|suspect| suspect.verdict(now) != Verdict::Run);
-        suspects.take(SHARED_MAX).cloned().collect()
+        let mut suspects: Vec<&Suspect> =
+            all.filter(|suspect| suspect.verdict(now) != Verdict::Run).collect();
+        suspects.sort_by_key(|suspect| std::cmp::Reverse((suspect.servers(now), suspect.last())));
+        suspects.into_iter().take(SHARED_MAX).cloned().collect()
     }
 
     /// Forgets what is over, and does not wait to tell of what nobody needs to know.
@@ -247,13 +343,13 @@
         }
     }
 
-    fn entry(&mut self, digest: Digest, now: Millis) -> &mut Known {
+    fn entry(&mut self, digest: Digest, kind: Kind, now: Millis) -> &mut Known {
         if self.known.len() >= SUSPECTS_MAX && !self.known.contains_key(&digest) {
             self.make_room(now);
         }
-        let answered_at = self.recent.answered_at(digest);
+        let answered_at = self.recent_mut(kind).answered_at(digest);
         self.known.entry(digest).or_insert_with(|| Known {
-            suspect: Suspect { answered_at, ..Suspect::new(digest) },
+            suspect: Suspect { kind, answered_at, ..Suspect::new(digest) },
             unsent: Unsent::default(),
             is_own: false,
             is_shared: false,
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -3,14 +3,19 @@
 use fuzz::check;
 use policy::name::Name;
 use policy::poison::book::Source;
-use policy::poison::{Book, Crash, Digest, Polls, Run, Suspect, Verdict, trial_ms};
+use policy::poison::{Answer, Book, Crash, Digest, Fingerprint, Polls, Run, Suspect, Verdict};
 use policy::time::Millis;
 
 const START: Millis = Millis(1_000_000);
 const DEADLY: Digest = Digest(7);
 
 fn run(digest: Digest, server: &str) -> Run {
-    Run { digest, server: Name::from(server), is_early: true }
+    let request = Fingerprint::of_request(digest);
+    Run { request, server: Name::from(server), born: 0, is_early: true }
+}
+
+fn answered(book: &mut Book, digest: Digest, now: Millis) {
+    book.answered(&Fingerprint::of_request(digest), Answer::Whole, now);
 }
 
 /// It is lost with so many servers, one a second.
@@ -30,10 +35,13 @@
     let last = lose(&mut book, DEADLY, 1);
     assert_eq!(book.verdict(DEADLY, last), Verdict::Run);
     let last = lose(&mut book, DEADLY, 2);
-    assert_eq!(book.verdict(DEADLY, last), Verdict::Trial { servers: 2 });
+    assert_eq!(book.verdict(DEADLY, last), Verdict::Trial { servers: 2, alone_ms: 2_000 });
     let last = lose(&mut book, DEADLY, 3);
     assert_eq!(book.verdict(DEADLY, last), Verdict::Hold(60_000));
-    assert_eq!(book.verdict(DEADLY, last + 60_000), Verdict::Trial { servers: 3 });
+    assert_eq!(
+        book.verdict(DEADLY, last + 60_000),
+        Verdict::Trial { servers: 3, alone_ms: 60_000 }
+    );
 }
 
 #[test]
@@ -61,10 +69,10 @@
 fn answer_clears_what_was_lost_before() {
     let mut book = Book::default();
     let last = lose(&mut book, DEADLY, 2);
-    book.answered(DEADLY, last + 10);
+    answered(&mut book, DEADLY, last + 10);
     assert_eq!(book.verdict(DEADLY, last + 10), Verdict::Run);
     // Another host tells of a loss that is older than the answer.
-    let crash = Crash { server: Name::from("elsewhere"), at: last, is_early: true };
+    let crash = Crash { server: Name::from("elsewhere"), born: 0, at: last, is_early: true };
     let told = Suspect { crashes: vec![crash], ..Suspect::new(DEADLY) };
     assert!(!book.learn(&told, Source::Peer, last + 20));
     assert_eq!(book.verdict(DEADLY, last + 20), Verdict::Run);
@@ -74,7 +82,7 @@
 #[test]
 fn request_answered_a_moment_ago_is_no_suspect() {
     let mut book = Book::default();
-    book.answered(DEADLY, START - 5_000);
+    answered(&mut book, DEADLY, START - 5_000);
     let last = lose(&mut book, DEADLY, 4);
     assert_eq!(book.verdict(DEADLY, last), Verdict::Run);
     assert!(book.for_store(last + 2_000).is_none());
@@ -96,7 +104,7 @@
     lose(&mut book, DEADLY, 1);
     book.given_up(run(DEADLY, "dropped"), START + 1_000);
     book.ended(&Name::from("dropped"), START + 1_050);
-    assert_eq!(book.verdict(DEADLY, START + 1_050), Verdict::Trial { servers: 2 });
+    assert_eq!(book.verdict(DEADLY, START + 1_050), Verdict::Trial { servers: 2, alone_ms: 2_000 });
     let mut book = Book::default();
     lose(&mut book, DEADLY, 1);
     book.given_up(run(DEADLY, "dropped"), START + 1_000);
@@ -116,7 +124,7 @@
     assert_eq!(book.verdict(DEADLY, START + 2_000), Verdict::Run);
     book.lost(run(DEADLY, "early"), START + 3_000);
     book.ended(&Name::from("early"), START + 3_000);
-    assert_eq!(book.verdict(DEADLY, START + 3_000), Verdict::Trial { servers: 2 });
+    assert_eq!(book.verdict(DEADLY, START + 3_000), Verdict::Trial { servers: 2, alone_ms: 2_000 });
 }
 
 /// Guards against many victims pushing the request that ends servers out of a full table.
@@ -144,6 +152,7 @@
                     true => suspect.answered_at = Some(at),
                     false => suspect.crashes.push(Crash {
                         server: Name::from(format!("server-{server}-{at:?}")),
+                        born: 0,
                         at,
                         is_early: *is_early,
                     }),
@@ -226,7 +235,7 @@
         }
         for (host, digest) in lost {
             let (book, polls) = &mut self.hosts[host];
-            book.lost(Run { digest, server: server.clone(), is_early: true }, self.now);
+            book.lost(run(digest, &server), self.now);
             book.ended(&server, self.now);
             polls.hurry(self.now);
         }
@@ -238,8 +247,8 @@
             match self.hosts[host].0.verdict(DEADLY, self.now) {
                 Verdict::Hold(_) => return,
                 Verdict::Run => self.end_server(host, DEADLY),
-                Verdict::Trial { servers } => {
-                    let is_recent = |at: Millis| self.now.since(at) < trial_ms(servers);
+                Verdict::Trial { alone_ms, .. } => {
+                    let is_recent = |at: Millis| self.now.since(at) < alone_ms;
                     if self.trial.is_some_and(is_recent) {
                         return;
                     }
@@ -366,7 +375,7 @@
             for request in 0..REQUESTS {
                 if step - begun[request] >= STEPS {
                     let digest = Digest(digests[request]);
-                    fleet.hosts[request].0.answered(digest, fleet.now);
+                    answered(&mut fleet.hosts[request].0, digest, fleet.now);
                     digests[request] += REQUESTS as u64;
                     (servers[request], begun[request]) = (fleet.draw(SERVERS as usize), step);
                     done += 1;
@@ -379,8 +388,7 @@
                     let is_early = step - begun[request] < 10;
                     let name = Name::from(format!("server-{server}-{step}"));
                     let (book, _) = &mut fleet.hosts[request];
-                    let run =
-                        Run { digest: Digest(digests[request]), server: name.clone(), is_early };
+                    let run = Run { is_early, ..run(Digest(digests[request]), &name) };
                     book.lost(run, fleet.now);
                     book.ended(&name, fleet.now);
                     let verdict = book.verdict(Digest(digests[request]), fleet.now);
