--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -82,6 +82,10 @@
             idle: Duration::from_millis(limits.idle_ms) + IDLE_SLACK,
         }
     }
+
+    fn takes(&self, open: usize) -> bool {
+        self.shed.takes(open)
+    }
 }
 
 /// Answers one request.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod refuse;
 pub mod relay;
 pub mod resume;
+pub mod shed;
 pub mod state;
 pub mod timing;
 pub mod wait;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,6 +21,7 @@
 use crate::paces::Paces;
 use crate::poison::{Guard, Trial};
 use crate::reach::Reach;
+use crate::shed::Shed;
 use crate::timing::Timing;
 use crate::world::World;
 
@@ -91,6 +92,8 @@
     pub peers: ArcSwap<Option<Peers>>,
     /// Requests that were lost with their servers.
     pub poison: Arc<Guard>,
+    /// Which new connections are taken.
+    pub shed: Shed,
     /// Cancelled when the store has been read for the first time, or could not be.
     pub started: CancellationToken,
     /// Cancelled when the process is to take no new connections.
@@ -121,6 +124,7 @@
             tally: Tally::default(),
             relays: TaskTracker::new(),
             in_flight: AtomicUsize::new(0),
+            shed: Shed::new(usize::MAX),
             started: CancellationToken::new(),
             stop,
         }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -7,10 +7,12 @@
 
 use entry::{callers, clock};
 use gateway::forward::Port;
+use gateway::shed::Shed;
 use gateway::state::Outbox;
 use gateway::{Codec, State};
 use metrics_exporter_prometheus::PrometheusHandle;
 use policy::bootstrap::Bootstrap;
+use policy::overload;
 use policy::relay::Relay;
 use policy::strength;
 use tokio::net::{TcpListener, UdpSocket};
@@ -125,7 +127,11 @@
     let (trials, asked) = mpsc::channel(TRIALS);
     let outbox = Outbox { prefills, restrictions, trials };
     let budget = Budget::new(&settings);
-    let state = Arc::new(State::new(codec, budget.allowance(), outbox, stop.clone()));
+    let settings::Resources { descriptors, memory_mb, .. } = settings.resources;
+    let memory = memory_mb.map(|megabytes| megabytes << 20);
+    let shed = Shed::new(overload::connections_max(descriptors, memory));
+    let state = State::new(codec, budget.allowance(), outbox, stop.clone());
+    let state = Arc::new(State { shed, ..state });
     let catalog = Catalog::new(settings.failure_domain.clone());
     let catalog = Arc::new(catalog.exposing(settings.exposure_share));
     let (orders, ordered) = mpsc::unbounded_channel();
@@ -168,6 +174,7 @@
         spawn(Arc::new(rollouts).run(ordered)),
         spawn(Arc::new(poison).run(asked, settings.first_start)),
         spawn(Arc::clone(&state).look_for_servers()),
+        spawn(Arc::clone(&state).follow_delay()),
         spawn(helpers::find(settings.clone(), Arc::clone(&watch))),
         spawn(operators::serve(listeners.operators, Arc::clone(&subject))),
     ];
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod limit;
 pub mod listing;
 pub mod name;
+pub mod overload;
 pub mod pace;
 pub mod patience;
 pub mod pause;
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -155,6 +155,10 @@
         pub core_share: f64,
         /// Its link, in megabits a second.
         pub link_mbps: f64,
+        /// Descriptors of files and sockets; none if any number.
+        pub descriptors: Option<u32>,
+        /// Memory, in megabytes; none if any amount.
+        pub memory_mb: Option<u64>,
     }
 
     /// Bounds on requests sent again.
@@ -217,7 +221,7 @@
 
 impl Default for Resources {
     fn default() -> Self {
-        Self { core_share: 1.0, link_mbps: 1_000.0 }
+        Self { core_share: 1.0, link_mbps: 1_000.0, descriptors: None, memory_mb: None }
     }
 }
 
@@ -372,6 +376,9 @@
     faults.push(Fault::at("failure_domains", fault));
 }
 
+/// With fewer descriptors a host has none left for callers beside its own files and connections.
+const DESCRIPTORS_MIN: u32 = 512;
+
 fn check_node(node: &Node, faults: &mut Vec<Fault>) {
     check_common(&node.name, &node.failure_domain, &node.log, faults);
     if !(0.0..=10.0).contains(&node.repeats.share) {
@@ -390,6 +397,12 @@
             faults.push(Fault::at(path, "must be more than 0"));
         }
     }
+    if node.resources.descriptors.is_some_and(|count| count < DESCRIPTORS_MIN) {
+        faults.push(Fault::at("resources.descriptors", "must be at least 512"));
+    }
+    if node.resources.memory_mb == Some(0) {
+        faults.push(Fault::at("resources.memory_mb", "must be more than 0"));
+    }
     if !(0.0..=1.0).contains(&node.exposure_share) {
         faults.push(Fault::at("exposure_share", "must be from 0 to 1"));
     }
--- a/crates/wire/tests/settings.rs
+++ b/crates/wire/tests/settings.rs
@@ -84,6 +84,9 @@
     assert!(settings::parse(&text("{}")).is_ok());
     assert_eq!(paths(&text(r#"{"core_share": 0}"#)), ["resources.core_share"]);
     assert_eq!(paths(&text(r#"{"link_mbps": -20}"#)), ["resources.link_mbps"]);
+    assert!(settings::parse(&text(r#"{"descriptors": 4100, "memory_mb": 120}"#)).is_ok());
+    assert_eq!(paths(&text(r#"{"descriptors": 100}"#)), ["resources.descriptors"]);
+    assert_eq!(paths(&text(r#"{"memory_mb": 0}"#)), ["resources.memory_mb"]);
 }
 
 #[test]
