--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -20,6 +20,7 @@
 use policy::time::Millis;
 use wire::backend;
 
+pub use self::look::Found;
 pub use self::restriction::{Restricted, Restriction};
 use crate::codec::{Load, Part};
 
@@ -69,8 +70,8 @@
     belief: Mutex<Belief>,
     /// When it last refused a connection, in milliseconds; 0 if it has answered since.
     refused_at: AtomicU64,
-    /// When it was last looked whether it has ended, and whether it had.
-    looked: tokio::sync::Mutex<Option<(Millis, bool)>>,
+    /// When it was last looked whether it has ended, and what that showed.
+    looked: tokio::sync::Mutex<Option<(Millis, Found)>>,
 }
 
 /// An answer that has not begun, until dropped.
--- a/crates/gateway/src/backend/look.rs
+++ b/crates/gateway/src/backend/look.rs
@@ -27,6 +27,18 @@
 /// A server that refused connections is believed to have ended for this long, in milliseconds. Its entry
 /// lapses within that time if it has.
 const ENDED_MS: u64 = 5_000;
+
+/// What a look at a server that may have ended showed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Found {
+    /// It takes connections, or at least does not refuse them.
+    Lives,
+    /// Nothing listens at its address any more.
+    Ended,
+    /// It refuses connections, and so do others: this host may be cut off.
+    Unclear,
+}
+
 impl Backend {
     /// Whether it refused connections when it was last tried, lately. One that is out of reach doesn't.
     #[must_use]
@@ -65,18 +77,18 @@
         }
     }
 
-    /// Whether nothing listens at its address any more; then the requests that were lost with it are
+    /// Looks whether anything listens at its address; if not, the requests that were lost with it are
     /// noted. Those who ask together share one look.
     ///
     /// Where this host is cut off all servers refuse, or seem to. While that may be so, one of the
     /// `others` has to take a connection.
-    pub async fn look(&self, poison: &Guard, others: impl Fn() -> Vec<Arc<Self>>) -> bool {
+    pub async fn look(&self, poison: &Guard, others: impl Fn() -> Vec<Arc<Self>>) -> Found {
         let mut looked = self.looked.lock().await;
         let now = clock::steady();
-        if let Some((at, ended)) = *looked
+        if let Some((at, found)) = *looked
             && now.since(at) < LOOK_MS
         {
-            return ended;
+            return found;
         }
         let opened = tokio::time::timeout(LOOK, TcpStream::connect(self.server.address)).await;
         // One that is reset was taken first: whoever did so lives.
@@ -85,16 +97,20 @@
         if is_refused {
             poison.reach.failed(self);
         }
-        let ended = is_refused && (!poison.reach.is_doubtful() || any_keeps(&others()).await);
+        let found = match is_refused {
+            false => Found::Lives,
+            true if !poison.reach.is_doubtful() || any_keeps(&others()).await => Found::Ended,
+            true => Found::Unclear,
+        };
         // From its end on: those who wait for a look that takes all its time share what it found.
         let now = clock::steady();
-        *looked = Some((now, ended));
-        if ended {
+        *looked = Some((now, found));
+        if found == Found::Ended {
             self.note_ended(now);
             log::info!(target: "route", backend:% = self.id; "backend server ended");
             poison.ended(&self.id);
         }
-        ended
+        found
     }
 
     /// Whether it takes a connection and does not break it off at once.
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -143,7 +143,7 @@
             metrics::counter!("gateway_requests_lost_with_server_total").increment(1);
             let (part, part_servers) = part.unzip();
             log::info!(target: "route", digest:% = digest, backend:% = server, servers,
-                part:% = part.map(|part| part.to_string()).unwrap_or_default(),
+                prompt_part:% = part.map(|part| part.to_string()).unwrap_or_default(),
                 part_servers = part_servers.unwrap_or_default();
                 "request lost with its server");
         }
@@ -212,7 +212,7 @@
         });
         let servers: Vec<&str> = crashes.iter().map(|crash| &*crash.server).collect();
         log::warn!(target: "route", request:% = self.ask.id, digest:% = digest, kind:? = kind,
-            part:% = self.part_id(digest).unwrap_or_default(), hold_ms = ms,
+            prompt_part:% = self.part_id(digest).unwrap_or_default(), hold_ms = ms,
             servers:% = servers.join(" "), sent = self.tries.sent;
             "request held, servers ended under it");
         const WHY: &str = "held back, servers ended when they ran this request";
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -9,8 +9,8 @@
 use policy::sample;
 use tokio::sync::watch;
 
-use crate::backend::Backend;
 use crate::backend::look::any_keeps;
+use crate::backend::{Backend, Found};
 use crate::codec::Codec;
 use crate::state::State;
 
@@ -18,6 +18,9 @@
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 /// Servers that are looked at at once.
 const LOOKED_AT: usize = 2;
+/// Looks at one server until it is clear whether it has ended. What was lost there is remembered for as
+/// long.
+const LOOKS_MAX: usize = 20;
 /// Others that are looked at before a server that refuses is taken for ended: some may have ended as
 /// well, and nobody knows yet.
 const CONTROLS: usize = 4;
@@ -117,18 +120,27 @@
     /// of the server.
     pub fn look_soon(self: &Arc<Self>, backend: &Arc<Backend>) {
         let (state, backend) = (Arc::clone(self), Arc::clone(backend));
-        tokio::spawn(async move { state.look(&backend).await });
+        tokio::spawn(async move {
+            for _ in 0..LOOKS_MAX {
+                // Other servers may have ended in the same moment. What was lost here must not be
+                // forgotten for that.
+                if state.look(&backend).await != Found::Unclear {
+                    return;
+                }
+                tokio::time::sleep(LOOK_EVERY).await;
+            }
+        });
     }
 
-    /// Whether a server has ended.
-    pub async fn look(&self, backend: &Arc<Backend>) -> bool {
+    /// Looks whether a server has ended.
+    pub async fn look(&self, backend: &Arc<Backend>) -> Found {
         let now = clock::steady();
         let is_well = |other: &Backend| !other.server.is_ill(now) && !self.reach.has_failed(other);
-        let has_ended = backend.look(&self.poison, || self.some_servers(CONTROLS, is_well)).await;
-        if has_ended && self.reach.is_doubtful() {
+        let found = backend.look(&self.poison, || self.some_servers(CONTROLS, is_well)).await;
+        if found == Found::Ended && self.reach.is_doubtful() {
             self.reached();
         }
-        has_ended
+        found
     }
 
     /// Some of the servers that are so, so many at most.
--- a/crates/gateway/tests/look.rs
+++ b/crates/gateway/tests/look.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use gateway::backend::Backend;
+use gateway::backend::{Backend, Found};
 use gateway::poison::Guard;
 use policy::name::Name;
 use tokio::net::{TcpSocket, TcpStream};
 
-fn backend(address: SocketAddr) -> Arc<Backend> {
+fn backend(id: &str, address: SocketAddr) -> Arc<Backend> {
     let row = wire::routing::Backend {
-        id: Name::from("i"),
+        id: Name::from(id),
         born: 0,
         service: Name::from("s"),
         address,
@@ -37,7 +37,7 @@
     {
         held.push(stream);
     }
-    let backend = backend(address);
+    let backend = backend("i", address);
     let guard = Arc::new(Guard::new(tokio::sync::mpsc::channel(1).0));
     let began = Instant::now();
     let looks = (0..10).map(|_| {
@@ -46,7 +46,24 @@
     });
     let looks: Vec<_> = looks.collect();
     for look in looks {
-        assert!(!look.await.unwrap());
+        assert_eq!(look.await.unwrap(), Found::Lives);
     }
     assert!(began.elapsed() < Duration::from_millis(300), "{:?}", began.elapsed());
 }
+
+/// Guards against requests lost with a server that are forgotten since, in the moment of its end, others
+/// refused connections as well.
+#[tokio::test]
+async fn look_while_the_host_may_be_cut_off_is_unclear_until_another_takes_connections() {
+    let free = || std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let ended = backend("ended", free());
+    let guard = Guard::new(tokio::sync::mpsc::channel(1).0);
+    guard.reach.failed(&backend("b1", free()));
+    guard.reach.failed(&backend("b2", free()));
+    let others = [backend("b1", free()), backend("b2", free())];
+    assert_eq!(ended.look(&guard, || others.to_vec()).await, Found::Unclear);
+    let alive = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let others = [backend("b1", free()), backend("b3", alive.local_addr().unwrap())];
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    assert_eq!(ended.look(&guard, || others.to_vec()).await, Found::Ended);
+}
