Ends in a row, and not lost runs, show that a service is down

One server's end loses up to as many runs at a host as it has places; sixteen lost runs with no answer between were taken for a service that is down, and no part was counted any more, the deadly one either.

--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -6,7 +6,7 @@
 use policy::canary::Stage;
 use policy::domain;
 use policy::name::Name;
-use policy::poison::{Suspect, Verdict};
+use policy::poison::{Kind, Suspect, Verdict};
 use policy::time::Millis;
 
 use crate::catalog::{Catalog, Evacuated};
@@ -43,10 +43,12 @@
         pub held: Vec<Held>,
     }
 
-    /// A request that servers ended under.
+    /// A request, or a part of prompts, that servers ended under.
     pub struct Held {
         /// Its digest, as it stands in the logs.
         pub digest: Name,
+        /// Which of the two.
+        pub kind: Kind,
         /// The servers' starts.
         pub servers: Vec<Name>,
         /// Until it is tried again, in milliseconds; 0 if one host at a time may send it now.
@@ -145,6 +147,7 @@
 fn held(suspect: &Suspect, now: Millis) -> Held {
     Held {
         digest: Name::from(suspect.digest.to_string()),
+        kind: suspect.kind,
         servers: suspect.crashes.iter().map(|crash| crash.server.clone()).collect(),
         hold_ms: match suspect.verdict(now) {
             Verdict::Hold(ms) => ms,
--- a/crates/policy/src/poison/book.rs
+++ b/crates/policy/src/poison/book.rs
@@ -27,9 +27,9 @@
 const UNANSWERED_MS: u64 = 1_000;
 /// Requests told of at once at most.
 const SHARED_MAX: usize = 24;
-/// Runs lost in a row, with not one answer of their service between, after which ends of its servers say
+/// Servers that end in a row, with not one answer of their service between, after which more ends say
 /// nothing of parts: the service is down, and parts that all requests have would be held once it is back.
-const DOWN_AFTER: u32 = 16;
+const DOWN_AFTER: u32 = 8;
 
 /// A run of a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -114,8 +114,24 @@
     ended: VecDeque<(Name, Millis)>,
     recent: Recent,
     recent_parts: Recent,
-    /// Runs lost since a server of the service last answered.
-    lost_in_a_row: HashMap<Name, u32>,
+    /// By service, since a server of it last answered.
+    ends_in_a_row: HashMap<Name, Ends>,
+}
+
+/// Servers that ended one after the other, with runs of this host.
+#[derive(Clone, Debug, Default)]
+struct Ends {
+    last: Name,
+    count: u32,
+}
+
+impl Ends {
+    fn note(&mut self, server: &Name) {
+        if self.last != *server || self.count == 0 {
+            self.last = server.clone();
+            self.count = self.count.saturating_add(1);
+        }
+    }
 }
 
 impl Book {
@@ -168,9 +184,9 @@
 
     fn crashed(&mut self, run: &Run, at: Millis, now: Millis) {
         self.note_crash(run.request.request, Kind::Request, run.crash(at), now);
-        let in_a_row = self.lost_in_a_row.entry(run.request.service.clone()).or_default();
-        *in_a_row = in_a_row.saturating_add(1);
-        let is_down = *in_a_row > DOWN_AFTER;
+        let ends = self.ends_in_a_row.entry(run.request.service.clone()).or_default();
+        ends.note(&run.server);
+        let is_down = ends.count > DOWN_AFTER;
         for part in run.request.parts.iter() {
             match run.is_early {
                 // A server that ends of a part does so when it begins to answer.
@@ -196,7 +212,7 @@
         }
         self.lost.retain(|lost| lost.run.request.request != request.request);
         self.clear(request.request, Kind::Request, now);
-        self.lost_in_a_row.remove(&request.service);
+        self.ends_in_a_row.remove(&request.service);
         if answer == Answer::Whole {
             request.parts.iter().for_each(|part| self.clear(*part, Kind::Part, now));
         }
