--- a/crates/chestnutspur/tests/soak/callers.rs
+++ b/crates/chestnutspur/tests/soak/callers.rs
@@ -27,6 +27,8 @@
 const ASKED: &str = "what is asked";
 /// What ends each backend server that runs it.
 pub const DEADLY: &str = "what no server stands";
+/// The part of prompts under which they end.
+pub const DEADLY_PART: &str = "dead01";
 /// Events of each answer.
 pub const EVENTS: u64 = 5;
 
@@ -140,10 +142,30 @@
     ask(target, kind, &mut None).await
 }
 
-/// The request under which backend servers end, once.
-pub async fn strike(target: SocketAddr) {
+/// What ends the backend servers that run it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Deadly {
+    /// One request, always the same.
+    Request,
+    /// A part of prompts, in requests of which no two are alike.
+    Part,
+}
+
+/// A request under which backend servers end, once.
+pub async fn strike(target: SocketAddr, deadly: Deadly) {
+    static NUMBER: AtomicU64 = AtomicU64::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+    let sent = match deadly {
+        Deadly::Request => Sent { id: "deadly", path: "/stream/x", body: DEADLY, parts: None },
+        Deadly::Part => Sent {
+            id: &format!("deadly-{number}"),
+            path: &format!("/stream/{number}"),
+            body: ASKED,
+            parts: Some(format!("a1:100,{DEADLY_PART}:100,f00d{number:x}:50")),
+        },
+    };
     let mut kept = None;
-    let exchanged = exchange(target, Kind::Stream, "deadly", DEADLY, &mut kept);
+    let exchanged = exchange(target, &sent, &mut kept);
     // Whatever comes of it, what it does to servers counts.
     let _ = tokio::time::timeout(Duration::from_millis(PATIENCE_MS), exchanged).await;
 }
@@ -155,7 +177,9 @@
     let id = format!("r{}", NUMBER.fetch_add(1, Ordering::Relaxed));
     let began = Instant::now();
     let within = Duration::from_millis(PATIENCE_MS + 500);
-    let exchanged = exchange(target, kind, &id, ASKED, kept);
+    let path = format!("/{}/x", kind.name());
+    let sent = Sent { id: &id, path: &path, body: ASKED, parts: None };
+    let exchanged = exchange(target, &sent, kept);
     let outcome = tokio::time::timeout(within, exchanged).await;
     let outcome = outcome.unwrap_or(Outcome::Late);
     Seen { id, kind, node: target, outcome, began, took: began.elapsed() }
@@ -168,24 +192,30 @@
     Some(sender)
 }
 
-async fn exchange(
-    target: SocketAddr,
-    kind: Kind,
-    id: &str,
+/// A request as it is sent.
+struct Sent<'a> {
+    id: &'a str,
+    path: &'a str,
     body: &'static str,
-    kept: &mut Option<Sender>,
-) -> Outcome {
+    /// Of its prompt.
+    parts: Option<String>,
+}
+
+async fn exchange(target: SocketAddr, sent: &Sent<'_>, kept: &mut Option<Sender>) -> Outcome {
     let sender = match kept.take().filter(SendRequest::is_ready) {
         Some(sender) => Some(sender),
         None => connect(target).await,
     };
     let Some(mut sender) = sender else { return Outcome::Unsent };
-    let request = Request::post(format!("/{}/x", kind.name()))
+    let mut request = Request::post(sent.path)
         .header("host", HOST)
         .header("authorization", format!("Bearer {KEY}"))
-        .header(names::REQUEST_ID, id)
-        .header(names::DEADLINE_MS, PATIENCE_MS)
-        .body(Full::from(body));
+        .header(names::REQUEST_ID, sent.id)
+        .header(names::DEADLINE_MS, PATIENCE_MS);
+    if let Some(parts) = &sent.parts {
+        request = request.header(names::PROMPT_PARTS, parts);
+    }
+    let request = request.body(Full::from(sent.body));
     let response = match sender.try_send_request(request.expect("request")).await {
         Ok(response) => response,
         Err(mut error) => {
@@ -194,7 +224,7 @@
         }
     };
     let (head, body) = response.into_parts();
-    let own = head.headers.get(names::REQUEST_ID).is_some_and(|echo| echo == id);
+    let own = head.headers.get(names::REQUEST_ID).is_some_and(|echo| echo == sent.id);
     let status = head.status.as_u16();
     let (text, whole) = read(body).await;
     if whole && head.headers.get("connection").is_none_or(|value| value != "close") {
--- a/crates/chestnutspur/tests/soak/faults.rs
+++ b/crates/chestnutspur/tests/soak/faults.rs
@@ -11,7 +11,7 @@
 
 use wire::routing::Warmup;
 
-use crate::callers;
+use crate::callers::{self, Deadly};
 use crate::fleet::{Fleet, domain};
 
 /// What kind of trouble a seed brings.
@@ -38,12 +38,22 @@
         match seed {
             0..1_000 => Self::ALL[(seed % 3) as usize],
             1_000..2_000 => Self::Evacuations,
+            3_000..4_000 => Self::Network,
             2_000..10_000 => Self::Statements,
             _ => Self::ALL[(seed % 5) as usize],
         }
     }
 }
 
+/// What backend servers end of in a seed's play.
+pub fn deadly(seed: u64) -> Deadly {
+    match seed {
+        3_000..4_000 => Deadly::Part,
+        10_000.. if seed % 2 == 1 => Deadly::Part,
+        _ => Deadly::Request,
+    }
+}
+
 /// What servers take there until they are warm.
 const WARMUP: Warmup = Warmup { ms: 2_000, per_second: 4.0 };
 
--- a/crates/chestnutspur/tests/soak/fleet.rs
+++ b/crates/chestnutspur/tests/soak/fleet.rs
@@ -12,11 +12,11 @@
 use standin::platform::Platform;
 use standin::platform::fault::Faults;
 use standin::proxy::{self, Mode, Proxy};
-use standin::routed::{Act, Routed};
+use standin::routed::{Act, Arrival, Routed};
 use standin::server::{Running, start};
 use wire::routing::{Account, Limits, Route, Service, Table, Target, Warmup};
 
-use crate::callers::{self, Kind, Outcome};
+use crate::callers::{self, Deadly, Kind, Outcome};
 use crate::{faults, ports};
 
 pub const HOST: &str = "callers.example";
@@ -57,6 +57,8 @@
     pub more_routes: usize,
     /// What backend servers take until they are warm, if they have to warm up.
     pub warmup: Option<Warmup>,
+    /// What backend servers end of.
+    pub deadly: Deadly,
     /// The version of the newest table.
     version: u64,
 }
@@ -125,6 +127,7 @@
             nodes: Vec::new(),
             more_routes: 0,
             warmup: faults::warmup(seed),
+            deadly: faults::deadly(seed),
             version: 0,
         };
         fleet.put_table(1);
@@ -132,6 +135,7 @@
             let act = Act::Stream(callers::script());
             let backend = start(any(), Routed::new(act)).expect("backend server");
             backend.end_by(callers::DEADLY);
+            backend.end_by_parts(&[callers::DEADLY_PART]);
             fleet.backend_proxies.push(proxy_to(backend.address).await);
             fleet.backends.push(Arc::new(backend));
             fleet.list(number, "ready");
@@ -191,9 +195,9 @@
         self.list(number, "ready");
     }
 
-    /// The deadly request comes to a node. Servers that run it end, and are back under another id.
+    /// What is deadly comes to a node. Servers that run it end, and are back under another id.
     pub async fn strike(&mut self, node: usize) {
-        let strike = tokio::spawn(callers::strike(self.nodes[node].callers));
+        let strike = tokio::spawn(callers::strike(self.nodes[node].callers, self.deadly));
         let mut is_over = false;
         while !is_over {
             // Those that it reached last have yet to end when its caller has an answer.
@@ -210,19 +214,28 @@
         }
     }
 
-    /// When the deadly request reached servers.
+    /// When it reached servers.
     fn struck(&self) -> Vec<Instant> {
         let arrivals = self.backends.iter().flat_map(|backend| backend.arrivals());
-        let deadly = arrivals.filter(|arrival| arrival.body == callers::DEADLY);
+        let has_part = |arrival: &Arrival| {
+            let parts = arrival.headers.get(names::PROMPT_PARTS).map(|parts| parts.as_bytes());
+            parts.is_some_and(|parts| String::from_utf8_lossy(parts).contains(callers::DEADLY_PART))
+        };
+        let deadly =
+            arrivals.filter(|arrival| arrival.body == callers::DEADLY || has_part(arrival));
         let mut struck: Vec<Instant> = deadly.map(|arrival| arrival.at).collect();
         struck.sort();
         struck
     }
 
-    /// After the faults a request under which three servers have ended is held everywhere.
+    /// After the faults a request, or a part of prompts, under which three servers have ended is held everywhere.
     pub async fn holds_deadly(&mut self) -> Option<String> {
+        let known_after = match self.deadly {
+            Deadly::Request => 3,
+            Deadly::Part => 5,
+        };
         let before = self.struck().len();
-        if before < 3 {
+        if before < known_after {
             return None;
         }
         tokio::time::sleep(CONTACT).await;
@@ -230,7 +243,8 @@
             self.strike(node).await;
         }
         let more = self.struck().len() - before;
-        (more > RETRIES_MAX).then(|| format!("{more} servers more ended under one request"))
+        (more > RETRIES_MAX)
+            .then(|| format!("{more} servers more ended under one {:?}", self.deadly))
     }
 
     async fn until_ready(&self, number: usize) {
