--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -107,7 +107,7 @@
         let Reply { head, body, mut connection, lease, backend, sent_at, .. } = reply;
         let body = self.collect(body).await?;
         self.note_answered(match () {
-            () if head.status.is_server_error() => Answer::Failure,
+            () if !head.status.is_success() => Answer::Failure,
             () if is_framed => Answer::Whole,
             () => Answer::Unframed,
         });
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -223,10 +223,9 @@
     live.note_speed(job);
     if end == End::Answered {
         live.backend.note(false, clock::steady());
-        job.note_answered(if live.is_framed {
-            poison::Answer::Whole
-        } else {
-            poison::Answer::Unframed
+        job.note_answered(match live.is_framed {
+            true => poison::Answer::Whole,
+            false => poison::Answer::Unframed,
         });
         let ms = live.sent_at.elapsed().as_secs_f64() * 1_000.0;
         if !live.pace.is_known() {
