--- a/crates/gateway/src/shed.rs
+++ b/crates/gateway/src/shed.rs
@@ -63,8 +63,8 @@
 
 impl<C> State<C> {
     /// Follows how late this process comes to what is due, until the process ends.
-    pub async fn follow_delay(self: Arc<Self>) {
-        let mut overload = Overload::default();
+    pub async fn follow_delay(self: Arc<Self>, standing_ms: f64) {
+        let mut overload = Overload::new(standing_ms);
         loop {
             let due = Instant::now() + TICK;
             tokio::time::sleep_until(due.into()).await;
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -174,10 +174,12 @@
         spawn(Arc::new(rollouts).run(ordered)),
         spawn(Arc::new(poison).run(asked, settings.first_start)),
         spawn(Arc::clone(&state).look_for_servers()),
-        spawn(Arc::clone(&state).follow_delay()),
         spawn(helpers::find(settings.clone(), Arc::clone(&watch))),
         spawn(operators::serve(listeners.operators, Arc::clone(&subject))),
     ];
+    if let Some(standing_ms) = settings.standing_delay_ms {
+        background.push(spawn(Arc::clone(&state).follow_delay(standing_ms)));
+    }
     if let Some(listener) = listeners.metrics {
         background.push(spawn(operators::serve(listener, subject)));
     }
--- a/crates/policy/src/overload.rs
+++ b/crates/policy/src/overload.rs
@@ -16,8 +16,6 @@
 pub const TICK: Duration = Duration::from_millis(50);
 /// Looks of which the least delay counts.
 const WINDOW_TICKS: u32 = 4;
-/// Least delay in a window from which on work comes in faster than it is done, in milliseconds.
-const STANDING_MS: f64 = 40.0;
 /// Added to the part that is closed, at least, for each window with so much delay.
 const STEP: f64 = 0.1;
 /// Part that is closed at most: what is read now shows whether it is still too much.
@@ -38,8 +36,10 @@
 
 domain! {
     /// The part of new connections that is closed unread.
-    #[derive(Copy, Default)]
+    #[derive(Copy)]
     pub struct Overload {
+        /// Least delay of a window from which on work comes in faster than it is done, in milliseconds.
+        standing_ms: f64,
         closed: f64,
         ticks: u32,
         least_ms: f64,
@@ -47,6 +47,13 @@
 }
 
 impl Overload {
+    /// None is closed yet; with the least delay of a window from which on work comes in faster than it is
+    /// done, in milliseconds.
+    #[must_use]
+    pub fn new(standing_ms: f64) -> Self {
+        Self { standing_ms, closed: 0.0, ticks: 0, least_ms: 0.0 }
+    }
+
     /// A look came so late, in milliseconds; whether connections begin or cease to be closed.
     pub fn tick(&mut self, late_ms: f64) -> bool {
         self.least_ms = if self.ticks == 0 { late_ms } else { self.least_ms.min(late_ms) };
@@ -55,9 +62,9 @@
             return false;
         }
         let before = self.closed;
-        self.closed = match self.least_ms >= STANDING_MS {
+        self.closed = match self.least_ms >= self.standing_ms {
             // What waits already takes so much longer than it should.
-            true => (before + STEP).max(1.0 - STANDING_MS / self.least_ms).min(CLOSED_MAX),
+            true => (before + STEP).max(1.0 - self.standing_ms / self.least_ms).min(CLOSED_MAX),
             false if before * DECAY < CLOSED_MIN => 0.0,
             false => before * DECAY,
         };
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -3,6 +3,7 @@
 use policy::overload::{Overload, TICK, connections_max};
 use policy::place::mix;
 
+const STANDING_MS: f64 = 40.0;
 const TICK_MS: f64 = TICK.as_millis() as f64;
 
 fn ticks(overload: &mut Overload, count: usize, late_ms: f64) {
@@ -13,7 +14,7 @@
 
 #[test]
 fn tick_one_long_task_closes_nothing() {
-    let mut overload = Overload::default();
+    let mut overload = Overload::new(STANDING_MS);
     for _ in 0..50 {
         ticks(&mut overload, 1, 900.0);
         ticks(&mut overload, 3, 1.0);
@@ -23,7 +24,7 @@
 
 #[test]
 fn tick_standing_delay_closes_more_and_more_and_ends() {
-    let mut overload = Overload::default();
+    let mut overload = Overload::new(STANDING_MS);
     ticks(&mut overload, 4, 60.0);
     let first = overload.closed();
     assert!(first > 0.0);
@@ -54,7 +55,7 @@
 
 impl Host {
     fn new(seed: u64) -> Self {
-        let overload = Overload::default();
+        let overload = Overload::new(STANDING_MS);
         Self { overload, backlog_ms: 0.0, draws: seed, read: 0, in_time: 0, closed: 0 }
     }
 
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -141,6 +141,11 @@
         /// Part of a service's requests that a bad version may get in the time of a roll-out.
         #[serde(default = "default_exposure_share")]
         pub exposure_share: f64,
+        /// Delay in milliseconds from which the host closes a part of new connections unread, if it is never
+        /// less late with what is due for a while; none if it takes them all. For a process that has its
+        /// processor to itself, or a fixed share of it.
+        #[serde(default)]
+        pub standing_delay_ms: Option<f64>,
         /// What the host may use: of the hosts of a failure domain a stronger one reads the store's
         /// lists for the others.
         #[serde(default)]
@@ -400,6 +405,9 @@
     if node.resources.descriptors.is_some_and(|count| count < DESCRIPTORS_MIN) {
         faults.push(Fault::at("resources.descriptors", "must be at least 512"));
     }
+    if node.standing_delay_ms.is_some_and(|ms| !(ms.is_finite() && ms > 0.0)) {
+        faults.push(Fault::at("standing_delay_ms", "must be more than 0"));
+    }
     if node.resources.memory_mb == Some(0) {
         faults.push(Fault::at("resources.memory_mb", "must be more than 0"));
     }
--- a/crates/wire/tests/settings.rs
+++ b/crates/wire/tests/settings.rs
@@ -87,6 +87,7 @@
     assert!(settings::parse(&text(r#"{"descriptors": 4100, "memory_mb": 120}"#)).is_ok());
     assert_eq!(paths(&text(r#"{"descriptors": 100}"#)), ["resources.descriptors"]);
     assert_eq!(paths(&text(r#"{"memory_mb": 0}"#)), ["resources.memory_mb"]);
+    assert_eq!(paths(&text(r#"{}, "standing_delay_ms": 0"#)), ["standing_delay_ms"]);
 }
 
 #[test]
