--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -25,7 +25,7 @@
 /// When a caller may come back whose request another host is trying, in milliseconds.
 const TRIED_MS: u64 = 2_000;
 
-/// What whoever speaks with the store for all requests is to do about a try that one host of all may make.
+/// A message to the task that speaks with the store, about a try that one host of all may make.
 pub enum Trial {
     /// A request asks for leave.
     Ask(Ask),
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -158,8 +158,8 @@
 }
 
 impl Crash {
-    /// Whether both are the end of the same start of a server, whoever tells of it and whatever his
-    /// clock shows.
+    /// Whether both are the end of the same start of a server. Times don't count: each host that tells of it
+    /// has a clock of its own.
     #[must_use]
     pub fn is_same(&self, other: &Self) -> bool {
         self.server == other.server && self.born == other.born
