A host that reads for itself notices a silent connection in time

Callers were bound by an old table for up to 4.25 s after the connection on which their host waits for news had gone silent, where the host counts as connected again after 3 s: a new route was refused.

Cause: in small failure domains each host reads for itself and had its call held back for 3.5 s, and waited 0.7 s more before it gave it up, whatever contact time the deployment states.

The hold is 1.2 s less than the contact time (a setting now, from the platform's bounds), 3.5 s at most. 1.2 s are the answer's time, the pause and a new connection. The model of lists lost a call 0.7 s after a silence began; it now loses it when its answer is overdue, as the client does.

Three hosts of a domain share one that reads from now on where changes may take 2 s (two by themselves).

--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -14,7 +14,7 @@
 use gateway::{Codec, State};
 use policy::name::Name;
 use policy::place;
-use policy::relay::{Action, Bounds};
+use policy::relay::{self, Action, Bounds};
 use policy::time::Millis;
 use tokio::sync::mpsc;
 use wire::store::Error;
@@ -27,11 +27,6 @@
 use crate::follow::Follow;
 use crate::store::{Answer, List, News, Store};
 
-/// How long the store may hold a question of a host that reads for itself alone back while nothing
-/// changes, in milliseconds. A connection that has gone silent shows only after that, and each
-/// question has its price. Shorter than the three heartbeats after which a silent server's entry
-/// lapses, so that an outage long enough for that is noticed.
-const ALONE_MS: u64 = 3_500;
 /// An answer whose head comes so much later than the store was asked to hold it back comes from a
 /// store that was away meanwhile.
 const LATE: Duration = Duration::from_millis(150);
@@ -97,7 +92,10 @@
 /// How long changes may take, as the settings say.
 #[must_use]
 pub fn bounds(settings: &wire::settings::Node) -> Bounds {
-    Bounds { change_ms: settings.change_ms.min(settings.leaving_ms), alone_ms: ALONE_MS }
+    Bounds {
+        change_ms: settings.change_ms.min(settings.leaving_ms),
+        alone_ms: relay::alone_ms(settings.contact_ms),
+    }
 }
 
 impl<S: Store, C: Codec> Watch<S, C> {
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -46,10 +46,28 @@
 /// Time without new state beyond [`STALE_PART`] after which the store is believed to have been
 /// away, in milliseconds; within it some host takes over whose turn it is.
 const AWAY_MS: u64 = 1_000;
+/// Longest time for which a host that reads for itself alone lets the store hold a call back, in
+/// milliseconds. Each call has its price. Shorter than the three heartbeats after which a silent server's
+/// entry lapses, so that an outage long enough for that is noticed.
+const ALONE_MAX_MS: u64 = 3_500;
+/// From the end of that time until a host whose connection has gone silent has read on a new one, in
+/// milliseconds: it waits for the answer, pauses and connects.
+const NOTICE_MS: u64 = 1_200;
 /// How long a host waits after its first read to meet others, in milliseconds. They answer within a
 /// few.
 const MEET_MS: u64 = 150;
 
+/// For how long a host that reads for itself alone lets the store hold a call back, in milliseconds, if it
+/// must know what has changed `contact_ms` after its connections work again.
+///
+/// A connection can go silent while new ones work. Nothing shows that but an answer that is overdue, and no
+/// neighbour's news make up for it. Held back for longer, a host would serve by an old table although
+/// everyone else reaches the store.
+#[must_use]
+pub fn alone_ms(contact_ms: u64) -> u64 {
+    contact_ms.saturating_sub(NOTICE_MS).min(ALONE_MAX_MS)
+}
+
 domain! {
     /// How long things may take, in milliseconds.
     #[derive(Copy)]
--- a/crates/policy/tests/relay.rs
+++ b/crates/policy/tests/relay.rs
@@ -2,10 +2,16 @@
 
 use policy::bootstrap::Bootstrap;
 use policy::name::Name;
-use policy::relay::{Action, Bounds, Relay};
+use policy::relay::{Action, Bounds, Relay, alone_ms};
 use policy::time::Millis;
 
-const BOUNDS: Bounds = Bounds { change_ms: 2_000, alone_ms: 3_500 };
+/// Bounds of a host that may let its calls be held back for long.
+const PATIENT: Bounds = Bounds { change_ms: 2_000, alone_ms: 3_500 };
+/// The usual bounds.
+fn bounds() -> Bounds {
+    Bounds { change_ms: 2_000, alone_ms: alone_ms(TOUCH_MS) }
+}
+
 /// One step of simulated time, in milliseconds.
 const TICK: u64 = 10;
 /// What the client of the store waits beyond what a call is held back, in milliseconds.
@@ -48,8 +54,18 @@
     brings: Option<u64>,
 }
 
+impl Call {
+    /// Its answer will not come. Nothing tells the host so before the answer is overdue.
+    fn is_lost(&mut self) {
+        self.ends += if self.fails { 0 } else { ANSWER_MS };
+        self.fails = true;
+    }
+}
+
 struct Domain {
     bounds: Bounds,
+    /// What a host must have been in reach of the store to be bound, in milliseconds.
+    touch_ms: u64,
     hosts: Vec<Host>,
     now: u64,
     revision: u64,
@@ -67,7 +83,7 @@
 
 impl Domain {
     fn new(count: usize) -> Self {
-        Self::within(BOUNDS, count)
+        Self::within(bounds(), count)
     }
 
     fn within(bounds: Bounds, count: usize) -> Self {
@@ -87,6 +103,7 @@
         let hosts = (0..count).map(host).collect();
         let mut domain = Self {
             bounds,
+            touch_ms: TOUCH_MS,
             hosts,
             now: 1,
             revision: 0,
@@ -118,8 +135,17 @@
         let host = &mut self.hosts[number];
         host.path = path;
         if let (Path::Silent, Some(call)) = (path, &mut host.call) {
-            call.ends = self.now + ANSWER_MS;
-            call.fails = true;
+            call.is_lost();
+        }
+    }
+
+    /// Connections of all hosts go silent; new ones work.
+    fn silence_connections(&mut self) {
+        for host in &mut self.hosts {
+            host.troubled = Some(self.now);
+            if let Some(call) = &mut host.call {
+                call.is_lost();
+            }
         }
     }
 
@@ -210,7 +236,7 @@
     /// A host that has reached the store for a while knows each change in time.
     fn check(&self) {
         for host in &self.hosts {
-            let in_touch = host.troubled.is_none_or(|at| self.now > at + TOUCH_MS);
+            let in_touch = host.troubled.is_none_or(|at| self.now > at + self.touch_ms);
             let missed = self.made.get(host.revision as usize + 1);
             let late = missed.is_some_and(|made| self.now > made + self.bounds.change_ms);
             assert!(
@@ -257,7 +283,7 @@
 fn action_few_hosts_read_alone() {
     // With fewer calls than that there is nothing to save, and a host that trusts nobody can't be
     // behind for another's sake.
-    let mut domain = Domain::new(3);
+    let mut domain = Domain::within(PATIENT, 3);
     domain.run(30_000);
     assert!(domain.hosts.iter().all(|host| host.calls >= 8));
 }
@@ -273,13 +299,13 @@
         (5_000, 4, true),
         (10_000, 1, false),
     ] {
-        let mut domain = Domain::within(Bounds { change_ms, ..BOUNDS }, hosts);
+        let mut domain = Domain::within(Bounds { change_ms, ..PATIENT }, hosts);
         domain.run(10_000);
         let begun = domain.calls();
         domain.change();
         domain.run(40_000);
         let made = domain.calls() - begun;
-        let alone = hosts as u64 * 40_000 / BOUNDS.alone_ms;
+        let alone = hosts as u64 * 40_000 / PATIENT.alone_ms;
         let shared = 40_000 / (change_ms * 2 / 5);
         println!("{change_ms} ms, {hosts} hosts: {made} calls, alone {alone}, shared {shared}");
         assert!(made <= alone.min(shared) + 3 + hosts as u64, "{change_ms} {hosts} {made}");
@@ -306,7 +332,7 @@
 #[test]
 fn action_store_away_is_asked_in_the_time_that_changes_leave() {
     let change_ms = 5_000;
-    let mut domain = Domain::within(Bounds { change_ms, ..BOUNDS }, 100);
+    let mut domain = Domain::within(Bounds { change_ms, ..bounds() }, 100);
     domain.run(6_000);
     (0..100).for_each(|number| domain.set_path(number, Path::Refused));
     domain.run(6_000);
@@ -433,7 +459,7 @@
     // The store is down for all. Hosts go on telling each other things, among them how new their
     // lists were before; each time one of them is a little newer than a host's own. Had that host
     // asked at once every time, the store would have been asked thousands of times a second.
-    let mut relay = Relay::new(BOUNDS, &Name::from("host-0"), "list", Bootstrap::new(Millis(1)));
+    let mut relay = Relay::new(PATIENT, &Name::from("host-0"), "list", Bootstrap::new(Millis(1)));
     let peers: Vec<Name> = (1..20).map(|number| Name::from(format!("host-{number}"))).collect();
     for peer in &peers {
         relay.met(peer, Millis(1));
@@ -452,13 +478,33 @@
     assert!(asked < 10, "{asked} calls in 8 s");
 }
 
+/// Guards against hosts bound by an old table for too long, since the connection on which they wait for news
+/// has gone silent: whenever that is, and whenever the table changes.
+#[test]
+fn action_silent_connections_are_noticed_while_others_wait_for_contact() {
+    for (change_ms, touch_ms) in [(2_000, 3_000), (3_000, 4_000), (4_000, 5_000)] {
+        for hosts in [1, 2, 3, 5, 12] {
+            for step in 0..20 {
+                let bounds = Bounds { change_ms, alone_ms: alone_ms(touch_ms) };
+                let mut domain = Domain::within(bounds, hosts);
+                domain.touch_ms = touch_ms;
+                domain.run(3_000 + step * 190);
+                domain.silence_connections();
+                domain.run(step % 8 * 150);
+                domain.change();
+                domain.run(touch_ms + change_ms);
+            }
+        }
+    }
+}
+
 /// Hosts that stand still, start anew, lose the store in either way, lost words and changes, in
 /// any order: whoever has reached the store for three seconds knows each change in time.
 #[test]
 fn action_generated_sequences() {
     fuzz::check::<(u8, Vec<(u8, u8, u8)>)>(60, |(size, steps)| {
         for change_ms in [2_000, 5_000] {
-            play(Bounds { change_ms, ..BOUNDS }, 1 + usize::from(*size) % 24, steps);
+            play(Bounds { change_ms, ..bounds() }, 1 + usize::from(*size) % 24, steps);
         }
     });
 }
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -122,6 +122,10 @@
         /// milliseconds.
         #[serde(default = "default_change_ms")]
         pub leaving_ms: u64,
+        /// Within which the host must know all that has changed once its connections work again, in
+        /// milliseconds.
+        #[serde(default = "default_contact_ms")]
+        pub contact_ms: u64,
         /// `off`, `error`, `warn`, `info`, `debug` or `trace`.
         #[serde(default = "default_log")]
         pub log: Name,
@@ -247,6 +251,11 @@
     2_000
 }
 
+/// What the smallest deployments ask for.
+fn default_contact_ms() -> u64 {
+    3_000
+}
+
 fn default_drain_ms() -> u64 {
     30_000
 }
@@ -418,11 +427,13 @@
         ("repeats.window_ms", node.repeats.window_ms < 100),
         ("change_ms", node.change_ms < 500),
         ("leaving_ms", node.leaving_ms < 500),
+        ("contact_ms", node.contact_ms < 2_000),
         ("drain_ms", node.drain_ms < 1_000),
         ("threads", !(1..=256).contains(&node.threads)),
     ] {
         if wrong {
-            faults.push(Fault::at(member, "is out of bounds: at least 100, 500, 500, 1000 and 1"));
+            let why = "is out of bounds: at least 100, 500, 500, 2000, 1000 and 1";
+            faults.push(Fault::at(member, why));
         }
     }
 }
