A grown table is passed on where the host that reads it has a wide link

Callers of hosts on narrow links were bound by an old table, or refused on new routes, for longer than allowed after a table had grown many times over at once: 14,000 routes were in force 3.54 s behind the first host, 3 s are allowed.

Cause: a change four times as long as the list was read by every host over its own link as soon as one had its first byte. The rule came from a reader that is as slow as the others; the readers had the whole after 0.15 s.

Now the others are told to read for themselves only if the reader's link takes more than 0.3 of the time for it; else they take it packed, a fourteenth as long, from the reader and from each other.

--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -12,7 +12,7 @@
 use flate2::read::ZlibDecoder;
 use flate2::write::ZlibEncoder;
 use futures::StreamExt;
-use policy::domain;
+use policy::{domain, tree};
 use tarpc::client;
 use tarpc::client::RpcError;
 use tarpc::context::{Context, current as context};
@@ -43,9 +43,9 @@
 const SHELF_BYTES_MAX: usize = 4 << 20;
 /// Packed news kept: for those that start, and for those that know one of the last few revisions.
 const PACKED_MAX: usize = 6;
-/// Hosts that read from one host at once: those that ask it first, and some whose own sources are lost.
+/// Hosts that read from one host at once, beyond those that ask it first: some whose own sources are lost.
 /// More of them would share its link, and fill it for longer than their callers wait.
-const READERS_MAX: usize = 6;
+const READERS_SPARE: usize = 2;
 /// How long a host that is about to have the news keeps one that asks for them.
 const KEPT: Duration = Duration::from_millis(120);
 /// Between two looks whether it has them.
@@ -255,9 +255,9 @@
     rmp_serde::from_read(unpacked).map_err(|error| Error::Malformed(error.to_string()))
 }
 
-/// Serves other hosts until the process ends.
-pub async fn serve<S: Source>(listener: TcpListener, source: Arc<S>, shelf: Shelf) {
-    let places = Arc::new(Semaphore::new(READERS_MAX));
+/// Serves other hosts until the process ends, by a host of a class.
+pub async fn serve<S: Source>(listener: TcpListener, source: Arc<S>, shelf: Shelf, class: u8) {
+    let places = Arc::new(Semaphore::new(tree::children(class) + READERS_SPARE));
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -158,6 +158,7 @@
         budget,
         host: settings.name.clone(),
         class,
+        link_mbps: settings.resources.link_mbps,
     });
     let rollouts = Rollouts {
         host: settings.name.clone(),
@@ -195,7 +196,12 @@
         };
         let inbox = Inbox { prefills: announced, restrictions: restricted, notices };
         background.push(spawn(peers.run(inbox)));
-        background.push(spawn(exchange::serve(listener, Arc::clone(&watch), watch.shelf.clone())));
+        background.push(spawn(exchange::serve(
+            listener,
+            Arc::clone(&watch),
+            watch.shelf.clone(),
+            class,
+        )));
     }
     let close = CancellationToken::new();
     let connections = state.shed.connections.clone();
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -66,6 +66,8 @@
     pub host: Name,
     /// Its strength.
     pub class: u8,
+    /// Megabits a second of its link.
+    pub link_mbps: f64,
 }
 
 /// Clocks of two hosts, or a host's and the store's, may part by this much in what they say of a
@@ -185,16 +187,17 @@
         }
     }
 
-    /// An answer of the store has begun; whether it is read on. A change of the table that is too long
-    /// to be passed on the others read themselves, and begin now: once this host has all of it, as much
-    /// time again would be late. A long table in which little has changed is passed on as an edit.
+    /// An answer of the store has begun; whether it is read on. A change of the table that takes this host's
+    /// link too long the others read themselves, and begin now: once this host has all of it, the way
+    /// through the domain would be late. A long table in which little has changed is passed on as an edit.
     fn announce(&self, list: List, bytes: u64) -> bool {
         if bytes <= exchange::MESSAGE_BYTES_MAX as u64 {
             return true;
         }
         let follow = self.follow(list);
         let is_table = list == List::Operators;
-        let is_long_change = is_table && follow.is_long_change(bytes);
+        let is_waited_for = follow.relay().is_waited_for(bytes, self.link_mbps);
+        let is_long_change = is_table && !is_waited_for && follow.is_long_change(bytes);
         follow.set_incoming(is_long_change);
         if is_long_change && follow.relay().reads_for_others(clock::steady()) {
             log::info!(target: "watch", list:? = list, bytes; "long answer begins, others notified");
--- a/crates/node/tests/exchange.rs
+++ b/crates/node/tests/exchange.rs
@@ -55,7 +55,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let giver = Arc::new(Giver { entries, holds, asked: AtomicUsize::new(0) });
-    tokio::spawn(exchange::serve(listener, Arc::clone(&giver), shelf.clone()));
+    tokio::spawn(exchange::serve(listener, Arc::clone(&giver), shelf.clone(), 0));
     (address, giver)
 }
 
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -53,6 +53,10 @@
 /// From the end of that time until a host whose connection has gone silent has read on a new one, in
 /// milliseconds: it waits for the answer, pauses and connects.
 const NOTICE_MS: u64 = 1_200;
+/// Part of the time in which changes must be in force that the host which reads may take for an answer for
+/// which the others wait. The rest is left for the steps through the domain, each of which takes a link like
+/// its own a third of that: what is passed on is a fourteenth as long, and given to four others.
+const WAITED_PART: f64 = 0.3;
 /// How long a host waits after its first read to meet others, in milliseconds. They answer within a
 /// few.
 const MEET_MS: u64 = 150;
@@ -247,6 +251,14 @@
         self.reads = false;
     }
 
+    /// Whether others wait for an answer of so many bytes that this host reads over a link of so many
+    /// megabits a second. A wide link has it long before their own narrow ones would.
+    #[must_use]
+    pub fn is_waited_for(&self, bytes: u64, link_mbps: f64) -> bool {
+        let transfer_ms = bytes as f64 * 8.0 / (link_mbps * 1_000.0);
+        transfer_ms <= self.part(WAITED_PART) as f64
+    }
+
     /// Another host is being sent a change that is too long to be passed on. This one begins to read
     /// it now: after the other's last byte its own would come late by as much time again.
     pub fn incoming(&mut self, peer: &Name, now: Millis) {
