A host whose row the store does not show yet writes it once

Cause: only calls that fail were followed by a pause; a read behind a write that does not show it was taken for 'not listed'. It is an older answer now, looked for again after the pauses of a failed call.

--- a/crates/node/src/peers/find.rs
+++ b/crates/node/src/peers/find.rs
@@ -84,9 +84,13 @@
                     continue;
                 }
                 Step::Write => self.list().await.map(|()| listing.wrote()),
-                Step::Read => self.listed().await.map(|(hosts, is_listed)| {
-                    listing.read(is_listed);
+                Step::Read => self.listed().await.and_then(|(hosts, is_listed)| {
                     found = hosts;
+                    if listing.is_outdated(is_listed) {
+                        return Err(Error::Refused("an answer older than the row written".into()));
+                    }
+                    listing.read(is_listed);
+                    Ok(())
                 }),
             };
             if let Err(error) = done {
--- a/crates/policy/src/listing.rs
+++ b/crates/policy/src/listing.rs
@@ -75,6 +75,13 @@
         self.is_listed = is_listed;
     }
 
+    /// Whether what it has read is older than its own row, which the store took. Answered with another row it
+    /// would write and read for as long as the store answers from that state, without a pause.
+    #[must_use]
+    pub fn is_outdated(&self, is_listed: bool) -> bool {
+        self.is_listed && !is_listed
+    }
+
     /// It has listed itself.
     pub fn wrote(&mut self) {
         self.is_listed = true;
--- a/crates/policy/tests/listing.rs
+++ b/crates/policy/tests/listing.rs
@@ -128,6 +128,24 @@
     assert_eq!(listing.step(Millis(3)), Step::Done);
 }
 
+/// Guards against a host that writes its row without a pause while the store answers from an older state.
+#[test]
+fn step_answer_older_than_the_own_row_is_not_answered_with_another() {
+    let mut listing = Listing::new(false);
+    listing.read(false);
+    listing.wrote();
+    for number in 1..4 {
+        assert!(listing.is_outdated(false));
+        let now = Millis(number * 100_000);
+        listing.failed(0.5, now);
+        assert!(matches!(listing.step(now), Step::Wait(_)));
+        assert_eq!(listing.step(now + 50_000), Step::Read);
+    }
+    assert!(!listing.is_outdated(true));
+    listing.read(true);
+    assert_eq!(listing.step(Millis(900_000)), Step::Done);
+}
+
 #[test]
 fn step_lost_answer_is_looked_for_before_it_is_written_again() {
     let mut listing = Listing::new(true);
