A request's tries are counted by the host that has its caller, alone

Cause: a host that reaches no server passed a request on with all tries that were left. The other host told their number with the head of its answer, so that what it sent after that, or with an answer lost on a silent connection, counted as one or not at all, and the first host went on as well. Class: a count that two parties change and one of them must know.

Change: the other host makes one try, at one server, and tells what became of it, also with refusals. What it doesn't tell counts as made. The first host decides what follows: another try, a larger model, a stream that is taken up again; it says which servers were tried, which model and version. A request and its repeats are counted there, so Window::forwarded is gone.

Why it holds: no host ever has leave for more than one try that the first host has not counted before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,6 +17,7 @@
 use crate::backend::{Backend, Prefill};
 use crate::codec::{Codec, Head, Sending};
 use crate::job::Job;
+use crate::recall::Passage;
 
 /// Longest wait for a new connection. Within a region one opens in a few milliseconds; past this
 /// the server is unreachable or its queue of new connections full, and the kernel tries again only
@@ -52,6 +53,8 @@
     pub first_ms: f64,
     /// What that was expected to be.
     pub expected_ms: f64,
+    /// Its stay at the other host that it went by, if it did.
+    pub passage: Option<Passage>,
 }
 
 /// Why a try gave no answer.
@@ -125,7 +128,19 @@
     }
     let backend = Arc::clone(backend);
     let expected_ms = seen.wait_ms + read_ms;
-    Ok(Reply { head, said, body, connection, lease, backend, sent_at, first_ms, expected_ms })
+    let passage = None;
+    Ok(Reply {
+        head,
+        said,
+        body,
+        connection,
+        lease,
+        backend,
+        sent_at,
+        first_ms,
+        expected_ms,
+        passage,
+    })
 }
 
 /// What a backend server says of itself in an answer binds this host, and is passed on to the others.
--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -28,6 +28,8 @@
     /// Another host did not answer it.
     fn blame_host(&mut self, host: &Arc<Backend>, failure: Failure) {
         let now = clock::steady();
+        // The server that it was sent to there is not tried again.
+        self.tries.tried.extend(self.tries.backend.clone());
         match failure {
             // An old connection was closed by the other end; a new one is tried.
             Failure::Unsent(Cause::Broken) if !self.tries.new_only => {
@@ -41,13 +43,16 @@
             Failure::Lost(cause) => {
                 self.tries.may_have_run = true;
                 self.tries.new_only = true;
-                if matches!(cause, Cause::Silent | Cause::Broken | Cause::Truncated) {
+                // An answer that breaks off there mostly did so at the server.
+                if matches!(cause, Cause::Silent | Cause::Broken) {
                     host.server.note_failure(now);
+                    self.tries.tried.push(host.id.clone());
                 }
             }
         }
-        let is_sent = matches!(failure, Failure::Lost(_));
-        self.tries.paid.fetch_or(!is_sent && self.tries.sent > 0, Ordering::Relaxed);
+        // Nothing arrived at a server, so the repeat that was paid for is still to be made.
+        let is_left = !self.tries.was_tried && self.tries.sent > 0;
+        self.tries.paid.fetch_or(is_left, Ordering::Relaxed);
     }
 
     /// A backend server did not answer it.
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -14,7 +14,7 @@
 use crate::attempt::{self, Failure, Reply};
 use crate::backend::Backend;
 use crate::codec::{Codec, Sending};
-use crate::forward::Forwarded;
+use crate::handle::Origin;
 use crate::job::Job;
 use crate::pick;
 use crate::relay::Live;
@@ -38,11 +38,11 @@
     /// # Errors
     /// A refusal; one that says "not run" only if no backend server can have run it.
     pub async fn answer(&mut self) -> Result<Accepted, Refusal> {
-        // What was sent before it came here is counted there.
-        if self.tries.sent == 0 {
+        // One that another host has passed on is counted there, and so are its repeats.
+        if self.origin == Origin::Caller {
             self.window(|window, allowance| window.request(allowance, clock::steady()));
+            self.choose_first_model();
         }
-        self.choose_first_model();
         carry(self).await
     }
 
@@ -62,7 +62,7 @@
         match () {
             () if self.left().is_zero() => Err(Obstacle::Late),
             () if !retry::may_try_elsewhere(&attempt) => Err(Obstacle::Kind),
-            () if tries.sent >= self.route().attempts_max => Err(Obstacle::Attempts),
+            () if tries.sent >= self.attempts_max => Err(Obstacle::Attempts),
             () if tries.unsent >= UNSENT_MAX && !self.has_host() => Err(Obstacle::Connections),
             () if tries.sent == 0 || tries.paid.swap(false, Ordering::Relaxed) => Ok(()),
             () if self.take_repeat() => Ok(()),
@@ -150,9 +150,9 @@
             self.tries.expected_ms = reply.expected_ms as u64;
             self.tries.head_ms = reply.first_ms as u64;
         }
-        // An answer that came by another host says itself how often the request was sent.
-        let is_counted = backend.is_host && !matches!(reply, Err(Failure::Lost(_)));
-        if !is_counted && !matches!(reply, Err(Failure::Unsent(_) | Failure::Unwanted)) {
+        // What was tried by way of another host is counted with its answer.
+        let was_sent = !matches!(reply, Err(Failure::Unsent(_) | Failure::Unwanted));
+        if was_sent && !backend.is_host {
             self.tries.sent += 1;
             self.tries.backend = Some(backend.id.clone());
         }
@@ -206,12 +206,8 @@
             Ok(reply) => reply,
             Err(failure) => return Step::Failed(failure),
         };
-        if backend.is_host {
-            return match self.judge_forwarded(reply).await {
-                Ok(Forwarded::Accepted(accepted)) => Step::Answered(accepted),
-                Ok(Forwarded::Refused(refusal)) => Step::Refused(refusal),
-                Err(failure) => Step::Failed(failure),
-            };
+        if backend.is_host && !reply.said.is_signed {
+            return Step::Refused(self.refused_elsewhere(&reply));
         }
         match self.judge(reply).await {
             Ok(Some(accepted)) => Step::Answered(accepted),
@@ -233,6 +229,9 @@
         if let Some((head, body)) = self.tries.failure.take() {
             return Ok(Accepted::Whole(head, body));
         }
-        Err(self.refusal())
+        match self.tries.elsewhere.take() {
+            Some(refusal) if !self.tries.may_have_run => Err(refusal),
+            _ => Err(self.refusal()),
+        }
     }
 }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -12,15 +12,16 @@
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Request, Response, StatusCode};
-use policy::bootstrap;
 use policy::name::Name;
 use policy::place::{hash, mix};
+use policy::{bootstrap, detour};
 use wire::refusal::Refusal;
 use wire::routing::{Route, Target};
 
 use crate::carry::Accepted;
 use crate::codec::{Ask, Codec};
 use crate::end::{self, End, Passed};
+use crate::forward::Visitor;
 use crate::index::{Index, Known};
 use crate::job::{Job, Tries};
 use crate::state::State;
@@ -38,19 +39,19 @@
     /// A caller.
     Caller,
     /// Another host, which reaches no backend server.
-    Host {
-        /// Servers that it had sent it to before.
-        sent: u32,
-    },
+    Host,
 }
 
-impl Origin {
-    /// Backend servers that the request was sent to before it came here.
-    fn sent(self) -> u32 {
-        match self {
-            Self::Caller => 0,
-            Self::Host { sent } => sent,
-        }
+/// A refusal, and what another host is told with it.
+struct Refused {
+    refusal: Refusal,
+    told: HeaderMap,
+}
+
+impl From<Refusal> for Refused {
+    /// Of a request that was not carried.
+    fn from(refusal: Refusal) -> Self {
+        Self { refusal, told: HeaderMap::new() }
     }
 }
 
@@ -73,7 +74,7 @@
 
 impl<C: Codec> Handler for State<C> {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Answer> {
-        answer(&self, request, Origin::Caller).await
+        answer(&self, request, None).await
     }
 
     fn bounds(&self) -> Bounds {
@@ -89,26 +90,28 @@
     }
 }
 
-/// Answers one request.
+/// Answers one request, of a caller or of another host.
 pub async fn answer<C: Codec>(
     state: &Arc<State<C>>,
     request: Request<Incoming>,
-    origin: Origin,
+    visitor: Option<Visitor>,
 ) -> Response<Answer> {
+    let origin = if visitor.is_some() { Origin::Host } else { Origin::Caller };
     state.in_flight.fetch_add(1, Ordering::Relaxed);
     let _counted = Counted(Arc::clone(state));
     let ask = state.codec.ask(request.headers());
     let id = ask.id.clone();
-    let mut response = match serve(state, ask, request, origin).await {
+    let mut response = match serve(state, ask, request, visitor).await {
         Ok(response) => response,
-        Err(refusal) => {
+        Err(Refused { refusal, told }) => {
             let code = refusal.code.status();
             log::info!(target: "route", request:% = id, status = code,
                 why:% = refusal.message, ran:? = refusal.ran, origin:? = origin,
                 retry_after_ms = refusal.retry_after_ms.unwrap_or_default(); "request refused");
             metrics::counter!("gateway_refusals_total", "status" => code.to_string()).increment(1);
             let is_misdirected = origin != Origin::Caller && forward::is_for_another_host(&refusal);
-            let response = refuse::response(&state.codec, &id, refusal);
+            let mut response = refuse::response(&state.codec, &id, refusal);
+            response.headers_mut().extend(told);
             if is_misdirected { forward::misdirected(state, response) } else { response }
         }
     };
@@ -122,11 +125,11 @@
     state: &Arc<State<C>>,
     ask: Ask,
     request: Request<Incoming>,
-    origin: Origin,
-) -> Result<Response<Answer>, Refusal> {
+    visitor: Option<Visitor>,
+) -> Result<Response<Answer>, Refused> {
     let started = Instant::now();
     let (head, body) = request.into_parts();
-    if origin == Origin::Caller {
+    if visitor.is_none() {
         wait_for_start(state, ask.patience_ms).await;
     }
     let entered = enter(&state.world.load().index, &ask, &head.headers, head.uri.path())?;
@@ -140,6 +143,18 @@
     let wait_ms = ask.patience_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
     let subject = ask.session.as_ref().unwrap_or(&ask.id);
     let service = service(route, subject);
+    let attempts_max =
+        visitor.as_ref().map_or(route.attempts_max, |visitor| visitor.sent + detour::LENT);
+    let origin = if visitor.is_some() { Origin::Host } else { Origin::Caller };
+    let visitor = visitor.unwrap_or_default();
+    let largest = route.models.len().saturating_sub(1);
+    let tries = Tries {
+        sent: visitor.sent,
+        tried: visitor.tried,
+        model: visitor.model.unwrap_or_default().min(largest),
+        version: visitor.version,
+        ..Tries::default()
+    };
     let mut job = Job {
         state: Arc::clone(state),
         service,
@@ -155,7 +170,9 @@
         known: entered.known,
         fingerprint: OnceLock::new(),
         origin,
-        tries: Tries { sent: origin.sent(), ..Tries::default() },
+        attempts_max,
+        visit: visitor.visit,
+        tries,
     };
     match job.answer().await {
         Ok(Accepted::Whole(head, bytes)) => {
@@ -169,7 +186,11 @@
         }
         Err(refusal) => {
             end::log(&job, End::Refused(refusal.code.status()), Passed::default());
-            Err(refusal)
+            let told = match job.origin {
+                Origin::Caller => HeaderMap::new(),
+                Origin::Host => forward::describe_refused(&mut job).await,
+            };
+            Err(Refused { refusal, told })
         }
     }
 }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -11,12 +11,15 @@
 use policy::place;
 use policy::poison::{Digest, Fingerprint};
 use policy::repeat::{Allowance, Window};
+use tokio_util::sync::CancellationToken;
+use wire::refusal::Refusal;
 use wire::routing::Route;
 
 use crate::backend::Backend;
 use crate::codec::{Ask, Codec};
 use crate::handle::Origin;
 use crate::index::Known;
+use crate::recall::Visit;
 use crate::state::State;
 
 /// A request under way.
@@ -41,6 +44,10 @@
     pub priority: u8,
     /// Who sent it.
     pub origin: Origin,
+    /// Backend servers that it may be sent to, those before it came here among them.
+    pub attempts_max: u32,
+    /// Its stay here, if another host has passed it on.
+    pub visit: Option<Visit>,
     /// The service that answers it.
     pub service: Name,
     /// When its head was read.
@@ -64,8 +71,12 @@
     pub refused: u32,
     /// It may have run.
     pub may_have_run: bool,
-    /// Other hosts that it was to go by.
+    /// Other hosts that it was to go by, and that did not try it.
     pub hosts: u32,
+    /// The host that it last went by tried it, or may have.
+    pub was_tried: bool,
+    /// Why a server behind another host did not run it.
+    pub elsewhere: Option<Refusal>,
     /// Tries that backend servers did not run.
     pub not_run: u32,
     /// The backend server that it was last sent to.
@@ -113,6 +124,12 @@
         &self.known.route
     }
 
+    /// Cancelled when the host that passed it on takes it back.
+    #[must_use]
+    pub fn recalled(&self) -> CancellationToken {
+        self.visit.as_ref().map(|visit| visit.recalled.clone()).unwrap_or_default()
+    }
+
     /// The time left.
     #[must_use]
     pub fn left(&self) -> Duration {
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -77,7 +77,8 @@
         self.note_version(&backend, None);
         self.tries.may_have_run = true;
         let (head, body) = self.read_whole(reply).await?;
-        self.tries.tried.push(backend.id.clone());
+        // Another host may be asked again, for another server.
+        self.tries.tried.extend(self.tries.backend.clone());
         log::info!(target: "route", request:% = self.ask.id, backend:% = backend.id,
             status = head.status.as_u16(), sent = self.tries.sent; "backend server failed");
         match self.route().kind.may_repeat() {
@@ -93,7 +94,7 @@
     ///
     /// # Errors
     /// It broke off, or the request's time is over.
-    pub async fn collect(&self, body: Incoming) -> Result<Bytes, Failure> {
+    async fn collect(&self, body: Incoming) -> Result<Bytes, Failure> {
         let collected = Limited::new(body, ANSWER_BYTES_MAX).collect();
         match tokio::time::timeout_at(self.until.into(), collected).await {
             Ok(Ok(body)) => Ok(body.to_bytes()),
@@ -104,8 +105,9 @@
 
     async fn read_whole(&self, reply: Reply) -> Result<(Parts, Bytes), Failure> {
         let is_framed = is_framed(&reply);
-        let Reply { head, body, mut connection, lease, backend, sent_at, .. } = reply;
+        let Reply { head, body, mut connection, lease, backend, sent_at, passage, .. } = reply;
         let body = self.collect(body).await?;
+        passage.into_iter().for_each(|mut passage| passage.end());
         self.note_answered(match () {
             () if !head.status.is_success() => Answer::Failure,
             () if is_framed => Answer::Whole,
@@ -132,13 +134,14 @@
     fn escalates(&self, reply: &Reply) -> Option<usize> {
         let models = &self.route().models;
         let largest = models.len().saturating_sub(1);
-        let may = self.route().kind.may_repeat() && self.tries.sent < self.route().attempts_max;
+        let may = self.route().kind.may_repeat() && self.tries.sent < self.attempts_max;
         if reply.head.status != StatusCode::OK || self.tries.model >= largest || !may {
             return None;
         }
         let larger = self.larger(reply.said.confidence?, self.delay());
         let doubt = self.doubt(larger, reply.said.confidence);
-        let may_ask = escalate::escalate(&doubt) && pick::has_server(self);
+        let has_place = pick::has_server(self) || self.has_host();
+        let may_ask = escalate::escalate(&doubt) && has_place;
         (may_ask && self.take_spare_repeat()).then_some(larger)
     }
 
@@ -182,7 +185,7 @@
     fn larger(&self, confidence: u8, delay: f64) -> usize {
         let largest = self.route().models.len() - 1;
         // One that doubts its answer as well must leave a try for the largest.
-        if self.tries.model > 0 || self.tries.sent + 1 >= self.route().attempts_max {
+        if self.tries.model > 0 || self.tries.sent + 1 >= self.attempts_max {
             return largest;
         }
         let between = &self.route().models[1..largest];
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -245,6 +245,13 @@
         }
     }
 
+    /// A server ended under it that another host had sent it to.
+    pub fn note_ended_under(&self, backend: &Backend) {
+        let run = self.run_at(backend);
+        self.state.poison.with(|book| book.lost(run, clock::steady()));
+        self.state.poison.ended(&backend.id);
+    }
+
     /// A run is given up while its server works on it. The server may end of it all the same.
     pub fn note_given_up(&self, backend: &Backend) {
         if backend.is_host {
--- /dev/null
+++ b/crates/gateway/src/recall.rs
@@ -0,0 +1,170 @@
+//! Takes requests back that were passed on to another host, and asks after them.
+//!
+//! A host that leaves another one closes its connection. Where that has fallen silent the other one never
+//! learns of it and works on: the request runs on two servers at once, or for a caller who is gone. So it
+//! is told on a new connection.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use entry::answer::Answer;
+use entry::connection::Connection;
+use http_body_util::Full;
+use hyper::header::{HOST, HeaderValue};
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use policy::name::Name;
+use tokio_util::sync::CancellationToken;
+use wire::forward::{ASK, RECALL};
+
+use crate::backend::Backend;
+
+/// Longest wait for a connection to the other host, and for its answer.
+const WITHIN: Duration = Duration::from_millis(250);
+/// Recalls that are remembered: one may overtake its request.
+const REMEMBERED: usize = 256;
+
+/// Requests of other hosts that are under way here.
+#[derive(Default)]
+pub struct Visitors(Mutex<Known>);
+
+#[derive(Default)]
+struct Known {
+    under_way: HashMap<u64, CancellationToken>,
+    recalled: VecDeque<u64>,
+}
+
+/// Another host's request, under way until dropped.
+pub struct Visit {
+    visitors: Arc<Visitors>,
+    number: u64,
+    /// Cancelled when its host takes it back.
+    pub recalled: CancellationToken,
+}
+
+/// What another host wants to know or to have done.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Question {
+    /// The request is to end.
+    Recall(u64),
+    /// Whether the request is under way.
+    Ask(u64),
+}
+
+impl Visitors {
+    /// A request comes in.
+    #[must_use]
+    pub fn enter(self: &Arc<Self>, number: u64) -> Visit {
+        let recalled = CancellationToken::new();
+        let mut known = self.lock();
+        if known.recalled.contains(&number) {
+            recalled.cancel();
+        }
+        known.under_way.insert(number, recalled.clone());
+        drop(known);
+        Visit { visitors: Arc::clone(self), number, recalled }
+    }
+
+    /// Whether the request that was asked after is under way; one that is recalled ends.
+    pub fn answer(&self, question: Question) -> bool {
+        let mut known = self.lock();
+        let number = match question {
+            Question::Ask(number) => number,
+            Question::Recall(number) => {
+                if known.recalled.len() >= REMEMBERED {
+                    known.recalled.pop_front();
+                }
+                known.recalled.push_back(number);
+                number
+            }
+        };
+        let under_way = known.under_way.get(&number);
+        if let (Question::Recall(_), Some(recalled)) = (question, under_way) {
+            recalled.cancel();
+        }
+        under_way.is_some()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Known> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Visit {
+    fn drop(&mut self) {
+        self.visitors.lock().under_way.remove(&self.number);
+    }
+}
+
+impl Question {
+    /// The question that came in place of a request, if it is one.
+    #[must_use]
+    pub fn read(headers: &HeaderMap) -> Option<Self> {
+        let number = |name| headers.get(name)?.to_str().ok()?.parse().ok();
+        number(RECALL).map(Self::Recall).or_else(|| number(ASK).map(Self::Ask))
+    }
+
+    fn header(self) -> (&'static str, u64) {
+        match self {
+            Self::Recall(number) => (RECALL, number),
+            Self::Ask(number) => (ASK, number),
+        }
+    }
+
+    /// Puts it to a host: whether the request is under way there; none if that is not known.
+    pub async fn put(self, host: &Backend) -> Option<bool> {
+        let mut connection = Connection::open(host.server.address, WITHIN).await.ok()?;
+        let mut request = Request::new(Full::new(Bytes::new()));
+        let (name, number) = self.header();
+        request.headers_mut().insert(name, HeaderValue::from(number));
+        request.headers_mut().insert(HOST, HeaderValue::from_static("host"));
+        let response = connection.send(request, WITHIN).await.ok()?;
+        match response.status() {
+            StatusCode::OK => Some(true),
+            StatusCode::NO_CONTENT => Some(false),
+            // One that doesn't know such questions.
+            _ => None,
+        }
+    }
+}
+
+/// The answer to a question.
+#[must_use]
+pub fn response(is_under_way: bool) -> Response<Answer> {
+    let mut response = Response::new(Answer::whole(Bytes::new()));
+    if !is_under_way {
+        *response.status_mut() = StatusCode::NO_CONTENT;
+    }
+    response
+}
+
+/// A request at another host; dropped before its answer was read whole it is taken back.
+pub struct Passage {
+    /// Where it is.
+    pub host: Arc<Backend>,
+    /// The request's id.
+    pub request: Name,
+    number: u64,
+    is_over: bool,
+}
+
+impl Passage {
+    /// One that is sent to a host now, with a number that no other has.
+    #[must_use]
+    pub fn new(host: &Arc<Backend>, request: &Name) -> Self {
+        let (host, request) = (Arc::clone(host), request.clone());
+        Self { host, request, number: rand::random(), is_over: false }
+    }
+
+    /// See [`wire::forward::NUMBER`].
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Its answer was read whole.
+    pub fn end(&mut self) {
+        self.is_over = true;
+    }
+}
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -89,6 +89,12 @@
     Refusal::not_run(Code::NoBackend, "all backend servers leave").retry_after(ms as u64)
 }
 
+/// The host that passed the request on has taken it back.
+#[must_use]
+pub fn recalled() -> Refusal {
+    Refusal::may_have_run(Code::BackendFailed, "taken back by the host that passed it on")
+}
+
 /// The response that tells a caller.
 #[must_use]
 pub fn response<C: Codec>(codec: &C, id: &Name, mut refusal: Refusal) -> Response<Answer> {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,6 +14,7 @@
 use policy::poison;
 use policy::silence;
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 use crate::attempt::{Failure, Reply};
 use crate::backend::Backend;
@@ -23,6 +24,7 @@
 use crate::evidence::Counted;
 use crate::job::Job;
 use crate::judge::is_framed;
+use crate::recall::Passage;
 use crate::resume::Obstacle;
 
 /// Pieces on their way to a caller that reads slowly; then the backend server waits as well.
@@ -50,6 +52,8 @@
     // Dropped with the stream: closes the connection, which stops the backend server's work.
     _connection: Connection,
     _lease: Lease,
+    /// Its stay at the other host that it comes by, if it does.
+    passage: Option<Passage>,
 }
 
 enum Piece {
@@ -69,7 +73,7 @@
         last: Option<u64>,
     ) -> Result<Self, Failure> {
         let is_framed = is_framed(&reply);
-        let Reply { body, connection, lease, backend, sent_at, .. } = reply;
+        let Reply { body, connection, lease, backend, sent_at, passage, .. } = reply;
         let mut live = Self {
             body,
             splitter: Splitter::behind(last),
@@ -84,6 +88,7 @@
             counted: None,
             _connection: connection,
             _lease: lease,
+            passage,
         };
         match live.next(job).await.map_err(Failure::Lost)? {
             Piece::Events(events) => live.begun = events,
@@ -97,7 +102,12 @@
     /// Whole events, or the end.
     async fn next<C: Codec>(&mut self, job: &Job<C>) -> Result<Piece, Cause> {
         loop {
-            let data = match self.frame(job).await? {
+            let framed = self.frame(job).await;
+            if let (Ok(None) | Err(Cause::Truncated), Some(passage)) = (&framed, &mut self.passage)
+            {
+                passage.end();
+            }
+            let data = match framed? {
                 None if self.splitter.is_empty() => return Ok(Piece::End),
                 None => return Err(Cause::Truncated),
                 Some(data) => data,
@@ -138,10 +148,11 @@
         let useful_ms = route.gap_ms.unwrap_or(route.objective_ms) as f64;
         let since = Instant::now();
         let until = tokio::time::Instant::from(job.until);
-        let mut wait = self.backend.tolerates(&silence::BETWEEN, Duration::ZERO, useful_ms).await;
+        let Self { body, backend, .. } = self;
+        let mut wait = backend.tolerates(&silence::BETWEEN, Duration::ZERO, useful_ms).await;
         loop {
             let limit = until.min(tokio::time::Instant::now() + wait.unwrap_or_default());
-            match tokio::time::timeout_at(limit, self.body.frame()).await {
+            match tokio::time::timeout_at(limit, body.frame()).await {
                 Ok(None) => return Ok(None),
                 Ok(Some(Err(_))) => return Err(Cause::Truncated),
                 Ok(Some(Ok(frame))) => match frame.into_data() {
@@ -153,8 +164,8 @@
                 Err(_) => {}
             }
             let silent = since.elapsed();
-            wait = match self.backend.tolerates(&silence::BETWEEN, silent, useful_ms).await {
-                None if job.leave(&self.backend) => return Err(Cause::Silent),
+            wait = match backend.tolerates(&silence::BETWEEN, silent, useful_ms).await {
+                None if job.leave(backend) => return Err(Cause::Silent),
                 None => Some(job.left()),
                 still => still,
             };
@@ -171,18 +182,42 @@
     Answer::Pieces(answer)
 }
 
-async fn run<C: Codec>(mut job: Job<C>, live: Box<Live>, pieces: Pieces) {
+/// Waits until nobody wants the answer any more: its caller has left, or the host that passed the request
+/// on has taken it back.
+async fn unwanted(pieces: &Pieces, recalled: &CancellationToken) {
+    tokio::select! {
+        () = pieces.closed() => {}
+        () = recalled.cancelled() => {}
+    }
+}
+
+async fn run<C: Codec>(job: Job<C>, live: Box<Live>, pieces: Pieces) {
+    if !pass_all(job, live, &pieces).await {
+        // The caller learns of it by a connection that closes before the stream's end.
+        let _ = pieces.send(Err(Broken)).await;
+    }
+}
+
+/// Passes all of a stream on; whether it came to its end.
+async fn pass_all<C: Codec>(mut job: Job<C>, live: Box<Live>, pieces: &Pieces) -> bool {
     let mut live = live;
+    let recalled = job.recalled();
     loop {
         let end = tokio::select! {
             // Also while nothing comes: the caller's leaving must stop the work at once.
-            () = pieces.closed() => Err(End::CallerGone),
-            end = pass_on(&mut live, &job, &pieces) => end,
+            () = unwanted(pieces, &recalled) => Err(End::CallerGone),
+            end = pass_on(&mut live, &job, pieces) => end,
         };
         let cause = match end {
-            Ok(()) => return finish(&job, &live, End::Answered),
+            Ok(()) => {
+                finish(&job, &live, End::Answered);
+                return true;
+            }
             Err(End::Broken(cause)) => cause,
-            Err(end) => return finish(&job, &live, end),
+            Err(end) => {
+                finish(&job, &live, end);
+                return false;
+            }
         };
         live.note_speed(&job);
         let backend = Arc::clone(&live.backend);
@@ -196,7 +231,10 @@
         drop(live);
         let resumed = match last {
             Some(last) => tokio::select! {
-                () = pieces.closed() => return end::log(&job, End::CallerGone, passed),
+                () = unwanted(pieces, &recalled) => {
+                    end::log(&job, End::CallerGone, passed);
+                    return false;
+                }
                 resumed = job.resume(last) => resumed,
             },
             None => Err(Obstacle::Kind),
@@ -211,9 +249,7 @@
             Err(obstacle) => {
                 end::log_stranded(&job, obstacle);
                 end::log(&job, End::Broken(cause), passed);
-                // The caller learns of it by a connection that closes before the stream's end.
-                let _ = pieces.send(Err(Broken)).await;
-                return;
+                return false;
             }
         }
     }
--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -103,6 +103,9 @@
             Err(failure) => return Step::Failed(failure),
         };
         let status = reply.head.status;
+        if backend.is_host && !reply.said.is_signed {
+            return Step::Failed(Failure::NotRun { misdirected: false });
+        }
         if status != StatusCode::OK {
             return Step::Failed(Failure::Lost(Cause::Failed(status.as_u16())));
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,6 +21,7 @@
 use crate::paces::Paces;
 use crate::poison::{Guard, Trial};
 use crate::reach::Reach;
+use crate::recall::Visitors;
 use crate::shed::Shed;
 use crate::timing::Timing;
 use crate::world::World;
@@ -88,6 +89,8 @@
     pub reach: Arc<Reach>,
     /// Other hosts that requests go by when it reaches none.
     pub helpers: Helpers,
+    /// Requests of other hosts that are under way here.
+    pub visitors: Arc<Visitors>,
     /// The other hosts of the failure domain; none until it is known who is there.
     pub peers: ArcSwap<Option<Peers>>,
     /// Requests that were lost with their servers.
@@ -111,6 +114,7 @@
             outbox,
             peers: ArcSwap::default(),
             helpers: Helpers::default(),
+            visitors: Arc::default(),
             codec,
             world: ArcSwap::default(),
             allowance: ArcSwap::from_pointee(allowance),
--- a/crates/gateway/src/wait.rs
+++ b/crates/gateway/src/wait.rs
@@ -25,7 +25,7 @@
     /// if the time has come.
     pub async fn first_wait(&self, backend: &Backend, since: Instant) -> Option<Duration> {
         let route = self.route();
-        if !route.kind.may_repeat() || self.tries.sent + 1 >= route.attempts_max {
+        if !route.kind.may_repeat() || self.tries.sent + 1 >= self.attempts_max {
             return Some(self.left());
         }
         let first = self.state.timings.with(self.timing(), |timing| timing.first);
@@ -57,7 +57,7 @@
         let is_isolated = backend.is_host || self.state.reach.is_isolated();
         let version = self.tries.version.as_ref().unwrap_or(&pool.base);
         let way_on = self.route().kind.may_repeat()
-            && sent < self.route().attempts_max
+            && sent < self.attempts_max
             && (pool.of(version).any(|other| is_other(&other)) || is_isolated && self.has_host());
         let paid = way_on && self.take_repeat();
         self.tries.paid.fetch_or(paid, Ordering::Relaxed);
--- a/crates/policy/src/detour.rs
+++ b/crates/policy/src/detour.rs
@@ -19,6 +19,12 @@
 /// Other hosts that one request is sent by, at most.
 pub const TRIES_MAX: u32 = 3;
 
+/// Tries that a host makes of a request that another one passes on to it.
+///
+/// What it made is not known where its answer is lost, and then all that it might have made count. Of more
+/// than one, a lost answer would cost the caller's request more tries than were made.
+pub const LENT: u32 = 1;
+
 /// Requests under way at a host, if that is known.
 pub type Load = Option<f64>;
 
@@ -31,6 +37,13 @@
     pub isolated: usize,
 }
 
+/// Tries of a request that went by a host which might make so many, after so many before: as that host
+/// tells, or all that it might have made.
+#[must_use]
+pub fn spent(before: u32, lent: u32, told: Option<u32>) -> u32 {
+    told.unwrap_or(before + lent).max(before)
+}
+
 /// A host that a request goes by.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Choice {
--- a/crates/policy/src/repeat.rs
+++ b/crates/policy/src/repeat.rs
@@ -79,13 +79,6 @@
         self.cell(allowance, now).requests += 1;
     }
 
-    /// A request that came in goes by another host, which counts it as its own. Counted by both it would
-    /// allow repeats twice.
-    pub fn forwarded(&mut self, allowance: &Allowance, now: Millis) {
-        let cell = self.cell(allowance, now);
-        cell.requests = cell.requests.saturating_sub(1);
-    }
-
     /// Takes one repeat if it is allowed.
     pub fn take(&mut self, allowance: &Allowance, now: Millis) -> bool {
         self.take_beside(0, allowance, now)
--- a/crates/wire/src/forward.rs
+++ b/crates/wire/src/forward.rs
@@ -2,11 +2,30 @@
 //!
 //! They are read at the port that hosts pass requests on to, and nowhere else.
 
-/// Backend servers that the request was sent to before it came here.
+/// Backend servers that the request was sent to: before it came there, and in the answer with what was
+/// done there.
 pub const TRIES: &str = "forward-tries";
-/// The start of the backend server whose answer this is.
+/// Starts of backend servers that the request is not to be sent to, separated by commas.
+pub const TRIED: &str = "forward-tried";
+/// Index of the model that is asked, among those of the route.
+pub const MODEL: &str = "forward-model";
+/// The version that the request stays on.
+pub const VERSION: &str = "forward-version";
+/// A number that the host draws for this one passing on; see `RECALL`.
+pub const NUMBER: &str = "forward-number";
+/// Without a request: the one that was passed on with this number is to end. The answer says whether it
+/// was under way.
+pub const RECALL: &str = "forward-recall";
+/// Without a request: whether the one that was passed on with this number is under way.
+pub const ASK: &str = "forward-ask";
+/// The start of the backend server that the request was last sent to.
 pub const SERVER: &str = "forward-server";
+/// That server ended under it.
+pub const ENDED: &str = "forward-ended";
 /// The host that it was passed on to takes no requests now, whatever they ask for.
 pub const AWAY: &str = "forward-away";
-/// Requests under way at the host that passed it on.
+/// Requests under way at the host that it was passed on to.
 pub const LOAD: &str = "forward-load";
+
+/// What goes with a request; a caller's own are dropped.
+pub const WITH_REQUEST: [&str; 7] = [TRIES, TRIED, MODEL, VERSION, NUMBER, RECALL, ASK];
