A host that leaves another one tells it so on a new connection

Callers see nothing of it; servers do: behind a connection between hosts that has fallen silent a request ran on for 2.8 to 4.7 s after its caller had left, or beside its next run on another server.

Cause: a host that leaves another one closes the connection, and the close doesn't arrive on one that is silent. Class: an end that is told only on the connection that may be the reason for it.

Change: a request that is passed on has a number. A log line and a counter tell what was under way.

--- a/crates/gateway/src/recall.rs
+++ b/crates/gateway/src/recall.rs
@@ -168,3 +168,27 @@
         self.is_over = true;
     }
 }
+
+impl Drop for Passage {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        let (host, request) = (Arc::clone(&self.host), self.request.clone());
+        let number = self.number;
+        // None outside of a runtime: then the process ends, and its connections with it.
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            runtime.spawn(async move {
+                let was_under_way = Question::Recall(number).put(&host).await;
+                log::info!(target: "route", request:% = request, host:% = host.id,
+                    was_under_way:?; "request recalled from another host");
+                let outcome = match was_under_way {
+                    Some(true) => "under_way",
+                    Some(false) => "over",
+                    None => "unknown",
+                };
+                metrics::counter!("gateway_recalls_total", "outcome" => outcome).increment(1);
+            });
+        }
+    }
+}
