A host asks after a request that it has passed on, and learns that its answer is lost

Cause: without another try to make, a host waits for the answer to the end. It can't tell a server that is slow from a connection that is silent. Class: waiting where a question would tell.

Change: after 0.25 s of silence, then at doubling intervals, the host asks the other one on a new connection whether the request is under way. Two answers that it is not, 0.25 s apart so that an answer on its way can come, and the answer is lost: the next try is made, or the caller learns of it and may come back.

--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -122,7 +122,10 @@
         let request = self.forwarded(last_event, &passage);
         let request = request.ok_or(Failure::Unsent(Cause::Broken))?;
         let (sent_at, sent) = (Instant::now(), clock::steady());
-        let answered = attempt::patient(self, host, connection.send(request, self.left())).await;
+        let answered = tokio::select! {
+            answered = attempt::patient(self, host, connection.send(request, self.left())) => answered,
+            () = passage.lost() => Err(Failure::Lost(Cause::Silent)),
+        };
         let response = match answered {
             Ok(response) => response,
             Err(failure) => {
--- a/crates/gateway/src/recall.rs
+++ b/crates/gateway/src/recall.rs
@@ -22,6 +22,13 @@
 
 /// Longest wait for a connection to the other host, and for its answer.
 const WITHIN: Duration = Duration::from_millis(250);
+/// Before the first question after a request, and between two while it may be over.
+const ASK_AFTER: Duration = Duration::from_millis(250);
+/// Longest time between two questions; it doubles while the request is under way.
+const ASK_EVERY_MAX: Duration = Duration::from_secs(2);
+/// Answers in a row that it is not under way, from which on its own answer is lost: one may still be on
+/// its way here when the first question is answered.
+const LOST_AFTER: u32 = 2;
 /// Recalls that are remembered: one may overtake its request.
 const REMEMBERED: usize = 256;
 
@@ -167,6 +174,21 @@
     pub fn end(&mut self) {
         self.is_over = true;
     }
+
+    /// Waits until the other host has answered and the answer has not come: it is lost on a connection
+    /// that is silent.
+    ///
+    /// A host that can't be asked may still be at it.
+    pub async fn lost(&self) {
+        let (mut over, mut pause) = (0, ASK_AFTER);
+        while over < LOST_AFTER {
+            tokio::time::sleep(pause).await;
+            (over, pause) = match Question::Ask(self.number).put(&self.host).await {
+                Some(false) => (over + 1, ASK_AFTER),
+                Some(true) | None => (0, (pause * 2).min(ASK_EVERY_MAX)),
+            };
+        }
+    }
 }
 
 impl Drop for Passage {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -148,11 +148,16 @@
         let useful_ms = route.gap_ms.unwrap_or(route.objective_ms) as f64;
         let since = Instant::now();
         let until = tokio::time::Instant::from(job.until);
-        let Self { body, backend, .. } = self;
+        let Self { body, backend, passage, .. } = self;
+        let mut lost = std::pin::pin!(lost(passage.as_mut()));
         let mut wait = backend.tolerates(&silence::BETWEEN, Duration::ZERO, useful_ms).await;
         loop {
             let limit = until.min(tokio::time::Instant::now() + wait.unwrap_or_default());
-            match tokio::time::timeout_at(limit, body.frame()).await {
+            let framed = tokio::select! {
+                framed = tokio::time::timeout_at(limit, body.frame()) => framed,
+                () = lost.as_mut() => return Err(Cause::Silent),
+            };
+            match framed {
                 Ok(None) => return Ok(None),
                 Ok(Some(Err(_))) => return Err(Cause::Truncated),
                 Ok(Some(Ok(frame))) => match frame.into_data() {
@@ -173,6 +178,14 @@
     }
 }
 
+/// Waits until what comes by another host is lost on its way; for ever if it doesn't.
+async fn lost(passage: Option<&mut Passage>) {
+    match passage {
+        Some(passage) => passage.lost().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Starts a relay; the answer is what the caller reads from it.
 #[must_use]
 pub fn start<C: Codec>(job: Job<C>, live: Box<Live>) -> Answer {
