--- a/crates/chestnutspur/tests/soak/faults.rs
+++ b/crates/chestnutspur/tests/soak/faults.rs
@@ -27,11 +27,19 @@
     Evacuations,
     /// Servers say in their answers that they leave, or ask for a pause.
     Statements,
+    /// Open connections fall silent for good while new ones work; tables change and servers leave.
+    Silences,
 }
 
 impl Trouble {
-    const ALL: [Self; 5] =
-        [Self::Network, Self::Store, Self::Planned, Self::Evacuations, Self::Statements];
+    const ALL: [Self; 6] = [
+        Self::Network,
+        Self::Store,
+        Self::Planned,
+        Self::Evacuations,
+        Self::Statements,
+        Self::Silences,
+    ];
 
     /// What a seed brings. Small seeds stay as they were when a kind of trouble was added.
     pub fn of(seed: u64) -> Self {
@@ -39,8 +47,9 @@
             0..1_000 => Self::ALL[(seed % 3) as usize],
             1_000..2_000 => Self::Evacuations,
             3_000..4_000 => Self::Network,
+            4_000..5_000 => Self::Silences,
             2_000..10_000 => Self::Statements,
-            _ => Self::ALL[(seed % 5) as usize],
+            _ => Self::ALL[(seed % 6) as usize],
         }
     }
 }
@@ -101,8 +110,12 @@
     pub restarted: Vec<(SocketAddr, Instant)>,
     /// Nodes that did not end in time after SIGTERM.
     pub stuck: Vec<usize>,
+    /// Tables that were not in force in time.
+    pub late_tables: Vec<String>,
 }
 
+/// After the last silence, and after a change, the newest table is in force within this time.
+const IN_FORCE: Duration = Duration::from_millis(3_000);
 /// Routes more of a long table.
 const MANY_ROUTES: usize = 3_000;
 /// Bytes a second of a narrow link; it takes two seconds for a long table.
@@ -139,6 +152,7 @@
         cold: Vec::new(),
         restarted: Vec::new(),
         stuck: Vec::new(),
+        late_tables: Vec::new(),
     };
     let began = Instant::now();
     let mut version = 1;
@@ -150,6 +164,7 @@
             Trouble::Planned => planned(fleet, &mut draws, &mut version, &mut played).await,
             Trouble::Evacuations => evacuations(fleet, &mut draws, &mut played).await,
             Trouble::Statements => statements(fleet, &mut draws, &mut played).await,
+            Trouble::Silences => silences(fleet, &mut draws, &mut version, &mut played).await,
         };
         played.steps.push(format!("{at} ms: {step}"));
     }
@@ -361,6 +376,42 @@
     }
 }
 
+/// Connections fall silent, those to the store and to servers, of some nodes or all, once or twice; the table
+/// changes, and a server may leave beside it.
+async fn silences(
+    fleet: &mut Fleet,
+    draws: &mut Draws,
+    version: &mut u64,
+    played: &mut Played,
+) -> String {
+    let backend = draws.index(fleet.backends.len());
+    let silence = |fleet: &Fleet, draws: &mut Draws| {
+        let nodes = fleet.store_proxies.iter();
+        nodes.filter(|_| draws.below(4) > 0).for_each(|proxy| proxy.silence_existing());
+        let servers = fleet.backend_proxies.iter();
+        servers.filter(|_| draws.below(2) == 0).for_each(|proxy| proxy.silence_existing());
+    };
+    silence(fleet, draws);
+    let before = draws.ms(0, 1_500);
+    tokio::time::sleep(before).await;
+    let at = Instant::now();
+    change_table(fleet, version);
+    let leaves = draws.below(2) == 0;
+    if leaves {
+        fleet.list(backend, "draining");
+    }
+    tokio::time::sleep(draws.ms(0, 300)).await;
+    if draws.below(2) == 0 {
+        silence(fleet, draws);
+    }
+    played.late_tables.extend(fleet.table_in_force(IN_FORCE).await);
+    if leaves {
+        tokio::time::sleep(Duration::from_millis(2_600).saturating_sub(at.elapsed())).await;
+        fleet.start_backend_again(backend);
+    }
+    format!("connections silent {before:?} before a change, backend {backend} leaves: {leaves}")
+}
+
 fn change_table(fleet: &mut Fleet, version: &mut u64) {
     *version += 1 + *version % 3;
     fleet.put_table(*version);
--- a/crates/chestnutspur/tests/soak/fleet.rs
+++ b/crates/chestnutspur/tests/soak/fleet.rs
@@ -22,6 +22,8 @@
 pub const HOST: &str = "callers.example";
 pub const KEY: &str = "key-of-office";
 const NODES: usize = 3;
+/// Servers that a request may be sent to.
+pub const ATTEMPTS_MAX: u32 = 3;
 const BACKENDS: usize = 4;
 /// Until a server that has ended is back.
 const AWAY: Duration = Duration::from_millis(200);
@@ -79,7 +81,7 @@
         host: Name::from(HOST),
         prefix: Name::from(format!("/{}/", kind.name())),
         kind: kind.routed(),
-        attempts_max: 3,
+        attempts_max: ATTEMPTS_MAX,
         timeout_ms: 3_000,
         objective_ms: 300,
         gap_ms: Some(300),
@@ -279,7 +281,12 @@
     /// After the faults the newest table is in force everywhere.
     pub async fn has_newest_table(&self) -> Option<String> {
         // A long table takes two seconds on a narrow link, and one more may have come behind it.
-        let until = Instant::now() + Duration::from_secs(10);
+        self.table_in_force(Duration::from_secs(10)).await
+    }
+
+    /// Waits until the newest table is in force everywhere; what is amiss if it isn't within a time.
+    pub async fn table_in_force(&self, within: Duration) -> Option<String> {
+        let until = Instant::now() + within;
         loop {
             let mut held = Vec::new();
             for node in &self.nodes {
@@ -290,7 +297,7 @@
                 false if Instant::now() > until => {
                     return Some(format!("table {} is not in force: {held:?}", self.version));
                 }
-                false => tokio::time::sleep(Duration::from_millis(100)).await,
+                false => tokio::time::sleep(Duration::from_millis(50)).await,
             }
         }
     }
--- a/crates/chestnutspur/tests/soak/verdict.rs
+++ b/crates/chestnutspur/tests/soak/verdict.rs
@@ -9,7 +9,7 @@
 
 use crate::callers::{EVENTS, Kind, Outcome, Seen};
 use crate::faults::{Cold, Evacuated, Played, Trouble};
-use crate::fleet::{Fleet, domain};
+use crate::fleet::{ATTEMPTS_MAX, Fleet, domain};
 
 /// A leaving backend server gets no new work later than this.
 const LEAVING: Duration = Duration::from_millis(2_000);
@@ -46,6 +46,7 @@
     broken.extend(cold_work(fleet, played));
     broken.extend(work_at_leaving(fleet, played, seen));
     broken.extend(work_in_pauses(fleet, played, seen));
+    broken.extend(played.late_tables.iter().cloned());
     broken.extend(played.stuck.iter().map(|node| format!("node {node} did not end after SIGTERM")));
     let served = seen.iter().filter(|one| served(one)).count();
     if served * 10 < seen.len() {
@@ -81,6 +82,7 @@
 fn judge_one(one: &Seen, ran: usize, planned: bool) -> Option<&'static str> {
     match &one.outcome {
         _ if one.kind == Kind::Once && ran > 1 => Some("ran twice"),
+        _ if ran > ATTEMPTS_MAX as usize => Some("ran on more servers than its route allows"),
         Outcome::Answered { own: false, .. } => Some("an answer to another request"),
         Outcome::Answered { status: 408 | 421 | 429 | 503, .. } if ran > 0 => {
             Some("said not to have run, and had")
