Another host is told which servers failed the request, not which are out of reach

refusal_elsewhere_of_a_request_that_may_have_run_here_does_not_say_not_run failed since: a host that could not reach two servers told the other host not to try them, which left it none. Only servers that had the request and failed it or turned it away are told now.

Also: a question after a request is answered with the last event that was passed on, so that a stream whose connection between hosts is silent goes on elsewhere after half a second, and not when it has been made whole there.

--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -29,7 +29,7 @@
     fn blame_host(&mut self, host: &Arc<Backend>, failure: Failure) {
         let now = clock::steady();
         // The server that it was sent to there is not tried again.
-        self.tries.tried.extend(self.tries.backend.clone());
+        self.note_failed_at(self.tries.backend.clone());
         match failure {
             // An old connection was closed by the other end; a new one is tried.
             Failure::Unsent(Cause::Broken) if !self.tries.new_only => {
@@ -101,7 +101,7 @@
             }
             Failure::NotRun { misdirected } => {
                 self.tries.not_run += 1;
-                self.tries.tried.push(backend.id.clone());
+                self.note_failed_at(Some(backend.id.clone()));
                 if let Some(per_second) = self.tolerance().filter(|_| !misdirected) {
                     backend.note_rejected(per_second, rand::random(), now);
                 }
@@ -117,7 +117,7 @@
                 self.note_broken(backend, cause);
                 self.tries.may_have_run = true;
                 self.tries.new_only = true;
-                self.tries.tried.push(backend.id.clone());
+                self.note_failed_at(Some(backend.id.clone()));
                 if !self.left().is_zero() {
                     backend.note(true, now);
                     self.note_version(backend, None);
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -124,7 +124,7 @@
         let (sent_at, sent) = (Instant::now(), clock::steady());
         let answered = tokio::select! {
             answered = attempt::patient(self, host, connection.send(request, self.left())) => answered,
-            () = passage.lost() => Err(Failure::Lost(Cause::Silent)),
+            () = passage.lost(last_event) => Err(Failure::Lost(Cause::Silent)),
         };
         let response = match answered {
             Ok(response) => response,
@@ -249,7 +249,7 @@
         for name in WITH_REQUEST {
             headers.remove(name);
         }
-        let tried: Vec<&str> = self.tries.tried.iter().map(Name::as_str).collect();
+        let tried: Vec<&str> = self.tries.failed_at.iter().map(Name::as_str).collect();
         let mut tell = |name, value: HeaderValue| {
             headers.insert(HeaderName::from_static(name), value);
         };
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -39,7 +39,7 @@
         }
         let visit = number(request.headers(), NUMBER).map(|number| state.visitors.enter(number));
         let visitor = Visitor { visit, ..Visitor::take(request.headers_mut()) };
-        let recalled = visitor.visit.as_ref().map(|visit| visit.recalled.clone());
+        let recalled = visitor.visit.as_ref().map(|visit| visit.recalled());
         let id = state.codec.ask(request.headers()).id;
         tokio::select! {
             response = handle::answer(state, request, Some(visitor)) => response,
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -81,8 +81,10 @@
     pub not_run: u32,
     /// The backend server that it was last sent to.
     pub backend: Option<Name>,
-    /// Backend servers not to be tried again.
+    /// Backend servers and hosts not to be tried again from here.
     pub tried: Vec<Name>,
+    /// Those of the servers that had it, and failed it or turned it away: no other host is to try them.
+    pub failed_at: Vec<Name>,
     /// Other failure domains that did not answer; others are tried first.
     pub unreachable: Vec<Name>,
     /// Index of the model that is asked now.
@@ -118,6 +120,12 @@
 }
 
 impl<C: Codec> Job<C> {
+    /// A server that had it failed it, or turned it away.
+    pub fn note_failed_at(&mut self, server: Option<Name>) {
+        self.tries.tried.extend(server.clone());
+        self.tries.failed_at.extend(server);
+    }
+
     /// Its route.
     #[must_use]
     pub fn route(&self) -> &Route {
@@ -127,7 +135,7 @@
     /// Cancelled when the host that passed it on takes it back.
     #[must_use]
     pub fn recalled(&self) -> CancellationToken {
-        self.visit.as_ref().map(|visit| visit.recalled.clone()).unwrap_or_default()
+        self.visit.as_ref().map(Visit::recalled).unwrap_or_default()
     }
 
     /// The time left.
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -78,7 +78,7 @@
         self.tries.may_have_run = true;
         let (head, body) = self.read_whole(reply).await?;
         // Another host may be asked again, for another server.
-        self.tries.tried.extend(self.tries.backend.clone());
+        self.note_failed_at(self.tries.backend.clone());
         log::info!(target: "route", request:% = self.ask.id, backend:% = backend.id,
             status = head.status.as_u16(), sent = self.tries.sent; "backend server failed");
         match self.route().kind.may_repeat() {
--- a/crates/gateway/src/recall.rs
+++ b/crates/gateway/src/recall.rs
@@ -5,6 +5,7 @@
 //! is told on a new connection.
 
 use std::collections::{HashMap, VecDeque};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -16,9 +17,10 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use policy::name::Name;
 use tokio_util::sync::CancellationToken;
-use wire::forward::{ASK, RECALL};
+use wire::forward::{ASK, LAST_EVENT, RECALL};
 
 use crate::backend::Backend;
+use crate::forward;
 
 /// Longest wait for a connection to the other host, and for its answer.
 const WITHIN: Duration = Duration::from_millis(250);
@@ -26,8 +28,8 @@
 const ASK_AFTER: Duration = Duration::from_millis(250);
 /// Longest time between two questions; it doubles while the request is under way.
 const ASK_EVERY_MAX: Duration = Duration::from_secs(2);
-/// Answers in a row that it is not under way, from which on its own answer is lost: one may still be on
-/// its way here when the first question is answered.
+/// Answers in a row that the other host has sent more than has come, from which on that is lost: it may
+/// still be on its way when the first question is answered.
 const LOST_AFTER: u32 = 2;
 /// Recalls that are remembered: one may overtake its request.
 const REMEMBERED: usize = 256;
@@ -38,7 +40,7 @@
 
 #[derive(Default)]
 struct Known {
-    under_way: HashMap<u64, CancellationToken>,
+    under_way: HashMap<u64, Arc<Stay>>,
     recalled: VecDeque<u64>,
 }
 
@@ -46,8 +48,26 @@
 pub struct Visit {
     visitors: Arc<Visitors>,
     number: u64,
-    /// Cancelled when its host takes it back.
-    pub recalled: CancellationToken,
+    stay: Arc<Stay>,
+}
+
+#[derive(Default)]
+struct Stay {
+    recalled: CancellationToken,
+    /// The last event that was passed on; 0 if none was.
+    last_event: AtomicU64,
+}
+
+/// How a request stands at another host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// Not under way there: it was answered, or never came.
+    Over,
+    /// Under way.
+    UnderWay {
+        /// The last event of its stream that was passed on.
+        last_event: Option<u64>,
+    },
 }
 
 /// What another host wants to know or to have done.
@@ -63,18 +83,18 @@
     /// A request comes in.
     #[must_use]
     pub fn enter(self: &Arc<Self>, number: u64) -> Visit {
-        let recalled = CancellationToken::new();
+        let stay = Arc::<Stay>::default();
         let mut known = self.lock();
         if known.recalled.contains(&number) {
-            recalled.cancel();
+            stay.recalled.cancel();
         }
-        known.under_way.insert(number, recalled.clone());
+        known.under_way.insert(number, Arc::clone(&stay));
         drop(known);
-        Visit { visitors: Arc::clone(self), number, recalled }
+        Visit { visitors: Arc::clone(self), number, stay }
     }
 
-    /// Whether the request that was asked after is under way; one that is recalled ends.
-    pub fn answer(&self, question: Question) -> bool {
+    /// How the request stands that was asked after; one that is recalled ends.
+    pub fn answer(&self, question: Question) -> Standing {
         let mut known = self.lock();
         let number = match question {
             Question::Ask(number) => number,
@@ -86,11 +106,12 @@
                 number
             }
         };
-        let under_way = known.under_way.get(&number);
-        if let (Question::Recall(_), Some(recalled)) = (question, under_way) {
-            recalled.cancel();
+        let Some(stay) = known.under_way.get(&number) else { return Standing::Over };
+        if matches!(question, Question::Recall(_)) {
+            stay.recalled.cancel();
         }
-        under_way.is_some()
+        let last_event = Some(stay.last_event.load(Ordering::Relaxed)).filter(|last| *last > 0);
+        Standing::UnderWay { last_event }
     }
 
     fn lock(&self) -> MutexGuard<'_, Known> {
@@ -98,6 +119,19 @@
     }
 }
 
+impl Visit {
+    /// Cancelled when its host takes it back.
+    #[must_use]
+    pub fn recalled(&self) -> CancellationToken {
+        self.stay.recalled.clone()
+    }
+
+    /// Its stream was passed on up to this event.
+    pub fn note_passed(&self, last_event: u64) {
+        self.stay.last_event.store(last_event, Ordering::Relaxed);
+    }
+}
+
 impl Drop for Visit {
     fn drop(&mut self) {
         self.visitors.lock().under_way.remove(&self.number);
@@ -119,8 +153,8 @@
         }
     }
 
-    /// Puts it to a host: whether the request is under way there; none if that is not known.
-    pub async fn put(self, host: &Backend) -> Option<bool> {
+    /// Puts it to a host: how the request stands there; none if that is not known.
+    async fn put(self, host: &Backend) -> Option<Standing> {
         let mut connection = Connection::open(host.server.address, WITHIN).await.ok()?;
         let mut request = Request::new(Full::new(Bytes::new()));
         let (name, number) = self.header();
@@ -128,8 +162,11 @@
         request.headers_mut().insert(HOST, HeaderValue::from_static("host"));
         let response = connection.send(request, WITHIN).await.ok()?;
         match response.status() {
-            StatusCode::OK => Some(true),
-            StatusCode::NO_CONTENT => Some(false),
+            StatusCode::OK => {
+                let last_event = forward::number(response.headers(), LAST_EVENT);
+                Some(Standing::UnderWay { last_event })
+            }
+            StatusCode::NO_CONTENT => Some(Standing::Over),
             // One that doesn't know such questions.
             _ => None,
         }
@@ -138,20 +175,22 @@
 
 /// The answer to a question.
 #[must_use]
-pub fn response(is_under_way: bool) -> Response<Answer> {
+pub fn response(standing: Standing) -> Response<Answer> {
     let mut response = Response::new(Answer::whole(Bytes::new()));
-    if !is_under_way {
-        *response.status_mut() = StatusCode::NO_CONTENT;
+    match standing {
+        Standing::Over => *response.status_mut() = StatusCode::NO_CONTENT,
+        Standing::UnderWay { last_event: Some(last) } => {
+            response.headers_mut().insert(LAST_EVENT, HeaderValue::from(last));
+        }
+        Standing::UnderWay { last_event: None } => {}
     }
     response
 }
 
 /// A request at another host; dropped before its answer was read whole it is taken back.
 pub struct Passage {
-    /// Where it is.
-    pub host: Arc<Backend>,
-    /// The request's id.
-    pub request: Name,
+    host: Arc<Backend>,
+    request: Name,
     number: u64,
     is_over: bool,
 }
@@ -175,17 +214,20 @@
         self.is_over = true;
     }
 
-    /// Waits until the other host has answered and the answer has not come: it is lost on a connection
-    /// that is silent.
+    /// Waits until the other host has sent more than has come, which is up to an event of a stream or nothing
+    /// yet: the connection is silent.
     ///
     /// A host that can't be asked may still be at it.
-    pub async fn lost(&self) {
-        let (mut over, mut pause) = (0, ASK_AFTER);
-        while over < LOST_AFTER {
+    pub async fn lost(&self, last_event: Option<u64>) {
+        let (mut ahead, mut pause) = (0, ASK_AFTER);
+        while ahead < LOST_AFTER {
             tokio::time::sleep(pause).await;
-            (over, pause) = match Question::Ask(self.number).put(&self.host).await {
-                Some(false) => (over + 1, ASK_AFTER),
-                Some(true) | None => (0, (pause * 2).min(ASK_EVERY_MAX)),
+            (ahead, pause) = match Question::Ask(self.number).put(&self.host).await {
+                Some(Standing::Over) => (ahead + 1, ASK_AFTER),
+                Some(Standing::UnderWay { last_event: sent }) if sent > last_event => {
+                    (ahead + 1, ASK_AFTER)
+                }
+                Some(Standing::UnderWay { .. }) | None => (0, (pause * 2).min(ASK_EVERY_MAX)),
             };
         }
     }
@@ -201,12 +243,12 @@
         // None outside of a runtime: then the process ends, and its connections with it.
         if let Ok(runtime) = tokio::runtime::Handle::try_current() {
             runtime.spawn(async move {
-                let was_under_way = Question::Recall(number).put(&host).await;
+                let standing = Question::Recall(number).put(&host).await;
                 log::info!(target: "route", request:% = request, host:% = host.id,
-                    was_under_way:?; "request recalled from another host");
-                let outcome = match was_under_way {
-                    Some(true) => "under_way",
-                    Some(false) => "over",
+                    standing:?; "request recalled from another host");
+                let outcome = match standing {
+                    Some(Standing::UnderWay { .. }) => "under_way",
+                    Some(Standing::Over) => "over",
                     None => "unknown",
                 };
                 metrics::counter!("gateway_recalls_total", "outcome" => outcome).increment(1);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,6 +22,7 @@
 use crate::end::{self, End, Passed};
 use crate::events::Splitter;
 use crate::evidence::Counted;
+use crate::handle::Origin;
 use crate::job::Job;
 use crate::judge::is_framed;
 use crate::recall::Passage;
@@ -132,6 +133,14 @@
         }
     }
 
+    /// Events have been passed on.
+    fn note_passed<C: Codec>(&mut self, job: &Job<C>) {
+        self.passed.piece(Instant::now());
+        if let (Some(visit), Some(last)) = (&job.visit, self.splitter.last()) {
+            visit.note_passed(last);
+        }
+    }
+
     /// No more events come; its engine is judged by all that have.
     fn note_speed<C: Codec>(&self, job: &Job<C>) {
         if let Some(pace_ms) = self.pace.best_ms() {
@@ -148,8 +157,8 @@
         let useful_ms = route.gap_ms.unwrap_or(route.objective_ms) as f64;
         let since = Instant::now();
         let until = tokio::time::Instant::from(job.until);
-        let Self { body, backend, passage, .. } = self;
-        let mut lost = std::pin::pin!(lost(passage.as_mut()));
+        let Self { body, backend, passage, splitter, .. } = self;
+        let mut lost = std::pin::pin!(lost(passage.as_ref(), splitter.last()));
         let mut wait = backend.tolerates(&silence::BETWEEN, Duration::ZERO, useful_ms).await;
         loop {
             let limit = until.min(tokio::time::Instant::now() + wait.unwrap_or_default());
@@ -179,9 +188,9 @@
 }
 
 /// Waits until what comes by another host is lost on its way; for ever if it doesn't.
-async fn lost(passage: Option<&mut Passage>) {
+async fn lost(passage: Option<&Passage>, last_event: Option<u64>) {
     match passage {
-        Some(passage) => passage.lost().await,
+        Some(passage) => passage.lost(last_event).await,
         None => std::future::pending().await,
     }
 }
@@ -260,7 +269,10 @@
                 live.passed = Passed { pause_ms, last, ..live.passed };
             }
             Err(obstacle) => {
-                end::log_stranded(&job, obstacle);
+                // The host that passed it on decides what follows.
+                if job.origin == Origin::Caller {
+                    end::log_stranded(&job, obstacle);
+                }
                 end::log(&job, End::Broken(cause), passed);
                 return false;
             }
@@ -295,13 +307,13 @@
     let begun = std::mem::take(&mut live.begun);
     if !begun.is_empty() {
         send(pieces, begun, job).await?;
-        live.passed.piece(Instant::now());
+        live.note_passed(job);
     }
     while !live.ended {
         match live.next(job).await {
             Ok(Piece::Events(events)) => {
                 send(pieces, events, job).await?;
-                live.passed.piece(Instant::now());
+                live.note_passed(job);
             }
             Ok(Piece::End) => live.ended = true,
             Err(cause) => return Err(End::Broken(cause)),
--- a/crates/wire/src/forward.rs
+++ b/crates/wire/src/forward.rs
@@ -5,7 +5,8 @@
 /// Backend servers that the request was sent to: before it came there, and in the answer with what was
 /// done there.
 pub const TRIES: &str = "forward-tries";
-/// Starts of backend servers that the request is not to be sent to, separated by commas.
+/// Starts of backend servers that had the request and failed it, separated by commas: it is not sent there
+/// again.
 pub const TRIED: &str = "forward-tried";
 /// Index of the model that is asked, among those of the route.
 pub const MODEL: &str = "forward-model";
@@ -24,6 +25,8 @@
 pub const ENDED: &str = "forward-ended";
 /// The host that it was passed on to takes no requests now, whatever they ask for.
 pub const AWAY: &str = "forward-away";
+/// The last event of the stream that the host has passed on, in the answer to `ASK`.
+pub const LAST_EVENT: &str = "forward-last-event";
 /// Requests under way at the host that it was passed on to.
 pub const LOAD: &str = "forward-load";
 
