A request counts at another host from its sending on

Since it counted there only once its answer had begun, so that hosts were chosen by a load that lacked what was under way.

--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -121,6 +121,7 @@
         let mut passage = Passage::new(host, &self.ask.id);
         let request = self.forwarded(last_event, &passage);
         let request = request.ok_or(Failure::Unsent(Cause::Broken))?;
+        let lease = Lease::new(Arc::clone(&host.server));
         let (sent_at, sent) = (Instant::now(), clock::steady());
         let answered = tokio::select! {
             answered = attempt::patient(self, host, connection.send(request, self.left())) => answered,
@@ -129,18 +130,17 @@
         let response = match answered {
             Ok(response) => response,
             Err(failure) => {
-                let may_have_run = matches!(failure, Failure::Lost(_));
-                if !may_have_run {
-                    passage.end();
-                }
-                if may_have_run {
-                    self.tries.sent = detour::spent(self.tries.sent, detour::LENT, None);
+                match failure {
+                    Failure::Lost(_) => {
+                        self.tries.sent = detour::spent(self.tries.sent, detour::LENT, None);
+                        self.tries.was_tried = true;
+                    }
+                    _ => passage.end(),
                 }
-                self.tries.was_tried = may_have_run;
                 return Err(failure);
             }
         };
-        self.heard(host, response, (connection, passage), (sent_at, sent))
+        self.heard(host, response, (connection, lease, passage), (sent_at, sent))
     }
 
     /// Another host has answered.
@@ -148,11 +148,10 @@
         &mut self,
         host: &Arc<Backend>,
         response: Response<Incoming>,
-        (connection, mut passage): (Connection, Passage),
+        (connection, lease, mut passage): (Connection, Lease, Passage),
         (sent_at, sent): (Instant, Millis),
     ) -> Result<Reply, Failure> {
         let now = clock::steady();
-        let lease = Lease::new(Arc::clone(&host.server));
         let (mut head, body) = response.into_parts();
         host.heard(now);
         let passed = Said::take(&mut head.headers);
