--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,7 +17,7 @@
 use crate::backend::{Backend, Prefill};
 use crate::codec::{Codec, Head, Sending};
 use crate::job::Job;
-use crate::recall::Passage;
+use crate::recall::Forwarding;
 
 /// Longest wait for a new connection. Within a region one opens in a few milliseconds; past this
 /// the server is unreachable or its queue of new connections full, and the kernel tries again only
@@ -53,8 +53,8 @@
     pub first_ms: f64,
     /// What that was expected to be.
     pub expected_ms: f64,
-    /// Its stay at the other host that it went by, if it did.
-    pub passage: Option<Passage>,
+    /// The other host that it went by, if it did: recalled from there when dropped too soon.
+    pub forwarding: Option<Forwarding>,
 }
 
 /// Why a try gave no answer.
@@ -128,7 +128,7 @@
     }
     let backend = Arc::clone(backend);
     let expected_ms = seen.wait_ms + read_ms;
-    let passage = None;
+    let forwarding = None;
     Ok(Reply {
         head,
         said,
@@ -139,7 +139,7 @@
         sent_at,
         first_ms,
         expected_ms,
-        passage,
+        forwarding,
     })
 }
 
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -28,7 +28,7 @@
 use crate::forward::{number, text};
 use crate::handle::Origin;
 use crate::job::Job;
-use crate::recall::Passage;
+use crate::recall::Forwarding;
 
 /// Connections to backend servers that stay silent for one request before it goes by another host.
 const SILENT_MAX: u32 = 2;
@@ -118,14 +118,14 @@
         self.tries.was_tried = false;
         self.tries.backend = None;
         let mut connection = attempt::open(self, host).await?;
-        let mut passage = Passage::new(host, &self.ask.id);
-        let request = self.forwarded(last_event, &passage);
+        let mut forwarding = Forwarding::new(host, &self.ask.id);
+        let request = self.forwarded(last_event, &forwarding);
         let request = request.ok_or(Failure::Unsent(Cause::Broken))?;
         let lease = Lease::new(Arc::clone(&host.server));
         let (sent_at, sent) = (Instant::now(), clock::steady());
         let answered = tokio::select! {
             answered = attempt::patient(self, host, connection.send(request, self.left())) => answered,
-            () = passage.lost(last_event) => Err(Failure::Lost(Cause::Silent)),
+            () = forwarding.lost(last_event) => Err(Failure::Lost(Cause::Silent)),
         };
         let response = match answered {
             Ok(response) => response,
@@ -135,12 +135,12 @@
                         self.tries.sent = detour::spent(self.tries.sent, detour::LENT, None);
                         self.tries.was_tried = true;
                     }
-                    _ => passage.end(),
+                    _ => forwarding.end(),
                 }
                 return Err(failure);
             }
         };
-        self.heard(host, response, (connection, lease, passage), (sent_at, sent))
+        self.heard(host, response, (connection, lease, forwarding), (sent_at, sent))
     }
 
     /// Another host has answered.
@@ -148,7 +148,7 @@
         &mut self,
         host: &Arc<Backend>,
         response: Response<Incoming>,
-        (connection, lease, mut passage): (Connection, Lease, Passage),
+        (connection, lease, mut forwarding): (Connection, Lease, Forwarding),
         (sent_at, sent): (Instant, Millis),
     ) -> Result<Reply, Failure> {
         let now = clock::steady();
@@ -174,7 +174,7 @@
         }
         let is_refused = !said.is_signed;
         if is_refused {
-            passage.end();
+            forwarding.end();
         }
         match () {
             () if is_misdirected => {
@@ -191,7 +191,7 @@
                 }
                 let first_ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
                 let (backend, expected_ms) = (Arc::clone(host), first_ms);
-                let passage = Some(passage);
+                let forwarding = Some(forwarding);
                 Ok(Reply {
                     head,
                     said,
@@ -202,7 +202,7 @@
                     sent_at,
                     first_ms,
                     expected_ms,
-                    passage,
+                    forwarding,
                 })
             }
         }
@@ -237,7 +237,7 @@
     fn forwarded(
         &self,
         last_event: Option<u64>,
-        passage: &Passage,
+        forwarding: &Forwarding,
     ) -> Option<Request<Full<bytes::Bytes>>> {
         let left_ms = u64::try_from(self.left().as_millis()).unwrap_or(u64::MAX);
         let mut request = Request::new(Full::new(self.body.clone()));
@@ -254,7 +254,7 @@
         };
         tell(TRIES, HeaderValue::from(self.tries.sent));
         tell(TRIED, HeaderValue::from_str(&tried.join(",")).ok()?);
-        tell(NUMBER, HeaderValue::from(passage.number()));
+        tell(NUMBER, HeaderValue::from(forwarding.number()));
         if !self.route().models.is_empty() {
             tell(MODEL, HeaderValue::from(self.tries.model));
         }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -24,7 +24,7 @@
 use crate::codec::Codec;
 use crate::handle;
 use crate::job::Job;
-use crate::recall::{self, Question, Visit};
+use crate::recall::{self, Question, Registered};
 use crate::refuse;
 use crate::state::State;
 
@@ -35,14 +35,15 @@
     async fn handle(self: Arc<Self>, mut request: Request<Incoming>) -> Response<Answer> {
         let state = &self.0;
         if let Some(question) = Question::read(request.headers()) {
-            return recall::response(state.visitors.answer(question));
+            return recall::response(state.registry.answer(question));
         }
-        let visit = number(request.headers(), NUMBER).map(|number| state.visitors.enter(number));
-        let visitor = Visitor { visit, ..Visitor::take(request.headers_mut()) };
-        let recalled = visitor.visit.as_ref().map(|visit| visit.recalled());
+        let registered =
+            number(request.headers(), NUMBER).map(|number| state.registry.enter(number));
+        let forwarded = Forwarded { registered, ..Forwarded::take(request.headers_mut()) };
+        let recalled = forwarded.registered.as_ref().map(Registered::recalled);
         let id = state.codec.ask(request.headers()).id;
         tokio::select! {
-            response = handle::answer(state, request, Some(visitor)) => response,
+            response = handle::answer(state, request, Some(forwarded)) => response,
             // Dropped with its connection to the backend server, which stops the work there.
             () = recalled.unwrap_or_default().cancelled_owned() => {
                 refuse::response(&state.codec, &id, refuse::recalled())
@@ -57,7 +58,7 @@
 
 /// A request of another host's caller.
 #[derive(Default)]
-pub struct Visitor {
+pub struct Forwarded {
     /// Backend servers that it was sent to before.
     pub sent: u32,
     /// Those that it is not sent to again.
@@ -66,25 +67,25 @@
     pub model: Option<usize>,
     /// The version that it stays on.
     pub version: Option<Name>,
-    /// Its stay here.
-    pub visit: Option<Visit>,
+    /// Its entry among the requests of other hosts that are under way here.
+    pub registered: Option<Registered>,
 }
 
-impl Visitor {
+impl Forwarded {
     /// Takes what its host says of it out of its headers.
     fn take(headers: &mut HeaderMap) -> Self {
         let tried = text(headers, TRIED).unwrap_or_default();
-        let visitor = Self {
+        let forwarded = Self {
             sent: number(headers, TRIES).unwrap_or_default(),
             tried: tried.split(',').filter(|id| !id.is_empty()).map(Name::from).collect(),
             model: number(headers, MODEL),
             version: text(headers, VERSION).map(Name::from),
-            visit: None,
+            registered: None,
         };
         for name in WITH_REQUEST {
             headers.remove(name);
         }
-        visitor
+        forwarded
     }
 }
 
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -21,7 +21,7 @@
 use crate::carry::Accepted;
 use crate::codec::{Ask, Codec};
 use crate::end::{self, End, Passed};
-use crate::forward::Visitor;
+use crate::forward::Forwarded;
 use crate::index::{Index, Known};
 use crate::job::{Job, Tries};
 use crate::state::State;
@@ -94,14 +94,14 @@
 pub async fn answer<C: Codec>(
     state: &Arc<State<C>>,
     request: Request<Incoming>,
-    visitor: Option<Visitor>,
+    forwarded: Option<Forwarded>,
 ) -> Response<Answer> {
-    let origin = if visitor.is_some() { Origin::Host } else { Origin::Caller };
+    let origin = if forwarded.is_some() { Origin::Host } else { Origin::Caller };
     state.in_flight.fetch_add(1, Ordering::Relaxed);
     let _counted = Counted(Arc::clone(state));
     let ask = state.codec.ask(request.headers());
     let id = ask.id.clone();
-    let mut response = match serve(state, ask, request, visitor).await {
+    let mut response = match serve(state, ask, request, forwarded).await {
         Ok(response) => response,
         Err(Refused { refusal, told }) => {
             let code = refusal.code.status();
@@ -125,11 +125,11 @@
     state: &Arc<State<C>>,
     ask: Ask,
     request: Request<Incoming>,
-    visitor: Option<Visitor>,
+    forwarded: Option<Forwarded>,
 ) -> Result<Response<Answer>, Refused> {
     let started = Instant::now();
     let (head, body) = request.into_parts();
-    if visitor.is_none() {
+    if forwarded.is_none() {
         wait_for_start(state, ask.patience_ms).await;
     }
     let entered = enter(&state.world.load().index, &ask, &head.headers, head.uri.path())?;
@@ -144,15 +144,15 @@
     let subject = ask.session.as_ref().unwrap_or(&ask.id);
     let service = service(route, subject);
     let attempts_max =
-        visitor.as_ref().map_or(route.attempts_max, |visitor| visitor.sent + detour::LENT);
-    let origin = if visitor.is_some() { Origin::Host } else { Origin::Caller };
-    let visitor = visitor.unwrap_or_default();
+        forwarded.as_ref().map_or(route.attempts_max, |forwarded| forwarded.sent + detour::LENT);
+    let origin = if forwarded.is_some() { Origin::Host } else { Origin::Caller };
+    let forwarded = forwarded.unwrap_or_default();
     let largest = route.models.len().saturating_sub(1);
     let tries = Tries {
-        sent: visitor.sent,
-        tried: visitor.tried,
-        model: visitor.model.unwrap_or_default().min(largest),
-        version: visitor.version,
+        sent: forwarded.sent,
+        tried: forwarded.tried,
+        model: forwarded.model.unwrap_or_default().min(largest),
+        version: forwarded.version,
         ..Tries::default()
     };
     let mut job = Job {
@@ -171,7 +171,7 @@
         fingerprint: OnceLock::new(),
         origin,
         attempts_max,
-        visit: visitor.visit,
+        registered: forwarded.registered,
         tries,
     };
     match job.answer().await {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -19,7 +19,7 @@
 use crate::codec::{Ask, Codec};
 use crate::handle::Origin;
 use crate::index::Known;
-use crate::recall::Visit;
+use crate::recall::Registered;
 use crate::state::State;
 
 /// A request under way.
@@ -46,8 +46,8 @@
     pub origin: Origin,
     /// Backend servers that it may be sent to, those before it came here among them.
     pub attempts_max: u32,
-    /// Its stay here, if another host has passed it on.
-    pub visit: Option<Visit>,
+    /// Its entry among the requests of other hosts, if one has passed it on.
+    pub registered: Option<Registered>,
     /// The service that answers it.
     pub service: Name,
     /// When its head was read.
@@ -135,7 +135,7 @@
     /// Cancelled when the host that passed it on takes it back.
     #[must_use]
     pub fn recalled(&self) -> CancellationToken {
-        self.visit.as_ref().map(Visit::recalled).unwrap_or_default()
+        self.registered.as_ref().map(Registered::recalled).unwrap_or_default()
     }
 
     /// The time left.
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -105,9 +105,9 @@
 
     async fn read_whole(&self, reply: Reply) -> Result<(Parts, Bytes), Failure> {
         let is_framed = is_framed(&reply);
-        let Reply { head, body, mut connection, lease, backend, sent_at, passage, .. } = reply;
+        let Reply { head, body, mut connection, lease, backend, sent_at, forwarding, .. } = reply;
         let body = self.collect(body).await?;
-        passage.into_iter().for_each(|mut passage| passage.end());
+        forwarding.into_iter().for_each(|mut forwarding| forwarding.end());
         self.note_answered(match () {
             () if !head.status.is_success() => Answer::Failure,
             () if is_framed => Answer::Whole,
--- a/crates/gateway/src/recall.rs
+++ b/crates/gateway/src/recall.rs
@@ -36,23 +36,23 @@
 
 /// Requests of other hosts that are under way here.
 #[derive(Default)]
-pub struct Visitors(Mutex<Known>);
+pub struct Registry(Mutex<Known>);
 
 #[derive(Default)]
 struct Known {
-    under_way: HashMap<u64, Arc<Stay>>,
+    under_way: HashMap<u64, Arc<Entry>>,
     recalled: VecDeque<u64>,
 }
 
 /// Another host's request, under way until dropped.
-pub struct Visit {
-    visitors: Arc<Visitors>,
+pub struct Registered {
+    registry: Arc<Registry>,
     number: u64,
-    stay: Arc<Stay>,
+    entry: Arc<Entry>,
 }
 
 #[derive(Default)]
-struct Stay {
+struct Entry {
     recalled: CancellationToken,
     /// The last event that was passed on; 0 if none was.
     last_event: AtomicU64,
@@ -79,18 +79,18 @@
     Ask(u64),
 }
 
-impl Visitors {
+impl Registry {
     /// A request comes in.
     #[must_use]
-    pub fn enter(self: &Arc<Self>, number: u64) -> Visit {
-        let stay = Arc::<Stay>::default();
+    pub fn enter(self: &Arc<Self>, number: u64) -> Registered {
+        let entry = Arc::<Entry>::default();
         let mut known = self.lock();
         if known.recalled.contains(&number) {
-            stay.recalled.cancel();
+            entry.recalled.cancel();
         }
-        known.under_way.insert(number, Arc::clone(&stay));
+        known.under_way.insert(number, Arc::clone(&entry));
         drop(known);
-        Visit { visitors: Arc::clone(self), number, stay }
+        Registered { registry: Arc::clone(self), number, entry }
     }
 
     /// How the request stands that was asked after; one that is recalled ends.
@@ -106,11 +106,11 @@
                 number
             }
         };
-        let Some(stay) = known.under_way.get(&number) else { return Standing::Over };
+        let Some(entry) = known.under_way.get(&number) else { return Standing::Over };
         if matches!(question, Question::Recall(_)) {
-            stay.recalled.cancel();
+            entry.recalled.cancel();
         }
-        let last_event = Some(stay.last_event.load(Ordering::Relaxed)).filter(|last| *last > 0);
+        let last_event = Some(entry.last_event.load(Ordering::Relaxed)).filter(|last| *last > 0);
         Standing::UnderWay { last_event }
     }
 
@@ -119,22 +119,22 @@
     }
 }
 
-impl Visit {
+impl Registered {
     /// Cancelled when its host takes it back.
     #[must_use]
     pub fn recalled(&self) -> CancellationToken {
-        self.stay.recalled.clone()
+        self.entry.recalled.clone()
     }
 
     /// Its stream was passed on up to this event.
     pub fn note_passed(&self, last_event: u64) {
-        self.stay.last_event.store(last_event, Ordering::Relaxed);
+        self.entry.last_event.store(last_event, Ordering::Relaxed);
     }
 }
 
-impl Drop for Visit {
+impl Drop for Registered {
     fn drop(&mut self) {
-        self.visitors.lock().under_way.remove(&self.number);
+        self.registry.lock().under_way.remove(&self.number);
     }
 }
 
@@ -188,14 +188,14 @@
 }
 
 /// A request at another host; dropped before its answer was read whole it is taken back.
-pub struct Passage {
+pub struct Forwarding {
     host: Arc<Backend>,
     request: Name,
     number: u64,
     is_over: bool,
 }
 
-impl Passage {
+impl Forwarding {
     /// One that is sent to a host now, with a number that no other has.
     #[must_use]
     pub fn new(host: &Arc<Backend>, request: &Name) -> Self {
@@ -233,7 +233,7 @@
     }
 }
 
-impl Drop for Passage {
+impl Drop for Forwarding {
     fn drop(&mut self) {
         if self.is_over {
             return;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -25,7 +25,7 @@
 use crate::handle::Origin;
 use crate::job::Job;
 use crate::judge::is_framed;
-use crate::recall::Passage;
+use crate::recall::Forwarding;
 use crate::resume::Obstacle;
 
 /// Pieces on their way to a caller that reads slowly; then the backend server waits as well.
@@ -53,8 +53,8 @@
     // Dropped with the stream: closes the connection, which stops the backend server's work.
     _connection: Connection,
     _lease: Lease,
-    /// Its stay at the other host that it comes by, if it does.
-    passage: Option<Passage>,
+    /// The other host that it comes by, if it does: recalled from there when dropped too soon.
+    forwarding: Option<Forwarding>,
 }
 
 enum Piece {
@@ -74,7 +74,7 @@
         last: Option<u64>,
     ) -> Result<Self, Failure> {
         let is_framed = is_framed(&reply);
-        let Reply { body, connection, lease, backend, sent_at, passage, .. } = reply;
+        let Reply { body, connection, lease, backend, sent_at, forwarding, .. } = reply;
         let mut live = Self {
             body,
             splitter: Splitter::behind(last),
@@ -89,7 +89,7 @@
             counted: None,
             _connection: connection,
             _lease: lease,
-            passage,
+            forwarding,
         };
         match live.next(job).await.map_err(Failure::Lost)? {
             Piece::Events(events) => live.begun = events,
@@ -104,9 +104,10 @@
     async fn next<C: Codec>(&mut self, job: &Job<C>) -> Result<Piece, Cause> {
         loop {
             let framed = self.frame(job).await;
-            if let (Ok(None) | Err(Cause::Truncated), Some(passage)) = (&framed, &mut self.passage)
+            if let (Ok(None) | Err(Cause::Truncated), Some(forwarding)) =
+                (&framed, &mut self.forwarding)
             {
-                passage.end();
+                forwarding.end();
             }
             let data = match framed? {
                 None if self.splitter.is_empty() => return Ok(Piece::End),
@@ -136,8 +137,8 @@
     /// Events have been passed on.
     fn note_passed<C: Codec>(&mut self, job: &Job<C>) {
         self.passed.piece(Instant::now());
-        if let (Some(visit), Some(last)) = (&job.visit, self.splitter.last()) {
-            visit.note_passed(last);
+        if let (Some(registered), Some(last)) = (&job.registered, self.splitter.last()) {
+            registered.note_passed(last);
         }
     }
 
@@ -157,8 +158,8 @@
         let useful_ms = route.gap_ms.unwrap_or(route.objective_ms) as f64;
         let since = Instant::now();
         let until = tokio::time::Instant::from(job.until);
-        let Self { body, backend, passage, splitter, .. } = self;
-        let mut lost = std::pin::pin!(lost(passage.as_ref(), splitter.last()));
+        let Self { body, backend, forwarding, splitter, .. } = self;
+        let mut lost = std::pin::pin!(lost(forwarding.as_ref(), splitter.last()));
         let mut wait = backend.tolerates(&silence::BETWEEN, Duration::ZERO, useful_ms).await;
         loop {
             let limit = until.min(tokio::time::Instant::now() + wait.unwrap_or_default());
@@ -188,9 +189,9 @@
 }
 
 /// Waits until what comes by another host is lost on its way; for ever if it doesn't.
-async fn lost(passage: Option<&Passage>, last_event: Option<u64>) {
-    match passage {
-        Some(passage) => passage.lost(last_event).await,
+async fn lost(forwarding: Option<&Forwarding>, last_event: Option<u64>) {
+    match forwarding {
+        Some(forwarding) => forwarding.lost(last_event).await,
         None => std::future::pending().await,
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,7 +21,7 @@
 use crate::paces::Paces;
 use crate::poison::{Guard, Trial};
 use crate::reach::Reach;
-use crate::recall::Visitors;
+use crate::recall::Registry;
 use crate::shed::Shed;
 use crate::timing::Timing;
 use crate::world::World;
@@ -90,7 +90,7 @@
     /// Other hosts that requests go by when it reaches none.
     pub helpers: Helpers,
     /// Requests of other hosts that are under way here.
-    pub visitors: Arc<Visitors>,
+    pub registry: Arc<Registry>,
     /// The other hosts of the failure domain; none until it is known who is there.
     pub peers: ArcSwap<Option<Peers>>,
     /// Requests that were lost with their servers.
@@ -114,7 +114,7 @@
             outbox,
             peers: ArcSwap::default(),
             helpers: Helpers::default(),
-            visitors: Arc::default(),
+            registry: Arc::default(),
             codec,
             world: ArcSwap::default(),
             allowance: ArcSwap::from_pointee(allowance),
