A host that another one has relieved no longer has all others read a long change (CONFIG)

What callers could see: new routes refused for longer than allowed at hosts with narrow links, after a table has grown many times over.

Cause: a host that has heard that a stronger one reads gives way when its call comes back, up to 0.8 s later. If that call brings the change it still told everybody to read for themselves, measured by its own narrow link.

Change: whoever tells the others asks at that moment whether a host that goes before it has read lately.

--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -199,8 +199,9 @@
         let is_waited_for = follow.relay().is_waited_for(bytes, self.link_mbps);
         let is_long_change = is_table && !is_waited_for && follow.is_long_change(bytes);
         follow.set_incoming(is_long_change);
-        if is_long_change && follow.relay().reads_for_others(clock::steady()) {
-            log::info!(target: "watch", list:? = list, bytes; "long answer begins, others notified");
+        if is_long_change && follow.relay().reads_first(clock::steady()) {
+            log::info!(target: "watch", list:? = list, bytes, link_mbps = self.link_mbps;
+                "long answer begins, others notified");
             self.notify(Notice::Incoming(list));
         }
         !follow.is_shorter_afresh(bytes)
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -317,6 +317,13 @@
         self.reads && !self.is_alone(now)
     }
 
+    /// Whether this host reads for others, and none that goes before it does: its call may outlast the change
+    /// of readers. What holds of its own link then says nothing of how soon the others have what it reads.
+    #[must_use]
+    pub fn reads_first(&self, now: Millis) -> bool {
+        self.reads_for_others(now) && !self.is_relieved(now)
+    }
+
     /// How long the host that reads for the others lets changes gather before it asks for more, having
     /// just read so many, in milliseconds.
     #[must_use]
@@ -354,9 +361,7 @@
 
     fn action_among_others(&mut self, now: Millis) -> Action {
         let stale_ms = self.part(STALE_PART);
-        let is_new = |peer: &Peer| peer.fresh.is_some_and(|fresh| now.since(fresh) < stale_ms);
-        let senior = self.peers.iter().filter(|(name, peer)| self.is_before(name, peer));
-        if self.reads && senior.map(|(_, peer)| peer).any(is_new) {
+        if self.reads && self.is_relieved(now) {
             self.reads = false;
         }
         // A weaker host that reads does so for want of this one: over its link a long change comes late to all.
@@ -391,6 +396,13 @@
         self.peers.iter().filter(move |(_, peer)| now.since(peer.heard) < gone_ms)
     }
 
+    /// Whether a host that goes before this one has read lately.
+    fn is_relieved(&self, now: Millis) -> bool {
+        let stale_ms = self.part(STALE_PART);
+        let is_new = |peer: &Peer| peer.fresh.is_some_and(|fresh| now.since(fresh) < stale_ms);
+        self.peers.iter().any(|(name, peer)| self.is_before(name, peer) && is_new(peer))
+    }
+
     fn is_before(&self, name: &Name, peer: &Peer) -> bool {
         rank_of(name, peer.class, self.list) < self.own
     }
--- a/crates/policy/tests/relay.rs
+++ b/crates/policy/tests/relay.rs
@@ -123,6 +123,29 @@
     assert_eq!(readers, 1);
 }
 
+/// Guards against a weak host that has all others read a long change themselves while a strong one reads it for
+/// them: its own call outlasts the change of readers.
+#[test]
+fn reads_first_not_beside_a_strong_host() {
+    let bounds = Bounds { change_ms: 2_000, alone_ms: 100 };
+    let (own, strong, weak) = (Name::from("own"), Name::from("strong"), Name::from("weak"));
+    let bootstrap = Bootstrap::new(Millis(0));
+    let mut relay = Relay::new(bounds, &own, "list", bootstrap).with_class(&own, 4);
+    let call = Millis(10_000);
+    relay.read(call);
+    relay.met_class(&strong, 9, call);
+    relay.met_class(&weak, 1, call);
+    assert_eq!(relay.action(call + 1_300), Action::Read { hold_ms: 0 });
+    relay.read(call + 1_300);
+    relay.heard(&weak, call + 1_310, call + 1_310);
+    assert!(relay.reads_first(call + 1_310));
+    relay.heard(&strong, call + 1_310, call + 1_310);
+    assert!(relay.reads_for_others(call + 1_310));
+    assert!(!relay.reads_first(call + 1_310));
+    // It is lost again.
+    assert!(relay.reads_first(call + 1_310 + 1_240));
+}
+
 #[test]
 fn action_reader_is_gone() {
     // The host that reads is stopped. The others hear nothing, one of them reads for itself in
