--- a/crates/node/tests/exchange.rs
+++ b/crates/node/tests/exchange.rs
@@ -15,6 +15,8 @@
 
 const LIST: List = List::Backends;
 const REVISION: u64 = 900;
+/// How long something may take to come true, far beyond what any of it needs.
+const PATIENCE: Duration = Duration::from_secs(10);
 
 /// A host that has so many entries, or is being given them.
 struct Giver {
@@ -105,15 +107,28 @@
     assert_eq!(giver.asked.load(Ordering::Relaxed), 1);
 }
 
-/// A host that gives way for so many bytes, and then closes.
-async fn cut_after(to: SocketAddr, bytes: usize) -> SocketAddr {
+/// How a way to a host ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    /// The asker's connection is closed.
+    Closed,
+    /// Both connections stay open and pass nothing on, not even their end.
+    Silent,
+}
+
+/// A way to a host that passes on so many bytes of its answers.
+async fn way(to: SocketAddr, bytes: usize, end: End) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         let (caller, _) = listener.accept().await.unwrap();
         let (mut from, mut asks) = caller.into_split();
         let (mut answers, mut on) = TcpStream::connect(to).await.unwrap().into_split();
-        tokio::spawn(async move { tokio::io::copy(&mut from, &mut on).await });
+        tokio::spawn(async move {
+            let _ = tokio::io::copy(&mut from, &mut on).await;
+            // The host does not learn that the asker has left.
+            std::future::pending::<()>().await;
+        });
         let mut left = bytes;
         let mut buffer = vec![0; 4_096];
         while left > 0 {
@@ -123,6 +138,9 @@
             }
             left -= read;
         }
+        if end == End::Silent {
+            std::future::pending::<()>().await;
+        }
     });
     address
 }
@@ -133,7 +151,7 @@
     let (from, _) = give(20_000, Holds::Up(REVISION), &Shelf::default()).await;
     for bytes in [0, 10, 5_000, 40_000, 100_000] {
         let shelf = Shelf::default();
-        let cut = cut_after(from, bytes).await;
+        let cut = way(from, bytes, End::Closed).await;
         let given = exchange::ask(cut, (LIST, 0, REVISION), &shelf).await;
         assert!(given.is_err(), "{bytes} {given:?}");
         // Nor is it passed on.
@@ -161,3 +179,37 @@
     let asked = ask(listener.local_addr().unwrap(), 0, 1);
     assert!(tokio::time::timeout(Duration::from_secs(3), asked).await.unwrap().is_err());
 }
+
+/// Guards against a host that waits for the rest of a table for as long as the silent connection stays open on
+/// which the first pieces came.
+#[tokio::test(flavor = "multi_thread")]
+async fn ask_host_that_falls_silent_between_pieces_is_left() {
+    let (from, _) = give(20_000, Holds::Up(REVISION), &Shelf::default()).await;
+    for bytes in [10, 40_000, 100_000] {
+        let silent = way(from, bytes, End::Silent).await;
+        let asked = tokio::time::timeout(PATIENCE, ask(silent, 0, REVISION));
+        assert!(asked.await.unwrap().is_err(), "{bytes}");
+    }
+}
+
+/// Guards against a host that gives to nobody any more, since all its places are kept by hosts whose connections
+/// fell silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn ask_place_of_a_silent_host_is_given_to_another() {
+    /// More than the hosts that are served at once.
+    const SILENT: usize = 24;
+    let (from, _) = give(20_000, Holds::Up(REVISION), &Shelf::default()).await;
+    let mut silent = Vec::new();
+    for _ in 0..SILENT {
+        silent.push(tokio::spawn(ask(way(from, 40_000, End::Silent).await, 0, REVISION)));
+    }
+    for asked in silent {
+        assert!(!matches!(asked.await.unwrap(), Ok(Given::News(_))));
+    }
+    let given = async {
+        while ask(from, 0, REVISION).await != Ok(Given::News(news(20_000))) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, given).await.unwrap();
+}
