--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -42,16 +42,16 @@
     Host,
 }
 
-/// A refusal, and what another host is told with it.
+/// A refusal, and what the host that passed the request on learns with it.
 struct Refused {
     refusal: Refusal,
-    told: HeaderMap,
+    headers: HeaderMap,
 }
 
 impl From<Refusal> for Refused {
     /// Of a request that was not carried.
     fn from(refusal: Refusal) -> Self {
-        Self { refusal, told: HeaderMap::new() }
+        Self { refusal, headers: HeaderMap::new() }
     }
 }
 
@@ -103,7 +103,7 @@
     let id = ask.id.clone();
     let mut response = match serve(state, ask, request, forwarded).await {
         Ok(response) => response,
-        Err(Refused { refusal, told }) => {
+        Err(Refused { refusal, headers }) => {
             let code = refusal.code.status();
             log::info!(target: "route", request:% = id, status = code,
                 why:% = refusal.message, ran:? = refusal.ran, origin:? = origin,
@@ -111,7 +111,7 @@
             metrics::counter!("gateway_refusals_total", "status" => code.to_string()).increment(1);
             let is_misdirected = origin != Origin::Caller && forward::is_for_another_host(&refusal);
             let mut response = refuse::response(&state.codec, &id, refusal);
-            response.headers_mut().extend(told);
+            response.headers_mut().extend(headers);
             if is_misdirected { forward::misdirected(state, response) } else { response }
         }
     };
@@ -186,11 +186,11 @@
         }
         Err(refusal) => {
             end::log(&job, End::Refused(refusal.code.status()), Passed::default());
-            let told = match job.origin {
+            let headers = match job.origin {
                 Origin::Caller => HeaderMap::new(),
                 Origin::Host => forward::describe_refused(&mut job).await,
             };
-            Err(Refused { refusal, told })
+            Err(Refused { refusal, headers })
         }
     }
 }
--- a/crates/gateway/src/recall.rs
+++ b/crates/gateway/src/recall.rs
@@ -58,9 +58,9 @@
     last_event: AtomicU64,
 }
 
-/// How a request stands at another host.
+/// Whether a request is under way at another host.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Standing {
+pub enum Status {
     /// Not under way there: it was answered, or never came.
     Over,
     /// Under way.
@@ -93,8 +93,8 @@
         Registered { registry: Arc::clone(self), number, entry }
     }
 
-    /// How the request stands that was asked after; one that is recalled ends.
-    pub fn answer(&self, question: Question) -> Standing {
+    /// Whether the request that is asked after is under way; one that is recalled ends.
+    pub fn answer(&self, question: Question) -> Status {
         let mut known = self.lock();
         let number = match question {
             Question::Ask(number) => number,
@@ -106,12 +106,12 @@
                 number
             }
         };
-        let Some(entry) = known.under_way.get(&number) else { return Standing::Over };
+        let Some(entry) = known.under_way.get(&number) else { return Status::Over };
         if matches!(question, Question::Recall(_)) {
             entry.recalled.cancel();
         }
         let last_event = Some(entry.last_event.load(Ordering::Relaxed)).filter(|last| *last > 0);
-        Standing::UnderWay { last_event }
+        Status::UnderWay { last_event }
     }
 
     fn lock(&self) -> MutexGuard<'_, Known> {
@@ -153,8 +153,8 @@
         }
     }
 
-    /// Puts it to a host: how the request stands there; none if that is not known.
-    async fn put(self, host: &Backend) -> Option<Standing> {
+    /// Asks a host whether the request is under way there; none if that is not known.
+    async fn send(self, host: &Backend) -> Option<Status> {
         let mut connection = Connection::open(host.server.address, WITHIN).await.ok()?;
         let mut request = Request::new(Full::new(Bytes::new()));
         let (name, number) = self.header();
@@ -164,9 +164,9 @@
         match response.status() {
             StatusCode::OK => {
                 let last_event = forward::number(response.headers(), LAST_EVENT);
-                Some(Standing::UnderWay { last_event })
+                Some(Status::UnderWay { last_event })
             }
-            StatusCode::NO_CONTENT => Some(Standing::Over),
+            StatusCode::NO_CONTENT => Some(Status::Over),
             // One that doesn't know such questions.
             _ => None,
         }
@@ -175,14 +175,14 @@
 
 /// The answer to a question.
 #[must_use]
-pub fn response(standing: Standing) -> Response<Answer> {
+pub fn response(status: Status) -> Response<Answer> {
     let mut response = Response::new(Answer::whole(Bytes::new()));
-    match standing {
-        Standing::Over => *response.status_mut() = StatusCode::NO_CONTENT,
-        Standing::UnderWay { last_event: Some(last) } => {
+    match status {
+        Status::Over => *response.status_mut() = StatusCode::NO_CONTENT,
+        Status::UnderWay { last_event: Some(last) } => {
             response.headers_mut().insert(LAST_EVENT, HeaderValue::from(last));
         }
-        Standing::UnderWay { last_event: None } => {}
+        Status::UnderWay { last_event: None } => {}
     }
     response
 }
@@ -222,12 +222,12 @@
         let (mut ahead, mut pause) = (0, ASK_AFTER);
         while ahead < LOST_AFTER {
             tokio::time::sleep(pause).await;
-            (ahead, pause) = match Question::Ask(self.number).put(&self.host).await {
-                Some(Standing::Over) => (ahead + 1, ASK_AFTER),
-                Some(Standing::UnderWay { last_event: sent }) if sent > last_event => {
+            (ahead, pause) = match Question::Ask(self.number).send(&self.host).await {
+                Some(Status::Over) => (ahead + 1, ASK_AFTER),
+                Some(Status::UnderWay { last_event: sent }) if sent > last_event => {
                     (ahead + 1, ASK_AFTER)
                 }
-                Some(Standing::UnderWay { .. }) | None => (0, (pause * 2).min(ASK_EVERY_MAX)),
+                Some(Status::UnderWay { .. }) | None => (0, (pause * 2).min(ASK_EVERY_MAX)),
             };
         }
     }
@@ -243,12 +243,12 @@
         // None outside of a runtime: then the process ends, and its connections with it.
         if let Ok(runtime) = tokio::runtime::Handle::try_current() {
             runtime.spawn(async move {
-                let standing = Question::Recall(number).put(&host).await;
+                let status = Question::Recall(number).send(&host).await;
                 log::info!(target: "route", request:% = request, host:% = host.id,
-                    standing:?; "request recalled from another host");
-                let outcome = match standing {
-                    Some(Standing::UnderWay { .. }) => "under_way",
-                    Some(Standing::Over) => "over",
+                    status:?; "request recalled from another host");
+                let outcome = match status {
+                    Some(Status::UnderWay { .. }) => "under_way",
+                    Some(Status::Over) => "over",
                     None => "unknown",
                 };
                 metrics::counter!("gateway_recalls_total", "outcome" => outcome).increment(1);
--- a/crates/policy/src/detour.rs
+++ b/crates/policy/src/detour.rs
@@ -38,10 +38,10 @@
 }
 
 /// Tries of a request that went by a host which might make so many, after so many before: as that host
-/// tells, or all that it might have made.
+/// reports, or all that it might have made.
 #[must_use]
-pub fn spent(before: u32, lent: u32, told: Option<u32>) -> u32 {
-    told.unwrap_or(before + lent).max(before)
+pub fn spent(before: u32, lent: u32, reported: Option<u32>) -> u32 {
+    reported.unwrap_or(before + lent).max(before)
 }
 
 /// A host that a request goes by.
