Settings: their checks and the secret in files of their own; each bound tells itself

An operator who set one time too short was told six bounds at once ("at least 100, 500, 500, 2000, 1000 and 1") and not which held; each member now tells its own (parse_time_that_is_too_short_tells_its_least). What is accepted is as before.

--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -1,5 +1,8 @@
 //! Settings of one process: a JSON file, checked whole before anything starts.
 
+mod check;
+mod secret;
+
 use std::net::SocketAddr;
 
 use policy::domain;
@@ -7,6 +10,7 @@
 
 use crate::fault::{Fault, is_within};
 use crate::read;
+pub use secret::KEY_BYTES_MIN;
 
 domain! {
     /// Settings of either process.
@@ -282,9 +286,6 @@
 
 const SECRET_FORM: &str = "must be {\"file\": PATH}, {\"env\": NAME} or {\"text\": SECRET}";
 
-/// Shortest accepted shared key, in bytes.
-pub const KEY_BYTES_MIN: usize = 16;
-
 /// Reads and checks settings.
 ///
 /// # Errors
@@ -318,9 +319,9 @@
     }
     let mut broken = Vec::new();
     match &settings {
-        Some(Settings::Entry(entry)) => check_entry(entry, &mut broken),
-        Some(Settings::Control(control)) => check_control(control, &mut broken),
-        Some(Settings::Node(node)) => check_node(node, &mut broken),
+        Some(Settings::Entry(entry)) => check::entry(entry, &mut broken),
+        Some(Settings::Control(control)) => check::control(control, &mut broken),
+        Some(Settings::Node(node)) => check::node(node, &mut broken),
         None => {}
     }
     // What stands where a fault was mended is ours, not the operator's.
@@ -332,151 +333,6 @@
     }
 }
 
-fn check_entry(entry: &Entry, faults: &mut Vec<Fault>) {
-    check_common(&entry.name, &entry.failure_domain, &entry.log, faults);
-    check_secret(&entry.peer_key, faults);
-    if entry.controls.is_empty() {
-        faults.push(Fault::at("controls", "at least one is needed"));
-    }
-    if !(0.0..=1.0).contains(&entry.rated_share) {
-        faults.push(Fault::at("rated_share", "must be from 0 to 1"));
-    }
-    for (member, zero) in [
-        ("bounds.header_bytes", entry.bounds.header_bytes < 1024),
-        ("bounds.body_bytes", entry.bounds.body_bytes < 1024),
-        ("bounds.slow_ms", entry.bounds.slow_ms == 0),
-        ("bounds.in_flight", entry.bounds.in_flight == 0),
-    ] {
-        if zero {
-            faults.push(Fault::at(member, "too small to serve anything"));
-        }
-    }
-}
-
-fn check_control(control: &Control, faults: &mut Vec<Fault>) {
-    check_common(&control.name, &control.failure_domain, &control.log, faults);
-    check_secret(&control.peer_key, faults);
-    for (index, hash) in control.operator_token_hashes.iter().enumerate() {
-        if !is_sha256(hash) {
-            let path = format!("operator_token_hashes[{index}]");
-            faults.push(Fault::at(path, "must be 64 hexadecimal digits"));
-        }
-    }
-    for (member, zero) in [
-        ("bills_max", control.bills_max == 0),
-        ("poll_ms", control.poll_ms == 0),
-        ("gossip_ms", control.gossip_ms == 0),
-        ("shards", control.shards == 0),
-    ] {
-        if zero {
-            faults.push(Fault::at(member, "must not be 0"));
-        }
-    }
-}
-
-/// Failure domains of one deployment.
-const DOMAINS_MAX: usize = 1_000;
-
-fn check_domains(node: &Node, faults: &mut Vec<Fault>) {
-    let domains = &node.failure_domains;
-    let names: std::collections::BTreeSet<&Name> = domains.iter().collect();
-    let fault = match () {
-        () if domains.is_empty() => return,
-        () if domains.len() > DOMAINS_MAX => "must name no more than 1000",
-        () if names.len() < domains.len() => "names a failure domain twice",
-        () if !names.contains(&node.failure_domain) => "must name the host's own",
-        () => return,
-    };
-    faults.push(Fault::at("failure_domains", fault));
-}
-
-/// With fewer descriptors a host has none left for callers beside its own files and connections.
-const DESCRIPTORS_MIN: u32 = 512;
-
-fn check_node(node: &Node, faults: &mut Vec<Fault>) {
-    check_common(&node.name, &node.failure_domain, &node.log, faults);
-    if !(0.0..=10.0).contains(&node.repeats.share) {
-        faults.push(Fault::at("repeats.share", "must be from 0 to 10"));
-    }
-    if !(0.0..=1e6).contains(&node.repeats.slack) {
-        faults.push(Fault::at("repeats.slack", "must be from 0 to 1000000"));
-    }
-    check_domains(node, faults);
-    let resources = [
-        ("resources.core_share", node.resources.core_share),
-        ("resources.link_mbps", node.resources.link_mbps),
-    ];
-    for (path, value) in resources {
-        if !(value.is_finite() && value > 0.0) {
-            faults.push(Fault::at(path, "must be more than 0"));
-        }
-    }
-    if node.resources.descriptors.is_some_and(|count| count < DESCRIPTORS_MIN) {
-        faults.push(Fault::at("resources.descriptors", "must be at least 512"));
-    }
-    if node.standing_delay_ms.is_some_and(|ms| !(ms.is_finite() && ms > 0.0)) {
-        faults.push(Fault::at("standing_delay_ms", "must be more than 0"));
-    }
-    if node.resources.memory_mb == Some(0) {
-        faults.push(Fault::at("resources.memory_mb", "must be more than 0"));
-    }
-    if !(0.0..=1.0).contains(&node.exposure_share) {
-        faults.push(Fault::at("exposure_share", "must be from 0 to 1"));
-    }
-    for (member, wrong) in [
-        ("repeats.window_ms", node.repeats.window_ms < 100),
-        ("change_ms", node.change_ms < 500),
-        ("leaving_ms", node.leaving_ms < 500),
-        ("contact_ms", node.contact_ms < 2_000),
-        ("drain_ms", node.drain_ms < 1_000),
-        ("threads", !(1..=256).contains(&node.threads)),
-    ] {
-        if wrong {
-            let why = "is out of bounds: at least 100, 500, 500, 2000, 1000 and 1";
-            faults.push(Fault::at(member, why));
-        }
-    }
-}
-
-fn check_common(name: &Name, failure_domain: &Name, log: &Name, faults: &mut Vec<Fault>) {
-    for (member, text) in [("name", name), ("failure_domain", failure_domain)] {
-        if !is_name(text) {
-            faults.push(Fault::at(member, "must be 1 to 64 letters, digits, '-', '_' or '.'"));
-        }
-    }
-    if !["off", "error", "warn", "info", "debug", "trace"].contains(&log.as_str()) {
-        faults.push(Fault::at("log", "must be off, error, warn, info, debug or trace"));
-    }
-}
-
-fn check_secret(secret: &Secret, faults: &mut Vec<Fault>) {
-    if let Err(message) = secret.load() {
-        faults.push(Fault::at("peer_key", message));
-    }
-}
-
-impl Secret {
-    /// The secret's bytes.
-    ///
-    /// # Errors
-    /// A message that never holds the secret.
-    pub fn load(&self) -> Result<Vec<u8>, String> {
-        let text = match self {
-            Self::File(path) => {
-                std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?
-            }
-            Self::Env(name) => std::env::var(name).map_err(|e| format!("{name}: {e}"))?,
-            Self::Text(text) => text.clone(),
-        };
-        match text.trim() {
-            short if short.len() < KEY_BYTES_MIN => {
-                Err(format!("must hold at least {KEY_BYTES_MIN} bytes"))
-            }
-            key => Ok(key.as_bytes().to_vec()),
-        }
-    }
-}
-
 /// Whether a text may name a host, account, version or the like.
 #[must_use]
 pub fn is_name(text: &str) -> bool {
--- a/crates/wire/tests/settings.rs
+++ b/crates/wire/tests/settings.rs
@@ -11,6 +11,14 @@
     "listen": "127.0.0.1:0", "operators": "127.0.0.1:0", "peer_key": {"text": "0123456789abcdef"},
     "controls": [{"name": "c1", "failure_domain": "north", "address": "127.0.0.1:1"}]}"#;
 
+/// Settings of a node with more members.
+fn node(members: &str) -> String {
+    format!(
+        r#"{{"role": "node", "name": "n", "failure_domain": "d", "listen": "127.0.0.1:1",
+            "operators": "127.0.0.1:2", "platform": "127.0.0.1:3", {members}}}"#
+    )
+}
+
 #[test]
 fn parse_whole_settings() {
     assert!(matches!(settings::parse(ENTRY), Ok(Settings::Entry(_))));
@@ -74,12 +82,7 @@
 
 #[test]
 fn parse_resources_are_more_than_nothing() {
-    let text = |resources: &str| {
-        format!(
-            r#"{{"role": "node", "name": "n", "failure_domain": "a", "listen": "127.0.0.1:1",
-                "operators": "127.0.0.1:2", "platform": "127.0.0.1:3", "resources": {resources}}}"#
-        )
-    };
+    let text = |resources: &str| node(&format!("\"resources\": {resources}"));
     assert!(settings::parse(&text(r#"{"core_share": 0.12, "link_mbps": 20}"#)).is_ok());
     assert!(settings::parse(&text("{}")).is_ok());
     assert_eq!(paths(&text(r#"{"core_share": 0}"#)), ["resources.core_share"]);
@@ -92,12 +95,7 @@
 
 #[test]
 fn parse_failure_domains_are_few_and_name_the_own() {
-    let text = |domains: &str| {
-        format!(
-            r#"{{"role": "node", "name": "a", "failure_domain": "d", "listen": "127.0.0.1:1",
-                "operators": "127.0.0.1:2", "platform": "127.0.0.1:3", "failure_domains": {domains}}}"#
-        )
-    };
+    let text = |domains: &str| node(&format!("\"failure_domains\": {domains}"));
     assert!(settings::parse(&text("[]")).is_ok());
     assert!(settings::parse(&text(r#"["c", "d"]"#)).is_ok());
     let many: Vec<String> = (0..9_999).map(|number| format!("\"{number}\"")).collect();
@@ -107,14 +105,23 @@
     }
 }
 
+/// Guards against an operator who is told several bounds and not which one is broken.
+#[test]
+fn parse_time_that_is_too_short_tells_its_least() {
+    for (member, least) in
+        [("change_ms", 500), ("leaving_ms", 500), ("contact_ms", 2_000), ("drain_ms", 1_000)]
+    {
+        let with = |ms: u64| settings::parse(&node(&format!("\"{member}\": {ms}")));
+        assert!(with(least).is_ok(), "{member}");
+        let faults = with(least - 1).expect_err("a fault");
+        let told: Vec<String> = faults.iter().map(|fault| fault.message.clone()).collect();
+        assert_eq!(told, [format!("must be at least {least}")], "{member}");
+    }
+}
+
 #[test]
 fn parse_exposure_share_is_a_part() {
-    let text = |share: &str| {
-        format!(
-            r#"{{"role": "node", "name": "a", "failure_domain": "d", "listen": "127.0.0.1:1",
-                "operators": "127.0.0.1:2", "platform": "127.0.0.1:3", "exposure_share": {share}}}"#
-        )
-    };
+    let text = |share: &str| node(&format!("\"exposure_share\": {share}"));
     assert!(settings::parse(&text("0.15")).is_ok());
     for wrong in ["1.5", "-0.1"] {
         assert_eq!(paths(&text(wrong)), ["exposure_share"], "{wrong}");
