--- a/crates/coordination/src/shard.rs
+++ b/crates/coordination/src/shard.rs
@@ -55,7 +55,7 @@
     /// Takes records from an owner.
     pub fn receive(&mut self, append: &Append) -> Appended {
         match &mut self.role {
-            // A live owner gives way only to the row, never to another's word.
+            // A live owner gives way only to the row, never to another's claim.
             Role::Owner(owner) => Appended::Fenced { epoch: owner.epoch },
             // About to be owner. A load by another that prepares the same epoch would take away the
             // records it is about to serve.
--- a/crates/experiment/src/scenario.rs
+++ b/crates/experiment/src/scenario.rs
@@ -181,7 +181,7 @@
 }
 
 impl Kind {
-    /// Pause without a word after which a caller abandons a stream, in milliseconds.
+    /// Pause without an event after which a caller abandons a stream, in milliseconds.
     #[must_use]
     pub fn patience_ms(&self) -> u64 {
         2_000.max(4 * self.objective_ms).max(8 * self.gap_ms)
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -126,20 +126,17 @@
             speed.note(first_ms / seen.slowdown, seen.wait_ms, tokens);
         });
     }
-    let backend = Arc::clone(backend);
-    let expected_ms = seen.wait_ms + read_ms;
-    let forwarding = None;
     Ok(Reply {
         head,
         said,
         body,
         connection,
         lease,
-        backend,
+        backend: Arc::clone(backend),
         sent_at,
         first_ms,
-        expected_ms,
-        forwarding,
+        expected_ms: seen.wait_ms + read_ms,
+        forwarding: None,
     })
 }
 
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -190,19 +190,17 @@
                     self.tries.version = Some(server.version.clone());
                 }
                 let first_ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
-                let (backend, expected_ms) = (Arc::clone(host), first_ms);
-                let forwarding = Some(forwarding);
                 Ok(Reply {
                     head,
                     said,
                     body,
                     connection,
                     lease,
-                    backend,
+                    backend: Arc::clone(host),
                     sent_at,
                     first_ms,
-                    expected_ms,
-                    forwarding,
+                    expected_ms: first_ms,
+                    forwarding: Some(forwarding),
                 })
             }
         }
@@ -265,7 +263,7 @@
         Some(request)
     }
 
-    /// The refusal of another host that did not try the request, as its caller is told.
+    /// The refusal of another host that did not try the request, as its caller gets it.
     #[must_use]
     pub fn refused_elsewhere(&self, reply: &Reply) -> Refusal {
         match refusal(&reply.head) {
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -32,7 +32,7 @@
 /// Largest answer that is not a stream.
 const ANSWER_BYTES_MAX: usize = 16 << 20;
 
-/// Whether the end of an answer's body can be told from a connection that is lost.
+/// Whether the end of an answer's body can be distinguished from a connection that is lost.
 #[must_use]
 pub fn is_framed(reply: &Reply) -> bool {
     reply.body.size_hint().exact().is_some() || reply.head.headers.contains_key(TRANSFER_ENCODING)
--- a/crates/gateway/src/paces.rs
+++ b/crates/gateway/src/paces.rs
@@ -1,4 +1,4 @@
-//! What streams of this host showed of their engines' speeds, until the other hosts are told.
+//! What streams of this host showed of their engines' speeds, until the other hosts are notified.
 
 use std::collections::HashMap;
 use std::sync::{Mutex, PoisonError};
@@ -7,7 +7,7 @@
 use policy::slowdown::Shown;
 
 policy::domain! {
-    /// What streams of one engine showed, as other hosts are told of it.
+    /// What streams of one engine showed, as other hosts are notified of it.
     pub struct Seen {
         /// The backend server's start.
         pub backend: Name,
@@ -28,7 +28,7 @@
         *held = held.and(shown);
     }
 
-    /// What the others have not been told yet.
+    /// What the others have not been notified of yet.
     pub fn take(&self) -> Vec<Seen> {
         let paces = std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner));
         paces.into_iter().map(|(backend, shown)| Seen { backend, shown }).collect()
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -98,7 +98,7 @@
         self.changed.notify_one();
     }
 
-    /// Whether something is to be told or read, now or soon.
+    /// Whether something is to be sent or read, now or soon.
     pub fn is_awake(&self) -> bool {
         self.polls(|polls| polls.is_awake()) || self.lock().has_unsent()
     }
@@ -114,7 +114,7 @@
             self.polls(|polls| polls.hurry(now));
             self.changed.notify_one();
         }
-        // Of victims every host hears; what is decided by is told of.
+        // Of victims every host hears; what is decided by is sent to them.
         if is_news && verdict != Verdict::Run {
             log::info!(target: "route", digest:% = heard.digest, verdict:? = verdict,
                 from:? = source; "lost request heard of");
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -254,7 +254,7 @@
 
     /// Whether a stream or session that is on a version stays there.
     ///
-    /// When a roll-out has succeeded the servers of the version before are stopped without a word,
+    /// When a roll-out has succeeded the servers of the version before are stopped without notice,
     /// and are listed for some seconds more. A stream that was cut by that and asked those servers
     /// one after another would have used up its tries before it came to one that lives. They are
     /// stopped before all hosts know of the success, so it is enough that the new version has all
--- a/crates/gateway/src/recall.rs
+++ b/crates/gateway/src/recall.rs
@@ -2,7 +2,7 @@
 //!
 //! A host that leaves another one closes its connection. Where that has fallen silent the other one never
 //! learns of it and works on: the request runs on two servers at once, or for a caller who is gone. So it
-//! is told on a new connection.
+//! is notified on a new connection.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -40,7 +40,7 @@
     /// Events that have come and are not yet passed on.
     begun: Bytes,
     ended: bool,
-    /// Its end can be told from a connection that is lost.
+    /// Its end can be distinguished from a connection that is lost.
     is_framed: bool,
     backend: Arc<Backend>,
     sent_at: Instant,
--- a/crates/node/src/history.rs
+++ b/crates/node/src/history.rs
@@ -13,7 +13,7 @@
 /// minute. Of more, those that changed first are forgotten.
 const REMOVED_MIN: usize = 2_048;
 
-/// Edits of the table kept: a host that missed some of a storm of changes is told all of them at once.
+/// Edits of the table kept: a host that missed some of a storm of changes is sent all of them at once.
 const EDITS_MAX: usize = 16;
 /// An edit that names more than this part of a table is as well sent whole.
 const EDIT_PART_MAX: f64 = 0.25;
@@ -23,7 +23,7 @@
 struct Edited {
     /// Revision of the entry that it is made of.
     before: u64,
-    /// As others are told of it.
+    /// As others are sent it.
     entry: Entry,
 }
 
@@ -187,7 +187,7 @@
         Some(News { entries, revision: newest, is_whole })
     }
 
-    /// An entry as those are told of it that know the list as of a revision: a table by its edits since,
+    /// An entry as it is sent to those that know the list as of a revision: a table by its edits since,
     /// if they are all known.
     fn edits_behind(&self, revision: u64, entry: &Entry) -> Vec<Entry> {
         let edits = self.edits.iter().filter(|edited| edited.entry.key == entry.key);
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -64,8 +64,8 @@
     next: Instant,
     /// When this host's counts are reported next.
     tell: Instant,
-    /// What the delegate was told last, and until when that is not said again.
-    told: (Vec<Evidence>, Instant),
+    /// What was last reported to the delegate, and until when that is not sent again.
+    reported: (Vec<Evidence>, Instant),
 }
 
 impl<S: Store, C: Codec> Rollouts<S, C> {
@@ -92,7 +92,7 @@
             written: ByHost::new(),
             next: now,
             tell: now,
-            told: (Vec::new(), now),
+            reported: (Vec::new(), now),
         };
         self.begin(&course.service).await;
         loop {
@@ -133,12 +133,12 @@
     }
 
     /// Tells the delegate what this host counted, if that is new: of hundreds of hosts most have counted
-    /// nothing since they last told it.
+    /// nothing since they last reported it.
     fn tell_counts(&self, course: &mut Course, now: Instant) {
         let own = self.state().tally.of(&course.service);
-        let (told, until) = &course.told;
-        if *told != own || now >= *until {
-            course.told = (own, now + TELL_AGAIN);
+        let (reported, until) = &course.reported;
+        if *reported != own || now >= *until {
+            course.reported = (own, now + TELL_AGAIN);
             self.watch.share_counts();
         }
     }
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -299,7 +299,7 @@
     /// Has the other hosts of the failure domain notified.
     pub fn notify(&self, notice: Notice) {
         if self.notifier.try_send(notice).is_err() {
-            // The sender is behind, or there is none. The others hear with the next word, or read
+            // The sender is behind, or there is none. The others hear with the next message, or read
             // for themselves.
             metrics::counter!("node_relay_unsent_total").increment(1);
         }
--- a/crates/node/src/watch/start.rs
+++ b/crates/node/src/watch/start.rs
@@ -1,4 +1,4 @@
-//! How a host that starts reads a list of the store, and what others are told meanwhile.
+//! How a host that starts reads a list of the store, and what others are sent meanwhile.
 
 use std::time::Duration;
 
--- a/crates/policy/src/poison/book.rs
+++ b/crates/policy/src/poison/book.rs
@@ -22,10 +22,10 @@
 const ENDED_MS: u64 = 1_000;
 /// Ends of servers remembered at most.
 const ENDED_MAX: usize = 256;
-/// A request lost with one server is told of only if it is not answered elsewhere within this time,
+/// A request lost with one server is reported only if it is not answered elsewhere within this time,
 /// in milliseconds: nearly all are.
 const UNANSWERED_MS: u64 = 1_000;
-/// Requests told of at once at most.
+/// Requests reported at once at most.
 const SHARED_MAX: usize = 24;
 /// Servers that end in a row, with not one answer of their service between, after which more ends say
 /// nothing of parts: the service is down, and parts that all requests have would be held once it is back.
@@ -61,7 +61,7 @@
     Unframed,
 }
 
-/// Who has to be told of what is known of a request.
+/// Who has to be notified of what is known of a request.
 #[derive(Clone, Copy, Debug, Default)]
 struct Unsent {
     store: bool,
@@ -82,7 +82,7 @@
     unsent: Unsent,
     /// This host lost it with a server, or answered it.
     is_own: bool,
-    /// Others have been told of it, so they are told when it is cleared.
+    /// Others have been notified of it, so they are notified when it is cleared.
     is_shared: bool,
 }
 
@@ -285,13 +285,13 @@
         self.known.get(&digest).map(|known| &known.suspect)
     }
 
-    /// Whether somebody may have to be told of something, now or soon.
+    /// Whether somebody may have to be notified of something, now or soon.
     #[must_use]
     pub fn has_unsent(&self) -> bool {
         self.known.values().any(|known| known.unsent.store || known.unsent.peers)
     }
 
-    /// What the other hosts of the failure domain are to be told now.
+    /// What the other hosts of the failure domain are to be notified of now.
     pub fn for_peers(&mut self, now: Millis) -> Vec<Suspect> {
         self.settle(now);
         let due = self.known.values_mut().filter(|known| known.unsent.peers && is_due(known, now));
--- a/crates/policy/src/throttle.rs
+++ b/crates/policy/src/throttle.rs
@@ -27,7 +27,7 @@
 /// together while a host has no caller to send is not lost.
 const SAVED_MIN: f64 = 1.0;
 const WARMUP_SAVED_MIN: f64 = 1.5;
-/// A limit that has ended is told of for this long, in milliseconds: the next sign of life of each
+/// A limit that has ended is reported for this long, in milliseconds: the next sign of life of each
 /// host reaches those that missed the message.
 const SHARED_MS: u64 = 15_000;
 
--- a/crates/policy/tests/lending.rs
+++ b/crates/policy/tests/lending.rs
@@ -44,10 +44,10 @@
                 is_served = !happens(failing);
             }
             runs += made;
-            let told = (!happens(losing)).then_some(sent + made);
+            let reported = (!happens(losing)).then_some(sent + made);
             let counted = if way == Way::AsOne { 1 } else { lent };
-            sent = spent(sent, counted, told);
-            if is_served && told.is_some() {
+            sent = spent(sent, counted, reported);
+            if is_served && reported.is_some() {
                 outcome.served += 1;
                 break;
             }
@@ -59,7 +59,7 @@
 
 /// Guards against a request on more servers than its route allows, whatever is lost between hosts.
 #[test]
-fn spent_stays_within_what_is_allowed() {
+fn spent_attempts_by_another_host_stay_within_the_route() {
     for allowed in 1..=4 {
         for failing in [0.0, 0.3, 0.9] {
             for losing in [0.0, 0.1, 0.5, 1.0] {
--- a/crates/wire/src/routing/edit.rs
+++ b/crates/wire/src/routing/edit.rs
@@ -1,7 +1,7 @@
 //! What changed between two versions of a table of routes.
 //!
 //! Operators change a route or an account at a time, and a large fleet's table is long. Hosts that
-//! know one version are told the edit that makes the next one of it.
+//! know one version are sent the edit that makes the next one of it.
 
 use std::collections::{HashMap, HashSet};
 
--- a/crates/wire/tests/settings.rs
+++ b/crates/wire/tests/settings.rs
@@ -27,9 +27,9 @@
 #[test]
 fn parse_tells_every_missing_member() {
     let missing = ["name", "failure_domain", "listen", "operators", "controls", "peer_key"];
-    let told = paths(r#"{"role": "entry"}"#);
+    let found = paths(r#"{"role": "entry"}"#);
     for member in missing {
-        assert!(told.iter().any(|path| path == member), "{member} is not in {told:?}");
+        assert!(found.iter().any(|path| path == member), "{member} is not in {found:?}");
     }
     assert!(paths(r#"{"role": "control"}"#).contains(&"platform".to_owned()));
 }
@@ -43,9 +43,9 @@
             "\"listen\": 80, \"listne\": 1, \"drain_ms\": \"x\"",
         )
         .replace("0123456789abcdef", "short");
-    let mut told = paths(&text);
-    told.sort();
-    assert_eq!(told, ["drain_ms", "listen", "listne", "name", "peer_key"]);
+    let mut found = paths(&text);
+    found.sort();
+    assert_eq!(found, ["drain_ms", "listen", "listne", "name", "peer_key"]);
 }
 
 #[test]
@@ -55,7 +55,7 @@
     assert_eq!(paths("no JSON"), [""]);
 }
 
-/// A fault never tells the secret that it is about.
+/// A fault never shows the secret that it is about.
 #[test]
 fn parse_hides_secrets() {
     let bare = ENTRY.replace(r#"{"text": "0123456789abcdef"}"#, r#""tooshort""#);
@@ -105,7 +105,7 @@
     }
 }
 
-/// Guards against an operator who is told several bounds and not which one is broken.
+/// Guards against an operator who is shown several bounds and not which one is broken.
 #[test]
 fn parse_time_that_is_too_short_tells_its_least() {
     for (member, least) in
@@ -114,8 +114,8 @@
         let with = |ms: u64| settings::parse(&node(&format!("\"{member}\": {ms}")));
         assert!(with(least).is_ok(), "{member}");
         let faults = with(least - 1).expect_err("a fault");
-        let told: Vec<String> = faults.iter().map(|fault| fault.message.clone()).collect();
-        assert_eq!(told, [format!("must be at least {least}")], "{member}");
+        let found: Vec<String> = faults.iter().map(|fault| fault.message.clone()).collect();
+        assert_eq!(found, [format!("must be at least {least}")], "{member}");
     }
 }
 
