--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -27,7 +27,7 @@
 use audit::{Accepted, Bills};
 use fault::{Faults, Limiter};
 use hosts::Hosts;
-use store::{Record, Store};
+use store::{Backup, Record, Store};
 
 /// The table that the host list is published in, each host under its name.
 pub const HOSTS: &str = "hosts";
@@ -217,6 +217,24 @@
         self.store().set_stale(stale);
     }
 
+    /// Its state as of now, to come back to.
+    #[must_use]
+    pub fn backup(&self) -> Backup {
+        self.store().backup()
+    }
+
+    /// Comes back from a copy: what was acknowledged since is gone, whoever wrote it.
+    pub fn restore(&self, backup: Backup) {
+        self.store().restore(backup);
+        self.changed.send_modify(|_| {});
+    }
+
+    /// How often it has come back from a copy.
+    #[must_use]
+    pub fn era(&self) -> u64 {
+        self.store().era()
+    }
+
     /// Calls that reached it so far.
     #[must_use]
     pub fn calls(&self) -> u64 {
--- a/crates/standin/src/platform/http.rs
+++ b/crates/standin/src/platform/http.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::header::IF_NONE_MATCH;
 use hyper::{Method, Request, Response, StatusCode};
-use platform::names::call;
+use platform::names::{self, call};
 use platform::store::message::{Answer, Objects, Reference, Row, Transaction};
 use policy::name::Name;
 use wire::store::{Condition, Write};
@@ -58,7 +58,11 @@
         let call = Call::read(request).await?;
         match self.administer(&call) {
             Some(response) => Ok(response),
-            None => self.serve(call).await,
+            None => {
+                let mut response = Arc::clone(&self).serve(call).await?;
+                response.headers_mut().insert(names::STORE_ERA, self.era().into());
+                Ok(response)
+            }
         }
     }
 }
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -44,6 +44,14 @@
     pub row: Option<Row>,
 }
 
+/// A past state of the platform, to come back to.
+#[derive(Clone, Debug, Default)]
+pub struct Backup {
+    tables: BTreeMap<Name, Table>,
+    objects: BTreeMap<Name, Bytes>,
+    version: u64,
+}
+
 /// The platform's memory.
 #[derive(Default)]
 pub struct Store {
@@ -55,6 +63,8 @@
     /// Changes up to here are no longer kept.
     forgotten: u64,
     version: u64,
+    /// How often it has come back from a copy.
+    era: u64,
     /// A past state that reads are answered from.
     stale: Option<(BTreeMap<Name, Table>, u64)>,
 }
@@ -102,11 +112,35 @@
         (rows.map(|(_, row)| row.clone()).collect(), version)
     }
 
-    /// Changes of a table behind a version; none if they are no longer kept.
+    /// How often it has come back from a copy.
+    #[must_use]
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Its state as of now.
+    #[must_use]
+    pub fn backup(&self) -> Backup {
+        let (tables, objects) = (self.tables.clone(), self.objects.clone());
+        Backup { tables, objects, version: self.version }
+    }
+
+    /// Comes back as it was. What was written since is gone, and its versions are given out again.
+    pub fn restore(&mut self, backup: Backup) {
+        let Backup { tables, objects, version } = backup;
+        (self.tables, self.objects, self.version) = (tables, objects, version);
+        self.history.retain(|changed| changed.version <= version);
+        self.forgotten = self.forgotten.min(version);
+        self.stale = None;
+        self.era += 1;
+    }
+
+    /// Changes of a table behind a version; none if they are no longer kept, or it has no such version.
     #[must_use]
     pub fn changes(&self, table: &str, after: u64) -> Option<Vec<Changed>> {
         let behind = |changed: &&Changed| changed.version > after && *changed.table == *table;
-        (after >= self.forgotten).then(|| self.history.iter().filter(behind).cloned().collect())
+        let is_kept = (self.forgotten..=self.version).contains(&after);
+        is_kept.then(|| self.history.iter().filter(behind).cloned().collect())
     }
 
     /// Forgets its history.
