--- a/crates/chestnutspur/tests/logs.rs
+++ b/crates/chestnutspur/tests/logs.rs
@@ -49,7 +49,7 @@
         .unwrap();
     let mut answered = 0;
     while answered < QUESTIONS {
-        match exchange::ask(peers, (List::Operators, 0, 0), &Shelf::default()).await {
+        match exchange::ask(peers, (List::Operators, 0.into(), 0.into()), &Shelf::default()).await {
             Ok(_) => answered += 1,
             Err(_) => tokio::time::sleep(LOOK).await,
         }
--- a/crates/control/benches/table/mod.rs
+++ b/crates/control/benches/table/mod.rs
@@ -72,7 +72,7 @@
         transaction.conditions.push(Condition {
             table: table.clone(),
             key: key.clone(),
-            version: 0,
+            version: 0.into(),
         });
         transaction.writes.push(Write { table, key, value: Some(asked.request.to_string()) });
     }
--- a/crates/control/src/configuration/accept.rs
+++ b/crates/control/src/configuration/accept.rs
@@ -10,6 +10,7 @@
 
 use log::{info, warn};
 use policy::name::Name;
+use policy::revision::Revision;
 use wire::configuration::{Document, check};
 use wire::fault::Fault;
 use wire::store::{Condition, Row, Transaction, Write};
@@ -83,7 +84,7 @@
         let row = self.node.store.row(TABLE, CURRENT).await.map_err(unavailable)?;
         let (version, current) = match &row {
             Some(row) => (row.version, decode::<Current>(&row.value).map_err(unavailable)?),
-            None => (0, Current::default()),
+            None => (Revision::NONE, Current::default()),
         };
         if current.generation != document.generation {
             return self.earlier(change, current.generation).await;
@@ -111,7 +112,7 @@
 
     async fn transaction(
         &self,
-        version: u64,
+        version: Revision,
         generation: u64,
         change: &str,
         text: &str,
@@ -125,7 +126,7 @@
             write(&change_row, Some(generation.to_string())),
         ];
         writes.extend(self.outlived(generation).await?);
-        let conditions = vec![condition(CURRENT, version), condition(&change_row, 0)];
+        let conditions = vec![condition(CURRENT, version), condition(&change_row, Revision::NONE)];
         Ok(Transaction { conditions, writes, ..Transaction::default() })
     }
 
@@ -144,7 +145,7 @@
     async fn conflict(&self, change: &str, conflict: &[Row]) -> Result<Step, Refused> {
         let current = conflict.iter().find(|row| &*row.key == CURRENT);
         let current = match current {
-            Some(row) if row.version > 0 => {
+            Some(row) if row.version > Revision::NONE => {
                 decode::<Current>(&row.value).map_err(unavailable)?.generation
             }
             _ => 0,
@@ -176,6 +177,6 @@
     Write { table: Name::from(TABLE), key: Name::from(key), value }
 }
 
-fn condition(key: &str, version: u64) -> Condition {
+fn condition(key: &str, version: Revision) -> Condition {
     Condition { table: Name::from(TABLE), key: Name::from(key), version }
 }
--- a/crates/control/src/hosts.rs
+++ b/crates/control/src/hosts.rs
@@ -9,6 +9,7 @@
 
 use log::warn;
 use policy::name::Name;
+use policy::revision::Revision;
 use sha2::{Digest, Sha256};
 use tokio::sync::watch;
 use wire::host::{HostState, List, Role};
@@ -137,7 +138,7 @@
 
     /// The store's revision that the list held is as of.
     #[must_use]
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.hosts.borrow().list.revision
     }
 }
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -5,6 +5,7 @@
 
 use log::warn;
 use metrics_exporter_prometheus::PrometheusHandle;
+use policy::revision::Revision;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use wire::gossip::Digest;
@@ -70,7 +71,7 @@
     /// entry that has just started would know of no backend server.
     #[must_use]
     pub fn ready(&self) -> bool {
-        self.configuration.ready() && self.hosts.revision() > 0
+        self.configuration.ready() && self.hosts.revision() > Revision::NONE
     }
 
     /// Runs all loops until asked to stop.
--- a/crates/control/src/quarantine.rs
+++ b/crates/control/src/quarantine.rs
@@ -2,6 +2,7 @@
 
 use log::warn;
 use policy::name::Name;
+use policy::revision::Revision;
 use wire::gossip::Mark;
 use wire::store::{Condition, Row, Transaction, Write};
 
@@ -38,7 +39,7 @@
 async fn write(mark: &Mark, row: Option<&Row>, platform: &Client) -> Result<(), Error> {
     let value = serde_json::to_string(mark).map_err(|e| Error::Malformed(e.to_string()))?;
     let (table, key) = (Name::from(TABLE), mark.version.clone());
-    let version = row.map_or(0, |row| row.version);
+    let version = row.map_or(Revision::NONE, |row| row.version);
     let condition = Condition { table: table.clone(), key: key.clone(), version };
     let write = Write { table, key, value: Some(value) };
     platform
--- a/crates/control/src/rollout.rs
+++ b/crates/control/src/rollout.rs
@@ -9,6 +9,7 @@
 use log::{info, warn};
 use policy::domain;
 use policy::name::Name;
+use policy::revision::Revision;
 use policy::rollout::{Course, Progress, Ratings, Step, next};
 use policy::time::Millis;
 use tokio::sync::watch;
@@ -38,8 +39,8 @@
 /// What this control knows of one roll-out.
 #[derive(Default)]
 struct Known {
-    /// The row's version; 0 for no row.
-    version: u64,
+    /// The row's version; none for no row.
+    version: Revision,
     value: String,
     /// The step that `rated_before` belongs to, and its definition.
     step: Option<(u64, usize)>,
@@ -80,7 +81,7 @@
     #[must_use]
     pub fn rows(&self) -> Vec<gossip::Rollout> {
         let known = self.known();
-        let rows = known.iter().filter(|(_, known)| known.version > 0);
+        let rows = known.iter().filter(|(_, known)| known.version > Revision::NONE);
         let row = |(rollout, known): (&Name, &Known)| gossip::Rollout {
             rollout: rollout.clone(),
             version: known.version,
@@ -208,7 +209,7 @@
     /// Over the row that was read; after a conflict or a lost answer the next round reads again.
     async fn swap(&self, name: &Name, stand: &Stand) -> Result<(), Error> {
         let value = serde_json::to_string(stand).map_err(|e| Error::Malformed(e.to_string()))?;
-        let version = self.known().get(name).map_or(0, |known| known.version);
+        let version = self.known().get(name).map_or(Revision::NONE, |known| known.version);
         let (table, key) = (Name::from(TABLE), name.clone());
         let condition = Condition { table: table.clone(), key: key.clone(), version };
         let write = Write { table, key, value: Some(value.clone()) };
@@ -231,7 +232,7 @@
 impl Known {
     /// Where the roll-out of that definition stands; none if it has not begun.
     fn progress(&self, definition: u64) -> Option<Progress> {
-        if self.version == 0 {
+        if self.version == Revision::NONE {
             return None;
         }
         match decode::<Stand>(&self.value) {
--- a/crates/control/src/shards/table.rs
+++ b/crates/control/src/shards/table.rs
@@ -7,6 +7,7 @@
 
 use coordination::home::{Home, Layout};
 use policy::name::Name;
+use policy::revision::Revision;
 use policy::time::Millis;
 use wire::shard::{Holder, Known};
 use wire::store::{Condition, Row, Transaction, Write};
@@ -44,7 +45,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Versioned {
     /// The version.
-    pub version: u64,
+    pub version: Revision,
     /// The value.
     pub holder: Holder,
 }
@@ -151,7 +152,10 @@
             return Ok(());
         }
         // Lost or conflicting: the next call reads what stands.
-        self.platform.commit(&transaction(LAYOUT, 0, encode(proposed)?)).await.map(|_| ())
+        self.platform
+            .commit(&transaction(LAYOUT, Revision::NONE, encode(proposed)?))
+            .await
+            .map(|_| ())
     }
 
     /// Reads one row.
@@ -182,7 +186,7 @@
     ///
     /// A swap whose answer was lost may have taken effect, or may do so later, so it is tried
     /// again on the same version until an answer decides: of all tries at most one succeeds.
-    pub async fn swap(&self, home: &Home, version: u64, holder: &Holder) -> Swap {
+    pub async fn swap(&self, home: &Home, version: Revision, holder: &Holder) -> Swap {
         let Ok(value) = encode(holder) else { return Swap::Refused };
         let swap = transaction(&home.row(), version, value);
         let mut lost = false;
@@ -224,7 +228,7 @@
     serde_json::to_string(value).map_err(|e| Error::Refused(e.to_string()))
 }
 
-fn transaction(key: &str, version: u64, value: String) -> Transaction {
+fn transaction(key: &str, version: Revision, value: String) -> Transaction {
     let (table, key) = (Name::from(TABLE), Name::from(key));
     let condition = Condition { table: table.clone(), key: key.clone(), version };
     let write = Write { table, key, value: Some(value) };
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use policy::name::Name;
+use policy::revision::Revision;
 use tokio::sync::Mutex;
 use wire::host::{Host, List};
 pub use wire::store::{Error, Outcome};
@@ -26,7 +27,7 @@
 struct Table {
     rows: BTreeMap<Name, Row>,
     /// The revision that it was read at; 0 before that.
-    revision: u64,
+    revision: Revision,
 }
 
 impl Table {
@@ -78,11 +79,11 @@
     }
 
     /// All rows of a table, and the revision that they are as of.
-    async fn table(&self, table: &str) -> Result<(Vec<Row>, u64), Error> {
+    async fn table(&self, table: &str) -> Result<(Vec<Row>, Revision), Error> {
         let held = Arc::clone(self.known.lock().await.entry(table.to_owned()).or_default());
         let mut held = held.lock().await;
         let changes = match held.revision {
-            0 => Err(Error::Forgotten),
+            Revision::NONE => Err(Error::Forgotten),
             revision => self.platform.changes(table, revision, Duration::ZERO).await,
         };
         match changes {
--- a/crates/entry/tests/leaving.rs
+++ b/crates/entry/tests/leaving.rs
@@ -103,12 +103,12 @@
     // cut off from the platform: its list is older and still says live. Nothing may go there.
     let bench = Bench::start().await;
     bench.control.change(|view| {
-        view.hosts.revision = 2_000;
+        view.hosts.revision = 2_000.into();
         view.hosts.hosts[0].state = HostState::Leaving;
     });
     bench.settled().await;
     bench.control.change(|view| {
-        view.hosts.revision = 1_000;
+        view.hosts.revision = 1_000.into();
         view.hosts.hosts[0].state = HostState::Live;
     });
     bench.settled().await;
--- a/crates/node/src/catalog.rs
+++ b/crates/node/src/catalog.rs
@@ -14,6 +14,7 @@
 use policy::domain;
 use policy::evacuation::{self, Evacuations};
 use policy::name::Name;
+use policy::revision::Revision;
 use policy::roster::Roster;
 use policy::throttle::Limit;
 use policy::time::Millis;
@@ -41,17 +42,36 @@
     /// The order.
     pub order: Order,
     /// Its revision.
-    pub revision: u64,
+    pub revision: Revision,
     /// How it stands, once that was read or written.
     pub record: Option<Record>,
     /// The version of that row.
-    pub version: u64,
+    pub version: Revision,
     /// When it began, by this host's clock.
     pub began: Millis,
     /// This host's own answers speak against the new version.
     pub halted: Arc<AtomicBool>,
 }
 
+impl Known {
+    /// When the order was written, by which all hosts name it.
+    #[must_use]
+    pub fn issued(&self) -> Revision {
+        Revision::new(self.revision.era, self.order.issue)
+    }
+
+    /// The store has come back from a copy, and lists the order as it was or was written again: it is the same, under
+    /// another revision.
+    fn reissue(&mut self, order: Order, revision: Revision) {
+        self.order = order;
+        self.revision = revision;
+        let issued = self.issued();
+        if let Some(record) = &mut self.record {
+            record.order = issued;
+        }
+    }
+}
+
 /// What became of a world that was made.
 #[derive(Debug, Default)]
 pub struct Published {
@@ -168,17 +188,25 @@
         self.lock().has_roster = true;
     }
 
-    /// Takes an order; false if it is known.
-    pub fn take_order(&self, order: Order, revision: u64) -> bool {
+    /// Takes an order; false if it is known. `is_rewritten` says whether operators may just be writing again what
+    /// they had written.
+    pub fn take_order(&self, order: Order, revision: Revision, is_rewritten: bool) -> bool {
         let mut inner = self.lock();
-        let held = inner.rollouts.get(&order.service);
-        if held.is_some_and(|known| known.revision >= revision) {
-            return false;
+        match inner.rollouts.get_mut(&order.service) {
+            Some(known) if known.revision >= revision => return false,
+            Some(known)
+                if known.order.is_same(&order)
+                    && (is_rewritten || known.revision.era < revision.era) =>
+            {
+                known.reissue(order, revision);
+                return false;
+            }
+            _ => {}
         }
         let known = Known {
             revision,
             record: None,
-            version: 0,
+            version: Revision::NONE,
             began: clock::steady(),
             halted: Arc::default(),
             order: order.clone(),
@@ -191,7 +219,7 @@
     pub fn take_evacuations(
         &self,
         entries: &[evacuation::Entry],
-        revision: u64,
+        revision: Revision,
         is_whole: bool,
         now: Millis,
     ) -> evacuation::Change {
@@ -251,25 +279,39 @@
     pub fn set_record(&self, snapshot: &Snapshot, now: Millis) -> bool {
         let mut inner = self.lock();
         let Some(known) = inner.rollouts.get_mut(&snapshot.service) else { return false };
-        if snapshot.record.order != known.revision || snapshot.version < known.version {
+        let issued = known.issued();
+        let is_of = snapshot.record.is_of(issued, &known.order.target);
+        // A row that the store has lost is made anew by hosts that know nothing of it.
+        let is_behind = known.record.as_ref().is_some_and(|held| snapshot.record.is_behind(held));
+        if !is_of || is_behind || snapshot.version < known.version {
             return false;
         }
-        known.record = Some(snapshot.record.clone());
+        known.record = Some(Record { order: issued, ..snapshot.record.clone() });
         known.version = snapshot.version;
         known.began = now - snapshot.age_ms;
         true
     }
 
-    /// Services with a roll-out that is not decided, each with its order's revision.
+    /// Services with a roll-out that was decided.
+    #[must_use]
+    pub fn decided(&self) -> Vec<Name> {
+        let inner = self.lock();
+        let stage = |known: &Known| known.record.as_ref().map(|record| record.stage);
+        let decided = inner.rollouts.values();
+        let decided = decided.filter(|known| stage(known).is_some_and(Stage::is_decided));
+        decided.map(|known| known.order.service.clone()).collect()
+    }
+
+    /// Services with a roll-out that is not decided, each with its order.
     #[must_use]
-    pub fn orders(&self) -> Vec<(Name, u64)> {
+    pub fn orders(&self) -> Vec<(Name, Revision)> {
         let inner = self.lock();
         let is_open = |known: &&Known| {
             let stage = known.record.as_ref().map(|record| record.stage);
             stage.is_some_and(|stage| matches!(stage, Stage::Trial | Stage::Moving))
         };
         let open = inner.rollouts.values().filter(is_open);
-        open.map(|known| (known.order.service.clone(), known.revision)).collect()
+        open.map(|known| (known.order.service.clone(), known.issued())).collect()
     }
 
     /// How all roll-outs stand, for other hosts.
@@ -355,7 +397,7 @@
         }
         World {
             index: Arc::clone(&self.index),
-            revision: self.roster.revision,
+            revision: self.roster.revision.number,
             is_complete: self.is_complete(),
             pools: pools.into_iter().map(|(service, pool)| (service, Arc::new(pool))).collect(),
         }
--- a/crates/node/src/counts.rs
+++ b/crates/node/src/counts.rs
@@ -6,6 +6,7 @@
 use policy::canary::Evidence;
 use policy::domain;
 use policy::name::Name;
+use policy::revision::Revision;
 
 /// Counts of one order by host, each by route.
 pub type ByHost = BTreeMap<Name, Vec<Evidence>>;
@@ -15,8 +16,8 @@
     pub struct Counting {
         /// The service.
         pub service: Name,
-        /// Revision of the order that it was counted for.
-        pub order: u64,
+        /// The order that it was counted for, by when it was written.
+        pub order: Revision,
         /// By route; a part of them if they are many.
         pub routes: Vec<Evidence>,
     }
@@ -24,7 +25,7 @@
 
 /// Counts of all services.
 #[derive(Default)]
-pub struct Counts(Mutex<BTreeMap<Name, (u64, ByHost)>>);
+pub struct Counts(Mutex<BTreeMap<Name, (Revision, ByHost)>>);
 
 impl Counts {
     /// Another host reported what it counted.
@@ -44,13 +45,13 @@
 
     /// What was reported of an order.
     #[must_use]
-    pub fn of(&self, service: &Name, order: u64) -> ByHost {
+    pub fn of(&self, service: &Name, order: Revision) -> ByHost {
         let all = self.lock();
         let counted = all.get(service).filter(|(held, _)| *held == order);
         counted.map(|(_, hosts)| hosts.clone()).unwrap_or_default()
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<Name, (u64, ByHost)>> {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<Name, (Revision, ByHost)>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -12,6 +12,7 @@
 use flate2::read::ZlibDecoder;
 use flate2::write::ZlibEncoder;
 use futures::StreamExt;
+use policy::revision::Revision;
 use policy::{domain, tree};
 use tarpc::client;
 use tarpc::client::RpcError;
@@ -56,7 +57,7 @@
 pub trait Host {
     /// Opens what a host lacks that knows a list as of a revision, 0 for nothing, if it reaches at least up
     /// to another one.
-    async fn give(list: List, after: u64, least: u64) -> Offer;
+    async fn give(list: List, after: Revision, least: Revision) -> Offer;
     /// A piece of what was opened, from a byte on; empty behind the last one.
     async fn piece(from: u64) -> Bytes;
     /// How roll-outs stand.
@@ -69,7 +70,7 @@
         /// What it lacks, compressed, to be read in pieces on this connection.
         Opened {
             /// The revision that it reaches up to.
-            revision: u64,
+            revision: Revision,
             /// Its length in bytes.
             bytes: u64,
             /// The first piece.
@@ -85,7 +86,7 @@
     #[derive(Copy, Eq)]
     pub enum Holds {
         /// It has, and the newest change that it knows is this one.
-        Up(u64),
+        Up(Revision),
         /// It is being given it itself.
         Later,
         /// It has not.
@@ -106,9 +107,9 @@
 /// What has the news.
 pub trait Source: Send + Sync + 'static {
     /// Whether this host knows a list at least up to a revision.
-    fn holds(&self, list: List, least: u64) -> Holds;
+    fn holds(&self, list: List, least: Revision) -> Holds;
     /// What a host lacks that knows a list as of a revision.
-    fn news(&self, list: List, after: u64) -> Option<News>;
+    fn news(&self, list: List, after: Revision) -> Option<News>;
     /// How roll-outs stand.
     fn records(&self) -> Vec<Snapshot>;
 }
@@ -121,8 +122,8 @@
 #[derive(Clone, Debug)]
 struct Packed {
     list: List,
-    after: u64,
-    revision: u64,
+    after: Revision,
+    revision: Revision,
     bytes: Bytes,
 }
 
@@ -132,7 +133,7 @@
 
 impl Shelf {
     /// What was packed for those who know a list as of a revision, if it reaches up to another one.
-    fn find(&self, list: List, after: u64, least: u64) -> Option<Packed> {
+    fn find(&self, list: List, after: Revision, least: Revision) -> Option<Packed> {
         let held = lock(&self.0);
         let is_it =
             |held: &&Packed| (held.list, held.after) == (list, after) && held.revision >= least;
@@ -179,7 +180,7 @@
 }
 
 impl<S: Source> Host for Server<S> {
-    async fn give(self, _: Context, list: List, after: u64, least: u64) -> Offer {
+    async fn give(self, _: Context, list: List, after: Revision, least: Revision) -> Offer {
         let until = tokio::time::Instant::now() + KEPT;
         loop {
             let offer = self.offer(list, after, least);
@@ -203,7 +204,7 @@
 
 impl<S: Source> Server<S> {
     /// Makes news ready for being read in pieces.
-    fn offer(&self, list: List, after: u64, least: u64) -> Offer {
+    fn offer(&self, list: List, after: Revision, least: Revision) -> Offer {
         let Ok(place) = Arc::clone(&self.places).try_acquire_owned() else { return Offer::Later };
         let held = self.source.holds(list, least);
         // What has just come to this host is passed on before the host has taken it in itself.
@@ -225,7 +226,7 @@
         Offer::Opened { revision, bytes: length, first }
     }
 
-    fn pack(&self, list: List, after: u64) -> Option<Packed> {
+    fn pack(&self, list: List, after: Revision) -> Option<Packed> {
         let news = self.source.news(list, after)?;
         let bytes = pack(&news).inspect_err(|error| {
             log::error!(target: "peers", list:? = list, error:% = error; "news not written");
@@ -297,7 +298,7 @@
 /// When a piece does not come in time, or the whole can't be read; reading has no effect.
 pub async fn ask(
     from: SocketAddr,
-    (list, after, least): (List, u64, u64),
+    (list, after, least): (List, Revision, Revision),
     shelf: &Shelf,
 ) -> Result<Given, Error> {
     let host = connect(from).await?;
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -7,12 +7,15 @@
 
 use policy::domain;
 use policy::name::Name;
+use policy::recovery;
 use policy::relay::{Action, Relay};
+use policy::revision::Revision;
+use policy::roster;
 use policy::time::Millis;
 use tokio::sync::Notify;
 
 use crate::exchange;
-use crate::history::History;
+use crate::history::{History, Reconciled};
 use crate::store::{Entry, Fact, List, News};
 
 /// Changes sent with a position at most; more are had by a call.
@@ -32,9 +35,9 @@
         /// The list.
         pub list: List,
         /// The store's revision that it knows.
-        pub revision: u64,
+        pub revision: Revision,
         /// That of the list's newest change: a host that knows the list as of then lacks nothing.
-        pub changed: u64,
+        pub changed: Revision,
         /// How long ago it read that, in milliseconds.
         pub age_ms: u64,
         /// Length of the list as the store sends it, in bytes.
@@ -48,7 +51,7 @@
     /// All changes of a list behind a revision.
     pub struct Changes {
         /// The revision.
-        pub after: u64,
+        pub after: Revision,
         /// The changes.
         pub news: News,
     }
@@ -62,12 +65,12 @@
     relay: Mutex<Relay>,
     read_at: Mutex<Option<Millis>>,
     /// The revision before the last news.
-    before: Mutex<u64>,
+    before: Mutex<Revision>,
     wake: Notify,
     /// News are being taken from another host; one call at a time is enough.
     taking: AtomicBool,
     /// Changes behind this revision are not asked of the store any more.
-    forgotten: Mutex<Option<u64>>,
+    forgotten: Mutex<Option<Revision>>,
     /// A long answer of the store is on its way to this host.
     incoming: AtomicBool,
     /// Length of the list as the store last sent all of it, in bytes, or of a longer change since.
@@ -79,7 +82,7 @@
 /// A change that this host knows of and lacks.
 #[derive(Clone, Debug)]
 struct Missing {
-    revision: u64,
+    revision: Revision,
     /// Who announced it last.
     from: Name,
     since: Millis,
@@ -87,13 +90,22 @@
     is_logged: bool,
 }
 
+/// How long entries that a copy lacks are kept, in milliseconds. Servers list themselves again within about two
+/// seconds, and are gone if they do not; operators say nothing of when they do.
+fn missing_ms(list: List) -> u64 {
+    match list {
+        List::Operators => recovery::REWRITTEN_MS,
+        List::Backends => roster::LAPSE_MS,
+    }
+}
+
 impl Follow {
     /// Nothing read yet.
     #[must_use]
     pub fn new(list: List, relay: Relay) -> Self {
         Self {
             list,
-            history: Mutex::default(),
+            history: Mutex::new(History::new(missing_ms(list))),
             relay: Mutex::new(relay),
             read_at: Mutex::default(),
             before: Mutex::default(),
@@ -129,16 +141,27 @@
 
     /// The newest revision taken in; none before it was read.
     #[must_use]
-    pub fn revision(&self) -> Option<u64> {
+    pub fn revision(&self) -> Option<Revision> {
         lock(&self.history).revision()
     }
 
     /// The revision of the list's newest change that was taken in.
     #[must_use]
-    pub fn changed(&self) -> u64 {
+    pub fn changed(&self) -> Revision {
         lock(&self.history).changed()
     }
 
+    /// News as they are to be taken, with what this host holds on to after the store's return from a copy.
+    #[must_use]
+    pub fn reconcile<'a>(&self, news: &'a News, now: Millis) -> Cow<'a, News> {
+        let Reconciled { news, missing, doubted } = lock(&self.history).reconcile(news, now);
+        if missing + doubted > 0 {
+            log::info!(target: "watch", list:? = self.list, revision:% = news.revision, missing,
+                doubted; "what the store may have lost is kept");
+        }
+        news
+    }
+
     /// News were taken in.
     pub fn taken(&self, news: &News, now: Millis) {
         let mut history = lock(&self.history);
@@ -153,13 +176,13 @@
         if let Some(had) = missing.take_if(|missing| missing.revision <= news.revision)
             && had.is_logged
         {
-            log::info!(target: "watch", list:? = self.list, revision = news.revision,
+            log::info!(target: "watch", list:? = self.list, revision:% = news.revision,
                 behind_ms = now.since(had.since); "list caught up");
         }
     }
 
     /// Another host has read a change that this one lacks.
-    pub fn note_missing(&self, revision: u64, from: &Name, now: Millis) {
+    pub fn note_missing(&self, revision: Revision, from: &Name, now: Millis) {
         let mut missing = lock(&self.missing);
         let new = Missing { revision, from: from.clone(), since: now, is_logged: false };
         missing.get_or_insert(new).from = from.clone();
@@ -185,7 +208,7 @@
             && now.since(missing.since) >= BEHIND_LOGGED_MS
         {
             missing.is_logged = true;
-            log::warn!(target: "watch", list:? = self.list, revision, missing = missing.revision,
+            log::warn!(target: "watch", list:? = self.list, revision:%, missing:% = missing.revision,
                 behind_ms = now.since(missing.since); "list behind");
         }
     }
@@ -198,14 +221,22 @@
 
     /// The revision behind which changes are asked of the store; none if the whole list is.
     #[must_use]
-    pub fn asked_after(&self) -> Option<u64> {
-        self.revision().filter(|revision| *lock(&self.forgotten) != Some(*revision))
+    pub fn asked_after(&self, now: Millis) -> Option<Revision> {
+        let is_due = lock(&self.history).is_due(now);
+        let revision = self.revision().filter(|_| !is_due);
+        revision.filter(|revision| *lock(&self.forgotten) != Some(*revision))
+    }
+
+    /// Whether this host has to read the list itself to settle what it doubted after the store's return.
+    #[must_use]
+    pub fn is_unsettled(&self, now: Millis) -> bool {
+        lock(&self.history).is_unsettled(now)
     }
 
     /// What a host lacks that knows the list as of a revision; none before this one has read it.
     #[must_use]
-    pub fn behind(&self, revision: u64) -> Option<News> {
-        lock(&self.history).behind(revision)
+    pub fn behind(&self, revision: Revision, now: Millis) -> Option<News> {
+        lock(&self.history).behind(revision, now)
     }
 
     /// News are to be taken from another host; false if that is under way.
@@ -284,15 +315,15 @@
         let revision = self.revision()?;
         let changed = lock(&self.history).changed();
         let age_ms = now.since(read_at);
-        let changes = self.changes();
+        let changes = self.changes(now);
         let bytes = self.bytes.load(Ordering::Relaxed);
         Some(Position { list: self.list, revision, changed, age_ms, bytes, changes })
     }
 
     /// The last news, if they are few. A whole table of routes is not sent: it is seldom small.
-    fn changes(&self) -> Option<Changes> {
+    fn changes(&self, now: Millis) -> Option<Changes> {
         let after = *lock(&self.before);
-        let news = self.behind(after)?;
+        let news = self.behind(after, now)?;
         let is_table = |entry: &Entry| matches!(entry.fact, Fact::Table(_));
         let is_little = news.entries.len() <= TOLD_MAX && !news.entries.iter().any(is_table);
         (is_little && !news.is_whole && !news.entries.is_empty()).then_some(Changes { after, news })
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -18,6 +18,7 @@
 use gateway::paces::Seen;
 use gateway::{Codec, State};
 use policy::backlog::Prompt;
+use policy::listing::Listing;
 use policy::name::Name;
 use policy::poison::book::Source;
 use policy::time::Millis;
@@ -38,6 +39,8 @@
 const NOTIFIED_MAX: usize = 24;
 /// Between two messages of what streams showed of engines.
 const SHOW_EVERY: Duration = Duration::from_secs(2);
+/// Between two hosts that look whether the store has still got their rows.
+const RELISTED_EACH: Duration = Duration::from_millis(5);
 /// Prefills in one message.
 const PREFILLS_MAX: usize = 16;
 /// What servers say of how much they take, in one sign of life; each host hears it from them all the same.
@@ -60,6 +63,8 @@
     pub host: Name,
     /// Where it stands.
     pub failure_domain: Name,
+    /// How many failure domains there are.
+    pub failure_domains: usize,
     /// No host can be listed yet.
     pub is_first_start: bool,
     /// The store, for finding the others, and its lists.
@@ -91,13 +96,18 @@
         let mut buffer = vec![0; message::BYTES_MAX];
         // Messages are taken meanwhile: a host that starts while the store is away finds nobody,
         // but is found by those who knew it before.
-        let mut find = std::pin::pin!(self.find());
-        let mut has_found = false;
+        let mut find = Box::pin(self.find(Listing::new(self.is_first_start), Duration::ZERO));
+        let (mut is_finding, mut has_found) = (true, false);
+        let mut era = self.watch.era.subscribe();
         let mut isolated = self.state.reach.watch();
         loop {
             tokio::select! {
-                found = &mut find, if !has_found => {
-                    has_found = true;
+                Ok(()) = era.changed() => {
+                    find = Box::pin(self.find(Listing::new(false), self.spread()));
+                    is_finding = true;
+                }
+                found = &mut find, if is_finding => {
+                    (is_finding, has_found) = (false, true);
                     for Found { name, address, class, forward } in &found {
                         self.watch.directory.note(name, *address, *class, clock::steady());
                         self.note_forward(name, *forward);
@@ -169,6 +179,13 @@
         }
     }
 
+    /// Until this host looks whether the store has still got its row, after the store's return from a copy. All hosts
+    /// look then, and the store takes only so many calls a second.
+    fn spread(&self) -> Duration {
+        let hosts = (self.watch.directory.count() + 1) * self.failure_domains.max(1);
+        RELISTED_EACH.mul_f64(hosts as f64 * rand::random::<f64>())
+    }
+
     async fn notify(&self, notice: Notice, delegate: Option<SocketAddr>) {
         let (to, entries) = match notice {
             Notice::Positions => (self.all(), self.positions()),
--- a/crates/node/src/peers/find.rs
+++ b/crates/node/src/peers/find.rs
@@ -71,9 +71,9 @@
 }
 
 impl<S: Store, C: Codec> Peers<S, C> {
-    /// Lists this host, unless it is listed, and finds the others that are.
-    pub(super) async fn find(&self) -> Vec<Found> {
-        let mut listing = Listing::new(self.is_first_start);
+    /// Lists this host after a while, unless it is listed, and finds the others that are.
+    pub(super) async fn find(&self, mut listing: Listing, delay: Duration) -> Vec<Found> {
+        tokio::time::sleep(delay).await;
         let mut found = Vec::new();
         loop {
             let done = match listing.step(clock::steady()) {
--- a/crates/node/src/poison.rs
+++ b/crates/node/src/poison.rs
@@ -15,6 +15,7 @@
 use policy::name::Name;
 use policy::poison::book::Source;
 use policy::poison::{Digest, Fingerprint, Suspect, TRIAL_MS, Verdict};
+use policy::revision::Revision;
 use policy::time::Millis;
 use tokio::sync::mpsc;
 use wire::store::{Error, Outcome, Rows};
@@ -78,9 +79,11 @@
             self.guard().alarm();
         }
         let mut moment = None;
+        let mut era = self.watch.era.subscribe();
         loop {
             tokio::select! {
                 () = self.guard().changed.notified() => {}
+                Ok(()) = era.changed() => self.guard().with(|book| book.rewrite()),
                 () = tokio::time::sleep(LOOK), if self.guard().is_awake() => {}
                 Some(trial) = trials.recv() => {
                     let this = Arc::clone(&self);
@@ -197,6 +200,11 @@
         let key = claim_key(ask.digest);
         let rows = self.watch.store.rows(record::NO_GROUP, TABLE, &key).await?;
         let now = clock::steady();
+        self.watch.note_era(rows.revision.era);
+        // Leave that another host was given may be lost with the store's return from a copy. It lasts no longer than this.
+        if self.watch.is_back_within(ask.alone_ms, now) {
+            return Ok(false);
+        }
         let held = rows.rows.iter().find(|row| row.key == key);
         let last = held.and_then(|row| record::read::<Claim>(&row.value).ok());
         let answered = last.as_ref().filter(|last| last.digest == ask.digest);
@@ -217,7 +225,7 @@
         let until_ms = rows.now_ms + ask.alone_ms;
         let claim = Claim { digest: ask.digest, until_ms, answered_ms: None };
         let value = record::write(&claim).map_err(Error::Malformed)?;
-        let expected = held.map_or(0, |row| row.version);
+        let expected = held.map_or(Revision::NONE, |row| row.version);
         let change = record::change(TABLE, key, Some(expected), value);
         let outcome = self.watch.store.commit(&change, None).await?;
         Ok(matches!(outcome, Outcome::Committed(_)))
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -153,6 +153,7 @@
         notifier,
         counts: Counts::default(),
         fresh: AtomicU64::new(0),
+        era: tokio::sync::watch::Sender::new(None),
         directory: Directory::default(),
         shelf: Shelf::default(),
         budget,
@@ -188,6 +189,7 @@
         let peers = Peers {
             host: settings.name.clone(),
             failure_domain: settings.failure_domain.clone(),
+            failure_domains: settings.failure_domains.len(),
             is_first_start: settings.first_start,
             watch: Arc::clone(&watch),
             state: Arc::clone(&state),
--- a/crates/node/src/record.rs
+++ b/crates/node/src/record.rs
@@ -3,6 +3,7 @@
 use policy::canary::Stage;
 use policy::domain;
 use policy::name::Name;
+use policy::revision::Revision;
 use wire::store::{Condition, Transaction, Write};
 
 use crate::counts::ByHost;
@@ -16,8 +17,8 @@
     /// How a service's roll-out stands; one row, changed only under its revision.
     #[derive(Default)]
     pub struct Record {
-        /// Revision of the order that it belongs to.
-        pub order: u64,
+        /// The order that it belongs to, by when it was written.
+        pub order: Revision,
         /// The version wanted.
         pub target: Name,
         /// The version before.
@@ -31,8 +32,8 @@
     /// What hosts counted: a failure domain's, or one host's if it stands alone.
     #[derive(Default)]
     pub struct Counted {
-        /// Revision of the order that it was counted for.
-        pub order: u64,
+        /// The order that it was counted for, by when it was written.
+        pub order: Revision,
         /// By host. Two rows may have the same host's, one of them older.
         pub hosts: ByHost,
     }
@@ -42,7 +43,7 @@
         /// The service.
         pub service: Name,
         /// The row's version.
-        pub version: u64,
+        pub version: Revision,
         /// The row.
         pub record: Record,
         /// How long ago the roll-out began, in milliseconds.
@@ -50,6 +51,27 @@
     }
 }
 
+impl Record {
+    /// Whether it belongs to an order.
+    #[must_use]
+    pub fn is_of(&self, issued: Revision, target: &Name) -> bool {
+        is_of(self.order, issued) && self.target == *target
+    }
+
+    /// Whether it stands as it did before another state of the same roll-out: no roll-out goes back.
+    #[must_use]
+    pub fn is_behind(&self, other: &Self) -> bool {
+        self.stage.is_behind(other.stage)
+    }
+}
+
+/// Whether what names an order means the one issued then: what was written before the store came back from a copy
+/// names it by its counter of that time, which the order has kept if the copy has both.
+#[must_use]
+pub fn is_of(order: Revision, issued: Revision) -> bool {
+    order.number == issued.number && order.era <= issued.era
+}
+
 /// Key of a service's record.
 #[must_use]
 pub fn key(service: &Name) -> Name {
@@ -86,7 +108,7 @@
 
 /// Writes a row, if it is still at a version; 0 if it must not exist, none if it may be anything.
 #[must_use]
-pub fn change(table: &str, key: Name, expected: Option<u64>, value: String) -> Transaction {
+pub fn change(table: &str, key: Name, expected: Option<Revision>, value: String) -> Transaction {
     let table = Name::from(table);
     let condition = |version| Condition { table: table.clone(), key: key.clone(), version };
     let conditions = expected.map(condition).into_iter().collect();
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -18,6 +18,7 @@
 use gateway::{Codec, State};
 use policy::canary::{self, Evidence, Stage, Verdict};
 use policy::name::Name;
+use policy::revision::Revision;
 use policy::time::Millis;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -60,6 +61,8 @@
     service: Name,
     /// What this host's row of counts holds.
     written: ByHost,
+    /// How often the store had come back from a copy when that was written.
+    era: u64,
     /// When all hosts' counts are looked at next.
     next: Instant,
     /// When this host's counts are reported next.
@@ -73,14 +76,103 @@
     /// takes the place of the one under way.
     pub async fn run(self: Arc<Self>, mut orders: mpsc::UnboundedReceiver<Name>) {
         let mut under_way: HashMap<Name, AbortOnDropHandle<()>> = HashMap::new();
-        while let Some(service) = orders.recv().await {
-            under_way.remove(&service);
-            self.state().tally.clear(&service);
-            let task = Arc::clone(&self).carry_out(service.clone());
-            under_way.insert(service, AbortOnDropHandle::new(tokio::spawn(task)));
+        let mut era = self.watch.era.subscribe();
+        loop {
+            tokio::select! {
+                ordered = orders.recv() => {
+                    let Some(service) = ordered else { return };
+                    under_way.remove(&service);
+                    self.state().tally.clear(&service);
+                    let task = Arc::clone(&self).carry_out(service.clone());
+                    under_way.insert(service, AbortOnDropHandle::new(tokio::spawn(task)));
+                }
+                Ok(()) = era.changed() => {
+                    for service in self.watch.catalog.decided() {
+                        let task = Arc::clone(&self).restore(service.clone());
+                        under_way.insert(service, AbortOnDropHandle::new(tokio::spawn(task)));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sees to it that the store says again how a roll-out was decided, after it has come back from a copy: hosts
+    /// that start then would try a bad version anew, or send to servers that were stopped on a success.
+    async fn restore(self: Arc<Self>, service: Name) {
+        let mut listed = None;
+        while let Some(known) = self.undecided_in_store(&service) {
+            if self.is_listed_again(&known) {
+                let since = *listed.get_or_insert_with(Instant::now);
+                if self.watch.is_delegate() || since.elapsed() >= HEAR {
+                    self.try_restore(&service, &known).await;
+                }
+            }
+            tokio::time::sleep(PAUSE.mul_f64(0.5 + rand::random::<f64>())).await;
+        }
+    }
+
+    /// A roll-out that was decided, of which the store may say something else since its return.
+    fn undecided_in_store(&self, service: &Name) -> Option<Known> {
+        let known = self.watch.catalog.rollout(service)?;
+        let is_decided = known.record.as_ref().is_some_and(|record| record.stage.is_decided());
+        (is_decided && known.version.era < self.era()).then_some(known)
+    }
+
+    fn is_listed_again(&self, known: &Known) -> bool {
+        known.revision.era >= self.era()
+    }
+
+    /// How often the store has come back from a copy.
+    fn era(&self) -> u64 {
+        self.watch.era.borrow().map_or(0, |era| era.number)
+    }
+
+    async fn try_restore(&self, service: &Name, known: &Known) {
+        let restored = match self.rows(service).await {
+            Ok(rows) => self.restate(&rows, service, known).await,
+            Err(error) => Err(error),
+        };
+        if let Err(error) = restored {
+            log::warn!(target: "rollout", service:% = service, error:% = error;
+                "how the roll-out was decided not written again, tried again");
         }
     }
 
+    /// Writes again how a roll-out stands if the store has lost that. What the store says of a later order stays.
+    async fn restate(&self, rows: &Rows, service: &Name, known: &Known) -> Result<(), Error> {
+        let Some(standing) = &known.record else { return Ok(()) };
+        let held = find_record(rows, service);
+        let is_lost = rows.revision.era > known.version.era;
+        let expected = match held {
+            Some((record, version)) if is_of(&record, known) && !record.is_behind(standing) => {
+                self.adopt(service, record, version, rows.now_ms);
+                return Ok(());
+            }
+            Some((record, _)) if !is_of(&record, known) && record.order > known.issued() => {
+                return Ok(());
+            }
+            // The row names the order by when it was written, so that has to be written again first.
+            _ if !is_lost || !self.is_listed_again(known) => return Ok(()),
+            held => held.map_or(Revision::NONE, |(_, version)| version),
+        };
+        let record = Record { order: known.issued(), ..standing.clone() };
+        let progress = progress(record.stage);
+        log::info!(target: "rollout", service:% = service, version:% = record.target,
+            stage:? = record.stage, era = rows.revision.era; "lost row written again");
+        if let Some(version) = self.write(service, known, &record, expected, progress).await? {
+            self.adopt(service, record, version, rows.now_ms);
+        }
+        Ok(())
+    }
+
+    /// All rows of a service.
+    async fn rows(&self, service: &Name) -> Result<Rows, Error> {
+        let prefix = record::prefix(service);
+        let rows = self.watch.store.rows(record::NO_GROUP, record::TABLE, &prefix).await?;
+        self.watch.note_era(rows.revision.era);
+        Ok(rows)
+    }
+
     fn state(&self) -> &State<C> {
         &self.watch.state
     }
@@ -90,6 +182,7 @@
         let mut course = Course {
             service,
             written: ByHost::new(),
+            era: 0,
             next: now,
             tell: now,
             reported: (Vec::new(), now),
@@ -98,7 +191,7 @@
         loop {
             let Some(known) = self.watch.catalog.rollout(&course.service) else { return };
             let Some(record) = &known.record else { return };
-            if matches!(record.stage, Stage::Done | Stage::Stopped) {
+            if record.stage.is_decided() {
                 return;
             }
             let elapsed = elapsed(&known, clock::steady());
@@ -145,7 +238,7 @@
 
     /// What this host counted, and what the others of its domain reported.
     fn counted(&self, course: &Course, known: &Known) -> ByHost {
-        let mut hosts = self.watch.counts.of(&course.service, known.revision);
+        let mut hosts = self.watch.counts.of(&course.service, known.issued());
         hosts.insert(self.host.clone(), self.state().tally.of(&course.service));
         hosts
     }
@@ -186,11 +279,7 @@
     }
 
     async fn try_begin(&self, service: &Name, known: &Known) -> Result<(), Error> {
-        let rows = self
-            .watch
-            .store
-            .rows(record::NO_GROUP, record::TABLE, &record::prefix(service))
-            .await?;
+        let rows = self.rows(service).await?;
         let held = find_record(&rows, service);
         if let Some((record, version)) = held.as_ref().filter(|(r, _)| is_of(r, known)) {
             self.adopt(service, record.clone(), *version, rows.now_ms);
@@ -198,13 +287,13 @@
         }
         let seen = self.watch.catalog.base(service);
         let made = Record {
-            order: known.revision,
+            order: known.issued(),
             target: known.order.target.clone(),
             base: record::base(held.as_ref().map(|(record, _)| record), &seen),
             stage: Stage::Trial,
             began_ms: rows.now_ms.saturating_sub(clock::steady().since(known.began)),
         };
-        let expected = held.map_or(0, |(_, revision)| revision);
+        let expected = held.map_or(Revision::NONE, |(_, revision)| revision);
         let made_at = self.write(service, known, &made, expected, Progress::Running).await?;
         if let Some(version) = made_at {
             self.adopt(service, made, version, rows.now_ms);
@@ -217,9 +306,9 @@
         service: &Name,
         known: &Known,
         record: &Record,
-        expected: u64,
+        expected: Revision,
         progress: Progress,
-    ) -> Result<Option<u64>, Error> {
+    ) -> Result<Option<Revision>, Error> {
         let value = record::write(record).map_err(Error::Malformed)?;
         let change = record::change(record::TABLE, record::key(service), Some(expected), value);
         let report = Report { order: known.order.clone(), progress };
@@ -230,7 +319,7 @@
     }
 
     /// Takes over how the roll-out stands; `now_ms` is the store's clock.
-    fn adopt(&self, service: &Name, record: Record, version: u64, now_ms: u64) {
+    fn adopt(&self, service: &Name, record: Record, version: Revision, now_ms: u64) {
         let age_ms = now_ms.saturating_sub(record.began_ms);
         self.watch.adopt(Snapshot { service: service.clone(), version, record, age_ms });
         self.watch.share_records();
@@ -240,21 +329,26 @@
     /// that follows.
     async fn decide(&self, course: &mut Course, known: &Known) -> Result<(), Error> {
         let service = &course.service;
-        let rows = self
-            .watch
-            .store
-            .rows(record::NO_GROUP, record::TABLE, &record::prefix(service))
-            .await?;
-        let mut hosts = gather(&rows, service, known.revision);
+        let rows = self.rows(service).await?;
+        if course.era != rows.revision.era {
+            course.era = rows.revision.era;
+            course.written.clear();
+        }
+        let mut hosts = gather(&rows, service, known.issued());
         for (host, routes) in self.counted(course, known) {
             let held = hosts.entry(host).or_default();
             routes.into_iter().for_each(|one| counts::merge(held, one));
         }
         self.write_counts(course, known).await;
         let service = &course.service;
-        let Some((record, version)) = find_record(&rows, service).filter(|(r, _)| is_of(r, known))
+        let standing = known.record.as_ref();
+        let is_newest = |row: &Record| {
+            is_of(row, known) && !standing.is_some_and(|standing| row.is_behind(standing))
+        };
+        let Some((record, version)) =
+            find_record(&rows, service).filter(|(record, _)| is_newest(record))
         else {
-            return Ok(());
+            return self.restate(&rows, service, known).await;
         };
         // Also when only the clocks have parted: a host that stood still for a while must not go
         // on as if no time had passed.
@@ -266,11 +360,7 @@
         let (elapsed, evidence) = (elapsed(known, clock::steady()), counts::sum(&hosts));
         let verdict = canary::verdict(&evidence);
         let Some(next) = canary::next(record.stage, elapsed, verdict) else { return Ok(()) };
-        let progress = match next {
-            Stage::Done => Progress::Succeeded,
-            Stage::Stopped => Progress::RolledBack,
-            Stage::Trial | Stage::Moving => Progress::Running,
-        };
+        let progress = progress(next);
         log::info!(target: "rollout", service:% = service, version:% = record.target,
             stage:? = record.stage, next:? = next, verdict:? = verdict, elapsed,
             hosts = hosts.len(), evidence:? = evidence; "step decided");
@@ -290,7 +380,7 @@
         }
         let is_alone = self.watch.follow(List::Operators).relay().is_alone(clock::steady());
         let of = if is_alone { &self.host } else { &self.failure_domain };
-        let counted = Counted { order: known.revision, hosts };
+        let counted = Counted { order: known.issued(), hosts };
         let value = match record::write(&counted) {
             Ok(value) => value,
             Err(why) => {
@@ -313,10 +403,19 @@
 }
 
 fn is_of(record: &Record, known: &Known) -> bool {
-    record.order == known.revision && record.target == known.order.target
+    record.is_of(known.issued(), &known.order.target)
+}
+
+/// What operators learn of a stage.
+fn progress(stage: Stage) -> Progress {
+    match stage {
+        Stage::Done => Progress::Succeeded,
+        Stage::Stopped => Progress::RolledBack,
+        Stage::Trial | Stage::Moving => Progress::Running,
+    }
 }
 
-fn find_record(rows: &Rows, service: &Name) -> Option<(Record, u64)> {
+fn find_record(rows: &Rows, service: &Name) -> Option<(Record, Revision)> {
     let key = record::key(service);
     let row = rows.rows.iter().find(|row| row.key == key)?;
     match record::read(&row.value) {
@@ -329,12 +428,12 @@
 }
 
 /// All hosts' counts that the rows hold, each host's newest.
-fn gather(rows: &Rows, service: &Name, order: u64) -> ByHost {
+fn gather(rows: &Rows, service: &Name, issued: Revision) -> ByHost {
     let record_key = record::key(service);
     let mut hosts = ByHost::new();
     for row in rows.rows.iter().filter(|row| row.key != record_key) {
         let counted = match record::read::<Counted>(&row.value) {
-            Ok(counted) if counted.order == order => counted,
+            Ok(counted) if record::is_of(counted.order, issued) => counted,
             Ok(_) => continue,
             Err(why) => {
                 log::error!(target: "rollout", key:% = row.key, why:% = why; "counts unreadable");
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -5,6 +5,7 @@
 
 use policy::domain;
 use policy::name::Name;
+use policy::revision::Revision;
 use wire::routing::{Backend, Edit, Order, Progress, Table};
 use wire::store::{Error, Outcome, Rows, Transaction};
 
@@ -41,7 +42,7 @@
         /// Its key; of a backend server its id.
         pub key: Name,
         /// Of its last change.
-        pub revision: u64,
+        pub revision: Revision,
         /// What it says.
         pub fact: Fact,
     }
@@ -52,10 +53,14 @@
         /// All of them, or those changed, oldest change first.
         pub entries: Vec<Entry>,
         /// The store's newest revision at that moment.
-        pub revision: u64,
+        pub revision: Revision,
         /// These are all entries of the list; what is not among them is no longer there.
         #[serde(default)]
         pub is_whole: bool,
+        /// How long ago the host that gives them saw that the store had come back from a copy, in
+        /// milliseconds; none if it has not seen that, or the store gives them.
+        #[serde(default)]
+        pub restored_ms: Option<u64>,
     }
 }
 
@@ -121,13 +126,14 @@
     fn read(&self, list: List) -> impl Future<Output = Result<Answer, Error>> + Send;
 
     /// What has changed in a list behind a revision, as soon as there is something; nothing if
-    /// there is none within the wait. `on_head` is given the length of the answer when its head
+    /// there is none within the wait; [`Error::Forgotten`] also if the store has come back from a copy since
+    /// that revision. `on_head` is given the length of the answer when its head
     /// has come, 0 if the head does not say it, and
     /// says whether to read on; [`Error::Declined`] if not.
     fn follow(
         &self,
         list: List,
-        after: u64,
+        after: Revision,
         wait: Duration,
         on_head: impl FnOnce(u64) -> bool + Send,
     ) -> impl Future<Output = Result<Answer, Error>> + Send;
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -16,7 +16,7 @@
 use policy::place;
 use policy::relay::{self, Action, Bounds};
 use policy::time::Millis;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use wire::store::Error;
 
 use crate::budget::Budget;
@@ -62,6 +62,9 @@
     pub budget: Budget,
     /// When the store's state was last known to be new, by any list.
     pub fresh: AtomicU64,
+    /// How often the store has come back from a copy, once that is known. Whoever writes rows of this host looks
+    /// whether they are still there when it rises.
+    pub era: watch::Sender<Option<Era>>,
     /// This host's name.
     pub host: Name,
     /// Its strength.
@@ -70,6 +73,15 @@
     pub link_mbps: f64,
 }
 
+/// The store's life since it last came back from a copy.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Era {
+    /// How often it has come back.
+    pub number: u64,
+    /// When this host learnt of the last return; none if it has not known the store before.
+    pub began: Option<Millis>,
+}
+
 /// Clocks of two hosts, or a host's and the store's, may part by this much in what they say of a
 /// roll-out's age, in milliseconds, before it is set right.
 pub const DRIFT_MS: u64 = 100;
@@ -138,7 +150,7 @@
                 }
             };
             let asked = clock::steady();
-            let answer = match follow.asked_after() {
+            let answer = match follow.asked_after(clock::steady()) {
                 None => self.read_whole(list).await,
                 Some(after) => {
                     let on_head = |bytes| self.announce(list, bytes);
@@ -222,7 +234,9 @@
         let news = match news {
             Ok(news) => news,
             Err(error @ (Error::Forgotten | Error::Declined)) => {
-                log::info!(target: "watch", list:? = list, why:% = error; "list read afresh");
+                let after = follow.revision().unwrap_or_default();
+                log::info!(target: "watch", list:? = list, why:% = error, after:%;
+                    "list read afresh");
                 follow.forgotten();
                 return Ok(0);
             }
@@ -232,7 +246,8 @@
             }
         };
         self.reached(list, clock::steady());
-        if !self.take(list, &news) {
+        let is_old = news.is_whole && follow.revision() > Some(news.revision);
+        if !self.take(list, &news) || is_old {
             // Read afresh in a moment: the store has answered from an old state.
             follow.relay().failed(PAUSE_MS, rand::random(), clock::steady());
             return Ok(0);
@@ -296,6 +311,13 @@
         relay.is_alone(now) || relay.reads_for_others(now)
     }
 
+    /// Whether the store has come back from a copy lately: what was written shortly before may be lost.
+    #[must_use]
+    pub fn is_back_within(&self, ms: u64, now: Millis) -> bool {
+        let began = self.era.borrow().and_then(|era| era.began);
+        began.is_some_and(|began| now.since(began) < ms)
+    }
+
     /// Has the other hosts of the failure domain notified.
     pub fn notify(&self, notice: Notice) {
         if self.notifier.try_send(notice).is_err() {
@@ -321,6 +343,16 @@
         self.state.peers.store(Arc::new(Some(Peers { own: hash(&self.host), others })));
     }
 
+    /// Has a list read that holds on to what no other host doubts. Of a domain's hosts one or so begins at each
+    /// look, so that the store does not send the list to all of them at once.
+    fn settle_alone(follow: &Follow) {
+        let now = clock::steady();
+        if follow.is_unsettled(now) && rand::random_range(..=follow.relay().others(now)) == 0 {
+            follow.relay().force();
+            follow.wake();
+        }
+    }
+
     /// Gives up lapsed backend servers when their time has come, and tells of lists that are behind;
     /// runs until the process ends.
     pub async fn settle(self: Arc<Self>) {
@@ -333,6 +365,7 @@
                 self.see_peers();
             }
             self.follows.iter().for_each(|follow| follow.log_behind(clock::steady()));
+            self.follows.iter().for_each(Self::settle_alone);
             if self.catalog.next_lapse().is_some_and(|lapse| lapse <= clock::steady()) {
                 log::info!(target: "watch", "lapsed backend servers given up");
                 self.publish();
@@ -365,7 +398,7 @@
     let body_ms = arrival.whole_ms.saturating_sub(arrival.head_ms);
     metrics::histogram!("node_store_body_seconds", "list" => name).record(body_ms as f64 / 1e3);
     if list == List::Operators && !news.entries.is_empty() {
-        log::info!(target: "watch", list:? = list, revision = news.revision, bytes = arrival.bytes,
+        log::info!(target: "watch", list:? = list, revision:% = news.revision, bytes = arrival.bytes,
             head_ms = arrival.head_ms, body_ms, hold_ms = hold.as_millis() as u64; "news read");
     }
 }
--- a/crates/node/src/watch/peers.rs
+++ b/crates/node/src/watch/peers.rs
@@ -5,6 +5,7 @@
 use entry::clock;
 use gateway::Codec;
 use policy::name::Name;
+use policy::revision::Revision;
 
 use super::{DRIFT_MS, Watch};
 use crate::follow::{Changes, Position};
@@ -34,7 +35,7 @@
         if is_news {
             let record = &snapshot.record;
             log::info!(target: "rollout", service:% = snapshot.service, version:% = record.target,
-                base:% = record.base, stage:? = record.stage, row = snapshot.version,
+                base:% = record.base, stage:? = record.stage, row:% = snapshot.version,
                 since_ms = snapshot.age_ms; "roll-out stands");
         }
         self.publish();
@@ -68,8 +69,8 @@
             (Some(own), Some(Changes { after, news }))
                 if own < position.changed && *after <= own =>
             {
-                log::info!(target: "watch", list:? = position.list, from:% = peer, after = own,
-                    revision = news.revision, count = news.entries.len(); "news sent by a peer");
+                log::info!(target: "watch", list:? = position.list, from:% = peer, after:% = own,
+                    revision:% = news.revision, count = news.entries.len(); "news sent by a peer");
                 if !self.take(position.list, news) {
                     follow.relay().force();
                 }
@@ -107,7 +108,8 @@
         for list in List::ALL {
             let follow = self.follow(list);
             if follow.is_wanting() && follow.begin_taking() {
-                tokio::spawn(Arc::clone(self).catch_up(peer.clone(), list, 0, 0));
+                let nothing = Revision::NONE;
+                tokio::spawn(Arc::clone(self).catch_up(peer.clone(), list, nothing, nothing));
             }
         }
     }
--- a/crates/node/src/watch/share.rs
+++ b/crates/node/src/watch/share.rs
@@ -6,6 +6,7 @@
 use entry::clock;
 use gateway::Codec;
 use policy::name::Name;
+use policy::revision::Revision;
 use policy::time::Millis;
 use policy::tree;
 
@@ -31,7 +32,13 @@
 impl<S: Store, C: Codec> Watch<S, C> {
     /// Takes changes behind a revision, at `least` up to another one and however long they are, from
     /// the hosts that have them, or asks the store. `root` has announced them.
-    pub(super) async fn catch_up(self: Arc<Self>, root: Name, list: List, after: u64, least: u64) {
+    pub(super) async fn catch_up(
+        self: Arc<Self>,
+        root: Name,
+        list: List,
+        after: Revision,
+        least: Revision,
+    ) {
         let change_ms = self.follow(list).relay().change_ms();
         let until = clock::steady() + (change_ms as f64 * FIND_PART) as u64;
         let waits = || clock::steady() < until;
@@ -46,7 +53,7 @@
         self: Arc<Self>,
         root: Name,
         list: List,
-        changed: u64,
+        changed: Revision,
         fresh: Millis,
     ) {
         let relay = || self.follow(list).relay();
@@ -54,7 +61,7 @@
             relay().taking(clock::steady());
             relay().may_take(fresh, clock::steady())
         };
-        let is_taken = self.take_from_others(&root, list, 0, changed, waits).await;
+        let is_taken = self.take_from_others(&root, list, Revision::NONE, changed, waits).await;
         if is_taken {
             relay().took(fresh);
         }
@@ -78,8 +85,8 @@
         &self,
         root: &Name,
         list: List,
-        after: u64,
-        least: u64,
+        after: Revision,
+        least: Revision,
         waits: impl Fn() -> bool,
     ) -> bool {
         let alive = self.directory.alive(clock::steady());
@@ -98,7 +105,7 @@
             let Some(source) = sources.next() else { break };
             let until = clock::steady() + PATIENCE_MS;
             while waits() {
-                if after > 0 && self.follow(list).revision() >= Some(least) {
+                if after > Revision::NONE && self.follow(list).revision() >= Some(least) {
                     return true;
                 }
                 match self.ask(&source, list, after, least).await {
@@ -114,7 +121,7 @@
     }
 
     /// What another host has to give; nothing if it can't be reached.
-    async fn ask(&self, source: &Name, list: List, after: u64, least: u64) -> Given {
+    async fn ask(&self, source: &Name, list: List, after: Revision, least: Revision) -> Given {
         let Some(address) = self.directory.address(source) else { return Given::Nothing };
         let given = exchange::ask(address, (list, after, least), &self.shelf).await;
         let outcome = match &given {
@@ -133,7 +140,7 @@
     }
 
     async fn take_given(&self, source: &Name, list: List, news: &News) -> bool {
-        log::info!(target: "watch", list:? = list, from:% = source, revision = news.revision,
+        log::info!(target: "watch", list:? = list, from:% = source, revision:% = news.revision,
             count = news.entries.len(), whole = news.is_whole; "news taken from a peer");
         let is_taken = self.take(list, news);
         if is_taken && news.is_whole && list == List::Operators {
@@ -157,7 +164,7 @@
 }
 
 impl<S: Store, C: Codec> exchange::Source for Watch<S, C> {
-    fn holds(&self, list: List, least: u64) -> Holds {
+    fn holds(&self, list: List, least: Revision) -> Holds {
         let follow = self.follow(list);
         match follow.revision() {
             Some(revision) if revision >= least => Holds::Up(follow.changed()),
@@ -168,8 +175,8 @@
         }
     }
 
-    fn news(&self, list: List, after: u64) -> Option<News> {
-        self.follow(list).behind(after)
+    fn news(&self, list: List, after: Revision) -> Option<News> {
+        self.follow(list).behind(after, clock::steady())
     }
 
     fn records(&self) -> Vec<Snapshot> {
--- a/crates/node/tests/catalog.rs
+++ b/crates/node/tests/catalog.rs
@@ -59,7 +59,7 @@
 /// What is left of a server's warm-up once it is listed so, in milliseconds.
 fn warmup_ms(listed: wire::routing::Backend) -> u64 {
     let (catalog, place) = (catalog(), ArcSwap::from_pointee(World::default()));
-    catalog.with_roster(|roster| roster.put(listed.clone(), 1));
+    catalog.with_roster(|roster| roster.put(listed.clone(), 1.into()));
     catalog.warms(&listed, NOW);
     catalog.publish(&place, NOW);
     left(&place, NOW)
@@ -106,17 +106,17 @@
 fn take_evacuations_end_leaves_servers_cold() {
     let (catalog, place) = (catalog(), ArcSwap::from_pointee(World::default()));
     let listed = server("b", Some(0));
-    catalog.with_roster(|roster| roster.put(listed.clone(), 1));
+    catalog.with_roster(|roster| roster.put(listed.clone(), 1.into()));
     let entry = |revision, failure_domain| evacuation::Entry {
         key: Name::from("order"),
         revision,
         failure_domain,
     };
-    catalog.take_evacuations(&[entry(2, Some(Name::from("b")))], 2, false, NOW);
+    catalog.take_evacuations(&[entry(2.into(), Some(Name::from("b")))], 2.into(), false, NOW);
     catalog.publish(&place, NOW);
     assert!(place.load().pools[SERVICE].backends.is_empty());
     let back = NOW + 9_000;
-    catalog.take_evacuations(&[entry(3, None)], 3, false, back);
+    catalog.take_evacuations(&[entry(3.into(), None)], 3.into(), false, back);
     catalog.publish(&place, back);
     assert_eq!(left(&place, back), WARMUP.ms);
 }
--- a/crates/node/tests/exchange.rs
+++ b/crates/node/tests/exchange.rs
@@ -9,12 +9,14 @@
 use node::record::Snapshot;
 use node::store::{Entry, Fact, List, News};
 use policy::name::Name;
+use policy::revision::Revision;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use wire::store::Error;
 
 const LIST: List = List::Backends;
-const REVISION: u64 = 900;
+const NUMBER: u64 = 900;
+const REVISION: Revision = Revision::new(0, NUMBER);
 /// How long something may take to come true, far beyond what any of it needs.
 const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -27,14 +29,14 @@
 }
 
 impl Source for Giver {
-    fn holds(&self, _: List, least: u64) -> Holds {
+    fn holds(&self, _: List, least: Revision) -> Holds {
         match self.holds {
             Holds::Up(changed) if changed < least => Holds::Nothing,
             holds => holds,
         }
     }
 
-    fn news(&self, _: List, _: u64) -> Option<News> {
+    fn news(&self, _: List, _: Revision) -> Option<News> {
         self.asked.fetch_add(1, Ordering::Relaxed);
         Some(news(self.entries))
     }
@@ -47,10 +49,15 @@
 fn news(entries: usize) -> News {
     let entry = |number: usize| Entry {
         key: Name::from(format!("i-{number:08x}")),
-        revision: 1 + number as u64 % REVISION,
+        revision: (1 + number as u64 % NUMBER).into(),
         fact: Fact::Unreadable(format!("{}", policy::place::mix(number as u64))),
     };
-    News { entries: (0..entries).map(entry).collect(), revision: REVISION, is_whole: true }
+    News {
+        entries: (0..entries).map(entry).collect(),
+        revision: REVISION,
+        is_whole: true,
+        restored_ms: None,
+    }
 }
 
 async fn give(entries: usize, holds: Holds, shelf: &Shelf) -> (SocketAddr, Arc<Giver>) {
@@ -61,8 +68,8 @@
     (address, giver)
 }
 
-async fn ask(from: SocketAddr, after: u64, least: u64) -> Result<Given, Error> {
-    exchange::ask(from, (LIST, after, least), &Shelf::default()).await
+async fn ask(from: SocketAddr, after: u64, least: Revision) -> Result<Given, Error> {
+    exchange::ask(from, (LIST, after.into(), least), &Shelf::default()).await
 }
 
 /// Guards against a host that packs thousands of entries anew for each of those that ask.
@@ -82,7 +89,7 @@
     let shelf = Shelf::default();
     let (second, busy) = give(0, Holds::Later, &shelf).await;
     assert_eq!(ask(second, 0, REVISION).await, Ok(Given::Later));
-    let given = exchange::ask(first, (LIST, 0, REVISION), &shelf).await;
+    let given = exchange::ask(first, (LIST, Revision::NONE, REVISION), &shelf).await;
     assert_eq!(given, Ok(Given::News(news(5_000))));
     assert_eq!(ask(second, 0, REVISION).await, Ok(Given::News(news(5_000))));
     assert_eq!(busy.asked.load(Ordering::Relaxed), 0);
@@ -93,7 +100,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn ask_a_host_that_is_behind_gives_nothing() {
     let (from, _) = give(10, Holds::Up(REVISION), &Shelf::default()).await;
-    assert_eq!(ask(from, 5, REVISION + 1).await, Ok(Given::Nothing));
+    assert_eq!(ask(from, 5, Revision::new(0, NUMBER + 1)).await, Ok(Given::Nothing));
 }
 
 /// Guards against old news that are passed on when a host has newer ones.
@@ -101,9 +108,9 @@
 async fn ask_newer_changes_are_not_answered_with_what_was_packed_before() {
     let (first, _) = give(10, Holds::Up(REVISION), &Shelf::default()).await;
     let shelf = Shelf::default();
-    drop(exchange::ask(first, (LIST, 0, 0), &shelf).await);
-    let (newer, giver) = give(20, Holds::Up(REVISION + 50), &shelf).await;
-    assert_eq!(ask(newer, 0, 0).await, Ok(Given::News(news(20))));
+    drop(exchange::ask(first, (LIST, Revision::NONE, Revision::NONE), &shelf).await);
+    let (newer, giver) = give(20, Holds::Up(Revision::new(0, NUMBER + 50)), &shelf).await;
+    assert_eq!(ask(newer, 0, Revision::NONE).await, Ok(Given::News(news(20))));
     assert_eq!(giver.asked.load(Ordering::Relaxed), 1);
 }
 
@@ -152,7 +159,7 @@
     for bytes in [0, 10, 5_000, 40_000, 100_000] {
         let shelf = Shelf::default();
         let cut = way(from, bytes, End::Closed).await;
-        let given = exchange::ask(cut, (LIST, 0, REVISION), &shelf).await;
+        let given = exchange::ask(cut, (LIST, Revision::NONE, REVISION), &shelf).await;
         assert!(given.is_err(), "{bytes} {given:?}");
         // Nor is it passed on.
         let (next, _) = give(0, Holds::Later, &shelf).await;
@@ -169,14 +176,14 @@
             let _ = caller.write_all(b"HTTP/1.1 400 Bad Request\r\n\r\n").await;
         }
     });
-    assert!(ask(address, 0, 1).await.is_err());
+    assert!(ask(address, 0, 1.into()).await.is_err());
 }
 
 /// A host that says nothing is left in time for the next one.
 #[tokio::test(flavor = "multi_thread")]
 async fn ask_silent_host_is_left() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let asked = ask(listener.local_addr().unwrap(), 0, 1);
+    let asked = ask(listener.local_addr().unwrap(), 0, 1.into());
     assert!(tokio::time::timeout(Duration::from_secs(3), asked).await.unwrap().is_err());
 }
 
--- a/crates/node/tests/history.rs
+++ b/crates/node/tests/history.rs
@@ -6,16 +6,20 @@
 use node::history::History;
 use node::store::{Entry, Fact, News};
 use policy::name::Name;
+use policy::revision::Revision;
+use policy::time::Millis;
 use wire::routing::{Kind, Route, Table};
 
+const NOW: Millis = Millis(1_000_000);
+
 fn entry(key: &str, revision: u64) -> Entry {
     let fact = Fact::Unreadable("any".to_owned());
-    Entry { key: Name::from(key), revision, fact }
+    Entry { key: Name::from(key), revision: revision.into(), fact }
 }
 
 fn news(revision: u64, is_whole: bool, entries: &[(&str, u64)]) -> News {
     let entries = entries.iter().map(|(key, revision)| entry(key, *revision)).collect();
-    News { entries, revision, is_whole }
+    News { entries, revision: revision.into(), is_whole, restored_ms: None }
 }
 
 fn keys(news: &News) -> BTreeSet<(&str, bool)> {
@@ -27,56 +31,56 @@
 /// whole list, which they could have from the store only.
 #[test]
 fn behind_list_read_afresh_is_told_as_changes() {
-    let mut history = History::default();
+    let mut history = History::new(0);
     history.take(&news(10, true, &[("a", 3), ("b", 4), ("c", 5)]));
     history.take(&news(20, false, &[("b", 18)]));
     history.take(&news(30, true, &[("a", 3), ("b", 25), ("d", 27)]));
-    let behind = history.behind(20).unwrap();
+    let behind = history.behind(Revision::from(20), NOW).unwrap();
     assert!(!behind.is_whole);
     assert_eq!(keys(&behind), BTreeSet::from([("b", false), ("c", true), ("d", false)]));
-    assert_eq!(history.changed(), 30);
-    let earlier = history.behind(10).unwrap();
+    assert_eq!(history.changed(), Revision::from(30));
+    let earlier = history.behind(Revision::from(10), NOW).unwrap();
     assert!(!earlier.is_whole);
     assert_eq!(keys(&earlier), keys(&behind));
 }
 
 #[test]
 fn behind_list_read_afresh_without_changes_is_empty() {
-    let mut history = History::default();
+    let mut history = History::new(0);
     history.take(&news(10, true, &[("a", 3)]));
     history.take(&news(30, true, &[("a", 3)]));
-    assert_eq!(history.behind(10).unwrap().entries, []);
-    assert_eq!(history.changed(), 10);
-    assert_eq!(history.revision(), Some(30));
+    assert_eq!(history.behind(Revision::from(10), NOW).unwrap().entries, []);
+    assert_eq!(history.changed(), Revision::from(10));
+    assert_eq!(history.revision(), Some(Revision::from(30)));
 }
 
 #[test]
 fn behind_nothing_known_is_the_whole_list() {
-    let mut history = History::default();
-    assert_eq!(history.behind(0), None);
+    let mut history = History::new(0);
+    assert_eq!(history.behind(Revision::from(0), NOW), None);
     history.take(&news(0, true, &[]));
     history.take(&news(5, false, &[("a", 5)]));
-    assert!(history.behind(0).unwrap().is_whole);
-    assert!(!history.behind(4).unwrap().is_whole);
+    assert!(history.behind(Revision::from(0), NOW).unwrap().is_whole);
+    assert!(!history.behind(Revision::from(4), NOW).unwrap().is_whole);
 }
 
 #[test]
 fn behind_older_than_the_first_read_is_the_whole_list() {
-    let mut history = History::default();
+    let mut history = History::new(0);
     history.take(&news(10, true, &[("a", 3)]));
     history.take(&news(12, false, &[("a", 12)]));
-    assert!(history.behind(9).unwrap().is_whole);
-    assert!(!history.behind(10).unwrap().is_whole);
+    assert!(history.behind(Revision::from(9), NOW).unwrap().is_whole);
+    assert!(!history.behind(Revision::from(10), NOW).unwrap().is_whole);
 }
 
 /// A late answer of the store brought back an old state of the list.
 #[test]
 fn take_older_list_removes_nothing() {
-    let mut history = History::default();
+    let mut history = History::new(0);
     history.take(&news(30, true, &[("a", 3), ("b", 25)]));
     history.take(&news(20, true, &[("a", 3)]));
-    assert_eq!(history.behind(30).unwrap().entries, []);
-    assert_eq!(history.revision(), Some(30));
+    assert_eq!(history.behind(Revision::from(30), NOW).unwrap().entries, []);
+    assert_eq!(history.revision(), Some(Revision::from(30)));
 }
 
 /// A table of so many routes, all with a time.
@@ -102,8 +106,8 @@
 fn table_news(version: u64, is_whole: bool) -> News {
     let revision = version * 10;
     let fact = table(version, 1_000 + version);
-    let entries = vec![Entry { key: Name::from("config"), revision, fact }];
-    News { entries, revision, is_whole }
+    let entries = vec![Entry { key: Name::from("config"), revision: revision.into(), fact }];
+    News { entries, revision: revision.into(), is_whole, restored_ms: None }
 }
 
 fn is_edit(entry: &Entry) -> bool {
@@ -113,18 +117,21 @@
 /// Guards against hosts that each read a long table from the store for a change of one route.
 #[test]
 fn behind_table_is_told_as_edits() {
-    let (mut reader, mut other) = (History::default(), History::default());
+    let (mut reader, mut other) = (History::new(0), History::new(0));
     reader.take(&table_news(1, true));
     other.take(&table_news(1, true));
     (2..6).for_each(|version| reader.take(&table_news(version, false)));
-    let behind = reader.behind(10).unwrap();
+    let behind = reader.behind(Revision::from(10), NOW).unwrap();
     assert_eq!(behind.entries.len(), 4);
     assert!(behind.entries.iter().all(is_edit));
     assert!(serde_json::to_vec(&behind).unwrap().len() < 3_000);
     let made = other.resolve(&behind).unwrap();
     assert_eq!(made.entries.last().unwrap().fact, table(5, 1_005));
     other.take(&made);
-    assert_eq!(other.behind(40).unwrap(), reader.behind(40).unwrap());
+    assert_eq!(
+        other.behind(Revision::from(40), NOW).unwrap(),
+        reader.behind(Revision::from(40), NOW).unwrap()
+    );
     // Heard twice, or late, they change nothing.
     assert_eq!(other.resolve(&behind).unwrap().entries.last().unwrap().fact, table(5, 1_005));
 }
@@ -132,12 +139,12 @@
 /// Guards against an edit that is applied to another table than the one that it is of.
 #[test]
 fn resolve_edit_of_an_unknown_table_is_none() {
-    let mut reader = History::default();
+    let mut reader = History::new(0);
     (1..4).for_each(|version| reader.take(&table_news(version, version == 1)));
-    let behind = reader.behind(20).unwrap();
+    let behind = reader.behind(Revision::from(20), NOW).unwrap();
     assert!(behind.entries.iter().all(is_edit));
-    assert!(History::default().resolve(&behind).is_none());
-    let mut older = History::default();
+    assert!(History::new(0).resolve(&behind).is_none());
+    let mut older = History::new(0);
     older.take(&table_news(1, true));
     assert!(older.resolve(&behind).is_none());
 }
@@ -145,10 +152,10 @@
 /// A host that knows a table from before all edits that are kept is told the whole one.
 #[test]
 fn behind_older_than_the_edits_is_the_whole_table() {
-    let mut reader = History::default();
+    let mut reader = History::new(0);
     (1..40).for_each(|version| reader.take(&table_news(version, version == 1)));
-    assert!(!is_edit(&reader.behind(100).unwrap().entries[0]));
-    assert!(is_edit(&reader.behind(380).unwrap().entries[0]));
+    assert!(!is_edit(&reader.behind(Revision::from(100), NOW).unwrap().entries[0]));
+    assert!(is_edit(&reader.behind(Revision::from(380), NOW).unwrap().entries[0]));
 }
 
 /// Guards against hosts that are sent the whole list since more servers were replaced than removals are
@@ -156,7 +163,7 @@
 #[test]
 fn behind_half_of_a_large_fleet_is_replaced() {
     for servers in [10, 1_000, 10_000] {
-        let mut history = History::default();
+        let mut history = History::new(0);
         let keys: Vec<String> = (0..2 * servers).map(|number| format!("i-{number}")).collect();
         let first: Vec<(&str, u64)> = keys[..servers].iter().map(|key| (key.as_str(), 1)).collect();
         history.take(&news(1, true, &first));
@@ -165,25 +172,29 @@
             let revision = 2 + 2 * number as u64;
             history.take(&news(revision, false, &[(&keys[servers + number], revision)]));
             let gone = Entry { fact: Fact::Removed, ..entry(&keys[number], revision + 1) };
-            history.take(&News { entries: vec![gone], revision: revision + 1, is_whole: false });
+            history.take(&News {
+                entries: vec![gone],
+                revision: (revision + 1).into(),
+                ..News::default()
+            });
         }
-        let behind = history.behind(1).unwrap();
+        let behind = history.behind(Revision::from(1), NOW).unwrap();
         assert!(!behind.is_whole);
         assert_eq!(behind.entries.len(), 2 * replaced);
-        assert_eq!(history.behind(0).unwrap().entries.len(), servers);
+        assert_eq!(history.behind(Revision::from(0), NOW).unwrap().entries.len(), servers);
     }
 }
 
 /// Removals do not pile up for as long as a host runs.
 #[test]
 fn take_removals_are_bounded_by_what_is_listed() {
-    let mut history = History::default();
+    let mut history = History::new(0);
     history.take(&news(1, true, &[("first", 1)]));
     for revision in 2..6_000 {
         let key = format!("i-{revision}");
         let gone = Entry { fact: Fact::Removed, ..entry(&key, revision) };
-        history.take(&News { entries: vec![gone], revision, is_whole: false });
+        history.take(&News { entries: vec![gone], revision: revision.into(), ..News::default() });
     }
-    assert!(history.behind(1).unwrap().is_whole);
-    assert_eq!(history.behind(5_000).unwrap().entries.len(), 999);
+    assert!(history.behind(Revision::from(1), NOW).unwrap().is_whole);
+    assert_eq!(history.behind(Revision::from(5_000), NOW).unwrap().entries.len(), 999);
 }
--- a/crates/node/tests/message.rs
+++ b/crates/node/tests/message.rs
@@ -13,7 +13,7 @@
 
 fn record(stage: Stage) -> Entry {
     let record = Record { target: Name::from("v2"), stage, ..Record::default() };
-    Entry::Record(Snapshot { service: Name::from("desk"), version: 7, record, age_ms: 400 })
+    Entry::Record(Snapshot { service: Name::from("desk"), version: 7.into(), record, age_ms: 400 })
 }
 
 fn suspect(number: u64) -> Entry {
--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -163,6 +163,24 @@
     }
 }
 
+impl Stage {
+    /// Whether nothing follows on it.
+    #[must_use]
+    pub fn is_decided(self) -> bool {
+        matches!(self, Self::Done | Self::Stopped)
+    }
+
+    /// Whether a roll-out passes through it before another one.
+    #[must_use]
+    pub fn is_behind(self, other: Self) -> bool {
+        match self {
+            Self::Trial => other != Self::Trial,
+            Self::Moving => other.is_decided(),
+            Self::Done | Self::Stopped => false,
+        }
+    }
+}
+
 impl Count {
     /// Counts an answer.
     pub fn note(&mut self, sign: Sign) {
--- a/crates/policy/src/evacuation.rs
+++ b/crates/policy/src/evacuation.rs
@@ -8,6 +8,7 @@
 
 use crate::domain;
 use crate::name::Name;
+use crate::revision::Revision;
 
 domain! {
     /// What a list says of one order.
@@ -15,7 +16,7 @@
         /// Names the order.
         pub key: Name,
         /// Of its last change.
-        pub revision: u64,
+        pub revision: Revision,
         /// The failure domain that is to be evacuated; none if the order was taken back.
         pub failure_domain: Option<Name>,
     }
@@ -32,7 +33,7 @@
 
 #[derive(Clone, Debug)]
 struct Known {
-    revision: u64,
+    revision: Revision,
     failure_domain: Option<Name>,
 }
 
@@ -45,7 +46,7 @@
 
 impl Evacuations {
     /// Takes changes of a list that were read at a revision, or all orders that it had then.
-    pub fn take(&mut self, entries: &[Entry], revision: u64, is_whole: bool) -> Change {
+    pub fn take(&mut self, entries: &[Entry], revision: Revision, is_whole: bool) -> Change {
         if is_whole {
             self.end_missing(entries, revision);
         }
@@ -64,7 +65,7 @@
         }
     }
 
-    fn end_missing(&mut self, entries: &[Entry], revision: u64) {
+    fn end_missing(&mut self, entries: &[Entry], revision: Revision) {
         let listed: BTreeSet<&Name> = entries.iter().map(|entry| &entry.key).collect();
         for (key, known) in &mut self.known {
             if known.revision <= revision && !listed.contains(key) {
--- a/crates/policy/src/poison/book.rs
+++ b/crates/policy/src/poison/book.rs
@@ -335,6 +335,13 @@
         }
     }
 
+    /// The store may have lost this host's row.
+    pub fn rewrite(&mut self) {
+        for known in self.known.values_mut().filter(|known| known.is_own && known.is_shared) {
+            known.unsent.store = true;
+        }
+    }
+
     /// What is held or sent by one host at a time, for a host that has just come; what most servers ended
     /// under comes first.
     #[must_use]
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -10,6 +10,7 @@
 
 use crate::domain;
 use crate::name::Name;
+use crate::revision::Revision;
 use crate::time::Millis;
 
 /// How long an entry that lapsed during an outage is waited for after it, in milliseconds. Live
@@ -47,7 +48,7 @@
 #[derive(Clone, Debug)]
 struct Known<T> {
     entry: Option<T>,
-    revision: u64,
+    revision: Revision,
     status: Status,
     left: bool,
 }
@@ -57,7 +58,7 @@
 pub struct Roster<T> {
     known: BTreeMap<Name, Known<T>>,
     /// Newest revision of the list that was taken in.
-    pub revision: u64,
+    pub revision: Revision,
     /// When the list was last out of reach.
     away_at: Option<Millis>,
     /// When it was first reached after that.
@@ -66,7 +67,7 @@
 
 impl<T> Default for Roster<T> {
     fn default() -> Self {
-        Self { known: BTreeMap::new(), revision: 0, away_at: None, back_at: None }
+        Self { known: BTreeMap::new(), revision: Revision::NONE, away_at: None, back_at: None }
     }
 }
 
@@ -85,7 +86,7 @@
     }
 
     /// One entry as of a revision.
-    pub fn put(&mut self, entry: T, revision: u64) {
+    pub fn put(&mut self, entry: T, revision: Revision) {
         let id = entry.id().clone();
         let before = self.known.get(&id);
         if before.is_some_and(|known| known.revision >= revision) {
@@ -114,7 +115,7 @@
     }
 
     /// An entry was removed as of a revision.
-    pub fn remove(&mut self, id: &Name, revision: u64, now: Millis) {
+    pub fn remove(&mut self, id: &Name, revision: Revision, now: Millis) {
         self.revision = self.revision.max(revision);
         let lapsing = self.lapsing_until(now);
         let Some(known) = self.known.get_mut(id) else { return };
@@ -130,7 +131,7 @@
 
     /// An entry was replaced by one that can't be read. It names no server to use; unlike one that
     /// lapsed it is not waited for, since somebody has written it.
-    pub fn withdraw(&mut self, id: &Name, revision: u64, now: Millis) {
+    pub fn withdraw(&mut self, id: &Name, revision: Revision, now: Millis) {
         self.revision = self.revision.max(revision);
         let known = self.known.get_mut(id).filter(|known| known.revision < revision);
         if let Some(known) = known {
@@ -140,11 +141,25 @@
     }
 
     /// The whole list as of a revision; false if it is older than what is known.
-    pub fn replace(&mut self, entries: Vec<(T, u64)>, revision: u64, now: Millis) -> bool {
+    ///
+    /// A store that has come back from a copy lacks the servers that listed themselves since the copy was made:
+    /// they are waited for like entries that lapsed. What a neighbour holds on to of the time before is not listed.
+    pub fn replace(
+        &mut self,
+        entries: Vec<(T, Revision)>,
+        revision: Revision,
+        now: Millis,
+    ) -> bool {
         if revision < self.revision {
             return false;
         }
-        let listed: HashSet<Name> = entries.iter().map(|(entry, _)| entry.id().clone()).collect();
+        let is_back = revision.era > self.revision.era && !self.known.is_empty();
+        if is_back {
+            self.away(now);
+            self.reached(now);
+        }
+        let listed = entries.iter().filter(|(_, of)| !is_back || of.era == revision.era);
+        let listed: HashSet<Name> = listed.map(|(entry, _)| entry.id().clone()).collect();
         for (entry, revision) in entries {
             self.put(entry, revision);
         }
@@ -152,7 +167,7 @@
         let missing: Vec<Name> =
             held.map(|(id, _)| id.clone()).filter(|id| !listed.contains(id)).collect();
         for id in missing {
-            self.remove(&id, revision.max(1), now);
+            self.remove(&id, revision.max(Revision::from(1)), now);
         }
         self.revision = revision;
         true
--- a/crates/policy/tests/roster.rs
+++ b/crates/policy/tests/roster.rs
@@ -1,6 +1,7 @@
 //! The list of backend servers under stale reads, outages, lapses and returns.
 
 use policy::name::Name;
+use policy::revision::Revision;
 use policy::roster::{Entry, LAPSE_MS, Roster};
 use policy::time::Millis;
 
@@ -31,6 +32,10 @@
     }
 }
 
+fn at(number: u64) -> Revision {
+    number.into()
+}
+
 fn server(id: &str) -> Server {
     Server { id: Name::from(id), born: 1, leaving: false }
 }
@@ -43,8 +48,8 @@
 #[test]
 fn remove_is_final_while_list_is_reached() {
     let mut roster = Roster::default();
-    roster.put(server("a"), 1);
-    roster.remove(&Name::from("a"), 2, START);
+    roster.put(server("a"), at(1));
+    roster.remove(&Name::from("a"), at(2), START);
     assert!(working(&mut roster, START).is_empty());
 }
 
@@ -54,11 +59,11 @@
 #[test]
 fn replace_stale_list_brings_nothing_back() {
     let mut roster = Roster::default();
-    roster.put(server("a"), 1);
-    roster.put(server("a").leaving(), 5);
-    assert!(!roster.replace(vec![(server("a"), 1)], 3, START));
+    roster.put(server("a"), at(1));
+    roster.put(server("a").leaving(), at(5));
+    assert!(!roster.replace(vec![(server("a"), at(1))], at(3), START));
     assert!(working(&mut roster, START).is_empty());
-    assert!(roster.replace(vec![(server("a"), 1)], 6, START));
+    assert!(roster.replace(vec![(server("a"), at(1))], at(6), START));
     assert!(working(&mut roster, START).is_empty());
 }
 
@@ -68,15 +73,15 @@
 #[test]
 fn remove_after_outage_is_a_lapse() {
     let mut roster = Roster::default();
-    roster.put(server("a"), 1);
-    roster.put(server("b"), 2);
+    roster.put(server("a"), at(1));
+    roster.put(server("b"), at(2));
     roster.away(START);
     roster.reached(START + 4_000);
     for (id, revision) in [("a", 3), ("b", 4)] {
-        roster.remove(&Name::from(id), revision, START + 4_000);
+        roster.remove(&Name::from(id), Revision::from(revision), START + 4_000);
     }
     assert_eq!(working(&mut roster, START + 4_100), ["a", "b"]);
-    roster.put(server("b"), 5);
+    roster.put(server("b"), at(5));
     assert_eq!(working(&mut roster, START + 4_000 + LAPSE_MS), ["b"]);
     assert_eq!(working(&mut roster, START + 60_000), ["b"]);
 }
@@ -84,20 +89,20 @@
 #[test]
 fn remove_of_leaving_server_is_no_lapse() {
     let mut roster = Roster::default();
-    roster.put(server("a").leaving(), 1);
+    roster.put(server("a").leaving(), at(1));
     roster.away(START);
     roster.reached(START + 10);
-    roster.remove(&Name::from("a"), 2, START + 20);
+    roster.remove(&Name::from("a"), at(2), START + 20);
     assert!(roster.entries(START + 30).is_empty());
 }
 
 #[test]
 fn remove_long_after_outage_is_final() {
     let mut roster = Roster::default();
-    roster.put(server("a"), 1);
+    roster.put(server("a"), at(1));
     roster.away(START);
     roster.reached(START + 100);
-    roster.remove(&Name::from("a"), 2, START + 100 + LAPSE_MS);
+    roster.remove(&Name::from("a"), at(2), START + 100 + LAPSE_MS);
     assert!(working(&mut roster, START + 100 + LAPSE_MS).is_empty());
 }
 
@@ -107,8 +112,8 @@
 #[test]
 fn entries_generated_sequences() {
     fuzz::check::<Vec<(u8, u8)>>(2_000, |steps| {
-        let mut store: Vec<(Server, u64)> = Vec::new();
-        let mut old: Vec<(Vec<(Server, u64)>, u64)> = Vec::new();
+        let mut store: Vec<(Server, Revision)> = Vec::new();
+        let mut old: Vec<(Vec<(Server, Revision)>, Revision)> = Vec::new();
         // An id is never used again; the roster is bound by what it was told of it.
         let mut used: Vec<Name> = Vec::new();
         let mut said_leaving: Vec<Name> = Vec::new();
@@ -120,26 +125,26 @@
             let id = Name::from(format!("s{}", which % 23));
             let at = store.iter().position(|(server, _)| server.id == id);
             let seen = step & 0x10 == 0;
-            old.push((store.clone(), revision - 1));
+            old.push((store.clone(), Revision::from(revision - 1)));
             match (step % 5, at) {
                 (0, None) if !used.contains(&id) => {
                     used.push(id.clone());
-                    store.push((server(&id), revision));
+                    store.push((server(&id), Revision::from(revision)));
                     if seen {
-                        roster.put(server(&id), revision);
+                        roster.put(server(&id), Revision::from(revision));
                     }
                 }
                 (1, Some(at)) => {
-                    store[at] = (server(&id).leaving(), revision);
+                    store[at] = (server(&id).leaving(), Revision::from(revision));
                     if seen {
                         said_leaving.push(id.clone());
-                        roster.put(server(&id).leaving(), revision);
+                        roster.put(server(&id).leaving(), Revision::from(revision));
                     }
                 }
                 (2, Some(at)) => {
                     store.remove(at);
                     if seen {
-                        roster.remove(&id, revision, now);
+                        roster.remove(&id, Revision::from(revision), now);
                     }
                 }
                 (3, _) => {
@@ -157,7 +162,7 @@
             let working = working(&mut roster, now);
             assert!(said_leaving.iter().all(|id| !working.contains(&id.to_string())));
         }
-        roster.replace(store.clone(), revision + 1, now);
+        roster.replace(store.clone(), Revision::from(revision + 1), now);
         now = now + LAPSE_MS + 1_000;
         let mut expected: Vec<String> = store
             .iter()
@@ -174,13 +179,13 @@
 #[test]
 fn put_reborn_server_gets_work() {
     let mut roster = Roster::default();
-    roster.put(server("a"), 1);
-    roster.put(server("a").leaving(), 2);
-    roster.remove(&Name::from("a"), 3, START);
-    roster.put(Server { born: 2, ..server("a") }, 4);
+    roster.put(server("a"), at(1));
+    roster.put(server("a").leaving(), at(2));
+    roster.remove(&Name::from("a"), at(3), START);
+    roster.put(Server { born: 2, ..server("a") }, at(4));
     assert_eq!(working(&mut roster, START), ["a"]);
     // A late write of the first start does not end the second.
-    roster.put(server("a").leaving(), 5);
+    roster.put(server("a").leaving(), at(5));
     assert_eq!(working(&mut roster, START), ["a"]);
 }
 
@@ -190,12 +195,12 @@
 #[test]
 fn withdraw_is_no_lapse() {
     let mut roster = Roster::default();
-    roster.put(server("a"), 1);
-    roster.put(server("b"), 2);
+    roster.put(server("a"), at(1));
+    roster.put(server("b"), at(2));
     roster.away(START);
     roster.reached(START + 100);
-    roster.withdraw(&Name::from("a"), 3, START + 200);
+    roster.withdraw(&Name::from("a"), at(3), START + 200);
     assert_eq!(working(&mut roster, START + 200), ["b"]);
-    roster.put(server("a"), 4);
+    roster.put(server("a"), at(4));
     assert_eq!(working(&mut roster, START + 300), ["a", "b"]);
 }
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -185,7 +185,7 @@
     let row = |key: String, value: serde_json::Value| Row {
         table: TABLE.into(),
         key: key.into(),
-        version: 1,
+        version: 1.into(),
         value: value.to_string(),
     };
     vec![row(format!("document/{generation}"), kept), row("current".to_owned(), current)]
--- a/crates/standin/src/platform/http.rs
+++ b/crates/standin/src/platform/http.rs
@@ -258,7 +258,7 @@
         table: row.table.clone(),
         key: row.key.clone(),
         value: Some(STANDARD.encode(&row.value)),
-        row_version: row.version,
+        row_version: row.version.number,
         ..Row::default()
     }
 }
@@ -279,7 +279,7 @@
 fn read_transaction(transaction: Transaction) -> Result<wire::store::Transaction, String> {
     let group = group(&transaction)?;
     let conditions = transaction.expected.into_iter().map(|reference| Condition {
-        version: reference.row_version.unwrap_or_default(),
+        version: reference.row_version.unwrap_or_default().into(),
         table: reference.table,
         key: reference.key,
     });
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -173,7 +173,7 @@
 
     fn holds(&self, group: &Name, condition: &Condition) -> bool {
         let held = self.row_of(group, &condition.table, &condition.key);
-        held.map_or(0, |row| row.version) == condition.version
+        held.map_or(0, |row| row.version.number) == condition.version.number
     }
 
     /// Makes changes, as others than the system do; they are no records.
@@ -186,8 +186,12 @@
         for Write { table, key, value } in writes {
             let rows = self.tables.entry(table.clone()).or_default();
             let version = self.version;
-            let row =
-                value.map(|value| Row { table: table.clone(), key: key.clone(), version, value });
+            let row = value.map(|value| Row {
+                table: table.clone(),
+                key: key.clone(),
+                version: version.into(),
+                value,
+            });
             let place = (group.clone(), key.clone());
             match &row {
                 Some(row) => drop(rows.insert(place, row.clone())),
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -120,7 +120,7 @@
     };
     let statuses = futures::future::join_all((0..32).map(race)).await;
     assert_eq!(statuses.iter().filter(|status| **status == StatusCode::OK).count(), 1);
-    assert_eq!(platform.row("t", "a").unwrap().version, 1);
+    assert_eq!(platform.row("t", "a").unwrap().version.number, 1);
 }
 
 #[tokio::test]
@@ -175,13 +175,13 @@
     platform.set_faults(Faults { writes_per_second: 1, ..Faults::default() });
     assert_eq!(attempt().await.unwrap().status(), StatusCode::OK);
     assert_eq!(attempt().await.unwrap().status(), StatusCode::TOO_MANY_REQUESTS);
-    assert_eq!(platform.row("t", "a").unwrap().version, 1);
+    assert_eq!(platform.row("t", "a").unwrap().version.number, 1);
     platform.close();
     assert!(attempt().await.is_err());
     platform.open();
     platform.set_faults(Faults::default());
     while attempt().await.is_err() {}
-    assert_eq!(platform.row("t", "a").unwrap().version, 2);
+    assert_eq!(platform.row("t", "a").unwrap().version.number, 2);
 }
 
 #[tokio::test]
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -6,6 +6,7 @@
 use policy::burn::Series;
 use policy::domain;
 use policy::name::Name;
+use policy::revision::Revision;
 
 use crate::evidence::Evidence;
 
@@ -27,7 +28,7 @@
         /// Hash of the host list held.
         pub hosts: u64,
         /// When the platform made that list, in milliseconds since the epoch.
-        pub hosts_revision: u64,
+        pub hosts_revision: Revision,
         /// Hash of the quarantine marks held.
         pub marks: u64,
         /// Hash of where the roll-outs stand.
@@ -94,7 +95,7 @@
         /// The roll-out.
         pub rollout: Name,
         /// The row's version; the higher is the newer.
-        pub version: u64,
+        pub version: Revision,
         /// The row's value.
         pub value: String,
     }
--- a/crates/wire/src/host.rs
+++ b/crates/wire/src/host.rs
@@ -2,6 +2,7 @@
 
 use policy::domain;
 use policy::name::Name;
+use policy::revision::Revision;
 
 domain! {
     /// What a host does.
@@ -54,7 +55,7 @@
     #[derive(Default)]
     pub struct List {
         /// The store's revision that it is as of; 0 for no list yet.
-        pub revision: u64,
+        pub revision: Revision,
         /// All hosts that are not long gone.
         pub hosts: Vec<Host>,
     }
--- a/crates/wire/src/routing.rs
+++ b/crates/wire/src/routing.rs
@@ -166,6 +166,9 @@
         pub target: Name,
         /// How long it may take, in milliseconds.
         pub within_ms: u64,
+        /// The store's counter when it was written, which tells it from the same wish at another time.
+        #[serde(default)]
+        pub issue: u64,
     }
 
     /// How a roll-out stands.
@@ -181,6 +184,15 @@
     }
 }
 
+impl Order {
+    /// Whether it asks for the same, whenever it was written.
+    #[must_use]
+    pub fn is_same(&self, other: &Self) -> bool {
+        let wish = |order: &Self| (order.service.clone(), order.target.clone(), order.within_ms);
+        wish(self) == wish(other)
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self { header_bytes: 16 << 10, body_bytes: 4 << 20, idle_ms: 15_000 }
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -7,6 +7,7 @@
 
 use policy::domain;
 use policy::name::Name;
+use policy::revision::Revision;
 
 domain! {
     /// One row.
@@ -15,8 +16,8 @@
         pub table: Name,
         /// Its key.
         pub key: Name,
-        /// The revision of the store that its last change made; they only grow.
-        pub version: u64,
+        /// The revision of the store that its last change made.
+        pub version: Revision,
         /// Any JSON, as text.
         pub value: String,
     }
@@ -29,7 +30,7 @@
         /// Keys of rows that were removed; only when changes were asked for.
         pub removed: Vec<Name>,
         /// The store's newest revision at that moment.
-        pub revision: u64,
+        pub revision: Revision,
         /// The store's clock, in milliseconds; it only goes forward.
         pub now_ms: u64,
     }
@@ -54,8 +55,8 @@
         pub table: Name,
         /// Its key.
         pub key: Name,
-        /// Its version; 0 if it must not exist.
-        pub version: u64,
+        /// Its version; 0 of any era if it must not exist.
+        pub version: Revision,
     }
 
     /// A row to write.
@@ -71,7 +72,7 @@
     /// What became of a transaction that the store answered.
     pub enum Outcome {
         /// It took effect; the version that all its rows have now.
-        Committed(u64),
+        Committed(Revision),
         /// It did not; the rows whose conditions failed, as they are. Absent ones are left out.
         Conflict(Vec<Row>),
     }
