Hosts hear a store that has come back from a copy (CONFIG, DRAIN)

Cause: each "is it newer" compared the store's counter, which goes back with a copy. What is written until the counter has passed what a host knows is lost to that host.

Change: a position is (era, counter, step), ordered by era first, one type in every comparison (policy::revision). A whole list read in a later era is reconciled by content (History::reconcile): what it lacks, or has as it may have been before the copy, stays as this host knew it until it is written again, for 2 s (servers missing) or 10 s (policy::recovery); tables never go back. What is held on to is a step newer than the list, so that hosts that read the copy alone take it over. Orders are the same by content.

Why it works: nothing depends on the counter passing anything; a host in any state takes the whole list once an era.

--- a/crates/node/src/catalog.rs
+++ b/crates/node/src/catalog.rs
@@ -67,6 +67,10 @@
         self.revision = revision;
         let issued = self.issued();
         if let Some(record) = &mut self.record {
+            if record.order.number != issued.number {
+                // The row names the order by another number, so it is written again.
+                self.version = Revision::NONE;
+            }
             record.order = issued;
         }
     }
@@ -198,7 +202,10 @@
                 if known.order.is_same(&order)
                     && (is_rewritten || known.revision.era < revision.era) =>
             {
-                known.reissue(order, revision);
+                // One that is only held on to was not written again yet.
+                if revision.step == 0 {
+                    known.reissue(order, revision);
+                }
                 return false;
             }
             _ => {}
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -221,16 +221,20 @@
 
     /// The revision behind which changes are asked of the store; none if the whole list is.
     #[must_use]
-    pub fn asked_after(&self, now: Millis) -> Option<Revision> {
-        let is_due = lock(&self.history).is_due(now);
-        let revision = self.revision().filter(|_| !is_due);
-        revision.filter(|revision| *lock(&self.forgotten) != Some(*revision))
+    pub fn asked_after(&self) -> Option<Revision> {
+        self.revision().filter(|revision| *lock(&self.forgotten) != Some(*revision))
     }
 
-    /// Whether this host has to read the list itself to settle what it doubted after the store's return.
+    /// Whether this host holds on to something against the list.
     #[must_use]
-    pub fn is_unsettled(&self, now: Millis) -> bool {
-        lock(&self.history).is_unsettled(now)
+    pub fn is_doubting(&self) -> bool {
+        lock(&self.history).is_doubting()
+    }
+
+    /// What the list says in place of what was held on to for long enough; none if there is nothing.
+    #[must_use]
+    pub fn settle(&self, now: Millis) -> Option<News> {
+        lock(&self.history).settle(now)
     }
 
     /// What a host lacks that knows the list as of a revision; none before this one has read it.
--- a/crates/node/src/history.rs
+++ b/crates/node/src/history.rs
@@ -1,7 +1,7 @@
 //! A list of the store as this host knows it, for hosts that take it from this one.
 
 use std::borrow::Cow;
-use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use policy::name::Name;
@@ -10,7 +10,7 @@
 use policy::time::Millis;
 use wire::routing::{Edit, Table};
 
-use crate::store::{Entry, Fact, News};
+use crate::store::{Doubts, Entry, Fact, News};
 
 /// Removed entries kept, at least, and as many as are listed: all servers may be replaced within a
 /// minute. Of more, those that changed first are forgotten.
@@ -107,8 +107,8 @@
     edits: VecDeque<Edited>,
     /// Whether the store has come back from a copy lately.
     recovery: Recovery,
-    /// What was held on to against the list since.
-    unsettled: BTreeSet<Name>,
+    /// What the list has in place of entries that are held on to against it since; none of those that it lacks.
+    held: BTreeMap<Name, Option<Entry>>,
 }
 
 impl History {
@@ -123,7 +123,7 @@
             changed: Revision::NONE,
             edits: VecDeque::new(),
             recovery: Recovery::new(missing_ms),
-            unsettled: BTreeSet::new(),
+            held: BTreeMap::new(),
         }
     }
 
@@ -139,81 +139,127 @@
         self.changed
     }
 
-    /// Whether the whole list, read now, would settle what was doubted when it was last read.
+    /// Whether this host holds on to something against the list.
     #[must_use]
-    pub fn is_due(&self, now: Millis) -> bool {
-        self.recovery.is_due(now)
+    pub fn is_doubting(&self) -> bool {
+        !self.held.is_empty()
     }
 
-    /// Whether the list has long settled, and this host still holds on to something against it: whoever reads for
-    /// it has never doubted that, and says nothing of it.
+    /// What the list says in place of what was held on to for long enough; none if there is nothing.
     #[must_use]
-    pub fn is_unsettled(&self, now: Millis) -> bool {
-        let era = self.revision.unwrap_or_default().era;
-        let is_old = |held: &Held| {
-            held.entry.revision.era < era && !matches!(held.entry.fact, Fact::Table(_))
+    pub fn settle(&self, now: Millis) -> Option<News> {
+        let phase = self.recovery.phase(now);
+        let is_due = |listed: &Option<Entry>| match listed {
+            None => phase > Phase::Missing,
+            Some(_) => phase == Phase::Settled,
         };
-        let is_open = self.recovery.is_due(now) && self.recovery.phase(now) == Phase::Settled;
-        let mut held = self.unsettled.iter().filter_map(|key| self.entries.get(key));
-        is_open && held.any(is_old)
+        let revision = self.revision?.next_step();
+        let due = self.held.iter().filter(|(_, listed)| is_due(listed));
+        let entries: Vec<Entry> = due
+            .map(|(key, listed)| {
+                let fact = listed.as_ref().map_or(Fact::Removed, |listed| listed.fact.clone());
+                Entry { key: key.clone(), revision, fact }
+            })
+            .collect();
+        (!entries.is_empty()).then(|| News { entries, revision, ..News::default() })
     }
 
     /// News as they are to be taken: of a whole list that is read soon after the store has come back from a copy,
     /// what this host knows goes before what may be of before the copy.
     pub fn reconcile<'a>(&mut self, news: &'a News, now: Millis) -> Reconciled<'a> {
-        self.enter(news, now);
+        let knows_before = self.enter(news, now);
         let phase = self.recovery.phase(now);
-        let is_plain = !news.is_whole || self.revision.is_none() || phase == Phase::Settled;
-        if news.is_whole {
-            self.recovery.read(phase);
-        }
-        if is_plain {
-            return Reconciled { news: Cow::Borrowed(news), missing: 0, doubted: 0 };
+        if !news.is_whole || !knows_before || phase == Phase::Settled {
+            return Reconciled { news: self.with_own_steps(news), missing: 0, doubted: 0 };
         }
         let listed: HashSet<&Name> = news.entries.iter().map(|entry| &entry.key).collect();
-        let (mut entries, mut doubted) = (Vec::new(), Vec::new());
+        let given = news.doubts.as_ref().map(|doubts| doubts.held.clone()).unwrap_or_default();
+        let (mut entries, mut doubted, mut held) = (Vec::new(), Vec::new(), given.clone());
         for entry in &news.entries {
             match self.entries.get(&entry.key) {
-                Some(held) if held.outlasts(entry) => doubted.push(held.entry.clone()),
+                Some(known) if self.is_held_against(known, entry) => {
+                    doubted.push(known.entry.clone());
+                    held.insert(entry.key.clone(), Some(entry.clone()));
+                }
                 _ => entries.push(entry.clone()),
             }
         }
-        let is_kept = |held: &&Held| {
-            !held.is_removed()
-                && held.entry.revision.era < news.revision.era
-                && !listed.contains(&held.entry.key)
-        };
-        let missing: Vec<Entry> = match phase {
-            Phase::Missing => {
-                self.entries.values().filter(is_kept).map(|held| held.entry.clone()).collect()
-            }
-            Phase::Changed | Phase::Settled => Vec::new(),
+        let is_lost = |known: &&Held| {
+            let key = &known.entry.key;
+            let is_of_before = known.entry.revision.era < news.revision.era;
+            let is_held = is_of_before || self.held.get(key) == Some(&None);
+            is_held && !known.is_removed() && !listed.contains(key) && !given.contains_key(key)
         };
+        let lost = self.entries.values().filter(|_| phase == Phase::Missing).filter(is_lost);
+        let missing: Vec<Entry> = lost.map(|known| known.entry.clone()).collect();
         let counts = (missing.len(), doubted.len());
-        self.unsettled.extend(missing.iter().chain(&doubted).map(|entry| entry.key.clone()));
-        entries.extend(missing);
-        entries.extend(doubted.into_iter().filter(|entry| entry.fact != Fact::Removed));
-        let news = Cow::Owned(News { entries, ..news.clone() });
+        held.extend(missing.iter().map(|entry| (entry.key.clone(), None)));
+        self.held = held;
+        // Those that have the list as the store says it lack these.
+        let own = self.revision.unwrap_or_default().max(news.revision);
+        let revision = if counts == (0, 0) { own } else { own.next_step() };
+        let kept = missing.into_iter().chain(doubted);
+        entries.extend(kept.map(|entry| Entry { revision, ..entry }));
+        let news = Cow::Owned(News { entries, revision, ..news.clone() });
         Reconciled { news, missing: counts.0, doubted: counts.1 }
     }
 
-    /// Notes that the store has come back from a copy, if these news are the first to show that.
-    fn enter(&mut self, news: &News, now: Millis) {
-        let is_first = self.revision.is_none();
-        let is_back = self.revision.is_some_and(|own| own.era < news.revision.era);
-        match news.restored_ms {
-            Some(ago_ms) if is_first || is_back => self.recovery.begin(now - ago_ms),
+    /// A whole list as of the revision that this host has, if that is the same in the store: it is no older.
+    fn with_own_steps<'a>(&self, news: &'a News) -> Cow<'a, News> {
+        match self.revision {
+            Some(own) if news.is_whole && own.stored() == news.revision => {
+                Cow::Owned(News { revision: own, ..news.clone() })
+            }
+            _ => Cow::Borrowed(news),
+        }
+    }
+
+    /// Whether an entry is held on to against what the list has in its place. What was held on to before is not of
+    /// the list, whatever revision it was given here.
+    fn is_held_against(&self, known: &Held, listed: &Entry) -> bool {
+        match self.held.contains_key(&listed.key) {
+            true => {
+                let is_newer = known.entry.revision >= listed.revision;
+                is_newer && !is_same(&known.entry.fact, &listed.fact)
+            }
+            false => known.outlasts(listed),
+        }
+    }
+
+    /// Notes that the store has come back from a copy, if these news are the first to show that; whether this host
+    /// knows the list as it was before.
+    fn enter(&mut self, news: &News, now: Millis) -> bool {
+        let Some(own) = self.revision else {
+            self.doubt_with(news, now);
+            return false;
+        };
+        let is_back = own.era < news.revision.era;
+        let is_new = self.recovery.age_ms(now).is_none();
+        match &news.doubts {
+            Some(doubts) if is_back => self.recovery.begin(now - doubts.age_ms),
             None if is_back => self.recovery.begin(now),
+            _ if is_new => self.doubt_with(news, now),
             _ => {}
         }
+        if is_back {
+            self.held.clear();
+        }
+        is_back || !is_new
+    }
+
+    /// Takes over what the giver of a list holds on to against it.
+    fn doubt_with(&mut self, news: &News, now: Millis) {
+        if let Some(doubts) = &news.doubts {
+            self.recovery.begin(now - doubts.age_ms);
+            self.held = doubts.held.clone();
+        }
     }
 
     /// Takes in news: the whole list, or all changes between the newest revision and theirs.
     pub fn take(&mut self, news: &News) {
-        let known = self.revision;
-        match known {
+        match self.revision {
             // From a store that answered late; nothing in it is missing here.
-            Some(revision) if news.is_whole && news.revision < revision => return,
+            Some(revision) if news.is_whole && news.revision < revision.stored() => return,
             // Changes say nothing of what was lost with the return from a copy.
             Some(revision) if !news.is_whole && news.revision.era > revision.era => return,
             Some(revision) if news.revision.era > revision.era => {
@@ -230,10 +276,10 @@
             Some(_) => {}
         }
         for entry in &news.entries {
-            // Others that know the list as of then have been told otherwise.
-            let is_late = news.is_whole && known >= Some(entry.revision);
-            let revision = if is_late { news.revision } else { entry.revision };
-            self.put(Entry { revision, ..entry.clone() }, news.is_whole);
+            self.put(entry.clone(), news.is_whole);
+            if !news.is_whole {
+                self.held.remove(&entry.key);
+            }
         }
         self.revision = self.revision.max(Some(news.revision));
         self.forget();
@@ -364,8 +410,9 @@
             })
             .collect();
         entries.sort_by_key(|entry| entry.revision);
-        let restored_ms = self.recovery.age_ms(now);
-        Some(News { entries, revision: newest, is_whole, restored_ms })
+        let age_ms = self.recovery.age_ms(now);
+        let doubts = age_ms.map(|age_ms| Doubts { age_ms, held: self.held.clone() });
+        Some(News { entries, revision: newest, is_whole, doubts: doubts.filter(|_| is_whole) })
     }
 
     /// An entry as it is sent to those that know the list as of a revision: a table by its edits since,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -197,6 +197,10 @@
             }
             Notice::Incoming(list) => (self.all(), vec![Entry::Incoming(list)]),
             Notice::WholeRead(list) => (self.all(), vec![Entry::Reading(list)]),
+            Notice::Doubts(list, address) => {
+                let revision = self.watch.follow(list).revision().unwrap_or_default();
+                (vec![address], vec![Entry::Doubts(list, revision)])
+            }
         };
         if !entries.is_empty() {
             self.send(to, entries).await;
@@ -275,6 +279,9 @@
                 Entry::Record(snapshot) => self.watch.adopt(snapshot),
                 Entry::Incoming(list) => self.watch.incoming(&message.host, list),
                 Entry::Reading(list) => self.watch.peer_reads(&message.host, list),
+                Entry::Doubts(list, revision) => {
+                    self.watch.hear_doubts(&message.host, list, revision);
+                }
                 Entry::Lacks(list) => {
                     taken.lacks |= self.watch.follow(list).position(now).is_some();
                 }
--- a/crates/node/src/peers/find.rs
+++ b/crates/node/src/peers/find.rs
@@ -8,7 +8,7 @@
 use policy::domain;
 use policy::listing::{Listing, Step};
 use policy::name::Name;
-use wire::store::{Error, Transaction};
+use wire::store::{Error, Outcome, Transaction};
 
 use super::Peers;
 use crate::record;
@@ -112,7 +112,11 @@
         let key = Name::from(format!("{}{}", prefix(&self.failure_domain), self.host));
         let change = record::change(TABLE, key, None, listed);
         let change = Transaction { group: self.failure_domain.clone(), ..change };
-        self.watch.store.commit(&change, None).await.map(drop)
+        // Known from here on: a return from a copy before the lists are first read loses the row as well.
+        if let Outcome::Committed(revision) = self.watch.store.commit(&change, None).await? {
+            self.watch.note_era(revision.era);
+        }
+        Ok(())
     }
 
     /// The other hosts that are listed, and whether this one is.
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -5,6 +5,7 @@
 use policy::domain;
 use policy::name::Name;
 use policy::poison::Suspect;
+use policy::revision::Revision;
 use policy::time::Millis;
 
 use crate::counts::Counting;
@@ -44,6 +45,9 @@
         Incoming(List),
         /// A list all of which the sender is reading.
         Reading(List),
+        /// A list against which the sender holds on to something that the store may have lost, and the revision of
+        /// what the sender has.
+        Doubts(List, Revision),
         /// A list of which the sender knows nothing yet, and would take from who has it.
         Lacks(List),
         /// What the sender counted of a roll-out.
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -1,5 +1,6 @@
 //! The platform's store as controllers see it: two lists to follow, rows of our own to agree by.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -57,10 +58,18 @@
         /// These are all entries of the list; what is not among them is no longer there.
         #[serde(default)]
         pub is_whole: bool,
-        /// How long ago the host that gives them saw that the store had come back from a copy, in
-        /// milliseconds; none if it has not seen that, or the store gives them.
+        /// What the host that gives them knows of the store's return from a copy; none if it has not seen one, or
+        /// the store gives them.
         #[serde(default)]
-        pub restored_ms: Option<u64>,
+        pub doubts: Option<Doubts>,
+    }
+
+    /// What a host makes of a list since the store came back from a copy.
+    pub struct Doubts {
+        /// How long ago it saw that, in milliseconds.
+        pub age_ms: u64,
+        /// What the list has in place of entries that it holds on to, by key; none of those that the list lacks.
+        pub held: BTreeMap<Name, Option<Entry>>,
     }
 }
 
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -5,6 +5,7 @@
 mod start;
 mod take;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -101,6 +102,9 @@
     WholeRead(List),
     /// All of them: what is new of requests that were lost with their servers.
     Suspects,
+    /// The one that gave a list: this host holds on to something against it, since the store has come back from a
+    /// copy.
+    Doubts(List, SocketAddr),
 }
 
 /// How long changes may take, as the settings say.
@@ -150,7 +154,7 @@
                 }
             };
             let asked = clock::steady();
-            let answer = match follow.asked_after(clock::steady()) {
+            let answer = match follow.asked_after() {
                 None => self.read_whole(list).await,
                 Some(after) => {
                     let on_head = |bytes| self.announce(list, bytes);
@@ -246,7 +250,8 @@
             }
         };
         self.reached(list, clock::steady());
-        let is_old = news.is_whole && follow.revision() > Some(news.revision);
+        let own = follow.revision().unwrap_or_default();
+        let is_old = news.is_whole && news.revision < own.stored();
         if !self.take(list, &news) || is_old {
             // Read afresh in a moment: the store has answered from an old state.
             follow.relay().failed(PAUSE_MS, rand::random(), clock::steady());
@@ -343,13 +348,15 @@
         self.state.peers.store(Arc::new(Some(Peers { own: hash(&self.host), others })));
     }
 
-    /// Has a list read that holds on to what no other host doubts. Of a domain's hosts one or so begins at each
-    /// look, so that the store does not send the list to all of them at once.
-    fn settle_alone(follow: &Follow) {
-        let now = clock::steady();
-        if follow.is_unsettled(now) && rand::random_range(..=follow.relay().others(now)) == 0 {
-            follow.relay().force();
-            follow.wake();
+    /// What was held on to against the store's lists since its return from a copy, and was not written again, is given
+    /// up when its time has come.
+    fn settle_doubts(&self) {
+        for list in List::ALL {
+            if let Some(news) = self.follow(list).settle(clock::steady()) {
+                log::info!(target: "watch", list:? = list, revision:% = news.revision,
+                    count = news.entries.len(); "what was not written again is given up");
+                self.take(list, &news);
+            }
         }
     }
 
@@ -365,7 +372,7 @@
                 self.see_peers();
             }
             self.follows.iter().for_each(|follow| follow.log_behind(clock::steady()));
-            self.follows.iter().for_each(Self::settle_alone);
+            self.settle_doubts();
             if self.catalog.next_lapse().is_some_and(|lapse| lapse <= clock::steady()) {
                 log::info!(target: "watch", "lapsed backend servers given up");
                 self.publish();
--- a/crates/node/src/watch/peers.rs
+++ b/crates/node/src/watch/peers.rs
@@ -100,6 +100,18 @@
         }
     }
 
+    /// Another host holds on to something that the store may have lost with its return from a copy. If this host started
+    /// behind that, it has taken what the store says, and takes the other's list in its place.
+    pub fn hear_doubts(self: &Arc<Self>, peer: &Name, list: List, revision: Revision) {
+        let follow = self.follow(list);
+        let own = follow.revision().filter(|own| own.era == revision.era && *own < revision);
+        if let Some(own) = own
+            && follow.begin_taking()
+        {
+            tokio::spawn(Arc::clone(self).catch_up(peer.clone(), list, own, revision));
+        }
+    }
+
     /// Takes over the lists that this host could not read, from another one of its failure domain.
     ///
     /// A host that starts while the store is away would refuse every caller until it is back, with
--- a/crates/node/src/watch/share.rs
+++ b/crates/node/src/watch/share.rs
@@ -10,7 +10,7 @@
 use policy::time::Millis;
 use policy::tree;
 
-use super::Watch;
+use super::{Notice, Watch};
 use crate::exchange::{self, Given, Holds};
 use crate::record::Snapshot;
 use crate::store::{List, News, Store};
@@ -143,12 +143,26 @@
         log::info!(target: "watch", list:? = list, from:% = source, revision:% = news.revision,
             count = news.entries.len(), whole = news.is_whole; "news taken from a peer");
         let is_taken = self.take(list, news);
+        self.tell_doubts(source, list, news);
         if is_taken && news.is_whole && list == List::Operators {
             self.take_records(source).await;
         }
         is_taken
     }
 
+    /// Tells the host that gave all of a list that this one knows of something which the store may have lost, and which
+    /// that host has never heard of.
+    fn tell_doubts(&self, source: &Name, list: List, news: &News) {
+        let is_doubted = self.follow(list).is_doubting();
+        let is_told = !news.is_whole || news.doubts.is_some();
+        if let Some(address) = self.directory.address(source)
+            && is_doubted
+            && !is_told
+        {
+            self.notify(Notice::Doubts(list, address));
+        }
+    }
+
     /// Takes over how roll-outs stand. Without that an order that was carried out long ago would
     /// look like one that has just come.
     async fn take_records(&self, source: &Name) {
--- a/crates/node/tests/exchange.rs
+++ b/crates/node/tests/exchange.rs
@@ -56,7 +56,7 @@
         entries: (0..entries).map(entry).collect(),
         revision: REVISION,
         is_whole: true,
-        restored_ms: None,
+        doubts: None,
     }
 }
 
--- a/crates/node/tests/history.rs
+++ b/crates/node/tests/history.rs
@@ -19,7 +19,7 @@
 
 fn news(revision: u64, is_whole: bool, entries: &[(&str, u64)]) -> News {
     let entries = entries.iter().map(|(key, revision)| entry(key, *revision)).collect();
-    News { entries, revision: revision.into(), is_whole, restored_ms: None }
+    News { entries, revision: revision.into(), is_whole, doubts: None }
 }
 
 fn keys(news: &News) -> BTreeSet<(&str, bool)> {
@@ -107,7 +107,7 @@
     let revision = version * 10;
     let fact = table(version, 1_000 + version);
     let entries = vec![Entry { key: Name::from("config"), revision: revision.into(), fact }];
-    News { entries, revision: revision.into(), is_whole, restored_ms: None }
+    News { entries, revision: revision.into(), is_whole, doubts: None }
 }
 
 fn is_edit(entry: &Entry) -> bool {
--- a/crates/policy/src/recovery.rs
+++ b/crates/policy/src/recovery.rs
@@ -32,21 +32,18 @@
     /// How long entries that the list lacks are kept, in milliseconds.
     missing_ms: u64,
     began: Option<Millis>,
-    /// What the last reading of the whole list was taken for.
-    read: Phase,
 }
 
 impl Recovery {
     /// Of a list whose entries are kept for so long though it lacks them, in milliseconds.
     #[must_use]
     pub fn new(missing_ms: u64) -> Self {
-        Self { missing_ms, began: None, read: Phase::Settled }
+        Self { missing_ms, began: None }
     }
 
     /// The store was first known to be back at a time.
     pub fn begin(&mut self, began: Millis) {
         self.began = Some(began);
-        self.read = Phase::Missing;
     }
 
     /// How long ago that was, in milliseconds; none if it has not come back.
@@ -55,26 +52,15 @@
         self.began.map(|began| now.since(began))
     }
 
-    /// What a reading of the whole list is taken for now.
+    /// What is made of the list now.
     #[must_use]
     pub fn phase(&self, now: Millis) -> Phase {
-        match self.began.map(|began| now.since(began)) {
+        match self.age_ms(now) {
             Some(age_ms) if age_ms < self.missing_ms => Phase::Missing,
             Some(age_ms) if age_ms < REWRITTEN_MS => Phase::Changed,
             _ => Phase::Settled,
         }
     }
-
-    /// Whether the whole list, read now, would say more than when it was last read.
-    #[must_use]
-    pub fn is_due(&self, now: Millis) -> bool {
-        self.read < self.phase(now)
-    }
-
-    /// The whole list was read, and taken for this.
-    pub fn read(&mut self, phase: Phase) {
-        self.read = self.read.max(phase);
-    }
 }
 
 /// Whether an entry that a list has otherwise than a host knows it may stand there as it was before the copy was
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -141,9 +141,6 @@
     }
 
     /// The whole list as of a revision; false if it is older than what is known.
-    ///
-    /// A store that has come back from a copy lacks the servers that listed themselves since the copy was made:
-    /// they are waited for like entries that lapsed. What a neighbour holds on to of the time before is not listed.
     pub fn replace(
         &mut self,
         entries: Vec<(T, Revision)>,
@@ -153,13 +150,7 @@
         if revision < self.revision {
             return false;
         }
-        let is_back = revision.era > self.revision.era && !self.known.is_empty();
-        if is_back {
-            self.away(now);
-            self.reached(now);
-        }
-        let listed = entries.iter().filter(|(_, of)| !is_back || of.era == revision.era);
-        let listed: HashSet<Name> = listed.map(|(entry, _)| entry.id().clone()).collect();
+        let listed: HashSet<Name> = entries.iter().map(|(entry, _)| entry.id().clone()).collect();
         for (entry, revision) in entries {
             self.put(entry, revision);
         }
