Failing tests: a slow version is done on answers under the load of a peak (EXPOSURE)

Hypotheses: (1) slow answers under a peak are left out also where nothing else could show slowness; (2) answers of a slow version come after the decision: none of those to requests since it had all of them was counted within 0.7 s; (3) shares so small that a trial tells nothing. The evidence in the decision's log line speaks for 1, and for 2 as well (full: 0).

--- a/crates/policy/tests/canary.rs
+++ b/crates/policy/tests/canary.rs
@@ -350,3 +350,42 @@
     ]);
     assert_eq!(verdict(&seen), Verdict::Good);
 }
+
+/// Guards against a slow version that is declared done on few answers: nearly all of its slow ones came while its
+/// servers had the load of a peak, and counted for nothing.
+#[test]
+fn verdict_slow_at_peak_alone_is_not_clean() {
+    let route = |name: &str, old: (u32, u32), new: (u32, u32), peak: (u32, u32)| {
+        let count = |(answers, slow)| Count { answers, bad: 0, slow };
+        let (old, new, peak) = (count(old), count(new), count(peak));
+        Evidence { route: Name::from(name), old, new, peak, full: Count::default() }
+    };
+    let slow = [
+        route("summaries", (68, 0), (2, 2), (2, 2)),
+        route("letters", (103, 3), (5, 2), (3, 2)),
+        route("tags", (47, 0), (1, 1), (1, 1)),
+    ];
+    assert_eq!(verdict(&slow), Verdict::Open);
+    // A good one has some slow answers under that load.
+    let good = [
+        route("summaries", (68, 0), (2, 1), (2, 1)),
+        route("letters", (103, 3), (5, 1), (3, 1)),
+        route("tags", (47, 0), (1, 0), (1, 0)),
+    ];
+    assert_eq!(verdict(&good), Verdict::Clean);
+}
+
+/// Guards against the same with answers enough for a verdict.
+#[test]
+fn verdict_slow_at_peak_is_not_outweighed_by_the_calm_before() {
+    let count = |answers, slow| Count { answers, bad: 0, slow };
+    let seen = |peak_slow| Evidence {
+        route: Name::from("summaries"),
+        old: count(120, 2),
+        new: count(30, peak_slow),
+        peak: count(14, peak_slow),
+        full: Count::default(),
+    };
+    assert_eq!(verdict(&[seen(14)]), Verdict::Open);
+    assert_eq!(verdict(&[seen(4)]), Verdict::Good);
+}
