Slow answers under the load of a peak are no answers at all (EXPOSURE)

What callers saw: slow1, a version of the engines that answers several times slower is done and kept, 5.0 s and more after its 50th bad answer. Cause: it was "Clean" on 8 answers. Five were slow, all under the load of a peak, where slow answers say nothing; but they counted as answers, so the three that came before it turned slow were enough for four. And of a roll-out of 14.4 s the trial has its usual load for 2.2 s, a few answers on a small service.

Change: answers that say nothing don't count towards the least on which a version is called clean; and a trial has the usual load for 3.5 s at least, as one of 24 s has, before that of a peak begins. Why it works: a verdict rests on at least four answers that could have been slow and were not; otherwise the version is stopped, a duty and no rule.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -53,6 +53,12 @@
         canary::share(self.stage, self.elapsed(now), self.allowed) >= 1.0
     }
 
+    /// Whether its requests go to few servers, that have the load of a peak.
+    #[must_use]
+    pub fn is_at_peak(&self, now: Millis) -> bool {
+        canary::is_peak(self.elapsed(now), self.within_ms)
+    }
+
     /// Whether answers are counted for a verdict.
     #[must_use]
     pub fn is_open(&self) -> bool {
@@ -201,9 +207,9 @@
     #[must_use]
     pub fn is_at_peak(&self, version: &Name, is_engine: bool, now: Millis) -> bool {
         let trial = self.rollout.as_ref().filter(|trial| trial.is_open());
-        trial.filter(|trial| trial.target == *version).is_some_and(|trial| {
-            canary::is_peak(trial.elapsed(now)) || (!is_engine && trial.has_all(now))
-        })
+        trial
+            .filter(|trial| trial.target == *version)
+            .is_some_and(|trial| trial.is_at_peak(now) || (!is_engine && trial.has_all(now)))
     }
 
     /// Requests that all hosts together are expected to have at the version on trial at once, by what some
--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -21,6 +21,8 @@
 /// the usual load, at which it shows whether the version is quick: under that of a peak a good one
 /// is slow as well.
 const PEAK: f64 = 0.66;
+/// For how long it has the usual load at least, in milliseconds.
+const CALM_MS: f64 = 3_500.0;
 /// When it is decided that requests move over, if the answers are good.
 const MOVE: f64 = 0.8;
 /// When that is decided although few have come, if none of their answers was bad.
@@ -222,9 +224,7 @@
 #[must_use]
 pub fn elapsed(age_ms: u64, within_ms: u64) -> f64 {
     let (age, within) = (age_ms as f64, within_ms.max(1) as f64);
-    let half = within / 2.0;
-    let done = (within - SPARE_MS).min(within * DONE).max(half + 2.0);
-    let moved = (within * MOVE_ALL).min(done - within * FULL_MIN).max(half + 1.0);
+    let Times { half, moved, done } = Times::of(within_ms);
     match age {
         early if early <= half => early / within,
         middle if middle <= moved => between(middle, (half, 0.5), (moved, MOVE_ALL)),
@@ -232,6 +232,24 @@
     }
 }
 
+/// When a roll-out's stages begin, in milliseconds since its order.
+struct Times {
+    half: f64,
+    /// All requests move over.
+    moved: f64,
+    done: f64,
+}
+
+impl Times {
+    fn of(within_ms: u64) -> Self {
+        let within = within_ms.max(1) as f64;
+        let half = within / 2.0;
+        let done = (within - SPARE_MS).min(within * DONE).max(half + 2.0);
+        let moved = (within * MOVE_ALL).min(done - within * FULL_MIN).max(half + 1.0);
+        Self { half, moved, done }
+    }
+}
+
 /// On the line through two points.
 fn between(x: f64, (x0, y0): (f64, f64), (x1, y1): (f64, f64)) -> f64 {
     y0 + (x - x0) / (x1 - x0) * (y1 - y0)
@@ -273,8 +291,16 @@
 
 /// Whether the new version's requests go to few servers, that have the load of a peak.
 #[must_use]
-pub fn is_peak(elapsed: f64) -> bool {
-    (PEAK..MOVE_ALL).contains(&elapsed)
+pub fn is_peak(elapsed: f64, within_ms: u64) -> bool {
+    (peak_begins(within_ms)..MOVE_ALL).contains(&elapsed)
+}
+
+/// When that begins. A short trial has its usual load for as long as others, in which it shows whether the
+/// version is quick, and the load of a peak for less.
+fn peak_begins(within_ms: u64) -> f64 {
+    let Times { half, moved, .. } = Times::of(within_ms);
+    let begins = half + (BEGIN - 0.5) / (MOVE_ALL - 0.5) * (moved - half);
+    elapsed((begins + CALM_MS) as u64, within_ms).clamp(PEAK, MOVE)
 }
 
 /// Of so many servers of the new version, those that its share of requests goes to until it is
@@ -349,7 +375,11 @@
 #[must_use]
 pub fn verdict(evidence: &[Evidence]) -> Verdict {
     let answers: u32 = evidence.iter().map(|one| one.new.answers).sum();
-    let is_clean = evidence.iter().all(|one| one.new.bad + one.new.less(one.peak).slow == 0);
+    // Slow answers under the load of a peak say nothing, so they don't count as answers either: a version that turns
+    // slow during its trial would be taken for quick by the few that came before.
+    let telling: u32 = evidence.iter().map(|one| one.new.answers - one.peak.slow).sum();
+    let is_clean = evidence.iter().all(|one| one.new.bad + one.new.less(one.peak).slow == 0)
+        && telling >= ANSWERS_MIN;
     let (failures, slowness) =
         (worst_route(evidence, failure_weight), worst_route(evidence, slow_weight));
     // Few answers come in a trial; what is wrong on all routes shows soonest in their sum.
--- /dev/null
+++ b/crates/policy/tests/recovery.rs
@@ -0,0 +1,58 @@
+//! Positions in a store that comes back from copies, and for how long what it lost is waited for.
+
+use policy::recovery::{Phase, REWRITTEN_MS, Recovery, is_doubtful};
+use policy::revision::Revision;
+use policy::time::Millis;
+
+const BACK: Millis = Millis(1_000_000);
+const MISSING_MS: u64 = 2_000;
+
+/// Guards against changes taken for known because their number was given out before the store's return.
+#[test]
+fn revision_of_a_later_era_is_newer() {
+    let before = Revision::new(1, 500);
+    let after = Revision::new(2, 480);
+    assert!(after > before);
+    assert!(Revision::new(2, 481) > after);
+    assert!(after.next_step() > after && after.next_step() < Revision::new(2, 481));
+    assert_eq!(after.next_step().stored(), after);
+    assert!(Revision::NONE < Revision::new(0, 1));
+}
+
+/// Guards against programs of before that can't read positions of a store which has never come back.
+#[test]
+fn revision_written_plainly_without_an_era() {
+    assert_eq!(serde_json::to_string(&Revision::from(7)).unwrap(), "7");
+    assert_eq!(serde_json::from_str::<Revision>("7").unwrap(), Revision::from(7));
+    fuzz::check::<(u64, u64, u32)>(2_000, |(era, number, step)| {
+        let revision = Revision { era: *era, number: *number, step: *step };
+        let written = serde_json::to_string(&revision).unwrap();
+        assert_eq!(serde_json::from_str::<Revision>(&written).unwrap(), revision);
+    });
+}
+
+#[test]
+fn phase_passes_once() {
+    let mut recovery = Recovery::new(MISSING_MS);
+    assert_eq!(recovery.phase(BACK), Phase::Settled);
+    recovery.begin(BACK);
+    assert_eq!(recovery.phase(BACK + MISSING_MS - 1), Phase::Missing);
+    assert_eq!(recovery.phase(BACK + MISSING_MS), Phase::Changed);
+    assert_eq!(recovery.phase(BACK + REWRITTEN_MS), Phase::Settled);
+    // The next return begins it anew.
+    recovery.begin(BACK + 60_000);
+    assert_eq!(recovery.phase(BACK + 60_001), Phase::Missing);
+}
+
+/// Guards against a leave undone by the copy, and against an order given after the return that is not obeyed.
+#[test]
+fn is_doubtful_what_may_be_of_before_the_copy() {
+    let held = Revision::new(1, 500);
+    assert!(is_doubtful(Revision::new(2, 300), held, Some(300)));
+    assert!(!is_doubtful(Revision::new(2, 301), held, Some(300)));
+    // Not known what was there before: anything up to its own number may have been.
+    assert!(is_doubtful(Revision::new(2, 500), held, None));
+    assert!(!is_doubtful(Revision::new(2, 501), held, None));
+    // In the same era the newer one holds.
+    assert!(!is_doubtful(Revision::new(1, 300), held, Some(300)));
+}
