--- a/crates/node/src/history.rs
+++ b/crates/node/src/history.rs
@@ -32,13 +32,13 @@
 
 /// An entry as it was last changed.
 #[derive(Clone, Debug)]
-struct Held {
+struct Known {
     entry: Entry,
     /// The store's counter at the change before, if this host knows that; 0 if there was none.
     before: Option<u64>,
 }
 
-impl Held {
+impl Known {
     fn is_removed(&self) -> bool {
         self.entry.fact == Fact::Removed
     }
@@ -93,7 +93,7 @@
 /// Each entry's last change. All entries are here, and changes behind a revision are complete.
 #[derive(Debug)]
 pub struct History {
-    entries: BTreeMap<Name, Held>,
+    entries: BTreeMap<Name, Known>,
     /// How many of them are removals.
     removed: usize,
     /// Changes behind this revision are all here, removals included.
@@ -107,8 +107,8 @@
     edits: VecDeque<Edited>,
     /// Whether the store has come back from a copy lately.
     recovery: Recovery,
-    /// What the list has in place of entries that are held on to against it since; none of those that it lacks.
-    held: BTreeMap<Name, Option<Entry>>,
+    /// What the list has in place of entries that are kept against it since; none of those that it lacks.
+    doubts: BTreeMap<Name, Option<Entry>>,
 }
 
 impl History {
@@ -123,7 +123,7 @@
             changed: Revision::NONE,
             edits: VecDeque::new(),
             recovery: Recovery::new(missing_ms),
-            held: BTreeMap::new(),
+            doubts: BTreeMap::new(),
         }
     }
 
@@ -142,7 +142,7 @@
     /// Whether this host holds on to something against the list.
     #[must_use]
     pub fn is_doubting(&self) -> bool {
-        !self.held.is_empty()
+        !self.doubts.is_empty()
     }
 
     /// What the list says in place of what was held on to for long enough; none if there is nothing.
@@ -154,7 +154,7 @@
             Some(_) => phase == Phase::Settled,
         };
         let revision = self.revision?.next_step();
-        let due = self.held.iter().filter(|(_, listed)| is_due(listed));
+        let due = self.doubts.iter().filter(|(_, listed)| is_due(listed));
         let entries: Vec<Entry> = due
             .map(|(key, listed)| {
                 let fact = listed.as_ref().map_or(Fact::Removed, |listed| listed.fact.clone());
@@ -184,17 +184,17 @@
                 _ => entries.push(entry.clone()),
             }
         }
-        let is_lost = |known: &&Held| {
+        let is_lost = |known: &&Known| {
             let key = &known.entry.key;
             let is_of_before = known.entry.revision.era < news.revision.era;
-            let is_held = is_of_before || self.held.get(key) == Some(&None);
+            let is_held = is_of_before || self.doubts.get(key) == Some(&None);
             is_held && !known.is_removed() && !listed.contains(key) && !given.contains_key(key)
         };
         let lost = self.entries.values().filter(|_| phase == Phase::Missing).filter(is_lost);
         let missing: Vec<Entry> = lost.map(|known| known.entry.clone()).collect();
         let counts = (missing.len(), doubted.len());
         held.extend(missing.iter().map(|entry| (entry.key.clone(), None)));
-        self.held = held;
+        self.doubts = held;
         // Those that have the list as the store says it lack these.
         let own = self.revision.unwrap_or_default().max(news.revision);
         let revision = if counts == (0, 0) { own } else { own.next_step() };
@@ -216,8 +216,8 @@
 
     /// Whether an entry is held on to against what the list has in its place. What was held on to before is not of
     /// the list, whatever revision it was given here.
-    fn is_held_against(&self, known: &Held, listed: &Entry) -> bool {
-        match self.held.contains_key(&listed.key) {
+    fn is_held_against(&self, known: &Known, listed: &Entry) -> bool {
+        match self.doubts.contains_key(&listed.key) {
             true => {
                 let is_newer = known.entry.revision >= listed.revision;
                 is_newer && !is_same(&known.entry.fact, &listed.fact)
@@ -242,7 +242,7 @@
             _ => {}
         }
         if is_back {
-            self.held.clear();
+            self.doubts.clear();
         }
         is_back || !is_new
     }
@@ -251,7 +251,7 @@
     fn doubt_with(&mut self, news: &News, now: Millis) {
         if let Some(doubts) = &news.doubts {
             self.recovery.begin(now - doubts.age_ms);
-            self.held = doubts.held.clone();
+            self.doubts = doubts.held.clone();
         }
     }
 
@@ -278,7 +278,7 @@
         for entry in &news.entries {
             self.put(entry.clone(), news.is_whole);
             if !news.is_whole {
-                self.held.remove(&entry.key);
+                self.doubts.remove(&entry.key);
             }
         }
         self.revision = self.revision.max(Some(news.revision));
@@ -302,8 +302,8 @@
             None if !is_listed => Some(0),
             _ => None,
         };
-        let was_removed = held.is_some_and(Held::is_removed);
-        let held = Held { entry, before };
+        let was_removed = held.is_some_and(Known::is_removed);
+        let held = Known { entry, before };
         self.removed += usize::from(held.is_removed());
         self.removed -= usize::from(was_removed);
         self.entries.insert(held.entry.key.clone(), held);
@@ -411,7 +411,7 @@
             .collect();
         entries.sort_by_key(|entry| entry.revision);
         let age_ms = self.recovery.age_ms(now);
-        let doubts = age_ms.map(|age_ms| Doubts { age_ms, held: self.held.clone() });
+        let doubts = age_ms.map(|age_ms| Doubts { age_ms, held: self.doubts.clone() });
         Some(News { entries, revision: newest, is_whole, doubts: doubts.filter(|_| is_whole) })
     }
 
--- a/crates/policy/src/recovery.rs
+++ b/crates/policy/src/recovery.rs
@@ -68,7 +68,7 @@
 /// as the host knows.
 ///
 /// The copy can have nothing newer than what the lost entry replaced; whatever was written after the return
-/// bears a number above the copy's.
+/// has a number above the copy's.
 #[must_use]
 pub fn is_doubtful(listed: Revision, held: Revision, before: Option<u64>) -> bool {
     listed.era > held.era && listed.number <= before.unwrap_or(held.number)
