--- a/crates/chestnutspur/src/command.rs
+++ b/crates/chestnutspur/src/command.rs
@@ -10,6 +10,7 @@
 mod explain;
 mod load;
 mod node;
+mod place;
 mod replay;
 mod report;
 mod standin;
@@ -70,6 +71,13 @@
         #[bpaf(positional("REQUEST-ID"))]
         request: String,
     },
+    /// Ask a node where it would send a request now, and why
+    ///
+    /// Prints the route, the version, the limits, and each candidate with the parts of its cost in
+    /// milliseconds; or where the request in flight with an id is. Sends nothing to backend servers.
+    /// Exit code 1 if the host, path, account or id is not known.
+    #[bpaf(command("where"))]
+    Where(#[bpaf(external(place::arguments))] place::Arguments),
     /// Check a settings file, a configuration document or a routing table
     ///
     /// The file's members tell which of them it is. Prints every fault with its path in the file;
@@ -140,6 +148,7 @@
         Command::Control { settings } => control::run(&settings),
         Command::Node { settings } => node::run(&settings),
         Command::Explain { request } => explain::run(&request),
+        Command::Where(arguments) => place::run(&arguments),
         Command::Check { file } => check::run(&file),
         Command::Apply(arguments) => apply::run(arguments),
         Command::Status(arguments) => status::run(&arguments),
--- a/crates/chestnutspur/src/command/demo.rs
+++ b/crates/chestnutspur/src/command/demo.rs
@@ -125,7 +125,13 @@
 fn print(summary: &Summary, json: bool) -> Exit {
     match json {
         true => println!("{}", serde_json::to_string(&summary.figures()).unwrap_or_default()),
-        false => print!("{summary}"),
+        false => {
+            print!("{summary}");
+            eprintln!(
+                "demo: on the users' platform, `chestnutspur where --at ADDR --host HOST --path PATH` \
+                 says where a node would send a request, and why"
+            );
+        }
     }
     for answer in &summary.wrong {
         eprintln!("demo: wrong answer: {answer}");
--- a/crates/chestnutspur/src/command/node.rs
+++ b/crates/chestnutspur/src/command/node.rs
@@ -45,7 +45,8 @@
     let listeners = Listeners::bind(&settings).await.map_err(|error| error.to_string())?;
     let (changes, changed) = mpsc::unbounded_channel();
     tokio::spawn(watch_settings(file, settings.clone(), hangup, changes));
-    let platform = (platform::Client::new(settings.platform), platform::Codec);
+    let store = platform::Client::new(settings.platform);
+    let platform = (store, platform::Codec, platform::Engines);
     node::run(settings, changed, listeners, platform, metrics, stop).await;
     Ok(())
 }
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -15,6 +15,7 @@
 
 use crate::answer::Answer;
 use crate::chain;
+use crate::progress::{self, Progress, Watched};
 use crate::state::State;
 
 /// Ratio of hyper's read buffer to the limit on header bytes. The buffer is larger, so that a
@@ -42,6 +43,12 @@
     fn accepts_connection(&self) -> bool {
         true
     }
+
+    /// The record of a new connection's write progress; `None` if it is not recorded. The requests
+    /// of the connection have it as an extension.
+    fn watch(&self) -> Option<Arc<Progress>> {
+        None
+    }
 }
 
 /// Limits of one connection.
@@ -115,8 +122,13 @@
         return;
     }
     let bounds = state.bounds();
-    let service = service_fn(move |request| {
+    let progress = state.watch();
+    let watched = progress.clone();
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let state = Arc::clone(&state);
+        if let Some(progress) = &watched {
+            request.extensions_mut().insert(Arc::clone(progress));
+        }
         async move { Ok::<_, Infallible>(state.handle(request).await) }
     });
     let mut connection = std::pin::pin!(
@@ -124,13 +136,19 @@
             .timer(TokioTimer::new())
             .header_read_timeout(bounds.idle)
             .max_buf_size((bounds.header_bytes * BUFFER_FACTOR).max(64 << 10))
-            .serve_connection(TokioIo::new(stream), service)
+            .serve_connection(TokioIo::new(Watched::new(stream, progress.clone())), service)
     );
+    let mut cut = std::pin::pin!(progress::wait_until_cut(progress.as_deref()));
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
+        // Dropping the connection closes it and frees what is held for it.
+        () = cut.as_mut() => return,
         () = close.cancelled() => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                ended = connection => ended,
+                () = cut => return,
+            }
         }
     };
     if let Err(error) = ended {
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -2,6 +2,7 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -61,6 +62,10 @@
 /// Limit on the bytes of an answer's head. A faulty backend server may send an endless head; a
 /// usual one has a few hundred bytes.
 const HEAD_BYTES_MAX: usize = 64 << 10;
+/// How much longer a new connection is waited for once its timeout has passed. If this process stood
+/// still in between, the runtime may process the timeout before it notices that the connection is
+/// open. A second, short wait lets it look once more.
+const NOTICE_TIMEOUT: Duration = Duration::from_millis(10);
 
 /// One open connection. Dropping it closes the socket at once, which cancels the backend server's
 /// work for the request in flight: a late answer, or one to another request, is lost with its
@@ -85,7 +90,12 @@
     /// # Errors
     /// Always with `sent: false`.
     pub async fn open(address: SocketAddr, within: Duration) -> Result<Self, Failure> {
-        let stream = match tokio::time::timeout(within, TcpStream::connect(address)).await {
+        let mut connecting = pin!(TcpStream::connect(address));
+        let mut opened = tokio::time::timeout(within, connecting.as_mut()).await;
+        if opened.is_err() {
+            opened = tokio::time::timeout(NOTICE_TIMEOUT, connecting).await;
+        }
+        let stream = match opened {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(Failure::not_sent(Cause::from_open_error(&error))),
             Err(_) => return Err(Failure::not_sent(Cause::Silent)),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod operators;
 pub mod pins;
 pub mod process;
+pub mod progress;
 pub mod rating;
 pub mod refuse;
 pub mod relay;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -7,6 +7,7 @@
 
 use policy::intake::Intake;
 use policy::name::Name;
+use policy::report::OwnRequests;
 use policy::time::Millis;
 use policy::{place, probe};
 use wire::backend::Load;
@@ -50,6 +51,8 @@
     pub failure_domain: Name,
     /// Requests of this process in flight at the server.
     pub in_flight: AtomicU32,
+    /// The recent numbers of requests of this process in flight.
+    own: Mutex<OwnRequests>,
     hash: u64,
     idle: Mutex<Vec<Connection>>,
     health: Mutex<Health>,
@@ -69,6 +72,7 @@
             address,
             failure_domain,
             in_flight: AtomicU32::new(0),
+            own: Mutex::default(),
             idle: Mutex::default(),
             health: Mutex::default(),
             intake: Mutex::default(),
@@ -248,6 +252,17 @@
         health.probe.mark_healthy();
     }
 
+    /// Requests of this process that were in flight at the server at a recent time.
+    #[must_use]
+    pub fn own_at(&self, time: Millis) -> u32 {
+        let own = self.own();
+        own.at(time, self.in_flight.load(Ordering::Relaxed))
+    }
+
+    fn own(&self) -> std::sync::MutexGuard<'_, OwnRequests> {
+        self.own.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Health> {
         self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -263,13 +278,18 @@
     /// Adds one to the server's requests in flight.
     #[must_use]
     pub fn new(server: Arc<Server>) -> Self {
-        server.in_flight.fetch_add(1, Ordering::Relaxed);
+        let mut own = server.own();
+        let before = server.in_flight.fetch_add(1, Ordering::Relaxed);
+        own.record_change(before, clock::steady());
+        drop(own);
         Self { server }
     }
 }
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        self.server.in_flight.fetch_sub(1, Ordering::Relaxed);
+        let mut own = self.server.own();
+        let before = self.server.in_flight.fetch_sub(1, Ordering::Relaxed);
+        own.record_change(before, clock::steady());
     }
 }
--- a/crates/entry/tests/connect.rs
+++ b/crates/entry/tests/connect.rs
@@ -1,5 +1,8 @@
 //! Connections that do not open or go silent, and the cause that is reported.
 
+use std::future::poll_fn;
+use std::pin::pin;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -35,3 +38,29 @@
     assert!(began.elapsed() < Duration::from_secs(1));
     drop(silent);
 }
+
+/// Guards against servers that count as silent because this process stood still until the timeout
+/// had passed, although the connection was open.
+#[test]
+fn open_notices_a_connection_after_its_timeout() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    // One event at a time, so that the runtime ends the timer before it notices the connection.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .max_io_events_per_tick(1)
+        .build();
+    runtime.unwrap().block_on(async {
+        let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+        socket.set_nonblocking(true).unwrap();
+        let _event = tokio::net::UdpSocket::from_std(socket).unwrap();
+        let mut opening = pin!(Connection::open(address, Duration::from_millis(1)));
+        poll_fn(|context| {
+            assert!(opening.as_mut().poll(context).is_pending());
+            std::thread::sleep(Duration::from_millis(20));
+            Poll::Ready(())
+        })
+        .await;
+        assert!(opening.await.is_ok());
+    });
+}
--- a/crates/experiment/src/host/view.rs
+++ b/crates/experiment/src/host/view.rs
@@ -91,6 +91,8 @@
             reported: self.reported,
             own_then: self.own_then,
             report_age_ms: engine::age_ms(self.reported_at, now),
+            is_announced: false,
+            assumed: 0.0,
             slots: self.slots,
             wait_ms: self.backlog.wait_ms(rank, now),
             cached: 0.0,
--- /dev/null
+++ b/crates/gateway/src/admission/request.rs
@@ -0,0 +1,193 @@
+//! How one request is admitted: at once, after a wait, or not at all.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use entry::clock;
+use policy::admit::gate;
+use policy::admit::room::{Kind, Room};
+use policy::admit::{Arrival, Verdict};
+use policy::time::Millis;
+use tokio::sync::oneshot;
+use wire::refusal::Refusal;
+
+use super::{Gate, WaitGuard};
+use crate::codec::Codec;
+use crate::job::Job;
+use crate::refuse;
+
+impl<C: Codec> Job<C> {
+    /// Waits until a server of the service is believed to have room, and takes a slot. Requests of
+    /// services without a server that takes work don't wait.
+    ///
+    /// # Errors
+    /// A refusal, as soon as the request can't be answered in time. It has not run.
+    pub async fn enter(&mut self) -> Result<(), Refusal> {
+        self.attempts.slot = None;
+        let state = Arc::clone(&self.state);
+        let Some(waiting_max) = state.admission.waiting_max else { return Ok(()) };
+        // Servers with a limited tolerance for rejected requests have quotas for each host.
+        if self.tolerance().is_some() || self.prefers_detour() {
+            return Ok(());
+        }
+        let (kind, now) = (self.server_kind(), clock::steady());
+        let gate = state.admission.gate(&self.service, waiting_max, kind);
+        let Some(room) = state.room(&gate, kind, now) else { return Ok(()) };
+        let hosts = state.host_count(&self.service);
+        let mut arrival = self.arrival(now);
+        let (ticket, receiver, evicted) = {
+            let mut inner = gate.lock();
+            inner.kind = kind;
+            match self.offer(&mut inner.decisions, &mut arrival, (room, hosts), now) {
+                Verdict::Admit => {
+                    self.attempts.slot = Some(gate.slot(room));
+                    return Ok(());
+                }
+                Verdict::Refuse { retry_after_ms } => {
+                    drop(inner);
+                    return Err(self.not_admitted(Instant::now(), retry_after_ms));
+                }
+                Verdict::Wait { ticket, evicted } => {
+                    let (sender, receiver) = oneshot::channel();
+                    inner.waiting.insert(ticket, sender);
+                    if !std::mem::replace(&mut inner.is_served, true) {
+                        tokio::spawn(Arc::clone(&state).keep_serving(Arc::clone(&gate)));
+                    }
+                    let evicted = evicted.and_then(|evicted| {
+                        let sender = inner.waiting.remove(&evicted.ticket)?;
+                        Some((sender, evicted.retry_after_ms))
+                    });
+                    (ticket, receiver, evicted)
+                }
+            }
+        };
+        if let Some((sender, retry_after_ms)) = evicted {
+            // If the send fails, the caller of the evicted request has left.
+            let _ = sender.send(Err(retry_after_ms));
+        }
+        let since = Instant::now();
+        let guard = WaitGuard { gate: &gate, ticket };
+        let decided = receiver.await;
+        drop(guard);
+        match decided {
+            Ok(Ok(slot)) => {
+                self.attempts.slot = Some(slot);
+                self.attempts.waited_ms += since.elapsed().as_millis() as u64;
+                self.record_wait(since);
+                Ok(())
+            }
+            Ok(Err(retry_after_ms)) => Err(self.not_admitted(since, retry_after_ms)),
+            // The process stops.
+            Err(_) => Err(self.refusal()),
+        }
+    }
+
+    fn server_kind(&self) -> Kind {
+        if self.info.parts.is_empty() { Kind::Plain } else { Kind::Engine }
+    }
+
+    /// Offers the request to a queue, which decides on it.
+    fn offer(
+        &self,
+        decisions: &mut gate::Gate,
+        arrival: &mut Arrival,
+        (room, hosts): (Room, u32),
+        now: Millis,
+    ) -> Verdict {
+        let work_ms = decisions.queue.work_ms(arrival);
+        // A request that waits again has been counted.
+        if self.attempts.sent == 0 {
+            decisions.shares.record(&arrival.account, work_ms, now);
+        }
+        decisions.arrive(arrival, (room, hosts), (rand::random(), rand::random()), now)
+    }
+
+    /// What admission control would decide on the request now; `None` if it does not apply. The
+    /// decision is made on a copy of the queue.
+    #[must_use]
+    pub fn foresee_admission(&self) -> Option<Verdict> {
+        let state = &self.state;
+        let waiting_max = state.admission.waiting_max?;
+        if self.tolerance().is_some() || self.prefers_detour() {
+            return None;
+        }
+        let (kind, now) = (self.server_kind(), clock::steady());
+        let gate = state.admission.known_gate(&self.service);
+        let gate =
+            gate.unwrap_or_else(|| Arc::new(Gate::new(self.service.clone(), waiting_max, kind)));
+        let room = state.room(&gate, kind, now)?;
+        let hosts = state.host_count(&self.service);
+        let mut copy = gate.lock().decisions.clone();
+        Some(self.offer(&mut copy, &mut self.arrival(now), (room, hosts), now))
+    }
+
+    /// Mean time until a request of this kind is answered, in milliseconds; 0 if it is not known.
+    fn usual_answer_ms(&self) -> f64 {
+        let timing = self.state.timings.with(self.timing_key(), |timing| *timing);
+        match self.route().kind.is_stream() {
+            true => timing.first.mean_ms(0.0),
+            false => timing.whole.mean_ms(0.0),
+        }
+    }
+
+    /// Whether a request that a server has rejected can't be answered in time any more. Under a
+    /// shortage it would only take room from requests that can.
+    pub fn is_rejected_late(&self) -> bool {
+        let attempts = &self.attempts;
+        let may_refuse = attempts.slot.is_some() && !attempts.rejected_by.is_empty();
+        may_refuse && self.time_left().as_secs_f64() * 1_000.0 < self.usual_answer_ms()
+    }
+
+    fn arrival(&self, now: Millis) -> Arrival {
+        let service_ms = self.usual_answer_ms();
+        let left_ms = u64::try_from(self.time_left().as_millis()).unwrap_or(u64::MAX);
+        let elapsed_ms = self.started.elapsed().as_millis() as u64;
+        let objective = now + self.route().objective_ms.saturating_sub(elapsed_ms);
+        Arrival::new(self.account.clone().unwrap_or_default(), self.priority, now + left_ms)
+            .with_service(service_ms)
+            .with_objective(objective)
+    }
+
+    fn record_wait(&self, since: Instant) {
+        let waited = since.elapsed();
+        metrics::histogram!("gateway_admission_wait_seconds", "service" => self.service.to_string())
+            .record(waited.as_secs_f64());
+        log::info!(target: "route", request:% = self.info.id, service:% = self.service,
+            account:% = self.account.as_deref().unwrap_or_default(), priority = self.priority,
+            waited_ms = waited.as_millis() as u64, not_run = self.attempts.not_run;
+            "request waited for a server");
+    }
+
+    fn not_admitted(&self, since: Instant, retry_after_ms: u64) -> Refusal {
+        metrics::counter!("gateway_admission_refusals_total",
+            "service" => self.service.to_string())
+        .increment(1);
+        log::info!(target: "route", request:% = self.info.id, service:% = self.service,
+            account:% = self.account.as_deref().unwrap_or_default(), priority = self.priority,
+            waited_ms = since.elapsed().as_millis() as u64, retry_after_ms,
+            waiting = self.state.admission.waiting(&self.service);
+            "request not admitted: it can't be answered in time");
+        refuse::not_in_time(retry_after_ms)
+    }
+
+    /// Whether the request waits again, because every server has rejected it and none has run it.
+    pub fn takes_place_again(&mut self) -> bool {
+        let attempts = &mut self.attempts;
+        let was_rejected_by_all = attempts.found_no_server && !attempts.rejected_by.is_empty();
+        let may = self.state.admission.is_on()
+            && was_rejected_by_all
+            && !attempts.may_have_run
+            && attempts.failure_answer.is_none()
+            && attempts.sent < self.attempts_max;
+        if !may || self.time_left().is_zero() {
+            return false;
+        }
+        let attempts = &mut self.attempts;
+        let rejected_by = std::mem::take(&mut attempts.rejected_by);
+        attempts.excluded.retain(|tried| !rejected_by.contains(tried));
+        attempts.found_no_server = false;
+        // The repeat that was taken for the next attempt has not been used.
+        *attempts.is_paid.get_mut() = attempts.sent > 0;
+        true
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt of a request at one backend server.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use entry::clock;
@@ -12,17 +13,19 @@
 use hyper::header::HOST;
 use hyper::http::response::Parts;
 use policy::backlog::Prompt;
+use policy::hedge::LoadClass;
 use policy::time::Millis;
 
 use crate::backend::{Backend, Prefill};
 use crate::codec::{AnswerInfo, AttemptInfo, Codec};
+use crate::hedge::Collected;
 use crate::job::Job;
 use crate::recall::Forwarding;
 
 /// Longest wait for a new connection. Within a region a connection opens in a few milliseconds. If
 /// it takes longer than this, the server is unreachable or its queue of new connections is full,
 /// and the kernel tries again only after a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// One connection attempt may use up the time left divided by this number.
 const CONNECT_DIVISOR: u32 = 4;
 /// How long an idle connection may be reused. Older ones may have gone silent, and backend servers
@@ -32,6 +35,8 @@
 /// The least time to read a prompt for it to be announced to the other hosts: a third of the whole
 /// wait of callers with short prompts.
 const ANNOUNCED_READ_MS: f64 = 60.0;
+/// Most shared parts of a prompt that are announced, so that the announcement fits a datagram.
+const ANNOUNCED_PARTS_MAX: usize = 16;
 
 /// The head of a backend server's answer, and the connection that its body comes from.
 pub struct Reply {
@@ -39,8 +44,12 @@
     pub head: Parts,
     /// What the headers say.
     pub info: AnswerInfo,
-    /// The body, not yet read.
+    /// The body, not yet read unless it is `collected`.
     pub body: Incoming,
+    /// The whole body, if the request could be hedged.
+    pub collected: Option<Collected>,
+    /// How busy the backend server was when the request was sent; `None` if no requests are hedged.
+    pub load_class: Option<LoadClass>,
     /// The connection. Dropping it closes it, which stops the backend server's work.
     pub connection: Connection,
     /// Counts the request as in flight at the backend server.
@@ -76,6 +85,14 @@
     Lost(Cause),
 }
 
+impl Failure {
+    /// Whether no byte of the request was written.
+    #[must_use]
+    pub fn is_unsent(self) -> bool {
+        matches!(self, Self::Unsent(_) | Self::Unwanted)
+    }
+}
+
 /// Sends the request and waits for the head of its answer.
 ///
 /// # Errors
@@ -86,23 +103,34 @@
     attempt: &AttemptInfo<'_>,
 ) -> Result<Reply, Failure> {
     let mut connection = open(job, backend).await?;
-    if backend.is_closed(clock::steady()) {
+    let keeps_copy = attempt.continue_from.is_some()
+        && job.attempts.kept_at.as_ref().is_some_and(|kept_at| kept_at.start == backend.start);
+    if !keeps_copy && backend.is_closed(clock::steady()) {
         return Err(Failure::Unwanted);
     }
     let request = request(job, attempt).ok_or(Failure::Unsent(Cause::Broken))?;
     let model = job.model_hash();
     let rank = attempt.priority.unwrap_or_default();
-    let estimate = backend.estimate(model, &job.info.parts, rank, clock::steady());
-    let tokens = (f64::from(job.info.prompt_tokens) - estimate.cached_tokens).max(0.0);
+    let estimate = backend.estimate(rank, clock::steady());
+    let prefixes = &job.state.prefixes;
+    let cached = prefixes.cached_tokens(backend, model, &job.info.parts, clock::steady());
+    let fetch = job.attempts.fetch.as_ref();
+    let (fetched, fetch_ms) = fetch.map_or((0.0, 0.0), |fetch| (fetch.tokens, fetch.ms));
+    let tokens = match attempt.continue_from {
+        // Only what the copy lacks is read, a few events at most.
+        Some(_) => 0.0,
+        None => (f64::from(job.info.prompt_tokens) - cached - fetched).max(0.0),
+    };
     let rate = job.tokens_per_ms(job.attempts.model);
     let read_ms = tokens / rate * estimate.slowdown;
     let prompt = Prompt { rank, read_ms };
-    let pending = backend.record_sent(model, &job.info.parts, prompt, clock::steady());
-    if read_ms >= ANNOUNCED_READ_MS && backend.is_near {
-        let prefill = Prefill { backend: backend.id.clone(), read_ms: read_ms as u32, rank };
-        // If the queue is full, the prompt is not announced. Announcements are only hints.
-        let _ = job.state.outbox.prefills.try_send(prefill);
+    let pending = backend.record_sent(prompt, clock::steady());
+    prefixes.record_sent(backend, model, &job.info.parts, clock::steady());
+    if read_ms >= ANNOUNCED_READ_MS {
+        announce(job, backend, prompt);
     }
+    let transfer = fetch.map(|fetch| fetch.source.open_transfer());
+    let load_class = job.load_class(backend);
     let lease = Lease::new(Arc::clone(&backend.server));
     let (sent_at, sent) = (Instant::now(), clock::steady());
     let response = wait_for_head(job, backend, connection.send(request, job.time_left())).await?;
@@ -110,40 +138,72 @@
         job.state.record_reached();
     }
     pending.begin(clock::steady());
+    drop(transfer);
     let head_ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
     let (head, body) = response.into_parts();
-    let info = job.state.codec.answer_info(head.status, &head.headers);
+    let mut info = job.state.codec.answer_info(head.status, &head.headers);
+    if attempt.continue_from.is_some() && info.not_run {
+        // The engine has no copy of this request. That says nothing about other requests.
+        info.statement.pause_ms = None;
+    }
     backend.record_contact(clock::steady());
     // Another server may answer at the address of one that is gone. Its load and limits are its
     // own.
     if !info.misdirected {
         if let Some(load) = info.load {
             backend.record_load(load, clock::steady());
+            job.state.announce_load(backend, load, clock::steady());
         }
         record_statement(job, backend, &info, sent);
     }
     check_answer(job, &head, &info)?;
+    let wait_ms = estimate.wait_ms.max(fetch_ms);
+    let expected_ms = wait_ms + read_ms;
+    job.record_fetch(head_ms, expected_ms, clock::steady());
     if job.is_timed(backend) {
         let (timing, now) = (job.timing_key(), clock::steady());
         job.state.timings.with(timing, |timing| timing.first.record(head_ms, now));
         job.state.speeds.with(job.speed_key(job.attempts.model), |speed| {
-            speed.record(head_ms / estimate.slowdown, estimate.wait_ms, tokens);
+            speed.record(head_ms / estimate.slowdown, wait_ms, tokens);
         });
     }
     Ok(Reply {
         head,
         info,
         body,
+        collected: None,
+        load_class,
         connection,
         lease,
         backend: Arc::clone(backend),
         sent_at,
         head_ms,
-        expected_ms: estimate.wait_ms + read_ms,
+        expected_ms,
         forwarding: None,
     })
 }
 
+/// Announces a long prompt to the other hosts of the failure domain. A prompt for a server of
+/// another one is announced only for the prefix cache index.
+fn announce<C: Codec>(job: &Job<C>, backend: &Backend, prompt: Prompt) {
+    let is_covered = job.state.prefixes.covers(backend);
+    if !(backend.is_near || is_covered) {
+        return;
+    }
+    let shared = if is_covered { job.info.shared_parts() } else { &[] };
+    let prefill = Prefill {
+        backend: backend.id.clone(),
+        // Hosts of an earlier version do not know `is_far`, and a time of 0 changes nothing there.
+        read_ms: if backend.is_near { prompt.read_ms as u32 } else { 0 },
+        rank: prompt.rank,
+        is_far: !backend.is_near,
+        model: if is_covered { job.model_hash() } else { 0 },
+        shared: shared.iter().take(ANNOUNCED_PARTS_MAX).copied().collect(),
+    };
+    // If the queue is full, the prompt is not announced. Announcements are only hints.
+    let _ = job.state.outbox.prefills.try_send(prefill);
+}
+
 /// Records the limits that a backend server states of itself in an answer, and announces them to
 /// the other hosts.
 pub fn record_statement<C: Codec>(
@@ -210,13 +270,31 @@
     let reuse =
         job.route().kind == wire::routing::Kind::Idempotent && !job.attempts.needs_new_connection;
     let within = CONNECT_TIMEOUT.min(job.time_left() / CONNECT_DIVISOR);
+    let since = Instant::now();
     let opened = backend.server.connect(reuse.then_some(IDLE_REUSE_MAX), within).await;
-    if opened.is_err() && !backend.is_host {
-        job.state.reach.record_failure(backend);
+    match &opened {
+        Ok(connection) if connection.is_reused() => {}
+        Ok(_) => backend.record_opened(clock::steady()),
+        Err(failure) => {
+            log_unopened(job, backend, since, failure.cause);
+            if !backend.is_host {
+                job.state.reach.record_failure(backend);
+            }
+        }
     }
     opened.map_err(|failure| Failure::Unsent(failure.cause))
 }
 
+/// Logs what distinguishes the causes: a server that is gone, one whose queue of new connections is
+/// full while it answers on others, and a host that stood still (far over the timeout).
+fn log_unopened<C: Codec>(job: &Job<C>, backend: &Backend, since: Instant, cause: Cause) {
+    log::info!(target: "route", request:% = job.info.id, backend:% = backend.id, cause:? = cause,
+        took_ms = since.elapsed().as_millis() as u64,
+        heard_ms = clock::steady().since(backend.last_contact()),
+        in_flight = backend.server.in_flight.load(Ordering::Relaxed),
+        host_in_flight = job.state.in_flight.load(Ordering::Relaxed); "no connection opened");
+}
+
 fn request<C: Codec>(
     job: &Job<C>,
     attempt: &AttemptInfo<'_>,
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -1,40 +1,38 @@
 //! One start of a backend server, and what this host knows of it.
 
+mod pending;
 pub mod probe;
+mod report;
 mod restriction;
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use entry::server::Server;
 use policy::backlog::{Backlog, Prompt};
+use policy::hedge;
 use policy::intake::Statement;
 use policy::name::Name;
 use policy::place;
+use policy::prefix::{self, Part, Recent, Weights};
 use policy::rejection::{self, Room};
-use policy::slowdown::{Observation, Slowdown};
+use policy::report::Announcements;
+use policy::slowdown::{Moment, Observation, Slowdown};
 use policy::suspicion::Suspicion;
 use policy::throttle::Place;
 use policy::time::Millis;
-use wire::backend;
 
+pub use self::pending::{OpenBackup, OpenTransfer, PendingAnswer};
 pub use self::probe::Liveness;
+pub use self::report::LoadReport;
 pub use self::restriction::{Restriction, RestrictionNotice};
-use crate::codec::{Load, PromptPart};
 
 /// Consecutive connection attempts that must time out before a server is marked ill. A lost packet
 /// delays one attempt beyond its timeout; two in a row are rare on a working link.
 const TIMEOUTS_TO_ILL: u32 = 2;
-/// How long a prompt part is assumed to stay in an engine's cache after its last use.
-const CACHE_LIFETIME_MS: u64 = 30_000;
 /// How long a host that says it takes no requests is not asked again.
 const UNAVAILABLE_PAUSE_MS: u64 = 1_000;
-/// How long another host's report of its requests in flight is used.
-const REPORT_LIFETIME_MS: u64 = 1_000;
-/// Prompt parts remembered for one engine before outdated ones are removed.
-const CACHED_PARTS_MAX: usize = 4_096;
 
 policy::domain! {
     /// A long prompt that was just sent to a backend server, as announced to other hosts.
@@ -46,6 +44,17 @@
         /// The prompt's rank among those that wait at the server; 0 is read first.
         #[serde(default)]
         pub rank: u8,
+        /// Whether the server is in another failure domain than the hosts, so that only its cache
+        /// matters to them.
+        #[serde(default)]
+        pub is_far: bool,
+        /// The hash of the model; 0 if the caller chooses it.
+        #[serde(default)]
+        pub model: u64,
+        /// The shared parts of the prompt; empty if the prefix cache index does not cover the
+        /// server.
+        #[serde(default)]
+        pub shared: Vec<Part>,
     }
 }
 
@@ -65,51 +74,54 @@
     pub is_host: bool,
     /// Hash of the id. Hosts derive their preferences for servers from it.
     pub id_hash: u64,
+    /// Identifies this start of the server in the prefix cache index.
+    pub start: u64,
     /// The server's connections, requests in flight and health.
     pub server: Arc<Server>,
+    /// Whether the server tells what it has cached.
+    has_cache_events: AtomicBool,
+    /// Transfers from the server that this host has asked for and that have not ended.
+    transfers: AtomicU32,
+    /// Tokens of the backups that this host has asked for at the server and that may exist.
+    backup_tokens: AtomicU64,
+    /// Whether the routing table describes the server as a model engine.
+    is_engine: AtomicBool,
+    /// Whether the server serves several models, so that cached parts belong to one of them.
+    has_models: AtomicBool,
+    /// Whether the server's row says that it is leaving.
+    is_draining: AtomicBool,
     observations: Mutex<Observations>,
     /// When the server last refused a connection, in milliseconds; 0 if it has answered since.
     refused_at: AtomicU64,
+    /// When a new connection to the server last opened; 0 if none has.
+    opened_at: AtomicU64,
     /// When the server was last probed for having ended, and the result.
     last_probe: tokio::sync::Mutex<Option<(Millis, Liveness)>>,
 }
 
-/// A prompt that was sent and whose answer has not begun. Dropped before that, the prompt no longer
-/// counts as waiting.
-pub struct PendingAnswer {
-    backend: Arc<Backend>,
-    number: u64,
-}
-
-impl PendingAnswer {
-    /// Records that the answer has begun.
-    pub fn begin(self, now: Millis) {
-        self.backend.lock().backlog.record_answer_start(self.number, now);
-    }
-}
-
-impl Drop for PendingAnswer {
-    fn drop(&mut self) {
-        self.backend.lock().backlog.remove(self.number);
-    }
-}
-
 #[derive(Default)]
 struct Observations {
     suspicion: Suspicion,
     slowdown: Slowdown,
+    /// What the server reports of its speed at the moment.
+    moment: Moment,
     timeouts: u32,
     /// Prompts that wait at the server or are being read there.
     backlog: Backlog,
     reported: u32,
     own_at_report: u32,
     reported_at: Millis,
+    /// When the server made the newest report, or when the report came. A rejection is none.
+    stated_at: Millis,
+    announcements: Announcements,
     last_contact: Millis,
+    /// When the server last gave a whole answer in a usual time.
+    fast_at: Millis,
     probed_at: Millis,
     /// What this host may send to the server, if it crashes when it rejects too many requests.
     room: Room,
-    /// When prompt parts were last used at the server, by hash of the model and id of the part.
-    cached_parts: HashMap<(u64, u64), Millis>,
+    /// Prompt parts that this host has recently sent to the server.
+    recent_parts: Recent,
 }
 
 /// What this host estimates of a server when it places a prompt.
@@ -123,12 +135,14 @@
     pub reported_at: Millis,
     /// Time until the server would begin to read the prompt, in milliseconds.
     pub wait_ms: f64,
-    /// Leading tokens of the prompt that are assumed to be cached.
-    pub cached_tokens: f64,
     /// The fraction of requests that the server is expected to fail.
     pub suspicion: f64,
     /// The factor by which the server's work takes longer than usual.
     pub slowdown: f64,
+    /// The further factor at this moment, by the server's own reports.
+    pub moment: f64,
+    /// The factor that the server usually reports.
+    pub usual_moment: f64,
 }
 
 impl Backend {
@@ -136,6 +150,7 @@
     #[must_use]
     pub fn new(row: &wire::routing::Backend, is_near: bool) -> Self {
         let domain = row.failure_domain.clone();
+        let id_hash = place::hash(row.id.as_bytes());
         Self {
             id: row.id.clone(),
             born: row.born,
@@ -143,10 +158,18 @@
             slots: row.slots,
             is_near,
             is_host: false,
-            id_hash: place::hash(row.id.as_bytes()),
+            id_hash,
+            start: prefix::start(id_hash, row.born),
+            has_cache_events: AtomicBool::new(false),
+            transfers: AtomicU32::new(0),
+            backup_tokens: AtomicU64::new(0),
+            is_engine: AtomicBool::new(false),
+            has_models: AtomicBool::new(false),
+            is_draining: AtomicBool::new(row.draining),
             server: Arc::new(Server::new(row.id.clone(), row.address, domain)),
             observations: Mutex::default(),
             refused_at: AtomicU64::new(0),
+            opened_at: AtomicU64::new(0),
             last_probe: tokio::sync::Mutex::default(),
         }
     }
@@ -175,33 +198,20 @@
             .with_intake(now, |intake| intake.record_answer(&pause, now, rand::random(), now));
     }
 
-    /// Requests in flight at this host or server, if it has reported them recently.
-    #[must_use]
-    pub fn recent_requests(&self, now: Millis) -> Option<f64> {
-        let own = self.server.in_flight.load(Ordering::Relaxed);
-        let observations = self.lock();
-        let is_recent = now.since(observations.reported_at) < REPORT_LIFETIME_MS;
-        is_recent.then(|| f64::from(observations.reported.max(own)))
-    }
-
-    /// What this host knows of the server, for a prompt of the given parts and rank.
+    /// What this host knows of the server, for a prompt of the given rank.
     #[must_use]
-    pub fn estimate(&self, model: u64, parts: &[PromptPart], rank: u8, now: Millis) -> Estimate {
+    pub fn estimate(&self, rank: u8, now: Millis) -> Estimate {
         let mut observations = self.lock();
         let wait_ms = observations.backlog.wait_ms(rank, now);
-        let is_cached = |part: &&PromptPart| {
-            let used = observations.cached_parts.get(&(model, part.id));
-            used.is_some_and(|used| now.since(*used) < CACHE_LIFETIME_MS)
-        };
-        let cached = parts.iter().take_while(is_cached);
         Estimate {
             reported: observations.reported,
             own_at_report: observations.own_at_report,
             reported_at: observations.reported_at,
             wait_ms,
-            cached_tokens: cached.map(|part| f64::from(part.tokens)).sum(),
             suspicion: observations.suspicion.share(now),
             slowdown: observations.slowdown.factor(now),
+            moment: observations.moment.factor(now),
+            usual_moment: observations.moment.usual_factor(),
         }
     }
 
@@ -230,33 +240,55 @@
         self.lock().room.record_rejection(per_second, self.slots, draw, now);
     }
 
-    /// Requests at the server by its last report; `None` if there was none.
+    /// Sets what the routing table says of the server's service.
+    pub fn set_service(&self, service: Option<&wire::routing::Service>) {
+        let engine = service.and_then(|service| service.engine.as_ref());
+        self.is_engine.store(engine.is_some(), Ordering::Relaxed);
+        let has_cache_events = engine.is_some_and(|engine| engine.events_max > 0);
+        self.has_cache_events.store(has_cache_events, Ordering::Relaxed);
+        let has_models = service.is_some_and(|service| service.models.len() > 1);
+        self.has_models.store(has_models, Ordering::Relaxed);
+    }
+
+    /// Sets whether the server's row says that it is leaving.
+    pub fn set_draining(&self, is_draining: bool) {
+        self.is_draining.store(is_draining, Ordering::Relaxed);
+    }
+
+    /// Whether the server is leaving, by its row or by what it says itself.
     #[must_use]
-    pub fn reported_requests(&self) -> Option<u32> {
-        let observations = self.lock();
-        (observations.reported_at > Millis(0)).then_some(observations.reported)
+    pub fn is_leaving(&self) -> bool {
+        self.is_draining.load(Ordering::Relaxed) || self.server.is_leaving()
     }
 
-    /// Records that a prompt was sent to the server, which will be busy reading it. The prompt
-    /// counts as waiting until the returned guard is dropped or told that the answer has begun.
+    /// Whether the routing table describes the server as a model engine.
     #[must_use]
-    pub fn record_sent(
-        self: &Arc<Self>,
-        model: u64,
-        parts: &[PromptPart],
-        prompt: Prompt,
-        now: Millis,
-    ) -> PendingAnswer {
-        let mut observations = self.lock();
-        let number = observations.backlog.add_own(prompt, now);
-        if observations.cached_parts.len() > CACHED_PARTS_MAX {
-            observations.cached_parts.retain(|_, used| now.since(*used) < CACHE_LIFETIME_MS);
-        }
-        for part in parts {
-            observations.cached_parts.insert((model, part.id), now);
-        }
-        drop(observations);
-        PendingAnswer { backend: Arc::clone(self), number }
+    pub fn is_engine(&self) -> bool {
+        self.is_engine.load(Ordering::Relaxed)
+    }
+
+    /// Whether the server tells what it has cached.
+    #[must_use]
+    pub fn has_cache_events(&self) -> bool {
+        self.has_cache_events.load(Ordering::Relaxed)
+    }
+
+    /// The weights by which the server computes the parts of prompts, for a model given by its
+    /// hash. A server of one model uses it whether a request names it or not.
+    #[must_use]
+    pub fn weights(&self, model: u64) -> Weights {
+        let has_models = self.has_models.load(Ordering::Relaxed);
+        Weights::new(if has_models { model } else { 0 }, &self.version)
+    }
+
+    /// Records the parts of a prompt that this host sends to the server.
+    pub(crate) fn record_parts(&self, model: u64, parts: &[Part], now: Millis) {
+        self.lock().recent_parts.record(model, parts, now);
+    }
+
+    /// The leading tokens of a prompt that this host has recently sent to the server.
+    pub(crate) fn recently_sent(&self, model: u64, parts: &[Part], now: Millis) -> f64 {
+        self.lock().recent_parts.cached_tokens(model, parts, now)
     }
 
     /// Records that another host sent a prompt, which will keep the server busy for a time.
@@ -269,19 +301,6 @@
         self.lock().slowdown.record(shown, now);
     }
 
-    /// Records the load that the server reported with an answer.
-    pub fn record_load(&self, load: Load, now: Millis) {
-        let own = self.server.in_flight.load(Ordering::Relaxed);
-        let mut observations = self.lock();
-        observations.reported = load.requests;
-        observations.own_at_report = own;
-        observations.reported_at = now;
-        drop(observations);
-        let in_flight = load.requests;
-        self.server
-            .record_load(backend::Load { in_flight, slots: load.slots, draining: false }, now);
-    }
-
     /// Records that the server sent anything at all.
     pub fn record_contact(&self, now: Millis) {
         self.refused_at.store(0, Ordering::Relaxed);
@@ -299,6 +318,32 @@
         }
     }
 
+    /// Records that another server answered a request before this one.
+    pub fn record_slow(&self, now: Millis) {
+        self.lock().suspicion.record_slow(now);
+    }
+
+    /// Records that the server gave a whole answer in a usual time, to this host or a peer.
+    pub fn record_fast(&self, at: Millis) {
+        let mut observations = self.lock();
+        observations.fast_at = observations.fast_at.max(at);
+    }
+
+    /// What is known of the server's load and speed when a request may be hedged.
+    #[must_use]
+    pub fn hedge_target(&self) -> hedge::Target {
+        let own = self.server.in_flight.load(Ordering::Relaxed);
+        let observations = self.lock();
+        hedge::Target {
+            slots: self.slots,
+            own,
+            reported: observations.reported,
+            own_at_report: observations.own_at_report,
+            reported_at: observations.reported_at,
+            fast_at: observations.fast_at,
+        }
+    }
+
     /// Records that the server refused a connection.
     pub fn record_refused(&self, now: Millis) {
         if !self.server.is_ill(now) {
@@ -307,7 +352,8 @@
         self.server.record_failure(now);
     }
 
-    /// Records that a connection to the server timed out. Returns true if the server is now ill.
+    /// Records that a connection to the server timed out, and no other one opened meanwhile. Returns
+    /// true if the server is now ill.
     pub fn record_timeout(&self, now: Millis) -> bool {
         // The other connections that are being opened then meet the same silence. Counted one by
         // one, they would speak against the server long after it has recovered.
--- a/crates/gateway/src/backend/probe.rs
+++ b/crates/gateway/src/backend/probe.rs
@@ -54,6 +54,21 @@
         self.refused_at.store(now.0, Ordering::Relaxed);
     }
 
+    /// Records that a new connection to the server opened.
+    pub fn record_opened(&self, now: Millis) {
+        self.opened_at.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Whether new connections to the server opened while one timed out just now. A packet was lost
+    /// then, or its queue of new connections was full for a moment, as when a thousand callers come
+    /// at once.
+    #[must_use]
+    pub fn opens_connections(&self, now: Millis) -> bool {
+        let opened_at = Millis(self.opened_at.load(Ordering::Relaxed));
+        let timeout_ms = crate::attempt::CONNECT_TIMEOUT.as_millis() as u64;
+        opened_at > Millis(0) && now.since(opened_at) < timeout_ms
+    }
+
     /// When the server last sent anything.
     #[must_use]
     pub fn last_contact(&self) -> Millis {
--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -16,9 +16,23 @@
     /// Records a failed attempt: which server or host is to blame, and what that means for the
     /// request's next attempt.
     pub fn blame(&mut self, backend: &Arc<Backend>, failure: Failure) {
-        match backend.is_host {
-            true => self.blame_host(backend, failure),
-            false => self.blame_server(backend, failure),
+        self.record_fetch_failed();
+        let is_paid = *self.attempts.is_paid.get_mut();
+        match (backend.is_host, &self.attempts.continue_from) {
+            (true, _) => self.blame_host(backend, failure),
+            (false, None) => self.blame_server(backend, failure),
+            (false, Some(_)) if failure == (Failure::NotRun { misdirected: false }) => {
+                self.record_no_copy(backend);
+            }
+            (false, Some(_)) => {
+                metrics::counter!("gateway_continuations_total", "result" => "failed").increment(1);
+                self.blame_server(backend, failure);
+                if failure.is_unsent() {
+                    self.return_copy();
+                }
+                // No repeat was taken for the attempt, so none is left over from it.
+                *self.attempts.is_paid.get_mut() = is_paid;
+            }
         }
         log::info!(target: "route", request:% = self.info.id, backend:% = backend.id,
             cause:? = failure, sent = self.attempts.sent, digest:% = self.fingerprint().request,
@@ -62,6 +76,11 @@
     fn blame_server(&mut self, backend: &Arc<Backend>, failure: Failure) {
         let now = clock::steady();
         match failure {
+            Failure::Unsent(Cause::Silent) if backend.opens_connections(now) => {
+                // The server takes others' connections. It may be the only one, so it is tried again.
+                self.attempts.is_paid.fetch_or(self.attempts.sent > 0, Ordering::Relaxed);
+                self.attempts.unsent += 1;
+            }
             Failure::Unsent(cause) => {
                 // Nothing arrived at the server, so the repeat that was taken has not been used.
                 self.attempts.is_paid.fetch_or(self.attempts.sent > 0, Ordering::Relaxed);
@@ -110,6 +129,12 @@
                 if let Some(per_second) = self.tolerance().filter(|_| !misdirected) {
                     backend.record_rejected(per_second, rand::random(), now);
                 }
+                if !misdirected {
+                    if self.state.admission.is_on() {
+                        backend.record_full(now);
+                    }
+                    self.attempts.rejected_by.push(backend.id.clone());
+                }
                 if misdirected {
                     backend.record_refused(now);
                     self.state.poison.record_ended(&backend.id);
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -7,8 +7,10 @@
 use entry::carry::{self, Step, carry};
 use entry::clock;
 use hyper::http::response::Parts;
+use policy::name::Name;
 use policy::precedence;
 use policy::retry::{self, Attempt};
+use policy::time::Millis;
 use wire::refusal::Refusal;
 
 use crate::attempt::{self, Failure, Reply};
@@ -17,12 +19,13 @@
 use crate::handle::Origin;
 use crate::job::Job;
 use crate::pick;
+use crate::pool::Pool;
 use crate::relay::LiveStream;
 use crate::resume::Obstacle;
 
 /// Connections that may fail without an answer before a request is given up. Refused connections
 /// have no such limit: each costs a millisecond, and a server that refused is not tried again.
-const UNSENT_MAX: u32 = 4;
+pub const UNSENT_MAX: u32 = 4;
 
 /// An answer that is passed on to the caller.
 pub enum AcceptedAnswer {
@@ -41,9 +44,16 @@
         // A request that another host passed on is counted there, and so are its repeats.
         if self.origin == Origin::Caller {
             self.window(|window, allowance| window.record_request(allowance, clock::steady()));
+            self.count_for_hedges();
             self.choose_first_model();
         }
-        carry(self).await
+        loop {
+            self.enter().await?;
+            match carry(self).await {
+                Err(_) if self.takes_place_again() => {}
+                answer => return answer,
+            }
+        }
     }
 
     /// Checks that another attempt is allowed, and takes the repeat that it costs if the request
@@ -61,7 +71,7 @@
             expected_ms: 1,
         };
         match () {
-            () if self.time_left().is_zero() => Err(Obstacle::Late),
+            () if self.time_left().is_zero() || self.is_rejected_late() => Err(Obstacle::Late),
             () if !retry::may_retry_elsewhere(&attempt) => Err(Obstacle::Kind),
             () if attempts.sent >= self.attempts_max => Err(Obstacle::Attempts),
             () if attempts.unsent >= UNSENT_MAX && !self.has_host() => Err(Obstacle::Connections),
@@ -103,6 +113,8 @@
     /// Chooses where the next attempt goes: to a backend server, or through another host if no
     /// server can be reached.
     pub fn next_destination(&mut self) -> Option<Arc<Backend>> {
+        self.attempts.fetch = None;
+        self.attempts.continue_from = None;
         match self.prefers_detour() {
             true => self.next_host().or_else(|| self.next_backend()),
             false => self.next_backend().or_else(|| self.next_host()),
@@ -114,21 +126,22 @@
         let snapshot = self.state.snapshot.load_full();
         let pool = snapshot.pools.get(&self.service)?;
         let now = clock::steady();
-        let version = match &self.attempts.version {
-            // A stream and a session stay on their version while it has another server.
-            Some(version) if pool.stays_on(version, now) => version.clone(),
-            _ => pool.version(self.subject(), now).clone(),
-        };
-        let is_stopped = pool
-            .rollout
-            .as_ref()
-            .is_some_and(|trial| trial.target == version && trial.share(now) == 0.0);
-        let chosen = if is_stopped { None } else { pick::choose(self, pool, &version) };
-        let chosen = chosen.or_else(|| {
-            let other = pool.fallback(&version, now)?;
-            pick::choose(self, pool, other)
-        });
-        chosen.inspect(|backend| self.attempts.version = Some(backend.version.clone()))
+        let version = self.version(pool, now);
+        let choose = |version| pick::choose(self, pool, version);
+        let chosen = pool.versions_to_try(version, now).find_map(choose);
+        let pick::Choice { backend, fetch } = chosen?;
+        self.attempts.version = Some(backend.version.clone());
+        self.attempts.fetch = fetch;
+        Some(backend)
+    }
+
+    /// The version that the next attempt is meant for. A stream and a session stay on theirs while
+    /// it has another server.
+    #[must_use]
+    pub fn version<'a>(&'a self, pool: &'a Pool, now: Millis) -> &'a Name {
+        let current = self.attempts.version.as_ref();
+        let current = current.filter(|version| pool.stays_on(version, now));
+        current.unwrap_or_else(|| pool.version(self.subject(), now))
     }
 
     /// Sends the request to a backend server or another host, and waits for the head of its answer.
@@ -140,27 +153,59 @@
         backend: &Arc<Backend>,
         last_event: Option<u64>,
     ) -> Result<Reply, Failure> {
+        if let Some(run) = &self.run {
+            run.record_attempt(backend);
+        }
         self.attempts.is_answering = false;
         self.attempts.answer_began_at = None;
+        self.attempts.hedge.answered_by = None;
+        // The previous attempt has ended, and its backup counts no longer.
+        self.attempts.backup = None;
         let reply = match backend.is_host {
             true => self.forward(backend, last_event).await,
-            false => self.send(backend, last_event).await,
+            false if self.may_race(last_event) => return self.attempt_hedged(backend).await,
+            false => {
+                self.choose_backup(backend);
+                self.send(backend, last_event).await
+            }
         };
+        if matches!(reply, Ok(_) | Err(Failure::Lost(_))) {
+            self.record_backup();
+        }
+        self.count_attempt(backend, &reply);
+        reply
+    }
+
+    /// Records how an attempt went.
+    pub fn count_attempt(&mut self, backend: &Arc<Backend>, reply: &Result<Reply, Failure>) {
         self.attempts.is_answering = reply.is_ok();
-        if let Ok(reply) = &reply {
+        if let Ok(reply) = reply {
             self.attempts.expected_ms = reply.expected_ms as u64;
             self.attempts.head_ms = reply.head_ms as u64;
+            if let Some(slot) = self.attempts.slot.as_mut().filter(|_| !backend.is_host) {
+                slot.record_answer(reply.sent_at);
+            }
         }
         // Attempts through another host are counted with that host's answer.
-        let was_sent = !matches!(reply, Err(Failure::Unsent(_) | Failure::Unwanted));
+        let was_sent = !reply.as_ref().is_err_and(|failure| failure.is_unsent());
         if was_sent && !backend.is_host {
-            self.attempts.sent += 1;
+            // A run that continues from a copy is the same run.
+            self.attempts.sent += u32::from(self.attempts.continue_from.is_none());
             self.attempts.backend = Some(backend.id.clone());
         }
-        reply
     }
 
-    async fn send(
+    /// Counts an attempt that was or may have been sent to a backend server.
+    pub fn count_sent(&mut self, backend: &Backend) {
+        self.attempts.sent += 1;
+        self.attempts.backend = Some(backend.id.clone());
+    }
+
+    /// Sends the request to a backend server, and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// See [`attempt::send`].
+    pub async fn send(
         &self,
         backend: &Arc<Backend>,
         last_event: Option<u64>,
@@ -172,6 +217,9 @@
             model: self.model(),
             last_event,
             priority: self.engine_priority(),
+            fetch_from: self.attempts.fetch.as_ref().map(|fetch| fetch.source.server.address),
+            backup_at: self.attempts.backup.as_ref().map(|kept| kept.target().server.address),
+            continue_from: self.attempts.continue_from.as_ref(),
         };
         attempt::send(self, backend, &attempt_info).await
     }
@@ -181,8 +229,12 @@
     #[must_use]
     pub fn engine_priority(&self) -> Option<u8> {
         let is_engine = !self.info.parts.is_empty();
+        let tokens = match self.attempts.continue_from {
+            Some(_) => 0.0,
+            None => f64::from(self.info.prompt_tokens),
+        };
         let request = precedence::Request {
-            read_ms: f64::from(self.info.prompt_tokens) / self.tokens_per_ms(self.attempts.model),
+            read_ms: tokens / self.tokens_per_ms(self.attempts.model),
             priority: self.priority,
             is_repeat: self.attempts.sent > 0,
             is_resumed: self.info.last_event.is_some(),
@@ -197,7 +249,9 @@
     type Failure = Failure;
 
     fn choose(&mut self) -> Option<Arc<Backend>> {
-        self.next_destination()
+        let chosen = self.next_destination();
+        self.attempts.found_no_server = chosen.is_none();
+        chosen
     }
 
     async fn attempt(&mut self, backend: &Arc<Backend>) -> Step<AcceptedAnswer, Failure> {
@@ -219,7 +273,8 @@
     }
 
     fn record_failure(&mut self, backend: &Arc<Backend>, failure: Failure) {
-        self.blame(backend, failure);
+        let answered_by = self.attempts.hedge.answered_by.take();
+        self.blame(answered_by.as_ref().unwrap_or(backend), failure);
     }
 
     fn may_retry(&mut self) -> bool {
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -1,22 +1,16 @@
 //! The contents of requests and answers, independent of their names on the wire.
 
 use std::fmt;
+use std::net::SocketAddr;
 
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, StatusCode};
 use policy::intake::Statement;
 use policy::name::Name;
+pub use policy::prefix::Part as PromptPart;
 use wire::refusal::Refusal;
 
-/// A part of a prompt. Requests share parts, and an engine that has all parts up to one in its
-/// cache need not read them again.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub struct PromptPart {
-    /// Identifies the content of the part.
-    pub id: u64,
-    /// The length of the part in tokens.
-    pub tokens: u32,
-}
+use crate::copies;
 
 /// What a request's headers say.
 #[derive(Clone, Debug, Default)]
@@ -31,6 +25,8 @@
     pub session: Option<Name>,
     /// The length of the prompt in tokens.
     pub prompt_tokens: u32,
+    /// The most tokens that may be generated; 0 if unknown.
+    pub output_tokens: u32,
     /// The prompt's parts in order. The last one belongs to the request or its session alone.
     pub parts: Vec<PromptPart>,
     /// The last event that the caller has of a stream that it resumes.
@@ -73,6 +69,12 @@
     pub last_event: Option<u64>,
     /// The request's rank among those that wait for an engine, 0 first; `None` for plain services.
     pub priority: Option<u8>,
+    /// The engine from which the server first fetches what it lacks of the prompt.
+    pub fetch_from: Option<SocketAddr>,
+    /// The engine that keeps a backup of the request's KV cache while the request runs.
+    pub backup_at: Option<SocketAddr>,
+    /// The copy of the request's KV cache from which the server continues the request.
+    pub continue_from: Option<&'a copies::Copy>,
 }
 
 /// The load that a backend server reports with an answer.
@@ -82,6 +84,9 @@
     pub requests: u32,
     /// Requests that the server can run at once.
     pub slots: u32,
+    /// Time that work takes on the server's machine at this moment, in percent of the usual time;
+    /// `None` if the server does not report it.
+    pub percent: Option<u32>,
 }
 
 /// What the head of a backend server's answer says.
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -73,20 +73,21 @@
 
     /// Chooses the host that the request goes through next; `None` if there is none.
     pub fn next_host(&self) -> Option<Arc<Backend>> {
-        if !self.may_detour() {
-            return None;
-        }
-        let chosen = self.state.detour_hosts.choose(
-            &self.attempts.excluded,
-            rand::random(),
-            clock::steady(),
-        );
-        if chosen.is_none() {
+        let chosen = self.foresee_host();
+        if chosen.is_none() && self.may_detour() {
             self.state.detour_hosts.wanted.notify_one();
         }
         chosen
     }
 
+    /// A host that [`Self::next_host`] may choose. Nothing is requested if none is known.
+    #[must_use]
+    pub fn foresee_host(&self) -> Option<Arc<Backend>> {
+        let hosts = &self.state.detour_hosts;
+        let choose = || hosts.choose(&self.attempts.excluded, rand::random(), clock::steady());
+        if self.may_detour() { choose() } else { None }
+    }
+
     /// Whether the request may go through another host, and a host that takes it is known.
     #[must_use]
     pub fn has_host(&self) -> bool {
@@ -172,7 +173,7 @@
         host.record_contact(now);
         let report = ForwardReport::take_from(&mut head.headers);
         if let Some(requests) = report.load {
-            host.record_load(Load { requests, slots: 0 }, now);
+            host.record_load(Load { requests, slots: 0, percent: None }, now);
         }
         let info = self.state.codec.answer_info(head.status, &head.headers);
         let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
@@ -209,6 +210,8 @@
                 }
                 let head_ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
                 Ok(Reply {
+                    collected: None,
+                    load_class: None,
                     head,
                     info,
                     body,
--- a/crates/gateway/src/end.rs
+++ b/crates/gateway/src/end.rs
@@ -85,10 +85,14 @@
         backend:% = display(attempts.backend.as_ref()), model:% = display(job.model()),
         doubted:% = display(attempts.dropped_confidence), sent = attempts.sent,
         unsent = attempts.unsent, refused = attempts.refused, not_run = attempts.not_run,
+        hedged = attempts.hedge.is_sent, hedge_won = attempts.hedge.has_won,
         events = progress.events, pause_ms = progress.pause_ms,
         gap_ms = job.route().gap_ms.unwrap_or_default(), objective_ms = job.route().objective_ms,
         prompt = job.info.prompt_tokens, expected_ms = attempts.expected_ms,
+        fetched = attempts.fetch.as_ref().map_or(0, |fetch| fetch.tokens as u64),
+        fetched_from:% = display(attempts.fetch.as_ref().map(|fetch| &fetch.source.id)),
         head_ms = attempts.head_ms, first_ms = attempts.began_after_ms, ms = ms as u64,
+        continued = attempts.used_copies.len(), waited_ms = attempts.waited_ms,
         table = job.state.snapshot.load().index.version, outcome:? = end; "request ended");
 }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -11,6 +11,7 @@
 
 use entry::answer::Answer;
 use entry::callers::{Bounds, Handler};
+use entry::progress::Progress;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -57,6 +58,10 @@
     fn bounds(&self) -> Bounds {
         self.0.bounds()
     }
+
+    fn watch(&self) -> Option<Arc<Progress>> {
+        self.0.watch()
+    }
 }
 
 /// What another host says of a request that it passes on.
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -8,6 +8,7 @@
 use entry::call;
 use entry::callers::{Bounds, Handler};
 use entry::clock;
+use entry::progress::Progress;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::http::response::Parts;
@@ -88,6 +89,10 @@
     fn accepts_connection(&self) -> bool {
         self.shed.accepts(clock::steady())
     }
+
+    fn watch(&self) -> Option<Arc<Progress>> {
+        self.buffers.host().map(|_| Arc::default())
+    }
 }
 
 /// Answers one request of a caller or of another host.
@@ -138,9 +143,14 @@
         slow_ms: BODY_SLOW_MS,
         ..wire::settings::Bounds::default()
     };
-    let body = call::read_body(body, &bounds).await?;
     let route = &admission.indexed.route;
     let wait_ms = info.patience_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+    let deadline = started + Duration::from_millis(wait_ms);
+    let holder = state.buffers.open(head.extensions.get().cloned());
+    holder.set_deadline(deadline);
+    let mut charge = holder.charge(0);
+    let body = call::read_body_through(&mut charge, body, &bounds).await?;
+    let body = charge.hold(body);
     let subject = info.session.as_ref().unwrap_or(&info.id);
     let service = choose_service(route, subject);
     let attempts_max = forwarded
@@ -156,8 +166,11 @@
         version: forwarded.version,
         ..Attempts::default()
     };
+    let account = admission.account.as_ref();
+    let run = state.running.register(&info.id, &service, account, started);
     let mut job = Job {
         state: Arc::clone(state),
+        run: Some(run),
         service,
         info,
         method: head.method,
@@ -167,7 +180,8 @@
         account: admission.account,
         priority: admission.priority,
         started,
-        deadline: started + Duration::from_millis(wait_ms),
+        deadline,
+        holder,
         indexed: admission.indexed,
         fingerprint: OnceLock::new(),
         origin,
@@ -252,7 +266,8 @@
 }
 
 /// Chooses one of a route's services by weight. Requests of one session go to the same service.
-fn choose_service(route: &Route, subject: &Name) -> Name {
+#[must_use]
+pub fn choose_service(route: &Route, subject: &Name) -> Name {
     let total: u64 = route.targets.iter().map(|target| u64::from(target.weight)).sum();
     let mut place = mix(hash(subject.as_bytes())) % total.max(1);
     let holds = |target: &&Target| {
--- a/crates/gateway/src/index.rs
+++ b/crates/gateway/src/index.rs
@@ -62,12 +62,29 @@
         of_host.iter().find(|indexed| path.starts_with(indexed.route.prefix.as_str()))
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &IndexedRoute> {
+        self.routes.values().flatten().map(Arc::as_ref)
+    }
+
+    /// Whether this is the key of a route's answer times.
+    #[must_use]
+    pub fn has_timing(&self, key: &Name) -> bool {
+        self.routes().any(|route| route.timings.contains(key))
+    }
+
     /// The client account that a key belongs to.
     #[must_use]
     pub fn account(&self, key: &str) -> Option<&Arc<Account>> {
         self.accounts.get(key)
     }
 
+    /// The client account with this name.
+    #[must_use]
+    pub fn account_named(&self, name: &str) -> Option<&Arc<Account>> {
+        self.accounts.values().find(|account| &*account.name == name)
+    }
+
     /// Whether the table has client accounts, so that requests need a key.
     #[must_use]
     pub fn has_accounts(&self) -> bool {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -15,11 +15,17 @@
 use wire::refusal::Refusal;
 use wire::routing::Route;
 
-use crate::backend::Backend;
+use crate::admission::Slot;
+use crate::backend::{Backend, OpenBackup};
 use crate::codec::{Codec, RequestInfo};
+use crate::copies;
+use crate::fetches::Fetch;
 use crate::handle::Origin;
+use crate::hedge::HedgeState;
+use crate::holder::Holder;
 use crate::index::IndexedRoute;
 use crate::recall::Registration;
+use crate::running::Registered;
 use crate::state::State;
 
 /// A request in flight.
@@ -54,8 +60,12 @@
     pub started: Instant,
     /// When the caller stops waiting for the answer.
     pub deadline: Instant,
+    /// Counts what this host holds in memory for the request.
+    pub holder: Holder,
     /// Computed on first use, see [`Job::fingerprint`].
     pub fingerprint: OnceLock<Fingerprint>,
+    /// Keeps the request among those in flight; `None` for one that is only asked about.
+    pub run: Option<Registered>,
     /// The state of the attempts so far.
     pub attempts: Attempts,
 }
@@ -80,6 +90,14 @@
     pub host_refusal: Option<Refusal>,
     /// Attempts that backend servers did not run.
     pub not_run: u32,
+    /// The slot that the request was admitted to; `None` without admission control.
+    pub slot: Option<Slot>,
+    /// Time for which the request waited for a server with room, in milliseconds.
+    pub waited_ms: u64,
+    /// Backend servers that rejected the request since it was last admitted.
+    pub rejected_by: Vec<Name>,
+    /// Whether no backend server was left for the last attempt.
+    pub found_no_server: bool,
     /// The backend server of the last attempt.
     pub backend: Option<Name>,
     /// Backend servers and hosts that this host does not choose again for the request.
@@ -90,6 +108,24 @@
     /// Failure domains other than this host's that did not answer. Servers of the remaining domains
     /// are tried first.
     pub silent_domains: Vec<Name>,
+    /// The fetch that the last chosen backend server is asked for.
+    pub fetch: Option<Fetch>,
+    /// Whether an attempt with a fetch has failed.
+    pub has_fetch_failed: bool,
+    /// Copies of the request's KV cache, from which other engines can continue it. A copy is removed
+    /// when it is used, so that its handle is not sent twice.
+    pub copies: Vec<copies::Copy>,
+    /// The engine that has stopped the stream's run for a move and keeps its KV cache. It is leaving,
+    /// and takes the stream back all the same.
+    pub kept_at: Option<Arc<Backend>>,
+    /// Whether a move of the stream to another engine has failed after its run was stopped.
+    pub has_move_failed: bool,
+    /// The backup that the last attempt asks for.
+    pub backup: Option<OpenBackup>,
+    /// The copy that the last attempt continues from; `None` if it reads the whole prompt.
+    pub continue_from: Option<copies::Copy>,
+    /// The starts of the engines that the request was to continue at from a copy.
+    pub used_copies: Vec<u64>,
     /// The index of the requested model among the route's models.
     pub model: usize,
     /// The version of the last chosen backend server. A stream and a session stay on it.
@@ -121,6 +157,8 @@
     pub answer_began_at: Option<Instant>,
     /// The server at which the last attempt broke off, if it has not been probed since.
     pub unprobed_server: Option<Arc<Backend>>,
+    /// The state of the request's hedge.
+    pub hedge: HedgeState,
     /// The confidence of the smaller model's answer that was dropped for a larger model's.
     pub dropped_confidence: Option<u8>,
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,32 +7,43 @@
 //! on) and, if the answer is a stream, [`relay`]. The names that callers and backend servers use on
 //! the wire are hidden behind [`codec::Codec`].
 
+pub mod admission;
 pub mod attempt;
 pub mod backend;
 pub mod blame;
 pub mod carry;
 pub mod codec;
+pub mod copies;
 pub mod detour;
 pub mod detour_hosts;
 pub mod end;
 pub mod events;
 pub mod evidence;
+pub mod explain;
+pub mod fetches;
 pub mod fingerprint;
 pub mod forward;
 pub mod handle;
+pub mod hedge;
+pub mod holder;
 pub mod index;
 pub mod job;
 pub mod judge;
 pub mod limits;
+pub mod moves;
+pub mod open;
 pub mod paces;
 pub mod pick;
 pub mod poison;
 pub mod pool;
+pub mod prefixes;
 pub mod reach;
 pub mod recall;
 pub mod refuse;
 pub mod relay;
+pub mod restart;
 pub mod resume;
+pub mod running;
 pub mod shed;
 pub mod snapshot;
 pub mod state;
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -212,6 +212,15 @@
         }
     }
 
+    /// Whether servers may have ended because of the request or a part of its prompt.
+    pub fn is_suspect(&self) -> bool {
+        let judge = || {
+            let now = clock::steady();
+            self.state.poison.with_book(|book| book.judge(self.fingerprint(), now))
+        };
+        !self.state.poison.is_empty() && judge().cause.is_some()
+    }
+
     fn hold(&self, (digest, kind): (Digest, Kind), ms: u64) -> Refusal {
         let label = match kind {
             Kind::Request => "request",
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -77,6 +77,8 @@
     near_places: Vec<u64>,
     /// The servers of other failure domains, in the same order as `all`.
     far: Vec<Arc<Backend>>,
+    /// The index in `all` of each server by its start, sorted.
+    starts: Vec<(u64, usize)>,
 }
 
 /// The backend servers that are compared for one request.
@@ -103,7 +105,17 @@
         let (near, far): (Vec<_>, Vec<_>) =
             all.iter().cloned().partition(|backend| backend.is_near);
         let near_places = near.iter().map(|backend| mix(backend.id_hash)).collect();
-        Self { all, near, near_places, far }
+        let starts = all.iter().enumerate().map(|(index, backend)| (backend.start, index));
+        let mut starts: Vec<_> = starts.collect();
+        starts.sort_unstable();
+        Self { all, near, near_places, far, starts }
+    }
+
+    /// The index in [`Self::all`] of the server with this start.
+    #[must_use]
+    pub fn with_start(&self, start: u64) -> Option<usize> {
+        let found = self.starts.binary_search_by_key(&start, |(start, _)| *start).ok()?;
+        Some(self.starts[found].1)
     }
 
     /// Whether the version has more servers than are compared for one request.
@@ -275,6 +287,25 @@
         !is_left && self.servers(version).next().is_some()
     }
 
+    /// Whether a version is on trial and receives no requests now.
+    #[must_use]
+    pub fn is_stopped(&self, version: &Name, now: Millis) -> bool {
+        let trial = self.rollout.as_ref().filter(|trial| trial.target == *version);
+        trial.is_some_and(|trial| trial.share(now) == 0.0)
+    }
+
+    /// The versions that a request meant for `version` may go to, in the order in which they are
+    /// tried. A later one is only computed if the earlier one has no server for the request.
+    pub fn versions_to_try<'a>(
+        &'a self,
+        version: &'a Name,
+        now: Millis,
+    ) -> impl Iterator<Item = &'a Name> {
+        let first = (!self.is_stopped(version, now)).then_some(version);
+        let other = std::iter::once_with(move || self.fallback(version, now));
+        first.into_iter().chain(other.flatten())
+    }
+
     /// The version that a request may go to instead if `version` has no server left for it.
     ///
     /// Requests for the version on trial fall back to the version before. The reverse never happens
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -23,6 +23,9 @@
 const LIMITED_PER_SECOND_MIN: f64 = 0.2;
 /// The least time after which a caller of a full service may come back.
 const BUSY_RETRY_MS_MIN: f64 = 100.0;
+/// The least time after which a caller may come back if this host has no memory for its request.
+/// Callers that hold it without reading are disconnected within about as long.
+const NO_MEMORY_RETRY_MS: f64 = 1_000.0;
 
 /// This host has no routing table yet.
 #[must_use]
@@ -52,6 +55,13 @@
     Refusal::not_run(Code::Overloaded, "every backend server is full").retry_after(ms as u64)
 }
 
+/// The request waited for a server, or would have to, for longer than its caller waits.
+#[must_use]
+pub fn not_in_time(retry_after_ms: u64) -> Refusal {
+    Refusal::not_run(Code::Overloaded, "the request can't be answered in time")
+        .retry_after(retry_after_ms)
+}
+
 /// Every backend server that could be used has reached its limit.
 ///
 /// `per_second` is the sum of their limits. `draw` is uniform in 0 to 1 and keeps callers that were
@@ -104,6 +114,17 @@
     Refusal::not_run(Code::NoBackend, "all backend servers are leaving").retry_after(ms as u64)
 }
 
+/// This host has had no memory for the request's body.
+///
+/// `draw` is uniform in 0 to 1 and keeps callers that were refused together from coming back
+/// together.
+#[must_use]
+pub fn no_memory(draw: f64) -> Refusal {
+    let ms = NO_MEMORY_RETRY_MS * (1.0 + draw);
+    Refusal::not_run(Code::Overloaded, "this host has no memory for the body")
+        .retry_after(ms as u64)
+}
+
 /// The host that passed the request on has recalled it.
 #[must_use]
 pub fn recalled() -> Refusal {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,7 +2,7 @@
 //! breaks.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use entry::answer::{Answer, Broken};
@@ -24,8 +24,10 @@
 use crate::events::EventSplitter;
 use crate::evidence::CountedAnswer;
 use crate::handle::Origin;
+use crate::holder::{Charge, Expired};
 use crate::job::Job;
 use crate::judge::is_framed;
+use crate::moves::{Course, Outcome, Relocation};
 use crate::recall::Forwarding;
 use crate::resume::Obstacle;
 
@@ -33,6 +35,15 @@
 /// wait as well.
 const PIECES_AHEAD_MAX: usize = 16;
 
+/// Memory that a stream's connection to its backend server uses while it is read.
+const SERVER_BUFFER_BYTES: usize = 8 << 10;
+/// What is expected of a stream's first events.
+const FIRST_EVENTS_BYTES: usize = 2 << 10;
+
+/// How long a stream whose run was stopped for its move is read on. The events that the source sent
+/// before are on the way already.
+const STOPPED_STREAM_MAX: Duration = Duration::from_millis(100);
+
 type Pieces = mpsc::Sender<Result<Bytes, Broken>>;
 
 /// A stream that a backend server is sending.
@@ -49,6 +60,8 @@
     backend: Arc<Backend>,
     sent_at: Instant,
     progress: RelayProgress,
+    /// How far the stream has come, for its move.
+    course: Arc<Course>,
     /// How soon the stream's events follow one another.
     pace: Pace,
     /// When the last events came; `None` before the first ones.
@@ -56,6 +69,8 @@
     /// When an event last came. Bytes without events count as silence: a server in trouble may send
     /// them without end.
     quiet_since: Instant,
+    /// Counts the buffer of the connection, and events that were not passed on yet.
+    charge: Charge,
     /// How the stream was counted for a roll-out, if it was.
     counted: Option<CountedAnswer>,
     // Dropping the connection closes it, which stops the backend server's work.
@@ -82,6 +97,10 @@
         reply: Reply,
         last: Option<u64>,
     ) -> Result<Self, Failure> {
+        job.holder.begin_stream();
+        let mut charge = job.holder.charge(0);
+        let reserved = charge.reserve(0, SERVER_BUFFER_BYTES + FIRST_EVENTS_BYTES).await;
+        reserved.map_err(|Expired| Failure::Lost(Cause::Deadline))?;
         let is_framed = is_framed(&reply);
         let Reply { body, connection, lease, backend, sent_at, forwarding, .. } = reply;
         let mut live = Self {
@@ -94,23 +113,44 @@
             backend,
             sent_at,
             progress: RelayProgress::default(),
+            course: Arc::default(),
             pace: Pace::default(),
             last_events_at: None,
             quiet_since: Instant::now(),
+            charge,
             counted: None,
             _connection: connection,
             _lease: lease,
             forwarding,
         };
+        if let Some(last) = last {
+            live.course.record(last);
+        }
         match live.next(job).await.map_err(Failure::Lost)? {
             Piece::Events(events) => live.unsent_events = events,
             // A stream that is resumed after its last event has no more events.
             Piece::End if last.is_some() => live.is_ended = true,
             Piece::End => return Err(Failure::Lost(Cause::Truncated)),
         }
+        live.charge.resize(SERVER_BUFFER_BYTES + live.unsent_events.len());
         Ok(live)
     }
 
+    /// Passes events on. They stay counted until the caller has taken them.
+    async fn send<C: Codec>(
+        &mut self,
+        pieces: &Pieces,
+        events: Bytes,
+        job: &Job<C>,
+    ) -> Result<(), End> {
+        let events = self.charge.keep_piece(SERVER_BUFFER_BYTES, events);
+        match tokio::time::timeout_at(job.deadline.into(), pieces.send(Ok(events))).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(End::CallerGone),
+            Err(_) => Err(End::Broken(Cause::Deadline)),
+        }
+    }
+
     /// Receives the next whole events, or the end of the stream.
     async fn next<C: Codec>(&mut self, job: &Job<C>) -> Result<Piece, Cause> {
         loop {
@@ -168,6 +208,9 @@
     /// Records that events have been passed on.
     fn record_passed_on<C: Codec>(&mut self, job: &Job<C>) {
         self.progress.record_piece(Instant::now());
+        if let Some(last) = self.splitter.last_id() {
+            self.course.record(last);
+        }
         if let (Some(registered), Some(last)) = (&job.registration, self.splitter.last_id()) {
             registered.record_passed_on(last);
         }
@@ -191,8 +234,11 @@
         let until = tokio::time::Instant::from(job.deadline);
         let Self { body, backend, forwarding, splitter, .. } = self;
         let mut lost = std::pin::pin!(wait_until_lost(forwarding.as_ref(), splitter.last_id()));
-        let mut wait =
-            backend.tolerated_silence(&silence::BETWEEN_EVENTS, since.elapsed(), useful_ms).await;
+        let bounds = match job.has_copy() {
+            true => silence::BETWEEN_EVENTS_WITH_COPY,
+            false => silence::BETWEEN_EVENTS,
+        };
+        let mut wait = backend.tolerated_silence(&bounds, since.elapsed(), useful_ms).await;
         loop {
             let limit = until.min(tokio::time::Instant::now() + wait.unwrap_or_default());
             let framed = tokio::select! {
@@ -211,10 +257,7 @@
                 Err(_) => {}
             }
             let silent = since.elapsed();
-            wait = match backend
-                .tolerated_silence(&silence::BETWEEN_EVENTS, silent, useful_ms)
-                .await
-            {
+            wait = match backend.tolerated_silence(&bounds, silent, useful_ms).await {
                 None if job.claim_leave(backend) => return Err(Cause::Silent),
                 None => Some(job.time_left()),
                 still => still,
@@ -262,10 +305,10 @@
     let mut live = live;
     let recalled = job.recalled();
     loop {
-        let end = tokio::select! {
+        let (end, outcome) = tokio::select! {
             // Also watched while no events come: a caller that leaves must stop the work at once.
-            () = wait_until_unwanted(pieces, &recalled) => Err(End::CallerGone),
-            end = pass_on(&mut live, &job, pieces) => end,
+            () = wait_until_unwanted(pieces, &recalled) => (Err(End::CallerGone), Outcome::Stays),
+            end = pass_on_or_move(&mut live, &job, pieces) => end,
         };
         let cause = match end {
             Ok(()) => {
@@ -279,12 +322,23 @@
             }
         };
         live.record_engine_speed(&job);
-        let backend = Arc::clone(&live.backend);
-        if let Some(counted) = live.counted.filter(|_| !job.time_left().is_zero()) {
-            job.retract_pace(counted);
+        match &outcome {
+            // The source ended the stream because it was asked to.
+            Outcome::Stopped(stopped) => stopped.offer(&mut job),
+            Outcome::Unknown => {}
+            Outcome::Stays => {
+                let backend = Arc::clone(&live.backend);
+                if let Some(counted) = live.counted.filter(|_| !job.time_left().is_zero()) {
+                    job.retract_pace(counted);
+                }
+                job.blame(&backend, Failure::Lost(cause));
+            }
         }
-        job.blame(&backend, Failure::Lost(cause));
-        let last = live.splitter.last_id();
+        let last = match outcome {
+            // Events may have come that the caller was too slow to take.
+            Outcome::Stopped(_) => live.course.last(),
+            _ => live.splitter.last_id(),
+        };
         let progress = live.progress;
         // Closes the connection of the broken run before another run begins.
         drop(live);
@@ -298,6 +352,10 @@
             },
             None => Err(Obstacle::Kind),
         };
+        if let Outcome::Stopped(stopped) = outcome {
+            let pause = progress.last_at.map(|at| at.elapsed()).unwrap_or_default();
+            stopped.end(&mut job, resumed.is_ok(), pause);
+        }
         match resumed {
             Ok(next) => {
                 live = Box::new(next);
@@ -343,6 +401,49 @@
     end::log(job, end, live.progress);
 }
 
+/// Passes on a stream up to its end. If its engine leaves, the stream is moved meanwhile. Returns
+/// the end, and if the stream is not whole, what its move had to do with that.
+async fn pass_on_or_move<C: Codec>(
+    live: &mut LiveStream,
+    job: &Job<C>,
+    pieces: &Pieces,
+) -> (Result<(), End>, Outcome) {
+    let Some(relocation) = Relocation::new(job, &live.backend, &live.course) else {
+        return (pass_on(live, job, pieces).await, Outcome::Stays);
+    };
+    let is_framed = live.is_framed;
+    let is_whole = |end: &Result<(), End>| end.is_ok() && is_framed;
+    let mut moving = std::pin::pin!(relocation.run());
+    let mut passing = std::pin::pin!(pass_on(live, job, pieces));
+    let (end, outcome) = tokio::select! {
+        biased;
+        end = passing.as_mut() => {
+            // The last copy may have ended the stream. Its answer is still to come.
+            let is_stopped = !is_whole(&end) && end != Err(End::CallerGone);
+            let is_stopped = is_stopped && relocation.is_stopping();
+            relocation.end_tries();
+            (end, if is_stopped { moving.await } else { Outcome::Stays })
+        }
+        outcome = moving.as_mut() => {
+            let end = match &outcome {
+                Outcome::Stopped(_) => {
+                    let read = tokio::time::timeout(STOPPED_STREAM_MAX, passing).await;
+                    read.unwrap_or(Err(End::Broken(Cause::Silent)))
+                }
+                Outcome::Stays | Outcome::Unknown => passing.await,
+            };
+            (end, outcome)
+        }
+    };
+    match (end, &outcome) {
+        // A stream whose end can't be told from a lost connection seems whole when it is stopped.
+        (Ok(()), Outcome::Stopped(_) | Outcome::Unknown) if !is_framed => {
+            (Err(End::Broken(Cause::Truncated)), outcome)
+        }
+        (end, _) => (end, outcome),
+    }
+}
+
 async fn pass_on<C: Codec>(
     live: &mut LiveStream,
     job: &Job<C>,
@@ -350,13 +451,22 @@
 ) -> Result<(), End> {
     let unsent_events = std::mem::take(&mut live.unsent_events);
     if !unsent_events.is_empty() {
-        send(pieces, unsent_events, job).await?;
+        live.send(pieces, unsent_events, job).await?;
         live.record_passed_on(job);
     }
+    // What comes next is assumed to be as long as what came last.
+    let mut next = 0;
     while !live.is_ended {
+        match live.charge.reserve(SERVER_BUFFER_BYTES, next).await {
+            Ok(false) => {}
+            // The server was not silent meanwhile, it was not read.
+            Ok(true) => live.quiet_since = Instant::now(),
+            Err(Expired) => return Err(End::Broken(Cause::Deadline)),
+        }
         match live.next(job).await {
             Ok(Piece::Events(events)) => {
-                send(pieces, events, job).await?;
+                next = events.len();
+                live.send(pieces, events, job).await?;
                 live.record_passed_on(job);
             }
             Ok(Piece::End) => live.is_ended = true,
@@ -365,11 +475,3 @@
     }
     Ok(())
 }
-
-async fn send<C: Codec>(pieces: &Pieces, data: Bytes, job: &Job<C>) -> Result<(), End> {
-    match tokio::time::timeout_at(job.deadline.into(), pieces.send(Ok(data))).await {
-        Ok(Ok(())) => Ok(()),
-        Ok(Err(_)) => Err(End::CallerGone),
-        Err(_) => Err(End::Broken(Cause::Deadline)),
-    }
-}
--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -45,16 +45,16 @@
     /// # Errors
     /// Why the stream was not resumed at another backend server.
     pub async fn resume(&mut self, last: u64) -> Result<LiveStream, Obstacle> {
-        self.claim_attempt()?;
+        let obstacle = Obstacle::NoServer;
+        let mut resumption = Resumption { job: self, last, obstacle, is_claimed: false };
         loop {
-            let mut resumption = Resumption { job: self, last, obstacle: Obstacle::NoServer };
-            let resumed = carry(&mut resumption).await;
-            let obstacle = resumption.obstacle;
-            match resumed {
+            match carry(&mut resumption).await {
                 Ok(live) => return Ok(live),
-                // The repeat that was taken has not been used yet.
-                Err(_) if obstacle == Obstacle::NoServer && self.wait_out_pause().await => {}
-                Err(_) => return Err(obstacle),
+                // If a repeat was taken, it has not been used yet.
+                Err(_)
+                    if resumption.obstacle == Obstacle::NoServer
+                        && resumption.job.wait_out_pause().await => {}
+                Err(_) => return Err(resumption.obstacle),
             }
         }
     }
@@ -80,6 +80,20 @@
     last: u64,
     /// What stands against another attempt, if none is made.
     obstacle: Obstacle,
+    /// Whether an attempt is claimed that has not been made yet.
+    is_claimed: bool,
+}
+
+impl<C: Codec> Resumption<'_, C> {
+    /// Claims an attempt that begins a new run.
+    fn claim(&mut self) -> bool {
+        if !self.is_claimed {
+            let claimed = self.job.claim_attempt();
+            self.is_claimed = claimed.is_ok();
+            self.obstacle = claimed.err().unwrap_or(self.obstacle);
+        }
+        self.is_claimed
+    }
 }
 
 impl<C: Codec> carry::Request for Resumption<'_, C> {
@@ -89,7 +103,15 @@
 
     fn choose(&mut self) -> Option<Arc<Backend>> {
         self.obstacle = Obstacle::NoServer;
-        self.job.next_destination()
+        if let Some(backend) = self.job.take_copy() {
+            return Some(backend);
+        }
+        if !self.claim() {
+            return None;
+        }
+        let chosen = self.job.next_destination();
+        self.is_claimed = chosen.is_none();
+        chosen
     }
 
     async fn attempt(&mut self, backend: &Arc<Backend>) -> Step<LiveStream, Failure> {
@@ -112,6 +134,7 @@
         match LiveStream::begin(self.job, reply, last).await {
             Ok(live) => {
                 self.job.attempts.answer_began_at = Some(Instant::now());
+                self.job.record_continued();
                 Step::Answered(live)
             }
             Err(failure) => Step::Failed(failure),
@@ -123,9 +146,7 @@
     }
 
     fn may_retry(&mut self) -> bool {
-        let leave = self.job.claim_attempt();
-        self.obstacle = leave.err().unwrap_or(self.obstacle);
-        leave.is_ok()
+        self.job.has_copy() || self.claim()
     }
 
     /// The caller sees that the connection closes before the stream's end.
--- /dev/null
+++ b/crates/gateway/src/running.rs
@@ -0,0 +1,93 @@
+//! The requests in flight on this host, found by their ids.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use policy::name::Name;
+
+use crate::backend::Backend;
+
+/// The requests in flight on this host.
+#[derive(Default)]
+pub struct Running(Mutex<HashMap<Name, Vec<Arc<Run>>>>);
+
+/// A request in flight.
+pub struct Run {
+    /// The request's id, which its caller chooses. Several requests may have the same one.
+    id: Name,
+    /// The service that answers it.
+    pub service: Name,
+    /// Its client account.
+    pub account: Option<Name>,
+    /// When its head was read.
+    pub started: Instant,
+    /// The server or host of the last attempt; `None` before the first one.
+    last: Mutex<Option<Arc<Backend>>>,
+}
+
+/// Keeps a request among those in flight until dropped.
+pub struct Registered {
+    running: Arc<Running>,
+    run: Arc<Run>,
+}
+
+impl Running {
+    /// Registers a request.
+    #[must_use]
+    pub fn register(
+        self: &Arc<Self>,
+        id: &Name,
+        service: &Name,
+        account: Option<&Name>,
+        started: Instant,
+    ) -> Registered {
+        let run = Arc::new(Run {
+            id: id.clone(),
+            service: service.clone(),
+            account: account.cloned(),
+            started,
+            last: Mutex::default(),
+        });
+        self.lock().entry(id.clone()).or_default().push(Arc::clone(&run));
+        Registered { running: Arc::clone(self), run }
+    }
+
+    /// The requests in flight with this id.
+    #[must_use]
+    pub fn find(&self, id: &str) -> Vec<Arc<Run>> {
+        self.lock().get(id).cloned().unwrap_or_default()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Name, Vec<Arc<Run>>>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Run {
+    /// The server or host of the last attempt; `None` before the first one.
+    #[must_use]
+    pub fn backend(&self) -> Option<Arc<Backend>> {
+        self.last.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+impl Registered {
+    /// Records that an attempt begins at this server or host.
+    pub fn record_attempt(&self, backend: &Arc<Backend>) {
+        let mut last = self.run.last.lock().unwrap_or_else(PoisonError::into_inner);
+        *last = Some(Arc::clone(backend));
+    }
+}
+
+impl Drop for Registered {
+    fn drop(&mut self) {
+        let mut running = self.running.lock();
+        if let Some(same) = running.get_mut(&self.run.id) {
+            same.retain(|run| !Arc::ptr_eq(run, &self.run));
+            if same.is_empty() {
+                running.remove(&self.run.id);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,27 +1,35 @@
 //! The state that all requests of a host share.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::{AtomicU64, AtomicUsize};
 
 use arc_swap::ArcSwap;
 use entry::sharded::Sharded;
+use policy::engine::fetch::Correction;
 use policy::gain::Gain;
 use policy::latency::Latency;
 use policy::place::mix;
 use policy::prefill::Speed;
 use policy::rejection::Tolerance;
 use policy::repeat::{Allowance, Window};
+use policy::streams::backup::UsualPrompt;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use wire::settings::{Placement, Streams};
 
-use crate::backend::{Prefill, RestrictionNotice};
+use crate::admission::Admission;
+use crate::backend::{LoadReport, Prefill, RestrictionNotice};
 use crate::detour_hosts::DetourHosts;
 use crate::evidence::Tally;
+use crate::hedge::Hedging;
+use crate::moves::Moves;
 use crate::paces::Paces;
 use crate::poison::{Guard, TrialMessage};
+use crate::prefixes::Prefixes;
 use crate::reach::Reachability;
 use crate::recall::Registry;
+use crate::running::Running;
 use crate::shed::Shedder;
 use crate::snapshot::RoutingSnapshot;
 use crate::timing::Timing;
@@ -34,6 +42,9 @@
     /// Limits and departures that backend servers state, announced to the hosts of this failure
     /// domain.
     pub restrictions: mpsc::Sender<RestrictionNotice>,
+    /// Load reports of servers that are full, or no longer so, announced to the hosts of this
+    /// failure domain.
+    pub loads: mpsc::Sender<LoadReport>,
     /// Requests that may crash servers and that only one host of all may try.
     pub trials: mpsc::Sender<TrialMessage>,
 }
@@ -64,14 +75,29 @@
     pub codec: C,
     /// The routing table and backend servers that requests are decided by.
     pub snapshot: ArcSwap<RoutingSnapshot>,
+    /// What placement weighs beside the request's own wait.
+    pub placement: ArcSwap<Placement>,
+    /// Which copies of running streams are made.
+    pub streams: ArcSwap<Streams>,
+    /// Longest time until this host has stopped sending requests to a leaving backend server, in
+    /// milliseconds.
+    pub leaving_ms: AtomicU64,
     /// How often this host may send requests again.
     pub allowance: ArcSwap<Allowance>,
     /// The requests and repeats of the last seconds, by service.
     pub windows: Sharded<Window>,
+    /// What hedged requests are decided by.
+    pub hedging: Hedging,
     /// Answer times, by route and model.
     pub timings: Sharded<Timing>,
     /// How fast engines read prompts: by model, or by service where the caller chooses the model.
     pub speeds: Sharded<Speed>,
+    /// How long answers with a fetch took, compared with others, by service.
+    pub fetch_times: Sharded<Correction>,
+    /// The usual lengths of the prompts of streams, by service.
+    pub usual_prompts: Sharded<UsualPrompt>,
+    /// The prompt parts that engines have cached.
+    pub prefixes: Prefixes,
     /// The pace of the streams of engines, not yet announced to the other hosts.
     pub paces: Paces,
     /// How much more confidence a model has in its answers than the smallest model of its route, by
@@ -89,6 +115,8 @@
     pub relays: TaskTracker,
     /// Requests in flight on this host, including those of other hosts.
     pub in_flight: AtomicUsize,
+    /// The requests in flight on this host, found by their ids.
+    pub running: Arc<Running>,
     /// Messages for the other hosts.
     pub outbox: Outbox,
     /// Whether this host reaches any backend server.
@@ -103,6 +131,10 @@
     pub poison: Arc<Guard>,
     /// Decides which new connections are accepted.
     pub shed: Shedder,
+    /// The requests that wait while all servers of their service are full.
+    pub admission: Admission,
+    /// The moves of running streams between engines.
+    pub moves: Arc<Moves>,
     /// The memory for answers that are read whole.
     pub buffers: BufferBudget,
     /// Cancelled when the store has been read for the first time, or when reading it has failed.
@@ -125,10 +157,17 @@
             registry: Arc::default(),
             codec,
             snapshot: ArcSwap::default(),
+            placement: ArcSwap::default(),
+            streams: ArcSwap::default(),
+            leaving_ms: AtomicU64::default(),
             allowance: ArcSwap::from_pointee(allowance),
             windows: Sharded::default(),
+            hedging: Hedging::default(),
             timings: Sharded::default(),
             speeds: Sharded::default(),
+            fetch_times: Sharded::default(),
+            usual_prompts: Sharded::default(),
+            prefixes: Prefixes::default(),
             paces: Paces::default(),
             gains: Sharded::default(),
             delays: Sharded::default(),
@@ -136,7 +175,10 @@
             tally: Tally::default(),
             relays: TaskTracker::new(),
             in_flight: AtomicUsize::new(0),
+            running: Arc::default(),
             shed: Shedder::new(usize::MAX),
+            admission: Admission::default(),
+            moves: Arc::default(),
             buffers: BufferBudget::new(None),
             started: CancellationToken::new(),
             stop,
--- a/crates/gateway/src/volume.rs
+++ b/crates/gateway/src/volume.rs
@@ -2,11 +2,18 @@
 //!
 //! A backend server in trouble may send a body without end. The body of a single answer is bounded,
 //! but a host in front of such a server has hundreds of them at once, and little memory. So the sum
-//! is bounded as well.
+//! is bounded as well. An answer that would exceed this bound is given up.
+//!
+//! Beyond that, settings may bound what is held for all requests until their callers have taken it.
+//! At that bound reading waits, see [`crate::holder`].
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use entry::progress::Progress;
+
+use crate::holder::{Holder, HostMemory};
+
 /// The longest answer that is read whole.
 const ANSWER_BYTES_MAX: usize = 16 << 20;
 /// Answers up to this length are read even if the budget is used up.
@@ -21,6 +28,8 @@
 pub struct BufferBudget {
     held_bytes: Arc<AtomicUsize>,
     bytes_max: usize,
+    /// The bound on what is held for all requests; `None` if there is none.
+    host: Option<Arc<HostMemory>>,
 }
 
 impl BufferBudget {
@@ -31,6 +40,29 @@
         Self {
             held_bytes: Arc::default(),
             bytes_max: usize::try_from(bytes_max).unwrap_or(usize::MAX),
+            host: None,
+        }
+    }
+
+    /// Bounds what is held for all requests as well; `None` sets no bound.
+    #[must_use]
+    pub fn with_bound(self, bytes: Option<u64>) -> Self {
+        Self { host: bytes.map(|bytes| Arc::new(HostMemory::new(bytes))), ..self }
+    }
+
+    /// The bound on what is held for all requests; `None` if there is none.
+    #[must_use]
+    pub fn host(&self) -> Option<Arc<HostMemory>> {
+        self.host.clone()
+    }
+
+    /// Opens the account of a request whose connection has this progress. The account counts
+    /// nothing if there is no bound.
+    #[must_use]
+    pub fn open(&self, progress: Option<Arc<Progress>>) -> Holder {
+        match (&self.host, progress) {
+            (Some(host), Some(progress)) => host.open(progress),
+            _ => Holder::default(),
         }
     }
 
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -182,3 +182,19 @@
     static CALLS: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
     policy::place::mix(subject ^ CALLS.fetch_add(1, Ordering::Relaxed))
 }
+
+/// Guards against requests of a version on trial that are refused while the version before has
+/// servers, and against requests that try a version that is not trusted.
+#[test]
+fn versions_to_try_end_with_the_version_before() {
+    let (trial, old) = (Name::from("v2"), Name::from("v1"));
+    let names = |pool: &Pool, version: &Name, part| {
+        let versions = pool.versions_to_try(version, at(part));
+        versions.map(ToString::to_string).collect::<Vec<_>>()
+    };
+    assert_eq!(names(&pool(Stage::Trial, false), &trial, 0.6), ["v2", "v1"]);
+    assert_eq!(names(&pool(Stage::Trial, false), &old, 0.6), ["v1"]);
+    for stopped in [pool(Stage::Stopped, false), pool(Stage::Trial, true)] {
+        assert_eq!(names(&stopped, &trial, 0.6), ["v1"]);
+    }
+}
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -7,6 +7,7 @@
 
 use policy::heartbeat;
 use policy::name::Name;
+use policy::prefix::Lag;
 use policy::time::Millis;
 
 /// Most peers that are remembered. The limit only bounds memory.
@@ -19,6 +20,8 @@
     last_seen: Millis,
     /// Strength class of the peer's machine.
     class: u8,
+    /// How late the peer's messages arrive.
+    lag: Lag,
 }
 
 /// The known peers, by name.
@@ -31,10 +34,10 @@
     pub fn record(&self, name: &Name, address: SocketAddr, class: u8, now: Millis) -> bool {
         let mut hosts = self.lock();
         let has_room = hosts.len() < HOSTS_MAX;
-        let peer = Peer { address, last_seen: now, class };
+        let peer = Peer { address, last_seen: now, class, lag: Lag::default() };
         match hosts.get_mut(name) {
             Some(existing) => {
-                *existing = peer;
+                *existing = Peer { lag: existing.lag, ..peer };
                 false
             }
             None if has_room => hosts.insert(name.clone(), peer).is_none(),
@@ -42,6 +45,12 @@
         }
     }
 
+    /// Records a message that a peer sent at `sent` by its clock. Returns by how much it came later
+    /// than the peer's messages usually do, in milliseconds; 0 from an unknown peer.
+    pub fn record_delay(&self, name: &Name, sent: Millis, now: Millis) -> u64 {
+        self.lock().get_mut(name).map_or(0, |peer| peer.lag.record(sent, now))
+    }
+
     /// Evicts peers that have been silent for so long that their addresses are no longer worth
     /// keeping.
     pub fn evict_silent(&self, now: Millis) {
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -25,6 +25,7 @@
 use tokio_util::codec::LengthDelimitedCodec;
 use wire::store::Error;
 
+use crate::caches::CachedPart;
 use crate::record::RolloutState;
 use crate::store::{List, Update};
 
@@ -35,6 +36,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Longest message, in bytes.
 pub const MESSAGE_BYTES_MAX: usize = 64 << 10;
+/// Most cached parts in an answer, which must not be longer than [`MESSAGE_BYTES_MAX`].
+pub const CACHED_PARTS_MAX: usize = 800;
 /// Length of a piece of a package. A piece arrives within the call timeout even on a narrow link
 /// that several hosts share, so a package may be of any length.
 const PIECE_BYTES: usize = 32 << 10;
@@ -65,6 +68,8 @@
     async fn piece(from: u64) -> Bytes;
     /// States of all roll-outs that the host knows.
     async fn records() -> Vec<RolloutState>;
+    /// Shared parts of prompts that the host believes engines to have cached.
+    async fn cached() -> Vec<CachedPart>;
 }
 
 domain! {
@@ -117,6 +122,8 @@
     fn update_since(&self, list: List, after: Revision) -> Option<Update>;
     /// States of all roll-outs that this host knows.
     fn rollouts(&self) -> Vec<RolloutState>;
+    /// Shared parts of prompts that engines have cached, at most `max`.
+    fn cached_parts(&self, max: usize) -> Vec<CachedPart>;
 }
 
 /// Compressed update, kept until a newer one replaces it.
@@ -205,6 +212,10 @@
     async fn records(self, _: Context) -> Vec<RolloutState> {
         self.source.rollouts()
     }
+
+    async fn cached(self, _: Context) -> Vec<CachedPart> {
+        self.source.cached_parts(CACHED_PARTS_MAX)
+    }
 }
 
 impl<S: Source> Server<S> {
@@ -359,6 +370,16 @@
     .await
 }
 
+/// Requests the shared parts of prompts that the peer at `from` believes engines to have cached.
+///
+/// # Errors
+/// If there is no answer in time, also from a host of a version that does not know the call. The
+/// request can be repeated: it changes nothing at the peer.
+pub async fn request_cached_parts(from: SocketAddr) -> Result<Vec<CachedPart>, Error> {
+    let host = connect(from).await?;
+    with_timeout(async { host.cached(context()).await.map_err(call_error) }).await
+}
+
 async fn with_timeout<T>(exchange: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
     let answer = tokio::time::timeout(CALL_TIMEOUT, exchange).await;
     answer.unwrap_or_else(|_| Err(Error::Lost("no answer within the call timeout".to_owned())))
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,14 +4,16 @@
 //! again. [`watch`] follows the store's two lists, [`catalog`] builds from them the snapshot that
 //! requests read, [`rollout`] carries out orders to change a service's version together with the
 //! other hosts, and [`process`] starts and stops all of them. The store's protocol is behind the
-//! trait [`store::Store`].
+//! trait [`store::Store`], the calls to engines behind [`caches::Engines`].
 
 pub mod budget;
+pub mod caches;
 pub mod catalog;
 pub mod counts;
 pub mod directory;
 pub mod error;
 pub mod exchange;
+pub mod far;
 pub mod follow;
 pub mod helpers;
 pub mod history;
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 
 use entry::answer::Answer;
-use entry::clock;
+use entry::{call, clock};
+use gateway::explain::{self, Question};
 use gateway::{Codec, State};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -13,11 +14,15 @@
 use hyper_util::rt::TokioIo;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
+use wire::settings::Bounds;
 
 use crate::catalog::Catalog;
 use crate::follow::Follower;
 use crate::status::Status;
 
+/// Longest question to `/where`, in bytes.
+const QUESTION_BYTES_MAX: usize = 64 << 10;
+
 /// State that the endpoint reports.
 pub struct Context<C> {
     /// State that all requests share.
@@ -41,9 +46,14 @@
             }
         };
         let context = Arc::clone(&context);
-        let service = service_fn(move |request| {
-            let response = answer(&context, &request);
-            async move { Ok::<_, Infallible>(response) }
+        let service = service_fn(move |request: Request<Incoming>| {
+            let context = Arc::clone(&context);
+            async move {
+                Ok::<_, Infallible>(match request.uri().path() {
+                    "/where" => explain(&context, request).await,
+                    _ => answer(&context, &request),
+                })
+            }
         });
         tokio::spawn(async move {
             let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -64,13 +74,51 @@
         (_, "/live" | "/ready" | "/metrics" | "/status") => {
             (StatusCode::METHOD_NOT_ALLOWED, "only GET\n".to_owned())
         }
-        _ => (StatusCode::NOT_FOUND, "/live, /ready, /metrics or /status\n".to_owned()),
+        _ => (StatusCode::NOT_FOUND, "/live, /ready, /metrics, /status or /where\n".to_owned()),
     };
+    response(status, text)
+}
+
+fn response(status: StatusCode, text: String) -> Response<Answer> {
     let mut response = Response::new(Answer::whole(text));
     *response.status_mut() = status;
     response
 }
 
+/// Explains where a request would be sent now, or where one in flight is. The body is a
+/// [`Question`].
+async fn explain<C: Codec>(context: &Context<C>, request: Request<Incoming>) -> Response<Answer> {
+    if request.method() != Method::POST {
+        return response(StatusCode::METHOD_NOT_ALLOWED, "only POST\n".to_owned());
+    }
+    let bounds = Bounds { body_bytes: QUESTION_BYTES_MAX, ..Bounds::default() };
+    let fault = |status, message: String| {
+        response(status, serde_json::json!({ "error": message }).to_string())
+    };
+    let body = match call::read_body(request.into_body(), &bounds).await {
+        Ok(body) => body,
+        Err(refusal) => return fault(StatusCode::BAD_REQUEST, refusal.message),
+    };
+    let question: Question = match serde_json::from_slice(&body) {
+        Ok(question) => question,
+        Err(error) => return fault(StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    let found = match &question.request {
+        Some(id) => match explain::locate(&context.state, id) {
+            runs if runs.is_empty() => Err("no request with this id is in flight here".to_owned()),
+            runs => Ok(serde_json::json!({ "runs": runs }).to_string()),
+        },
+        None => match explain::explain(&context.state, &question) {
+            Ok(explanation) => serde_json::to_string(&explanation).map_err(|e| e.to_string()),
+            Err(unknown) => Err(unknown.to_string()),
+        },
+    };
+    match found {
+        Ok(text) => response(StatusCode::OK, text),
+        Err(message) => fault(StatusCode::NOT_FOUND, message),
+    }
+}
+
 fn ready<C: Codec>(context: &Context<C>) -> (StatusCode, String) {
     let snapshot = context.state.snapshot.load();
     let (status, why) = match () {
@@ -109,6 +157,12 @@
     metrics::gauge!("node_evacuated_domains").set(context.catalog.evacuated().len() as f64);
     metrics::gauge!("node_backends_revision").set(snapshot.revision as f64);
     metrics::gauge!("gateway_requests_in_flight").set(in_flight as f64);
+    let prefixes = &context.state.prefixes;
+    if prefixes.is_on() {
+        let followed = prefixes.followed.load(std::sync::atomic::Ordering::Relaxed);
+        metrics::gauge!("gateway_prefix_entries").set(prefixes.count(clock::steady()) as f64);
+        metrics::gauge!("node_caches_followed").set(followed as f64);
+    }
     for follower in context.followers.iter() {
         let seconds = follower.behind_ms(clock::steady()) as f64 / 1e3;
         metrics::gauge!("node_list_behind_seconds", "list" => follower.list.name()).set(seconds);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -7,48 +7,65 @@
 //! matters when the engine must have read the prompt. What must not be lost is repeated with each
 //! heartbeat.
 
+mod batch;
 pub mod find;
+mod hedges;
 pub mod message;
+mod parts;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use entry::clock;
-use gateway::backend::{Prefill, Restriction, RestrictionNotice};
+use gateway::backend::{LoadReport, Prefill, Restriction, RestrictionNotice};
 use gateway::paces::PaceSample;
 use gateway::{Codec, State};
 use policy::backlog::Prompt;
+use policy::hedge::Pace;
 use policy::listing::Listing;
 use policy::name::Name;
 use policy::poison::registry::Source;
+use policy::prefix::far::Budget;
 use policy::time::Millis;
 use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
+use crate::caches::CacheNotice;
 use crate::counts::HostCounts;
 use crate::store::{List, Store};
 use crate::watch::{Notice, Watch};
+use batch::LoadBatch;
 pub use find::ListedHost;
-use message::{Entry, Message};
+use message::{Entry, FarNotice, Message};
 
 /// How long prefills are collected before they are announced in one message.
 const PREFILL_BATCH_DELAY: Duration = Duration::from_millis(15);
 /// Most peers that a prefill is announced to. If there are more, each announcement goes to a random
 /// sample. In a failure domain of 50 hosts each still reaches half of them.
 const NOTIFIED_HOSTS_MAX: usize = 24;
+/// Most peers that load reports are announced to. With fewer receivers each host announces its
+/// reports sooner within its bound on bytes.
+const LOAD_HOSTS_MAX: usize = 12;
 /// Interval of messages about the speeds of engines, as observed from their streams.
 const STREAM_REPORT_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval of messages about the work that accounts offer, while a service is short. Each names one
+/// service.
+const DEMAND_INTERVAL: Duration = Duration::from_millis(500);
+/// Most peers that such a message goes to. The hosts that are heard stand for all.
+const DEMAND_HOSTS_MAX: usize = 6;
 /// Mean interval between two hosts' checks whether the store still has their rows.
 const ROW_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// Interval of messages about engines' caches.
+const CACHE_NOTICE_INTERVAL: Duration = Duration::from_secs(1);
 /// Most prefills in one message.
 const PREFILLS_MAX: usize = 16;
 /// Most restrictions of backend servers in one heartbeat. Each host hears of them from the servers
 /// as well.
 const RESTRICTIONS_MAX: usize = 48;
 
-/// What a message told about its sender.
+/// What a message says about its sender.
 #[derive(Clone, Copy, Debug, Default)]
 struct Received {
     /// The sender was not known before.
@@ -85,6 +102,12 @@
     pub prefills: mpsc::Receiver<Prefill>,
     /// Restrictions that backend servers have just set on what they take.
     pub restrictions: mpsc::Receiver<RestrictionNotice>,
+    /// Load reports of backend servers that are nearly full, or no longer so.
+    pub loads: mpsc::Receiver<LoadReport>,
+    /// What was heard of engines' caches.
+    pub caches: mpsc::Receiver<CacheNotice>,
+    /// Announcements of cached parts to hosts of other failure domains, with the hosts' addresses.
+    pub far: mpsc::Receiver<(SocketAddr, FarNotice)>,
     /// Other events that peers are notified of.
     pub notices: mpsc::Receiver<Notice>,
 }
@@ -93,8 +116,14 @@
     /// Exchanges messages until the process ends.
     pub async fn run(self, mut queues: Queues) {
         let mut delegate = None;
+        let mut loads = LoadBatch::default();
         let mut sent = tokio::time::Instant::now();
         let mut stream_reports = tokio::time::interval(STREAM_REPORT_INTERVAL);
+        let mut cache_notices = tokio::time::interval(CACHE_NOTICE_INTERVAL);
+        let mut cache_budget = Budget::default();
+        let mut demands = tokio::time::interval(DEMAND_INTERVAL);
+        let mut hedges = tokio::time::interval(hedges::CHECK_INTERVAL);
+        let mut pace = Pace::default();
         let mut buffer = vec![0; message::BYTES_MAX];
         // Messages are received while peers are looked up in the store: a host that starts while
         // the store is away finds no peers, but those that knew it before find it.
@@ -109,7 +138,8 @@
                     is_finding = true;
                 }
                 found = &mut find, if is_finding => {
-                    (is_finding, has_found) = (false, true);
+                    let is_first = !std::mem::replace(&mut has_found, true);
+                    is_finding = false;
                     for ListedHost { name, address, class, forward } in &found {
                         self.watch.directory.record(name, *address, *class, clock::steady());
                         self.set_forward(name, *forward);
@@ -119,12 +149,18 @@
                     let lacks = self.watch.unread_lists().into_iter().map(Entry::Lacks);
                     let heartbeat = lacks.chain(self.heartbeat()).collect();
                     self.send(self.addresses(), heartbeat).await;
+                    if is_first {
+                        self.request_cached_parts();
+                    }
                     self.watch.set_listed_peers(&found);
                     self.watch.update_retry_budget();
                 }
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => {
-                        let sender = self.receive(&buffer[..length], from);
+                        let (sender, far) = self.receive(&buffer[..length], from);
+                        if let Some(notice) = far {
+                            self.pass_on(notice, &mut cache_budget).await;
+                        }
                         if sender.is_delegate {
                             delegate = Some(from);
                         }
@@ -151,6 +187,30 @@
                     }
                     self.send(self.random_addresses(), entries).await;
                 }
+                Some(report) = queues.loads.recv() => loads.add(report, tokio::time::Instant::now()),
+                () = loads.wait() => {
+                    let is_newest = |report: &LoadReport| {
+                        let backend = self.watch.catalog.backend(&report.backend);
+                        backend.is_some_and(|backend| backend.is_newest_report(report.at))
+                    };
+                    let mut to = self.random_addresses();
+                    if self.state.placement.load().loads {
+                        to.shuffle(&mut rand::rng());
+                        to.truncate(LOAD_HOSTS_MAX);
+                    }
+                    let entries = loads.take(is_newest, to.len(), tokio::time::Instant::now());
+                    if !entries.is_empty() {
+                        for report in &entries {
+                            if let Some(backend) = self.watch.catalog.backend(&report.backend) {
+                                backend.record_sent_report(report);
+                            }
+                        }
+                        let entries: Vec<Entry> = entries.into_iter().map(Entry::Load).collect();
+                        metrics::counter!("node_peer_loads_sent_total")
+                            .increment(entries.len() as u64);
+                        self.send(to, entries).await;
+                    }
+                }
                 Some(restricted) = queues.restrictions.recv() => {
                     if matches!(restricted.restriction, Restriction::Leaving) {
                         self.watch.publish();
@@ -160,15 +220,30 @@
                 // Peers stop forwarding requests to a host that reaches no server, and resume when
                 // it does.
                 Ok(()) = isolated.changed() => self.send(self.addresses(), Vec::new()).await,
+                Some((to, notice)) = queues.far.recv() => {
+                    self.send(vec![to], vec![Entry::Far(notice)]).await;
+                }
                 Some(notice) = queues.notices.recv() => {
                     self.notify(notice, delegate).await;
                 }
+                _ = demands.tick() => {
+                    if let Some(demand) = self.state.admission.next_demand(clock::steady()) {
+                        let mut to = self.random_addresses();
+                        to.shuffle(&mut rand::rng());
+                        to.truncate(DEMAND_HOSTS_MAX);
+                        self.send(to, vec![Entry::Demand(demand)]).await;
+                    }
+                }
+                _ = hedges.tick() => self.send_hedge_reports(&mut pace).await,
                 _ = stream_reports.tick() => {
                     let seen: Vec<Entry> = self.state.paces.take().into_iter().map(Entry::Seen).collect();
                     if !seen.is_empty() {
                         self.send(self.random_addresses(), seen).await;
                     }
                 }
+                _ = cache_notices.tick() => {
+                    self.send_cache_notices(&mut queues.caches, &mut cache_budget).await;
+                }
                 () = tokio::time::sleep_until(sent + self.watch.directory.heartbeat_interval()) => {
                     sent = tokio::time::Instant::now();
                     self.watch.directory.evict_silent(clock::steady());
@@ -254,24 +329,34 @@
         counts.collect()
     }
 
-    /// Handles a message. Returns what it told about the sender.
-    fn receive(&self, bytes: &[u8], from: SocketAddr) -> Received {
+    /// Handles a message. Returns what it says about the sender, and the notice that a host of
+    /// another failure domain has sent.
+    fn receive(&self, bytes: &[u8], from: SocketAddr) -> (Received, Option<FarNotice>) {
         let now = clock::steady();
         let message: Message = match serde_json::from_slice(bytes) {
             Ok(message) => message,
             Err(error) => {
+                metrics::counter!("node_peer_messages_unreadable_total").increment(1);
                 log::debug!(target: "peers", from:% = from, error:% = error;
                     "message can't be parsed");
-                return Received::default();
+                return <_>::default();
             }
         };
         if message.host.is_empty() || message.host == self.host {
             log::debug!(target: "peers", from:% = from, host:% = message.host;
                 "message ignored: no sender, or this host");
-            return Received::default();
+            return <_>::default();
+        }
+        // The sender is no peer.
+        if let [Entry::Far(notice)] = message.entries.as_slice()
+            && notice.is_direct
+        {
+            self.state.prefixes.record_far(&notice.parts, now);
+            return (Received::default(), Some(notice.clone()));
         }
         let class = message.class;
         let is_new = self.watch.directory.record(&message.host, from, class, now);
+        let delay_ms = self.watch.directory.record_delay(&message.host, message.now, now);
         let forward = SocketAddr::new(from.ip(), message.forward);
         self.set_forward(&message.host, (message.forward > 0).then_some(forward));
         self.watch.record_peer(&message.host, class);
@@ -307,18 +392,45 @@
                         backend.record_streams(shown, now);
                     }
                 }
-                Entry::Prefill(Prefill { backend, read_ms, rank }) => {
-                    metrics::counter!("node_peer_prefills_total").increment(1);
-                    if let Some(backend) = self.watch.catalog.backend(&backend) {
-                        backend.record_announced(Prompt { rank, read_ms: f64::from(read_ms) }, now);
+                Entry::Load(LoadReport { backend, load, at }) => {
+                    metrics::counter!("node_peer_loads_total").increment(1);
+                    let Some(backend) = self.watch.catalog.backend(&backend) else { continue };
+                    if let Some(scope) = self.state.announced_loads(&backend) {
+                        let at = now - message.now.since(at);
+                        backend.record_announced_load(load, at, scope, now);
                     }
                 }
+                Entry::Demand(demand) => {
+                    self.state.admission.accept_demand(&message.host, demand, now);
+                }
+                Entry::Hedges(report) => self.state.accept_hedge_report(&message.host, &report),
+                Entry::Prefill(prefill) => self.receive_prefill(&prefill, now),
+                Entry::Cached(CacheNotice { start, at, forget, parts }) => {
+                    let queued_ms = if at > Millis(0) { message.now.since(at) } else { 0 };
+                    let age_ms = queued_ms + delay_ms;
+                    if forget {
+                        self.state.prefixes.forget(start, now - age_ms);
+                    }
+                    self.state.prefixes.record_heard(start, &parts, age_ms, now);
+                }
+                Entry::Far(notice) => self.state.prefixes.record_far(&notice.parts, now),
             }
         }
         if is_changed {
             self.watch.publish();
         }
-        sender
+        (sender, None)
+    }
+
+    /// Records a prompt that a peer has sent to an engine.
+    fn receive_prefill(&self, prefill: &Prefill, now: Millis) {
+        metrics::counter!("node_peer_prefills_total").increment(1);
+        let Some(backend) = self.watch.catalog.backend(&prefill.backend) else { return };
+        let Prefill { rank, read_ms, .. } = *prefill;
+        if !prefill.is_far {
+            backend.record_announced(Prompt { rank, read_ms: f64::from(read_ms) }, now);
+        }
+        self.state.prefixes.record_announced(&backend, prefill.model, &prefill.shared, now);
     }
 
     /// Records the address at which a peer takes forwarded requests; `None` if it takes none.
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -1,13 +1,17 @@
 //! Format of a message between hosts of a failure domain, and its division into datagrams.
 
-use gateway::backend::{Prefill, RestrictionNotice};
+use gateway::admission::Demand;
+use gateway::backend::{LoadReport, Prefill, RestrictionNotice};
 use gateway::paces::PaceSample;
 use policy::domain;
+use policy::hedge;
 use policy::name::Name;
 use policy::poison::Suspect;
+use policy::prefix::far::FarPart;
 use policy::revision::Revision;
 use policy::time::Millis;
 
+use crate::caches::CacheNotice;
 use crate::counts::HostCounts;
 use crate::follow::Position;
 use crate::record::RolloutState;
@@ -35,6 +39,16 @@
         pub entries: Vec<Entry>,
     }
 
+    /// Shared parts that engines of another failure domain have cached.
+    #[derive(Eq)]
+    pub struct FarNotice {
+        /// Whether the sender is in that failure domain. The receiver passes the notice on to the
+        /// hosts of its own.
+        pub is_direct: bool,
+        /// The parts.
+        pub parts: Vec<FarPart>,
+    }
+
     /// One item of a message.
     pub enum Entry {
         /// How new a list is that the sender reads for its peers.
@@ -58,8 +72,19 @@
         Restricted(RestrictionNotice),
         /// A long prompt that the sender has just sent to an engine.
         Prefill(Prefill),
+        /// The load of a backend server that is nearly full, or no longer so.
+        Load(LoadReport),
+        /// Work that accounts offer at the sender to a service that is short of room.
+        Demand(Demand),
+        /// Late requests and hedges of the sender for one service.
+        Hedges(hedge::Report),
         /// What the sender observed of an engine's streams.
         Seen(PaceSample),
+        /// What the sender has heard of an engine's cache.
+        Cached(CacheNotice),
+        /// What engines of another failure domain have cached. A message holds nothing else beside
+        /// it, since hosts of an earlier version drop the whole message.
+        Far(FarNotice),
     }
 }
 
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -2,11 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use entry::{callers, clock};
+use gateway::admission::Admission;
 use gateway::forward::PeerHandler;
+use gateway::moves::{self, Moves};
+use gateway::prefixes::Prefixes;
 use gateway::shed::Shedder;
 use gateway::state::Outbox;
 use gateway::volume::BufferBudget;
@@ -16,7 +19,7 @@
 use policy::overload;
 use policy::relay::Relay;
 use policy::strength;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -24,11 +27,13 @@
 use wire::settings;
 
 use crate::budget::Budget;
+use crate::caches::{self, Caches};
 use crate::catalog::Catalog;
 use crate::counts::Counts;
 use crate::directory::Directory;
 use crate::error::Error;
 use crate::exchange::{self, Cache};
+use crate::far;
 use crate::follow::Follower;
 use crate::helpers;
 use crate::operators::{self, Context};
@@ -43,12 +48,21 @@
 const CLOSE_DELAY: Duration = Duration::from_millis(2_600);
 /// Ports that are tried to find one that is free for both UDP and TCP.
 const BIND_TRIES_MAX: u32 = 16;
+/// Send buffer of callers' connections in the kernel, if the host's memory for requests is bounded.
+/// A caller within the region that reads takes more per second than the host's link carries.
+const SEND_BUFFER_BYTES: u32 = 32 << 10;
+/// Connections that wait to be accepted, the same number as [`TcpListener::bind`] sets.
+const BACKLOG_MAX: u32 = 1_024;
 /// Longest queue of notices to peers.
 const NOTICE_QUEUE_MAX: usize = 8;
 /// Longest queue of prefills to be announced to peers.
 const PREFILL_QUEUE_MAX: usize = 64;
+/// Longest queue of notices of engines' caches to be sent to peers.
+const CACHE_QUEUE_MAX: usize = 64;
 /// Longest queue of backend servers' limits to be sent to peers.
 const RESTRICTION_QUEUE_MAX: usize = 64;
+/// Longest queue of load reports to be announced to peers.
+const LOAD_QUEUE_MAX: usize = 64;
 /// Longest queue of suspect requests that wait for permission to be tried.
 const TRIAL_QUEUE_MAX: usize = 16;
 /// Part of the drain time that is left for the process itself to end.
@@ -88,7 +102,10 @@
             Some(address) => Some(bind(address).await?),
             None => None,
         };
-        let callers = bind(settings.listen).await?;
+        let callers = match settings.held_bytes {
+            Some(_) => bind_bounded(settings.listen),
+            None => bind(settings.listen).await,
+        }?;
         Ok(Self { callers, operators: bind(settings.operators).await?, metrics, peers, forward })
     }
 }
@@ -97,6 +114,24 @@
     TcpListener::bind(address).await.map_err(|error| Error::Listen(address, error))
 }
 
+/// Opens a TCP socket whose connections have a small send buffer.
+///
+/// The kernel's buffers are beside what the host counts as held. Without a limit, the kernel lets
+/// them grow to megabytes for each caller that does not read.
+fn bind_bounded(address: SocketAddr) -> Result<TcpListener, Error> {
+    let open = || {
+        let socket = match address.is_ipv4() {
+            true => TcpSocket::new_v4()?,
+            false => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG_MAX)
+    };
+    open().map_err(|error| Error::Listen(address, error))
+}
+
 /// Opens a UDP and a TCP socket on the same port.
 async fn bind_both(address: SocketAddr) -> Result<(UdpSocket, TcpListener), Error> {
     let mut tries = if address.port() == 0 { BIND_TRIES_MAX } else { 1 };
@@ -116,26 +151,39 @@
 /// Runs until `stop` is cancelled, then shuts down without cutting off requests that can still end
 /// in the drain time.
 ///
-/// Settings that arrive through `changes` take effect where they can: the retry budget and the
-/// drain time. Other changes are logged as needing a restart.
-pub async fn run<S: Store, C: Codec>(
+/// Settings that arrive through `changes` take effect where they can: the retry budget, the
+/// share of hedged requests, the drain time, what placement weighs and which copies of streams are
+/// made. Other changes are logged as needing a restart.
+pub async fn run<S: Store, C: Codec, E: caches::Engines + moves::Engines + Clone>(
     settings: settings::Node,
     mut changes: mpsc::UnboundedReceiver<settings::Node>,
     listeners: Listeners,
-    (store, codec): (S, C),
+    (store, codec, engines): (S, C, E),
     metrics: PrometheusHandle,
     stop: CancellationToken,
 ) {
     let (prefills, prefill_queue) = mpsc::channel(PREFILL_QUEUE_MAX);
     let (restrictions, restriction_queue) = mpsc::channel(RESTRICTION_QUEUE_MAX);
     let (trials, trial_queue) = mpsc::channel(TRIAL_QUEUE_MAX);
-    let outbox = Outbox { prefills, restrictions, trials };
+    let (loads, load_queue) = mpsc::channel(LOAD_QUEUE_MAX);
+    let outbox = Outbox { prefills, restrictions, loads, trials };
     let budget = Budget::new(&settings);
     let settings::Resources { descriptors, memory_mb, .. } = settings.resources;
     let memory = memory_mb.map(|megabytes| megabytes << 20);
     let shed = Shedder::new(overload::connections_max(descriptors, memory));
     let state = State::new(codec, budget.allowance(), outbox, stop.clone());
-    let state = Arc::new(State { shed, buffers: BufferBudget::new(memory), ..state });
+    let waiting_max = settings.admission.map(|admission| admission.waiting_max as usize);
+    let admission = Admission::new(waiting_max);
+    state.placement.store(Arc::new(settings.placement));
+    state.streams.store(Arc::new(settings.streams));
+    state.leaving_ms.store(settings.leaving_ms, Ordering::Relaxed);
+    let prefixes = Prefixes::new(settings.prefix_index.map(|index| index.entries_max));
+    let held_max = settings.held_bytes.and_then(|held| held.bytes_max(memory));
+    let buffers = BufferBudget::new(memory).with_bound(held_max);
+    state.hedging.set_share(hedge_share(&settings));
+    let (moves, move_calls) = Moves::new();
+    let moves = Arc::new(moves);
+    let state = Arc::new(State { shed, buffers, admission, prefixes, moves, ..state });
     let catalog = Catalog::new(settings.failure_domain.clone());
     let catalog = Arc::new(catalog.with_exposure_share(settings.exposure_share));
     let (orders, order_queue) = mpsc::unbounded_channel();
@@ -181,9 +229,18 @@
         spawn(Arc::new(rollouts).run(order_queue)),
         spawn(Arc::new(poison).run(trial_queue, settings.first_start)),
         spawn(Arc::clone(&state).probe_while_isolated()),
+        spawn(Arc::clone(&state).follow_memory()),
         spawn(helpers::find(settings.clone(), Arc::clone(&watch))),
         spawn(operators::serve(listeners.operators, Arc::clone(&context))),
     ];
+    background.push(spawn(moves::serve(engines.clone(), Arc::clone(&state.moves), move_calls)));
+    let (cache_notices, cache_queue) = mpsc::channel(CACHE_QUEUE_MAX);
+    if state.prefixes.is_on() {
+        let caches = Caches { engines, state: Arc::clone(&state), notices: cache_notices };
+        background.push(spawn(Arc::new(caches).run()));
+    }
+    let (far_notices, far_queue) = mpsc::channel(CACHE_QUEUE_MAX);
+    background.push(spawn(far::announce(settings.clone(), Arc::clone(&watch), far_notices)));
     if let Some(standing_ms) = settings.standing_delay_ms {
         background.push(spawn(Arc::clone(&state).follow_delay(standing_ms)));
     }
@@ -201,7 +258,14 @@
             socket,
             forward: port(listeners.forward.as_ref()),
         };
-        let queues = Queues { prefills: prefill_queue, restrictions: restriction_queue, notices };
+        let queues = Queues {
+            prefills: prefill_queue,
+            restrictions: restriction_queue,
+            loads: load_queue,
+            caches: cache_queue,
+            far: far_queue,
+            notices,
+        };
         background.push(spawn(peers.run(queues)));
         background.push(spawn(exchange::serve(
             listener,
@@ -231,7 +295,7 @@
     let deadline =
         Instant::now() + Duration::from_millis(current.drain_ms).saturating_sub(STOP_RESERVE);
     log::info!(target: "process", connections = connections.len(),
-        requests = state.in_flight.load(std::sync::atomic::Ordering::Relaxed);
+        requests = state.in_flight.load(Ordering::Relaxed);
         "stopping: not ready any more, open requests go on");
     tokio::time::sleep_until(deadline.min(Instant::now() + CLOSE_DELAY)).await;
     close.cancel();
@@ -243,6 +307,11 @@
     drop(background);
 }
 
+/// Most hedges per request; `None` if no requests are hedged.
+fn hedge_share(settings: &settings::Node) -> Option<f64> {
+    settings.hedging.as_ref().map(|hedging| hedging.share)
+}
+
 /// Port of a listener; 0 without a listener.
 fn port(listener: Option<&TcpListener>) -> u16 {
     let address = listener.and_then(|listener| listener.local_addr().ok());
@@ -260,7 +329,13 @@
 ) -> settings::Node {
     watch.budget.update_settings(&changed);
     watch.state.allowance.store(Arc::new(watch.budget.allowance()));
+    watch.state.placement.store(Arc::new(changed.placement));
+    watch.state.streams.store(Arc::new(changed.streams));
+    watch.state.hedging.set_share(hedge_share(&changed));
     let comparable = settings::Node {
+        hedging: current.hedging.clone(),
+        placement: current.placement,
+        streams: current.streams,
         repeats: current.repeats.clone(),
         failure_domains: current.failure_domains.clone(),
         drain_ms: current.drain_ms,
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use gateway::prefixes::Prefixes;
 use gateway::{Codec, State};
 use policy::canary::Stage;
 use policy::domain;
@@ -41,11 +42,35 @@
         pub services: BTreeMap<Name, Service>,
         /// Requests in flight at this host.
         pub requests: u64,
+        /// State of the prefix cache index; `None` if it is off.
+        pub prefix_index: Option<PrefixIndex>,
+        /// Memory that this host holds for requests; `None` if it has no bound.
+        pub memory: Option<Memory>,
         /// Requests and parts of prompts that are suspected of crashing servers and therefore not
         /// sent freely.
         pub held: Vec<HeldSuspect>,
     }
 
+    /// State of the prefix cache index.
+    #[derive(Copy)]
+    pub struct PrefixIndex {
+        /// Number of entries, each one part of prompts at one engine.
+        pub entries: usize,
+        /// Number of engines whose cache events this host follows.
+        pub followed: usize,
+    }
+
+    /// Memory that a host holds for requests until callers or backend servers have taken it.
+    #[derive(Copy)]
+    pub struct Memory {
+        /// Bytes that are held.
+        pub held_bytes: u64,
+        /// Bytes that may be held.
+        pub bytes_max: u64,
+        /// Whether the host reads less, because it holds much.
+        pub reads_less: bool,
+    }
+
     /// A request, or a part of prompts, that was in flight at servers when they crashed.
     pub struct HeldSuspect {
         /// Digest of the request or part, as it stands in the logs.
@@ -147,6 +172,12 @@
             services: services.collect(),
             isolated: state.reach.is_isolated(),
             requests: requests as u64,
+            prefix_index: prefix_index(&state.prefixes, now),
+            memory: state.buffers.host().map(|host| Memory {
+                held_bytes: host.held_bytes(),
+                bytes_max: host.bytes_max(),
+                reads_less: host.is_short(),
+            }),
             held: state
                 .poison
                 .with_book(|book| book.suspects(now))
@@ -157,6 +188,11 @@
     }
 }
 
+fn prefix_index(prefixes: &Prefixes, now: Millis) -> Option<PrefixIndex> {
+    let followed = prefixes.followed.load(std::sync::atomic::Ordering::Relaxed);
+    prefixes.is_on().then(|| PrefixIndex { entries: prefixes.count(now), followed })
+}
+
 fn held_suspect(suspect: &Suspect, now: Millis) -> HeldSuspect {
     HeldSuspect {
         digest: Name::from(suspect.digest.to_string()),
@@ -187,7 +223,7 @@
 }
 
 fn backend(backend: &gateway::backend::Backend, now: Millis) -> Backend {
-    let seen = backend.estimate(0, &[], u8::MAX, now);
+    let seen = backend.estimate(u8::MAX, now);
     Backend {
         version: backend.version.clone(),
         address: backend.server.address.to_string(),
--- a/crates/node/src/watch/share.rs
+++ b/crates/node/src/watch/share.rs
@@ -11,6 +11,7 @@
 use policy::tree;
 
 use super::{Notice, Watch};
+use crate::caches::CachedPart;
 use crate::exchange::{self, Availability, Reply};
 use crate::record::RolloutState;
 use crate::store::{List, Store, Update};
@@ -208,6 +209,14 @@
     fn rollouts(&self) -> Vec<RolloutState> {
         self.catalog.rollout_states(clock::steady())
     }
+
+    fn cached_parts(&self, max: usize) -> Vec<CachedPart> {
+        let entries = self.state.prefixes.shared_entries(max, clock::steady()).into_iter();
+        let entries = entries.take(max);
+        entries
+            .map(|(part, start, tokens, age_ms)| CachedPart { part, start, tokens, age_ms })
+            .collect()
+    }
 }
 
 fn random_host(hosts: &[(Name, u8)]) -> Option<&Name> {
--- a/crates/node/tests/catalog.rs
+++ b/crates/node/tests/catalog.rs
@@ -72,6 +72,7 @@
         models: Vec::new(),
         connections_max: 9,
         warmup: Some(WARMUP),
+        engine: None,
     };
     catalog.accept_table(Table { version: 1, services: vec![service], ..Table::default() });
     catalog
--- a/crates/node/tests/exchange.rs
+++ b/crates/node/tests/exchange.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use node::caches::CachedPart;
 use node::exchange::{self, Availability, Cache, Reply, Source};
 use node::record::RolloutState;
 use node::store::{Entry, Fact, List, Update};
@@ -44,6 +45,10 @@
     fn rollouts(&self) -> Vec<RolloutState> {
         Vec::new()
     }
+
+    fn cached_parts(&self, _: usize) -> Vec<CachedPart> {
+        Vec::new()
+    }
 }
 
 fn update(entry_count: usize) -> Update {
--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -13,6 +13,7 @@
 use crate::domain;
 use crate::name::Name;
 use crate::place::{hash, mix};
+use crate::sample::uniform;
 
 /// Start of the trial, when the new version gets its first share of requests. A fraction of the
 /// time that the order allows, like all constants of this module in `_FRACTION` that say when
@@ -302,8 +303,7 @@
 /// request itself if it has none.
 #[must_use]
 pub fn is_moved(subject: &str, target: &str, share: f64) -> bool {
-    let place = mix(hash(subject.as_bytes()) ^ hash(target.as_bytes())) >> 11;
-    (place as f64) / ((1_u64 << 53) as f64) < share
+    uniform(mix(hash(subject.as_bytes()) ^ hash(target.as_bytes()))) < share
 }
 
 /// Whether the new version's requests go to so few servers that these have peak load.
--- a/crates/policy/src/detour.rs
+++ b/crates/policy/src/detour.rs
@@ -76,7 +76,7 @@
     /// empty, the other one is used; none if both are empty.
     #[must_use]
     pub fn choose(&self, same: &[Load], other: &[Load], seed: u64) -> Option<Choice> {
-        let draw = (mix(seed ^ 2) >> 11) as f64 / (1_u64 << 53) as f64;
+        let draw = sample::uniform(mix(seed ^ 2));
         let same = || least_loaded(same, seed).map(Choice::SameDomain);
         let other = || least_loaded(other, seed).map(Choice::OtherDomain);
         match draw < self.same_domain_share() {
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -7,8 +7,15 @@
 //! host counts its own current requests in place of those that it had at the report, and reports
 //! lose weight with age.
 
+pub mod externality;
+pub mod fetch;
+pub mod spill;
+
+use self::externality::Streams;
+use self::fetch::{Link, Source, Target, Transfer};
 use crate::domain;
 use crate::place::{REPORT_HALF_LIFE_MS, mix};
+use crate::sample::uniform;
 use crate::time::Millis;
 
 /// Time by which a full batch delays the beginning of an answer, in milliseconds: an engine reads
@@ -22,6 +29,19 @@
 /// Maximum random cost added to each engine, in milliseconds. Without it all hosts would choose the
 /// first of several equal engines.
 const TIE_BREAK_MAX_MS: f64 = 4.0;
+/// Age at which a report counts half if later reports would have been announced, in milliseconds.
+/// Streams run for about as long.
+const ANNOUNCED_HALF_LIFE_MS: f64 = 6_000.0;
+/// Most requests that are assumed to have been sent since a report, as a multiple of what an engine
+/// usually gets in that time. The engine that seems to have the least load gets several times as much.
+const ASSUMED_FACTOR: f64 = 6.0;
+/// Longest time until a request that was sent to a near engine appears in an announced report, in
+/// milliseconds.
+const ANNOUNCEMENT_MAX_MS: u64 = 2_000;
+/// Separates the draws for what was sent since a report from those between equal engines.
+const ASSUMED_SEED: u64 = 0x544f_4c44;
+/// Separates the draw for spill-over from those between equal engines.
+const SPILL_SEED: u64 = 0x5350_494c;
 
 domain! {
     /// State of one engine as this host knows it.
@@ -35,6 +55,11 @@
         pub own_then: u32,
         /// Age of the last report, in milliseconds; `None` if the engine has not reported.
         pub report_age_ms: Option<u64>,
+        /// Whether other hosts announce what the engine reports. Without a later report, nothing more
+        /// was sent there, and the requests of the last one end one after another.
+        pub is_announced: bool,
+        /// Requests of other hosts that are assumed beside those of the last report.
+        pub assumed: f64,
         /// Requests that the engine works on at once.
         pub slots: u32,
         /// Time until the engine would begin to read the request's prompt, in milliseconds.
@@ -71,41 +96,228 @@
     }
 }
 
+/// Costs that are weighed beside those of [`Engine::cost_ms`]. With the default none are.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Costs<'a> {
+    /// What running streams need, if the cost to them is weighed.
+    pub streams: Option<Streams>,
+    /// Time that the whole answer takes at usual speed, in milliseconds, if the caller waits for
+    /// its end.
+    pub answer_ms: f64,
+    /// Whether a share of the requests ignores distance while near engines are busier.
+    pub spills: bool,
+    /// The transfers that are possible.
+    pub fetches: Option<Fetches<'a>>,
+}
+
+/// The transfers that are possible between engines.
+#[derive(Clone, Copy, Debug)]
+pub struct Fetches<'a> {
+    /// Speed of transfers.
+    pub link: Link,
+    /// The engines that a request may be sent to, in the order of the engines that are compared.
+    pub targets: &'a [Target],
+    /// Engines that have the prompt's beginning cached.
+    pub sources: &'a [Source],
+    /// Factor by which starts with a fetch take longer than expected.
+    pub factor: f64,
+    /// Least ratio of the reading time that a transfer between failure domains saves to the time
+    /// that it takes; 0 if there is no such bound.
+    pub far_gain: f64,
+}
+
+/// Where a request is sent, and what the engine fetches first.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    /// Index of the engine.
+    pub index: usize,
+    /// The transfer; `None` if the engine reads all that it lacks.
+    pub fetch: Option<Transfer>,
+}
+
+domain! {
+    /// The parts of the cost of a request at one engine. Engines are compared by
+    /// [`Terms::total_ms`].
+    #[derive(Copy, Default)]
+    pub struct Terms {
+        /// Requests in flight at the engine: the delay of a full batch, and requests that wait. At
+        /// usual speed.
+        pub load_ms: f64,
+        /// Reading the prompt tokens that the engine lacks, at usual speed.
+        pub reading_ms: f64,
+        /// Factor on `load_ms` and `reading_ms`, by the engine's speed.
+        pub speed_factor: f64,
+        /// Time until the engine begins to read.
+        pub wait_ms: f64,
+        /// Another failure domain.
+        pub distance_ms: f64,
+        /// Attempts that are expected to fail.
+        pub suspicion_ms: f64,
+        /// What reading the prompt costs running streams.
+        pub streams_ms: f64,
+        /// How much longer a start with a fetch takes than expected.
+        pub fetch_ms: f64,
+        /// Time of the whole answer, where the caller waits for its end.
+        pub answer_ms: f64,
+    }
+}
+
+/// Cost of a request at one engine.
+#[derive(Clone, Copy, Debug)]
+pub struct Start {
+    /// The parts of the cost.
+    pub terms: Terms,
+    /// The transfer; `None` if the engine reads all that it lacks.
+    pub fetch: Option<Transfer>,
+}
+
+impl Terms {
+    /// The cost that engines are compared by, in milliseconds.
+    #[must_use]
+    pub fn total_ms(&self) -> f64 {
+        (self.load_ms + self.reading_ms) * self.speed_factor
+            + self.wait_ms
+            + self.distance_ms
+            + self.suspicion_ms
+            + self.streams_ms
+            + self.fetch_ms
+            + self.answer_ms
+    }
+}
+
 impl Engine {
     /// Estimated requests in flight at the engine, with those of other hosts weighted by the age of
     /// the report.
     #[must_use]
     pub fn load(&self) -> f64 {
-        let own = f64::from(self.own);
-        match self.report_age_ms {
-            None => own,
-            Some(age) => {
-                let others = f64::from(self.reported.saturating_sub(self.own_then));
-                own + others * REPORT_HALF_LIFE_MS / (REPORT_HALF_LIFE_MS + age as f64)
-            }
-        }
+        let others = f64::from(self.reported.saturating_sub(self.own_then));
+        f64::from(self.own) + others * self.report_weight() + self.assumed
+    }
+
+    /// How much the last report counts: 1 when it is new, 0 if there is none.
+    fn report_weight(&self) -> f64 {
+        let half_life_ms =
+            if self.is_announced { ANNOUNCED_HALF_LIFE_MS } else { REPORT_HALF_LIFE_MS };
+        self.report_age_ms.map_or(0.0, |age_ms| half_life_ms / (half_life_ms + age_ms as f64))
     }
 
     /// Expected cost of sending the request to this engine: the time until its answer begins, plus
     /// the costs of distance and failure, in milliseconds.
     #[must_use]
     pub fn cost_ms(&self, demand: &Demand) -> f64 {
-        let slots = f64::from(self.slots.max(1));
-        let load = self.load();
-        let slowdown_factor = 1.0 + self.slowdown;
-        let waiting = (load - slots).max(0.0) / slots;
+        let missing = self.missing(demand);
+        self.terms(missing, self.wait_ms, demand).total_ms()
+    }
+
+    /// Prompt tokens that the engine is expected to read.
+    fn missing(&self, demand: &Demand) -> f64 {
         let cached = match self.preferred {
             true => self.cached.max(demand.shared * SHARED_CACHED_FRACTION),
             false => self.cached,
         };
-        let read_ms = (demand.prompt - cached).max(0.0) / demand.tokens_per_ms.max(1e-3);
-        let work_ms = (load / slots).min(1.0) * FULL_BATCH_DELAY_MS
-            + waiting * demand.service_ms * WAITING_SERVICE_FRACTION
-            + read_ms;
-        work_ms * slowdown_factor
-            + self.wait_ms
-            + if self.near { 0.0 } else { demand.far_ms }
-            + self.suspicion * demand.failure_ms
+        (demand.prompt - cached).max(0.0)
+    }
+
+    /// Time in which the engine reads a number of prompt tokens, in milliseconds.
+    fn read_ms(&self, tokens: f64, demand: &Demand) -> f64 {
+        tokens / demand.tokens_per_ms.max(1e-3) * (1.0 + self.slowdown)
+    }
+
+    /// Cost of a request whose `missing` tokens the engine begins to read after `wait_ms`.
+    fn terms(&self, missing: f64, wait_ms: f64, demand: &Demand) -> Terms {
+        let slots = f64::from(self.slots.max(1));
+        let load = self.load();
+        let waiting = (load - slots).max(0.0) / slots;
+        let load_ms = (load / slots).min(1.0) * FULL_BATCH_DELAY_MS
+            + waiting * demand.service_ms * WAITING_SERVICE_FRACTION;
+        Terms {
+            load_ms,
+            reading_ms: missing / demand.tokens_per_ms.max(1e-3),
+            speed_factor: 1.0 + self.slowdown,
+            wait_ms,
+            distance_ms: if self.near { 0.0 } else { demand.far_ms },
+            suspicion_ms: self.suspicion * demand.failure_ms,
+            ..Terms::default()
+        }
+    }
+
+    /// The cheaper of reading the missing tokens and fetching them, with all costs.
+    fn start(&self, index: usize, demand: &Demand, costs: &Costs<'_>) -> Start {
+        let missing = self.missing(demand);
+        let streams_ms = |missing| {
+            costs
+                .streams
+                .map_or(0.0, |streams| externality::cost_ms(self, missing, demand, &streams))
+        };
+        let answer_ms = costs.answer_ms * (1.0 + self.slowdown);
+        let terms = |missing, wait_ms| Terms {
+            streams_ms: streams_ms(missing),
+            answer_ms,
+            ..self.terms(missing, wait_ms, demand)
+        };
+        let read = Start { terms: terms(missing, self.wait_ms), fetch: None };
+        let Some((fetches, transfer)) = self.transfer(index, demand, costs) else { return read };
+        let rest = (demand.prompt - self.cached - transfer.tokens).max(0.0);
+        // The engine reads other prompts while the transfer runs.
+        let wait_ms = self.wait_ms.max(transfer.ms);
+        let fetch_ms = (fetches.factor - 1.0) * (transfer.ms + self.read_ms(rest, demand));
+        let terms = Terms { fetch_ms, ..terms(rest, wait_ms) };
+        match terms.total_ms() < read.terms.total_ms() {
+            true => Start { terms, fetch: Some(transfer) },
+            false => read,
+        }
+    }
+
+    /// The possible transfer after which the engine has read the prompt soonest.
+    fn transfer<'a>(
+        &self,
+        index: usize,
+        demand: &Demand,
+        costs: &Costs<'a>,
+    ) -> Option<(Fetches<'a>, Transfer)> {
+        let fetches = costs.fetches?;
+        let target = fetches.targets.get(index)?;
+        let sources = fetches.sources.iter().enumerate();
+        let transfers = sources.filter_map(|(index, source)| {
+            let transfer = fetches.link.transfer((index, source), target, self.cached)?;
+            let read_ms = transfer.tokens / demand.tokens_per_ms.max(1e-3);
+            let is_worth =
+                source.domain == target.domain || read_ms >= fetches.far_gain * transfer.ms;
+            is_worth.then_some(transfer)
+        });
+        let end_ms = |transfer: &Transfer| transfer.ms - self.read_ms(transfer.tokens, demand);
+        let soonest = transfers.min_by(|a, b| end_ms(a).total_cmp(&end_ms(b)));
+        soonest.map(|transfer| (fetches, transfer))
+    }
+}
+
+/// Adjusts the estimates for loads that the hosts of a failure domain announce to each other.
+///
+/// Few reports come from an engine of another failure domain, so it would look idle beside the near
+/// ones. Where nothing is known of it, the mean load per slot of the near engines is assumed.
+///
+/// All hosts have the same reports of near engines, and each would choose the engine with the least
+/// load until later reports arrive. The number of requests sent there since the report is therefore
+/// drawn, between none and [`ASSUMED_FACTOR`] times the usual number. `draw` is a uniform random
+/// number.
+pub fn use_announced_loads(engines: &mut [Engine], draw: u64) {
+    engines.iter_mut().for_each(|engine| engine.is_announced = engine.near);
+    let (mut sum, mut count) = (0.0, 0.0);
+    for engine in engines.iter().filter(|engine| engine.near) {
+        sum += engine.load() / f64::from(engine.slots.max(1));
+        count += 1.0;
+    }
+    let per_slot = if count > 0.0 { sum / count } else { 0.0 };
+    for (index, engine) in engines.iter_mut().enumerate() {
+        let usual = per_slot * f64::from(engine.slots);
+        engine.assumed = match engine.near {
+            true => {
+                let age_ms = engine.report_age_ms.unwrap_or_default().min(ANNOUNCEMENT_MAX_MS);
+                let sent = usual * age_ms as f64 / ANNOUNCED_HALF_LIFE_MS;
+                ASSUMED_FACTOR * sent * uniform(mix(draw ^ ASSUMED_SEED.wrapping_add(index as u64)))
+            }
+            false => usual * (1.0 - engine.report_weight()),
+        };
     }
 }
 
@@ -113,13 +325,30 @@
 /// is a uniform random number that separates equal engines.
 #[must_use]
 pub fn choose(engines: &[Engine], demand: &Demand, draw: u64) -> Option<usize> {
-    let tie_break = |index: usize| {
-        TIE_BREAK_MAX_MS * (mix(draw.wrapping_add(index as u64)) >> 11) as f64
-            / (1_u64 << 53) as f64
-    };
-    let costs = engines.iter().enumerate();
-    let costs = costs.map(|(index, engine)| (index, engine.cost_ms(demand) + tie_break(index)));
-    costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(index, _)| index)
+    place(engines, demand, &Costs::default(), draw).map(|choice| choice.index)
+}
+
+/// Returns the engine with the least cost, `costs` included, and what it fetches first; `None` if
+/// there are no engines. `draw` is a uniform random number.
+#[must_use]
+pub fn place(engines: &[Engine], demand: &Demand, costs: &Costs<'_>, draw: u64) -> Option<Choice> {
+    let ignores_distance = costs.spills && uniform(mix(draw ^ SPILL_SEED)) < spill::share(engines);
+    let far_ms = if ignores_distance { 0.0 } else { demand.far_ms };
+    let demand = Demand { far_ms, ..*demand };
+    let starts = starts(engines, &demand, costs).enumerate().map(|(index, start)| {
+        let tie_break = TIE_BREAK_MAX_MS * uniform(mix(draw.wrapping_add(index as u64)));
+        (Choice { index, fetch: start.fetch }, start.terms.total_ms() + tie_break)
+    });
+    starts.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(choice, _)| choice)
+}
+
+/// The cost of each engine, in their order. [`place`] compares these.
+pub fn starts<'a>(
+    engines: &'a [Engine],
+    demand: &'a Demand,
+    costs: &'a Costs<'_>,
+) -> impl Iterator<Item = Start> + 'a {
+    engines.iter().enumerate().map(|(index, engine)| engine.start(index, demand, costs))
 }
 
 /// Milliseconds since `at`; `None` if `at` is 0, which stands for never.
--- a/crates/policy/src/packing.rs
+++ b/crates/policy/src/packing.rs
@@ -13,6 +13,7 @@
 //! already.
 
 use crate::engine::Engine;
+use crate::sample;
 
 /// Fraction of a server's slots to fill before the next server gets requests. Below 1, so that
 /// usual variations of the load don't make a good version's requests wait.
@@ -41,11 +42,8 @@
     let capacity = |server: &Engine| FILLED_SLOTS_FRACTION * f64::from(server.slots.max(1));
     let has_room = |server: &Engine| server.load() < capacity(server);
     let total: f64 = servers.iter().map(capacity).sum();
-    let mut position = draw * expected.map_or(total, |expected| expected.min(total));
-    let drawn = servers.iter().position(|server| {
-        position -= capacity(server);
-        position < 0.0
-    });
+    let position = draw * expected.map_or(total, |expected| expected.min(total));
+    let drawn = sample::weighted(servers.iter().map(capacity), position);
     let drawn = drawn.filter(|index| has_room(&servers[*index]));
     drawn.or_else(|| servers.iter().position(has_room))
 }
--- a/crates/policy/src/repeat.rs
+++ b/crates/policy/src/repeat.rs
@@ -138,14 +138,24 @@
 
     /// Repeats allowed in the window that ends now, and repeats made in it.
     fn allowed_and_made(&self, allowance: &Allowance, now: Millis) -> (f64, f64) {
-        let oldest = cell_number(allowance, now).saturating_sub(CELL_COUNT as u64);
-        let recent = self.cells.iter().filter(|cell| cell.number >= oldest);
-        let (requests, repeats) =
-            recent.fold((0, 0), |sum, cell| (sum.0 + cell.requests, sum.1 + cell.repeats));
+        let (requests, repeats) = self.counts(allowance, now);
         let allowed = f64::from(requests) * allowance.share * USED_FRACTION + allowance.spare;
         (allowed, f64::from(repeats))
     }
 
+    /// Requests and repeats in the window that ends now.
+    #[must_use]
+    pub fn counts(&self, allowance: &Allowance, now: Millis) -> (u32, u32) {
+        let oldest = cell_number(allowance, now).saturating_sub(CELL_COUNT as u64);
+        let recent = self.cells.iter().filter(|cell| cell.number >= oldest);
+        recent.fold((0, 0), |sum, cell| (sum.0 + cell.requests, sum.1 + cell.repeats))
+    }
+
+    /// Counts a repeat that another limit has allowed.
+    pub fn record_repeat(&mut self, allowance: &Allowance, now: Millis) {
+        self.cell(allowance, now).repeats += 1;
+    }
+
     fn cell(&mut self, allowance: &Allowance, now: Millis) -> &mut Cell {
         let number = cell_number(allowance, now);
         self.cells.resize(CELL_COUNT + 1, Cell::default());
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -75,7 +75,7 @@
     cannot_double && !attempt.answer_begun && attempt.expected_ms <= attempt.left_ms
 }
 
-/// Whether a slow attempt may be joined by a second one, on a new connection.
+/// Whether a slow attempt may be joined by a second one.
 ///
 /// A hedge runs beside the first attempt, so only requests that may be repeated are hedged.
 #[must_use]
--- a/crates/policy/src/sample.rs
+++ b/crates/policy/src/sample.rs
@@ -1,4 +1,4 @@
-//! Which of many backend servers are considered for one request.
+//! Random draws, and which of many backend servers are considered for one request.
 //!
 //! Thousands of servers may stand behind a host that has only a fraction of a core. Considering
 //! each of them for every request would cost more than the rest of the request. A random sample
@@ -33,6 +33,22 @@
     if b == 0 { a } else { gcd(b, a % b) }
 }
 
+/// A number from 0 to below 1 from uniformly distributed bits.
+#[must_use]
+pub fn uniform(bits: u64) -> f64 {
+    (bits >> 11) as f64 / (1_u64 << 53) as f64
+}
+
+/// The index of the weight that `position` falls into, where the weights follow one another from 0
+/// on; `None` if it lies past their sum. For a uniform draw from 0 to the sum, an index is as likely
+/// as its weight is large.
+pub fn weighted(weights: impl IntoIterator<Item = f64>, mut position: f64) -> Option<usize> {
+    weights.into_iter().position(|weight| {
+        position -= weight;
+        position < 0.0
+    })
+}
+
 /// Consistent hashing: the index of the first of the sorted `places` at or after `subject`,
 /// wrapping around; none without places. Hosts that know the same servers choose the same one for a
 /// subject, and a server that is added or removed changes the choice for few subjects.
--- a/crates/policy/src/select.rs
+++ b/crates/policy/src/select.rs
@@ -11,6 +11,7 @@
 use crate::domain;
 use crate::estimate::Estimate;
 use crate::name::Name;
+use crate::sample;
 use crate::time::Millis;
 
 use outlook::Outlook;
@@ -191,14 +192,9 @@
     /// Selects the plan for `unit`, a uniform draw from 0 to 1; `None` if the table is empty.
     #[must_use]
     pub fn draw(&self, unit: f64) -> Option<&Plan> {
-        let mut sum = 0.0;
-        for share in &self.shares {
-            sum += share.share;
-            if unit < sum {
-                return Some(&share.plan);
-            }
-        }
-        self.shares.last().map(|share| &share.plan)
+        let drawn = sample::weighted(self.shares.iter().map(|share| share.share), unit);
+        let drawn = drawn.map_or(self.shares.last(), |index| self.shares.get(index));
+        drawn.map(|share| &share.plan)
     }
 
     /// Share of requests that get this plan, 0 to 1; 0 if the plan isn't in the table.
--- a/crates/policy/src/silence.rs
+++ b/crates/policy/src/silence.rs
@@ -10,6 +10,9 @@
 /// Time for which a server counts as alive after it sent anything or accepted a connection, in
 /// milliseconds.
 const ALIVE_MS: u64 = 800;
+/// The same where leaving the server costs nothing. Together with the probe, which takes up to 200
+/// ms, [`ALIVE_MS`] exceeds the pause of a second that most callers allow.
+const ALIVE_WITH_COPY_MS: u64 = 400;
 /// Interval between two checks of a silent server that is alive, in milliseconds; also the minimum
 /// time until the next check of any silent server.
 const CHECK_MS: f64 = 100.0;
@@ -23,6 +26,9 @@
         pub unreachable: f64,
         /// Silence after which even a server that is alive is left; `None` if it never is.
         pub alive: Option<f64>,
+        /// Time for which a server counts as alive after it sent anything or accepted a connection,
+        /// in milliseconds.
+        pub alive_ms: u64,
     }
 
     /// Silence of a backend server on one request.
@@ -49,13 +55,22 @@
 }
 
 /// Limits before the first byte of an answer, while the pool begins most answers soon.
-pub const FIRST_BYTE: Bounds = Bounds { unreachable: 0.35, alive: Some(2.0) };
+pub const FIRST_BYTE: Bounds = Bounds { unreachable: 0.35, alive: Some(2.0), alive_ms: ALIVE_MS };
 /// Limits before the first byte of an answer, while load makes answers begin late. A server that is
 /// alive is never left then.
-pub const FIRST_BYTE_BUSY: Bounds = Bounds { unreachable: 0.35, alive: None };
+pub const FIRST_BYTE_BUSY: Bounds = Bounds { unreachable: 0.35, alive: None, alive_ms: ALIVE_MS };
+/// Limits before the first byte of an answer whose engine first fetches from another one, by what
+/// is known of that other one. They hold under load as well: an engine may wait for a source that
+/// accepts connections and sends nothing, and then never begins.
+pub const FETCH_SOURCE: Bounds = FIRST_BYTE;
 /// Limits between two events of a stream. An engine short of memory may preempt a request and read
 /// its prompt again, which takes some seconds, after which the stream continues.
-pub const BETWEEN_EVENTS: Bounds = Bounds { unreachable: 0.5, alive: Some(4.0) };
+pub const BETWEEN_EVENTS: Bounds =
+    Bounds { unreachable: 0.5, alive: Some(4.0), alive_ms: ALIVE_MS };
+/// Limits between two events of a stream that can continue from a copy of its KV cache, which no
+/// engine has to read again.
+pub const BETWEEN_EVENTS_WITH_COPY: Bounds =
+    Bounds { alive_ms: ALIVE_WITH_COPY_MS, ..BETWEEN_EVENTS };
 
 /// Decides what to do about a silent server.
 #[must_use]
@@ -66,7 +81,7 @@
             Action::Wait((bounds.unreachable * silence.useful_ms - silence.silent_ms).max(CHECK_MS))
         }
         Some(alive) if has_passed(alive) => Action::Leave,
-        _ if silence.heard_ms >= ALIVE_MS => Action::Probe,
+        _ if silence.heard_ms >= bounds.alive_ms => Action::Probe,
         _ => Action::Wait(CHECK_MS),
     }
 }
