--- a/crates/policy/src/slowdown.rs
+++ b/crates/policy/src/slowdown.rs
@@ -22,7 +22,24 @@
 /// Factor, slower or faster, below which an engine counts as equal to the others.
 const EQUAL_FACTOR_MAX: f64 = 1.25;
 
+/// Age at which a server's report of its speed at the moment counts half, in milliseconds. Machines
+/// slow down for tenths of a second.
+const MOMENT_HALF_LIFE_MS: f64 = 200.0;
+/// Weight of one report in the usual speed that a server reports.
+const USUAL_REPORT_WEIGHT: f64 = 0.05;
+
 domain! {
+    /// Time that work takes on a machine at the moment, as the server reports it.
+    #[derive(Copy, Default)]
+    pub struct Moment {
+        /// Logarithm of the latest factor, 0 if work takes its usual time.
+        log_factor: f64,
+        /// Moving average of `log_factor`.
+        usual_log: f64,
+        /// Time of the latest report.
+        at: Millis,
+    }
+
     /// Usual pace of streams of one kind, as a moving average.
     #[derive(Copy, Default)]
     pub struct UsualPace {
@@ -61,6 +78,30 @@
     }
 }
 
+impl Moment {
+    /// Records a report, in percent of the usual time.
+    pub fn record(&mut self, percent: u32, now: Millis) {
+        let factor = f64::from(percent) / 100.0;
+        self.log_factor = factor.clamp(1.0 / FACTOR_MAX, FACTOR_MAX).ln();
+        self.usual_log += USUAL_REPORT_WEIGHT * (self.log_factor - self.usual_log);
+        self.at = now;
+    }
+
+    /// Factor by which work takes longer now than the server's usual time.
+    #[must_use]
+    pub fn factor(&self, now: Millis) -> f64 {
+        let weight = (-(now.since(self.at) as f64) / MOMENT_HALF_LIFE_MS).exp2();
+        (weight * (self.log_factor - self.usual_log)).exp()
+    }
+
+    /// Factor by which the server's usual time differs from that of other servers, for servers
+    /// without streams that show it.
+    #[must_use]
+    pub fn usual_factor(&self) -> f64 {
+        self.usual_log.exp()
+    }
+}
+
 impl Observation {
     /// Combines two observations of the same engine, weighted by their streams.
     #[must_use]
--- a/crates/policy/src/suspicion.rs
+++ b/crates/policy/src/suspicion.rs
@@ -14,6 +14,9 @@
 /// Factor by which one success reduces the share. Five successes reduce the share of a single
 /// failure to less than half.
 const SUCCESS_FACTOR: f64 = 0.85;
+/// Weight of a run that was cancelled because another server answered first. It may only have been
+/// slow, so it counts half as much as a failure.
+const SLOW_WEIGHT: f64 = FAILURE_WEIGHT / 2.0;
 /// Time in which the share halves without answers, in milliseconds.
 const HALF_LIFE_MS: f64 = 3_000.0;
 
@@ -44,4 +47,10 @@
         };
         self.at = now;
     }
+
+    /// Records that another server answered a request before this one.
+    pub fn record_slow(&mut self, now: Millis) {
+        let share = self.share(now);
+        *self = Self { share: share + SLOW_WEIGHT * (1.0 - share), at: now };
+    }
 }
--- a/crates/policy/tests/sample.rs
+++ b/crates/policy/tests/sample.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use policy::place::mix;
-use policy::sample::{FAR_MAX, NEAR_MAX, draw, successor};
+use policy::sample::{FAR_MAX, NEAR_MAX, draw, successor, uniform, weighted};
 
 /// Guards against requests whose cost grows with the number of servers.
 #[test]
@@ -51,3 +51,18 @@
         .for_each(|subject| *subjects_by_server.entry(chosen(&all, subject)).or_default() += 1);
     assert!(subjects_by_server.values().all(|subjects| *subjects < 1_000));
 }
+
+/// Guards against draws that leave out the last weight, or fall on a weight of 0.
+#[test]
+fn weighted_is_in_proportion_to_the_weights() {
+    let weights = [1.0, 0.0, 3.0];
+    let mut counts = [0; 3];
+    for number in 0..4_000_u64 {
+        let unit = uniform(mix(number));
+        assert!((0.0..1.0).contains(&unit));
+        counts[weighted(weights, unit * 4.0).unwrap()] += 1;
+    }
+    assert!((900..1_100).contains(&counts[0]) && counts[1] == 0, "{counts:?}");
+    assert_eq!(weighted(weights, 4.0), None);
+    assert_eq!(weighted([], 0.0), None);
+}
--- a/crates/policy/tests/silence.rs
+++ b/crates/policy/tests/silence.rs
@@ -1,6 +1,8 @@
 //! Unreachable servers are left soon, busy servers are not.
 
-use policy::silence::{Action, BETWEEN_EVENTS, FIRST_BYTE, FIRST_BYTE_BUSY, Silence, decide};
+use policy::silence::{
+    Action, BETWEEN_EVENTS, BETWEEN_EVENTS_WITH_COPY, FIRST_BYTE, FIRST_BYTE_BUSY, Silence, decide,
+};
 
 const SILENCE: Silence = Silence { silent_ms: 0.0, useful_ms: 1_000.0, heard_ms: 0 };
 
@@ -34,3 +36,13 @@
 fn decide_checks_first_at_the_unreachable_limit() {
     assert_eq!(decide(&BETWEEN_EVENTS, &SILENCE), Action::Wait(500.0));
 }
+
+/// Guards against streams that pause for longer than their callers allow, although an engine of
+/// another failure domain has a copy: the probe alone takes up to 200 ms.
+#[test]
+fn decide_probes_sooner_where_a_copy_is_left() {
+    let silent = Silence { silent_ms: 500.0, heard_ms: 500, ..SILENCE };
+    assert_eq!(decide(&BETWEEN_EVENTS_WITH_COPY, &silent), Action::Probe);
+    let alive = Silence { heard_ms: 300, ..silent };
+    assert!(matches!(decide(&BETWEEN_EVENTS_WITH_COPY, &alive), Action::Wait(_)));
+}
--- a/crates/policy/tests/slowdown.rs
+++ b/crates/policy/tests/slowdown.rs
@@ -4,7 +4,7 @@
 
 use policy::engine::{Demand, Engine, choose};
 use policy::place::mix;
-use policy::slowdown::{Observation, Slowdown, UsualPace};
+use policy::slowdown::{Moment, Observation, Slowdown, UsualPace};
 use policy::time::Millis;
 
 const START_MS: u64 = 1_000_000;
@@ -209,3 +209,28 @@
         assert!(outcome.received_per_s < 24.0, "{hosts} {}", outcome.received_per_s);
     }
 }
+
+/// A machine slows down for tenths of a second. A report that counted for longer would keep
+/// requests from a server that is as fast as usual again.
+#[test]
+fn moment_loses_its_weight_within_some_hundred_milliseconds() {
+    let mut moment = Moment::default();
+    assert_eq!(moment.factor(at(5)), 1.0);
+    moment.record(250, at(1_000));
+    assert!(moment.factor(at(1_000)) > 2.2);
+    assert!(moment.factor(at(1_200)) < 1.6);
+    assert!(moment.factor(at(2_000)) < 1.05);
+    for (percent, max) in [(u32::MAX, 8.5), (1, 1.0)] {
+        moment.record(percent, at(3_000));
+        assert!((0.1..max).contains(&moment.factor(at(3_000))), "{percent}");
+    }
+}
+
+/// Guards against counting the speed of a slow machine twice: its streams show it already.
+#[test]
+fn moment_of_a_server_that_always_reports_the_same_is_usual() {
+    let mut moment = Moment::default();
+    (0..100).for_each(|n| moment.record(240, at(n * 100)));
+    assert!((0.95..1.05).contains(&moment.factor(at(9_900))), "{moment:?}");
+    assert!((2.2..2.5).contains(&moment.usual_factor()), "{moment:?}");
+}
--- a/crates/review/src/cause.rs
+++ b/crates/review/src/cause.rs
@@ -27,6 +27,9 @@
         /// The answer was expected to be late when the request was sent, because of the length of
         /// its prompt or the requests ahead of it.
         ExpectedLate,
+        /// The request waited on the host while all servers were full, and would have been in time
+        /// otherwise.
+        Waited,
         /// No other cause applies: the request waited before it was sent.
         Unsorted,
     }
@@ -35,7 +38,7 @@
 /// Finds the cause of a late answer. Meaningful only for requests whose outcome is `Late`.
 #[must_use]
 pub fn classify(request: &Request) -> Cause {
-    let intended_attempts = 1 + u64::from(request.is_lifted);
+    let intended_attempts = 1 + u64::from(request.is_lifted) + u64::from(request.is_hedged);
     let is_longer_than_expected = request.head_ms > request.expected_ms + UNEXPECTED_DELAY_MS;
     match () {
         () if request.first_ms <= request.objective_ms => Cause::Pause,
@@ -44,6 +47,11 @@
         () if request.unsent > 0 => Cause::Unsent,
         () if is_longer_than_expected => Cause::LongerThanExpected,
         () if request.expected_ms > request.objective_ms => Cause::ExpectedLate,
+        () if request.waited_ms > 0
+            && request.first_ms.saturating_sub(request.waited_ms) <= request.objective_ms =>
+        {
+            Cause::Waited
+        }
         () => Cause::Unsorted,
     }
 }
--- a/crates/review/src/line.rs
+++ b/crates/review/src/line.rs
@@ -27,6 +27,12 @@
         self.0.get(member).and_then(Value::as_str).unwrap_or_default()
     }
 
+    /// The truth value of a member; false if the member is absent or not a truth value.
+    #[must_use]
+    pub fn flag(&self, member: &str) -> bool {
+        self.0.get(member).and_then(Value::as_bool).unwrap_or_default()
+    }
+
     /// The number of a member, such as a count or a time in milliseconds; 0 if the member is absent
     /// or not a whole number.
     #[must_use]
--- a/crates/review/src/report.rs
+++ b/crates/review/src/report.rs
@@ -25,6 +25,12 @@
         pub requests: u64,
         /// Number of requests by outcome.
         pub outcomes: BTreeMap<Outcome, u64>,
+        /// Number of requests that were sent to a second server because the first one was late.
+        #[serde(default)]
+        pub hedged: u64,
+        /// Number of requests that the second server answered first.
+        #[serde(default)]
+        pub hedges_won: u64,
         /// Number of late requests by cause.
         pub causes: BTreeMap<Cause, u64>,
     }
@@ -64,12 +70,16 @@
         pub backends: BTreeMap<Name, Calibration>,
         /// Accuracy of expected times by the model that answered last.
         pub models: BTreeMap<Name, Calibration>,
+        /// Expected and measured times of answers with and without a fetch between engines.
+        pub fetches: BTreeMap<Name, Calibration>,
     }
 }
 
 impl Group {
     fn add(&mut self, request: &Request) {
         self.requests += 1;
+        self.hedged += u64::from(request.is_hedged);
+        self.hedges_won += u64::from(request.has_hedge_won);
         *self.outcomes.entry(request.outcome).or_default() += 1;
         if request.outcome == Outcome::Late {
             *self.causes.entry(cause::classify(request)).or_default() += 1;
@@ -114,6 +124,8 @@
             if request.head_ms > 0 && !request.backend.is_empty() {
                 report.backends.entry(request.backend.clone()).or_default().add(request);
                 report.models.entry(request.model.clone()).or_default().add(request);
+                let fetch = if request.fetched > 0 { "with a fetch" } else { "without a fetch" };
+                report.fetches.entry(Name::from(fetch)).or_default().add(request);
             }
         }
         report
@@ -130,6 +142,7 @@
         let spans = self.spans.iter().map(|(at, group)| (Name::from(format!("{at:>6} s")), group));
         write_groups(&mut text, "by time", spans);
         write_calibrations(&mut text, "expected against real, by model", &self.models);
+        write_calibrations(&mut text, "expected against real, by fetch", &self.fetches);
         write_calibrations(&mut text, "expected against real, by backend server", &self.backends);
         text
     }
@@ -165,15 +178,15 @@
     // Writing to a `String` never fails.
     let _ = writeln!(
         text,
-        "{title}\n{:<24} {:>8} {:>8} {:>7} {:>8} {:>7} {:>7}  late because",
-        "", "requests", "in time", "late", "refused", "failed", "gone"
+        "{title}\n{:<24} {:>8} {:>8} {:>7} {:>8} {:>7} {:>7} {:>7} {:>7}  late because",
+        "", "requests", "in time", "late", "refused", "failed", "gone", "hedged", "won"
     );
     for (name, group) in rows {
         let causes: Vec<String> =
             group.causes.iter().map(|(cause, count)| format!("{cause:?} {count}")).collect();
         let _ = writeln!(
             text,
-            "{:<24} {:>8} {:>8} {:>7} {:>8} {:>7} {:>7}  {}",
+            "{:<24} {:>8} {:>8} {:>7} {:>8} {:>7} {:>7} {:>7} {:>7}  {}",
             name.as_str(),
             group.requests,
             group.count(Outcome::InTime),
@@ -181,6 +194,8 @@
             group.count(Outcome::Refused),
             group.count(Outcome::Failed),
             group.count(Outcome::CallerGone),
+            group.hedged,
+            group.hedges_won,
             causes.join(", ")
         );
     }
--- a/crates/review/src/request.rs
+++ b/crates/review/src/request.rs
@@ -45,6 +45,13 @@
         pub sent: u64,
         /// Number of connections that did not open in time.
         pub unsent: u64,
+        /// Time for which the request waited for a server with room, in milliseconds.
+        #[serde(default)]
+        pub waited_ms: u64,
+        /// Whether a hedge was sent.
+        pub is_hedged: bool,
+        /// Whether the answer came from the hedge.
+        pub has_hedge_won: bool,
         /// Whether the answer of a smaller model was dropped in favour of a larger model.
         pub is_lifted: bool,
         /// Time from the request's arrival to the first event of a stream, or to the end of a plain
@@ -58,6 +65,8 @@
         /// Measured time from the last attempt to the head of its answer, in milliseconds; 0 if no
         /// attempt was answered.
         pub head_ms: u64,
+        /// Prompt tokens that the last attempt's engine fetched from another one.
+        pub fetched: u64,
         /// The route's objective for `first_ms`: a slower answer is of less use to the caller.
         pub objective_ms: u64,
         /// The route's objective for `pause_ms`: longer pauses make a stream less useful; 0 if the
@@ -85,11 +94,15 @@
             prompt: line.number("prompt"),
             sent: line.number("sent"),
             unsent: line.number("unsent"),
+            waited_ms: line.number("waited_ms"),
+            is_hedged: line.flag("hedged"),
+            has_hedge_won: line.flag("hedge_won"),
             is_lifted: line.0.get("doubted").is_some_and(|doubted| doubted.is_u64()),
             first_ms: line.number(if is_stream { "first_ms" } else { "ms" }),
             pause_ms: line.number("pause_ms"),
             expected_ms: line.number("expected_ms"),
             head_ms: line.number("head_ms"),
+            fetched: line.number("fetched"),
             objective_ms: line.number("objective_ms"),
             gap_ms: line.number("gap_ms"),
             outcome: Outcome::Failed,
--- a/crates/review/tests/report.rs
+++ b/crates/review/tests/report.rs
@@ -50,12 +50,19 @@
         (json!({"pause_ms": 1_200}), Cause::Pause),
         (json!({"first_ms": 700, "sent": 2}), Cause::SentAgain),
         (json!({"first_ms": 700, "sent": 2, "doubted": 31, "head_ms": 300}), Cause::Lifted),
+        // A hedge is sent because of a late first attempt, and does not make the answer late.
+        (
+            json!({"first_ms": 700, "sent": 2, "hedged": true, "head_ms": 690}),
+            Cause::LongerThanExpected,
+        ),
         // The third attempt can't come from the one dropped answer.
         (json!({"first_ms": 700, "sent": 3, "doubted": 31, "head_ms": 300}), Cause::SentAgain),
         (json!({"first_ms": 700, "unsent": 1, "head_ms": 300}), Cause::Unsent),
         (json!({"first_ms": 700, "expected_ms": 200, "head_ms": 690}), Cause::LongerThanExpected),
         (json!({"first_ms": 700, "expected_ms": 640, "head_ms": 690}), Cause::ExpectedLate),
         (json!({"first_ms": 700, "expected_ms": 80, "head_ms": 90}), Cause::Unsorted),
+        (json!({"first_ms": 700, "waited_ms": 500, "head_ms": 90}), Cause::Waited),
+        (json!({"first_ms": 700, "waited_ms": 100, "head_ms": 90}), Cause::Unsorted),
     ] {
         let request = request(members.clone());
         assert_eq!(request.outcome, Outcome::Late, "{members}");
--- a/crates/standin/src/routed.rs
+++ b/crates/standin/src/routed.rs
@@ -1,90 +1,30 @@
 //! Stand-in for a backend server of routed requests: it replies as a test sets it to, and records
 //! the requests that reach it.
 
+mod answer;
+mod script;
+
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures::stream;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
-use hyper::header::{CONTENT_TYPE, HeaderName, RETRY_AFTER};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::HeaderName;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use platform::names;
+use serde_json::{Value, json};
 use tokio::sync::Notify;
 
+use self::answer::{Answer, StoppedRuns, Work, events, respond};
+pub use self::script::{Script, ScriptedCache, ScriptedCopy, ScriptedReply};
 use crate::reply;
 use crate::server::{Body, Cut, Handler};
 
-/// Event id that stands for a cut of the connection. No stream is that long.
-const CUT_ID: u64 = u64::MAX - 1;
-
-/// What the server does with a request.
-#[derive(Clone, Debug)]
-pub enum ScriptedReply {
-    /// Answers with this status and a signature.
-    Answer(u16),
-    /// Answers with the id of another request.
-    AnswerOther,
-    /// Answers without a signature.
-    Unsigned,
-    /// Rejects the request: answers 503 and says that the request did not run.
-    Reject,
-    /// Rejects the request with this value of `Retry-After`, which asks for a pause.
-    RejectFor(&'static str),
-    /// Answers 421: the request was meant for another server.
-    Misdirected,
-    /// Closes the connection without an answer.
-    Reset,
-    /// Never answers, and keeps the connection open.
-    Silence,
-    /// Answers with a stream of events.
-    Stream(Script),
-}
-
-impl ScriptedReply {
-    /// The pause that this reply asks for; `None` if it asks for none, or if its text is not a
-    /// number of seconds.
-    fn retry_after(&self) -> Option<Duration> {
-        let Self::RejectFor(text) = self else { return None };
-        text.parse().ok().and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
-    }
-}
-
-/// The course of a stream of events.
-#[derive(Clone, Debug)]
-pub struct Script {
-    /// Id of the last event. The first event follows the last one that the caller has, which the
-    /// request's header names; without that header the first id is 1.
-    pub events: u64,
-    /// Pause before each event but the first.
-    pub pause: Duration,
-    /// Additional pause before the second event of an answer, as when the engine reads other
-    /// prompts.
-    pub prompt_delay: Duration,
-    /// Id of the event in whose middle the connection is cut; `None` for no cut.
-    pub cut_in_event: Option<u64>,
-    /// Id of the event after which the server sends nothing more, with the connection open; `None`
-    /// for a stream that ends.
-    pub silent_after_event: Option<u64>,
-    /// Confidence that the answer's header states; `None` for no such header.
-    pub confidence: Option<u8>,
-}
-
-impl Default for Script {
-    fn default() -> Self {
-        Self {
-            events: 5,
-            pause: Duration::from_millis(2),
-            prompt_delay: Duration::ZERO,
-            cut_in_event: None,
-            silent_after_event: None,
-            confidence: None,
-        }
-    }
-}
+/// Interval at which a call that waits for cache events looks for them.
+const CACHE_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// A request that reached the server.
 #[derive(Clone, Debug)]
@@ -99,6 +39,8 @@
     pub at: Instant,
     /// The pause that the answer asked for; `None` if it asked for none.
     pub retry_after: Option<Duration>,
+    /// Whether no slot was free, so that the request did not run.
+    pub is_rejected: bool,
 }
 
 /// The state of a backend server of routed requests.
@@ -127,30 +69,21 @@
     crash_parts: Mutex<Vec<String>>,
     crash: Notify,
     arrivals: Mutex<Vec<Arrival>>,
+    /// The server's prefix cache; `None` if it does not know the calls about it.
+    cache: Mutex<Option<ScriptedCache>>,
+    /// Paths and times of the calls about the cache.
+    cache_calls: Mutex<Vec<(String, Instant)>>,
+    /// What the server does with the next calls for copies. It makes all copies after these.
+    copies: Mutex<VecDeque<ScriptedCopy>>,
+    /// Calls for copies, as their bodies, and handles that were freed.
+    copy_calls: Mutex<(Vec<Value>, Vec<String>)>,
+    stopped: StoppedRuns,
+    /// The time until the server leaves that its report tells; `None` if it does not.
+    leaves_ms: Mutex<Option<u64>>,
     /// Times when requests were dropped before their answers ended.
     dropped_at: Arc<Mutex<Vec<Instant>>>,
 }
 
-/// Records, when dropped, that a request was dropped before its answer ended, unless it is done.
-struct Work {
-    dropped_at: Arc<Mutex<Vec<Instant>>>,
-    is_done: bool,
-}
-
-impl Work {
-    fn finish(&mut self) {
-        self.is_done = true;
-    }
-}
-
-impl Drop for Work {
-    fn drop(&mut self) {
-        if !self.is_done {
-            lock(&self.dropped_at).push(Instant::now());
-        }
-    }
-}
-
 /// Counts a request as in flight until dropped.
 struct Slot {
     in_flight: Arc<AtomicUsize>,
@@ -192,6 +125,12 @@
             crash_parts: Mutex::default(),
             crash: Notify::new(),
             arrivals: Mutex::default(),
+            cache: Mutex::default(),
+            cache_calls: Mutex::default(),
+            copies: Mutex::default(),
+            copy_calls: Mutex::default(),
+            stopped: Arc::default(),
+            leaves_ms: Mutex::default(),
             dropped_at: Arc::default(),
         }
     }
@@ -271,6 +210,104 @@
         lock(&self.arrivals).clone()
     }
 
+    /// Changes the server's prefix cache, which exists from the first change on.
+    pub fn change_cache(&self, change: impl FnOnce(&mut ScriptedCache)) {
+        change(lock(&self.cache).get_or_insert_default());
+    }
+
+    /// Paths and times of the calls about the cache, in order.
+    #[must_use]
+    pub fn cache_calls(&self) -> Vec<(String, Instant)> {
+        lock(&self.cache_calls).clone()
+    }
+
+    /// Answers a call about the cache. A call for events waits until there are some.
+    async fn answer_cache_call(&self, request: &Request<Incoming>) -> Response<Body> {
+        let path = request.uri().to_string();
+        lock(&self.cache_calls).push((path.clone(), Instant::now()));
+        let since = path.split_once("since=").and_then(|(_, since)| since.parse::<u64>().ok());
+        let wait = request.headers().get(names::WAIT_MS).and_then(|wait| wait.to_str().ok());
+        let wait =
+            wait.and_then(|wait| wait.parse().ok()).map_or(Duration::ZERO, Duration::from_millis);
+        let until = Instant::now() + wait;
+        while let Some(since) = since
+            && lock(&self.cache).as_ref().is_some_and(|cache| !cache.has_events(since))
+            && Instant::now() < until
+        {
+            tokio::time::sleep(CACHE_POLL_INTERVAL).await;
+        }
+        let cache = lock(&self.cache).clone();
+        let Some(cache) = cache else { return reply::bytes(StatusCode::NOT_FOUND, "") };
+        match (cache.status.and_then(|status| StatusCode::from_u16(status).ok()), since) {
+            (Some(status), _) => reply::bytes(status, ""),
+            (None, Some(since)) => {
+                reply::bytes(StatusCode::OK, cache.events_json(since).to_string())
+            }
+            (None, None) => reply::bytes(StatusCode::OK, cache.list_json().to_string()),
+        }
+    }
+
+    /// Sets the time until the server leaves that its report tells.
+    pub fn report_leaving(&self, leaves_ms: u64) {
+        *lock(&self.leaves_ms) = Some(leaves_ms);
+    }
+
+    /// Queues what the server does with a call for a copy.
+    pub fn queue_copy(&self, copy: ScriptedCopy) {
+        lock(&self.copies).push_back(copy);
+    }
+
+    /// The bodies of the calls for copies, in order.
+    #[must_use]
+    pub fn copy_calls(&self) -> Vec<Value> {
+        lock(&self.copy_calls).0.clone()
+    }
+
+    /// The handles of the copies that were freed, in order.
+    #[must_use]
+    pub fn freed(&self) -> Vec<String> {
+        lock(&self.copy_calls).1.clone()
+    }
+
+    /// Answers a call for a copy. The handle is made of the request's id.
+    async fn answer_copy_call(&self, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+        let body = reply::body(request).await?;
+        let call: Value = serde_json::from_slice(&body).map_err(|_| Cut)?;
+        lock(&self.copy_calls).0.push(call.clone());
+        let id = call["id"].as_str().unwrap_or_default().to_owned();
+        let is_last = call["last"] == true;
+        let copy = lock(&self.copies).pop_front().unwrap_or(ScriptedCopy::Make);
+        let runs = lock(&self.arrivals).iter().any(|one| {
+            one.headers
+                .get(names::REQUEST_ID)
+                .is_some_and(|known| known.as_bytes() == id.as_bytes())
+        });
+        let status = match copy {
+            ScriptedCopy::Make if runs => 200,
+            ScriptedCopy::Make => 404,
+            ScriptedCopy::Refuse(status) => status,
+            ScriptedCopy::MakeAfter(time) => {
+                tokio::time::sleep(time).await;
+                200
+            }
+        };
+        let is_stopped = is_last && matches!(status, 200 | 503);
+        if is_stopped {
+            lock(&self.stopped).push(id.clone());
+        }
+        let answer = match is_stopped || status == 200 {
+            true => json!({"handle": format!("h-{id}"), "created": 1}),
+            false => json!({}),
+        };
+        Ok(reply::json(StatusCode::from_u16(status).unwrap_or_default(), &answer))
+    }
+
+    /// When the other end dropped requests before their answers ended.
+    #[must_use]
+    pub fn dropped_at(&self) -> Vec<Instant> {
+        lock(&self.dropped_at).clone()
+    }
+
     /// Number of requests that the other end dropped before their answers ended.
     #[must_use]
     pub fn dropped_count(&self) -> usize {
@@ -280,6 +317,21 @@
 
 impl Handler for ScriptedServer {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+        let path = request.uri().path();
+        if path == names::engine_call::EVENTS || path == names::engine_call::LIST {
+            return Ok(self.answer_cache_call(&request).await);
+        }
+        if path == names::engine_call::REPORT {
+            let report = json!({"leaves_ms": *lock(&self.leaves_ms)});
+            return Ok(reply::json(StatusCode::OK, &report));
+        }
+        if path == names::engine_call::MOVE {
+            return self.answer_copy_call(request).await;
+        }
+        if let Some(handle) = path.strip_prefix(names::engine_call::HANDLE) {
+            lock(&self.copy_calls).1.push(handle.to_owned());
+            return Ok(reply::status(StatusCode::OK));
+        }
         let (head, body) = request.into_parts();
         let body = body.collect().await.map_err(|_| Cut)?.to_bytes();
         let path = head.uri.to_string();
@@ -289,22 +341,24 @@
         let reply = (!is_crash).then(reply);
         let retry_after = reply.as_ref().and_then(ScriptedReply::retry_after);
         let at = Instant::now();
+        let slots = *lock(&self.slots);
+        let slot = Slot::take(&self.in_flight);
+        let is_rejected = slots.is_some_and(|(slots, _)| slot.number >= slots);
         lock(&self.arrivals).push(Arrival {
             headers: headers.clone(),
             path,
             body,
             at,
             retry_after,
+            is_rejected,
         });
         let Some(reply) = reply else {
             self.crash.notify_one();
             return std::future::pending().await;
         };
         let mut work = Work { dropped_at: Arc::clone(&self.dropped_at), is_done: false };
-        let slots = *lock(&self.slots);
-        let slot = Slot::take(&self.in_flight);
         let reply = match slots {
-            Some((slots, _)) if slot.number >= slots => {
+            Some(_) if is_rejected => {
                 lock(&self.rejected_at).push(at);
                 ScriptedReply::Reject
             }
@@ -321,7 +375,13 @@
                 work.finish();
                 response
             }
-            Answer::Stream(response, script, next) => response.map(|()| events(script, next, work)),
+            Answer::Stream(response, script, next) => {
+                let id = headers.get(names::REQUEST_ID).and_then(|id| id.to_str().ok());
+                let id = id.unwrap_or_default().to_owned();
+                lock(&self.stopped).retain(|stopped| *stopped != id);
+                let run = (id, Arc::clone(&self.stopped));
+                response.map(|()| events(script, next, work, run))
+            }
         };
         let limit = lock(&self.rate_limit).and_then(|rate| rate.to_string().parse().ok());
         if let Some(limit) = limit {
@@ -343,104 +403,3 @@
         Ok(response)
     }
 }
-
-/// An answer that the server is about to send.
-enum Answer {
-    Whole(Response<Body>),
-    /// Header and course of a stream, and the id of its first event.
-    Stream(Response<()>, Script, u64),
-}
-
-async fn respond(
-    reply: ScriptedReply,
-    headers: &HeaderMap,
-    work: &mut Work,
-) -> Result<Answer, Cut> {
-    let id = headers.get(names::REQUEST_ID).cloned();
-    let sign = |mut response: Response<Body>| {
-        if let Some(id) = id.clone() {
-            response.headers_mut().insert(names::REQUEST_ID, id);
-        }
-        response.headers_mut().insert(names::SIGNATURE, reply::static_value("a.1.2"));
-        response
-    };
-    let status = |status: u16| StatusCode::from_u16(status).unwrap_or_default();
-    Ok(Answer::Whole(match reply {
-        ScriptedReply::Answer(code) => sign(reply::bytes(status(code), "answer")),
-        ScriptedReply::AnswerOther => {
-            let mut response = sign(reply::bytes(StatusCode::OK, "another's answer"));
-            response.headers_mut().insert(names::REQUEST_ID, reply::static_value("another"));
-            response
-        }
-        ScriptedReply::Unsigned => {
-            let mut response = sign(reply::bytes(StatusCode::OK, "anybody's answer"));
-            response.headers_mut().remove(names::SIGNATURE);
-            response
-        }
-        ScriptedReply::Reject => {
-            let mut response = reply::bytes(StatusCode::SERVICE_UNAVAILABLE, "");
-            response.headers_mut().insert(names::NOT_RUN, reply::static_value("1"));
-            response
-        }
-        ScriptedReply::RejectFor(retry_after) => {
-            let mut response = reply::bytes(StatusCode::SERVICE_UNAVAILABLE, "");
-            response.headers_mut().insert(names::NOT_RUN, reply::static_value("1"));
-            response.headers_mut().insert(RETRY_AFTER, reply::static_value(retry_after));
-            response
-        }
-        ScriptedReply::Misdirected => reply::bytes(StatusCode::MISDIRECTED_REQUEST, ""),
-        ScriptedReply::Reset => {
-            work.finish();
-            return Err(Cut);
-        }
-        ScriptedReply::Silence => std::future::pending().await,
-        ScriptedReply::Stream(script) => {
-            let last = headers.get(names::LAST_EVENT).and_then(|last| last.to_str().ok());
-            let last: u64 = last.and_then(|last| last.parse().ok()).unwrap_or_default();
-            let mut response = sign(reply::bytes(StatusCode::OK, "")).map(|_| ());
-            let headers = response.headers_mut();
-            headers.insert(CONTENT_TYPE, reply::static_value("text/event-stream"));
-            if let Some(confidence) = script.confidence {
-                headers.insert(names::CONFIDENCE, u16::from(confidence).into());
-            }
-            return Ok(Answer::Stream(response, script, last + 1));
-        }
-    }))
-}
-
-fn events(script: Script, first: u64, work: Work) -> Body {
-    let pieces = stream::unfold((first, work), move |(id, mut work)| {
-        let script = script.clone();
-        async move {
-            if id > script.events && id < CUT_ID {
-                work.finish();
-                return None;
-            }
-            if id > first {
-                tokio::time::sleep(script.pause).await;
-            }
-            if id == first + 1 {
-                tokio::time::sleep(script.prompt_delay).await;
-            }
-            match () {
-                () if id < CUT_ID && script.silent_after_event.is_some_and(|last| id > last) => {
-                    std::future::pending().await
-                }
-                () if id == CUT_ID => {
-                    work.finish();
-                    Some((Err(Cut), (CUT_ID, work)))
-                }
-                // The first half of the event is sent before the connection is cut.
-                () if script.cut_in_event == Some(id) => {
-                    let half = Frame::data(Bytes::from(format!("id: {id}\nda")));
-                    Some((Ok(half), (CUT_ID, work)))
-                }
-                () => {
-                    let event = format!("id: {id}\ndata: piece {id}\n\n");
-                    Some((Ok(Frame::data(Bytes::from(event))), (id + 1, work)))
-                }
-            }
-        }
-    });
-    StreamBody::new(pieces).boxed_unsync()
-}
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -14,12 +14,16 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
 /// Interval between attempts to listen again on a port that was closed for a while.
 const REBIND_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Connections that may wait to be accepted. The 128 of the standard library overflow when hundreds
+/// of streams break in one moment, and the kernel then delays a connection by a second.
+const QUEUED_CONNECTIONS_MAX: u32 = 4_096;
+
 /// Body of an answer. An error in the body breaks the connection visibly.
 pub type Body = UnsyncBoxBody<Bytes, Cut>;
 
@@ -119,9 +123,10 @@
 }
 
 fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
-    let listener = std::net::TcpListener::bind(listen)?;
-    listener.set_nonblocking(true)?;
-    TcpListener::from_std(listener)
+    let socket = if listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(listen)?;
+    socket.listen(QUEUED_CONNECTIONS_MAX)
 }
 
 async fn accept<H: Handler>(
--- a/crates/wire/src/routing.rs
+++ b/crates/wire/src/routing.rs
@@ -95,6 +95,32 @@
         /// How the service's backend servers warm up; absent if they need no warm-up.
         #[serde(default)]
         pub warmup: Option<Warmup>,
+        /// What the service's engines can do; absent unless model engines serve it.
+        #[serde(default)]
+        pub engine: Option<Engine>,
+    }
+
+    /// What a service's engines can do with their KV caches. A figure of 0 means that the engines
+    /// lack the ability.
+    #[derive(Copy, Default)]
+    #[serde(default)]
+    pub struct Engine {
+        /// Bytes of KV cache per token.
+        pub token_bytes: f64,
+        /// Bandwidth at which an engine sends its KV cache to another one, in megabits per second.
+        pub link_mbps: f64,
+        /// Calls for cache events that an engine keeps waiting.
+        pub events_max: u32,
+        /// Copies of running requests that an engine makes.
+        pub moves: f64,
+        /// Backups of running requests that an engine keeps.
+        pub backups: f64,
+        /// Tokens per event of a stream.
+        pub stride: f64,
+        /// Tokens that an engine's KV cache holds.
+        pub kv_capacity_tokens: f64,
+        /// How long a copy is kept that is not used, in milliseconds.
+        pub handle_ms: u64,
     }
 
     /// Load that a backend server can bear while it warms up. With more load it crashes.
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -148,6 +148,9 @@
         /// Limits on extra attempts at other backend servers, for all hosts together.
         #[serde(default)]
         pub repeats: Repeats,
+        /// Hedged requests; absent: none are sent.
+        #[serde(default)]
+        pub hedging: Option<Hedging>,
         /// Share of a service's requests during a roll-out that a bad version may receive, 0 to 1.
         #[serde(default = "default_exposure_share")]
         pub exposure_share: f64,
@@ -157,10 +160,77 @@
         /// share of one, to itself.
         #[serde(default)]
         pub standing_delay_ms: Option<f64>,
+        /// Queues in which requests wait while all servers of their service are full. If absent,
+        /// every request is sent at once.
+        #[serde(default)]
+        pub admission: Option<Admission>,
+        /// What placement on engines weighs beside the request's own wait.
+        #[serde(default)]
+        pub placement: Placement,
+        /// Copies of the KV caches of running streams.
+        #[serde(default)]
+        pub streams: Streams,
+        /// Index of the prompt parts that engines have cached; if absent, each host knows only the
+        /// prompts that it has sent itself.
+        #[serde(default)]
+        pub prefix_index: Option<PrefixIndex>,
         /// Resources that the host may use. Within a failure domain a stronger host reads the
         /// store's lists for the others.
         #[serde(default)]
         pub resources: Resources,
+        /// Limit on the memory that is held for requests until callers and backend servers have
+        /// taken it. If absent, or if `resources` names no memory, there is none.
+        #[serde(default)]
+        pub held_bytes: Option<HeldBytes>,
+    }
+
+    /// Limit on the memory that is held for requests.
+    #[derive(Copy)]
+    pub struct HeldBytes {
+        /// Share of the host's memory, above 0 and at most 1.
+        pub memory_share: f64,
+    }
+
+    /// Admission control of routed requests.
+    #[derive(Copy, Eq)]
+    pub struct Admission {
+        /// Most requests that wait at this host, for each service.
+        pub waiting_max: u32,
+    }
+
+    /// What placement weighs beside the request's own wait.
+    #[derive(Copy, Default, Eq)]
+    #[serde(default)]
+    pub struct Placement {
+        /// Whether the speeds of servers at this moment are used, and what a request costs running
+        /// streams.
+        pub speeds: bool,
+        /// Whether engines may be asked to fetch cached parts of prompts from other engines.
+        pub fetch: bool,
+        /// Whether the hosts of a failure domain announce to each other the loads that engines
+        /// report.
+        pub loads: bool,
+        /// Whether the hosts of a failure domain announce to those of others which shared parts of
+        /// prompts its engines have cached. Needs `fetch` and the prefix cache index.
+        pub far: bool,
+    }
+
+    /// Copies of the KV caches of running streams, from which other engines can continue them.
+    #[derive(Copy, Default, Eq)]
+    #[serde(default)]
+    pub struct Streams {
+        /// Whether engines keep backups of streams that run at other engines.
+        pub backup: bool,
+        /// Whether running streams are moved to other engines.
+        #[serde(rename = "move")]
+        pub relocate: bool,
+    }
+
+    /// Index of the prompt parts that engines have cached.
+    #[derive(Copy)]
+    pub struct PrefixIndex {
+        /// Most entries; an entry is one part at one engine.
+        pub entries_max: usize,
     }
 
     /// Resources that a host may use.
@@ -189,6 +259,12 @@
         pub window_ms: u64,
     }
 
+    /// Hedged requests: a second attempt beside the first one, if that is later than nearly all.
+    pub struct Hedging {
+        /// Most hedged requests per request for a service, for all hosts together, 0 to 1.
+        pub share: f64,
+    }
+
     /// A control that other hosts connect to.
     pub struct Peer {
         /// Name of the control's host.
@@ -225,6 +301,14 @@
     }
 }
 
+impl HeldBytes {
+    /// The bytes that a host with `memory` bytes may hold; `None` if its memory is unknown.
+    #[must_use]
+    pub fn bytes_max(self, memory: Option<u64>) -> Option<u64> {
+        memory.map(|bytes| (bytes as f64 * self.memory_share) as u64)
+    }
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Self { header_bytes: 16 << 10, body_bytes: 4 << 20, slow_ms: 10_000, in_flight: 10_000 }
--- a/crates/wire/src/settings/check.rs
+++ b/crates/wire/src/settings/check.rs
@@ -1,6 +1,7 @@
 //! Validates settings that could be deserialized.
 
 use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
 
 use policy::name::Name;
 
@@ -14,6 +15,11 @@
 const DESCRIPTORS_MIN: u32 = 512;
 /// Most worker threads that a process may have.
 const THREADS_MAX: u32 = 256;
+/// Entries that the prefix cache index may have. With the most it takes 7.4 MB.
+const PREFIX_ENTRIES: RangeInclusive<usize> = 128..=160_000;
+
+/// Most requests that may wait at one host for a service.
+const WAITING_MAX: u32 = 1_000_000;
 
 /// Adds the faults of settings of `entry`.
 pub fn check_entry(entry: &Entry, faults: &mut Vec<Fault>) {
@@ -86,9 +92,18 @@
             faults.push(Fault::at(member, format!("must be from 0 to {max}")));
         }
     }
+    if node.held_bytes.is_some_and(|held| !(held.memory_share > 0.0 && held.memory_share <= 1.0)) {
+        faults.push(Fault::at("held_bytes.memory_share", "must be more than 0 and at most 1"));
+    }
+    if node.hedging.as_ref().is_some_and(|hedging| !(0.0..=1.0).contains(&hedging.share)) {
+        faults.push(Fault::at("hedging.share", "must be from 0 to 1"));
+    }
     if node.standing_delay_ms.is_some_and(|ms| !(ms.is_finite() && ms > 0.0)) {
         faults.push(Fault::at("standing_delay_ms", "must be more than 0"));
     }
+    if node.admission.is_some_and(|admission| !(1..=WAITING_MAX).contains(&admission.waiting_max)) {
+        faults.push(Fault::at("admission.waiting_max", format!("must be from 1 to {WAITING_MAX}")));
+    }
     for (member, value, min) in [
         ("repeats.window_ms", node.repeats.window_ms, 100),
         ("change_ms", node.change_ms, 500),
@@ -100,6 +115,14 @@
             faults.push(Fault::at(member, format!("must be at least {min}")));
         }
     }
+    if node.prefix_index.is_some_and(|index| !PREFIX_ENTRIES.contains(&index.entries_max)) {
+        let (min, max) = (PREFIX_ENTRIES.start(), PREFIX_ENTRIES.end());
+        let message = format!("must be from {min} to {max}");
+        faults.push(Fault::at("prefix_index.entries_max", message));
+    }
+    if node.placement.far && !(node.placement.fetch && node.prefix_index.is_some()) {
+        faults.push(Fault::at("placement.far", "needs placement.fetch and prefix_index"));
+    }
     if !(1..=THREADS_MAX).contains(&node.threads) {
         faults.push(Fault::at("threads", format!("must be from 1 to {THREADS_MAX}")));
     }
--- a/crates/wire/tests/edit.rs
+++ b/crates/wire/tests/edit.rs
@@ -26,8 +26,13 @@
 }
 
 fn table(version: u64, routes: u64) -> Table {
-    let service =
-        Service { name: Name::from("desk"), models: Vec::new(), connections_max: 9, warmup: None };
+    let service = Service {
+        name: Name::from("desk"),
+        models: Vec::new(),
+        connections_max: 9,
+        warmup: None,
+        engine: None,
+    };
     Table {
         version,
         routes: (0..routes).map(|number| route(number, 5_000)).collect(),
--- a/crates/wire/tests/routing.rs
+++ b/crates/wire/tests/routing.rs
@@ -18,8 +18,13 @@
         targets: vec![Target { service: Name::from("s"), weight: 1 }],
         models: Vec::new(),
     };
-    let service =
-        Service { name: Name::from("s"), models: Vec::new(), connections_max: 9, warmup: None };
+    let service = Service {
+        name: Name::from("s"),
+        models: Vec::new(),
+        connections_max: 9,
+        warmup: None,
+        engine: None,
+    };
     let account =
         Account { name: Name::from("a"), keys: vec![Name::from("secret")], priority: None };
     Table {
--- a/crates/wire/tests/settings.rs
+++ b/crates/wire/tests/settings.rs
@@ -48,6 +48,17 @@
     assert_eq!(found, ["drain_ms", "listen", "listne", "name", "peer_key"]);
 }
 
+/// Guards against a share that would allow more hedged requests than there are requests.
+#[test]
+fn parse_hedging_share() {
+    for share in ["-0.1", "1.1", "1e400", "\"x\""] {
+        let found = paths(&node(&format!(r#""hedging": {{"share": {share}}}"#)));
+        assert!(found.iter().all(|path| path.is_empty() || path == "hedging.share"), "{found:?}");
+    }
+    assert_eq!(paths(&node(r#""hedging": {}"#)), ["hedging.share"]);
+    assert!(settings::parse(&node(r#""hedging": {"share": 0.05}"#)).is_ok());
+}
+
 #[test]
 fn parse_text_without_settings() {
     assert_eq!(paths("{}"), ["role"]);
@@ -91,6 +102,39 @@
     assert_eq!(paths(&text(r#"{"descriptors": 100}"#)), ["resources.descriptors"]);
     assert_eq!(paths(&text(r#"{"memory_mb": 0}"#)), ["resources.memory_mb"]);
     assert_eq!(paths(&text(r#"{}, "standing_delay_ms": 0"#)), ["standing_delay_ms"]);
+    let admission = r#"{}, "admission": {"waiting_max": 0}"#;
+    assert_eq!(paths(&text(admission)), ["admission.waiting_max"]);
+    let held = |share: &str| format!(r#"{{}}, "held_bytes": {{"memory_share": {share}}}"#);
+    assert!(settings::parse(&text(&held("1"))).is_ok());
+    for share in ["0", "-0.1", "1.01"] {
+        assert_eq!(paths(&text(&held(share))), ["held_bytes.memory_share"], "{share}");
+    }
+}
+
+#[test]
+fn parse_placement_off_unless_set() {
+    let placement = |text: &str| match settings::parse(&node(text)) {
+        Ok(Settings::Node(node)) => (node.placement.speeds, node.placement.fetch),
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(placement(r#""first_start": false"#), (false, false));
+    assert_eq!(placement(r#""placement": {"fetch": true}"#), (false, true));
+    assert_eq!(placement(r#""placement": {"speeds": true, "fetch": true}"#), (true, true));
+    assert_eq!(paths(&node(r#""placement": {"speeds": 1}"#)), ["placement.speeds"]);
+    assert_eq!(paths(&node(r#""placement": {"speed": true}"#)), ["placement.speed"]);
+}
+
+#[test]
+fn parse_streams_off_unless_set() {
+    let streams = |text: &str| match settings::parse(&node(text)) {
+        Ok(Settings::Node(node)) => (node.streams.backup, node.streams.relocate),
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(streams(r#""first_start": false"#), (false, false));
+    assert_eq!(streams(r#""streams": {"backup": true}"#), (true, false));
+    assert_eq!(streams(r#""streams": {"backup": true, "move": true}"#), (true, true));
+    assert_eq!(paths(&node(r#""streams": {"move": "yes"}"#)), ["streams.move"]);
+    assert_eq!(paths(&node(r#""streams": {"relocate": true}"#)), ["streams.relocate"]);
 }
 
 #[test]
@@ -120,6 +164,31 @@
     }
 }
 
+/// Guards against an index that takes more memory than a small host has, and one of no use.
+#[test]
+fn parse_prefix_index_outside_its_bounds() {
+    let text = |index: &str| node(&format!("\"prefix_index\": {index}"));
+    assert!(settings::parse(&text("null")).is_ok());
+    assert!(settings::parse(&text(r#"{"entries_max": 65536}"#)).is_ok());
+    for wrong in [r#"{"entries_max": 0}"#, r#"{"entries_max": 160001}"#] {
+        assert_eq!(paths(&text(wrong)), ["prefix_index.entries_max"], "{wrong}");
+    }
+    assert!(settings::parse(&text("{}")).is_err());
+}
+
+/// Guards against hosts that announce caches to other failure domains without an index, or although no
+/// engine may fetch.
+#[test]
+fn parse_placement_far_needs_fetch_and_index() {
+    let index = r#""prefix_index": {"entries_max": 4096}"#;
+    let placement = |rest: &str| format!("\"placement\": {{\"far\": true{rest}}}");
+    let fetch = placement(r#", "fetch": true"#);
+    assert!(settings::parse(&node(&format!("{index}, {fetch}"))).is_ok());
+    for wrong in [fetch, format!("{index}, {}", placement(""))] {
+        assert_eq!(paths(&node(&wrong)), ["placement.far"], "{wrong}");
+    }
+}
+
 #[test]
 fn parse_exposure_share_outside_0_to_1() {
     let text = |share: &str| node(&format!("\"exposure_share\": {share}"));
