--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fault;
 pub mod passthrough;
 pub mod platform;
+mod port;
 pub mod proxy;
 pub mod rater;
 pub mod reply;
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -11,11 +11,15 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::port::Port;
+
 /// Most bytes that are read, and then passed on, at once.
 const CHUNK_BYTES: usize = 16 << 10;
+/// Connections that may wait to be accepted.
+const QUEUED_CONNECTIONS_MAX: u32 = 1_024;
 /// Interval between attempts to listen again at an address that was closed for a while.
 const REBIND_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -107,11 +111,12 @@
 /// # Errors
 /// When the address can't be listened on.
 pub async fn start(listen: SocketAddr) -> io::Result<Proxy> {
-    let listener = TcpListener::bind(listen).await?;
-    let address = listener.local_addr()?;
+    let port = Port::reserve(listen)?;
+    let listener = port.listen(QUEUED_CONNECTIONS_MAX)?;
+    let address = port.address;
     let (control, _) = watch::channel(Control::default());
     let passed_bytes = Arc::new(AtomicU64::new(0));
-    tokio::spawn(accept(listener, control.clone(), Arc::clone(&passed_bytes)));
+    tokio::spawn(accept(listener, port, control.clone(), Arc::clone(&passed_bytes)));
     Ok(Proxy { address, control, passed_bytes })
 }
 
@@ -174,6 +179,7 @@
 
 async fn accept(
     listener: TcpListener,
+    port: Port,
     control: watch::Sender<Control>,
     passed_bytes: Arc<AtomicU64>,
 ) {
@@ -185,7 +191,7 @@
             _ = watcher.wait_for(Control::refuses_new) => None,
         };
         let Some(accepted) = accepted else {
-            listening = reopen(listener, &mut watcher).await;
+            listening = reopen(listener, &port, &mut watcher).await;
             continue;
         };
         listening = Some(listener);
@@ -208,14 +214,14 @@
 /// stopped.
 async fn reopen(
     listener: TcpListener,
+    port: &Port,
     watcher: &mut watch::Receiver<Control>,
 ) -> Option<TcpListener> {
-    let address = listener.local_addr().ok()?;
     drop(listener);
     let mode = watcher.borrow().mode;
     // Kept until the mode changes: new connections wait meanwhile for a place in the full queue.
     let full_listener = match mode {
-        Mode::Unreachable => listen_with_full_queue(address).await,
+        Mode::Unreachable => listen_with_full_queue(port).await,
         _ => None,
     };
     let has_changed = |control: &Control| control.is_stopped || control.mode != mode;
@@ -224,7 +230,7 @@
     }
     drop(full_listener);
     loop {
-        match TcpListener::bind(address).await {
+        match port.listen(QUEUED_CONNECTIONS_MAX) {
             Ok(listener) => return Some(listener),
             Err(_) => tokio::time::sleep(REBIND_INTERVAL).await,
         }
@@ -233,14 +239,11 @@
 
 /// Listens at an address where no connection opens: the queue of new connections is full, and none
 /// is accepted.
-async fn listen_with_full_queue(address: SocketAddr) -> Option<(TcpListener, Vec<TcpStream>)> {
-    let socket = TcpSocket::new_v4().ok()?;
-    socket.set_reuseaddr(true).ok()?;
-    socket.bind(address).ok()?;
-    let listener = socket.listen(1).ok()?;
+async fn listen_with_full_queue(port: &Port) -> Option<(TcpListener, Vec<TcpStream>)> {
+    let listener = port.listen(1).ok()?;
     let mut queue = Vec::new();
     while let Ok(Ok(stream)) =
-        tokio::time::timeout(LOCAL_CONNECT_TIMEOUT, TcpStream::connect(address)).await
+        tokio::time::timeout(LOCAL_CONNECT_TIMEOUT, TcpStream::connect(port.address)).await
     {
         queue.push(stream);
     }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -14,9 +14,11 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::port::Port;
+
 /// Interval between attempts to listen again on a port that was closed for a while.
 const REBIND_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -65,6 +67,8 @@
     pub address: SocketAddr,
     handler: Arc<H>,
     gate: watch::Sender<Gate>,
+    /// Kept for as long as the stand-in can be told to listen again, or is meant to refuse.
+    _port: Arc<Port>,
 }
 
 impl<H> Deref for Running<H> {
@@ -114,24 +118,18 @@
 /// # Errors
 /// When the address can't be listened on.
 pub fn start<H: Handler>(listen: SocketAddr, handler: H) -> io::Result<Running<H>> {
-    let listener = bind(listen)?;
-    let address = listener.local_addr()?;
+    let port = Arc::new(Port::reserve(listen)?);
+    let listener = port.listen(QUEUED_CONNECTIONS_MAX)?;
+    let address = port.address;
     let handler = Arc::new(handler);
     let (gate, watching) = watch::channel(Gate::Open);
-    tokio::spawn(accept(listener, address, Arc::clone(&handler), watching));
-    Ok(Running { address, handler, gate })
-}
-
-fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(listen)?;
-    socket.listen(QUEUED_CONNECTIONS_MAX)
+    tokio::spawn(accept(listener, Arc::clone(&port), Arc::clone(&handler), watching));
+    Ok(Running { address, handler, gate, _port: port })
 }
 
 async fn accept<H: Handler>(
     listener: TcpListener,
-    address: SocketAddr,
+    port: Arc<Port>,
     handler: Arc<H>,
     mut gate: watch::Receiver<Gate>,
 ) {
@@ -155,7 +153,7 @@
                     return;
                 }
             }
-            (Gate::Open, None) => match bind(address) {
+            (Gate::Open, None) => match port.listen(QUEUED_CONNECTIONS_MAX) {
                 Ok(listener) => listening = Some(listener),
                 Err(_) => tokio::time::sleep(REBIND_INTERVAL).await,
             },
--- a/crates/standin/tests/proxy.rs
+++ b/crates/standin/tests/proxy.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::io::ErrorKind;
+use std::net::TcpStream;
 use std::time::Duration;
 
 use common::{any_port, chat, outcomes, quick_engine, wait_until};
@@ -10,6 +12,7 @@
 use standin::proxy::{self, Direction, Mode, Proxy};
 use standin::run::Outcome;
 use standin::server::Running;
+use tokio::net::TcpSocket;
 
 /// A call without an answer after this time counts as silent: long enough for an answer over
 /// loopback, short enough for a test.
@@ -118,3 +121,22 @@
     };
     assert!(tokio::join!(call_succeeds(&client), set).0);
 }
+
+/// Guards against a closed port that the system gives to another test's stand-in, whose answers then
+/// pass for those of the closed one.
+#[tokio::test]
+async fn closed_port_stays_taken_and_refuses_connections() {
+    let (engine, proxy, _client) = through_proxy().await;
+    proxy.set_mode(Mode::Closed);
+    engine.close();
+    for address in [proxy.address, engine.address] {
+        wait_until(|| TcpStream::connect(address).is_err()).await;
+        let other = TcpSocket::new_v4().unwrap();
+        assert_eq!(other.bind(address).unwrap_err().kind(), ErrorKind::AddrInUse);
+    }
+    proxy.set_mode(Mode::Pass);
+    engine.open();
+    wait_until(|| TcpStream::connect(engine.address).is_ok()).await;
+    wait_until(|| TcpStream::connect(proxy.address).is_ok()).await;
+    assert!(call_succeeds(&Client::new(proxy.address)).await);
+}
