--- /dev/null
+++ b/crates/policy/tests/admission/world/messages.rs
@@ -0,0 +1,72 @@
+//! What hosts tell each other.
+
+use policy::name::Name;
+use policy::report::{Report, Scope, is_news};
+use policy::time::Millis;
+
+use super::case::Fault;
+use super::{DOMAINS, Event, World};
+
+/// Time until the hosts of a domain know what one of them announces.
+const ANNOUNCED_MS: u64 = 7;
+/// Most hosts that one announcement of the accounts' work goes to.
+const SHARES_RECEIVERS_MAX: usize = 6;
+/// Bytes of announcements that a host sends in a second, and bytes of one to each peer.
+const ANNOUNCED_TO_MAX: usize = 24;
+const BYTES_PER_S: usize = 8_000;
+const ANNOUNCED_BYTES: usize = 230;
+
+impl World {
+    pub(super) fn announce_shares(&mut self, host: usize) {
+        let report = self.hosts[host].gate.shares.report(Millis(self.now));
+        let near: Vec<usize> = (0..self.case.hosts)
+            .filter(|peer| *peer != host && peer % DOMAINS == host % DOMAINS)
+            .collect();
+        for _ in 0..SHARES_RECEIVERS_MAX.min(near.len()) {
+            let peer = near[self.draws.index(near.len())];
+            let is_gone =
+                |end| self.is_struck(end, Fault::CutOff) || self.is_struck(end, Fault::Lost);
+            let is_cut = is_gone(host) || is_gone(peer);
+            if self.draws.next() >= self.case.lost && !is_cut {
+                let name = Name::from(format!("h{host}"));
+                self.hosts[peer].gate.shares.accept(&name, report.clone(), Millis(self.now));
+            }
+        }
+    }
+
+    /// Announces the report of a server to the hosts of the same domain.
+    pub(super) fn announce(&mut self, from: usize, server: usize, report: Report) {
+        let now = self.now;
+        let host = &mut self.hosts[from];
+        let known = &mut host.known[server];
+        let may_send = !self.case.is_bounded || host.paid_until <= now + 1_000;
+        if may_send && known.announcements.is_due(report, Scope::NearlyFull, Millis(now)) {
+            let near = self.case.hosts / DOMAINS;
+            let receivers = if self.case.is_bounded { near.min(ANNOUNCED_TO_MAX) } else { near };
+            let bytes = receivers * ANNOUNCED_BYTES;
+            host.paid_until = host.paid_until.max(now) + (bytes * 1_000 / BYTES_PER_S) as u64;
+            known.announcements.record_known(report, Millis(now));
+            self.out.announced += 1;
+            let peers = (0..self.case.hosts).filter(|peer| *peer != from);
+            for peer in peers.filter(|peer| peer % DOMAINS == from % DOMAINS) {
+                let is_receiver = near == receivers || self.draws.index(near) < receivers;
+                if is_receiver && self.draws.next() >= self.case.lost {
+                    let delay = ANNOUNCED_MS + self.case.late_ms;
+                    self.at(delay, Event::Announced(peer, server, report));
+                }
+            }
+        }
+    }
+
+    pub(super) fn hear(&mut self, host: usize, server: usize, report: Report) {
+        // The way of a message takes time that hosts without a common clock don't know.
+        let at = self.now - ANNOUNCED_MS;
+        let known = &mut self.hosts[host].known[server];
+        known.announcements.record_known(report, Millis(at));
+        let known_at = known.report.map_or(0, |(_, at, _)| at);
+        if is_news(Millis(at), Millis(known_at), Scope::NearlyFull, Millis(self.now)) {
+            let own = known.history.at(Millis(at), known.own);
+            known.report = Some((report, at, own));
+        }
+    }
+}
