--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -172,7 +172,11 @@
         let pool = snapshot.pools.get(&self.service)?;
         let now = clock::steady();
         let version = attempts.version.as_ref()?;
-        if !self.may_continue(pool, version, now) {
+        let may_continue = match attempts.is_moving {
+            true => !self.prefers_detour(),
+            false => self.may_continue(pool, version, now),
+        };
+        if !may_continue {
             return None;
         }
         let open = Open::new(self, pool, now);
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -118,6 +118,9 @@
     /// The engine that has stopped the stream's run for a move and keeps its KV cache. It is leaving,
     /// and takes the stream back all the same.
     pub kept_at: Option<Arc<Backend>>,
+    /// Whether the stream's run was stopped for a move whose copy is still unused. The stream then
+    /// continues on its version although that may have been left in the meantime.
+    pub is_moving: bool,
     /// Whether a move of the stream to another engine has failed after its run was stopped.
     pub has_move_failed: bool,
     /// The backup that the last attempt asks for.
--- a/crates/gateway/src/moves/relocation.rs
+++ b/crates/gateway/src/moves/relocation.rs
@@ -103,6 +103,7 @@
         job.attempts.kept_at.clone_from(&self.kept_at);
         if let Some((copy, _)) = &self.copy {
             job.attempts.copies.push(copy.clone());
+            job.attempts.is_moving = true;
         }
     }
 
@@ -111,6 +112,7 @@
     pub fn end<C: Codec>(self, job: &mut Job<C>, is_resumed: bool, pause: Duration) {
         let Self { copy, first, outcome, .. } = self;
         job.attempts.kept_at = None;
+        job.attempts.is_moving = false;
         let mut is_used = false;
         if let Some((copy, unused)) = copy {
             job.attempts.copies.retain(|other| *other != copy);
@@ -354,7 +356,8 @@
                 Err(Trouble::Failed) => return Err(Obstacle::Stays("failed")),
             }
         };
-        if !target.backend.server.accepts_work(clock::steady()) {
+        // The version may have been left during the first copy, and the target with it.
+        if !self.may_continue() || !target.backend.server.accepts_work(clock::steady()) {
             return Err(Obstacle::Later("target_closed"));
         }
         self.is_stopping.store(true, Ordering::Relaxed);
@@ -429,6 +432,13 @@
         copied
     }
 
+    /// Whether the stream could continue from a copy at another engine of its version.
+    fn may_continue(&self) -> bool {
+        let snapshot = self.job.state.snapshot.load();
+        let pool = snapshot.pools.get(&self.job.service);
+        pool.is_some_and(|pool| self.job.may_continue(pool, &self.backend.version, clock::steady()))
+    }
+
     /// Chooses an engine for the stream: of the same version, with room, and not among those that
     /// refused a copy of it.
     fn choose(&self, stream: &Stream, refused: &[u64]) -> Option<TargetMove> {
