--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -245,6 +245,8 @@
             job.head_wait(backend, since).await
         };
         tokio::select! {
+            // An answer that has arrived counts, although the wait for it is over as well.
+            biased;
             answered = answer.as_mut() => return answered.map_err(|failure| match failure {
                 Sent { sent: true, .. } if job.time_left().is_zero() =>
                     Failure::Lost(Cause::Deadline),
--- a/crates/gateway/src/wait.rs
+++ b/crates/gateway/src/wait.rs
@@ -44,11 +44,15 @@
             let wait = first.timeout_ms(PLAIN_WAIT_MS_MIN, wait_max);
             // Heads may come long before bodies. A run that was left before it counts as late could
             // not be hedged.
-            let wait = match self.attempts.hedge.late_after() {
+            let late_after = self.attempts.hedge.late_after();
+            let wait = match late_after {
                 Some(late) => wait.max((late + RACED_CHECK).as_secs_f64() * 1_000.0).min(wait_max),
                 None => wait,
             };
-            return Duration::from_secs_f64(wait / 1_000.0).checked_sub(silent);
+            let left = Duration::from_secs_f64(wait / 1_000.0).checked_sub(silent);
+            // If this host stood still past both times, the decision on the hedge is still to come.
+            let is_undecided = late_after.is_some_and(|late| late <= silent);
+            return left.or_else(|| is_undecided.then(|| RACED_CHECK.min(self.time_left())));
         }
         let bounds = match first.mean_ms(0.0) > objective * STREAM_BUSY_SHARE {
             true => silence::FIRST_BYTE_BUSY,
