--- a/crates/chestnutspur/tests/soak/checks.rs
+++ b/crates/chestnutspur/tests/soak/checks.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use platform::names;
+use policy::hedge::Withheld;
 use standin::routed::Arrival;
 
 use crate::callers::{self, Crash, Kind, Outcome};
@@ -81,7 +82,11 @@
     pub fn check_hedges(&self, requests: usize) -> Option<String> {
         let most = requests as f64 * self.settings["hedging"]["share"].as_f64()?;
         let hedges = self.count_in_logs("\"hedge sent\"");
-        println!("soak: {hedges} hedges for {requests} requests");
+        let withheld = Withheld::ALL.map(|why| {
+            let label = why.label();
+            (label, self.count_in_logs(&format!("\"why\":\"{label}\"")))
+        });
+        println!("soak: {hedges} hedges for {requests} requests, withheld {withheld:?}");
         (hedges as f64 > most).then(|| format!("{hedges} hedges for {requests} requests"))
     }
 
--- a/crates/chestnutspur/tests/soak/scenario.rs
+++ b/crates/chestnutspur/tests/soak/scenario.rs
@@ -86,7 +86,7 @@
     let prefix_index = json!({"entries_max": 4_096});
     match Scenario::from_seed(seed) {
         Scenario::CacheEvents => json!({"prefix_index": prefix_index}),
-        Scenario::Slowdowns => json!({"hedging": {"share": 0.3}}),
+        Scenario::Slowdowns => json!({"hedging": {"share": 0.3}, "log": "debug"}),
         Scenario::Fetches => json!({
             "prefix_index": prefix_index, "placement": {"far": true, "fetch": true, "loads": true, "speeds": true},
         }),
--- a/crates/gateway/src/hedge.rs
+++ b/crates/gateway/src/hedge.rs
@@ -372,8 +372,10 @@
         let trend = hedging.trends.with(&self.service, |trend| *trend);
         hedge::decide(&situation, &trend)?;
         // The version on trial is judged by its own answer times.
-        let other = if self.is_timed(backend) { pick::hedge_server(self, backend) } else { None };
-        let other = other.ok_or(Withheld::NoServer)?;
+        if !self.is_timed(backend) {
+            return Err(Withheld::NoServer);
+        }
+        let other = pick::hedge_server(self, backend)?;
         self.take_hedge()?;
         pick::record_hedge(self, &other);
         Ok(other)
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -8,6 +8,7 @@
 use policy::engine::externality::Streams;
 use policy::engine::fetch::{FAR_GAIN_MIN, Source, Target, Transfer};
 use policy::engine::{self, Costs, Demand, Engine, Fetches, Terms};
+use policy::hedge::{self, Withheld};
 use policy::name::Name;
 use policy::packing;
 use policy::place::{hash, mix};
@@ -176,19 +177,23 @@
 }
 
 /// The backend server for a second run beside the one at `first`: of the same version, known to be
-/// fast and to have room; `None` if there is none.
-#[must_use]
-pub fn hedge_server<C: Codec>(job: &Job<C>, first: &Backend) -> Option<Arc<Backend>> {
+/// fast and to have room.
+///
+/// # Errors
+/// Why there is none.
+pub fn hedge_server<C: Codec>(job: &Job<C>, first: &Backend) -> Result<Arc<Backend>, Withheld> {
     let snapshot = job.state.snapshot.load();
-    let pool = snapshot.pools.get(&job.service)?;
+    let pool = snapshot.pools.get(&job.service).ok_or(Withheld::NoServer)?;
     let now = clock::steady();
     let open = Open::new(job, pool, now);
     let candidates = pool.candidates(&first.version, canary::PEAK_LOAD, None, rand::random(), now);
-    let open = candidates.backends.into_iter().filter(|backend| {
-        backend.id != first.id && open.takes(backend) && backend.hedge_target().is_open(now)
-    });
-    let open: Vec<_> = open.collect();
-    best(job, pool, &first.version, (&open, None), now).map(|choice| choice.backend)
+    let others = candidates.backends.into_iter();
+    let others = others.filter(|backend| backend.id != first.id && open.takes(backend));
+    let (open, closed): (Vec<_>, Vec<_>) =
+        others.partition(|backend| backend.hedge_target().check(now).is_ok());
+    best(job, pool, &first.version, (&open, None), now)
+        .map(|choice| choice.backend)
+        .ok_or_else(|| hedge::why_none(closed.iter().map(|backend| backend.hedge_target()), now))
 }
 
 /// The other engines of a run's version that take requests now, with what is known of each. Of a
--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -114,8 +114,12 @@
     Suspect,
     /// Responses of the service are late in general.
     Overload,
-    /// No other server is known to be fast and to have room.
+    /// No other server takes the request, or a version on trial has it.
     NoServer,
+    /// Other servers take the request, and none is known to be fast.
+    NotFast,
+    /// Other servers are known to be fast, and none of them to have room.
+    NoRoom,
     /// The share of hedges is used up.
     Share,
     /// The repeats that are not reserved for failures are used up.
@@ -145,6 +149,19 @@
 }
 
 impl Withheld {
+    /// All reasons.
+    pub const ALL: [Self; 9] = [
+        Self::Request,
+        Self::Attempts,
+        Self::Suspect,
+        Self::Overload,
+        Self::NoServer,
+        Self::NotFast,
+        Self::NoRoom,
+        Self::Share,
+        Self::Repeats,
+    ];
+
     /// The value of the `why` label in metrics and log lines.
     #[must_use]
     pub fn label(self) -> &'static str {
@@ -154,6 +171,8 @@
             Self::Suspect => "suspect",
             Self::Overload => "overload",
             Self::NoServer => "no_server",
+            Self::NotFast => "not_fast",
+            Self::NoRoom => "no_room",
             Self::Share => "share",
             Self::Repeats => "repeats",
         }
@@ -189,14 +208,20 @@
 
     /// Whether a hedge may go to the server: it was fast a moment ago and has a free slot. Without
     /// a recent report, it must have none of this host's requests.
-    #[must_use]
-    pub fn is_open(&self, now: Millis) -> bool {
+    ///
+    /// # Errors
+    /// What it lacks.
+    pub fn check(&self, now: Millis) -> Result<(), Withheld> {
         let is_fast = self.fast_at > Millis(0) && now.since(self.fast_at) < FAST_MS;
         let has_room = match self.has_recent_report(now) {
             true => self.load_class(now) != LoadClass::Full,
             false => self.own == 0,
         };
-        is_fast && has_room
+        match () {
+            () if !is_fast => Err(Withheld::NotFast),
+            () if !has_room => Err(Withheld::NoRoom),
+            () => Ok(()),
+        }
     }
 }
 
@@ -326,6 +351,17 @@
     (position as usize).min(BUCKET_COUNT - 1)
 }
 
+/// Why none of the servers that take a request may have its hedge, where none of `targets` is open:
+/// the reason of those that lack least.
+#[must_use]
+pub fn why_none(targets: impl IntoIterator<Item = Target>, now: Millis) -> Withheld {
+    let reasons = targets.into_iter().filter_map(|target| target.check(now).err());
+    reasons.fold(Withheld::NoServer, |why, other| match (why, other) {
+        (Withheld::NoRoom, _) | (_, Withheld::NoRoom) => Withheld::NoRoom,
+        _ => other,
+    })
+}
+
 /// How many hedges one host may send, if all hosts together may send `share` per request.
 #[must_use]
 pub fn allowance(share: f64) -> Allowance {
--- a/crates/policy/tests/hedge_domain.rs
+++ b/crates/policy/tests/hedge_domain.rs
@@ -76,6 +76,38 @@
     }
 }
 
+/// Two services of a deployment: servers, idempotent requests a second, and others a second.
+const MIXED: [(usize, f64, f64); 2] = [(4, 30.0, 75.0), (5, 35.0, 150.0)];
+
+fn mixed((servers, per_second, once_per_second): (usize, f64, f64)) -> Scene {
+    let until = 320_000;
+    Scene { servers, per_second, once_per_second, share: 0.1, slowdown: 2.5, until, ..scene(78) }
+}
+
+/// Guards against late requests that are hardly hedged where most requests to the same servers may
+/// run once only.
+#[test]
+fn slow_moments_beside_requests_that_run_once() {
+    for load in MIXED {
+        for share in [0.05, 0.1] {
+            let with = Scene { share, ..mixed(load) };
+            let (without, outcome) = (run(Scene { share: 0.0, domains: 0, ..with }), run(with));
+            let of =
+                |outcome: &Outcome| [0.5, 0.99, 0.999].map(|part| quantile(&outcome.took, part));
+            let (before, after) = (of(&without), of(&outcome));
+            println!(
+                "{load:?}, {share}: {} hedges ({} crowded) for {} requests, withheld {:?}, {} B/s, {before:?} -> {after:?} ms",
+                outcome.hedges.len(),
+                outcome.crowded,
+                outcome.requests.len(),
+                outcome.withheld,
+                outcome.bytes * 1_000 / with.until / with.hosts as u64,
+            );
+            check_share(&outcome, &with);
+        }
+    }
+}
+
 /// Guards against hedges that go on when all servers are slow, and against bytes of reports.
 #[test]
 fn all_servers_slow() {
--- a/crates/policy/tests/hedges/mod.rs
+++ b/crates/policy/tests/hedges/mod.rs
@@ -13,6 +13,8 @@
 use policy::retry::Attempt;
 use policy::time::Millis;
 
+/// Routes of the service: of requests that may be hedged, and of those that may run once only.
+const ROUTES: [&str; 2] = ["get", "post"];
 const SLOTS: u32 = 6;
 const WORK_MS: f64 = 60.0;
 /// How long a server stays slow, in milliseconds.
@@ -36,7 +38,10 @@
 pub struct Scene {
     pub hosts: usize,
     pub servers: usize,
+    /// Requests that may be hedged, in a second.
     pub per_second: f64,
+    /// Requests to the same servers that may run once only, in a second.
+    pub once_per_second: f64,
     pub share: f64,
     /// Factor by which work takes longer at a slow server.
     pub slowdown: f64,
@@ -59,6 +64,7 @@
             hosts: 20,
             servers: 20,
             per_second: 600.0,
+            once_per_second: 0.0,
             share: 0.2,
             slowdown: 5.0,
             all_slow_from: u64::MAX,
@@ -73,10 +79,13 @@
 
 #[derive(Default)]
 pub struct Outcome {
-    /// Response times after the warm-up, sorted.
+    /// Response times of the requests that may be hedged, after the warm-up, sorted.
     pub took: Vec<u64>,
+    /// When requests of both kinds came.
     pub requests: Vec<u64>,
     pub hedges: Vec<u64>,
+    /// Hedges that met a server without a free slot.
+    pub crowded: usize,
     /// Late requests without a hedge, by reason.
     pub withheld: BTreeMap<&'static str, usize>,
     /// Bytes of all reports, with what they take on the wire, counted for each receiver.
@@ -85,7 +94,9 @@
 
 #[derive(Default)]
 struct Host {
-    times: ResponseTimes,
+    /// Response times of the requests that may be hedged, and of those that may run once only.
+    by_route: [ResponseTimes; ROUTES.len()],
+    by_service: ResponseTimes,
     trend: Trend,
     window: Window,
     targets: Vec<Target>,
@@ -98,6 +109,8 @@
 /// A request with one or two runs.
 struct Request {
     host: usize,
+    /// Position in [`ROUTES`].
+    route: usize,
     at: u64,
     late_after: Option<f64>,
     is_late: bool,
@@ -156,16 +169,16 @@
         self.hosts[host].targets[run.server].own -= 1;
     }
 
-    fn record_end(&mut self, host: usize, run: &Run, was_counted: bool, now: u64) {
+    fn record_end(&mut self, request: &Request, run: &Run, was_counted: bool, now: u64) {
         let reported = self.running[run.server] + self.waiting[run.server];
         let share = self.scene.share;
-        let Host { times, trend, targets, unreported, .. } = &mut self.hosts[host];
+        let host = &mut self.hosts[request.host];
         let ms = (now - run.at) as f64;
-        let is_late = times.threshold_ms(run.class, share).is_some_and(|late| ms >= late);
-        let is_fast = times.is_fast(run.class, ms);
-        if times.record(run.class, ms, trend, Millis(now)) {
-            unreported.record_run(&Name::from("get"), run.class, ms);
-        }
+        let late_after = host.late_after(request.route, run.class, share);
+        let is_late = late_after.is_some_and(|late| ms >= late);
+        let is_fast = host.by_service.is_fast(run.class, ms);
+        host.record_time(request.route, run, now);
+        let Host { trend, targets, unreported, .. } = host;
         if !was_counted {
             trend.record(is_late);
             unreported.record_ended(is_late);
@@ -184,11 +197,12 @@
         let peers = self.peers(request.host).len().saturating_sub(1);
         let host = &mut self.hosts[request.host];
         hedge::decide(&late(), &host.trend)?;
-        let open = host.targets.iter().enumerate().filter(|(server, target)| {
-            *server != request.runs[0].server && target.is_open(Millis(now))
-        });
+        let others = host.targets.iter().enumerate();
+        let others = others.filter(|(server, _)| *server != request.runs[0].server);
+        let open = others.clone().filter(|(_, target)| target.check(Millis(now)).is_ok());
         let server = open.min_by_key(|(_, target)| (target.own, target.reported));
-        let (server, _) = server.ok_or(Withheld::NoServer)?;
+        let others = others.map(|(_, target)| *target);
+        let (server, _) = server.ok_or_else(|| hedge::why_none(others, Millis(now)))?;
         let own = hedge::counts(&host.window, share, Millis(now));
         let budget = host.domain.budget(own, peers, share, draw, Millis(now));
         if budget.left < 1.0 {
@@ -199,7 +213,8 @@
         Ok(server)
     }
 
-    fn arrive(&mut self, host: usize, now: u64) -> Request {
+    fn arrive(&mut self, route: usize, now: u64) -> Request {
+        let host = (self.draw() * self.scene.hosts as f64) as usize;
         let allowance = hedge::allowance(self.scene.share);
         self.hosts[host].window.record_request(&allowance, Millis(now));
         self.outcome.requests.push(now);
@@ -209,8 +224,8 @@
         let server = if load(one) <= load(two) { one } else { two };
         let draw = self.draw();
         let run = self.start(host, server, draw, now);
-        let late_after = self.hosts[host].times.threshold_ms(run.class, self.scene.share);
-        Request { host, at: now, late_after, is_late: false, runs: vec![run] }
+        let late_after = self.hosts[host].late_after(route, run.class, self.scene.share);
+        Request { host, route, at: now, late_after, is_late: false, runs: vec![run] }
     }
 
     /// One millisecond of a request; returns whether it has ended.
@@ -233,17 +248,15 @@
                 self.leave(request.host, run);
                 let was_counted = index == 0 && request.is_late;
                 if index == winner {
-                    self.record_end(request.host, run, was_counted, now);
+                    self.record_end(request, run, was_counted, now);
                 } else if index == 0 {
-                    let Host { times, trend, unreported, .. } = &mut self.hosts[request.host];
-                    let ms = (now - run.at) as f64;
-                    if times.record(run.class, ms, trend, Millis(now)) {
-                        unreported.record_run(&Name::from("get"), run.class, ms);
-                    }
+                    self.hosts[request.host].record_time(request.route, run, now);
                 }
             }
-            self.outcome.took.extend((request.at >= WARM_MS).then_some(now - request.at));
+            let is_measured = request.route == 0 && request.at >= WARM_MS;
+            self.outcome.took.extend(is_measured.then_some(now - request.at));
         } else if !request.is_late
+            && request.route == 0
             && self.scene.share > 0.0
             && request.late_after.is_some_and(|late| (now - request.at) as f64 >= late)
         {
@@ -256,6 +269,7 @@
                     self.outcome.hedges.push(now);
                     let draw = self.hedge_draw();
                     let run = self.start(request.host, server, draw, now);
+                    self.outcome.crowded += usize::from(run.is_queued);
                     request.runs.push(run);
                 }
                 Err(why) => *self.outcome.withheld.entry(why.label()).or_default() += 1,
@@ -341,8 +355,25 @@
             }
         }
         if matches!(arrival, Arrival::Newest | Arrival::Overtaken) {
-            report.runs.iter().for_each(|runs| self.times.merge(runs, &self.trend, Millis(now)));
+            for runs in &report.runs {
+                let route = ROUTES.iter().position(|route| runs.key == Name::from(*route)).unwrap();
+                self.by_route[route].merge(runs, &self.trend, Millis(now));
+                self.by_service.merge(runs, &self.trend, Millis(now));
+            }
+        }
+    }
+
+    fn late_after(&self, route: usize, class: LoadClass, share: f64) -> Option<f64> {
+        let own = self.by_route[route].threshold_ms(class, share);
+        own.or_else(|| self.by_service.threshold_ms(class, share))
+    }
+
+    fn record_time(&mut self, route: usize, run: &Run, now: u64) {
+        let (ms, now) = ((now - run.at) as f64, Millis(now));
+        if self.by_route[route].record(run.class, ms, &self.trend, now) {
+            self.unreported.record_run(&Name::from(ROUTES[route]), run.class, ms);
         }
+        self.by_service.record(run.class, ms, &self.trend, now);
     }
 }
 
@@ -371,11 +402,13 @@
             fleet.restart(0);
         }
         requests.retain_mut(|request| !fleet.advance(request, now));
-        let mut expected = fleet.scene.per_second / 1_000.0;
-        while fleet.draw() < expected {
-            expected -= 1.0;
-            let host = (fleet.draw() * fleet.scene.hosts as f64) as usize;
-            requests.push(fleet.arrive(host, now));
+        let rates = [fleet.scene.per_second, fleet.scene.once_per_second];
+        for (route, rate) in rates.into_iter().enumerate().filter(|(_, rate)| *rate > 0.0) {
+            let mut expected = rate / 1_000.0;
+            while fleet.draw() < expected {
+                expected -= 1.0;
+                requests.push(fleet.arrive(route, now));
+            }
         }
     }
     fleet.outcome.took.sort_unstable();
