--- a/crates/gateway/src/hedge.rs
+++ b/crates/gateway/src/hedge.rs
@@ -43,6 +43,8 @@
     share: ArcSwap<Option<f64>>,
     /// The requests and hedges of the last seconds, by service.
     windows: Sharded<Window>,
+    /// The requests of the last seconds that may be hedged, by service.
+    eligible: Sharded<Window>,
     /// Response times by route and model.
     by_route: Sharded<ResponseTimes>,
     /// Response times of all routes by service, for routes with few requests.
@@ -150,12 +152,14 @@
 
     /// Counts the request, of whose number hedges may be a share.
     pub fn count_for_hedges(&self) {
-        if let Some(share) = self.state.hedging.share() {
-            let allowance = hedge::allowance(share);
-            let windows = &self.state.hedging.windows;
-            windows.with(&self.service, |window| {
-                window.record_request(&allowance, clock::steady());
-            });
+        let hedging = &self.state.hedging;
+        if let Some(share) = hedging.share() {
+            let (allowance, now) = (hedge::allowance(share), clock::steady());
+            let record = |window: &mut Window| window.record_request(&allowance, now);
+            hedging.windows.with(&self.service, record);
+            if self.route().kind == Kind::Idempotent {
+                hedging.eligible.with(&self.service, record);
+            }
         }
     }
 
@@ -207,7 +211,7 @@
     /// The time after which a run counts as late, in milliseconds; `None` while it is not known.
     fn late_after_ms(&self, class: LoadClass) -> Option<f64> {
         let hedging = &self.state.hedging;
-        let share = hedging.share()?;
+        let share = hedging.share_of_eligible(&self.service, clock::steady())?;
         let threshold = |times: &mut ResponseTimes| times.threshold_ms(class, share);
         let own = hedging.by_route.with(self.timing_key(), threshold);
         own.or_else(|| hedging.by_service.with(&self.service, threshold))
--- a/crates/gateway/src/hedge/reports.rs
+++ b/crates/gateway/src/hedge/reports.rs
@@ -33,6 +33,21 @@
         self.windows.with(service, |window| hedge::counts(window, share, now))
     }
 
+    /// How many of them may be hedged.
+    fn eligible(&self, service: &Name, now: Millis) -> u32 {
+        let share = self.share().unwrap_or_default();
+        self.eligible.with(service, |window| hedge::counts(window, share, now).requests)
+    }
+
+    /// The most hedges per request that may be hedged; `None` if no requests are hedged.
+    pub(super) fn share_of_eligible(&self, service: &Name, now: Millis) -> Option<f64> {
+        let share = self.share()?;
+        let (own, eligible) = (self.counts(service, now), self.eligible(service, now));
+        let fraction =
+            self.domains.with(service, |domain| domain.eligible_fraction(own, eligible, now));
+        Some(hedge::share_of_eligible(share, fraction))
+    }
+
     /// Whether this host or a peer had requests in the last 60 s for a service that can be hedged.
     fn is_active(&self, service: &Name, now: Millis) -> bool {
         let has_runs = self.unreported.with(service, |unreported| unreported.has_runs());
@@ -81,7 +96,7 @@
         })?;
         self.show_hedging(service, share, now);
         let start = *hedging.start.get_or_init(rand::random);
-        let counts = hedging.counts(service, now);
+        let counts = (hedging.counts(service, now), hedging.eligible(service, now));
         let report = hedging.unreported.with(service, |own| own.take(start, service, counts, now));
         Some(report)
     }
@@ -122,7 +137,9 @@
             .domains
             .with(service, |domain| domain.budget(own, peers, share, rand::random(), now));
         let used = budget.hedges / budget.requests.max(1.0);
-        let threshold = |times: &mut ResponseTimes| times.threshold_ms(LoadClass::Light, share);
+        let late_share = hedging.share_of_eligible(service, now).unwrap_or(share);
+        let threshold =
+            |times: &mut ResponseTimes| times.threshold_ms(LoadClass::Light, late_share);
         let threshold_ms = hedging.by_service.with(service, threshold);
         metrics::gauge!("gateway_hedge_share_used", "service" => service.to_string()).set(used);
         metrics::gauge!("gateway_hedge_hosts_heard", "service" => service.to_string())
--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -294,7 +294,7 @@
 
     /// The time after which a run counts as late, in milliseconds, by runs at servers as busy or,
     /// if too few of them are known, less busy; `None` if too few runs are known. `share` is the
-    /// most hedges per request.
+    /// most hedges per request that may be hedged, see [`share_of_eligible`].
     #[must_use]
     pub fn threshold_ms(&self, class: LoadClass, share: f64) -> Option<f64> {
         let digest = self.known(class)?;
@@ -368,6 +368,16 @@
     Allowance { share, spare: 0.0, window_ms: WINDOW_MS }
 }
 
+/// The most hedges per request that may be hedged, if there may be `share` per request of the
+/// service and this fraction of its requests may be hedged.
+///
+/// Where most requests may run once only, the few others may be hedged sooner: a hedge sent after
+/// the slowest times alone ends hardly before the first run does.
+#[must_use]
+pub fn share_of_eligible(share: f64, eligible_fraction: f64) -> f64 {
+    (share / eligible_fraction.max(f64::MIN_POSITIVE)).min(1.0)
+}
+
 /// A host's requests and hedges in the last 60 s.
 #[must_use]
 pub fn counts(window: &Window, share: f64, now: Millis) -> Counts {
--- a/crates/policy/src/hedge/domain.rs
+++ b/crates/policy/src/hedge/domain.rs
@@ -62,6 +62,10 @@
         pub service: Name,
         /// Requests and hedges of the host in the last 60 s.
         pub counts: Counts,
+        /// How many of the requests may be hedged; absent in reports of earlier versions, which
+        /// then count as if all of them might.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub eligible: Option<u32>,
         /// Runs since the last report, and how many of them were late.
         pub ended: (u32, u32),
         /// Backend servers that gave a fast response since the last report, and how long ago, in
@@ -123,6 +127,8 @@
     /// Which of the reports before the newest have come, the one just before it in the lowest bit.
     seen: u64,
     counts: Counts,
+    /// How many of the requests may be hedged.
+    eligible: u32,
 }
 
 /// The requests and hedges of a failure domain for one service, as one host knows them.
@@ -132,6 +138,8 @@
     /// When this host sent its last hedges, as long as its peers may not have heard of them.
     sent: VecDeque<Millis>,
     drawn: Option<Draw>,
+    /// The fraction of requests that may be hedged, and when it was computed.
+    eligible_fraction: Option<(f64, Millis)>,
 }
 
 /// A host's draw for the fraction of a hedge.
@@ -201,7 +209,7 @@
     /// Whether the counts can be true.
     #[must_use]
     pub fn is_valid(&self) -> bool {
-        let Self { counts, ended, fast, runs, .. } = self;
+        let Self { counts, eligible, ended, fast, runs, .. } = self;
         let is_valid = |runs: &Runs| {
             let is_bucket = |(bucket, _): &(u8, u32)| usize::from(*bucket) < BUCKET_COUNT;
             usize::from(runs.class) < LoadClass::ALL.len() && runs.counts.iter().all(is_bucket)
@@ -211,6 +219,7 @@
         all.for_each(|(_, runs)| count += u64::from(*runs));
         counts.requests <= REQUESTS_MAX
             && counts.hedges <= counts.requests
+            && eligible.is_none_or(|eligible| eligible <= counts.requests)
             && ended.1 <= ended.0
             && ended.0 <= REQUESTS_MAX
             && fast.len() <= FAST_MAX
@@ -261,7 +270,14 @@
     }
 
     /// Takes what has not been reported yet as a report.
-    pub fn take(&mut self, start: u32, service: &Name, counts: Counts, now: Millis) -> Report {
+    /// `eligible` of the host's requests in the last 60 s may be hedged.
+    pub fn take(
+        &mut self,
+        start: u32,
+        service: &Name,
+        (counts, eligible): (Counts, u32),
+        now: Millis,
+    ) -> Report {
         self.number = self.number.wrapping_add(1).max(1);
         let mut kinds: BTreeMap<(Name, u8), BTreeMap<u8, u32>> = BTreeMap::new();
         for (key, class, bucket) in self.runs.drain(..self.runs.len().min(RUNS_MAX)) {
@@ -285,6 +301,7 @@
             number,
             service: service.clone(),
             counts,
+            eligible: Some(eligible.min(counts.requests)),
             ended,
             fast,
             runs: runs.collect(),
@@ -294,12 +311,13 @@
 
 impl Peer {
     fn new(report: &Report, former: Option<u32>, at: Millis) -> Self {
-        let Report { start, number, counts, .. } = *report;
-        Self { at, start, former, newest: number, seen: 0, counts }
+        let Report { start, number, counts, eligible, .. } = *report;
+        let eligible = eligible.unwrap_or(counts.requests);
+        Self { at, start, former, newest: number, seen: 0, counts, eligible }
     }
 
     fn accept(&mut self, report: &Report, now: Millis) -> Arrival {
-        let Report { start, number, counts, .. } = *report;
+        let Report { start, number, counts, eligible, .. } = *report;
         match () {
             () if self.former == Some(start) => Arrival::Repeated,
             () if self.start != start => {
@@ -311,6 +329,7 @@
                 self.seen = self.seen.checked_shl(passed).unwrap_or_default();
                 self.seen |= 1u64.checked_shl(passed - 1).unwrap_or_default();
                 (self.newest, self.counts, self.at) = (number, counts, now);
+                self.eligible = eligible.unwrap_or(counts.requests);
                 Arrival::Newest
             }
             () => {
@@ -350,7 +369,7 @@
     /// Whether a peer had requests a moment ago.
     #[must_use]
     pub fn has_requests(&self, now: Millis) -> bool {
-        self.recent(now).any(|counts| counts.requests > 0)
+        self.recent(now).any(|peer| peer.counts.requests > 0)
     }
 
     /// Records that this host sends a hedge.
@@ -375,9 +394,9 @@
             self.sent.pop_front();
         }
         let (mut requests, mut hedges, mut heard) = (0.0, 0.0, 0usize);
-        for counts in self.recent(now) {
-            requests += f64::from(counts.requests);
-            hedges += f64::from(counts.hedges);
+        for peer in self.recent(now) {
+            requests += f64::from(peer.counts.requests);
+            hedges += f64::from(peer.counts.hedges);
             heard += 1;
         }
         let (own_requests, own_hedges) = (f64::from(own.requests), f64::from(own.hedges));
@@ -398,10 +417,26 @@
         Budget { requests, hedges, heard, left }
     }
 
-    /// Counts of the peers that were heard a moment ago.
-    fn recent(&self, now: Millis) -> impl Iterator<Item = &Counts> {
-        let peers = self.peers.values();
-        peers.filter(move |peer| now.since(peer.at) < REPORT_MS).map(|peer| &peer.counts)
+    /// The fraction of the domain's requests that may be hedged, by its peers' reports and this
+    /// host's own requests, of which `eligible` may be.
+    pub fn eligible_fraction(&mut self, own: Counts, eligible: u32, now: Millis) -> f64 {
+        if let Some((fraction, at)) = self.eligible_fraction
+            && now.since(at) < INTERVAL_MS
+        {
+            return fraction;
+        }
+        let own = (f64::from(eligible), f64::from(own.requests));
+        let sums = self.recent(now).fold(own, |(eligible, requests), peer| {
+            (eligible + f64::from(peer.eligible), requests + f64::from(peer.counts.requests))
+        });
+        // The request that asks may be hedged, even if it was not counted yet.
+        let fraction = sums.0.max(1.0) / sums.1.max(1.0);
+        self.eligible_fraction.insert((fraction.min(1.0), now)).0
+    }
+
+    /// The peers that were heard a moment ago.
+    fn recent(&self, now: Millis) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(move |peer| now.since(peer.at) < REPORT_MS)
     }
 
     /// The host's draw, which is renewed when its peers have heard of the hedges sent by it.
--- a/crates/policy/tests/hedge_domain.rs
+++ b/crates/policy/tests/hedge_domain.rs
@@ -84,25 +84,28 @@
     Scene { servers, per_second, once_per_second, share: 0.1, slowdown: 2.5, until, ..scene(78) }
 }
 
-/// Guards against late requests that are hardly hedged where most requests to the same servers may
-/// run once only.
+/// Guards against late requests that are hardly hedged, or too late to gain by it, where most requests
+/// to the same servers may run once only.
 #[test]
 fn slow_moments_beside_requests_that_run_once() {
     for load in MIXED {
+        let without = run(Scene { share: 0.0, domains: 0, ..mixed(load) });
+        let of = |outcome: &Outcome| [0.5, 0.99, 0.999].map(|part| quantile(&outcome.took, part));
         for share in [0.05, 0.1] {
             let with = Scene { share, ..mixed(load) };
-            let (without, outcome) = (run(Scene { share: 0.0, domains: 0, ..with }), run(with));
-            let of =
-                |outcome: &Outcome| [0.5, 0.99, 0.999].map(|part| quantile(&outcome.took, part));
+            let outcome = run(with);
             let (before, after) = (of(&without), of(&outcome));
             println!(
-                "{load:?}, {share}: {} hedges ({} crowded) for {} requests, withheld {:?}, {} B/s, {before:?} -> {after:?} ms",
+                "{load:?}, {share}: {} hedges ({} crowded) for {} requests, withheld {:?}, {} B/s, \
+                 {before:?} -> {after:?} ms",
                 outcome.hedges.len(),
                 outcome.crowded,
                 outcome.requests.len(),
                 outcome.withheld,
                 outcome.bytes * 1_000 / with.until / with.hosts as u64,
             );
+            assert!(after[0] <= before[0] && after[2] < before[2], "{before:?} -> {after:?}");
+            assert!(after[1] * 10 <= before[1] * 9, "{before:?} -> {after:?}");
             check_share(&outcome, &with);
         }
     }
@@ -111,18 +114,20 @@
 /// Guards against hedges that go on when all servers are slow, and against bytes of reports.
 #[test]
 fn all_servers_slow() {
-    for hosts in SIZES {
-        for share in [0.05, SHARE] {
-            let scene = Scene { share, all_slow_from: 100_000, until: 105_000, ..scene(hosts) };
+    for scene in SIZES.map(scene).into_iter().chain(MIXED.map(mixed)) {
+        for share in [0.05, scene.share] {
+            let scene = Scene { share, all_slow_from: 100_000, until: 105_000, ..scene };
             let outcome = run(scene);
             check_share(&outcome, &scene);
             let (first, later) = (
                 count(&outcome.hedges, 100_000..101_000),
                 count(&outcome.hedges, 101_000..u64::MAX),
             );
+            let (hosts, once) = (scene.hosts, scene.once_per_second);
             let bytes = outcome.bytes * 1_000 / scene.until / hosts as u64;
             println!(
-                "{hosts} hosts, {share}: {first} in the first second, {later} later, {bytes} B/s"
+                "{hosts} hosts, {once}, {share}: {first} in the first second, {later} later, \
+                 {bytes} B/s"
             );
             assert_eq!(later, 0, "{hosts} hosts go on");
             assert!(bytes <= 2_000, "{bytes} B/s");
@@ -174,8 +179,10 @@
     };
     let mut all: Vec<Host> = (0..hosts).map(|_| new(seed)).collect();
     let service = Name::from("orders");
-    let reports: Vec<Report> =
-        all.iter_mut().map(|host| host.unreported.take(1, &service, host.counts, now)).collect();
+    let reports: Vec<Report> = all
+        .iter_mut()
+        .map(|host| host.unreported.take(1, &service, (host.counts, host.counts.requests), now))
+        .collect();
     for (to, host) in all.iter_mut().enumerate() {
         for (from, report) in reports.iter().enumerate().filter(|(from, _)| *from != to) {
             host.domain.accept(&name(from), report, now);
@@ -226,7 +233,7 @@
     let (mut domain, mut unreported, host) = (Domain::default(), Unreported::default(), name(1));
     let mut report = |start, requests| {
         let counts = Counts { requests, hedges: 0 };
-        unreported.take(start, &Name::from("orders"), counts, Millis(1))
+        unreported.take(start, &Name::from("orders"), (counts, requests), Millis(1))
     };
     let old: Vec<Report> = (0..4).map(|number| report(1, number)).collect();
     let new: Vec<Report> = (0..2).map(|number| report(2, 50 + number)).collect();
@@ -267,11 +274,11 @@
 /// hedges than it has requests.
 #[test]
 fn accept_reports_of_any_content() {
-    type Input = Vec<(u8, u32, u32, (u32, u32), (u32, u32), Vec<(u8, u8, u32)>)>;
+    type Input = Vec<(u8, u32, u32, (u32, u32), Option<u32>, (u32, u32), Vec<(u8, u8, u32)>)>;
     fuzz::check(2_000, |input: &Input| {
         let mut domain = Domain::default();
         let mut hosts = BTreeSet::new();
-        for (host, start, number, counts, ended, runs) in input {
+        for (host, start, number, counts, eligible, ended, runs) in input {
             let runs = runs.iter().map(|(class, bucket, count)| Runs {
                 key: Name::from("get"),
                 class: *class,
@@ -282,6 +289,7 @@
                 number: *number,
                 service: Name::from("orders"),
                 counts: Counts::from(*counts),
+                eligible: *eligible,
                 ended: *ended,
                 fast: Vec::new(),
                 runs: runs.collect(),
@@ -297,6 +305,8 @@
         let budget = domain.budget(own, 300, 1.0, 0.99, Millis(9));
         assert_eq!(budget.heard, hosts.len());
         assert!(budget.left <= 3.0 && budget.requests.is_finite(), "{budget:?}");
+        let fraction = domain.eligible_fraction(own, 2, Millis(9));
+        assert!(fraction > 0.0 && fraction <= 1.0, "{fraction}");
     });
 }
 
@@ -334,7 +344,7 @@
     let mut reported = (0, (0, 0));
     for _ in 0..20 {
         let service = Name::from("orders");
-        let report = unreported.take(1, &service, Counts::default(), Millis(1));
+        let report = unreported.take(1, &service, (Counts::default(), 0), Millis(1));
         assert!(report.is_valid() && serde_json::to_vec(&report).unwrap().len() < 1_200);
         let counts = report.runs.iter().flat_map(|runs| &runs.counts);
         reported.0 += counts.map(|(_, count)| count).sum::<u32>();
--- a/crates/policy/tests/hedges/mod.rs
+++ b/crates/policy/tests/hedges/mod.rs
@@ -99,6 +99,8 @@
     by_service: ResponseTimes,
     trend: Trend,
     window: Window,
+    /// Requests that may be hedged.
+    eligible: Window,
     targets: Vec<Target>,
     domain: Domain,
     unreported: Unreported,
@@ -174,7 +176,7 @@
         let share = self.scene.share;
         let host = &mut self.hosts[request.host];
         let ms = (now - run.at) as f64;
-        let late_after = host.late_after(request.route, run.class, share);
+        let late_after = host.late_after(request.route, run.class, share, now);
         let is_late = late_after.is_some_and(|late| ms >= late);
         let is_fast = host.by_service.is_fast(run.class, ms);
         host.record_time(request.route, run, now);
@@ -217,6 +219,9 @@
         let host = (self.draw() * self.scene.hosts as f64) as usize;
         let allowance = hedge::allowance(self.scene.share);
         self.hosts[host].window.record_request(&allowance, Millis(now));
+        if route == 0 {
+            self.hosts[host].eligible.record_request(&allowance, Millis(now));
+        }
         self.outcome.requests.push(now);
         let count = self.scene.servers as f64;
         let (one, two) = ((self.draw() * count) as usize, (self.draw() * count) as usize);
@@ -224,7 +229,7 @@
         let server = if load(one) <= load(two) { one } else { two };
         let draw = self.draw();
         let run = self.start(host, server, draw, now);
-        let late_after = self.hosts[host].late_after(route, run.class, self.scene.share);
+        let late_after = self.hosts[host].late_after(route, run.class, self.scene.share, now);
         Request { host, route, at: now, late_after, is_late: false, runs: vec![run] }
     }
 
@@ -308,11 +313,13 @@
     }
 
     fn send_report(&mut self, host: usize, now: u64) {
-        let Host { window, unreported, start, pace, .. } = &mut self.hosts[host];
+        let share = self.scene.share;
+        let Host { window, eligible, unreported, start, pace, .. } = &mut self.hosts[host];
         if !pace.may_send(Millis(now)) {
             return;
         }
-        let counts = hedge::counts(window, self.scene.share, Millis(now));
+        let eligible = hedge::counts(eligible, share, Millis(now)).requests;
+        let counts = (hedge::counts(window, share, Millis(now)), eligible);
         let report = unreported.take(*start, &Name::from("orders"), counts, Millis(now));
         let bytes = serde_json::to_vec(&report).unwrap().len() + MESSAGE_BYTES;
         let mut to: Vec<usize> = self.peers(host);
@@ -363,7 +370,11 @@
         }
     }
 
-    fn late_after(&self, route: usize, class: LoadClass, share: f64) -> Option<f64> {
+    fn late_after(&mut self, route: usize, class: LoadClass, share: f64, now: u64) -> Option<f64> {
+        let own = hedge::counts(&self.window, share, Millis(now));
+        let eligible = hedge::counts(&self.eligible, share, Millis(now)).requests;
+        let fraction = self.domain.eligible_fraction(own, eligible, Millis(now));
+        let share = hedge::share_of_eligible(share, fraction);
         let own = self.by_route[route].threshold_ms(class, share);
         own.or_else(|| self.by_service.threshold_ms(class, share))
     }
