--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -329,9 +329,10 @@
         observations.fast_at = observations.fast_at.max(at);
     }
 
-    /// What is known of the server's load and speed when a request may be hedged.
+    /// What is known of the server's load and speed when a request may be hedged. `hosts` may send to
+    /// it; 0 if their number is not known.
     #[must_use]
-    pub fn hedge_target(&self) -> hedge::Target {
+    pub fn hedge_target(&self, hosts: u32) -> hedge::Target {
         let own = self.server.in_flight.load(Ordering::Relaxed);
         let observations = self.lock();
         hedge::Target {
@@ -341,6 +342,7 @@
             own_at_report: observations.own_at_report,
             reported_at: observations.reported_at,
             fast_at: observations.fast_at,
+            hosts,
         }
     }
 
--- a/crates/gateway/src/hedge.rs
+++ b/crates/gateway/src/hedge.rs
@@ -41,6 +41,8 @@
 pub struct Hedging {
     /// Most hedges per request; `None` if no requests are hedged.
     share: ArcSwap<Option<f64>>,
+    /// Failure domains with hosts; 0 if the settings name none.
+    failure_domains: AtomicU32,
     /// The requests and hedges of the last seconds, by service.
     windows: Sharded<Window>,
     /// The requests of the last seconds that may be hedged, by service.
@@ -102,6 +104,11 @@
         self.share.store(Arc::new(share));
     }
 
+    /// Sets the number of failure domains with hosts; 0 if it is not known.
+    pub fn set_failure_domains(&self, count: usize) {
+        self.failure_domains.store(u32::try_from(count).unwrap_or(u32::MAX), Ordering::Relaxed);
+    }
+
     /// The most hedges per request; `None` if no requests are hedged.
     #[must_use]
     pub fn share(&self) -> Option<f64> {
@@ -168,7 +175,7 @@
     pub fn load_class(&self, backend: &Backend) -> Option<LoadClass> {
         let now = clock::steady();
         let is_counted = self.state.hedging.share().is_some() && !self.route().kind.is_stream();
-        is_counted.then(|| backend.hedge_target().load_class(now))
+        is_counted.then(|| backend.hedge_target(0).load_class(now))
     }
 
     /// Records the time of a whole answer, or of a cancelled run (`is_cancelled`).
--- a/crates/gateway/src/hedge/reports.rs
+++ b/crates/gateway/src/hedge/reports.rs
@@ -1,6 +1,7 @@
 //! Reports between the hosts of a failure domain on late requests and hedges, for operators as well.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use entry::clock;
 use entry::sharded::Sharded;
@@ -80,6 +81,14 @@
         self.peers.load().as_ref().as_ref().map_or(0, |peers| peers.others.len())
     }
 
+    /// The hosts of all failure domains, if each has as many as this one; 0 if that is not known.
+    pub(crate) fn hedging_hosts(&self) -> u32 {
+        let domains = self.hedging.failure_domains.load(Ordering::Relaxed);
+        let is_known = self.peers.load().is_some();
+        let own = u32::try_from(self.peer_count() + 1).unwrap_or(u32::MAX);
+        if is_known { own.saturating_mul(domains) } else { 0 }
+    }
+
     /// The next report to the other hosts of the failure domain; `None` if none is due.
     #[must_use]
     pub fn next_hedge_report(&self) -> Option<Report> {
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -189,11 +189,12 @@
     let candidates = pool.candidates(&first.version, canary::PEAK_LOAD, None, rand::random(), now);
     let others = candidates.backends.into_iter();
     let others = others.filter(|backend| backend.id != first.id && open.takes(backend));
+    let hosts = job.state.hedging_hosts();
     let (open, closed): (Vec<_>, Vec<_>) =
-        others.partition(|backend| backend.hedge_target().check(now).is_ok());
-    best(job, pool, &first.version, (&open, None), now)
-        .map(|choice| choice.backend)
-        .ok_or_else(|| hedge::why_none(closed.iter().map(|backend| backend.hedge_target()), now))
+        others.partition(|backend| backend.hedge_target(hosts).check(now).is_ok());
+    best(job, pool, &first.version, (&open, None), now).map(|choice| choice.backend).ok_or_else(
+        || hedge::why_none(closed.iter().map(|backend| backend.hedge_target(hosts)), now),
+    )
 }
 
 /// The other engines of a run's version that take requests now, with what is known of each. Of a
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -181,6 +181,7 @@
     let held_max = settings.held_bytes.and_then(|held| held.bytes_max(memory));
     let buffers = BufferBudget::new(memory).with_bound(held_max);
     state.hedging.set_share(hedge_share(&settings));
+    state.hedging.set_failure_domains(settings.failure_domains.len());
     let (moves, move_calls) = Moves::new();
     let moves = Arc::new(moves);
     let state = Arc::new(State { shed, buffers, admission, prefixes, moves, ..state });
@@ -332,6 +333,7 @@
     watch.state.placement.store(Arc::new(changed.placement));
     watch.state.streams.store(Arc::new(changed.streams));
     watch.state.hedging.set_share(hedge_share(&changed));
+    watch.state.hedging.set_failure_domains(changed.failure_domains.len());
     let comparable = settings::Node {
         hedging: current.hedging.clone(),
         placement: current.placement,
--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -81,6 +81,8 @@
     pub reported_at: Millis,
     /// When the server last gave a fast response; 0 if it gave none.
     pub fast_at: Millis,
+    /// Hosts that may send to the server; 0 if that is not known.
+    pub hosts: u32,
 }
 
 /// Distribution of recent response times, in buckets of logarithmic width.
@@ -206,20 +208,26 @@
         }
     }
 
-    /// Whether a hedge may go to the server: it was fast a moment ago and has a free slot. Without
-    /// a recent report, it must have none of this host's requests.
+    /// Whether the server has a free slot, as far as this host knows. Without a recent report, it
+    /// must have none of this host's requests, or room for as many of every host as this one has
+    /// there with the hedge: a large server must not pass for full because of one request.
+    fn has_room(&self, now: Millis) -> bool {
+        let of_all = self.own.saturating_add(1).saturating_mul(self.hosts);
+        match self.has_recent_report(now) {
+            true => self.load_class(now) != LoadClass::Full,
+            false => self.own == 0 || self.hosts > 0 && of_all <= self.slots,
+        }
+    }
+
+    /// Whether a hedge may go to the server: it was fast a moment ago and has a free slot.
     ///
     /// # Errors
     /// What it lacks.
     pub fn check(&self, now: Millis) -> Result<(), Withheld> {
         let is_fast = self.fast_at > Millis(0) && now.since(self.fast_at) < FAST_MS;
-        let has_room = match self.has_recent_report(now) {
-            true => self.load_class(now) != LoadClass::Full,
-            false => self.own == 0,
-        };
         match () {
             () if !is_fast => Err(Withheld::NotFast),
-            () if !has_room => Err(Withheld::NoRoom),
+            () if !self.has_room(now) => Err(Withheld::NoRoom),
             () => Ok(()),
         }
     }
--- a/crates/policy/tests/hedge.rs
+++ b/crates/policy/tests/hedge.rs
@@ -6,8 +6,9 @@
 use std::collections::BTreeSet;
 
 use hedges::{Scene, late, quantile, run};
-use policy::hedge::{self, Situation, Trend, Withheld};
+use policy::hedge::{self, Situation, Target, Trend, Withheld};
 use policy::retry::Attempt;
+use policy::time::Millis;
 
 /// Guards against hedges that do not help, or that slow all requests to help a few.
 #[test]
@@ -60,6 +61,38 @@
     }
 }
 
+/// Guards against hedges to servers that are full or were not fast, and against large servers that
+/// report no load and pass for full because of one request.
+#[test]
+fn check_names_what_a_server_lacks() {
+    let now = Millis(10_000);
+    let silent = Target { slots: 32, fast_at: Millis(9_500), ..Target::default() };
+    let reporting = Target { slots: 6, reported_at: Millis(9_500), hosts: 3, ..silent };
+    let (not_fast, no_room) = (Err(Withheld::NotFast), Err(Withheld::NoRoom));
+    for (target, expected) in [
+        (silent, Ok(())),
+        (Target { fast_at: Millis(9_200), ..silent }, not_fast),
+        (Target { own: 1, ..silent }, no_room),
+        (Target { own: 1, hosts: 16, ..silent }, Ok(())),
+        (Target { own: 1, hosts: 17, ..silent }, no_room),
+        (Target { own: u32::MAX, hosts: u32::MAX, ..silent }, no_room),
+        (Target { reported: 5, ..reporting }, Ok(())),
+        (Target { reported: 6, ..reporting }, no_room),
+        (Target { reported: 5, own: 1, ..reporting }, no_room),
+        (Target { own: 2, reported_at: Millis(9_000), ..reporting }, no_room),
+    ] {
+        assert_eq!(target.check(now), expected, "{target:?}");
+    }
+    let full = Target { reported: 6, ..reporting };
+    for (targets, expected) in [
+        (vec![], Withheld::NoServer),
+        (vec![Target::default()], Withheld::NotFast),
+        (vec![full, Target::default()], Withheld::NoRoom),
+    ] {
+        assert_eq!(hedge::why_none(targets, now), expected);
+    }
+}
+
 /// Guards against a hedge for a request that must not have one.
 #[test]
 fn decide_names_the_reason() {
