--- a/crates/policy/tests/hedge_domain.rs
+++ b/crates/policy/tests/hedge_domain.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 
 use hedges::{Outcome, Scene, WARM_MS, quantile, run};
-use policy::hedge::{Arrival, Counts, Domain, LoadClass, Pace, Report, Runs, Unreported};
+use policy::hedge::{self, Arrival, Counts, Domain, LoadClass, Pace, Report, Runs, Unreported};
 use policy::name::Name;
 use policy::place::mix;
 use policy::time::Millis;
@@ -270,6 +270,26 @@
     assert!(left(17) < 1.0);
 }
 
+/// Guards against a threshold for other requests than the domain has, among hosts of an earlier version
+/// that do not report how many may be hedged.
+#[test]
+fn eligible_fraction_is_of_all_hosts() {
+    let (mut domain, mut unreported) = (Domain::default(), Unreported::default());
+    let own = Counts { requests: 60, hedges: 0 };
+    assert_eq!(domain.eligible_fraction(own, 15, Millis(1_000)), 0.25);
+    let counts = Counts { requests: 30, hedges: 0 };
+    let report = unreported.take(1, &Name::from("orders"), (counts, 3), Millis(1_000));
+    let text = serde_json::to_string(&report).unwrap();
+    domain.accept(&name(1), &serde_json::from_str(&text).unwrap(), Millis(1_000));
+    let earlier: Report = serde_json::from_str(&text.replace("\"eligible\":3,", "")).unwrap();
+    assert_eq!(earlier.eligible, None);
+    domain.accept(&name(2), &earlier, Millis(1_000));
+    assert_eq!(domain.eligible_fraction(own, 15, Millis(2_000)), 0.4);
+    assert_eq!(domain.eligible_fraction(own, 15, Millis(9_000)), 0.25, "peers that are gone count");
+    assert_eq!(hedge::share_of_eligible(0.1, 0.4), 0.25);
+    assert_eq!(hedge::share_of_eligible(0.5, 0.25), 1.0);
+}
+
 /// Guards against reports of any content that cause a panic, take memory, or allow a host more
 /// hedges than it has requests.
 #[test]
