--- a/crates/gateway/src/hedge.rs
+++ b/crates/gateway/src/hedge.rs
@@ -41,8 +41,12 @@
 pub struct Hedging {
     /// Most hedges per request; `None` if no requests are hedged.
     share: ArcSwap<Option<f64>>,
+    /// Failure domains with hosts; 0 if the settings name none.
+    failure_domains: AtomicU32,
     /// The requests and hedges of the last seconds, by service.
     windows: Sharded<Window>,
+    /// The requests of the last seconds that may be hedged, by service.
+    eligible: Sharded<Window>,
     /// Response times by route and model.
     by_route: Sharded<ResponseTimes>,
     /// Response times of all routes by service, for routes with few requests.
@@ -100,6 +104,11 @@
         self.share.store(Arc::new(share));
     }
 
+    /// Sets the number of failure domains with hosts; 0 if it is not known.
+    pub fn set_failure_domains(&self, count: usize) {
+        self.failure_domains.store(u32::try_from(count).unwrap_or(u32::MAX), Ordering::Relaxed);
+    }
+
     /// The most hedges per request; `None` if no requests are hedged.
     #[must_use]
     pub fn share(&self) -> Option<f64> {
@@ -150,12 +159,14 @@
 
     /// Counts the request, of whose number hedges may be a share.
     pub fn count_for_hedges(&self) {
-        if let Some(share) = self.state.hedging.share() {
-            let allowance = hedge::allowance(share);
-            let windows = &self.state.hedging.windows;
-            windows.with(&self.service, |window| {
-                window.record_request(&allowance, clock::steady());
-            });
+        let hedging = &self.state.hedging;
+        if let Some(share) = hedging.share() {
+            let (allowance, now) = (hedge::allowance(share), clock::steady());
+            let record = |window: &mut Window| window.record_request(&allowance, now);
+            hedging.windows.with(&self.service, record);
+            if self.route().kind == Kind::Idempotent {
+                hedging.eligible.with(&self.service, record);
+            }
         }
     }
 
@@ -164,7 +175,7 @@
     pub fn load_class(&self, backend: &Backend) -> Option<LoadClass> {
         let now = clock::steady();
         let is_counted = self.state.hedging.share().is_some() && !self.route().kind.is_stream();
-        is_counted.then(|| backend.hedge_target().load_class(now))
+        is_counted.then(|| backend.hedge_target(0).load_class(now))
     }
 
     /// Records the time of a whole answer, or of a cancelled run (`is_cancelled`).
@@ -207,7 +218,7 @@
     /// The time after which a run counts as late, in milliseconds; `None` while it is not known.
     fn late_after_ms(&self, class: LoadClass) -> Option<f64> {
         let hedging = &self.state.hedging;
-        let share = hedging.share()?;
+        let share = hedging.share_of_eligible(&self.service, clock::steady())?;
         let threshold = |times: &mut ResponseTimes| times.threshold_ms(class, share);
         let own = hedging.by_route.with(self.timing_key(), threshold);
         own.or_else(|| hedging.by_service.with(&self.service, threshold))
@@ -372,8 +383,10 @@
         let trend = hedging.trends.with(&self.service, |trend| *trend);
         hedge::decide(&situation, &trend)?;
         // The version on trial is judged by its own answer times.
-        let other = if self.is_timed(backend) { pick::hedge_server(self, backend) } else { None };
-        let other = other.ok_or(Withheld::NoServer)?;
+        if !self.is_timed(backend) {
+            return Err(Withheld::NoServer);
+        }
+        let other = pick::hedge_server(self, backend)?;
         self.take_hedge()?;
         pick::record_hedge(self, &other);
         Ok(other)
--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -81,6 +81,8 @@
     pub reported_at: Millis,
     /// When the server last gave a fast response; 0 if it gave none.
     pub fast_at: Millis,
+    /// Hosts that may send to the server; 0 if that is not known.
+    pub hosts: u32,
 }
 
 /// Distribution of recent response times, in buckets of logarithmic width.
@@ -114,8 +116,12 @@
     Suspect,
     /// Responses of the service are late in general.
     Overload,
-    /// No other server is known to be fast and to have room.
+    /// No other server takes the request, or a version on trial has it.
     NoServer,
+    /// Other servers take the request, and none is known to be fast.
+    NotFast,
+    /// Other servers are known to be fast, and none of them to have room.
+    NoRoom,
     /// The share of hedges is used up.
     Share,
     /// The repeats that are not reserved for failures are used up.
@@ -145,6 +151,19 @@
 }
 
 impl Withheld {
+    /// All reasons.
+    pub const ALL: [Self; 9] = [
+        Self::Request,
+        Self::Attempts,
+        Self::Suspect,
+        Self::Overload,
+        Self::NoServer,
+        Self::NotFast,
+        Self::NoRoom,
+        Self::Share,
+        Self::Repeats,
+    ];
+
     /// The value of the `why` label in metrics and log lines.
     #[must_use]
     pub fn label(self) -> &'static str {
@@ -154,6 +173,8 @@
             Self::Suspect => "suspect",
             Self::Overload => "overload",
             Self::NoServer => "no_server",
+            Self::NotFast => "not_fast",
+            Self::NoRoom => "no_room",
             Self::Share => "share",
             Self::Repeats => "repeats",
         }
@@ -187,16 +208,28 @@
         }
     }
 
-    /// Whether a hedge may go to the server: it was fast a moment ago and has a free slot. Without
-    /// a recent report, it must have none of this host's requests.
-    #[must_use]
-    pub fn is_open(&self, now: Millis) -> bool {
-        let is_fast = self.fast_at > Millis(0) && now.since(self.fast_at) < FAST_MS;
-        let has_room = match self.has_recent_report(now) {
+    /// Whether the server has a free slot, as far as this host knows. Without a recent report, it
+    /// must have none of this host's requests, or room for as many of every host as this one has
+    /// there with the hedge: a large server must not pass for full because of one request.
+    fn has_room(&self, now: Millis) -> bool {
+        let of_all = self.own.saturating_add(1).saturating_mul(self.hosts);
+        match self.has_recent_report(now) {
             true => self.load_class(now) != LoadClass::Full,
-            false => self.own == 0,
-        };
-        is_fast && has_room
+            false => self.own == 0 || self.hosts > 0 && of_all <= self.slots,
+        }
+    }
+
+    /// Whether a hedge may go to the server: it was fast a moment ago and has a free slot.
+    ///
+    /// # Errors
+    /// What it lacks.
+    pub fn check(&self, now: Millis) -> Result<(), Withheld> {
+        let is_fast = self.fast_at > Millis(0) && now.since(self.fast_at) < FAST_MS;
+        match () {
+            () if !is_fast => Err(Withheld::NotFast),
+            () if !self.has_room(now) => Err(Withheld::NoRoom),
+            () => Ok(()),
+        }
     }
 }
 
@@ -269,7 +302,7 @@
 
     /// The time after which a run counts as late, in milliseconds, by runs at servers as busy or,
     /// if too few of them are known, less busy; `None` if too few runs are known. `share` is the
-    /// most hedges per request.
+    /// most hedges per request that may be hedged, see [`share_of_eligible`].
     #[must_use]
     pub fn threshold_ms(&self, class: LoadClass, share: f64) -> Option<f64> {
         let digest = self.known(class)?;
@@ -326,12 +359,33 @@
     (position as usize).min(BUCKET_COUNT - 1)
 }
 
+/// Why none of the servers that take a request may have its hedge, where none of `targets` is open:
+/// the reason of those that lack least.
+#[must_use]
+pub fn why_none(targets: impl IntoIterator<Item = Target>, now: Millis) -> Withheld {
+    let reasons = targets.into_iter().filter_map(|target| target.check(now).err());
+    reasons.fold(Withheld::NoServer, |why, other| match (why, other) {
+        (Withheld::NoRoom, _) | (_, Withheld::NoRoom) => Withheld::NoRoom,
+        _ => other,
+    })
+}
+
 /// How many hedges one host may send, if all hosts together may send `share` per request.
 #[must_use]
 pub fn allowance(share: f64) -> Allowance {
     Allowance { share, spare: 0.0, window_ms: WINDOW_MS }
 }
 
+/// The most hedges per request that may be hedged, if there may be `share` per request of the
+/// service and this fraction of its requests may be hedged.
+///
+/// Where most requests may run once only, the few others may be hedged sooner: a hedge sent after
+/// the slowest times alone ends hardly before the first run does.
+#[must_use]
+pub fn share_of_eligible(share: f64, eligible_fraction: f64) -> f64 {
+    (share / eligible_fraction.max(f64::MIN_POSITIVE)).min(1.0)
+}
+
 /// A host's requests and hedges in the last 60 s.
 #[must_use]
 pub fn counts(window: &Window, share: f64, now: Millis) -> Counts {
