--- a/crates/policy/src/streams/backup.rs
+++ b/crates/policy/src/streams/backup.rs
@@ -120,7 +120,9 @@
 /// of the run's version, and `draw` is uniform in 0 to 1.
 ///
 /// Hosts decide at the same time by the same reports. If all of them chose the emptiest engine, it
-/// would have no memory left. The draw therefore spreads backups in proportion to the free memory.
+/// would have no memory left. The draw therefore spreads backups in proportion to the free memory,
+/// and to the free slots: where none is free, a stream waits until another one ends, which takes
+/// longer than all else.
 ///
 /// # Errors
 /// Why the run gets none.
@@ -188,8 +190,8 @@
     engine.wait_ms + (missing + ahead * each) * token_ms
 }
 
-/// For each engine the weight with which it is drawn: its tokens of memory that backups may take,
-/// or 0 if the run's backup does not fit.
+/// For each engine the weight with which it is drawn: its tokens of memory that backups may take
+/// times its free slots, or 0 if the run's backup does not fit.
 fn rooms(run: &Run, targets: &[Target], fleet: &Fleet) -> Vec<f64> {
     let own = fleet.usual.own.unwrap_or(run.prompt);
     // The engines that remain after a loss need this share of their memory for the streams that
@@ -212,7 +214,10 @@
         // Requests wait for a slot or for memory, and the report does not tell for which.
         let is_short = load > slots;
         let fits = !is_short && room >= run.prompt;
-        if fits { room * (1.0 - engine.suspicion).max(0.0) } else { 0.0 }
+        // A stream that continues needs a slot as well. One is added because some of the engine's
+        // requests end within the pause.
+        let free_slots = slots - load + 1.0;
+        if fits { room * free_slots * (1.0 - engine.suspicion).max(0.0) } else { 0.0 }
     };
     targets.iter().map(room).collect()
 }
--- a/crates/policy/tests/streams.rs
+++ b/crates/policy/tests/streams.rs
@@ -116,3 +116,108 @@
     let slow = Fleet { link: Link::new(18_432.0, 1_000.0), ..fleet };
     assert_eq!(decide(&slow, 54_600.0, 1_000.0, 9_000.0), Err(Withheld::Bytes));
 }
+
+/// Requests that engines of the replay of a thousand streams work on at once.
+const MANY_SLOTS: u32 = 32;
+/// Streams that are lost at once, and engines in all domains.
+const LOST: usize = 1_000;
+const MANY_ENGINES: usize = 150;
+/// Time of a step, in which each running stream gets a token, and steps from one event to the next.
+const STEP_MS: f64 = 20.0;
+const EVENT_STEPS: f64 = 8.0;
+/// Tokens of prompts that an engine reads in one step.
+const CHUNK_TOKENS: f64 = 512.0;
+/// Tokens that a copy lacks: what came while its last part was sent.
+const LACKING_TOKENS: f64 = 200.0;
+/// Duration of a stream.
+const STREAM_MS: f64 = 8_000.0;
+
+/// Pauses of streams that all continue at one engine in the same moment, in milliseconds: of those
+/// that a slot is free for, and of those that wait for one. The engine admits them before all others,
+/// and reads what their copies lack in chunks between the steps of its running streams.
+fn pauses(index: usize, running: u32, continued: usize) -> (Vec<f64>, Vec<f64>) {
+    let token_ms = (1.0 + slowdown(index)) / TOKENS_PER_MS;
+    let end = |stream: u32| STREAM_MS * uniform(index * 1_000 + stream as usize + 3_000_000);
+    let ends: Vec<f64> = (0..running).map(end).collect();
+    let free = MANY_SLOTS.saturating_sub(running) as usize;
+    let (mut admitted, mut reading, mut pauses, mut now) = (0, Vec::new(), Vec::new(), 0.0);
+    while pauses.len() < continued {
+        let ended = ends.iter().filter(|end| **end <= now).count();
+        let may_run = continued.min(free + ended);
+        reading.extend((admitted..may_run).map(|_| LACKING_TOKENS));
+        admitted = may_run;
+        let mut chunk = CHUNK_TOKENS;
+        for left in &mut reading {
+            let read = chunk.min(*left);
+            (*left, chunk) = (*left - read, chunk - read);
+        }
+        now += STEP_MS + (CHUNK_TOKENS - chunk) * token_ms;
+        let read = reading.iter().take_while(|left| **left == 0.0).count();
+        reading.drain(..read);
+        // The last event came at most one event's time before the loss.
+        pauses.extend((0..read).map(|_| now + 2.0 * EVENT_STEPS * STEP_MS));
+    }
+    let waited = pauses.split_off(free.min(continued));
+    (pauses, waited)
+}
+
+/// Loses a domain with a thousand streams, all of which have backups. `running` requests are at each
+/// engine, up to `spread` more or less. Returns the streams' pauses as [`pauses`].
+fn continue_at_once(running: u32, spread: u32) -> (Vec<f64>, Vec<f64>) {
+    let load = |index: usize, seed: usize| {
+        running - spread + (f64::from(2 * spread + 1) * uniform(index + seed)) as u32
+    };
+    // Loads change between the beginning of a stream and its loss.
+    let reported = |index: usize| u32::midpoint(load(index, 4_000_000), load(index, 5_000_000));
+    let at_loss = |index: usize| u32::midpoint(load(index, 4_000_000), load(index, 6_000_000));
+    let mut usual = UsualPrompt::default();
+    usual.record(LONG.0, LONG.1);
+    // Enough memory for all backups: the replay is about slots.
+    let link = Link::new(18_432.0, 88_000.0);
+    let fleet = Fleet { capacity: 2_000_000.0, domains: DOMAINS, link, usual };
+    let mut backups = vec![[0.0; MANY_ENGINES]; HOSTS];
+    let mut continued = [0; MANY_ENGINES];
+    for stream in 0..LOST * DOMAINS {
+        let (at, host) = (stream % MANY_ENGINES, stream % HOSTS);
+        let others: Vec<usize> = (0..MANY_ENGINES).filter(|index| *index != at).collect();
+        let known = |index: &usize| {
+            let known = target(*index, reported(*index), LONG.1, backups[host][*index]);
+            Target { engine: Engine { slots: MANY_SLOTS, ..known.engine }, ..known }
+        };
+        let targets: Vec<Target> = others.iter().map(known).collect();
+        let (domain, load) = ((at % DOMAINS) as u64, f64::from(reported(at)));
+        let (prompt, tokens_per_ms) = (LONG.0 + LONG.1, TOKENS_PER_MS);
+        let (pause_ms, left_ms) = (PAUSE_MS, 20_000.0);
+        let run = Run { domain, load, prompt, tokens_per_ms, pause_ms, left_ms };
+        let chosen = choose(&run, &targets, &fleet, uniform(stream + 7_000_000)).unwrap();
+        backups[host][others[chosen.target]] += prompt;
+        continued[others[chosen.target]] += usize::from(domain == 0);
+    }
+    let survivors = (0..MANY_ENGINES).filter(|index| index % DOMAINS != 0);
+    survivors
+        .map(|index| pauses(index, at_loss(index), continued[index]))
+        .fold((Vec::new(), Vec::new()), |(at_once, waited), more| {
+            ([at_once, more.0].concat(), [waited, more.1].concat())
+        })
+}
+
+/// Guards against pauses beyond what the route allows where a thousand streams continue at once:
+/// because engines read for too many of them, or because those with few free slots get as many as the
+/// others.
+#[test]
+fn thousand_streams_continue_at_once() {
+    for (running, spread, late_max) in [(14, 8, 0), (18, 10, 15), (20, 10, 40)] {
+        let (at_once, waited) = continue_at_once(running, spread);
+        assert_eq!(at_once.len() + waited.len(), LOST);
+        let longest = |pauses: &[f64]| pauses.iter().copied().fold(0.0, f64::max);
+        let late = waited.iter().filter(|pause| **pause > PAUSE_MS).count();
+        let (most, longest) = (longest(&at_once), longest(&waited));
+        println!(
+            "{running} running, {spread} more or less: at most {most:.0} ms with a free slot; \
+             {} wait for one, {late} too long, {longest:.0} ms at most",
+            waited.len()
+        );
+        assert!(most <= PAUSE_MS, "{most} ms");
+        assert!(late <= late_max, "{late} late");
+    }
+}
