--- a/crates/chestnutspur/src/command/place.rs
+++ b/crates/chestnutspur/src/command/place.rs
@@ -21,6 +21,10 @@
 const SUMMARY: [&str; 8] =
     ["route", "service", "version", "model", "priority", "chosen", "through", "would_wait"];
 
+/// What is printed of a request in flight.
+const RUN: [&str; 8] =
+    ["service", "account", "backend", "version", "address", "age_ms", "continues_at", "moves_to"];
+
 /// Arguments of where
 #[derive(Clone, Debug, Bpaf)]
 pub struct Arguments {
@@ -112,12 +116,7 @@
 /// milliseconds.
 fn table(answer: &Value) -> String {
     if let Some(runs) = answer["runs"].as_array() {
-        let line = |run: &Value| {
-            let names = ["service", "account", "backend", "version", "address", "age_ms"];
-            let members = names.map(|name| format!("{name}={}", text(&run[name])));
-            members.join(" ") + "\n"
-        };
-        return runs.iter().map(line).collect();
+        return runs.iter().map(lines_of_run).collect();
     }
     let mut lines = String::new();
     for name in SUMMARY {
@@ -158,6 +157,18 @@
     }
 }
 
+/// A request in flight, then the copies that its stream could continue from.
+fn lines_of_run(run: &Value) -> String {
+    let members = RUN.map(|name| format!("{name}={}", text(&run[name])));
+    let copies = run["copies"].as_array().into_iter().flatten().map(|copy| {
+        let names = ["address", "backend", "obstacle"];
+        names.map(|name| format!(" {name}={}", text(&copy[name]))).concat()
+    });
+    let lines =
+        std::iter::once(members.join(" ")).chain(copies.map(|copy| format!("  copy{copy}")));
+    lines.map(|line| line + "\n").collect()
+}
+
 fn text(value: &Value) -> String {
     match value {
         Value::Null => "-".to_owned(),
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 use entry::clock;
 use policy::engine::fetch::Link;
@@ -16,6 +17,7 @@
 use crate::carry::UNSENT_MAX;
 use crate::codec::Codec;
 use crate::handle::Origin;
+use crate::index::IndexedRoute;
 use crate::job::Job;
 use crate::limits::SendLimits;
 use crate::open::Open;
@@ -33,6 +35,58 @@
     pub handle: Name,
 }
 
+/// Why a stream would not continue from a copy now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Unusable {
+    /// The deadline has passed.
+    Late,
+    /// This host reaches no engine.
+    Unreachable,
+    /// The stream's version is being replaced or rolled back.
+    Version,
+    /// The engine is leaving, has started again, or is of another version.
+    Start,
+    /// The engine takes no request now.
+    Closed,
+}
+
+impl Unusable {
+    /// The reason as operators read it.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Late => "deadline passed",
+            Self::Unreachable => "no engine reached",
+            Self::Version => "version left",
+            Self::Start => "gone or leaving",
+            Self::Closed => "takes no work",
+        }
+    }
+}
+
+/// What decides whether and where a running stream continues from a copy.
+#[derive(Clone)]
+pub struct Published {
+    /// The stream's route.
+    pub indexed: Arc<IndexedRoute>,
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+    /// The version that the stream is on.
+    pub version: Option<Name>,
+    /// The copies, the newest last.
+    pub copies: Vec<Copy>,
+    /// See [`crate::job::Attempts::kept_at`].
+    pub kept_at: Option<Arc<Backend>>,
+    /// See [`crate::job::Attempts::is_moving`].
+    pub is_moving: bool,
+    /// Servers that the stream is not sent to again.
+    pub excluded: Vec<Name>,
+    /// Failure domains that did not answer.
+    pub silent_domains: Vec<Name>,
+    /// Attempts whose connection failed.
+    pub unsent: u32,
+}
+
 impl<C: Codec> Job<C> {
     /// Decides whether the attempt at a backend server gets a backup, and where.
     pub fn choose_backup(&mut self, backend: &Arc<Backend>) {
@@ -161,33 +215,57 @@
         }
     }
 
-    /// The newest copy at an engine that takes the request now. Engines of another version compute
-    /// with other weights, so their copies are of no use.
+    /// The newest copy at an engine that takes the request now.
     fn usable_copy(&self) -> Option<(usize, Arc<Backend>)> {
-        let attempts = &self.attempts;
-        if attempts.copies.is_empty() || self.time_left().is_zero() {
+        if self.attempts.copies.is_empty() {
             return None;
         }
+        let mut copies = self.attempts.copies.iter().enumerate().rev();
+        copies.find_map(|(index, copy)| Some((index, self.engine_with(copy).ok()?)))
+    }
+
+    /// The engine that would continue the stream from a copy now. Engines of another version compute
+    /// with other weights, so their copies are of no use.
+    ///
+    /// # Errors
+    /// Why the copy is not used.
+    pub fn engine_with(&self, copy: &Copy) -> Result<Arc<Backend>, Unusable> {
+        let attempts = &self.attempts;
         let snapshot = self.state.snapshot.load();
-        let pool = snapshot.pools.get(&self.service)?;
+        let pool = snapshot.pools.get(&self.service).ok_or(Unusable::Start)?;
         let now = clock::steady();
-        let version = attempts.version.as_ref()?;
-        let may_continue = match attempts.is_moving {
-            true => !self.prefers_detour(),
-            false => self.may_continue(pool, version, now),
-        };
-        if !may_continue {
-            return None;
+        let version = attempts.version.as_ref().ok_or(Unusable::Version)?;
+        match () {
+            () if self.time_left().is_zero() => return Err(Unusable::Late),
+            () if self.prefers_detour() => return Err(Unusable::Unreachable),
+            () if attempts.is_moving || self.may_continue(pool, version, now) => {}
+            () => return Err(Unusable::Version),
         }
-        let open = Open::new(self, pool, now);
-        attempts.copies.iter().enumerate().rev().find_map(|(index, copy)| {
-            if let Some(kept_at) = attempts.kept_at.as_ref().filter(|at| at.start == copy.start) {
-                return (!kept_at.server.is_ill(now)).then(|| (index, Arc::clone(kept_at)));
-            }
-            let mut servers = pool.servers(version);
-            let backend = servers.find(|backend| backend.start == copy.start)?;
-            open.includes(backend).then(|| (index, Arc::clone(backend)))
-        })
+        if let Some(kept_at) = attempts.kept_at.as_ref().filter(|at| at.start == copy.start) {
+            let is_ill = kept_at.server.is_ill(now);
+            return if is_ill { Err(Unusable::Closed) } else { Ok(Arc::clone(kept_at)) };
+        }
+        let mut servers = pool.servers(version);
+        let backend = servers.find(|backend| backend.start == copy.start).ok_or(Unusable::Start)?;
+        let is_open = Open::new(self, pool, now).includes(backend);
+        if is_open { Ok(Arc::clone(backend)) } else { Err(Unusable::Closed) }
+    }
+
+    /// Records the copies of a running stream for those who ask where it would continue.
+    pub fn publish_copies(&self) {
+        let Some(run) = &self.run else { return };
+        let attempts = &self.attempts;
+        run.record_copies((!attempts.copies.is_empty()).then(|| Published {
+            indexed: Arc::clone(&self.indexed),
+            deadline: self.deadline,
+            version: attempts.version.clone(),
+            copies: attempts.copies.clone(),
+            kept_at: attempts.kept_at.clone(),
+            is_moving: attempts.is_moving,
+            excluded: attempts.excluded.clone(),
+            silent_domains: attempts.silent_domains.clone(),
+            unsent: attempts.unsent,
+        }));
     }
 
     /// Records that the last attempt's stream goes on, if it continues from a copy.
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -15,10 +15,13 @@
 use crate::admission::QueueView;
 use crate::backend::Backend;
 use crate::codec::{Codec, PromptPart, RequestInfo};
+use crate::copies::Copy;
 use crate::handle::{Origin, choose_service};
 use crate::holder::Holder;
+use crate::index::IndexedRoute;
 use crate::job::{Attempts, Job};
 use crate::pool::Pool;
+use crate::running::Run;
 use crate::state::State;
 use crate::{pick, refuse};
 
@@ -161,6 +164,24 @@
     pub address: Option<SocketAddr>,
     /// Version of that server; `None` for a host.
     pub version: Option<Name>,
+    /// Engine where the stream would continue from a copy if its run broke off now; `None` if there
+    /// is none, and it would be placed like another request.
+    pub continues_at: Option<Name>,
+    /// Engine that the stream is being moved to; `None` if it is not being moved.
+    pub moves_to: Option<Name>,
+    /// Copies of the stream's KV cache that engines may have, the newest first.
+    pub copies: Vec<CopyView>,
+}
+
+/// A copy of a running stream's KV cache.
+#[derive(Debug, Serialize)]
+pub struct CopyView {
+    /// Address of the engine that made it or keeps it.
+    pub address: SocketAddr,
+    /// Engine that would continue the stream from it; `None` if it is not used now.
+    pub backend: Option<Name>,
+    /// Why it is not used now; `None` if it is.
+    pub obstacle: Option<&'static str>,
 }
 
 /// Why a question has no answer.
@@ -278,11 +299,15 @@
 
 /// Where the requests with this id are.
 #[must_use]
-pub fn locate<C>(state: &State<C>, id: &str) -> Vec<RunView> {
+pub fn locate<C: Codec>(state: &Arc<State<C>>, id: &str) -> Vec<RunView> {
     let runs = state.running.find(id);
     let views = runs.iter().map(|run| {
         let backend = run.backend();
+        let copies = copies(state, run, backend.as_deref());
         RunView {
+            continues_at: copies.iter().find_map(|copy| copy.backend.clone()),
+            moves_to: run.moves_to().map(|target| target.id.clone()),
+            copies,
             service: run.service.clone(),
             account: run.account.clone(),
             age_ms: u64::try_from(run.started.elapsed().as_millis()).unwrap_or(u64::MAX),
@@ -294,6 +319,38 @@
     views.collect()
 }
 
+/// The copies of a running stream, as the stream's own resumption would see them if its run at the
+/// server `at` broke off.
+fn copies<C: Codec>(state: &Arc<State<C>>, run: &Run, at: Option<&Backend>) -> Vec<CopyView> {
+    let Some(published) = run.copies() else { return Vec::new() };
+    let mut excluded = published.excluded;
+    excluded.extend(at.filter(|_| !published.is_moving).map(|at| at.id.clone()));
+    let attempts = Attempts {
+        version: published.version,
+        kept_at: published.kept_at,
+        is_moving: published.is_moving,
+        excluded,
+        silent_domains: published.silent_domains,
+        unsent: published.unsent,
+        ..Attempts::default()
+    };
+    let (service, info) = (run.service.clone(), RequestInfo::default());
+    let like = Job {
+        deadline: published.deadline,
+        attempts,
+        ..blank(state, service, info, &published.indexed)
+    };
+    let view = |copy: &Copy| {
+        let engine = like.engine_with(copy);
+        CopyView {
+            address: copy.address,
+            obstacle: engine.as_ref().err().map(|why| why.label()),
+            backend: engine.ok().map(|engine| engine.id.clone()),
+        }
+    };
+    published.copies.iter().rev().map(view).collect()
+}
+
 /// A request like the one that is asked about. It is not sent.
 fn job<C: Codec>(state: &Arc<State<C>>, question: &Question) -> Result<Job<C>, Unknown> {
     let snapshot = state.snapshot.load();
@@ -316,8 +373,23 @@
     };
     let route = &indexed.route;
     let service = choose_service(route, info.session.as_ref().unwrap_or(&info.id));
-    let started = Instant::now();
     Ok(Job {
+        account: account.map(|account| account.name.clone()),
+        priority: account.and_then(|account| account.priority).unwrap_or(route.priority),
+        attempts: Attempts { version: question.version.clone(), ..Attempts::default() },
+        ..blank(state, service, info, indexed)
+    })
+}
+
+/// A request of a route that just came and was not sent yet.
+fn blank<C: Codec>(
+    state: &Arc<State<C>>,
+    service: Name,
+    info: RequestInfo,
+    indexed: &Arc<IndexedRoute>,
+) -> Job<C> {
+    let (route, started) = (&indexed.route, Instant::now());
+    Job {
         state: Arc::clone(state),
         run: None,
         service,
@@ -326,8 +398,8 @@
         path: Uri::default(),
         headers: HeaderMap::new(),
         body: bytes::Bytes::new(),
-        account: account.map(|account| account.name.clone()),
-        priority: account.and_then(|account| account.priority).unwrap_or(route.priority),
+        account: None,
+        priority: route.priority,
         started,
         deadline: started + Duration::from_millis(route.timeout_ms),
         holder: Holder::default(),
@@ -336,8 +408,8 @@
         origin: Origin::Caller,
         attempts_max: route.attempts_max,
         registration: None,
-        attempts: Attempts { version: question.version.clone(), ..Attempts::default() },
-    })
+        attempts: Attempts::default(),
+    }
 }
 
 impl CandidateView {
--- a/crates/gateway/src/moves/relocation.rs
+++ b/crates/gateway/src/moves/relocation.rs
@@ -20,6 +20,7 @@
 use crate::job::Job;
 use crate::open::Open;
 use crate::pick;
+use crate::running::Run;
 
 /// Part of the time in which hosts stop sending requests to a leaving engine, within which a stream
 /// may continue there. The rest is for the request's way, and for hosts that learnt of it earlier.
@@ -163,10 +164,21 @@
 struct TargetMove {
     moves: Arc<Moves>,
     backend: Arc<Backend>,
+    /// The request that is moved.
+    run: Option<Arc<Run>>,
+}
+
+impl TargetMove {
+    fn new<C>(job: &Job<C>, backend: &Arc<Backend>) -> Self {
+        let run = job.run.as_ref().map(|registered| Arc::clone(registered.run()));
+        run.iter().for_each(|run| run.record_move(Some(backend)));
+        Self { moves: Arc::clone(&job.state.moves), backend: Arc::clone(backend), run }
+    }
 }
 
 impl Drop for TargetMove {
     fn drop(&mut self) {
+        self.run.iter().for_each(|run| run.record_move(None));
         self.moves.lock().end_target(self.backend.start);
     }
 }
@@ -471,7 +483,7 @@
         let targets: Vec<Target> = targets.collect();
         let moves = &job.state.moves;
         let index = moves.lock().begin_target(&targets, stream.tokens, rand::random(), now)?;
-        Some(TargetMove { moves: Arc::clone(moves), backend: Arc::clone(open[index]) })
+        Some(TargetMove::new(job, open[index]))
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -305,6 +305,7 @@
     let mut live = live;
     let recalled = job.recalled();
     loop {
+        job.publish_copies();
         let (end, outcome) = tokio::select! {
             // Also watched while no events come: a caller that leaves must stop the work at once.
             () = wait_until_unwanted(pieces, &recalled) => (Err(End::CallerGone), Outcome::Stays),
@@ -324,7 +325,10 @@
         live.record_engine_speed(&job);
         match &outcome {
             // The source ended the stream because it was asked to.
-            Outcome::Stopped(stopped) => stopped.offer(&mut job),
+            Outcome::Stopped(stopped) => {
+                stopped.offer(&mut job);
+                job.publish_copies();
+            }
             Outcome::Unknown => {}
             Outcome::Stays => {
                 let backend = Arc::clone(&live.backend);
--- a/crates/gateway/src/running.rs
+++ b/crates/gateway/src/running.rs
@@ -7,6 +7,7 @@
 use policy::name::Name;
 
 use crate::backend::Backend;
+use crate::copies::Published;
 
 /// The requests in flight on this host.
 #[derive(Default)]
@@ -24,6 +25,10 @@
     pub started: Instant,
     /// The server or host of the last attempt; `None` before the first one.
     last: Mutex<Option<Arc<Backend>>>,
+    /// The copies of a running stream; `None` if it has none.
+    copies: Mutex<Option<Published>>,
+    /// The engine that a copy of the stream is being made at for its move.
+    moves_to: Mutex<Option<Arc<Backend>>>,
 }
 
 /// Keeps a request among those in flight until dropped.
@@ -48,6 +53,8 @@
             account: account.cloned(),
             started,
             last: Mutex::default(),
+            copies: Mutex::default(),
+            moves_to: Mutex::default(),
         });
         self.lock().entry(id.clone()).or_default().push(Arc::clone(&run));
         Registered { running: Arc::clone(self), run }
@@ -60,23 +67,54 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<Name, Vec<Arc<Run>>>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.0)
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl Run {
     /// The server or host of the last attempt; `None` before the first one.
     #[must_use]
     pub fn backend(&self) -> Option<Arc<Backend>> {
-        self.last.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        lock(&self.last).clone()
+    }
+
+    /// The copies of a running stream; `None` if it has none.
+    #[must_use]
+    pub fn copies(&self) -> Option<Published> {
+        lock(&self.copies).clone()
+    }
+
+    /// The engine that the stream is being moved to; `None` if it is not being moved.
+    #[must_use]
+    pub fn moves_to(&self) -> Option<Arc<Backend>> {
+        lock(&self.moves_to).clone()
+    }
+
+    /// Records where the stream is being moved to.
+    pub fn record_move(&self, target: Option<&Arc<Backend>>) {
+        *lock(&self.moves_to) = target.map(Arc::clone);
     }
 }
 
 impl Registered {
     /// Records that an attempt begins at this server or host.
     pub fn record_attempt(&self, backend: &Arc<Backend>) {
-        let mut last = self.run.last.lock().unwrap_or_else(PoisonError::into_inner);
-        *last = Some(Arc::clone(backend));
+        *lock(&self.run.last) = Some(Arc::clone(backend));
+    }
+
+    /// Records the copies of the running stream.
+    pub fn record_copies(&self, copies: Option<Published>) {
+        *lock(&self.run.copies) = copies;
+    }
+
+    /// The request among those in flight.
+    #[must_use]
+    pub fn run(&self) -> &Arc<Run> {
+        &self.run
     }
 }
 
