--- a/crates/gateway/src/admission/request.rs
+++ b/crates/gateway/src/admission/request.rs
@@ -16,6 +16,16 @@
 use crate::job::Job;
 use crate::refuse;
 
+/// A request before the queue of its service.
+struct Approach {
+    gate: Arc<Gate>,
+    kind: Kind,
+    room: Room,
+    /// The number of hosts that share the room.
+    hosts: u32,
+    now: Millis,
+}
+
 impl<C: Codec> Job<C> {
     /// Waits until a server of the service is believed to have room, and takes a slot. Requests of
     /// services without a server that takes work don't wait.
@@ -25,22 +35,15 @@
     pub async fn enter(&mut self) -> Result<(), Refusal> {
         self.attempts.slot = None;
         let state = Arc::clone(&self.state);
-        let Some(waiting_max) = state.admission.waiting_max else { return Ok(()) };
-        // Servers with a limited tolerance for rejected requests have quotas for each host.
-        if self.tolerance().is_some() || self.prefers_detour() {
-            return Ok(());
-        }
-        let (kind, now) = (self.server_kind(), clock::steady());
-        let gate = state.admission.gate(&self.service, waiting_max, kind);
-        let Some(room) = state.room(&gate, kind, now) else { return Ok(()) };
-        let hosts = state.host_count(&self.service);
-        let mut arrival = self.arrival(now);
+        let gate = |waiting_max, kind| state.admission.gate(&self.service, waiting_max, kind);
+        let Some(approach) = self.approach(gate) else { return Ok(()) };
+        let gate = &approach.gate;
         let (ticket, receiver, evicted) = {
             let mut inner = gate.lock();
-            inner.kind = kind;
-            match self.offer(&mut inner.decisions, &mut arrival, (room, hosts), now) {
+            inner.kind = approach.kind;
+            match self.decide(&mut inner.decisions, &approach) {
                 Verdict::Admit => {
-                    self.attempts.slot = Some(gate.slot(room));
+                    self.attempts.slot = Some(gate.slot(approach.room));
                     return Ok(());
                 }
                 Verdict::Refuse { retry_after_ms } => {
@@ -51,7 +54,7 @@
                     let (sender, receiver) = oneshot::channel();
                     inner.waiting.insert(ticket, sender);
                     if !std::mem::replace(&mut inner.is_served, true) {
-                        tokio::spawn(Arc::clone(&state).keep_serving(Arc::clone(&gate)));
+                        tokio::spawn(Arc::clone(&state).keep_serving(Arc::clone(gate)));
                     }
                     let evicted = evicted.and_then(|evicted| {
                         let sender = inner.waiting.remove(&evicted.ticket)?;
@@ -66,7 +69,7 @@
             let _ = sender.send(Err(retry_after_ms));
         }
         let since = Instant::now();
-        let guard = WaitGuard { gate: &gate, ticket };
+        let guard = WaitGuard { gate, ticket };
         let decided = receiver.await;
         drop(guard);
         match decided {
@@ -82,43 +85,48 @@
         }
     }
 
-    fn server_kind(&self) -> Kind {
-        if self.info.parts.is_empty() { Kind::Plain } else { Kind::Engine }
-    }
-
-    /// Offers the request to a queue, which decides on it.
-    fn offer(
-        &self,
-        decisions: &mut gate::Gate,
-        arrival: &mut Arrival,
-        (room, hosts): (Room, u32),
-        now: Millis,
-    ) -> Verdict {
-        let work_ms = decisions.queue.work_ms(arrival);
-        // A request that waits again has been counted.
-        if self.attempts.sent == 0 {
-            decisions.shares.record(&arrival.account, work_ms, now);
-        }
-        decisions.arrive(arrival, (room, hosts), (rand::random(), rand::random()), now)
-    }
-
     /// What admission control would decide on the request now; `None` if it does not apply. The
     /// decision is made on a copy of the queue.
     #[must_use]
     pub fn foresee_admission(&self) -> Option<Verdict> {
+        let approach = self.approach(|waiting_max, kind| {
+            let known = self.state.admission.known_gate(&self.service);
+            known.unwrap_or_else(|| Arc::new(Gate::new(self.service.clone(), waiting_max, kind)))
+        })?;
+        let mut copy = approach.gate.lock().decisions.clone();
+        Some(self.decide(&mut copy, &approach))
+    }
+
+    /// The queue that decides on the request, and the room of its servers; `None` if the request
+    /// does not wait. `gate` finds the queue.
+    fn approach(&self, gate: impl FnOnce(usize, Kind) -> Arc<Gate>) -> Option<Approach> {
         let state = &self.state;
         let waiting_max = state.admission.waiting_max?;
+        // Servers with a limited tolerance for rejected requests have quotas for each host.
         if self.tolerance().is_some() || self.prefers_detour() {
             return None;
         }
         let (kind, now) = (self.server_kind(), clock::steady());
-        let gate = state.admission.known_gate(&self.service);
-        let gate =
-            gate.unwrap_or_else(|| Arc::new(Gate::new(self.service.clone(), waiting_max, kind)));
+        let gate = gate(waiting_max, kind);
         let room = state.room(&gate, kind, now)?;
         let hosts = state.host_count(&self.service);
-        let mut copy = gate.lock().decisions.clone();
-        Some(self.offer(&mut copy, &mut self.arrival(now), (room, hosts), now))
+        Some(Approach { gate, kind, room, hosts, now })
+    }
+
+    /// Decides on the request, which arrives or waits again.
+    fn decide(&self, decisions: &mut gate::Gate, approach: &Approach) -> Verdict {
+        let &Approach { room, hosts, now, .. } = approach;
+        let mut arrival = self.arrival(now);
+        // A request that waits again has been counted.
+        if self.attempts.sent == 0 {
+            let work_ms = decisions.queue.work_ms(&arrival);
+            decisions.shares.record(&arrival.account, work_ms, now);
+        }
+        decisions.arrive(&mut arrival, (room, hosts), (rand::random(), rand::random()), now)
+    }
+
+    fn server_kind(&self) -> Kind {
+        if self.info.parts.is_empty() { Kind::Plain } else { Kind::Engine }
     }
 
     /// Mean time until a request of this kind is answered, in milliseconds; 0 if it is not known.
