--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -32,6 +32,8 @@
 const SERVERS_MAX: usize = 256;
 /// Service time before the first answer, in milliseconds.
 const INITIAL_SERVICE_MS: f64 = 60.0;
+/// The same where hosts announce the loads of engines, whose streams last for seconds.
+const INITIAL_STREAM_MS: f64 = 4_000.0;
 /// Pause before the task that admits a service's waiting requests starts again after a panic. A
 /// cause that persists must not use up the host's core.
 const RESTART_DELAY: Duration = Duration::from_millis(20);
@@ -216,8 +218,12 @@
 
 impl Gate {
     fn new(service: Name, waiting_max: usize, kind: Kind) -> Self {
+        let service_ms = match kind {
+            Kind::Plain | Kind::Engine => INITIAL_SERVICE_MS,
+            Kind::AnnouncedEngine => INITIAL_STREAM_MS,
+        };
         let inner = Inner {
-            decisions: gate::Gate::new(waiting_max, INITIAL_SERVICE_MS),
+            decisions: gate::Gate::new(waiting_max, service_ms),
             waiting: HashMap::new(),
             short_at: Millis(0),
             kind,
@@ -304,7 +310,7 @@
         let servers = servers.map(|index| &pool.backends[index]);
         let working = servers.filter(|backend| backend.server.accepts_work(now));
         let room = Room::of(working.map(|backend| backend.load_view(now)), kind, work_ms);
-        let room = room.scaled(count, SERVERS_MAX, kind);
+        let room = room.scaled(count, SERVERS_MAX);
         (room.slots > 0).then_some(room)
     }
 
--- a/crates/gateway/src/admission/request.rs
+++ b/crates/gateway/src/admission/request.rs
@@ -115,18 +115,27 @@
 
     /// Decides on the request, which arrives or waits again.
     fn decide(&self, decisions: &mut gate::Gate, approach: &Approach) -> Verdict {
-        let &Approach { room, hosts, now, .. } = approach;
+        let &Approach { kind, room, hosts, now, .. } = approach;
         let mut arrival = self.arrival(now);
         // A request that waits again has been counted.
         if self.attempts.sent == 0 {
-            let work_ms = decisions.queue.work_ms(&arrival);
-            decisions.shares.record(&arrival.account, work_ms, now);
+            decisions.record_offered(&arrival, kind, now);
         }
         decisions.arrive(&mut arrival, (room, hosts), (rand::random(), rand::random()), now)
     }
 
     fn server_kind(&self) -> Kind {
-        if self.info.parts.is_empty() { Kind::Plain } else { Kind::Engine }
+        let snapshot = self.state.snapshot.load();
+        let is_announced = || {
+            let service = snapshot.index.services.get(&self.service);
+            let has_engines = service.is_some_and(|service| service.engine.is_some());
+            has_engines && self.state.placement.load().loads
+        };
+        match () {
+            () if self.info.parts.is_empty() => Kind::Plain,
+            () if is_announced() => Kind::AnnouncedEngine,
+            () => Kind::Engine,
+        }
     }
 
     /// Mean time until a request of this kind is answered, in milliseconds; 0 if it is not known.
--- a/crates/policy/src/admit/gate.rs
+++ b/crates/policy/src/admit/gate.rs
@@ -10,7 +10,7 @@
 //! is new knowledge. If the reports are only too old to exclude an idle slot, it is sent at a limited
 //! pace: hosts that all send such requests fill the servers' queues.
 
-use super::room::{Claim, Room};
+use super::room::{Claim, Kind, Room};
 use super::share::Shares;
 use super::{Arrival, Evicted, Load, Queue, Ticket, Verdict};
 use crate::time::Millis;
@@ -55,6 +55,16 @@
         }
     }
 
+    /// Records that a request has come, for its account's share. Streams hold a slot until they end,
+    /// long after the beginning that their callers wait for.
+    pub fn record_offered(&mut self, arrival: &Arrival, kind: Kind, now: Millis) {
+        let work_ms = match kind {
+            Kind::AnnouncedEngine => self.work_ms,
+            Kind::Plain | Kind::Engine => self.queue.work_ms(arrival),
+        };
+        self.shares.record(&arrival.account, work_ms, now);
+    }
+
     /// Decides on a request that arrives. `draws` are uniform in 0 to 1. A request that is admitted
     /// is counted until [`Self::finish`].
     pub fn arrive(
@@ -65,14 +75,14 @@
         now: Millis,
     ) -> Verdict {
         let room = room.after_admitted(self.admitted);
-        let slots = (room.slots, hosts);
+        let slots = (room.planned_slots(), hosts);
         arrival.over_share = !self.shares.is_within(&arrival.account, slots, draws.0, now);
         let load = self.load(room, hosts);
         let is_first = self.queue.ahead_of(arrival) == 0;
         let has_room = match arrival.over_share {
             false => room.within >= 1.0 || self.claim.is_due(room, hosts, self.work_ms, now),
             true if hosts <= 1 => room.over >= 1.0,
-            true => room.over >= room.direct,
+            true => room.over >= room.direct(),
         };
         match () {
             () if is_first && has_room => {
@@ -110,7 +120,7 @@
         self.queue.demote_late(now + self.further_wait_ms(room));
         let has_within = self.queue.has_within_share();
         let free = if has_within { room.within } else { room.over };
-        let mut left = self.claim.take(free, room.direct, hosts, draws.1, now);
+        let mut left = self.claim.take(free, room, hosts, draws.1, now);
         if has_within && is_due {
             left = left.max(1);
         }
--- a/crates/policy/src/admit/room.rs
+++ b/crates/policy/src/admit/room.rs
@@ -8,22 +8,12 @@
 use crate::sample;
 use crate::time::Millis;
 
-/// Requests within their accounts' shares that may be at a plain server, as a multiple of its
-/// slots. They are sent the moment they arrive: all hosts together send fewer of them than the
-/// servers answer.
-const WITHIN_TARGET: f64 = 4.0;
-/// Requests beyond their accounts' shares that may be at a plain server, as a multiple of its slots.
-/// Some wait there, so that no slot is idle while a host hears of a free one and sends the next
-/// request. The distance to the target above keeps room for requests within their shares.
-const OVER_TARGET: f64 = 1.75;
 /// Requests at a plain server, as a multiple of its slots, with which it is still chosen.
 const SPREAD_TARGET: f64 = 6.0;
 /// Fraction of a server's slots in use from which the choice is spread.
 const TIGHT_FRACTION: f64 = 0.8;
 /// Least weight in that choice, so that a server that all reports call full is still tried.
 const WEIGHT_MIN: f64 = 0.01;
-/// Requests that may be at an engine, as a multiple of its slots.
-const ENGINE_TARGET: f64 = 1.0;
 /// Age up to which a report counts fully, in milliseconds. Under the bound on announced bytes, 300
 /// hosts hear of a full server every 120 ms on average. A shorter time lets servers look empty that
 /// are only reported late.
@@ -38,13 +28,6 @@
 /// Longest time for which a host may make up for probes that it has not sent, in milliseconds. With
 /// a longer time, hundreds of hosts probe at once when a shortage begins.
 const PROBE_SAVED_MS: f64 = 1_000.0;
-/// Room of plain servers, as a fraction of their slots, from which on a request beyond its
-/// account's share is sent the moment it arrives. With less room it queues, so that the hosts share
-/// what is left.
-const DIRECT_FRACTION: f64 = 0.75;
-/// Time in which all hosts together take the room that they know of, in milliseconds: until each
-/// knows what the others have taken. A shorter time lets the load swing when reports are late.
-const SETTLE_MS: f64 = 80.0;
 /// Factor by which a host takes more of the free slots each time they were left free.
 const CLAIM_GROWTH: f64 = 2.0;
 /// Part of an equal share of all slots that a host may use whatever the reports say. Less leaves
@@ -73,20 +56,78 @@
 }
 
 /// What kind of servers a service has.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Kind {
     /// Plain servers, which let requests wait.
+    #[default]
     Plain,
     /// Model engines. A request waits at the host only while all of them are full.
     Engine,
+    /// Model engines whose loads the hosts announce to each other.
+    AnnouncedEngine,
+}
+
+/// How far requests fill servers of a kind, and how fast.
+#[derive(Clone, Copy, Debug)]
+struct Limits {
+    /// Requests within their accounts' shares that may be at a server, as a multiple of its slots.
+    within: f64,
+    /// Requests beyond their accounts' shares that may be there, as a multiple of its slots.
+    over: f64,
+    /// Room, as a fraction of all slots, from which on a request beyond its account's share is sent
+    /// the moment it arrives. With less room it queues, so that the hosts share what is left.
+    direct: f64,
+    /// Time in which all hosts together take the room that they know of, in milliseconds.
+    settle_ms: f64,
+    /// Part of the slots that requests within their accounts' shares are to use. The rest is lent.
+    planned: f64,
+    /// Age up to which a report counts fully, as a fraction of the time that a server works on a
+    /// request; [`FRESH_MS`] at least.
+    fresh: f64,
+}
+
+/// Requests within their shares are sent the moment they arrive: all hosts together send fewer of
+/// them than the servers answer. Of the others some wait at a server, so that no slot is idle while
+/// a host hears of a free one and sends the next request. The distance between both limits keeps
+/// room for requests within their shares.
+///
+/// Until each host knows what the others have taken, some 80 ms pass. A shorter time to take the
+/// room lets the load swing when reports are late. What hosts know of the others' demand is a
+/// sample, so shares that add up to all slots would at times take more than there are.
+const PLAIN: Limits =
+    Limits { within: 4.0, over: 1.75, direct: 0.75, settle_ms: 80.0, planned: 0.85, fresh: 0.0 };
+/// Without announcements, hosts know too little of engines to keep requests for long.
+const ENGINE: Limits = Limits { within: 1.0, over: 1.0, direct: 0.0, ..PLAIN };
+/// Requests within their shares wait at the engine, which serves the most urgent of all hosts first.
+/// Requests beyond them would hold its slots for seconds, so they get only free ones. For the same
+/// reason less is planned than before plain servers: a queue takes seconds to pass. A report counts
+/// until about half of the streams that it shows have ended.
+const ANNOUNCED_ENGINE: Limits =
+    Limits { within: 2.0, over: 1.0, direct: 0.05, settle_ms: 40.0, planned: 0.7, fresh: 0.5 };
+
+impl Kind {
+    fn limits(self) -> Limits {
+        match self {
+            Self::Plain => PLAIN,
+            Self::Engine => ENGINE,
+            Self::AnnouncedEngine => ANNOUNCED_ENGINE,
+        }
+    }
 }
 
 impl Server {
-    /// Requests that are believed to be at the server.
+    /// Requests that are believed to be at the server, if its report counts for [`FRESH_MS`].
     #[must_use]
     pub fn believed(&self) -> f64 {
-        let weight = self.report_age_ms.map_or(0.0, |age| FRESH_MS / (age as f64).max(FRESH_MS));
-        f64::from(self.own) + f64::from(self.others_then()) * weight
+        self.believed_by(FRESH_MS)
+    }
+
+    fn believed_by(&self, fresh_ms: f64) -> f64 {
+        f64::from(self.own) + f64::from(self.others_then()) * self.report_weight(fresh_ms)
+    }
+
+    fn report_weight(&self, fresh_ms: f64) -> f64 {
+        self.report_age_ms.map_or(0.0, |age| fresh_ms / (age as f64).max(fresh_ms))
     }
 
     fn others_then(&self) -> u32 {
@@ -98,8 +139,8 @@
         self.believed() >= f64::from(self.slots) * TIGHT_FRACTION
     }
 
-    fn free(&self, target: f64) -> f64 {
-        (f64::from(self.slots) * target - self.believed()).max(0.0)
+    fn free(&self, target: f64, believed: f64) -> f64 {
+        (f64::from(self.slots) * target - believed).max(0.0)
     }
 
     /// Slots that may be idle, because the requests of other hosts may have left the server since
@@ -127,6 +168,29 @@
     }
 }
 
+/// Assumes the mean load per slot where a report is older than `fresh_ms` or missing.
+///
+/// Load: hosts hear of the engines of their own failure domain several times a second, and of the
+/// others seldom. Engines that nothing is known of would look empty, and no request would wait.
+fn assume_mean_load(servers: &mut [Server], fresh_ms: f64) {
+    let (mut sum, mut weights) = (0.0, 0.0);
+    for server in servers.iter() {
+        let weight = server.report_weight(fresh_ms);
+        sum += weight * f64::from(server.reported);
+        weights += weight * f64::from(server.slots);
+    }
+    let per_slot = if weights > 0.0 { sum / weights } else { 0.0 };
+    for server in servers.iter_mut() {
+        let weight = server.report_weight(fresh_ms);
+        if weight < 1.0 && weights > 0.0 {
+            let assumed = per_slot * f64::from(server.slots) * (1.0 - weight);
+            let others = f64::from(server.others_then()) * weight + assumed;
+            server.reported = server.own_then.saturating_add(others.round() as u32);
+            server.report_age_ms = Some(fresh_ms as u64);
+        }
+    }
+}
+
 /// Chooses a plain server at random, the more likely the more requests it may still have. Each
 /// server comes with the part of requests that it is to have beside equally full ones. `None` while
 /// no server is nearly full: the caller then chooses by other criteria.
@@ -138,7 +202,9 @@
     if !servers.iter().any(|(server, _)| server.is_tight()) {
         return None;
     }
-    let weight = |(server, part): &(Server, f64)| server.free(SPREAD_TARGET).max(WEIGHT_MIN) * part;
+    let weight = |(server, part): &(Server, f64)| {
+        server.free(SPREAD_TARGET, server.believed()).max(WEIGHT_MIN) * part
+    };
     let total: f64 = servers.iter().map(weight).sum();
     let chosen = sample::weighted(servers.iter().map(weight), draw * total);
     chosen.or_else(|| servers.len().checked_sub(1))
@@ -157,8 +223,8 @@
     pub within: f64,
     /// Further requests beyond their accounts' shares that the servers are believed to take.
     pub over: f64,
-    /// Room from which on a request beyond its account's share is sent the moment it arrives.
-    pub direct: f64,
+    /// What kind of servers they are.
+    pub kind: Kind,
     /// Slots that may be idle by what this host knows.
     pub maybe_idle: u32,
     /// Those of them that a report shows. For the others, the report is only too old to exclude
@@ -171,25 +237,40 @@
     /// request.
     #[must_use]
     pub fn of(servers: impl Iterator<Item = Server>, kind: Kind, work_ms: f64) -> Self {
-        let (within, over) = match kind {
-            Kind::Plain => (WITHIN_TARGET, OVER_TARGET),
-            Kind::Engine => (ENGINE_TARGET, ENGINE_TARGET),
-        };
-        servers.fold(Self::default(), |room, server| Self {
-            slots: room.slots.saturating_add(server.slots),
-            own: room.own.saturating_add(server.own),
-            believed: room.believed + server.believed(),
-            within: room.within + server.free(within),
-            over: room.over + server.free(over),
-            direct: match kind {
-                Kind::Plain => room.direct + f64::from(server.slots) * DIRECT_FRACTION,
-                Kind::Engine => 1.0,
-            },
-            maybe_idle: room.maybe_idle.saturating_add(server.maybe_idle(work_ms)),
-            reported_idle: room.reported_idle.saturating_add(server.reported_idle(work_ms)),
+        let limits = kind.limits();
+        let fresh_ms = FRESH_MS.max(limits.fresh * work_ms);
+        let mut servers: Vec<Server> = servers.collect();
+        if kind == Kind::AnnouncedEngine {
+            assume_mean_load(&mut servers, fresh_ms);
+        }
+        let room = Self { kind, ..Self::default() };
+        servers.iter().fold(room, |room, server| {
+            let believed = server.believed_by(fresh_ms);
+            Self {
+                slots: room.slots.saturating_add(server.slots),
+                own: room.own.saturating_add(server.own),
+                believed: room.believed + believed,
+                within: room.within + server.free(limits.within, believed),
+                over: room.over + server.free(limits.over, believed),
+                maybe_idle: room.maybe_idle.saturating_add(server.maybe_idle(work_ms)),
+                reported_idle: room.reported_idle.saturating_add(server.reported_idle(work_ms)),
+                kind,
+            }
         })
     }
 
+    /// Room from which on a request beyond its account's share is sent the moment it arrives.
+    #[must_use]
+    pub fn direct(&self) -> f64 {
+        (f64::from(self.slots) * self.kind.limits().direct).max(1.0)
+    }
+
+    /// Slots that requests within their accounts' shares are to use.
+    #[must_use]
+    pub fn planned_slots(&self) -> f64 {
+        f64::from(self.slots) * self.kind.limits().planned
+    }
+
     /// The room of a service for which no request is to wait.
     #[must_use]
     pub fn unlimited() -> Self {
@@ -218,9 +299,9 @@
         }
     }
 
-    /// The room of `count` servers of a kind, of which `sampled` have been looked at.
+    /// The room of `count` servers, of which `sampled` have been looked at.
     #[must_use]
-    pub fn scaled(self, count: usize, sampled: usize, kind: Kind) -> Self {
+    pub fn scaled(self, count: usize, sampled: usize) -> Self {
         if count <= sampled {
             return self;
         }
@@ -232,12 +313,9 @@
             believed: self.believed * factor,
             within: self.within * factor,
             over: self.over * factor,
-            direct: match kind {
-                Kind::Plain => self.direct * factor,
-                Kind::Engine => self.direct,
-            },
             maybe_idle: scale(self.maybe_idle),
             reported_idle: scale(self.reported_idle),
+            kind: self.kind,
         }
     }
 
@@ -281,22 +359,23 @@
     }
 
     /// How many waiting requests the host may send at this moment, of those for which the servers
-    /// have the room `free`; `draw` is uniform in 0 to 1.
+    /// have the part `free` of the room; `draw` is uniform in 0 to 1.
     ///
     /// All hosts hear of a free slot at about the same time. Each takes a part at first, and more
     /// of what is still free later, until a host that is the only one takes all of it.
-    pub fn take(&mut self, free: f64, direct: f64, hosts: u32, draw: f64, now: Millis) -> u32 {
+    pub fn take(&mut self, free: f64, room: Room, hosts: u32, draw: f64, now: Millis) -> u32 {
+        let settle_ms = room.kind.limits().settle_ms;
         let least = 1.0 / f64::from(hosts.max(1));
-        let elapsed = (now.since(self.taken_at) as f64 / SETTLE_MS).min(1.0);
+        let elapsed = (now.since(self.taken_at) as f64 / settle_ms).min(1.0);
         self.taken_at = now;
         match () {
             // No other host takes anything.
             () if hosts <= 1 => return free as u32,
-            () if free < direct => {
+            () if free < room.direct() => {
                 self.part = least;
                 self.changed_at = now;
             }
-            () if now.since(self.changed_at) as f64 >= SETTLE_MS => {
+            () if now.since(self.changed_at) as f64 >= settle_ms => {
                 self.part = (self.part * CLAIM_GROWTH).clamp(least, 1.0);
                 self.changed_at = now;
             }
--- a/crates/policy/src/admit/share.rs
+++ b/crates/policy/src/admit/share.rs
@@ -19,10 +19,6 @@
 const AVERAGE_MS: f64 = 1_000.0;
 /// How long another host's report counts, in milliseconds: some reports may be lost.
 const HEARD_MS: u64 = 3_000;
-/// Part of the slots that requests within their accounts' shares are to use. What is known of the
-/// other hosts is a sample, so shares that add up to all slots at times take more than there are,
-/// and requests within their shares then wait for each other. The rest is lent.
-const PLANNED_FRACTION: f64 = 0.85;
 /// How long computed shares are used, in milliseconds.
 const SHARES_MS: u64 = 100;
 /// Most accounts in one report, those with the most work.
@@ -150,18 +146,18 @@
         }
     }
 
-    /// Whether a request is within its account's share of the `slots` that all `hosts` share; `draw`
-    /// is uniform in 0 to 1.
+    /// Whether a request is within its account's share of the `slots` that all `hosts` plan for such
+    /// requests; `draw` is uniform in 0 to 1.
     #[must_use]
     pub fn is_within(
         &mut self,
         account: &Name,
-        (slots, hosts): (u32, u32),
+        (slots, hosts): (f64, u32),
         draw: f64,
         now: Millis,
     ) -> bool {
         if now.since(self.computed_at) >= SHARES_MS {
-            self.parts = self.compute(f64::from(slots), f64::from(hosts), now);
+            self.parts = self.compute(slots, f64::from(hosts), now);
             self.computed_at = now;
         }
         self.parts.get(account).is_none_or(|part| draw < *part)
@@ -188,7 +184,7 @@
         let mut demands: Vec<(&Name, f64)> =
             sums.into_iter().map(|(account, sum)| (account, sum * scale)).collect();
         demands.sort_by(|a, b| a.1.total_cmp(&b.1));
-        let level = fair_level(slots * PLANNED_FRACTION, &demands);
+        let level = fair_level(slots, &demands);
         // A single request stands for many when few hosts have been heard. It is no sign that an
         // account offers more than its share.
         let request = Work { ms: self.request_ms, at: now };
--- a/crates/policy/tests/admission/burst.rs
+++ b/crates/policy/tests/admission/burst.rs
@@ -10,7 +10,7 @@
         let out = World::run(Case { burst, is_on, seed, is_bounded: true, ..case });
         let offered = f64::from(out.offered.iter().sum::<u32>());
         let answered = f64::from(out.answered.iter().sum::<u32>()) / offered;
-        let in_time = f64::from(out.in_time) / offered;
+        let in_time = f64::from(out.in_time.iter().sum::<u32>()) / offered;
         println!(
             "servers {servers} burst {burst} seed {seed} on {is_on}: in time {in_time:.3} \
              answered {answered:.3} rejected {} refused {}",
--- a/crates/policy/tests/admission/main.rs
+++ b/crates/policy/tests/admission/main.rs
@@ -2,6 +2,7 @@
 
 mod announcements;
 mod burst;
+mod engines;
 mod fairness;
 mod faults;
 mod world;
--- a/crates/policy/tests/admission/world.rs
+++ b/crates/policy/tests/admission/world.rs
@@ -1,6 +1,7 @@
 //! Hosts, callers and servers in simulated time, which decide by the functions that the gateway calls.
 
 mod case;
+mod engine;
 mod host;
 mod messages;
 mod server;
@@ -8,22 +9,22 @@
 use std::collections::BTreeMap;
 
 use policy::admit::gate::Answered;
-use policy::admit::room::{self, Server as View};
+use policy::admit::room::{self, Kind, Server as View};
 use policy::admit::{Arrival, Verdict};
+use policy::engine::{Costs, Demand};
 use policy::place::mix;
 use policy::report::Report;
 use policy::time::Millis;
 
-pub use case::{Case, Fault, Outcome, USUAL};
-use host::Host;
-use server::{Request, SLOTS, Server};
+use case::PLAIN;
+pub use case::{Case, ENGINES, FIRST_USUALLY, Fault, Outcome, USUAL};
+use engine::Engine;
+use host::{Host, Known};
+use server::{Plain, Request, Server, Stage};
 
-const SERVICE_MS: f64 = 60.0;
 const LATENCY_MS: u64 = 1;
 const LOOK_MS: u64 = 5;
 const SHARES_MS: u64 = 500;
-const DEADLINE_MS: u64 = 1_500;
-const OBJECTIVE_MS: u64 = 300;
 const ATTEMPTS_MAX: u32 = 4;
 const START: u64 = 10_000;
 const DOMAINS: usize = 3;
@@ -46,7 +47,8 @@
 #[derive(Clone, Copy)]
 enum Event {
     Arrives(usize, Request),
-    Answered(usize, Request, Report),
+    /// A server tells of a request.
+    Told(Stage, usize, Request, Report),
     Rejected(usize, Request, Report),
     Announced(usize, usize, Report),
     /// Comes back, after a refusal.
@@ -66,32 +68,46 @@
 impl World {
     pub fn run(case: Case) -> Outcome {
         let zero = vec![0; case.accounts];
+        let server = || match case.service.kind {
+            Kind::Plain => Server::Plain(Plain::default()),
+            Kind::Engine | Kind::AnnouncedEngine => Server::Engine(Engine::default()),
+        };
         let mut world = Self {
             case,
             now: START,
-            servers: (0..case.servers).map(|_| Server::default()).collect(),
-            hosts: (0..case.hosts).map(|_| Host::new(case.servers)).collect(),
+            servers: (0..case.servers).map(|_| server()).collect(),
+            hosts: (0..case.hosts).map(|_| Host::new(case.service, case.servers)).collect(),
             events: BTreeMap::new(),
             draws: Draws(case.hosts as u64 + 1_000 * case.seed),
-            out: Outcome { offered: zero.clone(), answered: zero, ..Outcome::default() },
+            out: Outcome {
+                offered: zero.clone(),
+                answered: zero.clone(),
+                in_time: zero,
+                ..Outcome::default()
+            },
         };
         while world.now < START + case.ms {
             world.step();
             world.now += 1;
         }
-        let slots = f64::from(SLOTS) * case.servers as f64;
+        let slots = f64::from(case.service.slots) * case.servers as f64;
         world.out.busy /= slots * case.ms as f64;
         world.out
     }
 
     fn step(&mut self) {
         for account in 0..self.case.accounts {
-            let factor = if account == 0 { self.case.first } else { 1.0 };
+            let is_warm = self.now >= START + self.case.service.warmup_ms;
+            let factor = match account {
+                0 if is_warm => self.case.first,
+                0 => self.case.first.min(FIRST_USUALLY),
+                _ => 1.0,
+            };
             let burst = if self.now / 1_000 % 4 == 1 { self.case.burst } else { 1.0 };
             let mut expected = self.case.per_second * factor * burst / 1_000.0;
             while self.draws.next() < expected {
                 expected -= 1.0;
-                let is_counted = self.now + DEADLINE_MS < START + self.case.ms;
+                let is_counted = self.is_counted(self.now + self.case.service.deadline_ms);
                 self.out.offered[account] += u32::from(is_counted);
                 self.arrive(account);
             }
@@ -142,26 +158,51 @@
         let mut host = self.draws.index(self.case.hosts);
         // Callers whose host is lost come to the next one.
         host = if self.is_struck(host, Fault::Lost) { (host + 1) % self.case.hosts } else { host };
-        let deadline = self.now + DEADLINE_MS;
-        self.enter(Request { account, host, deadline, rejected_by: 0, attempts: 0 });
+        let service = self.case.service;
+        let (priority, is_long) = match service.kind {
+            Kind::Plain => (1, false),
+            _ => ([0, 1, 1, 1, 2][self.draws.index(5)], self.draws.index(2) == 0),
+        };
+        self.enter(Request {
+            account,
+            host,
+            deadline: self.now + service.deadline_ms,
+            objective: self.now + service.objective_ms[usize::from(is_long)],
+            priority,
+            is_long,
+            sent_at: 0,
+            crowding: 1.0,
+            rejected_by: 0,
+            attempts: 0,
+        });
+    }
+
+    /// Whether a request counts that is over by this time.
+    fn is_counted(&self, deadline: u64) -> bool {
+        let Case { service, ms, .. } = self.case;
+        deadline < START + ms && deadline >= START + service.warmup_ms + service.deadline_ms
     }
 
     /// What `gateway::admission` does with a request that arrives or was rejected by all.
-    fn enter(&mut self, request: Request) {
+    fn enter(&mut self, mut request: Request) {
         let Request { account, host, .. } = request;
         if !self.case.is_on {
             return self.send(request);
         }
-        let objective = Millis(request.deadline - DEADLINE_MS + OBJECTIVE_MS);
-        let mut arrival = Arrival::new(format!("a{account}"), 1, Millis(request.deadline))
-            .with_objective(objective);
+        let mut arrival =
+            Arrival::new(format!("a{account}"), request.priority, Millis(request.deadline))
+                .with_objective(Millis(request.objective));
         let (room, now, draw) =
             (self.hosts[host].room(self.now), Millis(self.now), self.draws.next());
         let hosts = self.host_count();
         let share_draw = self.draws.next();
         let state = &mut self.hosts[host];
+        if self.case.service.kind != Kind::Plain {
+            request.crowding = room.crowding();
+            arrival = arrival.with_service(state.answer_ms);
+        }
         if request.attempts == 0 {
-            state.gate.shares.record(&arrival.account, SERVICE_MS, now);
+            state.gate.record_offered(&arrival, self.case.service.kind, now);
         }
         match state.gate.arrive(&mut arrival, (room, hosts), (share_draw, draw), now) {
             Verdict::Admit => self.send(request),
@@ -174,10 +215,15 @@
         }
     }
 
-    fn send(&mut self, request: Request) {
+    fn send(&mut self, mut request: Request) {
+        request.sent_at = self.now;
+        if self.case.service.kind != Kind::Plain {
+            return self.send_to_engine(request);
+        }
         let (now, draw) = (self.now, self.draws.next());
         let host = &mut self.hosts[request.host];
-        let mut views: Vec<(View, f64)> = host.known.iter().map(|it| (it.view(now), 1.0)).collect();
+        let mut views: Vec<(View, f64)> =
+            host.known.iter().map(|it| (it.view(PLAIN.slots, now), 1.0)).collect();
         let is_untried = |index: &usize| request.rejected_by & (1 << index) == 0;
         for index in (0..views.len()).filter(|index| !is_untried(index)) {
             views[index] = (View::default(), 0.0);
@@ -192,9 +238,44 @@
         self.at(LATENCY_MS, Event::Arrives(best, request));
     }
 
+    fn send_to_engine(&mut self, request: Request) {
+        let (now, draws) = (self.now, &mut self.draws);
+        let host = &mut self.hosts[request.host];
+        let engine = |(index, known): (usize, &Known)| {
+            let View { slots, own, reported, own_then, report_age_ms } =
+                known.view(ENGINES.slots, now);
+            let near = index % DOMAINS == request.host % DOMAINS;
+            policy::engine::Engine {
+                own,
+                reported,
+                own_then,
+                report_age_ms,
+                slots,
+                near,
+                ..Default::default()
+            }
+        };
+        let mut engines: Vec<_> = host.known.iter().enumerate().map(engine).collect();
+        let mut draw = || (draws.next() * 1e18) as u64;
+        policy::engine::use_announced_loads(&mut engines, draw());
+        let demand = Demand {
+            prompt: 826.0,
+            shared: 0.0,
+            tokens_per_ms: 56.6,
+            service_ms: 6_000.0,
+            far_ms: (request.objective + ENGINES.deadline_ms - request.deadline) as f64 / 8.0,
+            failure_ms: 1_000.0,
+        };
+        let costs = Costs { spills: true, ..Costs::default() };
+        let best = policy::engine::place(&engines, &demand, &costs, draw()).unwrap().index;
+        host.known[best].change_own(1, now);
+        self.at(LATENCY_MS, Event::Arrives(best, request));
+    }
+
     fn refuse(&mut self, request: Request) {
         self.out.refused += 1;
-        let has_free = self.servers.iter().any(|server| server.running.len() < SLOTS as usize);
+        let has_free =
+            self.servers.iter().any(|server| server.running() < self.case.service.slots as usize);
         self.out.refused_beside_free += u32::from(has_free);
         self.out.held_past += u32::from(self.now > request.deadline);
         if self.draws.next() < self.case.return_share {
@@ -212,11 +293,13 @@
                     self.at(LATENCY_MS, Event::Rejected(server, request, report));
                 }
             }
-            Event::Answered(_, Request { host, .. }, _)
+            Event::Told(_, _, Request { host, .. }, _)
             | Event::Rejected(_, Request { host, .. }, _)
             | Event::Announced(host, ..)
                 if self.is_struck(host, Fault::Lost) => {}
-            Event::Answered(server, request, report) => self.answered(server, request, report),
+            Event::Told(stage, server, request, report) => {
+                self.told(stage, server, request, report);
+            }
             Event::Rejected(server, request, report) => self.rejected(server, request, report),
             Event::Announced(host, ..) if self.is_struck(host, Fault::CutOff) => {}
             Event::Announced(host, server, report) => self.hear(host, server, report),
@@ -231,7 +314,7 @@
         let now = self.now;
         request.rejected_by |= 1 << server;
         request.attempts += 1;
-        let is_late = self.case.is_on && request.deadline < now + SERVICE_MS as u64;
+        let is_late = self.case.is_on && request.deadline < now + self.case.service.work_ms as u64;
         let is_last = !self.case.is_bounded || is_late || request.attempts >= ATTEMPTS_MAX;
         let host = &mut self.hosts[request.host];
         let known = &mut host.known[server];
@@ -246,15 +329,25 @@
         }
     }
 
-    fn answered(&mut self, server: usize, request: Request, report: Report) {
+    fn told(&mut self, stage: Stage, server: usize, request: Request, report: Report) {
         let now = self.now;
         let host = &mut self.hosts[request.host];
-        host.gate.finish(Some(Answered { ms: SERVICE_MS, crowding: 1.0 }));
+        let ms = (now - request.sent_at) as f64;
+        match stage {
+            Stage::Whole => host.gate.finish(Some(Answered { ms: PLAIN.work_ms, crowding: 1.0 })),
+            Stage::Ended => host.gate.finish(Some(Answered { ms, crowding: request.crowding })),
+            Stage::Left => host.gate.finish(None),
+            Stage::Begun => host.answer_ms += 0.1 * (ms - host.answer_ms),
+        }
         let known = &mut host.known[server];
-        known.change_own(-1, now);
-        known.report = Some((report, now, known.own));
-        if self.case.is_on {
-            self.announce(request.host, server, report);
+        if stage != Stage::Begun {
+            known.change_own(-1, now);
+        }
+        if matches!(stage, Stage::Begun | Stage::Whole) {
+            known.report = Some((report, now, known.own));
+            if self.case.is_on || stage == Stage::Begun {
+                self.announce(request.host, server, report);
+            }
         }
         self.serve(request.host);
     }
@@ -274,7 +367,8 @@
         let started = served.started.iter();
         let started: Vec<_> = started.filter_map(|ticket| state.waiting.remove(ticket)).collect();
         overdue.into_iter().for_each(|request| self.refuse(request));
-        for request in started {
+        for mut request in started {
+            request.crowding = room.crowding();
             self.out.held_past += u32::from(self.now > request.deadline);
             self.send(request);
         }
@@ -284,15 +378,17 @@
         let now = self.now;
         let ended = self.servers[number].work(&mut self.draws, now);
         let server = &self.servers[number];
-        self.out.busy += server.running.len() as f64;
+        self.out.busy += server.running() as f64;
         let report = server.report();
-        for (_, request) in ended {
+        for (stage, request) in ended {
             // Requests that come near the end are not over by then.
-            let is_counted = request.deadline < START + self.case.ms;
-            self.out.answered[request.account] += u32::from(is_counted);
-            let objective = request.deadline - DEADLINE_MS + OBJECTIVE_MS;
-            self.out.in_time += u32::from(is_counted && now <= objective);
-            self.at(LATENCY_MS, Event::Answered(number, request, report));
+            let is_answer = matches!(stage, Stage::Whole | Stage::Begun);
+            let is_counted = self.is_counted(request.deadline);
+            if is_counted && is_answer {
+                self.out.answered[request.account] += 1;
+                self.out.in_time[request.account] += u32::from(now <= request.objective);
+            }
+            self.at(LATENCY_MS, Event::Told(stage, number, request, report));
         }
     }
 }
--- a/crates/policy/tests/admission/world/case.rs
+++ b/crates/policy/tests/admission/world/case.rs
@@ -1,8 +1,47 @@
 //! What is simulated, and what came of it.
 
+use policy::admit::room::Kind;
+
+/// Requests a second that the first account sends at its usual load, as a multiple of another one's.
+pub const FIRST_USUALLY: f64 = 8.0;
+
+/// Servers of a service, and what callers expect of them.
+#[derive(Clone, Copy)]
+pub struct Service {
+    pub kind: Kind,
+    pub slots: u32,
+    /// Expected time that a server works on a request.
+    pub work_ms: f64,
+    pub deadline_ms: u64,
+    /// Time until the answer is due, of usual and of long requests.
+    pub objective_ms: [u64; 2],
+    /// Time from the start in which the first account has its usual load at most, and requests are
+    /// not counted.
+    pub warmup_ms: u64,
+}
+
+pub const PLAIN: Service = Service {
+    kind: Kind::Plain,
+    slots: 6,
+    work_ms: 60.0,
+    deadline_ms: 1_500,
+    objective_ms: [300; 2],
+    warmup_ms: 0,
+};
+
+pub const ENGINES: Service = Service {
+    kind: Kind::AnnouncedEngine,
+    slots: 32,
+    work_ms: 4_000.0,
+    deadline_ms: 10_000,
+    objective_ms: [1_000, 3_000],
+    warmup_ms: 12_000,
+};
+
 /// How the simulated load and network deviate from the usual.
 #[derive(Clone, Copy)]
 pub struct Case {
+    pub service: Service,
     pub hosts: usize,
     pub servers: usize,
     /// Requests a second of each account but the first, and how many times as much the first sends.
@@ -39,6 +78,7 @@
 }
 
 pub const USUAL: Case = Case {
+    service: PLAIN,
     hosts: 78,
     servers: 5,
     per_second: 10.0,
@@ -59,7 +99,8 @@
 pub struct Outcome {
     pub offered: Vec<u32>,
     pub answered: Vec<u32>,
-    pub in_time: u32,
+    /// Answers within the objective, of each account.
+    pub in_time: Vec<u32>,
     pub refused: u32,
     /// Refused while any server had a free slot.
     pub refused_beside_free: u32,
@@ -71,6 +112,13 @@
 }
 
 impl Outcome {
+    /// Shares of the requests of all accounts but the first, and of all accounts, that were answered
+    /// within their objectives.
+    pub fn in_time(&self) -> [f64; 2] {
+        let sum = |counts: &[u32]| f64::from(counts.iter().sum::<u32>());
+        [1, 0].map(|first| sum(&self.in_time[first..]) / sum(&self.offered[first..]).max(1.0))
+    }
+
     /// Share of the requests of all accounts but the first that were answered.
     pub fn others(&self) -> f64 {
         let sum = |counts: &[u32]| f64::from(counts[1..].iter().sum::<u32>());
--- a/crates/policy/tests/admission/world/host.rs
+++ b/crates/policy/tests/admission/world/host.rs
@@ -4,12 +4,13 @@
 
 use policy::admit::Ticket;
 use policy::admit::gate::Gate;
-use policy::admit::room::{Kind, Room, Server as View};
+use policy::admit::room::{Room, Server as View};
 use policy::report::{Announcements, OwnRequests, Report};
 use policy::time::Millis;
 
-use super::server::{Request, SLOTS};
-use super::{SERVICE_MS, START};
+use super::START;
+use super::case::Service;
+use super::server::Request;
 
 /// What a host knows of a server.
 #[derive(Clone, Default)]
@@ -26,15 +27,18 @@
         self.own = self.own.saturating_add_signed(by);
     }
 
-    pub fn view(&self, now: u64) -> View {
+    pub fn view(&self, slots: u32, now: u64) -> View {
         let (reported, own_then) =
             self.report.map_or((0, 0), |(report, _, own)| (report.requests, own));
         let report_age_ms = self.report.map(|(_, at, _)| now.saturating_sub(at));
-        View { slots: SLOTS, own: self.own, reported, own_then, report_age_ms }
+        View { slots, own: self.own, reported, own_then, report_age_ms }
     }
 }
 
 pub struct Host {
+    pub service: Service,
+    /// Mean time to the answer, in milliseconds.
+    pub answer_ms: f64,
     pub known: Vec<Known>,
     pub gate: Gate,
     pub waiting: HashMap<Ticket, Request>,
@@ -43,10 +47,12 @@
 }
 
 impl Host {
-    pub fn new(servers: usize) -> Self {
+    pub fn new(service: Service, servers: usize) -> Self {
         Self {
+            service,
+            answer_ms: service.work_ms.min(300.0),
             known: vec![Known::default(); servers],
-            gate: Gate::new(4_096, SERVICE_MS),
+            gate: Gate::new(4_096, service.work_ms),
             waiting: HashMap::new(),
             paid_until: START,
         }
@@ -54,13 +60,13 @@
 
     /// Forgets what a process forgets that starts again.
     pub fn restart(&mut self) {
-        self.gate = Gate::new(4_096, SERVICE_MS);
+        self.gate = Gate::new(4_096, self.service.work_ms);
         self.waiting.clear();
         self.known.iter_mut().for_each(|known| *known = Known::default());
     }
 
     pub fn room(&self, now: u64) -> Room {
-        let views = self.known.iter().map(|known| known.view(now));
-        Room::of(views, Kind::Plain, self.gate.work_ms)
+        let views = self.known.iter().map(|known| known.view(self.service.slots, now));
+        Room::of(views, self.service.kind, self.gate.work_ms)
     }
 }
--- a/crates/policy/tests/admission/world/messages.rs
+++ b/crates/policy/tests/admission/world/messages.rs
@@ -1,5 +1,6 @@
 //! What hosts tell each other.
 
+use policy::admit::room::Kind;
 use policy::name::Name;
 use policy::report::{Report, Scope, is_news};
 use policy::time::Millis;
@@ -34,13 +35,25 @@
         }
     }
 
+    fn scope(&self) -> Scope {
+        match self.case.service.kind {
+            Kind::Plain => Scope::NearlyFull,
+            Kind::Engine | Kind::AnnouncedEngine => Scope::Changes,
+        }
+    }
+
     /// Announces the report of a server to the hosts of the same domain.
     pub(super) fn announce(&mut self, from: usize, server: usize, report: Report) {
         let now = self.now;
+        let scope = self.scope();
+        let is_far = scope == Scope::Changes && from % DOMAINS != server % DOMAINS;
+        if is_far {
+            return;
+        }
         let host = &mut self.hosts[from];
         let known = &mut host.known[server];
         let may_send = !self.case.is_bounded || host.paid_until <= now + 1_000;
-        if may_send && known.announcements.is_due(report, Scope::NearlyFull, Millis(now)) {
+        if may_send && known.announcements.is_due(report, scope, Millis(now)) {
             let near = self.case.hosts / DOMAINS;
             let receivers = if self.case.is_bounded { near.min(ANNOUNCED_TO_MAX) } else { near };
             let bytes = receivers * ANNOUNCED_BYTES;
@@ -60,11 +73,11 @@
 
     pub(super) fn hear(&mut self, host: usize, server: usize, report: Report) {
         // The way of a message takes time that hosts without a common clock don't know.
-        let at = self.now - ANNOUNCED_MS;
+        let (at, scope) = (self.now - ANNOUNCED_MS, self.scope());
         let known = &mut self.hosts[host].known[server];
         known.announcements.record_known(report, Millis(at));
         let known_at = known.report.map_or(0, |(_, at, _)| at);
-        if is_news(Millis(at), Millis(known_at), Scope::NearlyFull, Millis(self.now)) {
+        if is_news(Millis(at), Millis(known_at), scope, Millis(self.now)) {
             let own = known.history.at(Millis(at), known.own);
             known.report = Some((report, at, own));
         }
--- a/crates/policy/tests/gate.rs
+++ b/crates/policy/tests/gate.rs
@@ -26,8 +26,7 @@
 /// Guards against requests that wait while servers outside the sample are idle.
 #[test]
 fn sample_counts_for_its_pool() {
-    let sample =
-        room(&[Server { slots: 6, ..Server::default() }; 256]).scaled(1_024, 256, Kind::Plain);
+    let sample = room(&[Server { slots: 6, ..Server::default() }; 256]).scaled(1_024, 256);
     assert_eq!(sample.slots, 6 * 1_024);
     // All of the host's requests are at servers outside the sample.
     let left = sample.after_admitted(2_000);
@@ -79,8 +78,9 @@
 #[test]
 fn demand_of_other_hosts_late_lost_and_repeated() {
     let offered = |slots| vec![Offered { account: Name::from("large"), slots }];
-    let is_within =
-        |shares: &mut Shares, now| shares.is_within(&Name::from("large"), (30, 6), 0.999, now);
+    let is_within = |shares: &mut Shares, now| {
+        shares.is_within(&Name::from("large"), (30.0 * 0.85, 6), 0.999, now)
+    };
     let fresh = || {
         let mut shares = Shares::default();
         shares.record(&Name::from("small"), WORK_MS, NOW);
