--- a/crates/gateway/src/backend/report.rs
+++ b/crates/gateway/src/backend/report.rs
@@ -107,6 +107,18 @@
         }
     }
 
+    /// Records what another failure domain announced of its engine's requests at the time `at`.
+    pub fn record_far_load(&self, requests: u32, at: Millis, now: Millis) {
+        let own = self.server.own_at(at);
+        let mut observations = self.lock();
+        if report::is_news(at, observations.reported_at, Scope::Changes, now) {
+            observations.reported = requests;
+            observations.own_at_report = own;
+            observations.reported_at = at;
+            observations.stated_at = at;
+        }
+    }
+
     /// Records that the server rejected a request, so that it must be full, whatever it reported.
     pub fn record_full(&self, now: Millis) {
         let own = self.server.in_flight.load(Ordering::Relaxed);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod events;
 pub mod evidence;
 pub mod explain;
+pub mod far_loads;
 pub mod fetches;
 pub mod fingerprint;
 pub mod forward;
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -1,5 +1,6 @@
 //! Chooses the backend server of a pool that takes a request, by what is known of each server.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use entry::clock;
@@ -7,7 +8,7 @@
 use policy::canary;
 use policy::engine::externality::Streams;
 use policy::engine::fetch::{FAR_GAIN_MIN, Source, Target, Transfer};
-use policy::engine::{self, Costs, Demand, Engine, Fetches, Terms};
+use policy::engine::{self, Costs, Demand, DomainLoad, Engine, Fetches, Terms};
 use policy::name::Name;
 use policy::packing;
 use policy::place::{hash, mix};
@@ -344,6 +345,7 @@
         Some(known) => backends.iter().position(|backend| Arc::ptr_eq(backend, known)),
         None => self::preferred(job, backends),
     };
+    let domain_loads = domain_loads(job, now);
     let rank = job.engine_priority().unwrap_or_default();
     let known = backends.iter().enumerate().map(|(index, backend)| {
         let estimate = backend.estimate(rank, now);
@@ -360,6 +362,7 @@
             report_age_ms: engine::age_ms(estimate.reported_at, now),
             is_announced: false,
             assumed: 0.0,
+            domain_load: domain_load(&domain_loads, backend),
             slots: backend.slots,
             wait_ms: estimate.wait_ms,
             cached: prefixes.cached_tokens(backend, model, &job.info.parts, now),
@@ -376,6 +379,20 @@
     engines
 }
 
+/// What other failure domains announce of the loads of the service's engines, by the hashes of their
+/// names.
+fn domain_loads<C: Codec>(job: &Job<C>, now: Millis) -> HashMap<u64, DomainLoad> {
+    let are_announced = is_engine(job) && job.state.placement.load().far_loads;
+    if are_announced { job.state.far_domains.of_service(&job.service, now) } else { HashMap::new() }
+}
+
+fn domain_load(known: &HashMap<u64, DomainLoad>, backend: &Backend) -> Option<DomainLoad> {
+    if backend.is_near || known.is_empty() {
+        return None;
+    }
+    known.get(&hash(backend.server.failure_domain.as_bytes())).copied()
+}
+
 /// What is weighed beside the request's own wait, by the settings.
 fn costs<C: Codec>(job: &Job<C>, demand: &Demand) -> Costs<'static> {
     if !job.state.placement.load().speeds {
@@ -393,7 +410,8 @@
         gap_ms: route.gap_ms.unwrap_or(objective) as f64,
         late_ms: objective as f64,
     };
-    Costs { streams: Some(streams), spills: true, ..Costs::default() }
+    let evens_domains = job.state.placement.load().far_loads;
+    Costs { streams: Some(streams), spills: true, evens_domains, ..Costs::default() }
 }
 
 /// Whether an engine answers the request, and not a plain service.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -207,6 +207,13 @@
         }
     }
 
+    /// The backend server with this start.
+    #[must_use]
+    pub fn with_start(&self, start: u64) -> Option<&Arc<Backend>> {
+        let versions = self.derived().versions.values();
+        versions.filter_map(|members| Some(&members.all[members.with_start(start)?])).next()
+    }
+
     /// The backend servers of a version.
     pub fn servers<'a>(&'a self, version: &Name) -> impl Iterator<Item = &'a Arc<Backend>> {
         self.members(version).into_iter().flat_map(|members| &members.all)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,6 +22,7 @@
 use crate::backend::{LoadReport, Prefill, RestrictionNotice};
 use crate::detour_hosts::DetourHosts;
 use crate::evidence::Tally;
+use crate::far_loads::FarDomains;
 use crate::hedge::Hedging;
 use crate::moves::Moves;
 use crate::paces::Paces;
@@ -98,6 +99,8 @@
     pub usual_prompts: Sharded<UsualPrompt>,
     /// The prompt parts that engines have cached.
     pub prefixes: Prefixes,
+    /// What other failure domains announce of the loads of their engines.
+    pub far_domains: FarDomains,
     /// The pace of the streams of engines, not yet announced to the other hosts.
     pub paces: Paces,
     /// How much more confidence a model has in its answers than the smallest model of its route, by
@@ -168,6 +171,7 @@
             fetch_times: Sharded::default(),
             usual_prompts: Sharded::default(),
             prefixes: Prefixes::default(),
+            far_domains: FarDomains::default(),
             paces: Paces::default(),
             gains: Sharded::default(),
             delays: Sharded::default(),
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -19,6 +19,7 @@
 
 use entry::clock;
 use gateway::backend::{LoadReport, Prefill, Restriction, RestrictionNotice};
+use gateway::far_loads::FarLoads;
 use gateway::paces::PaceSample;
 use gateway::{Codec, State};
 use policy::backlog::Prompt;
@@ -76,6 +77,12 @@
     lacks_lists: bool,
 }
 
+/// What a host of another failure domain has sent, to be passed on.
+enum Direct {
+    Parts(FarNotice),
+    Loads(FarLoads),
+}
+
 /// Exchanges messages with peers.
 pub struct Peers<S, C> {
     /// Name of this host.
@@ -106,8 +113,8 @@
     pub loads: mpsc::Receiver<LoadReport>,
     /// What was heard of engines' caches.
     pub caches: mpsc::Receiver<CacheNotice>,
-    /// Announcements of cached parts to hosts of other failure domains, with the hosts' addresses.
-    pub far: mpsc::Receiver<(SocketAddr, FarNotice)>,
+    /// Announcements to hosts of other failure domains, with the hosts' addresses.
+    pub far: mpsc::Receiver<(SocketAddr, Entry)>,
     /// Other events that peers are notified of.
     pub notices: mpsc::Receiver<Notice>,
 }
@@ -120,7 +127,7 @@
         let mut sent = tokio::time::Instant::now();
         let mut stream_reports = tokio::time::interval(STREAM_REPORT_INTERVAL);
         let mut cache_notices = tokio::time::interval(CACHE_NOTICE_INTERVAL);
-        let mut cache_budget = Budget::default();
+        let (mut cache_budget, mut load_budget) = (Budget::default(), Budget::default());
         let mut demands = tokio::time::interval(DEMAND_INTERVAL);
         let mut hedges = tokio::time::interval(hedges::CHECK_INTERVAL);
         let mut pace = Pace::default();
@@ -158,8 +165,14 @@
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => {
                         let (sender, far) = self.receive(&buffer[..length], from);
-                        if let Some(notice) = far {
-                            self.pass_on(notice, &mut cache_budget).await;
+                        match far {
+                            Some(Direct::Parts(notice)) => {
+                                self.pass_on(notice, &mut cache_budget).await;
+                            }
+                            Some(Direct::Loads(loads)) => {
+                                self.pass_on_loads(loads, &mut load_budget).await;
+                            }
+                            None => {}
                         }
                         if sender.is_delegate {
                             delegate = Some(from);
@@ -220,9 +233,7 @@
                 // Peers stop forwarding requests to a host that reaches no server, and resume when
                 // it does.
                 Ok(()) = isolated.changed() => self.send(self.addresses(), Vec::new()).await,
-                Some((to, notice)) = queues.far.recv() => {
-                    self.send(vec![to], vec![Entry::Far(notice)]).await;
-                }
+                Some((to, entry)) = queues.far.recv() => self.send(vec![to], vec![entry]).await,
                 Some(notice) = queues.notices.recv() => {
                     self.notify(notice, delegate).await;
                 }
@@ -331,7 +342,7 @@
 
     /// Handles a message. Returns what it says about the sender, and the notice that a host of
     /// another failure domain has sent.
-    fn receive(&self, bytes: &[u8], from: SocketAddr) -> (Received, Option<FarNotice>) {
+    fn receive(&self, bytes: &[u8], from: SocketAddr) -> (Received, Option<Direct>) {
         let now = clock::steady();
         let message: Message = match serde_json::from_slice(bytes) {
             Ok(message) => message,
@@ -348,11 +359,16 @@
             return <_>::default();
         }
         // The sender is no peer.
-        if let [Entry::Far(notice)] = message.entries.as_slice()
-            && notice.is_direct
-        {
-            self.state.prefixes.record_far(&notice.parts, now);
-            return (Received::default(), Some(notice.clone()));
+        match message.entries.as_slice() {
+            [Entry::Far(notice)] if notice.is_direct => {
+                self.state.prefixes.record_far(&notice.parts, now);
+                return (Received::default(), Some(Direct::Parts(notice.clone())));
+            }
+            [Entry::FarLoads(loads)] if loads.is_direct => {
+                self.state.accept_far_loads(loads, now);
+                return (Received::default(), Some(Direct::Loads(loads.clone())));
+            }
+            _ => {}
         }
         let class = message.class;
         let is_new = self.watch.directory.record(&message.host, from, class, now);
@@ -414,6 +430,7 @@
                     self.state.prefixes.record_heard(start, &parts, age_ms, now);
                 }
                 Entry::Far(notice) => self.state.prefixes.record_far(&notice.parts, now),
+                Entry::FarLoads(loads) => self.state.accept_far_loads(&loads, now),
             }
         }
         if is_changed {
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -2,6 +2,7 @@
 
 use gateway::admission::Demand;
 use gateway::backend::{LoadReport, Prefill, RestrictionNotice};
+use gateway::far_loads::FarLoads;
 use gateway::paces::PaceSample;
 use policy::domain;
 use policy::hedge;
@@ -85,6 +86,8 @@
         /// What engines of another failure domain have cached. A message holds nothing else beside
         /// it, since hosts of an earlier version drop the whole message.
         Far(FarNotice),
+        /// The loads of engines of another failure domain; alone in its message too.
+        FarLoads(FarLoads),
     }
 }
 
--- a/crates/node/src/peers/parts.rs
+++ b/crates/node/src/peers/parts.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use entry::clock;
+use gateway::far_loads::FarLoads;
 use gateway::{Codec, State};
 use policy::prefix;
 use policy::prefix::far::Budget;
+use policy::report;
 use rand::seq::SliceRandom;
 use tokio::sync::mpsc;
 
@@ -38,6 +40,19 @@
         }
     }
 
+    /// Passes on the loads that a host of another failure domain has announced.
+    pub(super) async fn pass_on_loads(&self, loads: FarLoads, budget: &mut Budget) {
+        metrics::counter!("node_far_loads_received_total").increment(1);
+        if self.state.placement.load().far_loads {
+            let entries = vec![Entry::FarLoads(FarLoads { is_direct: false, ..loads })];
+            let left = *budget;
+            let receivers = |bytes, hosts| {
+                left.receivers_within(report::far::BYTES_PER_S, bytes, hosts, clock::steady())
+            };
+            self.send_sampled(entries, receivers, budget).await;
+        }
+    }
+
     /// Sends what was heard of engines' caches since the last time. In a large failure domain the
     /// notices go to a random sample of its hosts.
     pub(super) async fn send_cache_notices(
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -38,6 +38,8 @@
 /// Longest time until a request that was sent to a near engine appears in an announced report, in
 /// milliseconds.
 const ANNOUNCEMENT_MAX_MS: u64 = 2_000;
+/// The same for an engine of another failure domain.
+const FAR_ANNOUNCEMENT_MAX_MS: u64 = 3_000;
 /// Separates the draws for what was sent since a report from those between equal engines.
 const ASSUMED_SEED: u64 = 0x544f_4c44;
 /// Separates the draw for spill-over from those between equal engines.
@@ -60,6 +62,9 @@
         pub is_announced: bool,
         /// Requests of other hosts that are assumed beside those of the last report.
         pub assumed: f64,
+        /// What the hosts of the engine's failure domain announce of its mean load; `None` in the
+        /// host's own domain, and where nothing was announced lately.
+        pub domain_load: Option<DomainLoad>,
         /// Requests that the engine works on at once.
         pub slots: u32,
         /// Time until the engine would begin to read the request's prompt, in milliseconds.
@@ -77,6 +82,15 @@
         pub slowdown: f64,
     }
 
+    /// Mean load of the engines of a failure domain, as its hosts announce it.
+    #[derive(Copy)]
+    pub struct DomainLoad {
+        /// Requests per slot.
+        pub per_slot: f64,
+        /// Time since the domain's host calculated it, in milliseconds.
+        pub age_ms: u64,
+    }
+
     /// What a request needs from an engine, and the costs to weigh.
     #[derive(Copy)]
     pub struct Demand {
@@ -106,6 +120,9 @@
     pub answer_ms: f64,
     /// Whether a share of the requests ignores distance while near engines are busier.
     pub spills: bool,
+    /// Whether that share follows the loads that failure domains announce to each other, and not
+    /// the reports that this host has of far engines.
+    pub evens_domains: bool,
     /// The transfers that are possible.
     pub fetches: Option<Fetches<'a>>,
 }
@@ -190,8 +207,13 @@
     /// the report.
     #[must_use]
     pub fn load(&self) -> f64 {
+        self.reported_load() + self.assumed
+    }
+
+    /// The same without requests that are only assumed.
+    fn reported_load(&self) -> f64 {
         let others = f64::from(self.reported.saturating_sub(self.own_then));
-        f64::from(self.own) + others * self.report_weight() + self.assumed
+        f64::from(self.own) + others * self.report_weight()
     }
 
     /// How much the last report counts: 1 when it is new, 0 if there is none.
@@ -291,32 +313,42 @@
     }
 }
 
-/// Adjusts the estimates for loads that the hosts of a failure domain announce to each other.
+/// Adjusts the estimates for loads that the hosts of a failure domain announce to each other, and to
+/// those of other domains.
 ///
 /// Few reports come from an engine of another failure domain, so it would look idle beside the near
-/// ones. Where nothing is known of it, the mean load per slot of the near engines is assumed.
+/// ones. Where nothing is known of it, the announced mean load per slot of its domain is assumed, or
+/// that of the near engines if its domain announces none.
 ///
-/// All hosts have the same reports of near engines, and each would choose the engine with the least
-/// load until later reports arrive. The number of requests sent there since the report is therefore
-/// drawn, between none and [`ASSUMED_FACTOR`] times the usual number. `draw` is a uniform random
-/// number.
+/// All hosts have the same reports, and each would choose the engine with the least load until later
+/// reports arrive. The number of requests sent there since the report is therefore drawn, between
+/// none and [`ASSUMED_FACTOR`] times the usual number. `draw` is a uniform random number.
 pub fn use_announced_loads(engines: &mut [Engine], draw: u64) {
-    engines.iter_mut().for_each(|engine| engine.is_announced = engine.near);
+    for engine in engines.iter_mut() {
+        engine.is_announced = engine.near || engine.domain_load.is_some();
+    }
     let (mut sum, mut count) = (0.0, 0.0);
     for engine in engines.iter().filter(|engine| engine.near) {
         sum += engine.load() / f64::from(engine.slots.max(1));
         count += 1.0;
     }
     let per_slot = if count > 0.0 { sum / count } else { 0.0 };
+    let arriving = spill::arriving_per_slot(engines, ANNOUNCED_HALF_LIFE_MS);
     for (index, engine) in engines.iter_mut().enumerate() {
-        let usual = per_slot * f64::from(engine.slots);
-        engine.assumed = match engine.near {
-            true => {
-                let age_ms = engine.report_age_ms.unwrap_or_default().min(ANNOUNCEMENT_MAX_MS);
-                let sent = usual * age_ms as f64 / ANNOUNCED_HALF_LIFE_MS;
-                ASSUMED_FACTOR * sent * uniform(mix(draw ^ ASSUMED_SEED.wrapping_add(index as u64)))
+        let slots = f64::from(engine.slots);
+        let sent = |usual: f64, age_max_ms: u64| {
+            let age_ms = engine.report_age_ms.unwrap_or_default().min(age_max_ms);
+            let sent = usual * age_ms as f64 / ANNOUNCED_HALF_LIFE_MS;
+            ASSUMED_FACTOR * sent * uniform(mix(draw ^ ASSUMED_SEED.wrapping_add(index as u64)))
+        };
+        let unknown = 1.0 - engine.report_weight();
+        engine.assumed = match engine.domain_load {
+            _ if engine.near => sent(per_slot * slots, ANNOUNCEMENT_MAX_MS),
+            Some(domain) => {
+                let usual = (domain.per_slot + arriving) * slots;
+                domain.per_slot * slots * unknown + sent(usual, FAR_ANNOUNCEMENT_MAX_MS)
             }
-            false => usual * (1.0 - engine.report_weight()),
+            None => per_slot * slots * unknown,
         };
     }
 }
@@ -332,7 +364,11 @@
 /// there are no engines. `draw` is a uniform random number.
 #[must_use]
 pub fn place(engines: &[Engine], demand: &Demand, costs: &Costs<'_>, draw: u64) -> Option<Choice> {
-    let ignores_distance = costs.spills && uniform(mix(draw ^ SPILL_SEED)) < spill::share(engines);
+    let share = || match costs.evens_domains {
+        true => spill::announced_share(engines, demand.service_ms),
+        false => spill::share(engines),
+    };
+    let ignores_distance = costs.spills && uniform(mix(draw ^ SPILL_SEED)) < share();
     let far_ms = if ignores_distance { 0.0 } else { demand.far_ms };
     let demand = Demand { far_ms, ..*demand };
     let starts = starts(engines, &demand, costs).enumerate().map(|(index, start)| {
--- a/crates/policy/src/prefix/far.rs
+++ b/crates/policy/src/prefix/far.rs
@@ -93,8 +93,14 @@
     /// How many of the hosts a message of this length may still be sent to.
     #[must_use]
     pub fn receivers(&self, bytes: usize, hosts: usize, now: Millis) -> usize {
+        self.receivers_within(NOTICE_BYTES_MAX, bytes, hosts, now)
+    }
+
+    /// The same for messages of which `max` bytes may be sent in a second.
+    #[must_use]
+    pub fn receivers_within(&self, max: usize, bytes: usize, hosts: usize, now: Millis) -> usize {
         let sent = if now.0 / 1_000 == self.second { self.bytes } else { 0 };
-        hosts.min(NOTICE_BYTES_MAX.saturating_sub(sent) / bytes.max(1))
+        hosts.min(max.saturating_sub(sent) / bytes.max(1))
     }
 }
 
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -9,6 +9,8 @@
 //! seconds. Some engines then have all slots taken while others are idle. The hosts therefore also
 //! announce each noticeable change of an engine's load.
 
+pub mod far;
+
 use std::collections::VecDeque;
 
 use crate::domain;
--- a/crates/policy/tests/engine.rs
+++ b/crates/policy/tests/engine.rs
@@ -1,7 +1,9 @@
 //! Placement among model engines: long prompts, cached prefixes, distance, failures and old
 //! reports.
 
-use policy::engine::{Costs, Demand, Engine, choose, place, spill, use_announced_loads};
+use policy::engine::{
+    Costs, Demand, DomainLoad, Engine, choose, place, spill, use_announced_loads,
+};
 use policy::place::mix;
 
 const ENGINE: Engine = Engine {
@@ -11,6 +13,7 @@
     report_age_ms: Some(50),
     is_announced: false,
     assumed: 0.0,
+    domain_load: None,
     slots: 64,
     wait_ms: 0.0,
     cached: 0.0,
@@ -167,6 +170,27 @@
     assert!(share(60, 10, Some(5_000)) < 0.2 * large, "old reports count less");
 }
 
+/// Guards against a share that follows noise, that lasts when a failure domain is not heard any more,
+/// or that fills another failure domain.
+#[test]
+fn announced_share_follows_fresh_differences() {
+    let share = |near: f64, far: f64, age_ms, service_ms| {
+        let mut engines = two_domains((near * 64.0) as u32, 0, Some(0));
+        for engine in engines.iter_mut().filter(|engine| !engine.near) {
+            engine.domain_load = Some(DomainLoad { per_slot: far, age_ms });
+        }
+        spill::announced_share(&engines, service_ms)
+    };
+    assert!(share(1.0, 0.2, 300, 3_000.0) > 0.6);
+    assert!(share(0.9, 0.4, 300, 3_000.0) > 0.25);
+    assert_eq!(share(0.9, 0.8, 0, 8_000.0), 0.0, "noise");
+    assert!(share(0.9, 0.77, 0, 8_000.0) < 0.05);
+    assert!(share(1.0, 0.2, 3_000, 3_000.0) < share(1.0, 0.2, 300, 3_000.0), "old");
+    assert_eq!(share(1.0, 0.2, 4_000, 8_000.0), 0.0, "not heard any more");
+    assert_eq!(share(3.0, 0.9, 0, 8_000.0), 0.0, "the other one has no room");
+    assert_eq!(spill::announced_share(&two_domains(60, 0, Some(0)), 8_000.0), 0.0, "never heard");
+}
+
 /// Guards against hosts that all ignore distance at once on the same outdated reports, and overload
 /// the other domain in turn.
 #[test]
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -210,6 +210,9 @@
         /// Whether the hosts of a failure domain announce to each other the loads that engines
         /// report.
         pub loads: bool,
+        /// Whether the hosts of failure domains announce to each other the loads of their engines,
+        /// and a busy failure domain sends a part of its requests to others. Needs `loads`.
+        pub far_loads: bool,
         /// Whether the hosts of a failure domain announce to those of others which shared parts of
         /// prompts its engines have cached. Needs `fetch` and the prefix cache index.
         pub far: bool,
--- a/crates/wire/src/settings/check.rs
+++ b/crates/wire/src/settings/check.rs
@@ -123,6 +123,9 @@
     if node.placement.far && !(node.placement.fetch && node.prefix_index.is_some()) {
         faults.push(Fault::at("placement.far", "needs placement.fetch and prefix_index"));
     }
+    if node.placement.far_loads && !node.placement.loads {
+        faults.push(Fault::at("placement.far_loads", "needs placement.loads"));
+    }
     if !(1..=THREADS_MAX).contains(&node.threads) {
         faults.push(Fault::at("threads", format!("must be from 1 to {THREADS_MAX}")));
     }
--- a/crates/wire/tests/settings.rs
+++ b/crates/wire/tests/settings.rs
@@ -189,6 +189,15 @@
     }
 }
 
+/// Guards against hosts that announce loads to other failure domains without knowing those of their
+/// own.
+#[test]
+fn parse_placement_far_loads_needs_loads() {
+    let placement = |text: &str| node(&format!("\"placement\": {{\"far_loads\": true{text}}}"));
+    assert!(settings::parse(&placement(r#", "loads": true"#)).is_ok());
+    assert_eq!(paths(&placement("")), ["placement.far_loads"]);
+}
+
 #[test]
 fn parse_exposure_share_outside_0_to_1() {
     let text = |share: &str| node(&format!("\"exposure_share\": {share}"));
