--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -396,7 +396,7 @@
                     metrics::counter!("node_peer_loads_total").increment(1);
                     let Some(backend) = self.watch.catalog.backend(&backend) else { continue };
                     if let Some(scope) = self.state.announced_loads(&backend) {
-                        let at = now - message.now.since(at);
+                        let at = now - (message.now.since(at) + delay_ms);
                         backend.record_announced_load(load, at, scope, now);
                     }
                 }
--- a/crates/policy/tests/admission/announcements.rs
+++ b/crates/policy/tests/admission/announcements.rs
@@ -20,3 +20,13 @@
 fn announcements_late() {
     [40, 300].into_iter().for_each(|late_ms| assert_slots_used(0.0, late_ms));
 }
+
+/// Guards against refusals beside a free slot because reports that come late look new.
+#[test]
+fn announcements_late_from_a_moment_on() {
+    let case = Case { per_second: 30.0, late_ms: 300, late_from_ms: 1_000, ..USUAL };
+    let out = [0, 1, 2, 3].map(|seed| assert_shortage("late from", Case { seed, ..case }));
+    let refused: u32 = out.iter().map(|out| out.refused).sum();
+    let beside_free: u32 = out.iter().map(|out| out.refused_beside_free).sum();
+    assert!(beside_free * 50 <= refused, "{beside_free} of {refused}");
+}
--- a/crates/policy/tests/admission/world.rs
+++ b/crates/policy/tests/admission/world.rs
@@ -20,6 +20,7 @@
 pub use case::{Case, ENGINES, FIRST_USUALLY, Fault, Outcome, USUAL};
 use engine::Engine;
 use host::{Host, Known};
+use messages::Message;
 use server::{Plain, Request, Server, Stage};
 
 const LATENCY_MS: u64 = 1;
@@ -50,7 +51,7 @@
     /// A server tells of a request.
     Told(Stage, usize, Request, Report),
     Rejected(usize, Request, Report),
-    Announced(usize, usize, Report),
+    Announced(usize, Message),
     /// Comes back, after a refusal.
     Returns(usize),
 }
@@ -302,7 +303,7 @@
             }
             Event::Rejected(server, request, report) => self.rejected(server, request, report),
             Event::Announced(host, ..) if self.is_struck(host, Fault::CutOff) => {}
-            Event::Announced(host, server, report) => self.hear(host, server, report),
+            Event::Announced(host, message) => self.hear(host, message),
             Event::Returns(account) => {
                 self.out.returns += 1;
                 self.arrive(account);
--- a/crates/policy/tests/admission/world/case.rs
+++ b/crates/policy/tests/admission/world/case.rs
@@ -53,6 +53,8 @@
     /// Share of announcements that are lost, and their further delay.
     pub lost: f64,
     pub late_ms: u64,
+    /// Time from the start until they are late.
+    pub late_from_ms: u64,
     pub ms: u64,
     /// A second of each four with this many times the load.
     pub burst: f64,
@@ -87,6 +89,7 @@
     return_share: 0.0,
     lost: 0.0,
     late_ms: 0,
+    late_from_ms: 0,
     ms: 8_000,
     burst: 1.0,
     is_on: true,
--- a/crates/policy/tests/admission/world/host.rs
+++ b/crates/policy/tests/admission/world/host.rs
@@ -5,6 +5,7 @@
 use policy::admit::Ticket;
 use policy::admit::gate::Gate;
 use policy::admit::room::{Room, Server as View};
+use policy::prefix::Lag;
 use policy::report::{Announcements, OwnRequests, Report};
 use policy::time::Millis;
 
@@ -42,6 +43,8 @@
     pub known: Vec<Known>,
     pub gate: Gate,
     pub waiting: HashMap<Ticket, Request>,
+    /// How late the other hosts' messages are.
+    pub lags: HashMap<usize, Lag>,
     /// Until when the bytes of its announcements use up their rate.
     pub paid_until: u64,
 }
@@ -54,6 +57,7 @@
             known: vec![Known::default(); servers],
             gate: Gate::new(4_096, service.work_ms),
             waiting: HashMap::new(),
+            lags: HashMap::new(),
             paid_until: START,
         }
     }
@@ -62,6 +66,7 @@
     pub fn restart(&mut self) {
         self.gate = Gate::new(4_096, self.service.work_ms);
         self.waiting.clear();
+        self.lags.clear();
         self.known.iter_mut().for_each(|known| *known = Known::default());
     }
 
--- a/crates/policy/tests/admission/world/messages.rs
+++ b/crates/policy/tests/admission/world/messages.rs
@@ -6,7 +6,7 @@
 use policy::time::Millis;
 
 use super::case::Fault;
-use super::{DOMAINS, Event, World};
+use super::{DOMAINS, Event, START, World};
 
 /// Time until the hosts of a domain know what one of them announces.
 const ANNOUNCED_MS: u64 = 7;
@@ -17,6 +17,15 @@
 const BYTES_PER_S: usize = 8_000;
 const ANNOUNCED_BYTES: usize = 230;
 
+/// A server's report that a host announces.
+#[derive(Clone, Copy)]
+pub struct Message {
+    from: usize,
+    sent: u64,
+    server: usize,
+    report: Report,
+}
+
 impl World {
     pub(super) fn announce_shares(&mut self, host: usize) {
         let report = self.hosts[host].gate.shares.report(Millis(self.now));
@@ -64,16 +73,21 @@
             for peer in peers.filter(|peer| peer % DOMAINS == from % DOMAINS) {
                 let is_receiver = near == receivers || self.draws.index(near) < receivers;
                 if is_receiver && self.draws.next() >= self.case.lost {
-                    let delay = ANNOUNCED_MS + self.case.late_ms;
-                    self.at(delay, Event::Announced(peer, server, report));
+                    let is_late = now - START >= self.case.late_from_ms;
+                    let late_ms = if is_late { self.case.late_ms } else { 0 };
+                    let message = Message { from, sent: now, server, report };
+                    self.at(ANNOUNCED_MS + late_ms, Event::Announced(peer, message));
                 }
             }
         }
     }
 
-    pub(super) fn hear(&mut self, host: usize, server: usize, report: Report) {
+    pub(super) fn hear(&mut self, host: usize, message: Message) {
+        let Message { from, sent, server, report } = message;
         // The way of a message takes time that hosts without a common clock don't know.
-        let (at, scope) = (self.now - ANNOUNCED_MS, self.scope());
+        let delay_ms =
+            self.hosts[host].lags.entry(from).or_default().record(Millis(sent), Millis(self.now));
+        let (at, scope) = (self.now - ANNOUNCED_MS - delay_ms, self.scope());
         let known = &mut self.hosts[host].known[server];
         known.announcements.record_known(report, Millis(at));
         let known_at = known.report.map_or(0, |(_, at, _)| at);
