--- a/crates/node/src/far.rs
+++ b/crates/node/src/far.rs
@@ -24,9 +24,11 @@
 use rand::seq::IndexedRandom;
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
+use tokio_util::task::AbortOnDropHandle;
 use wire::settings;
+use wire::store::Error;
 
-use crate::peers::find::read_hosts;
+use crate::peers::find::{ListedHost, read_hosts};
 use crate::peers::message::{Entry, FarNotice};
 use crate::store::Store;
 use crate::watch::Watch;
@@ -51,6 +53,8 @@
     addresses: Vec<SocketAddr>,
     reads: u32,
     next_read_at: Millis,
+    /// The call of the store that has not been answered yet.
+    reading: Option<AbortOnDropHandle<Result<Vec<ListedHost>, Error>>>,
 }
 
 /// Sends announcements to other failure domains while the settings ask for it, until the process ends.
@@ -68,7 +72,8 @@
     loop {
         interval.tick().await;
         ticks += 1;
-        let Scope { mut parts, loads } = Scope::of(&watch);
+        let scope = Scope::of(&watch);
+        let Scope { mut parts, loads } = scope;
         let is_between = ticks % 2 == 0;
         if is_between && !loads {
             continue;
@@ -87,8 +92,10 @@
                 addresses: Vec::new(),
                 reads: 0,
                 next_read_at: clock::steady() + SETTLE_MS,
+                reading: None,
             };
-            refresh(&watch, domain, known.entry(domain.clone()).or_insert_with(unread)).await;
+            let hosts = known.entry(domain.clone()).or_insert_with(unread);
+            refresh(&watch, domain, hosts, scope).await;
         }
         let hosts = known.values().filter(|hosts| !hosts.addresses.is_empty());
         let hosts: Vec<&Hosts> = hosts.collect();
@@ -117,6 +124,7 @@
 }
 
 /// What the settings ask hosts to announce to other failure domains.
+#[derive(Clone, Copy)]
 struct Scope {
     parts: bool,
     loads: bool,
@@ -139,17 +147,28 @@
 }
 
 /// Reads the hosts of a failure domain if it is time to. What was known stays if the store does not
-/// answer.
-async fn refresh<S: Store, C: Codec>(watch: &Watch<S, C>, domain: &Name, hosts: &mut Hosts) {
+/// answer. Loads are announced meanwhile: they lose their use within seconds.
+async fn refresh<S: Store, C: Codec>(
+    watch: &Arc<Watch<S, C>>,
+    domain: &Name,
+    hosts: &mut Hosts,
+    scope: Scope,
+) {
     let now = clock::steady();
-    if now < hosts.next_read_at {
-        return;
+    if hosts.reading.is_none() && now >= hosts.next_read_at {
+        hosts.next_read_at = now + READ_INTERVAL_MS;
+        let (store, domain) = (Arc::clone(&watch.store), domain.clone());
+        let read = tokio::spawn(async move { read_hosts(&*store, &domain).await });
+        hosts.reading = Some(AbortOnDropHandle::new(read));
     }
-    hosts.next_read_at = now + READ_INTERVAL_MS;
-    match read_hosts(&*watch.store, domain).await {
+    let may_take = |reading: &mut AbortOnDropHandle<_>| !scope.loads || reading.is_finished();
+    let Some(reading) = hosts.reading.take_if(may_take) else { return };
+    let Ok(read) = reading.await else { return };
+    match read {
         Ok(found) => {
+            let told = if scope.parts { "cached parts" } else { "loads" };
             log::info!(target: "caches", domain:% = domain, listed = found.len();
-                "hosts of another failure domain read, to announce to them");
+                "hosts of another failure domain are told of {told}");
             hosts.addresses = found.into_iter().map(|host| host.address).collect();
             let is_empty = hosts.addresses.is_empty();
             hosts.reads = if is_empty { 0 } else { hosts.reads.saturating_add(1) };
