--- a/crates/gateway/src/far_loads.rs
+++ b/crates/gateway/src/far_loads.rs
@@ -14,6 +14,7 @@
 use policy::time::Millis;
 
 use crate::backend::Backend;
+use crate::pool::Pool;
 use crate::state::State;
 
 /// Most hosts whose announcements are remembered. One host of each failure domain announces, and
@@ -63,6 +64,33 @@
 pub struct FarDomains(Mutex<Vec<Sender>>);
 
 impl FarDomains {
+    /// Takes a message, with what it tells of the engines of these pools. Engines that are unknown,
+    /// near, or have more requests than can be true are ignored.
+    pub fn accept<'a>(
+        &self,
+        loads: &FarLoads,
+        pools: impl Iterator<Item = &'a Pool> + Clone,
+        now: Millis,
+    ) {
+        let Some(made_at) = self.record(loads, now) else { return };
+        let mut ignored = 0;
+        for FarReport(start, requests, age_ms) in &loads.engines {
+            let backend = pools.clone().find_map(|pool| pool.with_start(*start));
+            let backend = backend.filter(|backend| !backend.is_near && backend.is_engine());
+            let requests = backend.and_then(|backend| believed(*requests, backend.slots));
+            match (backend, requests) {
+                (Some(backend), Some(requests)) => {
+                    backend.record_far_load(requests, made_at - u64::from(*age_ms), now);
+                }
+                _ => ignored += 1,
+            }
+        }
+        if ignored > 0 {
+            log::debug!(target: "loads", domain:% = loads.domain, ignored;
+                "engines in a message of another failure domain ignored");
+        }
+    }
+
     /// Records a message. Returns when it was made, by this host's clock; `None` if it is not newer
     /// than what the same host has announced before.
     fn record(&self, loads: &FarLoads, now: Millis) -> Option<Millis> {
@@ -123,24 +151,8 @@
         if !self.placement.load().far_loads {
             return;
         }
-        let Some(made_at) = self.far_domains.record(loads, now) else { return };
         let snapshot = self.snapshot.load();
-        let mut unknown = 0;
-        for FarReport(start, requests, age_ms) in &loads.engines {
-            let backend = snapshot.pools.values().find_map(|pool| pool.with_start(*start));
-            let backend = backend.filter(|backend| !backend.is_near && backend.is_engine());
-            let requests = backend.and_then(|backend| believed(*requests, backend.slots));
-            match (backend, requests) {
-                (Some(backend), Some(requests)) => {
-                    backend.record_far_load(requests, made_at - u64::from(*age_ms), now);
-                }
-                _ => unknown += 1,
-            }
-        }
-        if unknown > 0 {
-            log::debug!(target: "loads", domain:% = loads.domain, unknown;
-                "announced loads of another failure domain ignored: unknown engines, or too many requests");
-        }
+        self.far_domains.accept(loads, snapshot.pools.values().map(|pool| &**pool), now);
     }
 
     /// What this host announces of the engines of its failure domain: the mean load of each
--- a/crates/node/tests/message.rs
+++ b/crates/node/tests/message.rs
@@ -1,11 +1,13 @@
 //! Messages between hosts that are too long for one datagram.
 
 use gateway::backend::{Prefill, Restriction, RestrictionNotice};
+use gateway::far_loads::FarLoads;
 use node::peers::message::{BYTES_MAX, Entry, Message};
 use node::record::{Record, RolloutState};
 use policy::canary::Stage;
 use policy::name::Name;
 use policy::poison::{Crash, Digest, Suspect};
+use policy::report::far::{FarReport, fanout};
 use policy::throttle::Limit;
 use policy::time::Millis;
 
@@ -82,3 +84,18 @@
     let datagrams = message(vec![long, record(Stage::Done)]).datagrams();
     assert_eq!(parse(&datagrams), [record(Stage::Done)]);
 }
+
+/// Guards against loads of another failure domain that are never sent because the message is too long.
+#[test]
+fn datagrams_loads_of_a_domain_fit_one() {
+    let report = FarReport(u64::MAX, 9_999, 2_000);
+    let loads = Entry::FarLoads(FarLoads {
+        is_direct: true,
+        domain: Name::from("failure-domain-1"),
+        from: u64::MAX,
+        at: Millis(1_700_000_000_000),
+        means: vec![(Name::from("service-of-usual-name"), 100); 4],
+        engines: vec![report; fanout(1, 1).engines],
+    });
+    assert_eq!(parse(&message(vec![loads.clone()]).datagrams()), [loads]);
+}
--- a/crates/policy/tests/report.rs
+++ b/crates/policy/tests/report.rs
@@ -1,6 +1,6 @@
 //! Which load reports hosts pass on to each other, and how they use them.
 
-use policy::report::{Announcements, OwnRequests, Report, Scope, is_news};
+use policy::report::{Announcements, OwnRequests, Report, Scope, far, is_news};
 use policy::time::Millis;
 
 fn report(requests: u32, percent: u32) -> Report {
@@ -81,3 +81,24 @@
     own.record_change(1, Millis(2_000));
     assert_eq!(own.at(Millis(1_050), 0), 1, "older changes are forgotten");
 }
+
+/// Guards against announcements to other failure domains that take more than a host may send, in
+/// failure domains of any size.
+#[test]
+fn fanout_keeps_to_its_bytes() {
+    let per_s = 1_000 / far::INTERVAL_MS as usize;
+    for hosts in [1, 2, 26, 123, 328, 985] {
+        for domains in [1, 2, 7] {
+            let far::Fanout { engines, receivers } = far::fanout(hosts, domains);
+            let bytes = 260 + engines * 34;
+            assert!((1..=27).contains(&engines) && receivers >= 1, "{hosts} {domains}");
+            let sent = receivers * bytes * domains * per_s;
+            assert!(receivers == 1 || sent <= far::BYTES_PER_S, "{hosts} {domains}: {sent}");
+            let reached = receivers * (far::BYTES_PER_S / bytes);
+            assert!(
+                hosts > 26 || domains > 2 || reached >= hosts / 2,
+                "{hosts} {domains}: {reached}"
+            );
+        }
+    }
+}
