--- a/crates/chestnutspur/tests/soak/scenario.rs
+++ b/crates/chestnutspur/tests/soak/scenario.rs
@@ -88,7 +88,7 @@
         Scenario::CacheEvents => json!({"prefix_index": prefix_index}),
         Scenario::Slowdowns => json!({"hedging": {"share": 0.3}}),
         Scenario::Fetches => json!({
-            "prefix_index": prefix_index, "placement": {"far": true, "fetch": true, "loads": true, "speeds": true},
+            "prefix_index": prefix_index, "placement": {"far": true, "far_loads": true, "fetch": true, "loads": true, "speeds": true},
         }),
         Scenario::Bursts => json!({"admission": {"waiting_max": 64}}),
         Scenario::Copies => json!({"streams": {"backup": true, "move": true}}),
