--- a/crates/experiment/src/host/view.rs
+++ b/crates/experiment/src/host/view.rs
@@ -93,6 +93,7 @@
             report_age_ms: engine::age_ms(self.reported_at, now),
             is_announced: false,
             assumed: 0.0,
+            domain_load: None,
             slots: self.slots,
             wait_ms: self.backlog.wait_ms(rank, now),
             cached: 0.0,
