--- a/crates/policy/src/admit/room.rs
+++ b/crates/policy/src/admit/room.rs
@@ -116,16 +116,19 @@
 }
 
 impl Server {
-    /// Requests that are believed to be at the server, if its report counts for [`FRESH_MS`].
+    /// Requests that are believed to be at the server. Its report counts fully up to the age of
+    /// [`FRESH_MS`].
     #[must_use]
     pub fn believed(&self) -> f64 {
         self.believed_by(FRESH_MS)
     }
 
+    /// The same with a report that counts fully up to this age.
     fn believed_by(&self, fresh_ms: f64) -> f64 {
         f64::from(self.own) + f64::from(self.others_then()) * self.report_weight(fresh_ms)
     }
 
+    /// How much the last report counts: 1 up to the age `fresh_ms`, then less, 0 without a report.
     fn report_weight(&self, fresh_ms: f64) -> f64 {
         self.report_age_ms.map_or(0.0, |age| fresh_ms / (age as f64).max(fresh_ms))
     }
@@ -259,7 +262,8 @@
         })
     }
 
-    /// Room from which on a request beyond its account's share is sent the moment it arrives.
+    /// Room from which on a request beyond its account's share is sent the moment it arrives; 1 at
+    /// least.
     #[must_use]
     pub fn direct(&self) -> f64 {
         (f64::from(self.slots) * self.kind.limits().direct).max(1.0)
--- a/crates/policy/src/engine/spill.rs
+++ b/crates/policy/src/engine/spill.rs
@@ -86,12 +86,13 @@
     moved * slots(true) / slots(false).max(1.0)
 }
 
-/// Requests per near slot beyond the mean of all failure domains, as far as others have room.
+/// Requests per near slot beyond the mean of all failure domains, as far as others have room. `near`
+/// is the load per slot of the near engines. Failure domains that announce nothing are left out.
 fn surplus_per_slot(engines: &[Engine], near: f64) -> f64 {
-    let (mut slots, mut trusted, mut sum, mut room) = (0.0, 0.0, 0.0, 0.0);
+    let (mut near_slots, mut trusted, mut sum, mut room) = (0.0, 0.0, 0.0, 0.0);
     for engine in engines {
         let Some(DomainLoad { per_slot, age_ms }) = engine.domain_load else {
-            slots += if engine.near { f64::from(engine.slots) } else { 0.0 };
+            near_slots += if engine.near { f64::from(engine.slots) } else { 0.0 };
             continue;
         };
         let age = age_ms as f64 / DOMAIN_LOAD_LIFETIME_MS as f64;
@@ -101,11 +102,11 @@
         sum += weight * per_slot;
         room += weight * (FILL_MAX - per_slot).max(0.0);
     }
-    if slots <= 0.0 || trusted <= 0.0 {
+    if near_slots <= 0.0 || trusted <= 0.0 {
         return 0.0;
     }
     let difference = near - sum / trusted - ANNOUNCED_DIFFERENCE_MIN;
-    (difference * trusted / (slots + trusted)).min(room / slots)
+    (difference * trusted / (near_slots + trusted)).min(room / near_slots)
 }
 
 /// Load per slot of the near engines by their reports, as hosts announce it to other domains.
--- a/crates/policy/src/prefix/far.rs
+++ b/crates/policy/src/prefix/far.rs
@@ -75,7 +75,8 @@
     }
 }
 
-/// What a host may still send its failure domain about caches in the current second.
+/// What a host may still send its failure domain about caches, or about loads of other failure
+/// domains, in the current second.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Budget {
     second: u64,
--- a/crates/policy/src/report/far.rs
+++ b/crates/policy/src/report/far.rs
@@ -7,13 +7,14 @@
 
 use crate::domain;
 
-/// Interval of messages to one failure domain, in milliseconds. Shorter ones brought nothing in the
-/// replay.
+/// Interval of messages to one failure domain, in milliseconds. The mean load of a failure domain
+/// changes within seconds, so shorter intervals would tell little more.
 pub const INTERVAL_MS: u64 = 500;
 /// Bytes that a host sends to other failure domains in a second, and as many that it passes on.
 /// Together with those that it announces to its own they stay below 20 kB.
 pub const BYTES_PER_S: usize = 6_000;
-/// Longest encoding of a [`FarReport`], and of the rest of a message, in bytes.
+/// Longest encoding of a [`FarReport`], and of the rest of a message with names of usual length, in
+/// bytes.
 const REPORT_BYTES: usize = 34;
 const HEADER_BYTES: usize = 260;
 /// Most bytes of a message, so that it fits a datagram.
@@ -61,8 +62,12 @@
 }
 
 /// How messages are sent to a failure domain of so many hosts, by a host that announces to so many
-/// failure domains. All of its hosts shall be reached within [`BYTES_PER_S`]: the longer a message
-/// is, the fewer hosts get it from the sender, and the fewer from each of these.
+/// failure domains.
+///
+/// Sender and receivers may each send [`BYTES_PER_S`]. The longer a message is, the fewer hosts get it
+/// from the sender, and the fewer from each of these. So a message has the length with which both
+/// steps together reach all hosts. In a large failure domain even the shortest message reaches only
+/// a part of them.
 #[must_use]
 pub fn fanout(hosts: usize, domains: usize) -> Fanout {
     let per_s = domains.max(1) * 1_000 / INTERVAL_MS as usize;
--- a/crates/policy/tests/loads/world.rs
+++ b/crates/policy/tests/loads/world.rs
@@ -10,7 +10,7 @@
 pub const ENGINES: usize = 30;
 pub const SLOTS: u32 = 16;
 pub const DURATION_MS: u64 = 60_000;
-/// Time until the answer's head, which bears the engine's report.
+/// Time until the answer's head, which holds the engine's report.
 const HEAD_MS: u64 = 100;
 /// Hosts that one announcement goes to.
 const RECEIVERS: usize = 12;
