--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -64,9 +64,10 @@
     }
 }
 
-/// What decides whether and where a running stream continues from a copy.
+/// What decides whether and where a running stream continues from a copy. Its request's task records
+/// it for those who ask where requests are.
 #[derive(Clone)]
-pub struct Published {
+pub struct Continuation {
     /// The stream's route.
     pub indexed: Arc<IndexedRoute>,
     /// When the caller stops waiting.
@@ -255,7 +256,7 @@
     pub fn publish_copies(&self) {
         let Some(run) = &self.run else { return };
         let attempts = &self.attempts;
-        run.record_copies((!attempts.copies.is_empty()).then(|| Published {
+        run.record_copies((!attempts.copies.is_empty()).then(|| Continuation {
             indexed: Arc::clone(&self.indexed),
             deadline: self.deadline,
             version: attempts.version.clone(),
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -322,23 +322,23 @@
 /// The copies of a running stream, as the stream's own resumption would see them if its run at the
 /// server `at` broke off.
 fn copies<C: Codec>(state: &Arc<State<C>>, run: &Run, at: Option<&Backend>) -> Vec<CopyView> {
-    let Some(published) = run.copies() else { return Vec::new() };
-    let mut excluded = published.excluded;
-    excluded.extend(at.filter(|_| !published.is_moving).map(|at| at.id.clone()));
+    let Some(continuation) = run.copies() else { return Vec::new() };
+    let mut excluded = continuation.excluded;
+    excluded.extend(at.filter(|_| !continuation.is_moving).map(|at| at.id.clone()));
     let attempts = Attempts {
-        version: published.version,
-        kept_at: published.kept_at,
-        is_moving: published.is_moving,
+        version: continuation.version,
+        kept_at: continuation.kept_at,
+        is_moving: continuation.is_moving,
         excluded,
-        silent_domains: published.silent_domains,
-        unsent: published.unsent,
+        silent_domains: continuation.silent_domains,
+        unsent: continuation.unsent,
         ..Attempts::default()
     };
     let (service, info) = (run.service.clone(), RequestInfo::default());
     let like = Job {
-        deadline: published.deadline,
+        deadline: continuation.deadline,
         attempts,
-        ..blank(state, service, info, &published.indexed)
+        ..blank(state, service, info, &continuation.indexed)
     };
     let view = |copy: &Copy| {
         let engine = like.engine_with(copy);
@@ -348,7 +348,7 @@
             backend: engine.ok().map(|engine| engine.id.clone()),
         }
     };
-    published.copies.iter().rev().map(view).collect()
+    continuation.copies.iter().rev().map(view).collect()
 }
 
 /// A request like the one that is asked about. It is not sent.
--- a/crates/gateway/src/far_loads.rs
+++ b/crates/gateway/src/far_loads.rs
@@ -48,14 +48,17 @@
 
 /// What one host has announced.
 struct Sender {
+    /// Hash of the failure domain's name.
     domain: u64,
+    /// Hash of the host's name.
     from: u64,
+    /// How late its messages are.
     lag: Lag,
     /// When it made its last message, by its clock.
     sent_at: Millis,
     /// The same by this host's clock.
     at: Millis,
-    /// By the hash of the service.
+    /// Mean loads per slot, by the hash of the service.
     means: HashMap<u64, f64>,
 }
 
@@ -131,8 +134,8 @@
         let mut known: HashMap<u64, DomainLoad> = HashMap::new();
         for sender in self.lock().iter() {
             let age_ms = now.since(sender.at);
-            let newer = known.get(&sender.domain).is_none_or(|other| age_ms < other.age_ms);
-            let mean = sender.means.get(&service).filter(|_| newer);
+            let is_newer = known.get(&sender.domain).is_none_or(|other| age_ms < other.age_ms);
+            let mean = sender.means.get(&service).filter(|_| is_newer);
             if let Some(per_slot) = mean.filter(|_| age_ms < DOMAIN_LOAD_LIFETIME_MS) {
                 known.insert(sender.domain, DomainLoad { per_slot: *per_slot, age_ms });
             }
--- a/crates/gateway/src/hedge/reports.rs
+++ b/crates/gateway/src/hedge/reports.rs
@@ -34,7 +34,7 @@
         self.windows.with(service, |window| hedge::counts(window, share, now))
     }
 
-    /// How many of them may be hedged.
+    /// How many of this host's requests in the last 60 s may be hedged.
     fn eligible(&self, service: &Name, now: Millis) -> u32 {
         let share = self.share().unwrap_or_default();
         self.eligible.with(service, |window| hedge::counts(window, share, now).requests)
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -210,8 +210,8 @@
     /// The backend server with this start.
     #[must_use]
     pub fn with_start(&self, start: u64) -> Option<&Arc<Backend>> {
-        let versions = self.derived().versions.values();
-        versions.filter_map(|members| Some(&members.all[members.with_start(start)?])).next()
+        let mut versions = self.derived().versions.values();
+        versions.find_map(|members| Some(&members.all[members.with_start(start)?]))
     }
 
     /// The backend servers of a version.
--- a/crates/gateway/src/running.rs
+++ b/crates/gateway/src/running.rs
@@ -7,7 +7,7 @@
 use policy::name::Name;
 
 use crate::backend::Backend;
-use crate::copies::Published;
+use crate::copies::Continuation;
 
 /// The requests in flight on this host.
 #[derive(Default)]
@@ -26,7 +26,7 @@
     /// The server or host of the last attempt; `None` before the first one.
     last: Mutex<Option<Arc<Backend>>>,
     /// The copies of a running stream; `None` if it has none.
-    copies: Mutex<Option<Published>>,
+    copies: Mutex<Option<Continuation>>,
     /// The engine that a copy of the stream is being made at for its move.
     moves_to: Mutex<Option<Arc<Backend>>>,
 }
@@ -84,7 +84,7 @@
 
     /// The copies of a running stream; `None` if it has none.
     #[must_use]
-    pub fn copies(&self) -> Option<Published> {
+    pub fn copies(&self) -> Option<Continuation> {
         lock(&self.copies).clone()
     }
 
@@ -107,7 +107,7 @@
     }
 
     /// Records the copies of the running stream.
-    pub fn record_copies(&self, copies: Option<Published>) {
+    pub fn record_copies(&self, copies: Option<Continuation>) {
         *lock(&self.run.copies) = copies;
     }
 
