--- a/crates/node/src/far.rs
+++ b/crates/node/src/far.rs
@@ -161,6 +161,7 @@
         let read = tokio::spawn(async move { read_hosts(&*store, &domain).await });
         hosts.reading = Some(AbortOnDropHandle::new(read));
     }
+    // Without loads there is nothing to send meanwhile.
     let may_take = |reading: &mut AbortOnDropHandle<_>| !scope.loads || reading.is_finished();
     let Some(reading) = hosts.reading.take_if(may_take) else { return };
     let Ok(read) = reading.await else { return };
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -340,8 +340,7 @@
         counts.collect()
     }
 
-    /// Handles a message. Returns what it says about the sender, and the notice that a host of
-    /// another failure domain has sent.
+    /// Handles a message. Returns what it says about the sender, and what is to be passed on.
     fn receive(&self, bytes: &[u8], from: SocketAddr) -> (Received, Option<Direct>) {
         let now = clock::steady();
         let message: Message = match serde_json::from_slice(bytes) {
--- a/crates/node/src/peers/parts.rs
+++ b/crates/node/src/peers/parts.rs
@@ -1,4 +1,5 @@
-//! Messages about the prompt parts that engines have cached.
+//! Messages about the prompt parts that engines have cached, and about the loads of engines of other
+//! failure domains.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -73,8 +74,7 @@
         self.send_sampled(entries, receivers, budget).await;
     }
 
-    /// Sends entries about engines' caches to random peers, as many as `receivers` allows for their
-    /// length.
+    /// Sends entries to random peers, as many as `receivers` allows for their length.
     async fn send_sampled(
         &self,
         entries: Vec<Entry>,
