--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -46,7 +46,7 @@
     Version,
     /// The engine is leaving, has started again, or is of another version.
     Start,
-    /// The engine takes no request now.
+    /// The engine takes no request now, or not this one: the stream has run there.
     Closed,
 }
 
