--- a/crates/node/src/peers/parts.rs
+++ b/crates/node/src/peers/parts.rs
@@ -34,26 +34,27 @@
     pub(super) async fn pass_on(&self, notice: FarNotice, budget: &mut Budget) {
         metrics::counter!("node_far_parts_received_total").increment(notice.parts.len() as u64);
         if self.state.placement.load().far {
-            let entries = vec![Entry::Far(FarNotice { is_direct: false, ..notice })];
-            let left = *budget;
-            let receivers = |bytes, hosts| left.receivers(bytes, hosts, clock::steady());
-            self.send_sampled(entries, receivers, budget).await;
+            let entry = Entry::Far(FarNotice { is_direct: false, ..notice });
+            self.send_within(prefix::NOTICE_BYTES_MAX, entry, budget).await;
         }
     }
 
-    /// Passes on the loads that a host of another failure domain has announced.
+    /// The same for the loads of engines there.
     pub(super) async fn pass_on_loads(&self, loads: FarLoads, budget: &mut Budget) {
         metrics::counter!("node_far_loads_received_total").increment(1);
         if self.state.placement.load().far_loads {
-            let entries = vec![Entry::FarLoads(FarLoads { is_direct: false, ..loads })];
-            let left = *budget;
-            let receivers = |bytes, hosts| {
-                left.receivers_within(report::far::BYTES_PER_S, bytes, hosts, clock::steady())
-            };
-            self.send_sampled(entries, receivers, budget).await;
+            let entry = Entry::FarLoads(FarLoads { is_direct: false, ..loads });
+            self.send_within(report::far::BYTES_PER_S, entry, budget).await;
         }
     }
 
+    /// Sends an entry to random peers, as many as `max` bytes in a second allow.
+    async fn send_within(&self, max: usize, entry: Entry, budget: &mut Budget) {
+        let left = *budget;
+        let receivers = |bytes, hosts| left.receivers_within(max, bytes, hosts, clock::steady());
+        self.send_sampled(vec![entry], receivers, budget).await;
+    }
+
     /// Sends what was heard of engines' caches since the last time. In a large failure domain the
     /// notices go to a random sample of its hosts.
     pub(super) async fn send_cache_notices(
--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -15,8 +15,9 @@
 
 use std::collections::HashMap;
 
-use feed::NOTICE_BYTES_MAX;
-pub use feed::{Batch, Call, Change, Feed, Held, Scope, Sign, Taken, Trouble, receivers_max};
+pub use feed::{
+    Batch, Call, Change, Feed, Held, NOTICE_BYTES_MAX, Scope, Sign, Taken, Trouble, receivers_max,
+};
 pub use index::{ENTRY_BYTES, Index};
 pub use lag::Lag;
 
--- a/crates/policy/src/prefix/feed.rs
+++ b/crates/policy/src/prefix/feed.rs
@@ -21,7 +21,7 @@
 /// Pause after an engine has said that it has no such call.
 const UNSUPPORTED_MS: u64 = 60_000;
 /// Bytes of notices that a host sends each second to the other hosts of its failure domain.
-pub(super) const NOTICE_BYTES_MAX: usize = 16_000;
+pub const NOTICE_BYTES_MAX: usize = 16_000;
 /// How far behind the newest event a late one may be. Older ones are ignored, so that a repeated
 /// event does not undo a newer one about the same part.
 const LATE_MAX: u64 = 64;
