--- a/crates/gateway/src/far_loads.rs
+++ b/crates/gateway/src/far_loads.rs
@@ -68,14 +68,15 @@
 
 impl FarDomains {
     /// Takes a message, with what it tells of the engines of these pools. Engines that are unknown,
-    /// near, or have more requests than can be true are ignored.
+    /// near, or have more requests than can be true are ignored. Returns whether the message is newer
+    /// than what the same host has announced before.
     pub fn accept<'a>(
         &self,
         loads: &FarLoads,
         pools: impl Iterator<Item = &'a Pool> + Clone,
         now: Millis,
-    ) {
-        let Some(made_at) = self.record(loads, now) else { return };
+    ) -> bool {
+        let Some(made_at) = self.record(loads, now) else { return false };
         let mut ignored = 0;
         for FarReport(start, requests, age_ms) in &loads.engines {
             let backend = pools.clone().find_map(|pool| pool.with_start(*start));
@@ -92,6 +93,7 @@
             log::debug!(target: "loads", domain:% = loads.domain, ignored;
                 "engines in a message of another failure domain ignored");
         }
+        true
     }
 
     /// Records a message. Returns when it was made, by this host's clock; `None` if it is not newer
@@ -149,13 +151,13 @@
 }
 
 impl<C> State<C> {
-    /// Takes what another failure domain announces of its engines.
-    pub fn accept_far_loads(&self, loads: &FarLoads, now: Millis) {
+    /// Takes what another failure domain announces of its engines. Returns whether it was news.
+    pub fn accept_far_loads(&self, loads: &FarLoads, now: Millis) -> bool {
         if !self.placement.load().far_loads {
-            return;
+            return false;
         }
         let snapshot = self.snapshot.load();
-        self.far_domains.accept(loads, snapshot.pools.values().map(|pool| &**pool), now);
+        self.far_domains.accept(loads, snapshot.pools.values().map(|pool| &**pool), now)
     }
 
     /// What this host announces of the engines of its failure domain: the mean load of each
@@ -165,7 +167,12 @@
         let snapshot = self.snapshot.load();
         let (mut means, mut reports) = (Vec::new(), Vec::new());
         for (service, pool) in &snapshot.pools {
-            let near = pool.backends.iter().filter(|one| one.is_near && one.is_engine());
+            // Engines that take no work get no requests. They would look idle and attract those of
+            // other failure domains.
+            let near = pool
+                .backends
+                .iter()
+                .filter(|one| one.is_near && one.is_engine() && one.server.accepts_work(now));
             let near: Vec<_> = near.map(|backend| (backend, backend.announced(now))).collect();
             let engines: Vec<Engine> = near.iter().map(|(_, engine)| *engine).collect();
             if engines.is_empty() || means.len() >= SERVICES_MAX {
--- a/crates/gateway/tests/far_loads.rs
+++ b/crates/gateway/tests/far_loads.rs
@@ -59,11 +59,11 @@
 fn newest_load_of_a_domain_counts_for_a_time() {
     let domains = FarDomains::default();
     let take = |message: FarLoads, now| domains.accept(&message, [].into_iter(), now);
-    take(loads(1, 500, 40, &[]), NOW);
+    assert!(take(loads(1, 500, 40, &[]), NOW));
     take(loads(1, 1_000, 50, &[]), NOW + 500);
     assert_eq!(mean(&domains, NOW + 600), Some((0.5, 100)));
-    take(loads(1, 500, 90, &[]), NOW + 700);
-    take(loads(1, 1_000, 90, &[]), NOW + 700);
+    assert!(!take(loads(1, 500, 90, &[]), NOW + 700), "a late message is not passed on");
+    assert!(!take(loads(1, 1_000, 90, &[]), NOW + 700), "nor is a repeated one");
     assert_eq!(mean(&domains, NOW + 700), Some((0.5, 200)), "late, and repeated");
     take(loads(1, 1_500, 60, &[]), NOW + 1_300);
     assert_eq!(mean(&domains, NOW + 1_300), Some((0.6, 299)), "late, less a drift of 1 ms");
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -364,8 +364,9 @@
                 return (Received::default(), Some(Direct::Parts(notice.clone())));
             }
             [Entry::FarLoads(loads)] if loads.is_direct => {
-                self.state.accept_far_loads(loads, now);
-                return (Received::default(), Some(Direct::Loads(loads.clone())));
+                let is_news = self.state.accept_far_loads(loads, now);
+                let passed_on = is_news.then(|| Direct::Loads(loads.clone()));
+                return (Received::default(), passed_on);
             }
             _ => {}
         }
@@ -411,7 +412,7 @@
                     metrics::counter!("node_peer_loads_total").increment(1);
                     let Some(backend) = self.watch.catalog.backend(&backend) else { continue };
                     if let Some(scope) = self.state.announced_loads(&backend) {
-                        let at = now - (message.now.since(at) + delay_ms);
+                        let at = now - message.now.since(at).saturating_add(delay_ms);
                         backend.record_announced_load(load, at, scope, now);
                     }
                 }
@@ -422,14 +423,16 @@
                 Entry::Prefill(prefill) => self.receive_prefill(&prefill, now),
                 Entry::Cached(CacheNotice { start, at, forget, parts }) => {
                     let queued_ms = if at > Millis(0) { message.now.since(at) } else { 0 };
-                    let age_ms = queued_ms + delay_ms;
+                    let age_ms = queued_ms.saturating_add(delay_ms);
                     if forget {
                         self.state.prefixes.forget(start, now - age_ms);
                     }
                     self.state.prefixes.record_heard(start, &parts, age_ms, now);
                 }
                 Entry::Far(notice) => self.state.prefixes.record_far(&notice.parts, now),
-                Entry::FarLoads(loads) => self.state.accept_far_loads(&loads, now),
+                Entry::FarLoads(loads) => {
+                    self.state.accept_far_loads(&loads, now);
+                }
             }
         }
         if is_changed {
