--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -164,6 +164,8 @@
     pub hedge: HedgeState,
     /// The confidence of the smaller model's answer that was dropped for a larger model's.
     pub dropped_confidence: Option<u8>,
+    /// Why an answer of low confidence was passed on, for the log; empty if none was.
+    pub kept_doubtful: &'static str,
 }
 
 impl<C: Codec> Job<C> {
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -13,7 +13,7 @@
 use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response::Parts;
 use policy::canary::{self, Outcome};
-use policy::escalate::{self, Doubt};
+use policy::escalate::{self, Doubt, Verdict};
 use policy::gain;
 use policy::latency::Latency;
 use policy::poison::Answer;
@@ -173,7 +173,7 @@
 
     /// The larger model to ask if a small model's doubtful answer is dropped. Takes the repeat for
     /// it.
-    fn escalation(&self, reply: &Reply) -> Option<usize> {
+    fn escalation(&mut self, reply: &Reply) -> Option<usize> {
         let models = &self.route().models;
         let largest = models.len().saturating_sub(1);
         let may_repeat = self.route().kind.may_repeat() && self.attempts.sent < self.attempts_max;
@@ -181,10 +181,36 @@
             return None;
         }
         let larger = self.next_larger_model(reply.info.confidence?, self.delay_share());
-        let doubt = self.doubt(larger, reply.info.confidence);
+        let doubt = self.doubt_at_engines(larger, reply.info.confidence);
+        let verdict = escalate::decide(&doubt);
         let has_place = pick::has_server(self) || self.has_host();
-        let may_ask = escalate::should_escalate(&doubt) && has_place;
-        (may_ask && self.take_spare_repeat()).then_some(larger)
+        let kept = match verdict {
+            Verdict::Confident => "",
+            Verdict::Late => "late",
+            Verdict::Escalate if !has_place => "no_server",
+            Verdict::Escalate if !self.take_spare_repeat() => "repeats",
+            Verdict::Escalate => return Some(larger),
+        };
+        self.attempts.kept_doubtful = kept;
+        None
+    }
+
+    /// As [`Self::doubt`], with the time that the best engine needs now where engines' speeds are
+    /// weighed. A mean over all engines takes a long prompt for late that a fast engine, or one that
+    /// has its beginning cached, answers in time.
+    fn doubt_at_engines(&mut self, larger: usize, confidence: Option<u8>) -> Doubt {
+        let doubt = self.doubt(larger, confidence);
+        if !self.state.placement.load().speeds {
+            return doubt;
+        }
+        let asked = std::mem::replace(&mut self.attempts.model, larger);
+        let soonest = pick::soonest(self);
+        self.attempts.model = asked;
+        soonest.map_or(doubt, |terms| Doubt {
+            larger_ms: terms.begin_ms(),
+            read_ms: terms.read_ms(),
+            ..doubt
+        })
     }
 
     /// Chooses the model that is asked first: the smallest one, unless a doubtful answer of it
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -164,6 +164,23 @@
     candidates
 }
 
+/// The engine that is expected to begin the answer first, of those that take the request now; `None`
+/// if none does. Nothing is sent, counted or probed.
+#[must_use]
+pub fn soonest<C: Codec>(job: &Job<C>) -> Option<Terms> {
+    let snapshot = job.state.snapshot.load();
+    let pool = snapshot.pools.get(&job.service)?;
+    let version = job.attempts.version.as_ref()?;
+    let now = clock::steady();
+    let drawn = pool.candidates(version, canary::USUAL_LOAD, shared_part(job), rand::random(), now);
+    let Eligible { well, .. } = Eligible::of(job, pool, drawn.backends.iter().copied(), now);
+    let (starts, _) =
+        weigh(job, pool, version, (&well, drawn.preferred), now, |engines, demand, costs| {
+            engine::starts(engines, demand, costs).map(|start| start.terms).collect::<Vec<_>>()
+        });
+    starts.into_iter().min_by(|a, b| a.total_ms().total_cmp(&b.total_ms()))
+}
+
 /// Whether any backend server of the service takes the request now. An answer must not be dropped
 /// if no server can give another one.
 #[must_use]
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -200,6 +200,20 @@
             + self.fetch_ms
             + self.answer_ms
     }
+
+    /// Expected time until the answer begins, in milliseconds: without the costs of distance, of
+    /// failures and to running streams.
+    #[must_use]
+    pub fn begin_ms(&self) -> f64 {
+        (self.load_ms + self.reading_ms) * self.speed_factor + self.wait_ms + self.fetch_ms
+    }
+
+    /// Time that the engine itself takes to read the prompt, in milliseconds; part of
+    /// [`Self::begin_ms`].
+    #[must_use]
+    pub fn read_ms(&self) -> f64 {
+        self.reading_ms * self.speed_factor
+    }
 }
 
 impl Engine {
--- a/crates/policy/tests/escalate.rs
+++ b/crates/policy/tests/escalate.rs
@@ -1,6 +1,9 @@
 //! Escalation to a larger model, by confidence, urgency, time left and load.
 
-use policy::escalate::{Doubt, should_escalate, should_start_with_largest, threshold};
+use policy::engine::{Costs, Demand, Engine, starts};
+use policy::escalate::{
+    Doubt, Verdict, decide, should_escalate, should_start_with_largest, threshold,
+};
 use policy::place::mix;
 use policy::repeat::{Allowance, Window, spare_per_host};
 use policy::time::Millis;
@@ -38,6 +41,45 @@
     assert!(should_escalate(&Doubt { objective_ms: 6_000.0, ..long }));
 }
 
+/// Guards against poor answers to long prompts while a fast engine, or one that has the prompt's
+/// beginning cached, is idle: judged by the mean speed of all engines, each such answer is late.
+#[test]
+fn decide_long_prompt_by_the_engine_that_begins_first() {
+    let usual = Engine { slots: 16, near: true, ..Engine::default() };
+    let fast = Engine { slowdown: -0.6, ..usual };
+    let caching = Engine { cached: 24_000.0, ..usual };
+    let busy = Engine { wait_ms: 2_000.0, ..fast };
+    let demand = Demand {
+        prompt: 40_000.0,
+        shared: 24_000.0,
+        tokens_per_ms: 16.0,
+        service_ms: 6_000.0,
+        far_ms: 375.0,
+        failure_ms: 3_000.0,
+    };
+    let verdict = |engines: &[Engine]| {
+        let costs = Costs::default();
+        let terms = starts(engines, &demand, &costs).map(|start| start.terms);
+        let best = terms.min_by(|a, b| a.total_ms().total_cmp(&b.total_ms())).expect("an engine");
+        decide(&Doubt {
+            waited_ms: 400.0,
+            larger_ms: best.begin_ms(),
+            read_ms: best.read_ms(),
+            objective_ms: 3_000.0,
+            ..DOUBT
+        })
+    };
+    let cases: [(&str, &[Engine], Verdict); 4] = [
+        ("usual engines only", &[usual, usual], Verdict::Late),
+        ("a fast one", &[usual, fast], Verdict::Escalate),
+        ("one with the beginning cached", &[usual, caching], Verdict::Escalate),
+        ("a fast one with a queue", &[usual, busy], Verdict::Late),
+    ];
+    for (name, engines, expected) in cases {
+        assert_eq!(verdict(engines), expected, "{name}");
+    }
+}
+
 #[test]
 fn threshold_falls_with_delay_and_lower_urgency() {
     assert!(threshold(0, 0.1) > threshold(2, 0.1));
