--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -164,7 +164,8 @@
     pub hedge: HedgeState,
     /// The confidence of the smaller model's answer that was dropped for a larger model's.
     pub dropped_confidence: Option<u8>,
-    /// Why an answer of low confidence was passed on, for the log; empty if none was.
+    /// Why a smaller model's answer of low confidence was passed on although the route allowed
+    /// another attempt, for the log; empty otherwise.
     pub kept_doubtful: &'static str,
 }
 
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -174,6 +174,7 @@
     /// The larger model to ask if a small model's doubtful answer is dropped. Takes the repeat for
     /// it.
     fn escalation(&mut self, reply: &Reply) -> Option<usize> {
+        self.attempts.kept_doubtful = "";
         let models = &self.route().models;
         let largest = models.len().saturating_sub(1);
         let may_repeat = self.route().kind.may_repeat() && self.attempts.sent < self.attempts_max;
@@ -181,34 +182,37 @@
             return None;
         }
         let larger = self.next_larger_model(reply.info.confidence?, self.delay_share());
-        let doubt = self.doubt_at_engines(larger, reply.info.confidence);
-        let verdict = escalate::decide(&doubt);
-        let has_place = pick::has_server(self) || self.has_host();
+        let doubt = self.doubt(larger, reply.info.confidence);
+        let verdict = match escalate::decide(&doubt) {
+            Verdict::Keep => return None,
+            Verdict::Late => escalate::decide(&self.doubt_by_placement(larger, doubt)),
+            Verdict::Escalate => Verdict::Escalate,
+        };
         let kept = match verdict {
-            Verdict::Confident => "",
+            Verdict::Keep => "",
             Verdict::Late => "late",
-            Verdict::Escalate if !has_place => "no_server",
-            Verdict::Escalate if !self.take_spare_repeat() => "repeats",
+            Verdict::Escalate if !(pick::has_server(self) || self.has_host()) => "no_server",
+            Verdict::Escalate if !self.take_spare_repeat() => "no_repeat_left",
             Verdict::Escalate => return Some(larger),
         };
         self.attempts.kept_doubtful = kept;
         None
     }
 
-    /// As [`Self::doubt`], with the time that the best engine needs now where engines' speeds are
-    /// weighed. A mean over all engines takes a long prompt for late that a fast engine, or one that
-    /// has its beginning cached, answers in time.
-    fn doubt_at_engines(&mut self, larger: usize, confidence: Option<u8>) -> Doubt {
-        let doubt = self.doubt(larger, confidence);
+    /// The same doubt, with the times of the engine that would be chosen now where engines' speeds
+    /// are weighed. The mean over all engines counts a long prompt as late although a fast engine, or
+    /// one that has its prefix cached, answers in time.
+    fn doubt_by_placement(&mut self, larger: usize, doubt: Doubt) -> Doubt {
         if !self.state.placement.load().speeds {
             return doubt;
         }
-        let asked = std::mem::replace(&mut self.attempts.model, larger);
-        let soonest = pick::soonest(self);
-        self.attempts.model = asked;
-        soonest.map_or(doubt, |terms| Doubt {
-            larger_ms: terms.begin_ms(),
-            read_ms: terms.read_ms(),
+        // Placement takes the model from `attempts`: speeds and cached parts are kept by model.
+        let current = std::mem::replace(&mut self.attempts.model, larger);
+        let best = pick::best_terms(self);
+        self.attempts.model = current;
+        best.map_or(doubt, |terms| Doubt {
+            larger_ms: terms.first_event_ms(),
+            read_ms: terms.prefill_ms(),
             ..doubt
         })
     }
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -164,10 +164,10 @@
     candidates
 }
 
-/// The engine that is expected to begin the answer first, of those that take the request now; `None`
-/// if none does. Nothing is sent, counted or probed.
+/// The cost at the engine that [`choose`] would prefer now, without spill-over; `None` if none of the
+/// candidates takes the request. Nothing is sent, counted or probed.
 #[must_use]
-pub fn soonest<C: Codec>(job: &Job<C>) -> Option<Terms> {
+pub fn best_terms<C: Codec>(job: &Job<C>) -> Option<Terms> {
     let snapshot = job.state.snapshot.load();
     let pool = snapshot.pools.get(&job.service)?;
     let version = job.attempts.version.as_ref()?;
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -192,26 +192,24 @@
     /// The cost that engines are compared by, in milliseconds.
     #[must_use]
     pub fn total_ms(&self) -> f64 {
-        (self.load_ms + self.reading_ms) * self.speed_factor
-            + self.wait_ms
+        self.first_event_ms()
             + self.distance_ms
             + self.suspicion_ms
             + self.streams_ms
-            + self.fetch_ms
             + self.answer_ms
     }
 
-    /// Expected time until the answer begins, in milliseconds: without the costs of distance, of
-    /// failures and to running streams.
+    /// Expected time until the answer begins, in milliseconds: [`Self::total_ms`] without what is
+    /// weighed beside it.
     #[must_use]
-    pub fn begin_ms(&self) -> f64 {
-        (self.load_ms + self.reading_ms) * self.speed_factor + self.wait_ms + self.fetch_ms
+    pub fn first_event_ms(&self) -> f64 {
+        self.load_ms * self.speed_factor + self.prefill_ms() + self.wait_ms + self.fetch_ms
     }
 
     /// Time that the engine itself takes to read the prompt, in milliseconds; part of
-    /// [`Self::begin_ms`].
+    /// [`Self::first_event_ms`].
     #[must_use]
-    pub fn read_ms(&self) -> f64 {
+    pub fn prefill_ms(&self) -> f64 {
         self.reading_ms * self.speed_factor
     }
 }
--- a/crates/policy/src/escalate.rs
+++ b/crates/policy/src/escalate.rs
@@ -79,35 +79,29 @@
     doubt.waited_ms + doubt.larger_ms <= doubt.objective_ms * IN_TIME_FRACTION
 }
 
-/// Why an answer is passed on or dropped.
+/// What to do with a small model's answer, and why.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
-    /// The model reported no confidence, or enough.
-    Confident,
-    /// The confidence is low, but the larger model's answer would come too late.
+    /// Pass it on: no confidence was reported, or it reaches the threshold at the present load.
+    Keep,
+    /// Pass it on although the confidence is low: the larger model's answer would come too late.
     Late,
-    /// The confidence is low, and a larger model is asked.
+    /// Drop it and ask a larger model.
     Escalate,
 }
 
 /// Decides whether to drop the small model's answer and ask a larger model.
 #[must_use]
 pub fn decide(doubt: &Doubt) -> Verdict {
-    let wanted = threshold(doubt.priority, doubt.delay);
+    let threshold = threshold(doubt.priority, doubt.delay);
     // While engines are idle, a right answer that comes late is still better than a poor one. This
     // doesn't hold if its own long prompt makes it late: reading the prompt would delay others too.
     let has_capacity = doubt.delay < IDLE_DELAY_FRACTION
         && doubt.read_ms < doubt.objective_ms * LONG_READ_FRACTION;
     match doubt.confidence {
-        None => Verdict::Confident,
-        Some(confidence) if f64::from(confidence) >= wanted => Verdict::Confident,
+        None => Verdict::Keep,
+        Some(confidence) if f64::from(confidence) >= threshold => Verdict::Keep,
         Some(_) if is_in_time(doubt) || has_capacity => Verdict::Escalate,
         Some(_) => Verdict::Late,
     }
 }
-
-/// Whether to drop the small model's answer and ask a larger model.
-#[must_use]
-pub fn should_escalate(doubt: &Doubt) -> bool {
-    decide(doubt) == Verdict::Escalate
-}
--- a/crates/policy/tests/escalate.rs
+++ b/crates/policy/tests/escalate.rs
@@ -1,9 +1,7 @@
 //! Escalation to a larger model, by confidence, urgency, time left and load.
 
 use policy::engine::{Costs, Demand, Engine, starts};
-use policy::escalate::{
-    Doubt, Verdict, decide, should_escalate, should_start_with_largest, threshold,
-};
+use policy::escalate::{Doubt, Verdict, decide, should_start_with_largest, threshold};
 use policy::place::mix;
 use policy::repeat::{Allowance, Window, spare_per_host};
 use policy::time::Millis;
@@ -18,6 +16,10 @@
     delay: 0.1,
 };
 
+fn should_escalate(doubt: &Doubt) -> bool {
+    decide(doubt) == Verdict::Escalate
+}
+
 #[test]
 fn should_escalate_only_low_confidence() {
     assert!(should_escalate(&DOUBT));
@@ -44,7 +46,7 @@
 /// Guards against poor answers to long prompts while a fast engine, or one that has the prompt's
 /// beginning cached, is idle: judged by the mean speed of all engines, each such answer is late.
 #[test]
-fn decide_long_prompt_by_the_engine_that_begins_first() {
+fn decide_long_prompt_by_the_engine_that_would_be_chosen() {
     let usual = Engine { slots: 16, near: true, ..Engine::default() };
     let fast = Engine { slowdown: -0.6, ..usual };
     let caching = Engine { cached: 24_000.0, ..usual };
@@ -63,8 +65,8 @@
         let best = terms.min_by(|a, b| a.total_ms().total_cmp(&b.total_ms())).expect("an engine");
         decide(&Doubt {
             waited_ms: 400.0,
-            larger_ms: best.begin_ms(),
-            read_ms: best.read_ms(),
+            larger_ms: best.first_event_ms(),
+            read_ms: best.prefill_ms(),
             objective_ms: 3_000.0,
             ..DOUBT
         })
--- a/crates/policy/tests/peak.rs
+++ b/crates/policy/tests/peak.rs
@@ -5,7 +5,7 @@
 
 use policy::backlog::{Backlog, Prompt};
 use policy::engine::{Demand, Engine, choose};
-use policy::escalate::{Doubt, should_escalate};
+use policy::escalate::{Doubt, Verdict, decide};
 use policy::latency::Latency;
 use policy::place::mix;
 use policy::prefill::Speed;
@@ -237,7 +237,7 @@
         };
         let escalates = match escalation {
             Escalation::Always => confidence < 50.0,
-            Escalation::Policy => should_escalate(&doubt),
+            Escalation::Policy => decide(&doubt) == Verdict::Escalate,
             Escalation::Never => false,
         };
         if escalates {
