--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -203,7 +203,7 @@
     /// weighed beside it.
     #[must_use]
     pub fn first_event_ms(&self) -> f64 {
-        self.load_ms * self.speed_factor + self.prefill_ms() + self.wait_ms + self.fetch_ms
+        (self.load_ms + self.reading_ms) * self.speed_factor + self.wait_ms + self.fetch_ms
     }
 
     /// Time that the engine itself takes to read the prompt, in milliseconds; part of
