--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -94,7 +94,8 @@
                     let is_new = |(key, row): &&(Key, Row)| key.0 == table && row.version > after;
                     let left = until.saturating_duration_since(Instant::now());
                     if left.is_zero() || tables.history.iter().any(|change| is_new(&change)) {
-                        let rows = tables.history.iter().filter(is_new).map(|(key, row)| (key, row));
+                        let rows =
+                            tables.history.iter().filter(is_new).map(|(key, row)| (key, row));
                         return (200, self.rows(&tables, rows));
                     }
                     tables = self.tables.1.wait_timeout(tables, left).unwrap().0;
