Roll-outs: a log line and a counter for each answer on trial, also for uncounted ones

The three hypotheses can't be told apart from what is logged today: the pace by which a stream was judged stands nowhere beside the usual one, an answer that ended at its deadline or with its caller leaves no trace in the roll-out, and the old version's counts don't say which of them are from before the trial.

`answer on trial` says for each answer of the new version its sign or why it has none, its time and the usual one; `gateway_rollout_answers_total` counts both versions; `Evidence::before` is the old version's part from before the trial. What counts answers moves from `judge` to a module of its own, `trial`.

--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -11,6 +11,8 @@
 pub enum Cohort {
     /// The version before.
     Old,
+    /// The version before, while it received all requests because the trial had not begun.
+    Before,
     /// The version on trial, while it received a share of the requests.
     New,
     /// The version on trial, for a request that arrived while few of its servers had peak load.
@@ -19,6 +21,26 @@
     NewAtFull,
 }
 
+impl Cohort {
+    /// The value of the `cohort` label in logs and metrics.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Old => "old",
+            Self::Before => "before",
+            Self::New => "new",
+            Self::NewAtPeak => "new_at_peak",
+            Self::NewAtFull => "new_at_full",
+        }
+    }
+
+    /// Whether the version on trial gave the answer.
+    #[must_use]
+    pub fn is_new(self) -> bool {
+        matches!(self, Self::New | Self::NewAtPeak | Self::NewAtFull)
+    }
+}
+
 /// How an answer was counted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CountedAnswer {
@@ -42,6 +64,10 @@
             .or_insert_with(|| Evidence { route: route.clone(), ..Evidence::default() });
         match cohort {
             Cohort::Old => evidence.old.record(sign),
+            Cohort::Before => {
+                evidence.old.record(sign);
+                evidence.before.record(sign);
+            }
             Cohort::New => evidence.new.record(sign),
             Cohort::NewAtPeak => {
                 evidence.new.record(sign);
@@ -64,6 +90,10 @@
         };
         match counted.cohort {
             Cohort::Old => evidence.old.retract(counted.sign),
+            Cohort::Before => {
+                evidence.old.retract(counted.sign);
+                evidence.before.retract(counted.sign);
+            }
             Cohort::New => evidence.new.retract(counted.sign),
             Cohort::NewAtPeak => {
                 evidence.new.retract(counted.sign);
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -12,10 +12,8 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response::Parts;
-use policy::canary::{self, Outcome};
 use policy::escalate::{self, Doubt, Verdict};
 use policy::gain;
-use policy::latency::Latency;
 use policy::poison::Answer;
 use wire::routing::Kind;
 
@@ -23,13 +21,10 @@
 use crate::backend::Backend;
 use crate::carry::AcceptedAnswer;
 use crate::codec::Codec;
-use crate::evidence::{Cohort, CountedAnswer};
 use crate::holder::{Expired, MemoryWait};
 use crate::job::Job;
 use crate::pick;
-use crate::pool::Pool;
 use crate::relay::LiveStream;
-use crate::timing::Timing;
 
 /// Longest piece of a body that a connection yields at once.
 const NEXT_BYTES_MAX: usize = 64 << 10;
@@ -286,33 +281,6 @@
         self.state.delays.with(&self.service, |delay| delay.record(share, clock::steady()));
     }
 
-    /// Counts an answer for the roll-out in progress. `took_ms` is the answer's time, for a stream
-    /// the time per event; `None` if the answer failed.
-    pub fn record_for_rollout(&self, backend: &Backend, took_ms: Option<f64>) {
-        if backend.is_host {
-            return;
-        }
-        let sign = match took_ms {
-            None => Outcome::Failed,
-            Some(ms) => self.compare_with_usual(backend, ms, |timing| &mut timing.short),
-        };
-        self.record_sign(backend, sign);
-    }
-
-    /// Counts a stream for the roll-out in progress, by its pace in milliseconds per event.
-    ///
-    /// Few streams of a slow version end before the verdict. If streams were counted only at their
-    /// ends, the fast ones among them would speak for the version.
-    pub fn record_pace(&self, backend: &Backend, pace_ms: f64) -> Option<CountedAnswer> {
-        if backend.is_host {
-            return None;
-        }
-        self.record_sign(
-            backend,
-            self.compare_with_usual(backend, pace_ms, |timing| &mut timing.pace),
-        )
-    }
-
     /// Records the speed of an engine, by the pace of a stream that has ended.
     pub fn record_engine_speed(&self, backend: &Backend, pace_ms: f64) {
         // Streams through another host are recorded there.
@@ -326,50 +294,6 @@
             self.state.paces.record(&backend.id, shown);
         }
     }
-
-    /// Retracts a stream that was counted by its pace and has broken now.
-    pub fn retract_pace(&self, counted: CountedAnswer) {
-        self.state.tally.retract(&self.service, &self.route().name, counted);
-    }
-
-    /// Judges whether a time is much longer than usual. What is usual is learnt from the versions
-    /// that are not on trial.
-    fn compare_with_usual(
-        &self,
-        backend: &Backend,
-        ms: f64,
-        select: impl FnOnce(&mut Timing) -> &mut Latency,
-    ) -> Outcome {
-        let is_usual = self.is_timed(backend);
-        let usual_ms = self.state.timings.with(self.timing_key(), |timing| {
-            let usual = select(timing);
-            let before = usual.mean_ms(f64::INFINITY);
-            if is_usual {
-                usual.record(ms, clock::steady());
-            }
-            before
-        });
-        if canary::is_slow(ms, usual_ms) { Outcome::Slow } else { Outcome::Good }
-    }
-
-    fn record_sign(&self, backend: &Backend, sign: Outcome) -> Option<CountedAnswer> {
-        let snapshot = self.state.snapshot.load();
-        let pool: Option<&Arc<Pool>> = snapshot.pools.get(&self.service);
-        let trial = pool.and_then(|pool| pool.rollout.as_ref()).filter(|trial| trial.is_open());
-        let trial = trial?;
-        let now = clock::steady();
-        let arrived_at = now - self.started.elapsed().as_millis() as u64;
-        let cohort = match backend.version == trial.target {
-            false => Cohort::Old,
-            // A request that arrived under peak load is in flight for a while with all others that
-            // arrived then.
-            true if trial.is_at_peak(arrived_at) => Cohort::NewAtPeak,
-            true if trial.has_all(now) => Cohort::NewAtFull,
-            true => Cohort::New,
-        };
-        self.state.tally.record(&self.service, &self.route().name, cohort, sign);
-        Some(CountedAnswer { cohort, sign })
-    }
 }
 
 /// Joins the pieces of a body. Most answers come in one piece.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod snapshot;
 pub mod state;
 pub mod timing;
+pub mod trial;
 pub mod unavailable;
 pub mod volume;
 pub mod wait;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -401,6 +401,9 @@
     }
     if end == End::CallerGone {
         job.record_abandoned(&live.backend);
+        if live.counted.is_none() {
+            job.record_uncounted(&live.backend, "caller_gone");
+        }
     }
     end::log(job, end, live.progress);
 }
--- /dev/null
+++ b/crates/gateway/src/trial.rs
@@ -0,0 +1,133 @@
+//! Counts what answers say about the versions of a roll-out in progress.
+
+use std::sync::Arc;
+
+use entry::clock;
+use policy::canary::{self, Outcome};
+use policy::latency::Latency;
+
+use crate::backend::Backend;
+use crate::codec::Codec;
+use crate::evidence::{Cohort, CountedAnswer};
+use crate::job::Job;
+use crate::pool::Pool;
+use crate::timing::Timing;
+
+impl<C: Codec> Job<C> {
+    /// Counts an answer for the roll-out in progress. `took_ms` is the answer's time, for a stream
+    /// the time per event; `None` if the answer failed.
+    pub fn record_for_rollout(&self, backend: &Backend, took_ms: Option<f64>) {
+        if backend.is_host {
+            return;
+        }
+        let Some(ms) = took_ms else {
+            self.record_sign(backend, Outcome::Failed, None);
+            return;
+        };
+        let (sign, usual_ms) = self.compare_with_usual(backend, ms, |timing| &mut timing.short);
+        self.record_sign(backend, sign, Some((ms, usual_ms)));
+    }
+
+    /// Counts a stream for the roll-out in progress, by its pace in milliseconds per event.
+    ///
+    /// Few streams of a slow version end before the verdict. If streams were counted only at their
+    /// ends, the fast ones among them would speak for the version.
+    pub fn record_pace(&self, backend: &Backend, pace_ms: f64) -> Option<CountedAnswer> {
+        if backend.is_host {
+            return None;
+        }
+        let (sign, usual_ms) = self.compare_with_usual(backend, pace_ms, |timing| &mut timing.pace);
+        self.record_sign(backend, sign, Some((pace_ms, usual_ms)))
+    }
+
+    /// Retracts a stream that was counted by its pace and has broken now.
+    pub fn retract_pace(&self, counted: CountedAnswer) {
+        self.state.tally.retract(&self.service, &self.route().name, counted);
+    }
+
+    /// Logs and counts an answer that ended without being counted; `why` is the reason.
+    pub fn record_uncounted(&self, backend: &Backend, why: &'static str) {
+        let Some(cohort) = self.cohort(backend).filter(|_| !backend.is_host) else { return };
+        self.log_sign(backend, cohort, why, None);
+    }
+
+    /// Judges whether a time is much longer than usual, and returns the usual time as well. What is
+    /// usual is learnt from the versions that are not on trial.
+    fn compare_with_usual(
+        &self,
+        backend: &Backend,
+        ms: f64,
+        select: impl FnOnce(&mut Timing) -> &mut Latency,
+    ) -> (Outcome, f64) {
+        let is_usual = self.is_timed(backend);
+        let usual_ms = self.state.timings.with(self.timing_key(), |timing| {
+            let usual = select(timing);
+            let before = usual.mean_ms(f64::INFINITY);
+            if is_usual {
+                usual.record(ms, clock::steady());
+            }
+            before
+        });
+        let is_slow = canary::is_slow(ms, usual_ms);
+        (if is_slow { Outcome::Slow } else { Outcome::Good }, usual_ms)
+    }
+
+    /// Counts an answer of a version that takes part in a roll-out. `times` are its time and the
+    /// usual one, in milliseconds.
+    fn record_sign(
+        &self,
+        backend: &Backend,
+        sign: Outcome,
+        times: Option<(f64, f64)>,
+    ) -> Option<CountedAnswer> {
+        let cohort = self.cohort(backend)?;
+        self.state.tally.record(&self.service, &self.route().name, cohort, sign);
+        let label = match sign {
+            Outcome::Good => "good",
+            Outcome::Slow => "slow",
+            Outcome::Failed => "failed",
+        };
+        self.log_sign(backend, cohort, label, times);
+        Some(CountedAnswer { cohort, sign })
+    }
+
+    /// The cohort of an answer that comes now from a backend server; `None` outside of roll-outs.
+    fn cohort(&self, backend: &Backend) -> Option<Cohort> {
+        let snapshot = self.state.snapshot.load();
+        let pool: Option<&Arc<Pool>> = snapshot.pools.get(&self.service);
+        let trial = pool.and_then(|pool| pool.rollout.as_ref()).filter(|trial| trial.is_open())?;
+        let now = clock::steady();
+        let arrived_at = now - self.started.elapsed().as_millis() as u64;
+        Some(match backend.version == trial.target {
+            false if canary::is_trial_begun(trial.elapsed(now)) => Cohort::Old,
+            false => Cohort::Before,
+            // A request that arrived under peak load is in flight for a while with all others that
+            // arrived then.
+            true if trial.is_at_peak(arrived_at) => Cohort::NewAtPeak,
+            true if trial.has_all(now) => Cohort::NewAtFull,
+            true => Cohort::New,
+        })
+    }
+
+    /// Counts an answer in the metrics, and logs it if the version on trial gave it: a share of the
+    /// requests for some seconds.
+    fn log_sign(
+        &self,
+        backend: &Backend,
+        cohort: Cohort,
+        sign: &'static str,
+        times: Option<(f64, f64)>,
+    ) {
+        metrics::counter!("gateway_rollout_answers_total", "service" => self.service.to_string(),
+            "cohort" => cohort.label(), "sign" => sign)
+        .increment(1);
+        if !cohort.is_new() {
+            return;
+        }
+        let (ms, usual_ms) = times.unwrap_or_default();
+        log::info!(target: "route", request:% = self.info.id, service:% = self.service,
+            route:% = self.route().name, version:% = backend.version, backend:% = backend.id,
+            cohort = cohort.label(), sign, ms, usual_ms,
+            age_ms = self.started.elapsed().as_millis() as u64; "answer on trial");
+    }
+}
--- a/crates/node/src/counts.rs
+++ b/crates/node/src/counts.rs
@@ -79,6 +79,7 @@
         match sum.iter_mut().find(|existing| existing.route == counts.route) {
             Some(existing) => {
                 existing.old.add(counts.old);
+                existing.before.add(counts.before);
                 existing.new.add(counts.new);
                 existing.full.add(counts.full);
                 existing.peak.add(counts.peak);
--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -155,6 +155,9 @@
         pub route: Name,
         /// Answers of the old version.
         pub old: Count,
+        /// The part of `old` from before the trial.
+        #[serde(default)]
+        pub before: Count,
         /// Answers of the new version.
         pub new: Count,
         /// The part of `new` since the new version has had all requests.
@@ -491,8 +494,14 @@
     }
 }
 
+/// Whether the trial has begun: requests may go to the new version.
+#[must_use]
+pub fn is_trial_begun(elapsed: f64) -> bool {
+    elapsed >= TRIAL_START_FRACTION
+}
+
 /// Whether the hosts' evidence is needed now: the trial has begun and no final stage is reached.
 #[must_use]
 pub fn needs_evidence(stage: Stage, elapsed: f64) -> bool {
-    matches!(stage, Stage::Trial | Stage::Moving) && elapsed >= TRIAL_START_FRACTION
+    matches!(stage, Stage::Trial | Stage::Moving) && is_trial_begun(elapsed)
 }
--- a/crates/policy/tests/canary.rs
+++ b/crates/policy/tests/canary.rs
@@ -379,7 +379,7 @@
     let route = |name: &str, old: (u32, u32), new: (u32, u32), peak: (u32, u32)| {
         let count = |(answers, slow)| Count { answers, bad: 0, slow };
         let (old, new, peak) = (count(old), count(new), count(peak));
-        Evidence { route: Name::from(name), old, new, peak, full: Count::default() }
+        Evidence { route: Name::from(name), old, new, peak, ..Evidence::default() }
     };
     let slow = [
         route("summaries", (68, 0), (2, 2), (2, 2)),
