--- a/crates/standin/src/routed/answer.rs
+++ b/crates/standin/src/routed/answer.rs
@@ -1,7 +1,7 @@
 //! Answers as scripted: whole ones, and streams of events.
 
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures::{StreamExt, stream};
@@ -17,6 +17,8 @@
 
 /// Event id that stands for a cut of the connection. No stream is that long.
 const CUT_ID: u64 = u64::MAX - 1;
+/// Pause between two events of a burst, so that they arrive one by one.
+const BURST_PAUSE: Duration = Duration::from_millis(1);
 
 /// The runs of a server that calls for copies have stopped, by the ids of their requests.
 pub(super) type StoppedRuns = Arc<Mutex<Vec<String>>>;
@@ -119,6 +121,15 @@
     }))
 }
 
+/// The pause before an event that is not the first; `number` counts the events from 0.
+fn pause_before(script: &Script, number: u64) -> Duration {
+    let events = script.burst.max(1) as u32;
+    match (number - 1).is_multiple_of(u64::from(events)) {
+        true => script.pause * events - BURST_PAUSE.min(script.pause) * (events - 1),
+        false => BURST_PAUSE.min(script.pause),
+    }
+}
+
 /// The events of a run, which is given by its request's id.
 pub(super) fn events(script: Script, first: u64, work: Work, run: (String, StoppedRuns)) -> Body {
     let pieces = stream::unfold((first, work), move |(id, mut work)| {
@@ -129,7 +140,7 @@
                 return None;
             }
             if id > first {
-                tokio::time::sleep(script.pause).await;
+                tokio::time::sleep(pause_before(&script, id - first)).await;
             }
             if id == first + 1 {
                 tokio::time::sleep(script.prompt_delay).await;
--- a/crates/standin/src/routed/script.rs
+++ b/crates/standin/src/routed/script.rs
@@ -51,6 +51,9 @@
     /// Additional pause before the second event of an answer, as when the engine reads other
     /// prompts.
     pub prompt_delay: Duration,
+    /// Number of events that arrive in a burst, shortly after one another, when the last of them is
+    /// due; as on a network that holds pieces back and then delivers all of them.
+    pub burst: u64,
     /// Id of the event in whose middle the connection is cut; `None` for no cut.
     pub cut_in_event: Option<u64>,
     /// Id of the event after which the server sends nothing more, with the connection open; `None`
@@ -66,6 +69,7 @@
             events: 5,
             pause: Duration::from_millis(2),
             prompt_delay: Duration::ZERO,
+            burst: 1,
             cut_in_event: None,
             silent_after_event: None,
             confidence: None,
