Pace: events that arrive together share the gap before them

Cause: a stream was judged by the shortest of its first five gaps. A network, or a process that was not running for a moment, delivers together what was sent one by one; one such gap makes a slow stream quick. The estimate took what may be a fault of the measurement for the stream's own pace, and nothing told the two apart.

Change: `policy::pace` gives two bounds. Events within 5 ms of one another share the gap before them, and events that came with the first one, whose gap nobody saw, don't count. Slow: no piece came at the usual pace. Good: three gaps in a row at the usual pace, which one delay can't fake, since the events behind it come no sooner. Between them the stream is not counted yet; ten gaps without three quick ones in a row are slow.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,7 +11,7 @@
 use entry::server::Lease;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use policy::pace::Pace;
+use policy::pace::{Bounds, Pace};
 use policy::poison;
 use policy::silence;
 use tokio::sync::mpsc;
@@ -71,6 +71,8 @@
     quiet_since: Instant,
     /// Counts the buffer of the connection, and events that were not passed on yet.
     charge: Charge,
+    /// Whether the stream's pace was judged.
+    is_judged: bool,
     /// How the stream was counted for a roll-out, if it was.
     counted: Option<CountedAnswer>,
     // Dropping the connection closes it, which stops the backend server's work.
@@ -118,6 +120,7 @@
             last_events_at: None,
             quiet_since: Instant::now(),
             charge,
+            is_judged: false,
             counted: None,
             _connection: connection,
             _lease: lease,
@@ -200,8 +203,19 @@
         let now = Instant::now();
         let Some(before) = self.last_events_at.replace(now) else { return };
         let ms = now.saturating_duration_since(before).as_secs_f64() * 1_000.0;
-        if let Some(pace_ms) = self.pace.record(events, ms) {
-            self.counted = job.record_pace(&self.backend, pace_ms);
+        if let Some(bounds) = self.pace.record(events, ms) {
+            self.judge_pace(job, bounds);
+        }
+    }
+
+    /// Counts the stream if its pace is known and it has not been counted.
+    fn judge_pace<C: Codec>(&mut self, job: &Job<C>, bounds: Bounds) {
+        if self.is_judged {
+            return;
+        }
+        if let Some(sign) = job.judge_pace(bounds) {
+            self.is_judged = true;
+            self.counted = job.record_pace(&self.backend, bounds, sign);
         }
     }
 
@@ -313,12 +327,12 @@
         };
         let cause = match end {
             Ok(()) => {
-                finish(&job, &live, End::Answered);
+                finish(&job, &mut live, End::Answered);
                 return true;
             }
             Err(End::Broken(cause)) => cause,
             Err(end) => {
-                finish(&job, &live, end);
+                finish(&job, &mut live, end);
                 return false;
             }
         };
@@ -379,7 +393,7 @@
     }
 }
 
-fn finish<C: Codec>(job: &Job<C>, live: &LiveStream, end: End) {
+fn finish<C: Codec>(job: &Job<C>, live: &mut LiveStream, end: End) {
     live.record_engine_speed(job);
     if end == End::Answered {
         live.backend.record_outcome(false, clock::steady());
@@ -388,11 +402,12 @@
             false => poison::Answer::Unframed,
         });
         let ms = live.sent_at.elapsed().as_secs_f64() * 1_000.0;
-        if !live.pace.is_judged() {
-            job.record_for_rollout(
-                &live.backend,
-                Some(ms / f64::from(live.progress.events.max(1))),
-            );
+        match live.pace.bounds() {
+            Some(bounds) => live.judge_pace(job, Bounds { is_final: true, ..bounds }),
+            None => {
+                let ms = ms / f64::from(live.progress.events.max(1));
+                job.record_for_rollout(&live.backend, Some(ms));
+            }
         }
         if job.is_timed(&live.backend) {
             let now = clock::steady();
@@ -401,7 +416,7 @@
     }
     if end == End::CallerGone {
         job.record_abandoned(&live.backend);
-        if live.counted.is_none() {
+        if !live.is_judged {
             job.record_uncounted(&live.backend, "caller_gone");
         }
     }
--- a/crates/gateway/src/trial.rs
+++ b/crates/gateway/src/trial.rs
@@ -5,6 +5,7 @@
 use entry::clock;
 use policy::canary::{self, Outcome};
 use policy::latency::Latency;
+use policy::pace::Bounds;
 
 use crate::backend::Backend;
 use crate::codec::Codec;
@@ -24,20 +25,33 @@
             self.record_sign(backend, Outcome::Failed, None);
             return;
         };
-        let (sign, usual_ms) = self.compare_with_usual(backend, ms, |timing| &mut timing.short);
+        let usual_ms = self.usual_ms(|timing| timing.short);
+        self.record_usual(backend, ms, |timing| &mut timing.short);
+        let sign = if canary::is_slow(ms, usual_ms) { Outcome::Slow } else { Outcome::Good };
         self.record_sign(backend, sign, Some((ms, usual_ms)));
     }
 
-    /// Counts a stream for the roll-out in progress, by its pace in milliseconds per event.
+    /// What a stream's pace says about its version; `None` if it is not known yet.
+    pub fn judge_pace(&self, bounds: Bounds) -> Option<Outcome> {
+        bounds.outcome(self.usual_ms(|timing| timing.pace))
+    }
+
+    /// Counts a stream for the roll-out in progress, by what its pace says.
     ///
     /// Few streams of a slow version end before the verdict. If streams were counted only at their
     /// ends, the fast ones among them would speak for the version.
-    pub fn record_pace(&self, backend: &Backend, pace_ms: f64) -> Option<CountedAnswer> {
+    pub fn record_pace(
+        &self,
+        backend: &Backend,
+        bounds: Bounds,
+        sign: Outcome,
+    ) -> Option<CountedAnswer> {
         if backend.is_host {
             return None;
         }
-        let (sign, usual_ms) = self.compare_with_usual(backend, pace_ms, |timing| &mut timing.pace);
-        self.record_sign(backend, sign, Some((pace_ms, usual_ms)))
+        let usual_ms = self.usual_ms(|timing| timing.pace);
+        self.record_usual(backend, bounds.least_ms, |timing| &mut timing.pace);
+        self.record_sign(backend, sign, Some((bounds.least_ms, usual_ms)))
     }
 
     /// Retracts a stream that was counted by its pace and has broken now.
@@ -51,25 +65,22 @@
         self.log_sign(backend, cohort, why, None);
     }
 
-    /// Judges whether a time is much longer than usual, and returns the usual time as well. What is
-    /// usual is learnt from the versions that are not on trial.
-    fn compare_with_usual(
+    /// The usual time of answers, in milliseconds.
+    fn usual_ms(&self, select: impl FnOnce(&Timing) -> Latency) -> f64 {
+        self.state.timings.with(self.timing_key(), |timing| select(timing).mean_ms(f64::INFINITY))
+    }
+
+    /// Learns what is usual, from the versions that are not on trial.
+    fn record_usual(
         &self,
         backend: &Backend,
         ms: f64,
         select: impl FnOnce(&mut Timing) -> &mut Latency,
-    ) -> (Outcome, f64) {
-        let is_usual = self.is_timed(backend);
-        let usual_ms = self.state.timings.with(self.timing_key(), |timing| {
-            let usual = select(timing);
-            let before = usual.mean_ms(f64::INFINITY);
-            if is_usual {
-                usual.record(ms, clock::steady());
-            }
-            before
-        });
-        let is_slow = canary::is_slow(ms, usual_ms);
-        (if is_slow { Outcome::Slow } else { Outcome::Good }, usual_ms)
+    ) {
+        if self.is_timed(backend) {
+            let now = clock::steady();
+            self.state.timings.with(self.timing_key(), |timing| select(timing).record(ms, now));
+        }
     }
 
     /// Counts an answer of a version that takes part in a roll-out. `times` are its time and the
--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -155,9 +155,6 @@
         pub route: Name,
         /// Answers of the old version.
         pub old: Count,
-        /// The part of `old` from before the trial.
-        #[serde(default)]
-        pub before: Count,
         /// Answers of the new version.
         pub new: Count,
         /// The part of `new` since the new version has had all requests.
@@ -167,6 +164,9 @@
         /// these answers took is no evidence against the version.
         #[serde(default)]
         pub peak: Count,
+        /// The part of `old` from before the trial.
+        #[serde(default)]
+        pub before: Count,
     }
 
     /// Conclusion from the evidence of all routes.
