Roll-outs: each request that is sent counts, also if its answer never comes

Cause: an attempt was counted when its answer was judged. What ended at its deadline, or with its caller, or was still under way at the verdict, left no trace, so of a slow version the quick answers alone were counted and spoke for it. An attempt that was cancelled for a hedge was even compared, by the time waited so far, as if it had answered.

Change: an attempt is watched from its sending (`evidence::Watched`) until it is judged. It is due when a plain answer would be slow, when a stream should have begun, or should have shown its pace. Overdue it counts as slow at once, and for good if it ends without having been judged, whatever ended it. A stream that was judged by its pace and misses its deadline is slow. Both versions are counted so.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,6 +18,7 @@
 
 use crate::backend::{Backend, Prefill};
 use crate::codec::{AnswerInfo, AttemptInfo, Codec};
+use crate::evidence::Watched;
 use crate::hedge::Collected;
 use crate::job::Job;
 use crate::recall::Forwarding;
@@ -65,6 +66,8 @@
     /// The request at the other host that it went through, if any. Dropped before the answer is
     /// complete, it recalls the request.
     pub forwarding: Option<Forwarding>,
+    /// Counts the request for a roll-out until its answer is judged.
+    pub watched: Option<Watched>,
 }
 
 /// Why an attempt gave no answer.
@@ -133,7 +136,15 @@
     let load_class = job.load_class(backend);
     let lease = Lease::new(Arc::clone(&backend.server));
     let (sent_at, sent) = (Instant::now(), clock::steady());
-    let response = wait_for_head(job, backend, connection.send(request, job.time_left())).await?;
+    let watched = job.watch(backend, sent);
+    let answered = wait_for_head(job, backend, connection.send(request, job.time_left())).await;
+    let (response, watched) = match answered {
+        Ok(response) => (response, watched),
+        Err(failure) => {
+            job.end_watch(watched, failure);
+            return Err(failure);
+        }
+    };
     if !connection.is_reused() {
         job.state.record_reached();
     }
@@ -156,7 +167,10 @@
         }
         record_statement(job, backend, &info, sent);
     }
-    check_answer(job, &head, &info)?;
+    if let Err(failure) = check_answer(job, &head, &info) {
+        job.end_watch(watched, failure);
+        return Err(failure);
+    }
     let wait_ms = estimate.wait_ms.max(fetch_ms);
     let expected_ms = wait_ms + read_ms;
     job.record_fetch(head_ms, expected_ms, clock::steady());
@@ -180,6 +194,7 @@
         head_ms,
         expected_ms,
         forwarding: None,
+        watched,
     })
 }
 
--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -148,9 +148,7 @@
                 self.attempts.may_have_run = true;
                 self.attempts.needs_new_connection = true;
                 self.record_failed_server(Some(backend.id.clone()));
-                if self.time_left().is_zero() {
-                    self.record_uncounted(backend, "deadline");
-                } else {
+                if !self.time_left().is_zero() {
                     backend.record_outcome(true, now);
                     self.record_for_rollout(backend, None);
                 }
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -222,6 +222,7 @@
                     head_ms,
                     expected_ms: head_ms,
                     forwarding: Some(forwarding),
+                    watched: None,
                 })
             }
         }
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -1,10 +1,12 @@
 //! Counts the answers of versions under roll-out on this host.
 
 use std::collections::BTreeMap;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use policy::canary::{Evidence, Outcome};
+use entry::clock;
+use policy::canary::{Count, Evidence, Outcome};
 use policy::name::Name;
+use policy::time::Millis;
 
 /// The version that gave an answer, and under which load.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -50,71 +52,149 @@
     pub sign: Outcome,
 }
 
+/// A request that was sent to a version that takes part in a roll-out.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    /// The id of the request.
+    pub request: Name,
+    /// The service that answers.
+    pub service: Name,
+    /// The route that the request came by.
+    pub route: Name,
+    /// The version that was asked, and under which load.
+    pub cohort: Cohort,
+    /// When the answer is slow if it has not been judged.
+    pub due: Millis,
+}
+
 /// Counts of answers by service and route, for roll-outs in progress.
 #[derive(Default)]
-pub struct Tally(Mutex<BTreeMap<Name, BTreeMap<Name, Evidence>>>);
+pub struct Tally(Mutex<Counts>);
+
+#[derive(Default)]
+struct Counts {
+    /// Answers that were judged, by service and route.
+    judged: BTreeMap<Name, BTreeMap<Name, Evidence>>,
+    /// Requests whose answers have not been judged yet.
+    open: BTreeMap<u64, Sent>,
+    /// Number of requests that were watched so far.
+    watched: u64,
+}
+
+/// A request whose answer has not been judged yet. If it is dropped before that, when its answer is
+/// due already, it counts as slow: whatever ended it, the answer has not come in the usual time.
+#[must_use]
+pub struct Watched {
+    tally: Arc<Tally>,
+    number: u64,
+}
+
+impl Watched {
+    /// Sets when the answer is due.
+    pub fn extend(&self, due: Millis) {
+        if let Some(sent) = self.tally.lock().open.get_mut(&self.number) {
+            sent.due = due;
+        }
+    }
+
+    /// Ends the watch: the answer was judged, or it says nothing about its version.
+    pub fn resolve(self) {
+        self.tally.lock().open.remove(&self.number);
+    }
+}
+
+impl Drop for Watched {
+    fn drop(&mut self) {
+        let Some(sent) = self.tally.lock().open.remove(&self.number) else { return };
+        let is_overdue = clock::steady() >= sent.due;
+        if is_overdue {
+            self.tally.record(&sent.service, &sent.route, sent.cohort, Outcome::Slow);
+        }
+        log_missed(&sent, if is_overdue { "missed" } else { "uncounted" });
+    }
+}
+
+/// Logs and counts a request whose answer was never judged.
+fn log_missed(sent: &Sent, sign: &'static str) {
+    metrics::counter!("gateway_rollout_answers_total", "service" => sent.service.to_string(),
+        "cohort" => sent.cohort.label(), "sign" => sign)
+    .increment(1);
+    if sent.cohort.is_new() {
+        log::info!(target: "route", request:% = sent.request, service:% = sent.service,
+            route:% = sent.route, cohort = sent.cohort.label(), sign; "no answer on trial");
+    }
+}
+
+/// The part of a route's evidence that a cohort counts in, beside the version's whole.
+fn counts_of(evidence: &mut Evidence, cohort: Cohort) -> (&mut Count, Option<&mut Count>) {
+    match cohort {
+        Cohort::Old => (&mut evidence.old, None),
+        Cohort::Before => (&mut evidence.old, Some(&mut evidence.before)),
+        Cohort::New => (&mut evidence.new, None),
+        Cohort::NewAtPeak => (&mut evidence.new, Some(&mut evidence.peak)),
+        Cohort::NewAtFull => (&mut evidence.new, Some(&mut evidence.full)),
+    }
+}
+
+fn add(routes: &mut BTreeMap<Name, Evidence>, route: &Name, cohort: Cohort, sign: Outcome) {
+    let evidence = routes
+        .entry(route.clone())
+        .or_insert_with(|| Evidence { route: route.clone(), ..Evidence::default() });
+    let (whole, part) = counts_of(evidence, cohort);
+    whole.record(sign);
+    part.into_iter().for_each(|part| part.record(sign));
+}
 
 impl Tally {
+    fn lock(&self) -> MutexGuard<'_, Counts> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Counts an answer.
     pub fn record(&self, service: &Name, route: &Name, cohort: Cohort, sign: Outcome) {
-        let mut tally = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let of_service = tally.entry(service.clone()).or_default();
-        let evidence = of_service
-            .entry(route.clone())
-            .or_insert_with(|| Evidence { route: route.clone(), ..Evidence::default() });
-        match cohort {
-            Cohort::Old => evidence.old.record(sign),
-            Cohort::Before => {
-                evidence.old.record(sign);
-                evidence.before.record(sign);
-            }
-            Cohort::New => evidence.new.record(sign),
-            Cohort::NewAtPeak => {
-                evidence.new.record(sign);
-                evidence.peak.record(sign);
-            }
-            Cohort::NewAtFull => {
-                evidence.new.record(sign);
-                evidence.full.record(sign);
-            }
-        }
+        let mut counts = self.lock();
+        add(counts.judged.entry(service.clone()).or_default(), route, cohort, sign);
     }
 
     /// Retracts an answer. A stream that was counted by its first events and breaks later is
     /// counted as failed. If it were counted twice, a version that fails in this way would seem to
     /// fail half as often.
     pub fn retract(&self, service: &Name, route: &Name, counted: CountedAnswer) {
-        let mut tally = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(evidence) = tally.get_mut(service).and_then(|routes| routes.get_mut(route)) else {
-            return;
-        };
-        match counted.cohort {
-            Cohort::Old => evidence.old.retract(counted.sign),
-            Cohort::Before => {
-                evidence.old.retract(counted.sign);
-                evidence.before.retract(counted.sign);
-            }
-            Cohort::New => evidence.new.retract(counted.sign),
-            Cohort::NewAtPeak => {
-                evidence.new.retract(counted.sign);
-                evidence.peak.retract(counted.sign);
-            }
-            Cohort::NewAtFull => {
-                evidence.new.retract(counted.sign);
-                evidence.full.retract(counted.sign);
-            }
-        }
+        let mut counts = self.lock();
+        let judged = counts.judged.get_mut(service);
+        let Some(evidence) = judged.and_then(|routes| routes.get_mut(route)) else { return };
+        let (whole, part) = counts_of(evidence, counted.cohort);
+        whole.retract(counted.sign);
+        part.into_iter().for_each(|part| part.retract(counted.sign));
+    }
+
+    /// Watches a request that is being sent, until its answer is judged.
+    pub fn watch(self: &Arc<Self>, sent: Sent) -> Watched {
+        let mut counts = self.lock();
+        counts.watched += 1;
+        let number = counts.watched;
+        counts.open.insert(number, sent);
+        Watched { tally: Arc::clone(self), number }
     }
 
-    /// The counts of a service, by route.
+    /// The counts of a service, by route. A request whose answer is overdue counts as slow before it
+    /// ends: the slower a version, the fewer of its answers have ended.
     #[must_use]
-    pub fn evidence(&self, service: &Name) -> Vec<Evidence> {
-        let tally = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        tally.get(service).map(|routes| routes.values().cloned().collect()).unwrap_or_default()
+    pub fn evidence(&self, service: &Name, now: Millis) -> Vec<Evidence> {
+        let counts = self.lock();
+        let mut routes = counts.judged.get(service).cloned().unwrap_or_default();
+        let overdue = counts.open.values().filter(|sent| sent.service == *service);
+        for sent in overdue.filter(|sent| now >= sent.due) {
+            add(&mut routes, &sent.route, sent.cohort, Outcome::Slow);
+        }
+        routes.into_values().collect()
     }
 
-    /// Removes the counts of a service, when a roll-out begins or has ended.
+    /// Removes the counts of a service, when a roll-out begins or has ended. Requests sent before
+    /// don't count in the next one.
     pub fn clear(&self, service: &Name) {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).remove(service);
+        let mut counts = self.lock();
+        counts.judged.remove(service);
+        counts.open.retain(|_, sent| sent.service != *service);
     }
 }
--- a/crates/gateway/src/hedge.rs
+++ b/crates/gateway/src/hedge.rs
@@ -348,7 +348,13 @@
     async fn run(&self, backend: &Arc<Backend>, waits: &MemoryWait) -> Result<Reply, Failure> {
         let mut reply = self.send(backend, None).await?;
         let is_framed = is_framed(&reply);
-        let body = self.collect(&mut reply.body, waits).await?;
+        let body = match self.collect(&mut reply.body, waits).await {
+            Ok(body) => body,
+            Err(failure) => {
+                self.end_watch(reply.watched, failure);
+                return Err(failure);
+            }
+        };
         reply.collected = Some(Collected { body, is_framed, memory_wait: waits.total() });
         Ok(reply)
     }
@@ -457,7 +463,6 @@
                 timing.first.record(waited_ms, clock::steady());
             });
         }
-        self.record_for_rollout(backend, Some(waited_ms));
     }
 }
 
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -21,6 +21,7 @@
 use crate::backend::Backend;
 use crate::carry::AcceptedAnswer;
 use crate::codec::Codec;
+use crate::evidence::Watched;
 use crate::holder::{Expired, MemoryWait};
 use crate::job::Job;
 use crate::pick;
@@ -74,8 +75,12 @@
     ///
     /// # Errors
     /// The answer broke off.
-    pub async fn judge_failure(&mut self, reply: Reply) -> Result<Option<AcceptedAnswer>, Failure> {
+    pub async fn judge_failure(
+        &mut self,
+        mut reply: Reply,
+    ) -> Result<Option<AcceptedAnswer>, Failure> {
         let backend = Arc::clone(&reply.backend);
+        reply.watched.take().into_iter().for_each(Watched::resolve);
         backend.record_outcome(true, clock::steady());
         self.record_for_rollout(&backend, None);
         self.record_fetch_failed();
@@ -131,15 +136,22 @@
     async fn read_whole(&self, reply: Reply) -> Result<(Parts, Bytes), Failure> {
         let is_framed = is_framed(&reply);
         let load_class = reply.load_class;
-        let Reply { head, mut body, mut connection, lease, backend, sent_at, .. } = reply;
+        let Reply { head, mut body, mut connection, lease, backend, sent_at, watched, .. } = reply;
         let (body, is_framed, memory_wait) = match reply.collected {
             Some(collected) => (collected.body, collected.is_framed, collected.memory_wait),
             None => {
                 let waits = MemoryWait::default();
-                (self.collect(&mut body, &waits).await?, is_framed, waits.total())
+                match self.collect(&mut body, &waits).await {
+                    Ok(body) => (body, is_framed, waits.total()),
+                    Err(failure) => {
+                        self.end_watch(watched, failure);
+                        return Err(failure);
+                    }
+                }
             }
         };
         let ms = sent_at.elapsed().saturating_sub(memory_wait).as_secs_f64() * 1_000.0;
+        watched.into_iter().for_each(Watched::resolve);
         let forwarding = reply.forwarding;
         forwarding.into_iter().for_each(|mut forwarding| forwarding.complete());
         self.record_answered(match () {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,7 +22,7 @@
 use crate::codec::Codec;
 use crate::end::{self, End, RelayProgress};
 use crate::events::EventSplitter;
-use crate::evidence::CountedAnswer;
+use crate::evidence::{CountedAnswer, Watched};
 use crate::handle::Origin;
 use crate::holder::{Charge, Expired};
 use crate::job::Job;
@@ -73,6 +73,8 @@
     charge: Charge,
     /// Whether the stream's pace was judged.
     is_judged: bool,
+    /// Counts the stream for a roll-out until its pace is judged.
+    watched: Option<Watched>,
     /// How the stream was counted for a roll-out, if it was.
     counted: Option<CountedAnswer>,
     // Dropping the connection closes it, which stops the backend server's work.
@@ -104,7 +106,7 @@
         let reserved = charge.reserve(0, SERVER_BUFFER_BYTES + FIRST_EVENTS_BYTES).await;
         reserved.map_err(|Expired| Failure::Lost(Cause::Deadline))?;
         let is_framed = is_framed(&reply);
-        let Reply { body, connection, lease, backend, sent_at, forwarding, .. } = reply;
+        let Reply { body, connection, lease, backend, sent_at, forwarding, watched, .. } = reply;
         let mut live = Self {
             body,
             splitter: EventSplitter::resume_after(last),
@@ -121,6 +123,7 @@
             quiet_since: Instant::now(),
             charge,
             is_judged: false,
+            watched,
             counted: None,
             _connection: connection,
             _lease: lease,
@@ -129,16 +132,26 @@
         if let Some(last) = last {
             live.course.record(last);
         }
-        match live.next(job).await.map_err(Failure::Lost)? {
-            Piece::Events(events) => live.unsent_events = events,
+        match live.next(job).await {
+            Ok(Piece::Events(events)) => live.unsent_events = events,
             // A stream that is resumed after its last event has no more events.
-            Piece::End if last.is_some() => live.is_ended = true,
-            Piece::End => return Err(Failure::Lost(Cause::Truncated)),
+            Ok(Piece::End) if last.is_some() => live.is_ended = true,
+            Ok(Piece::End) => return Err(live.lose(job, Cause::Truncated)),
+            Err(cause) => return Err(live.lose(job, cause)),
+        }
+        if let Some(watched) = &live.watched {
+            watched.extend(job.pace_due(clock::steady()));
         }
         live.charge.resize(SERVER_BUFFER_BYTES + live.unsent_events.len());
         Ok(live)
     }
 
+    /// Ends a stream that broke.
+    fn lose<C: Codec>(&mut self, job: &Job<C>, cause: Cause) -> Failure {
+        job.end_watch(self.watched.take(), Failure::Lost(cause));
+        Failure::Lost(cause)
+    }
+
     /// Passes events on. They stay counted until the caller has taken them.
     async fn send<C: Codec>(
         &mut self,
@@ -215,6 +228,7 @@
         }
         if let Some(sign) = job.judge_pace(bounds) {
             self.is_judged = true;
+            self.watched.take().into_iter().for_each(Watched::resolve);
             self.counted = job.record_pace(&self.backend, bounds, sign);
         }
     }
@@ -346,10 +360,13 @@
             Outcome::Unknown => {}
             Outcome::Stays => {
                 let backend = Arc::clone(&live.backend);
-                if let Some(counted) = live.counted.filter(|_| !job.time_left().is_zero()) {
-                    job.retract_pace(counted);
+                match (live.counted, job.time_left().is_zero()) {
+                    (Some(counted), true) => job.record_late(counted),
+                    (Some(counted), false) => job.retract_pace(counted),
+                    (None, _) => {}
                 }
-                job.blame(&backend, Failure::Lost(cause));
+                let failure = live.lose(&job, cause);
+                job.blame(&backend, failure);
             }
         }
         let last = match outcome {
@@ -405,6 +422,7 @@
         match live.pace.bounds() {
             Some(bounds) => live.judge_pace(job, Bounds { is_final: true, ..bounds }),
             None => {
+                live.watched.take().into_iter().for_each(Watched::resolve);
                 let ms = ms / f64::from(live.progress.events.max(1));
                 job.record_for_rollout(&live.backend, Some(ms));
             }
@@ -416,9 +434,6 @@
     }
     if end == End::CallerGone {
         job.record_abandoned(&live.backend);
-        if !live.is_judged {
-            job.record_uncounted(&live.backend, "caller_gone");
-        }
     }
     end::log(job, end, live.progress);
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -113,7 +113,7 @@
     /// whose servers tolerate any rate have none.
     pub tolerances: Sharded<Tolerance>,
     /// Counts of the answers of versions under roll-out.
-    pub tally: Tally,
+    pub tally: Arc<Tally>,
     /// Streams that are being relayed to callers.
     pub relays: TaskTracker,
     /// Requests in flight on this host, including those of other hosts.
@@ -176,7 +176,7 @@
             gains: Sharded::default(),
             delays: Sharded::default(),
             tolerances: Sharded::default(),
-            tally: Tally::default(),
+            tally: Arc::default(),
             relays: TaskTracker::new(),
             in_flight: AtomicUsize::new(0),
             running: Arc::default(),
--- a/crates/gateway/src/trial.rs
+++ b/crates/gateway/src/trial.rs
@@ -3,13 +3,16 @@
 use std::sync::Arc;
 
 use entry::clock;
+use entry::connection::Cause;
 use policy::canary::{self, Outcome};
 use policy::latency::Latency;
-use policy::pace::Bounds;
+use policy::pace::{Bounds, JUDGED_LAST_GAPS};
+use policy::time::Millis;
 
+use crate::attempt::Failure;
 use crate::backend::Backend;
 use crate::codec::Codec;
-use crate::evidence::{Cohort, CountedAnswer};
+use crate::evidence::{Cohort, CountedAnswer, Sent, Watched};
 use crate::job::Job;
 use crate::pool::Pool;
 use crate::timing::Timing;
@@ -59,10 +62,53 @@
         self.state.tally.retract(&self.service, &self.route().name, counted);
     }
 
-    /// Logs and counts an answer that ended without being counted; `why` is the reason.
-    pub fn record_uncounted(&self, backend: &Backend, why: &'static str) {
-        let Some(cohort) = self.cohort(backend).filter(|_| !backend.is_host) else { return };
-        self.log_sign(backend, cohort, why, None);
+    /// Counts a stream that was counted by its pace, and whose deadline passed before its end, as
+    /// slow.
+    pub fn record_late(&self, counted: CountedAnswer) {
+        self.retract_pace(counted);
+        let (service, route) = (&self.service, &self.route().name);
+        self.state.tally.record(service, route, counted.cohort, Outcome::Slow);
+    }
+
+    /// Watches an attempt that is being sent, if its version takes part in a roll-out.
+    ///
+    /// A plain answer is due when it would be slow, a stream when the caller expects its beginning.
+    #[must_use]
+    pub fn watch(&self, backend: &Backend, now: Millis) -> Option<Watched> {
+        let cohort = self.cohort(backend).filter(|_| !backend.is_host)?;
+        let objective_ms = self.route().objective_ms as f64;
+        let usual_ms = self.usual_ms(|timing| timing.short);
+        let due_ms = match self.route().kind.is_stream() {
+            true => objective_ms,
+            false if usual_ms.is_finite() => canary::slow_ms(usual_ms),
+            false => objective_ms,
+        };
+        Some(self.state.tally.watch(Sent {
+            request: self.info.id.clone(),
+            service: self.service.clone(),
+            route: self.route().name.clone(),
+            cohort,
+            due: now + due_ms as u64,
+        }))
+    }
+
+    /// When a stream that begins now is due: by then, one that is not slow has shown its pace.
+    #[must_use]
+    pub fn pace_due(&self, now: Millis) -> Millis {
+        let usual_ms = self.usual_ms(|timing| timing.pace);
+        let gap_ms = match usual_ms.is_finite() {
+            true => canary::slow_ms(usual_ms),
+            false => self.route().gap_ms.unwrap_or(self.route().objective_ms) as f64,
+        };
+        now + (gap_ms * f64::from(JUDGED_LAST_GAPS)) as u64
+    }
+
+    /// Ends the watch of an attempt that gave no answer. At its deadline it counts as it stands;
+    /// otherwise its failure is counted, or says nothing.
+    pub fn end_watch(&self, watched: Option<Watched>, failure: Failure) {
+        if failure != Failure::Lost(Cause::Deadline) && !self.time_left().is_zero() {
+            watched.into_iter().for_each(Watched::resolve);
+        }
     }
 
     /// The usual time of answers, in milliseconds.
--- a/crates/node/src/counts.rs
+++ b/crates/node/src/counts.rs
@@ -61,9 +61,14 @@
 
 /// Replaces a host's counts of a route if the new ones are more recent: counts only grow, and
 /// messages may overtake each other. With as many answers, more failures are more recent, because a
-/// stream that breaks after it was counted turns an answer into a failure.
+/// stream that breaks after it was counted turns an answer into a failure; with as many failures,
+/// more slow answers are, because a stream may miss its deadline. An answer that was overdue and has
+/// come counts as slow until the next answer is counted.
 pub fn merge(existing: &mut Vec<Evidence>, counts: Evidence) {
-    let seen = |one: &Evidence| (one.old.answers + one.new.answers, one.old.bad + one.new.bad);
+    let seen = |one: &Evidence| {
+        let Evidence { old, new, .. } = one;
+        (old.answers + new.answers, old.bad + new.bad, old.slow + new.slow)
+    };
     match existing.iter_mut().find(|existing| existing.route == counts.route) {
         Some(existing) if seen(existing) >= seen(&counts) => {}
         Some(existing) => *existing = counts,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -331,7 +331,7 @@
     fn counts(&self) -> Vec<Entry> {
         let orders = self.watch.catalog.open_orders().into_iter();
         let counts = orders.flat_map(|(service, order)| {
-            let routes = self.state.tally.evidence(&service).into_iter();
+            let routes = self.state.tally.evidence(&service, clock::steady()).into_iter();
             routes.map(move |route| {
                 let routes = vec![route];
                 Entry::Counted(HostCounts { service: service.clone(), order, routes })
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -251,7 +251,7 @@
     /// Reports this host's counts to the delegate if they are new. Of hundreds of hosts most have
     /// counted nothing since their last report.
     fn report_counts(&self, execution: &mut Execution, now: Instant) {
-        let own = self.state().tally.evidence(&execution.service);
+        let own = self.state().tally.evidence(&execution.service, clock::steady());
         let (reported, until) = &execution.last_report;
         if *reported != own || now >= *until {
             execution.last_report = (own, now + REPEATED_REPORT_INTERVAL);
@@ -262,14 +262,17 @@
     /// Counts of this host, and those that its peers reported.
     fn domain_counts(&self, execution: &Execution, rollout: &TrackedRollout) -> CountsByHost {
         let mut hosts = self.watch.counts.for_order(&execution.service, rollout.order_id());
-        hosts.insert(self.host.clone(), self.state().tally.evidence(&execution.service));
+        hosts.insert(
+            self.host.clone(),
+            self.state().tally.evidence(&execution.service, clock::steady()),
+        );
         hosts
     }
 
     /// Stops sending requests to the new version at once if the answers to this host's own requests
     /// are bad, before other hosts know.
     fn halt_if_bad(&self, service: &Name, rollout: &TrackedRollout) {
-        let own = self.state().tally.evidence(service);
+        let own = self.state().tally.evidence(service, clock::steady());
         let is_bad = canary::verdict(&own) == Verdict::Bad;
         if is_bad && !rollout.is_halted.swap(true, Ordering::Relaxed) {
             log::warn!(target: "rollout", service:% = service, version:% = rollout.order.target,
--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -340,7 +340,13 @@
 /// milliseconds.
 #[must_use]
 pub fn is_slow(pace_ms: f64, usual_ms: f64) -> bool {
-    pace_ms > (usual_ms * SLOW_FACTOR).max(QUICK_MAX_MS)
+    pace_ms > slow_ms(usual_ms)
+}
+
+/// The time from which on an answer is slow, in milliseconds, where `usual_ms` is usual.
+#[must_use]
+pub fn slow_ms(usual_ms: f64) -> f64 {
+    (usual_ms * SLOW_FACTOR).max(QUICK_MAX_MS)
 }
 
 /// Log likelihood ratio of the new version's failures: positive if they are likelier from a bad
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -8,7 +8,7 @@
 /// Number of gaps in a row that show that a stream is quick.
 const STEADY_GAPS: u32 = 3;
 /// Number of gaps after which a stream is slow that has not shown that it is quick.
-const JUDGED_LAST_GAPS: u32 = 10;
+pub const JUDGED_LAST_GAPS: u32 = 10;
 /// Time after an event within which further events count as having come with it, in milliseconds. A
 /// network, or a process that was not running, delivers together what was sent one by one.
 const BURST_GAP_MS: f64 = 5.0;
