Roll-outs: what is usual doesn't follow trouble of the old version's servers

Cause: the baseline moved with the trouble. Failures of the old version were summed from the order on, so those before the trial made a failing version look usual; the usual time was a mean of the latest eight or so answers of all old servers; and a time with nothing to compare with counted as quick.

Change: the share of failures, and of slow answers, that is usual is the lowest of three periods, before the order, before the trial and since, where the difference is more than chance (a standard error). A host counts the answers of the version in use also while no roll-out is in progress. An answer whose usual time is not known is untimed: it says nothing of quickness.

--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -8,9 +8,14 @@
 use policy::name::Name;
 use policy::time::Millis;
 
+/// Number of answers from before an order at which they are halved, so that the latest weigh most.
+const CALM_ANSWERS_MAX: u32 = 4_000;
+
 /// The version that gave an answer, and under which load.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Cohort {
+    /// The version in use, while no roll-out is in progress.
+    Calm,
     /// The version before.
     Old,
     /// The version before, while it received all requests because the trial had not begun.
@@ -28,6 +33,7 @@
     #[must_use]
     pub fn label(self) -> &'static str {
         match self {
+            Self::Calm => "calm",
             Self::Old => "old",
             Self::Before => "before",
             Self::New => "new",
@@ -52,7 +58,7 @@
     pub sign: Outcome,
 }
 
-/// A request that was sent to a version that takes part in a roll-out.
+/// A request that was sent to a version that takes part in a roll-out, or may do so later.
 #[derive(Clone, Debug)]
 pub struct Sent {
     /// The id of the request.
@@ -116,6 +122,9 @@
 
 /// Logs and counts a request whose answer was never judged.
 fn log_missed(sent: &Sent, sign: &'static str) {
+    if sent.cohort == Cohort::Calm {
+        return;
+    }
     metrics::counter!("gateway_rollout_answers_total", "service" => sent.service.to_string(),
         "cohort" => sent.cohort.label(), "sign" => sign)
     .increment(1);
@@ -128,6 +137,7 @@
 /// The part of a route's evidence that a cohort counts in, beside the version's whole.
 fn counts_of(evidence: &mut Evidence, cohort: Cohort) -> (&mut Count, Option<&mut Count>) {
     match cohort {
+        Cohort::Calm => (&mut evidence.calm, None),
         Cohort::Old => (&mut evidence.old, None),
         Cohort::Before => (&mut evidence.old, Some(&mut evidence.before)),
         Cohort::New => (&mut evidence.new, None),
@@ -143,6 +153,9 @@
     let (whole, part) = counts_of(evidence, cohort);
     whole.record(sign);
     part.into_iter().for_each(|part| part.record(sign));
+    if evidence.calm.answers >= CALM_ANSWERS_MAX {
+        evidence.calm.halve();
+    }
 }
 
 impl Tally {
@@ -190,11 +203,14 @@
         routes.into_values().collect()
     }
 
-    /// Removes the counts of a service, when a roll-out begins or has ended. Requests sent before
-    /// don't count in the next one.
+    /// Removes what was counted of a service's roll-out, when another one begins. Requests sent
+    /// before don't count in it. What was usual before stays.
     pub fn clear(&self, service: &Name) {
         let mut counts = self.lock();
-        counts.judged.remove(service);
+        for evidence in counts.judged.get_mut(service).into_iter().flat_map(BTreeMap::values_mut) {
+            let (route, calm) = (evidence.route.clone(), evidence.calm);
+            *evidence = Evidence { route, calm, ..Evidence::default() };
+        }
         counts.open.retain(|_, sent| sent.service != *service);
     }
 }
--- a/crates/gateway/src/trial.rs
+++ b/crates/gateway/src/trial.rs
@@ -5,16 +5,16 @@
 use entry::clock;
 use entry::connection::Cause;
 use policy::canary::{self, Outcome};
-use policy::latency::Latency;
 use policy::pace::{Bounds, JUDGED_LAST_GAPS};
 use policy::time::Millis;
+use policy::usual::Usual;
 
 use crate::attempt::Failure;
 use crate::backend::Backend;
 use crate::codec::Codec;
 use crate::evidence::{Cohort, CountedAnswer, Sent, Watched};
 use crate::job::Job;
-use crate::pool::Pool;
+use crate::pool::{Pool, Rollout};
 use crate::timing::Timing;
 
 impl<C: Codec> Job<C> {
@@ -30,13 +30,20 @@
         };
         let usual_ms = self.usual_ms(|timing| timing.short);
         self.record_usual(backend, ms, |timing| &mut timing.short);
-        let sign = if canary::is_slow(ms, usual_ms) { Outcome::Slow } else { Outcome::Good };
+        let sign = match usual_ms {
+            None => Outcome::Untimed,
+            Some(usual_ms) if canary::is_slow(ms, usual_ms) => Outcome::Slow,
+            Some(_) => Outcome::Good,
+        };
         self.record_sign(backend, sign, Some((ms, usual_ms)));
     }
 
     /// What a stream's pace says about its version; `None` if it is not known yet.
     pub fn judge_pace(&self, bounds: Bounds) -> Option<Outcome> {
-        bounds.outcome(self.usual_ms(|timing| timing.pace))
+        match self.usual_ms(|timing| timing.pace) {
+            None => Some(Outcome::Untimed),
+            Some(usual_ms) => bounds.outcome(usual_ms),
+        }
     }
 
     /// Counts a stream for the roll-out in progress, by what its pace says.
@@ -77,11 +84,9 @@
     pub fn watch(&self, backend: &Backend, now: Millis) -> Option<Watched> {
         let cohort = self.cohort(backend).filter(|_| !backend.is_host)?;
         let objective_ms = self.route().objective_ms as f64;
-        let usual_ms = self.usual_ms(|timing| timing.short);
-        let due_ms = match self.route().kind.is_stream() {
-            true => objective_ms,
-            false if usual_ms.is_finite() => canary::slow_ms(usual_ms),
-            false => objective_ms,
+        let due_ms = match self.usual_ms(|timing| timing.short) {
+            Some(usual_ms) if !self.route().kind.is_stream() => canary::slow_ms(usual_ms),
+            _ => objective_ms,
         };
         Some(self.state.tally.watch(Sent {
             request: self.info.id.clone(),
@@ -95,10 +100,9 @@
     /// When a stream that begins now is due: by then, one that is not slow has shown its pace.
     #[must_use]
     pub fn pace_due(&self, now: Millis) -> Millis {
-        let usual_ms = self.usual_ms(|timing| timing.pace);
-        let gap_ms = match usual_ms.is_finite() {
-            true => canary::slow_ms(usual_ms),
-            false => self.route().gap_ms.unwrap_or(self.route().objective_ms) as f64,
+        let gap_ms = match self.usual_ms(|timing| timing.pace) {
+            Some(usual_ms) => canary::slow_ms(usual_ms),
+            None => self.route().gap_ms.unwrap_or(self.route().objective_ms) as f64,
         };
         now + (gap_ms * f64::from(JUDGED_LAST_GAPS)) as u64
     }
@@ -111,9 +115,9 @@
         }
     }
 
-    /// The usual time of answers, in milliseconds.
-    fn usual_ms(&self, select: impl FnOnce(&Timing) -> Latency) -> f64 {
-        self.state.timings.with(self.timing_key(), |timing| select(timing).mean_ms(f64::INFINITY))
+    /// The usual time of answers, in milliseconds; `None` if it is not known.
+    fn usual_ms(&self, select: impl FnOnce(&Timing) -> Usual) -> Option<f64> {
+        self.state.timings.with(self.timing_key(), |timing| select(timing).ms())
     }
 
     /// Learns what is usual, from the versions that are not on trial.
@@ -121,7 +125,7 @@
         &self,
         backend: &Backend,
         ms: f64,
-        select: impl FnOnce(&mut Timing) -> &mut Latency,
+        select: impl FnOnce(&mut Timing) -> &mut Usual,
     ) {
         if self.is_timed(backend) {
             let now = clock::steady();
@@ -135,35 +139,41 @@
         &self,
         backend: &Backend,
         sign: Outcome,
-        times: Option<(f64, f64)>,
+        times: Option<(f64, Option<f64>)>,
     ) -> Option<CountedAnswer> {
         let cohort = self.cohort(backend)?;
         self.state.tally.record(&self.service, &self.route().name, cohort, sign);
         let label = match sign {
             Outcome::Good => "good",
             Outcome::Slow => "slow",
+            Outcome::Untimed => "untimed",
             Outcome::Failed => "failed",
         };
         self.log_sign(backend, cohort, label, times);
         Some(CountedAnswer { cohort, sign })
     }
 
-    /// The cohort of an answer that comes now from a backend server; `None` outside of roll-outs.
+    /// The cohort of an answer that comes now from a backend server; `None` for a version that
+    /// neither is in use nor takes part in a roll-out.
     fn cohort(&self, backend: &Backend) -> Option<Cohort> {
         let snapshot = self.state.snapshot.load();
-        let pool: Option<&Arc<Pool>> = snapshot.pools.get(&self.service);
-        let trial = pool.and_then(|pool| pool.rollout.as_ref()).filter(|trial| trial.is_open())?;
+        let pool: &Arc<Pool> = snapshot.pools.get(&self.service)?;
+        let trial = pool.rollout.as_ref().filter(|trial| trial.is_open());
         let now = clock::steady();
         let arrived_at = now - self.started.elapsed().as_millis() as u64;
-        Some(match backend.version == trial.target {
-            false if canary::is_trial_begun(trial.elapsed(now)) => Cohort::Old,
-            false => Cohort::Before,
+        let is_trial_begun = |trial: &Rollout| canary::is_trial_begun(trial.elapsed(now));
+        match trial {
+            None => (backend.version == pool.base).then_some(Cohort::Calm),
+            Some(trial) if backend.version != trial.target => match is_trial_begun(trial) {
+                true => Some(Cohort::Old),
+                false => Some(Cohort::Before),
+            },
             // A request that arrived under peak load is in flight for a while with all others that
             // arrived then.
-            true if trial.is_at_peak(arrived_at) => Cohort::NewAtPeak,
-            true if trial.has_all(now) => Cohort::NewAtFull,
-            true => Cohort::New,
-        })
+            Some(trial) if trial.is_at_peak(arrived_at) => Some(Cohort::NewAtPeak),
+            Some(trial) if trial.has_all(now) => Some(Cohort::NewAtFull),
+            Some(_) => Some(Cohort::New),
+        }
     }
 
     /// Counts an answer in the metrics, and logs it if the version on trial gave it: a share of the
@@ -173,8 +183,11 @@
         backend: &Backend,
         cohort: Cohort,
         sign: &'static str,
-        times: Option<(f64, f64)>,
+        times: Option<(f64, Option<f64>)>,
     ) {
+        if cohort == Cohort::Calm {
+            return;
+        }
         metrics::counter!("gateway_rollout_answers_total", "service" => self.service.to_string(),
             "cohort" => cohort.label(), "sign" => sign)
         .increment(1);
@@ -182,6 +195,7 @@
             return;
         }
         let (ms, usual_ms) = times.unwrap_or_default();
+        let usual_ms = usual_ms.unwrap_or_default();
         log::info!(target: "route", request:% = self.info.id, service:% = self.service,
             route:% = self.route().name, version:% = backend.version, backend:% = backend.id,
             cohort = cohort.label(), sign, ms, usual_ms,
--- a/crates/gateway/tests/evidence.rs
+++ b/crates/gateway/tests/evidence.rs
@@ -20,7 +20,7 @@
         tally.retract(&service, &route, CountedAnswer { cohort: Cohort::NewAtFull, sign });
         tally.record(&service, &route, Cohort::NewAtFull, Outcome::Failed);
     }
-    let counted = Count { answers: 3, bad: 2, slow: 0 };
+    let counted = Count { answers: 3, bad: 2, slow: 0, ..Count::default() };
     let seen = tally.evidence(&service, Millis(0));
     assert_eq!((seen[0].new, seen[0].full), (counted, counted));
 }
@@ -33,7 +33,10 @@
     tally.clear(&service);
     tally.retract(&service, &route, CountedAnswer { cohort: Cohort::New, sign: Outcome::Good });
     tally.record(&service, &route, Cohort::New, Outcome::Failed);
-    assert_eq!(tally.evidence(&service, Millis(0))[0].new, Count { answers: 1, bad: 1, slow: 0 });
+    assert_eq!(
+        tally.evidence(&service, Millis(0))[0].new,
+        Count { answers: 1, bad: 1, slow: 0, ..Count::default() }
+    );
 }
 
 fn sent(due: Millis) -> Sent {
@@ -48,7 +51,7 @@
     let service = Name::from("s");
     let watched = tally.watch(sent(Millis(1_000)));
     assert!(tally.evidence(&service, Millis(999)).is_empty());
-    let slow = Count { answers: 1, bad: 0, slow: 1 };
+    let slow = Count { answers: 1, bad: 0, slow: 1, ..Count::default() };
     assert_eq!(tally.evidence(&service, Millis(1_000))[0].new, slow);
     watched.extend(Millis(2_000));
     assert!(tally.evidence(&service, Millis(1_000)).is_empty());
@@ -64,7 +67,10 @@
     drop(tally.watch(sent(Millis(u64::MAX))));
     assert!(tally.evidence(&service, Millis(0)).is_empty(), "it was given up early");
     drop(tally.watch(sent(Millis(0))));
-    assert_eq!(tally.evidence(&service, Millis(0))[0].new, Count { answers: 1, bad: 0, slow: 1 });
+    assert_eq!(
+        tally.evidence(&service, Millis(0))[0].new,
+        Count { answers: 1, bad: 0, slow: 1, ..Count::default() }
+    );
 }
 
 /// Guards against requests of one roll-out that count in the next one.
--- a/crates/node/src/counts.rs
+++ b/crates/node/src/counts.rs
@@ -85,6 +85,7 @@
             Some(existing) => {
                 existing.old.add(counts.old);
                 existing.before.add(counts.before);
+                existing.calm.add(counts.calm);
                 existing.new.add(counts.new);
                 existing.full.add(counts.full);
                 existing.peak.add(counts.peak);
--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -79,6 +79,9 @@
 /// Least share of slow answers that is expected of any version on trial: its few servers have the
 /// load of a busy day, and now and then requests wait behind a long prompt.
 const SLOW_SHARE_MIN: f64 = 0.12;
+/// Answers of an old version that are added to those seen, one of them bad: few answers don't show
+/// what is usual.
+const USUAL_PRIOR_ANSWERS: u32 = 20;
 /// How much larger the share of failures, or of slow answers, of a bad version is.
 const BAD_EXCESS_SHARE: f64 = 0.25;
 /// Log odds against a version at which it is stopped: 1,000 to 1.
@@ -135,6 +138,9 @@
         /// Answers that were much too slow; failures are not among them.
         #[serde(default)]
         pub slow: u32,
+        /// Answers whose time could not be compared with a usual one; failures are not among them.
+        #[serde(default)]
+        pub untimed: u32,
     }
 
     /// What an answer says about the version that gave it.
@@ -144,6 +150,8 @@
         Good,
         /// The answer took many times the usual time.
         Slow,
+        /// The answer was no failure, and the usual time is not known.
+        Untimed,
         /// The backend server failed the request.
         Failed,
     }
@@ -167,6 +175,9 @@
         /// The part of `old` from before the trial.
         #[serde(default)]
         pub before: Count,
+        /// Answers of the old version from before the order; not among `old`.
+        #[serde(default)]
+        pub calm: Count,
     }
 
     /// Conclusion from the evidence of all routes.
@@ -207,6 +218,7 @@
         self.answers += 1;
         self.bad += u32::from(outcome == Outcome::Failed);
         self.slow += u32::from(outcome == Outcome::Slow);
+        self.untimed += u32::from(outcome == Outcome::Untimed);
     }
 
     /// Removes an answer that was counted before.
@@ -223,6 +235,14 @@
             answers: self.answers.saturating_sub(others.answers),
             bad: self.bad.saturating_sub(others.bad),
             slow: self.slow.saturating_sub(others.slow),
+            untimed: self.untimed.saturating_sub(others.untimed),
+        }
+    }
+
+    /// Halves the count, so that later answers weigh more.
+    pub fn halve(&mut self) {
+        for count in [&mut self.answers, &mut self.bad, &mut self.slow, &mut self.untimed] {
+            *count /= 2;
         }
     }
 
@@ -231,6 +251,17 @@
         self.answers += other.answers;
         self.bad += other.bad;
         self.slow += other.slow;
+        self.untimed += other.untimed;
+    }
+
+    /// Failures and all answers.
+    fn failures(self) -> (u32, u32) {
+        (self.bad, self.answers)
+    }
+
+    /// Slow answers and all whose time says whether they are slow.
+    fn slowness(self) -> (u32, u32) {
+        (self.slow, self.answers.saturating_sub(self.bad + self.untimed))
     }
 }
 
@@ -353,8 +384,8 @@
 /// version than from one that is as good as the old.
 #[must_use]
 pub fn failure_weight(evidence: &Evidence) -> f64 {
-    let Evidence { old, new, .. } = evidence;
-    weight((old.bad, old.answers), (new.bad, new.answers), FAILURE_SHARE_MIN, BAD_EXCESS_SHARE)
+    let usual = usual_share(evidence, Count::failures);
+    weight(usual.max(FAILURE_SHARE_MIN), evidence.new.failures(), BAD_EXCESS_SHARE)
 }
 
 /// Log likelihood ratio of the new version's failures since it has had all requests.
@@ -364,40 +395,55 @@
 /// second.
 #[must_use]
 pub fn full_weight(evidence: &Evidence) -> f64 {
-    loaded_weight(evidence.old, evidence.full)
+    loaded_weight(evidence, evidence.full)
 }
 
 /// Log likelihood ratio of the new version's failures under peak load.
 #[must_use]
 pub fn peak_weight(evidence: &Evidence) -> f64 {
-    loaded_weight(evidence.old, evidence.peak)
+    loaded_weight(evidence, evidence.peak)
 }
 
-fn loaded_weight(old: Count, new: Count) -> f64 {
-    let excess_shares = [BAD_EXCESS_SHARE, LOADED_EXCESS_SHARE];
-    let weigh =
-        |by| weight((old.bad, old.answers), (new.bad, new.answers), LOADED_FAILURE_SHARE_MIN, by);
-    excess_shares.map(weigh).into_iter().fold(f64::NEG_INFINITY, f64::max)
+fn loaded_weight(evidence: &Evidence, loaded: Count) -> f64 {
+    let usual = usual_share(evidence, Count::failures).max(LOADED_FAILURE_SHARE_MIN);
+    let weigh = |excess| weight(usual, loaded.failures(), excess);
+    weigh(BAD_EXCESS_SHARE).max(weigh(LOADED_EXCESS_SHARE))
 }
 
 /// Log likelihood ratio of the new version's slow answers.
 #[must_use]
 pub fn slow_weight(evidence: &Evidence) -> f64 {
-    let Evidence { old, new, peak, .. } = evidence;
+    let usual = usual_share(evidence, Count::slowness).max(SLOW_SHARE_MIN);
+    let weigh = |new: Count| weight(usual, new.slowness(), BAD_EXCESS_SHARE);
     // Quick answers under peak load speak for the version; slow ones there don't speak against it.
-    timed_weight(*old, *new).min(timed_weight(*old, new.minus(*peak)))
+    weigh(evidence.new).min(weigh(evidence.new.minus(evidence.peak)))
 }
 
-fn timed_weight(old: Count, new: Count) -> f64 {
-    let judged = new.answers.saturating_sub(new.bad);
-    weight((old.slow, old.answers), (new.slow, judged), SLOW_SHARE_MIN, BAD_EXCESS_SHARE)
+/// The share of the old version's answers that are failures, or slow: that of the time since the
+/// order, or of the time before the order, before the trial or since, if that is lower by more than
+/// chance explains.
+///
+/// Trouble of some of the old version's servers raises the share for some seconds. It must not make
+/// a bad version look usual, whenever it came.
+fn usual_share(evidence: &Evidence, of: fn(Count) -> (u32, u32)) -> f64 {
+    let Evidence { old, before, calm, .. } = evidence;
+    let (bad, answers) = of(*old);
+    let whole = f64::from(bad + 1) / f64::from(answers + USUAL_PRIOR_ANSWERS);
+    let highest = |period: Count| {
+        let (bad, answers) = of(period);
+        let prior = f64::from(USUAL_PRIOR_ANSWERS);
+        let answers = f64::from(answers) + prior;
+        let share = (f64::from(bad) + prior * whole) / answers;
+        share + (share * (1.0 - share) / answers).sqrt()
+    };
+    let periods = [*calm, *before, old.minus(*before)];
+    periods.map(highest).into_iter().fold(whole, f64::min)
 }
 
 /// Log likelihood ratio of `new`, bad answers and all answers, for a share of bad answers that is
-/// larger by `excess` than the one of `old`, which counts as `least` at least.
-fn weight(old: (u32, u32), new: (u32, u32), least: f64, excess: f64) -> f64 {
-    let usual = f64::from(old.0 + 1) / f64::from(old.1 + 20);
-    let usual = usual.clamp(least, 1.0 - 2.0 * BAD_EXCESS_SHARE);
+/// larger than the `usual` one by `excess`.
+fn weight(usual: f64, new: (u32, u32), excess: f64) -> f64 {
+    let usual = usual.min(1.0 - 2.0 * BAD_EXCESS_SHARE);
     let worse = usual + excess;
     let good = f64::from(new.1.saturating_sub(new.0));
     f64::from(new.0) * (worse / usual).ln() + good * ((1.0 - worse) / (1.0 - usual)).ln()
@@ -410,7 +456,9 @@
     let answers: u32 = evidence.iter().map(|route| route.new.answers).sum();
     // Slow answers under peak load prove nothing, so they don't count as answers either: otherwise
     // a version that turns slow during its trial would pass as quick by its few earlier answers.
-    let conclusive: u32 = evidence.iter().map(|route| route.new.answers - route.peak.slow).sum();
+    let says_nothing = |route: &Evidence| route.peak.slow + route.new.untimed;
+    let conclusive: u32 =
+        evidence.iter().map(|route| route.new.answers.saturating_sub(says_nothing(route))).sum();
     let is_clean =
         evidence.iter().all(|route| route.new.bad + route.new.minus(route.peak).slow == 0)
             && conclusive >= ANSWERS_MIN;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -55,3 +55,4 @@
 pub mod time;
 pub mod tree;
 pub mod turn;
+pub mod usual;
--- a/crates/policy/tests/canary.rs
+++ b/crates/policy/tests/canary.rs
@@ -13,7 +13,7 @@
 const USUAL_LOAD_MIN_MS: u64 = 3_400;
 
 fn evidence(old: (u32, u32), new: (u32, u32)) -> Evidence {
-    let count = |(answers, bad)| Count { answers, bad, slow: 0 };
+    let count = |(answers, bad)| Count { answers, bad, slow: 0, ..Count::default() };
     Evidence { route: Name::from("r"), old: count(old), new: count(new), ..Evidence::default() }
 }
 
@@ -113,7 +113,7 @@
     // had 12 in 3,021. The verdict on the sum, 7 failures of 186, was good.
     let route = |name: &str, old, trial: (u32, u32), full: (u32, u32)| {
         let new = (trial.0 + full.0, trial.1 + full.1);
-        let full = Count { answers: full.0, bad: full.1, slow: 0 };
+        let full = Count { answers: full.0, bad: full.1, slow: 0, ..Count::default() };
         Evidence { route: Name::from(name), full, ..evidence(old, new) }
     };
     let seen = [
@@ -326,7 +326,7 @@
 /// Evidence of three routes. Each has three pairs of all answers and slow answers: of the old
 /// version, of the new one on trial, and of the new one with all requests.
 fn timed_evidence(routes: [[(u32, u32); 3]; 3]) -> Vec<Evidence> {
-    let count = |(answers, slow)| Count { answers, bad: 0, slow };
+    let count = |(answers, slow)| Count { answers, bad: 0, slow, ..Count::default() };
     let route = |[old, trial, full]: [(u32, u32); 3]| {
         let mut new = count(trial);
         new.add(count(full));
@@ -377,7 +377,7 @@
 #[test]
 fn verdict_slow_at_peak_only_is_not_clean() {
     let route = |name: &str, old: (u32, u32), new: (u32, u32), peak: (u32, u32)| {
-        let count = |(answers, slow)| Count { answers, bad: 0, slow };
+        let count = |(answers, slow)| Count { answers, bad: 0, slow, ..Count::default() };
         let (old, new, peak) = (count(old), count(new), count(peak));
         Evidence { route: Name::from(name), old, new, peak, ..Evidence::default() }
     };
--- a/crates/policy/tests/loaded.rs
+++ b/crates/policy/tests/loaded.rs
@@ -153,10 +153,10 @@
 
 fn loaded<const N: usize>(routes: [Answers; N]) -> Vec<Evidence> {
     let of = |(old, before, peak): Answers| {
-        let peak = Count { answers: peak.0, bad: peak.1, slow: peak.2 };
-        let mut new = Count { answers: before.0, bad: 0, slow: before.1 };
+        let peak = Count { answers: peak.0, bad: peak.1, slow: peak.2, ..Count::default() };
+        let mut new = Count { answers: before.0, bad: 0, slow: before.1, ..Count::default() };
         new.add(peak);
-        let old = Count { answers: old.0, bad: 0, slow: old.1 };
+        let old = Count { answers: old.0, bad: 0, slow: old.1, ..Count::default() };
         Evidence { route: Name::from("r"), old, new, peak, ..Evidence::default() }
     };
     routes.map(of).to_vec()
