Roll-outs: a version of which too little is known is not declared done

Cause: `next` declared done whatever was not open, "clean" too: few answers, none bad. The success stops the old servers and can't be taken back, a roll-out that is stopped costs a duty. The two errors were taken for equal.

Change: done needs the verdict "good".

The price is that good versions of such services need a longer order; the verdict says so. next_waits_for_its_time asked for done on "clean": that was the fault itself, and it now asks for stopped.

--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -187,7 +187,8 @@
         Bad,
         /// The new version is good on every route that it was tried on.
         Good,
-        /// There are too few answers for a conclusion, and none of them was bad.
+        /// There are too few answers for a conclusion, and none of them was bad. All requests may
+        /// move to the version, which brings more answers, but it can't be declared done.
         Clean,
         /// There are too few answers for a conclusion, or they disagree.
         Open,
@@ -528,8 +529,10 @@
         (Stage::Trial, Verdict::Good) if elapsed >= MOVE_FRACTION => Some(Stage::Moving),
         (Stage::Trial, Verdict::Clean) if elapsed >= MOVE_ON_FEW_FRACTION => Some(Stage::Moving),
         (Stage::Trial, _) if elapsed >= GIVE_UP_FRACTION => Some(Stage::Stopped),
-        (Stage::Moving, Verdict::Open) if elapsed >= DONE_FRACTION => Some(Stage::Stopped),
-        (Stage::Moving, _) if elapsed >= DONE_FRACTION => Some(Stage::Done),
+        (Stage::Moving, Verdict::Good) if elapsed >= DONE_FRACTION => Some(Stage::Done),
+        // The old servers stop at the success, which can't be taken back. So a version that is not
+        // known to be good is not declared done.
+        (Stage::Moving, _) if elapsed >= DONE_FRACTION => Some(Stage::Stopped),
         _ => None,
     }
 }
--- a/crates/policy/tests/canary.rs
+++ b/crates/policy/tests/canary.rs
@@ -149,7 +149,7 @@
     assert_eq!(next(Stage::Moving, 0.975, Verdict::Good), Some(Stage::Done));
     assert_eq!(next(Stage::Moving, 0.8, Verdict::Bad), Some(Stage::Stopped));
     assert_eq!(next(Stage::Moving, 0.975, Verdict::Open), Some(Stage::Stopped));
-    assert_eq!(next(Stage::Moving, 0.975, Verdict::Clean), Some(Stage::Done));
+    assert_eq!(next(Stage::Moving, 0.975, Verdict::Clean), Some(Stage::Stopped), "it is not known");
     assert_eq!(next(Stage::Trial, 0.82, Verdict::Clean), None);
     assert_eq!(next(Stage::Trial, 0.86, Verdict::Clean), Some(Stage::Moving));
     assert_eq!(next(Stage::Trial, 1.1, Verdict::Open), Some(Stage::Stopped));
--- a/crates/policy/tests/verdicts.rs
+++ b/crates/policy/tests/verdicts.rs
@@ -8,7 +8,7 @@
 mod world;
 
 use policy::canary::Stage;
-use world::{Badness, Trouble};
+use world::{Badness, FEW_PER_S, PER_S, Trouble};
 
 /// Seeds for each pair in CI.
 const CI_SEEDS: u64 = 12;
@@ -21,18 +21,19 @@
 }
 
 /// The share of roll-outs that are declared done.
-fn done_share(trouble: Trouble, badness: Badness, seeds: u64) -> f64 {
-    let done =
-        (0..seeds).filter(|seed| world::roll_out(trouble, badness, *seed) == Stage::Done).count();
-    done as f64 / seeds as f64
+fn done_share(per_s: f64, trouble: Trouble, badness: Badness, seeds: u64) -> f64 {
+    let is_done = |seed: &u64| world::roll_out(per_s, trouble, badness, *seed) == Stage::Done;
+    (0..seeds).filter(is_done).count() as f64 / seeds as f64
 }
 
 /// Shares of versions declared done for each kind of badness (rows) and trouble (columns).
-fn table(kinds: &[Badness], seeds: u64) -> Vec<(Badness, Vec<f64>)> {
-    println!("{seeds} seeds each, done in 100: {:?}", Trouble::ALL);
+fn table(per_s: f64, kinds: &[Badness], seeds: u64) -> Vec<(Badness, Vec<f64>)> {
+    println!("{per_s} requests a second, {seeds} seeds each, done in 100: {:?}", Trouble::ALL);
     let row = |badness: &Badness| {
-        let row: Vec<f64> =
-            Trouble::ALL.iter().map(|trouble| done_share(*trouble, *badness, seeds)).collect();
+        let row: Vec<f64> = Trouble::ALL
+            .iter()
+            .map(|trouble| done_share(per_s, *trouble, *badness, seeds))
+            .collect();
         let text: Vec<String> = row.iter().map(|share| format!("{:5.1}", share * 100.0)).collect();
         println!("{:>12} | {}", format!("{badness:?}"), text.join(" | "));
         (*badness, row)
@@ -45,7 +46,7 @@
 #[test]
 fn verdict_bad_version_is_not_done_in_any_trouble() {
     let seeds = seeds();
-    for (badness, row) in table(&Badness::SHOWN, seeds) {
+    for (badness, row) in table(PER_S, &Badness::SHOWN, seeds) {
         for (trouble, done) in Trouble::ALL.iter().zip(row) {
             assert!(done <= 0.01, "{badness:?} beside {trouble:?}: {done} of {seeds} done");
         }
@@ -56,7 +57,7 @@
 #[test]
 fn verdict_good_version_is_done_without_trouble() {
     let seeds = seeds();
-    let (_, row) = table(&[Badness::None], seeds).remove(0);
+    let (_, row) = table(PER_S, &[Badness::None], seeds).remove(0);
     for trouble in [Trouble::None, Trouble::Bursts, Trouble::OldSlowBefore, Trouble::OldFailsBefore]
     {
         let index = Trouble::ALL.iter().position(|one| *one == trouble).unwrap_or_default();
@@ -68,8 +69,20 @@
 /// trial can't show each of them. Most are stopped.
 #[test]
 fn verdict_version_bad_in_part_is_mostly_stopped() {
-    for (badness, row) in table(&Badness::HIDDEN, seeds()) {
+    for (badness, row) in table(PER_S, &Badness::HIDDEN, seeds()) {
         let mean = row.iter().sum::<f64>() / row.len() as f64;
         assert!(mean <= 0.1, "{badness:?}: {mean} done");
     }
 }
+
+/// Guards against bad versions of services with few requests that are declared done because nothing
+/// is known of them.
+#[test]
+fn verdict_unknown_version_is_not_done() {
+    let seeds = seeds();
+    table(FEW_PER_S, &[Badness::None], seeds);
+    for (badness, row) in table(FEW_PER_S, &Badness::SHOWN, seeds) {
+        let mean = row.iter().sum::<f64>() / row.len() as f64;
+        assert!(mean <= 0.02, "{badness:?}: {mean} done");
+    }
+}
--- a/crates/policy/tests/verdicts/world.rs
+++ b/crates/policy/tests/verdicts/world.rs
@@ -14,7 +14,9 @@
 
 const WITHIN_MS: u64 = 20_000;
 const EXPOSURE_SHARE: f64 = 0.15;
-const PER_S: f64 = 60.0;
+/// Requests per second of a usual service, and of one with few requests.
+pub const PER_S: f64 = 60.0;
+pub const FEW_PER_S: f64 = 6.0;
 const ROUTE_SHARES: [f64; 3] = [0.5, 0.35, 0.15];
 const HOSTS: u64 = 6;
 const OLD_SERVERS: u64 = 10;
@@ -288,7 +290,7 @@
 }
 
 /// Plays one roll-out and returns its last stage.
-pub fn roll_out(trouble: Trouble, badness: Badness, seed: u64) -> Stage {
+pub fn roll_out(per_s: f64, trouble: Trouble, badness: Badness, seed: u64) -> Stage {
     let names = ["a", "b", "c"].map(Name::from);
     let mut evidence = names.map(|route| Evidence { route, ..Evidence::default() });
     let mut usual = vec![Usual::default(); HOSTS as usize];
@@ -310,7 +312,7 @@
             stage = next(stage, elapsed, verdict(&evidence)).unwrap_or(stage);
             decide_at = now + DECISION_MS;
         }
-        requests += PER_S * STEP_MS as f64 / 1_000.0;
+        requests += per_s * STEP_MS as f64 / 1_000.0;
         while requests >= 1.0 {
             requests -= 1.0;
             let d = Draws(mix(seed ^ mix(now ^ ((requests as u64) << 40))));
