--- a/crates/chestnutspur/tests/support/mod.rs
+++ b/crates/chestnutspur/tests/support/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod call;
 pub mod configuration;
+pub mod nodes;
 pub mod process;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -32,6 +32,8 @@
 
 /// The table with the host list: a row for each host, with the host's name as key.
 pub const HOSTS_TABLE: &str = "hosts";
+/// First character of a row that holds bytes instead of text; each further character is a byte.
+const BYTES_MARK: char = '\u{ffff}';
 
 domain! {
     /// The state that a platform starts with.
@@ -177,6 +179,17 @@
         self.write(table, key, Some(value.to_string()));
     }
 
+    /// Writes a row without a group whose text may be no JSON, as another writer would.
+    pub fn put_text(&self, table: &str, key: &str, text: String) {
+        self.write(table, key, Some(text));
+    }
+
+    /// Writes a row without a group that holds bytes instead of text, as another writer would.
+    pub fn put_bytes(&self, table: &str, key: &str, bytes: &[u8]) {
+        let text = bytes.iter().map(|byte| char::from(*byte));
+        self.write(table, key, Some(std::iter::once(BYTES_MARK).chain(text).collect()));
+    }
+
     /// Removes a row without a group.
     pub fn remove(&self, table: &str, key: &str) {
         self.write(table, key, None);
--- a/crates/standin/src/platform/http.rs
+++ b/crates/standin/src/platform/http.rs
@@ -17,7 +17,7 @@
 
 use super::query::Query;
 use super::store::Changed;
-use super::{Platform, Records, increment};
+use super::{BYTES_MARK, Platform, Records, increment};
 use crate::fault::Outage;
 use crate::reply;
 use crate::server::{Body, Cut, Handler};
@@ -259,11 +259,19 @@
     calls.into_iter().find_map(|call| Some((call, path.strip_prefix(call)?.strip_prefix('/')?)))
 }
 
+/// The bytes of a row: its text, or what another writer left that is no text.
+fn content(value: &str) -> Vec<u8> {
+    match value.strip_prefix(BYTES_MARK) {
+        Some(bytes) => bytes.chars().map(|byte| byte as u8).collect(),
+        None => value.as_bytes().to_vec(),
+    }
+}
+
 fn encode_row(row: &wire::store::Row) -> Row {
     Row {
         table: row.table.clone(),
         key: row.key.clone(),
-        value: Some(STANDARD.encode(&row.value)),
+        value: Some(STANDARD.encode(content(&row.value))),
         row_version: row.version.number,
         ..Row::default()
     }
