Roll-outs: answers held up by peak load or a long prompt don't count as slow

Change: a stream that has begun is due after sixteen gaps, and not before the route's objective; two quick gaps in a row show a quick stream. An answer that is judged, or due, under peak load belongs to peak load, also if its request came before.

--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -96,10 +96,10 @@
 }
 
 impl Watched {
-    /// Sets when the answer is due.
-    pub fn extend(&self, due: Millis) {
+    /// Sets when the answer is due, and the cohort of an answer that is judged then.
+    pub fn extend(&self, due: Millis, cohort: Cohort) {
         if let Some(sent) = self.tally.lock().open.get_mut(&self.number) {
-            sent.due = due;
+            (sent.due, sent.cohort) = (due, cohort);
         }
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -140,7 +140,7 @@
             Err(cause) => return Err(live.lose(job, cause)),
         }
         if let Some(watched) = &live.watched {
-            watched.extend(job.pace_due(clock::steady()));
+            job.extend_watch(&live.backend, watched);
         }
         live.charge.resize(SERVER_BUFFER_BYTES + live.unsent_events.len());
         Ok(live)
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -6,9 +6,9 @@
 /// Number of gaps between events after which a stream is judged.
 const JUDGED_GAPS: u32 = 5;
 /// Number of gaps in a row that show that a stream is quick.
-const STEADY_GAPS: u32 = 3;
+const STEADY_GAPS: u32 = 2;
 /// Number of gaps after which a stream is slow that has not shown that it is quick.
-pub const JUDGED_LAST_GAPS: u32 = 10;
+pub const JUDGED_LAST_GAPS: u32 = 16;
 /// Time after an event within which further events count as having come with it, in milliseconds. A
 /// network, or a process that was not running, delivers together what was sent one by one.
 const BURST_GAP_MS: f64 = 5.0;
