--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -526,11 +526,9 @@
 pub fn next(stage: Stage, elapsed: f64, verdict: Verdict) -> Option<Stage> {
     match (stage, verdict) {
         (Stage::Trial | Stage::Moving, Verdict::Bad) => Some(Stage::Stopped),
-        // A version that never had all requests is not known under that load. If the time is over,
-        // because the store was away, it is not moved to and declared done at once.
-        (Stage::Trial, _) if elapsed >= GIVE_UP_FRACTION => Some(Stage::Stopped),
         (Stage::Trial, Verdict::Good) if elapsed >= MOVE_FRACTION => Some(Stage::Moving),
         (Stage::Trial, Verdict::Clean) if elapsed >= MOVE_ON_FEW_FRACTION => Some(Stage::Moving),
+        (Stage::Trial, _) if elapsed >= GIVE_UP_FRACTION => Some(Stage::Stopped),
         (Stage::Moving, Verdict::Good) if elapsed >= DONE_FRACTION => Some(Stage::Done),
         // The old servers stop at the success, which can't be taken back. So a version that is not
         // known to be good is not declared done.
