Metrics: memory of the process beside what is counted

Two gauges now do: node_resident_bytes (the kernel's figure, by the memory-stats crate) and gateway_answers_read_bytes (answers being read whole).

--- a/crates/gateway/src/volume.rs
+++ b/crates/gateway/src/volume.rs
@@ -66,6 +66,12 @@
         }
     }
 
+    /// Bytes of answers that are being read whole now.
+    #[must_use]
+    pub fn read_bytes(&self) -> usize {
+        self.held_bytes.load(Ordering::Relaxed)
+    }
+
     /// Begins the reservation of one answer, at 0 bytes.
     #[must_use]
     pub fn reserve(&self) -> Reservation {
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -157,6 +157,10 @@
     metrics::gauge!("node_evacuated_domains").set(context.catalog.evacuated().len() as f64);
     metrics::gauge!("node_backends_revision").set(snapshot.revision as f64);
     metrics::gauge!("gateway_requests_in_flight").set(in_flight as f64);
+    if let Some(memory) = memory_stats::memory_stats() {
+        metrics::gauge!("node_resident_bytes").set(memory.physical_mem as f64);
+    }
+    metrics::gauge!("gateway_answers_read_bytes").set(context.state.buffers.read_bytes() as f64);
     let prefixes = &context.state.prefixes;
     if prefixes.is_on() {
         let followed = prefixes.followed.load(std::sync::atomic::Ordering::Relaxed);
