Bodies: one reader, which counts the memory that it holds, and a bound for every host

Cause: a body that was read whole was kept as a list of the pieces in which it came, and only their data was counted. A piece of one byte takes 32 bytes in the list, and is a slice of its connection's read buffer, framing included, which it keeps. The same way of reading stood in six further places (http_body_util's Limited and Collected), and the store's answers had no bound at all. What is held for all requests together was bounded only with the setting held_bytes, which the deploy template does not have.

Change: entry::body reads every body that is read whole: callers' requests, answers, load reports, ratings, engines' caches, the store, operators, the command line. It copies each piece into one buffer, drops the piece, and counts the buffer's capacity before it grows. policy::memory::Shares divides a host's memory: a quarter for requests, of that half for answers being read, a sixteenth for the store, a thirty-second for engines' caches; without memory_mb 256 MB are assumed. held_bytes only changes the quarter. Pieces of streams are always copied, also long ones, and a half event that is buffered is counted.

open_without_a_bound_counts_nothing said that a host without the setting counts nothing.

Tests: entry/tests/body.rs (any split keeps at most one piece and counts between once and twice the length), chestnutspur/tests/memory.rs with real processes of 110 MB.

--- a/crates/chestnutspur/src/command/node.rs
+++ b/crates/chestnutspur/src/command/node.rs
@@ -45,8 +45,9 @@
     let listeners = Listeners::bind(&settings).await.map_err(|error| error.to_string())?;
     let (changes, changed) = mpsc::unbounded_channel();
     tokio::spawn(watch_settings(file, settings.clone(), hangup, changes));
-    let store = platform::Client::new(settings.platform);
-    let platform = (store, platform::Codec, platform::Engines);
+    let memory = settings.resources.memory_bytes();
+    let store = platform::Client::new(settings.platform).with_memory(memory);
+    let platform = (store, platform::Codec, platform::Engines::new(memory));
     node::run(settings, changed, listeners, platform, metrics, stop).await;
     Ok(())
 }
--- a/crates/chestnutspur/src/http.rs
+++ b/crates/chestnutspur/src/http.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use entry::body::{self, Limits, OpenGate};
+use http_body_util::Full;
 use hyper::{Method, Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -13,6 +14,9 @@
 /// timeout is long.
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Longest response, in bytes. Bills of a whole deployment fit.
+const RESPONSE_BYTES_MAX: usize = 1 << 30;
+
 /// A response whose body was received completely.
 pub struct Response {
     /// HTTP status, of any class: an error status is still a response.
@@ -68,7 +72,9 @@
         let request = request.body(Full::new(self.body)).map_err(|e| to_message(&e))?;
         let response = sender.send_request(request).await.map_err(|e| to_message(&e))?;
         let status = response.status();
-        let body = response.into_body().collect().await.map_err(|e| to_message(&e))?.to_bytes();
+        let limits = Limits::new(RESPONSE_BYTES_MAX);
+        let body = body::read(&mut response.into_body(), &limits, &mut OpenGate).await;
+        let body = body.map_err(|e| to_message(&e))?;
         Ok(Response { status, body })
     }
 }
--- a/crates/chestnutspur/tests/support/nodes.rs
+++ b/crates/chestnutspur/tests/support/nodes.rs
@@ -27,9 +27,16 @@
 const WITHIN_S: f64 = 10.0;
 /// Time between two requests.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(4);
+/// Bytes of bodies that may be sent in [`REQUEST_INTERVAL`].
+const LOAD_BYTES: u32 = 512 << 10;
 /// Backend servers of each version.
 const SERVERS: usize = 2;
 
+/// Memory that each node may use, in megabytes.
+pub const MEMORY_MB: u64 = 110;
+/// Longest body of a request, in bytes.
+pub const BODY_BYTES_MAX: usize = 4 << 20;
+
 /// Two nodes, backend servers of two versions, and callers.
 pub struct Fleet {
     pub store: Running<Platform>,
@@ -77,6 +84,7 @@
         "role": "node", "name": name, "failure_domain": "a",
         "listen": callers, "operators": operators, "platform": store, "peers": "127.0.0.1:0",
         "failure_domains": ["a"],
+        "resources": {"memory_mb": MEMORY_MB},
         "repeats": {"share": 0.9, "slack": 50, "window_ms": 10_000}, "exposure_share": 0.15,
     });
     let file = directory.join("node.json");
@@ -91,13 +99,13 @@
         let route = json!({
             "name": "one", "host": HOST, "prefix": "/one/", "routeType": kind,
             "streamResumption": kind == "streaming", "gapTargetMs": 300,
-            "timeoutMs": 5_000, "sloMs": 400, "priority": 1, "service": SERVICE, "maxAttempts": 2,
+            "timeoutMs": 20_000, "sloMs": 400, "priority": 1, "service": SERVICE, "maxAttempts": 2,
             "allowAnonymous": false,
         });
         let table = json!({
             "version": 1, "routes": [route],
             "services": [{"name": SERVICE, "maxConnections": 400}],
-            "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 4_096, "idleTimeoutMs": 15_000},
+            "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": BODY_BYTES_MAX, "idleTimeoutMs": 15_000},
             "tenants": [{"name": "office", "apiKeys": [KEY], "priority": 1}],
         });
         store.put(names::table::OPERATORS, names::key::CONFIGURATION, &table);
@@ -143,12 +151,19 @@
 
     /// Sends requests with this deadline to the nodes in turn, until the result is dropped.
     pub fn start_load(&self, deadline_ms: u64) -> AbortOnDropHandle<()> {
+        self.start_load_of(deadline_ms, 0)
+    }
+
+    /// Like [`Self::start_load`], with bodies of this length.
+    pub fn start_load_of(&self, deadline_ms: u64, body_bytes: usize) -> AbortOnDropHandle<()> {
         let targets: Vec<_> = self.nodes.iter().map(|(_, callers)| *callers).collect();
         AbortOnDropHandle::new(tokio::spawn(async move {
             for number in 0_usize.. {
-                let call = call(&format!("request-{number}"), deadline_ms);
+                let call = call(&format!("request-{number}"), deadline_ms, body_bytes);
                 tokio::spawn(call.send(targets[number % targets.len()]));
-                tokio::time::sleep(REQUEST_INTERVAL).await;
+                // As many bytes a second as a link carries, also of long bodies.
+                let interval = REQUEST_INTERVAL * (1 + body_bytes as u32 / LOAD_BYTES);
+                tokio::time::sleep(interval).await;
             }
         }))
     }
@@ -163,7 +178,7 @@
 
     /// Sends a request to a node.
     pub async fn send(&self, node: usize, id: &str) -> Option<Reply> {
-        call(id, 2_000).send(self.nodes[node].1).await
+        call(id, 2_000, 0).send(self.nodes[node].1).await
     }
 
     /// Whether all processes still run.
@@ -172,8 +187,8 @@
     }
 }
 
-fn call(id: &str, deadline_ms: u64) -> Call {
-    Call::new(hyper::Method::POST, &format!("/one/{id}"), "")
+fn call(id: &str, deadline_ms: u64, body_bytes: usize) -> Call {
+    Call::new(hyper::Method::POST, &format!("/one/{id}"), "x".repeat(body_bytes))
         .header("host", HOST)
         .header("authorization", &format!("Bearer {KEY}"))
         .header(names::DEADLINE_MS, &deadline_ms.to_string())
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Limited};
+use entry::body::{self, Budget, Fault, Limits};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::HeaderMap;
 use hyper::service::service_fn;
@@ -26,6 +26,8 @@
 
 /// Longest document, in bytes.
 const BODY_BYTES_MAX: usize = 8 << 20;
+/// Memory that all documents use together while they are read and processed, in bytes.
+const DOCUMENTS_BYTES_MAX: usize = 4 * BODY_BYTES_MAX;
 /// Longest time an operator may take to send headers, or a body.
 const SLOW: Duration = Duration::from_secs(10);
 
@@ -50,14 +52,20 @@
     tasks: TaskTracker,
     stop: CancellationToken,
 ) {
-    let serve = |stream| connection(stream, process.clone(), stop.clone());
+    let documents = Budget::new(DOCUMENTS_BYTES_MAX);
+    let serve = |stream| connection(stream, process.clone(), documents.clone(), stop.clone());
     accept::each(listener, tasks, stop.clone(), serve).await;
 }
 
-async fn connection(stream: TcpStream, process: Arc<Process>, stop: CancellationToken) {
+async fn connection(
+    stream: TcpStream,
+    process: Arc<Process>,
+    documents: Budget,
+    stop: CancellationToken,
+) {
     let service = service_fn(move |request| {
-        let process = process.clone();
-        async move { Ok::<_, Infallible>(handle(request, &process).await) }
+        let (process, documents) = (process.clone(), documents.clone());
+        async move { Ok::<_, Infallible>(handle(request, &process, &documents).await) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
@@ -76,15 +84,13 @@
     }
 }
 
-async fn handle(request: Request<Incoming>, process: &Arc<Process>) -> Answer {
-    let (parts, body) = request.into_parts();
-    let body = match tokio::time::timeout(SLOW, Limited::new(body, BODY_BYTES_MAX).collect()).await
-    {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => {
-            return answer::error(StatusCode::PAYLOAD_TOO_LARGE, &error.to_string());
-        }
-        Err(_) => return answer::error(StatusCode::REQUEST_TIMEOUT, "the body came too slowly"),
+async fn handle(request: Request<Incoming>, process: &Arc<Process>, documents: &Budget) -> Answer {
+    let (parts, mut body) = request.into_parts();
+    let limits = Limits { whole: SLOW, ..Limits::new(BODY_BYTES_MAX) };
+    let mut memory = documents.reserve();
+    let body = match body::read(&mut body, &limits, &mut memory).await {
+        Ok(body) => body,
+        Err(fault) => return answer::error(fault_status(&fault), &fault.to_string()),
     };
     let asked = Asked {
         method: parts.method,
@@ -98,3 +104,13 @@
         false => api::route(&asked, process).await,
     }
 }
+
+/// The status of an answer to a request whose body was not read.
+fn fault_status(fault: &Fault) -> StatusCode {
+    match fault {
+        Fault::TooLong(_) => StatusCode::PAYLOAD_TOO_LARGE,
+        Fault::Slow { .. } | Fault::Late => StatusCode::REQUEST_TIMEOUT,
+        Fault::Broken { .. } => StatusCode::BAD_REQUEST,
+        Fault::NoMemory(_) => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -2,23 +2,19 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use bytes::Bytes;
+use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Uri};
 use policy::name::Name;
 use wire::refusal::{Code, Refusal};
 use wire::settings::Bounds;
 
+use crate::body::{self, Fault, Gate, Limits, OpenGate};
+
 /// Maximum time for a whole body, as a multiple of the longest wait between two of its pieces.
 /// Without it, a caller could send single bytes just in time forever.
 const BODY_SLOW_FACTOR: u32 = 6;
-/// Maximum memory allocated for a body before its first byte. The caller declares the length, and
-/// one that declares a long body and never sends it would occupy that much memory for nothing.
-const BODY_PREALLOCATED_BYTES_MAX: usize = 64 << 10;
-/// What is expected of the first piece of a body whose length is not declared.
-const BODY_PIECE_BYTES: usize = 8 << 10;
 /// Maximum length of a name that the caller chooses and sends in a header: idempotency key or
 /// session.
 pub const NAME_BYTES_MAX: usize = 256;
@@ -152,97 +148,37 @@
     }
 }
 
-/// Decides when more of a body may be read.
-pub trait Gate {
-    /// Waits until more may be read. `held` is the memory that the body uses, and `next` what it
-    /// will use beyond that.
-    ///
-    /// # Errors
-    /// The refusal of a request whose body is not read further.
-    fn wait(
-        &mut self,
-        held: usize,
-        next: usize,
-    ) -> impl Future<Output = Result<(), Refusal>> + Send;
-
-    /// The body has been read. `held` is the memory that it uses.
-    fn finish(&mut self, held: usize);
-}
-
-/// The gate of bodies that are read without a wait.
-struct OpenGate;
-
-impl Gate for OpenGate {
-    async fn wait(&mut self, _: usize, _: usize) -> Result<(), Refusal> {
-        Ok(())
-    }
-
-    fn finish(&mut self, _: usize) {}
-}
-
 /// Reads a whole body within the bounds on its size and time.
 ///
 /// # Errors
 /// [`Code::TooLarge`], [`Code::TooSlow`], or [`Code::BadRequest`] if the caller broke off.
 pub async fn read_body(body: Incoming, bounds: &Bounds) -> Result<Bytes, Refusal> {
-    read_body_through(&mut OpenGate, body, bounds).await
+    read_body_through(&mut OpenGate, body, bounds).await.map_err(refusal)
 }
 
 /// Like [`read_body`], with waits at a gate. They do not count as time that the caller takes.
 ///
 /// # Errors
-/// See [`read_body`]; or a refusal of the gate.
+/// Why the body was not read; see [`refusal`].
 pub async fn read_body_through(
     gate: &mut impl Gate,
     mut body: Incoming,
     bounds: &Bounds,
-) -> Result<Bytes, Refusal> {
-    let slow = Duration::from_millis(bounds.slow_ms);
-    let mut body_deadline = tokio::time::Instant::now() + slow * BODY_SLOW_FACTOR;
-    let declared = body.size_hint().lower();
-    let max = bounds.body_bytes;
-    if declared > max as u64 {
-        return Err(too_large(max));
-    }
-    let preallocated =
-        usize::try_from(declared).unwrap_or_default().min(BODY_PREALLOCATED_BYTES_MAX);
-    let mut waits_since = tokio::time::Instant::now();
-    if preallocated > 0 {
-        gate.wait(0, preallocated).await?;
-    }
-    let mut bytes = BytesMut::with_capacity(preallocated);
-    loop {
-        // A body that is complete must not wait to be noticed.
-        if !body.is_end_stream() {
-            // A buffer that is full grows to twice its size.
-            let is_full = bytes.len() == bytes.capacity();
-            let next = if is_full { bytes.capacity().max(BODY_PIECE_BYTES) } else { 0 };
-            gate.wait(bytes.capacity(), next).await?;
-        }
-        body_deadline += waits_since.elapsed();
-        let until = body_deadline.min(tokio::time::Instant::now() + slow);
-        let frame = match tokio::time::timeout_at(until, body.frame()).await {
-            Ok(None) => {
-                gate.finish(bytes.capacity());
-                return Ok(bytes.freeze());
-            }
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(_))) => {
-                return Err(Refusal::not_run(Code::BadRequest, "the body broke off"));
-            }
-            Err(_) => {
-                return Err(Refusal::not_run(Code::TooSlow, "the body arrived too slowly"));
-            }
-        };
-        match frame.into_data() {
-            Ok(data) if bytes.len() + data.len() > max => return Err(too_large(max)),
-            Ok(data) => bytes.extend_from_slice(&data),
-            Err(_) => {}
-        }
-        waits_since = tokio::time::Instant::now();
-    }
+) -> Result<Bytes, Fault> {
+    let between = Duration::from_millis(bounds.slow_ms);
+    let whole = between * BODY_SLOW_FACTOR;
+    let limits = Limits { between, whole, ..Limits::new(bounds.body_bytes) };
+    body::read(&mut body, &limits, gate).await
 }
 
-fn too_large(max: usize) -> Refusal {
-    Refusal::not_run(Code::TooLarge, format!("the body exceeds {max} bytes"))
+/// The refusal of a request whose body was not read.
+#[must_use]
+pub fn refusal(fault: Fault) -> Refusal {
+    let code = match &fault {
+        Fault::TooLong(_) => Code::TooLarge,
+        Fault::Broken { .. } => Code::BadRequest,
+        Fault::Slow { .. } | Fault::Late => Code::TooSlow,
+        Fault::NoMemory(_) => Code::Overloaded,
+    };
+    Refusal::not_run(code, fault.to_string())
 }
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -15,12 +15,13 @@
 
 use crate::answer::Answer;
 use crate::chain;
+use crate::connection::BUFFER_BYTES_MAX;
 use crate::progress::{self, Progress, Watched};
 use crate::state::State;
 
-/// Ratio of hyper's read buffer to the limit on header bytes. The buffer is larger, so that a
-/// caller slightly over the limit gets a refusal with a body instead of hyper's bare status.
-const BUFFER_FACTOR: usize = 4;
+/// Memory of hyper's read buffer beyond the limit on header bytes, so that a caller slightly over the
+/// limit gets a refusal with a body instead of hyper's bare status.
+const HEADER_SLACK_BYTES: usize = 4 << 10;
 /// Delay after a failed accept, for instance when the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Time after the close signal in which connections waiting in the listener's backlog are still
@@ -135,7 +136,7 @@
         http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(bounds.idle)
-            .max_buf_size((bounds.header_bytes * BUFFER_FACTOR).max(64 << 10))
+            .max_buf_size((bounds.header_bytes + HEADER_SLACK_BYTES).max(BUFFER_BYTES_MAX))
             .serve_connection(TokioIo::new(Watched::new(stream, progress.clone())), service)
     );
     let mut cut = std::pin::pin!(progress::wait_until_cut(progress.as_deref()));
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -59,9 +59,9 @@
     }
 }
 
-/// Limit on the bytes of an answer's head. A faulty backend server may send an endless head; a
-/// usual one has a few hundred bytes.
-const HEAD_BYTES_MAX: usize = 64 << 10;
+/// Most memory of the buffer that a connection is read into, and with it the longest head of an
+/// answer. A faulty backend server may send an endless head; a usual one has a few hundred bytes.
+pub const BUFFER_BYTES_MAX: usize = 16 << 10;
 /// How much longer a new connection is waited for once its timeout has passed. If this process stood
 /// still in between, the runtime may process the timeout before it notices that the connection is
 /// open. A second, short wait lets it look once more.
@@ -103,7 +103,7 @@
         let nodelay = stream.set_nodelay(true);
         nodelay.map_err(|_| Failure::not_sent(Cause::Broken))?;
         let handshake = http1::Builder::new()
-            .max_buf_size(HEAD_BYTES_MAX)
+            .max_buf_size(BUFFER_BYTES_MAX)
             .handshake(TokioIo::new(stream))
             .await;
         let (sender, driver) = handshake.map_err(|_| Failure::not_sent(Cause::Broken))?;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod answer;
 pub mod bills;
+pub mod body;
 pub mod call;
 pub mod callers;
 pub mod carry;
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::Request;
 use hyper::header::{HOST, HeaderValue};
 use wire::backend::Load;
 
+use crate::body::{self, Limits, OpenGate};
 use crate::clock;
 use crate::connection::{Cause, Connection, Failure};
 use crate::server::Server;
@@ -75,7 +76,8 @@
     let host = HeaderValue::from_str(&server.address.to_string()).map_err(|_| broken)?;
     let request = Request::get("/load").header(HOST, host).body(Full::new(Bytes::new()));
     let response = connection.send(request.map_err(|_| broken)?, TIMEOUT).await?;
-    let body = Limited::new(response.into_body(), LOAD_BYTES_MAX).collect().await;
-    let body = body.map_err(|_| broken)?.to_bytes();
+    let limits = Limits::new(LOAD_BYTES_MAX);
+    let body = body::read(&mut response.into_body(), &limits, &mut OpenGate).await;
+    let body = body.map_err(|_| broken)?;
     Ok(serde_json::from_slice(&body).ok())
 }
--- a/crates/entry/src/rating.rs
+++ b/crates/entry/src/rating.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::Request;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use policy::exposure::cusum::Cusum;
@@ -16,6 +16,7 @@
 use wire::backend::{Rating, RatingRequest};
 use wire::configuration::VersionState;
 
+use crate::body::{self, Limits, OpenGate};
 use crate::clock;
 use crate::connection::Connection;
 use crate::filter::place;
@@ -132,12 +133,13 @@
         .body(Full::new(body))
         .ok()?;
     let response = connection.send(question, TIMEOUT).await.ok()?;
-    let body = Limited::new(response.into_body(), RATING_BYTES_MAX).collect().await.ok()?;
+    let limits = Limits::new(RATING_BYTES_MAX);
+    let body = body::read(&mut response.into_body(), &limits, &mut OpenGate).await.ok()?;
     if connection.finish_answer(TIMEOUT).await {
         server.put_idle(connection);
     }
     drop(lease);
-    serde_json::from_slice(&body.to_bytes()).ok()
+    serde_json::from_slice(&body).ok()
 }
 
 /// The text in the body of a chat completion, for the rating service.
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -52,6 +52,12 @@
         self.pending.is_empty()
     }
 
+    /// Memory of the part of an event that is buffered, in bytes.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        self.pending.capacity()
+    }
+
     /// Takes the next piece of the stream. Returns the bytes to pass on, which may be none, and the
     /// number of events in them without comments.
     ///
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -255,7 +255,7 @@
             attempts_max: route.attempts_max,
             body_bytes: snapshot.index.limits.body_bytes,
             has_repeat: job.has_spare_repeat(),
-            reads_less: state.buffers.host().is_some_and(|host| host.is_short()),
+            reads_less: state.buffers.host().is_short(),
             queue: state.admission.queue(&job.service),
         },
         would_wait: matches!(verdict, Some(Verdict::Wait { .. })),
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use entry::answer::Answer;
+use entry::body::Fault;
 use entry::call;
 use entry::callers::{Bounds, Handler};
 use entry::clock;
@@ -91,7 +92,7 @@
     }
 
     fn watch(&self) -> Option<Arc<Progress>> {
-        self.buffers.host().map(|_| Arc::default())
+        Some(Arc::default())
     }
 }
 
@@ -149,7 +150,11 @@
     let holder = state.buffers.open(head.extensions.get().cloned());
     holder.set_deadline(deadline);
     let mut charge = holder.charge(0);
-    let body = call::read_body_through(&mut charge, body, &bounds).await?;
+    let body =
+        call::read_body_through(&mut charge, body, &bounds).await.map_err(|fault| match fault {
+            Fault::NoMemory(_) => refuse::no_memory(rand::random()),
+            fault => call::refusal(fault),
+        })?;
     let body = charge.hold(body);
     let subject = info.session.as_ref().unwrap_or(&info.id);
     let service = choose_service(route, subject);
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -8,20 +8,15 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use entry::call::Gate;
+use entry::body::{Gate, Shortage};
 use entry::clock;
 use entry::progress::Progress;
 use policy::memory::{self, Cut, CutCause, Governor, Holding, Load, STEP_INTERVAL_MS};
 use policy::time::Millis;
 use tokio::sync::Notify;
-use wire::refusal::Refusal;
 
-use crate::refuse;
 use crate::state::State;
 
-/// Pieces up to this length are copied when they are held. A piece is a slice of the buffer that
-/// its connection was read into, and would otherwise keep that whole buffer in memory.
-const COPIED_BYTES_MAX: usize = 4 << 10;
 /// How soon a read that waits for memory is judged again.
 const WAIT: Duration = Duration::from_millis(50);
 /// The same for a caller that has stopped taking. It is judged at once when it takes bytes again or
@@ -62,7 +57,8 @@
     }
 }
 
-/// A request's right to hold memory; one that counts nothing if the host has no bound.
+/// A request's right to hold memory. The default one counts nothing: it is for a request that is
+/// only explained, and reads nothing.
 #[derive(Clone, Debug, Default)]
 pub struct Holder(Option<Arc<Account>>);
 
@@ -290,9 +286,7 @@
     /// The deadline passed before.
     pub async fn reserve(&mut self, held: usize, next: usize) -> Result<bool, Expired> {
         let Some(account) = self.holder.0.clone() else { return Ok(false) };
-        if held as u64 > self.bytes {
-            self.resize(held);
-        }
+        self.cover(held);
         let wanted = held.saturating_add(next) as u64;
         // What was reserved before and not used serves this read as well.
         let missing = wanted.saturating_sub(self.bytes);
@@ -328,6 +322,13 @@
         self.bytes = bytes;
     }
 
+    /// Counts at least this many bytes, without a wait.
+    pub fn cover(&mut self, bytes: usize) {
+        if bytes as u64 > self.bytes {
+            self.resize(bytes);
+        }
+    }
+
     /// Moves what is counted beyond `rest` to a piece that was read, until the piece's last
     /// reference is dropped.
     #[must_use]
@@ -338,10 +339,9 @@
         self.resize(rest + piece.len());
         self.bytes -= piece.len() as u64;
         let moved = Self { holder: self.holder.clone(), bytes: piece.len() as u64 };
-        moved.hold(match piece.len() <= COPIED_BYTES_MAX {
-            true => Bytes::copy_from_slice(&piece),
-            false => piece,
-        })
+        // A piece is a slice of the buffer that its connection was read into, and would keep that
+        // whole buffer in memory.
+        moved.hold(Bytes::copy_from_slice(&piece))
     }
 
     /// Counts bytes by their length until their last reference is dropped.
@@ -390,11 +390,8 @@
 }
 
 impl Gate for Charge {
-    async fn wait(&mut self, held: usize, next: usize) -> Result<(), Refusal> {
-        match self.reserve(held, next).await {
-            Ok(_) => Ok(()),
-            Err(Expired) => Err(refuse::no_memory(rand::random())),
-        }
+    async fn wait(&mut self, held: usize, more: usize) -> Result<(), Shortage> {
+        self.reserve(held, more).await.map(|_| ()).map_err(|Expired| Shortage::Expired)
     }
 
     fn finish(&mut self, held: usize) {
@@ -403,10 +400,9 @@
 }
 
 impl<C> State<C> {
-    /// Follows the memory that is held for requests, until the process ends. Returns at once if it
-    /// has no bound.
+    /// Follows the memory that is held for requests, until the process ends.
     pub async fn follow_memory(self: Arc<Self>) {
-        let Some(host) = self.buffers.host() else { return };
+        let host = self.buffers.host();
         let mut governor = Governor::default();
         loop {
             tokio::time::sleep(Duration::from_millis(STEP_INTERVAL_MS)).await;
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -5,9 +5,9 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use entry::body::{self, Fault, Gate, Limits, Reservation, Shortage};
 use entry::clock;
 use entry::connection::Cause;
-use http_body_util::BodyExt;
 use hyper::StatusCode;
 use hyper::body::{Body, Incoming};
 use hyper::header::TRANSFER_ENCODING;
@@ -22,15 +22,29 @@
 use crate::carry::AcceptedAnswer;
 use crate::codec::Codec;
 use crate::evidence::Watched;
-use crate::holder::{Expired, MemoryWait};
+use crate::holder::{Charge, MemoryWait};
 use crate::job::Job;
 use crate::pick;
 use crate::relay::LiveStream;
+use crate::volume::ANSWER_BYTES_MAX;
 
-/// Longest piece of a body that a connection yields at once.
-const NEXT_BYTES_MAX: usize = 64 << 10;
-/// What is expected of the next piece of a body whose length is not announced.
-const UNKNOWN_NEXT_BYTES: usize = 8 << 10;
+/// Counts an answer that is read whole, as one of all such answers and as held for its request.
+struct AnswerGate<'a> {
+    reservation: Reservation,
+    charge: Charge,
+    waits: &'a MemoryWait,
+}
+
+impl Gate for AnswerGate<'_> {
+    async fn wait(&mut self, held: usize, more: usize) -> Result<(), Shortage> {
+        self.reservation.wait(held, more).await?;
+        self.waits.track(self.charge.wait(held, more)).await
+    }
+
+    fn finish(&mut self, held: usize) {
+        self.charge.finish(held);
+    }
+}
 
 /// Whether the end of an answer's body can be told from a lost connection.
 #[must_use]
@@ -105,31 +119,19 @@
     /// # Errors
     /// The body broke off or is too long, or the deadline has passed.
     pub async fn collect(&self, body: &mut Incoming, waits: &MemoryWait) -> Result<Bytes, Failure> {
-        let mut reservation = self.state.buffers.reserve();
-        let mut charge = self.holder.charge(0);
-        let (mut pieces, mut length): (Vec<Bytes>, usize) = (Vec::new(), 0);
-        loop {
-            let next = body.size_hint().exact().map_or(UNKNOWN_NEXT_BYTES, |left| {
-                usize::try_from(left).unwrap_or(usize::MAX).min(NEXT_BYTES_MAX)
-            });
-            // An answer that is complete must not wait to be noticed.
-            if !body.is_end_stream() {
-                let reserved = waits.track(charge.reserve(length, next)).await;
-                reserved.map_err(|Expired| Failure::Lost(Cause::Deadline))?;
-            }
-            let frame = match tokio::time::timeout_at(self.deadline.into(), body.frame()).await {
-                Ok(None) => return Ok(charge.keep(join(pieces))),
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => return Err(Failure::Lost(Cause::Truncated)),
-                Err(_) => return Err(Failure::Lost(Cause::Deadline)),
-            };
-            // Trailers are not passed on.
-            let data = frame.into_data().unwrap_or_default();
-            if !reservation.grow(data.len()) {
-                return Err(Failure::Lost(Cause::Truncated));
+        let limits = Limits::new(ANSWER_BYTES_MAX);
+        let limits = Limits { until: Some(self.deadline), ..limits };
+        let mut gate = AnswerGate {
+            reservation: self.state.buffers.reserve(),
+            charge: self.holder.charge(0),
+            waits,
+        };
+        match body::read(body, &limits, &mut gate).await {
+            Ok(body) => Ok(gate.charge.hold(body)),
+            Err(Fault::Late | Fault::NoMemory(Shortage::Expired)) => {
+                Err(Failure::Lost(Cause::Deadline))
             }
-            length += data.len();
-            pieces.push(data);
+            Err(_) => Err(Failure::Lost(Cause::Truncated)),
         }
     }
 
@@ -307,11 +309,3 @@
         }
     }
 }
-
-/// Joins the pieces of a body. Most answers come in one piece.
-fn join(mut pieces: Vec<Bytes>) -> Bytes {
-    match pieces.len() {
-        0 | 1 => pieces.pop().unwrap_or_default(),
-        _ => pieces.concat().into(),
-    }
-}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -142,7 +142,7 @@
         if let Some(watched) = &live.watched {
             job.extend_watch(&live.backend, watched);
         }
-        live.charge.resize(SERVER_BUFFER_BYTES + live.unsent_events.len());
+        live.charge.resize(live.held_bytes() + live.unsent_events.len());
         Ok(live)
     }
 
@@ -159,7 +159,8 @@
         events: Bytes,
         job: &Job<C>,
     ) -> Result<(), End> {
-        let events = self.charge.keep_piece(SERVER_BUFFER_BYTES, events);
+        let held = self.held_bytes();
+        let events = self.charge.keep_piece(held, events);
         match tokio::time::timeout_at(job.deadline.into(), pieces.send(Ok(events))).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) => Err(End::CallerGone),
@@ -186,8 +187,10 @@
                 // If comments alone were passed on, the answer would have begun, and no other
                 // server could answer any more.
                 self.comments.extend_from_slice(&events);
+                self.charge.cover(self.held_bytes());
                 continue;
             }
+            self.charge.cover(self.held_bytes());
             self.progress.events += count;
             if count > 0 {
                 self.backend.record_contact(clock::steady());
@@ -201,6 +204,11 @@
         }
     }
 
+    /// Memory that the stream uses beside the events that are passed on.
+    fn held_bytes(&self) -> usize {
+        SERVER_BUFFER_BYTES + self.splitter.buffered_bytes() + self.comments.capacity()
+    }
+
     /// Puts the comments that came before the first event in front of it.
     fn prepend_comments(&mut self, events: Bytes) -> Bytes {
         if self.comments.is_empty() {
@@ -494,7 +502,8 @@
     // What comes next is assumed to be as long as what came last.
     let mut next = 0;
     while !live.is_ended {
-        match live.charge.reserve(SERVER_BUFFER_BYTES, next).await {
+        let held = live.held_bytes();
+        match live.charge.reserve(held, next).await {
             Ok(false) => {}
             // The server was not silent meanwhile, it was not read.
             Ok(true) => live.quiet_since = Instant::now(),
--- a/crates/gateway/src/volume.rs
+++ b/crates/gateway/src/volume.rs
@@ -1,110 +1,72 @@
-//! Memory for answers that are read whole before they are passed on.
+//! Memory for what a host reads for its requests.
 //!
 //! A backend server in trouble may send a body without end. The body of a single answer is bounded,
-//! but a host in front of such a server has hundreds of them at once, and little memory. So the sum
-//! is bounded as well. An answer that would exceed this bound is given up.
+//! but a host in front of such a server has hundreds of them at once, and little memory. So what
+//! answers use while they are read is bounded as well; an answer that would exceed this is given up.
 //!
-//! Beyond that, settings may bound what is held for all requests until their callers have taken it.
-//! At that bound reading waits, see [`crate::holder`].
+//! All that is held for requests until their callers have taken it has a bound of its own, at which
+//! reading waits, see [`crate::holder`].
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 
+use entry::body::{Budget, Reservation};
 use entry::progress::Progress;
+use policy::memory::Shares;
 
 use crate::holder::{Holder, HostMemory};
 
 /// The longest answer that is read whole.
-const ANSWER_BYTES_MAX: usize = 16 << 20;
+pub const ANSWER_BYTES_MAX: usize = 16 << 20;
 /// Answers up to this length are read even if the budget is used up.
-const SMALL_BYTES: usize = 64 << 10;
-/// All answers together may use the host's memory divided by this number.
-const MEMORY_DIVISOR: u64 = 8;
-/// The budget of a host whose memory is unknown.
-const DEFAULT_BYTES_MAX: u64 = 32 << 20;
+pub const SMALL_BYTES: usize = 64 << 10;
 
-/// The memory that all answers of a host use together.
+/// The memory that all requests of a host use together.
 #[derive(Debug)]
 pub struct BufferBudget {
-    held_bytes: Arc<AtomicUsize>,
-    bytes_max: usize,
-    /// The bound on what is held for all requests; `None` if there is none.
-    host: Option<Arc<HostMemory>>,
+    answers: Budget,
+    host: Arc<HostMemory>,
 }
 
 impl BufferBudget {
     /// The budget of a host with `memory` bytes, if that is known.
     #[must_use]
     pub fn new(memory: Option<u64>) -> Self {
-        let bytes_max = memory.map_or(DEFAULT_BYTES_MAX, |memory| memory / MEMORY_DIVISOR);
+        let shares = Shares::new(memory);
+        let answers = usize::try_from(shares.answers).unwrap_or(usize::MAX);
         Self {
-            held_bytes: Arc::default(),
-            bytes_max: usize::try_from(bytes_max).unwrap_or(usize::MAX),
-            host: None,
+            answers: Budget::new(answers).with_small_bytes(SMALL_BYTES),
+            host: Arc::new(HostMemory::new(shares.held)),
         }
     }
 
-    /// Bounds what is held for all requests as well; `None` sets no bound.
+    /// Sets what may be held for all requests; `None` keeps the default.
     #[must_use]
     pub fn with_bound(self, bytes: Option<u64>) -> Self {
-        Self { host: bytes.map(|bytes| Arc::new(HostMemory::new(bytes))), ..self }
+        let host = bytes.map_or(self.host, |bytes| Arc::new(HostMemory::new(bytes)));
+        Self { host, ..self }
     }
 
-    /// The bound on what is held for all requests; `None` if there is none.
+    /// What is held for all requests, and its bound.
     #[must_use]
-    pub fn host(&self) -> Option<Arc<HostMemory>> {
-        self.host.clone()
+    pub fn host(&self) -> &Arc<HostMemory> {
+        &self.host
     }
 
-    /// Opens the account of a request whose connection has this progress. The account counts
-    /// nothing if there is no bound.
+    /// Opens the account of a request whose connection has this progress.
     #[must_use]
     pub fn open(&self, progress: Option<Arc<Progress>>) -> Holder {
-        match (&self.host, progress) {
-            (Some(host), Some(progress)) => host.open(progress),
-            _ => Holder::default(),
-        }
+        self.host.open(progress.unwrap_or_default())
     }
 
-    /// Bytes of answers that are being read whole now.
+    /// Memory of answers that are being read whole now, in bytes.
     #[must_use]
     pub fn read_bytes(&self) -> usize {
-        self.held_bytes.load(Ordering::Relaxed)
+        self.answers.used_bytes()
     }
 
     /// Begins the reservation of one answer, at 0 bytes.
     #[must_use]
     pub fn reserve(&self) -> Reservation {
-        Reservation {
-            held_bytes: Arc::clone(&self.held_bytes),
-            bytes_max: self.bytes_max,
-            own_bytes: 0,
-        }
-    }
-}
-
-/// The memory that one answer uses. It is returned to the budget on drop.
-#[derive(Debug)]
-pub struct Reservation {
-    held_bytes: Arc<AtomicUsize>,
-    bytes_max: usize,
-    own_bytes: usize,
-}
-
-impl Reservation {
-    /// Adds bytes that were read, and tells whether the answer may be read further. If it may not,
-    /// the reader must give the answer up.
-    #[must_use]
-    pub fn grow(&mut self, bytes: usize) -> bool {
-        self.own_bytes += bytes;
-        let total = self.held_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes;
-        self.own_bytes <= SMALL_BYTES
-            || (self.own_bytes <= ANSWER_BYTES_MAX && total <= self.bytes_max)
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        self.held_bytes.fetch_sub(self.own_bytes, Ordering::Relaxed);
+        self.answers.reserve()
     }
 }
--- a/crates/gateway/tests/holder.rs
+++ b/crates/gateway/tests/holder.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use entry::call::Gate;
+use entry::body::Gate;
 use entry::clock;
 use entry::progress::Progress;
 use futures::FutureExt;
@@ -131,14 +131,31 @@
     tokio::time::timeout(WAIT_MAX, late).await.unwrap().unwrap();
 }
 
-/// Guards against a host without the setting that waits, counts or copies.
+/// Guards against a host without the setting, or whose settings do not tell its memory, that holds
+/// as much as others send.
 #[tokio::test]
-async fn open_without_a_bound_counts_nothing() {
-    let holder = BufferBudget::new(Some(1 << 20)).open(Some(Arc::default()));
-    let bytes = Bytes::from_static(b"answer");
-    let mut charge = holder.charge(0);
-    assert_eq!(charge.keep_piece(0, bytes.clone()).as_ptr(), bytes.as_ptr());
-    assert_eq!(charge.reserve(0, usize::MAX).await, Ok(false));
+async fn open_without_the_setting_is_bounded() {
+    for (memory, bound) in [(Some(4 * BOUND as u64), BOUND), (None, 64 << 20)] {
+        let buffers = BufferBudget::new(memory).with_bound(None);
+        assert_eq!(buffers.host().bytes_max(), bound as u64);
+        for progress in [None, Some(Arc::default())] {
+            let holder = buffers.open(progress);
+            holder.set_deadline(Instant::now());
+            let mut charge = holder.charge(0);
+            assert_eq!(charge.reserve(0, bound / 2).await, Ok(false));
+            assert_eq!(charge.reserve(bound / 2, bound).await, Err(Expired));
+        }
+    }
+}
+
+/// Guards against a piece of a stream that keeps the whole buffer of its connection in memory.
+#[tokio::test]
+async fn keep_piece_keeps_no_buffer() {
+    let buffer = Bytes::from(vec![0; BOUND]);
+    let mut charge = open(&host()).charge(0);
+    let piece = charge.keep_piece(0, buffer.slice(..BOUND / 2));
+    assert!(buffer.is_unique());
+    assert_eq!(piece.len(), BOUND / 2);
 }
 
 /// Guards against a host that reports a shortage and disconnects nobody, or the wrong caller.
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -168,9 +168,8 @@
     let (loads, load_queue) = mpsc::channel(LOAD_QUEUE_MAX);
     let outbox = Outbox { prefills, restrictions, loads, trials };
     let budget = Budget::new(&settings);
-    let settings::Resources { descriptors, memory_mb, .. } = settings.resources;
-    let memory = memory_mb.map(|megabytes| megabytes << 20);
-    let shed = Shedder::new(overload::connections_max(descriptors, memory));
+    let memory = settings.resources.memory_bytes();
+    let shed = Shedder::new(overload::connections_max(settings.resources.descriptors, memory));
     let state = State::new(codec, budget.allowance(), outbox, stop.clone());
     let waiting_max = settings.admission.map(|admission| admission.waiting_max as usize);
     let admission = Admission::new(waiting_max);
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -45,7 +45,7 @@
         /// State of the prefix cache index; `None` if it is off.
         pub prefix_index: Option<PrefixIndex>,
         /// Memory that this host holds for requests; `None` if it has no bound.
-        pub memory: Option<Memory>,
+        pub memory: Memory,
         /// Requests and parts of prompts that are suspected of crashing servers and therefore not
         /// sent freely.
         pub held: Vec<HeldSuspect>,
@@ -61,7 +61,7 @@
     }
 
     /// Memory that a host holds for requests until callers or backend servers have taken it.
-    #[derive(Copy)]
+    #[derive(Copy, Default)]
     pub struct Memory {
         /// Bytes that are held.
         pub held_bytes: u64,
@@ -149,6 +149,7 @@
     ) -> Self {
         let snapshot = state.snapshot.load();
         let services = snapshot.pools.iter().map(|(name, pool)| (name.clone(), service(pool, now)));
+        let host = state.buffers.host();
         let requests = state.in_flight.load(std::sync::atomic::Ordering::Relaxed);
         Self {
             table: snapshot.index.version,
@@ -173,11 +174,11 @@
             isolated: state.reach.is_isolated(),
             requests: requests as u64,
             prefix_index: prefix_index(&state.prefixes, now),
-            memory: state.buffers.host().map(|host| Memory {
+            memory: Memory {
                 held_bytes: host.held_bytes(),
                 bytes_max: host.bytes_max(),
                 reads_less: host.is_short(),
-            }),
+            },
             held: state
                 .poison
                 .with_book(|book| book.suspects(now))
--- a/crates/policy/src/memory.rs
+++ b/crates/policy/src/memory.rs
@@ -45,7 +45,33 @@
 /// Part of the bound that all small holdings together may reach.
 const SMALL_DIVISOR: u64 = 2;
 
+/// Memory of a host whose settings do not tell it, in bytes.
+const ASSUMED_BYTES: u64 = 256 << 20;
+/// Parts of a host's memory, each as the number that the memory is divided by. Half of it is for
+/// callers' connections, see [`crate::overload::connections_max`]. The rest is the process itself.
+const HELD_DIVISOR: u64 = 4;
+/// Part of what is held that answers may use while they are read whole.
+const ANSWERS_DIVISOR: u64 = 8;
+/// Part for answers of the store.
+const STORE_DIVISOR: u64 = 16;
+/// Part for what engines tell of their caches.
+const ENGINES_DIVISOR: u64 = 32;
+
 domain! {
+    /// What a host may hold of what others send, in bytes. The sum of all parts leaves room for the
+    /// process itself, whatever the settings.
+    #[derive(Copy, Eq)]
+    pub struct Shares {
+        /// For all requests: their bodies, answers and pieces of streams.
+        pub held: u64,
+        /// Of that, for answers while they are read whole.
+        pub answers: u64,
+        /// For answers of the store while they are read.
+        pub store: u64,
+        /// For what engines tell of their caches while it is read.
+        pub engines: u64,
+    }
+
     /// What a host holds for one request.
     #[derive(Copy)]
     pub struct Holding {
@@ -111,6 +137,20 @@
     }
 }
 
+impl Shares {
+    /// The parts of a host's memory; `None` if its settings do not tell it.
+    #[must_use]
+    pub fn new(memory: Option<u64>) -> Self {
+        let memory = memory.unwrap_or(ASSUMED_BYTES);
+        Self {
+            held: memory / HELD_DIVISOR,
+            answers: memory / ANSWERS_DIVISOR,
+            store: memory / STORE_DIVISOR,
+            engines: memory / ENGINES_DIVISOR,
+        }
+    }
+}
+
 impl Holding {
     /// For how long the caller has accepted nothing, in milliseconds.
     fn stall_ms(&self, now: Millis) -> u64 {
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -304,6 +304,14 @@
     }
 }
 
+impl Resources {
+    /// The host's memory in bytes; `None` if the settings do not tell it.
+    #[must_use]
+    pub fn memory_bytes(&self) -> Option<u64> {
+        self.memory_mb.map(|megabytes| megabytes << 20)
+    }
+}
+
 impl HeldBytes {
     /// The bytes that a host with `memory` bytes may hold; `None` if its memory is unknown.
     #[must_use]
