Streams: comments before the first event are bounded

Cause: comments that come before the first event are kept, since they can't be passed on while another server may still answer.

Change: beyond 4 KiB the stream counts as broken, and another server is asked. A server that keeps a connection open sends some bytes a second. What is kept is counted as held for the request.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -40,6 +40,10 @@
 /// What is expected of a stream's first events.
 const FIRST_EVENTS_BYTES: usize = 2 << 10;
 
+/// Most bytes of comments before a stream's first event. A server that sends more is not about to
+/// answer, and another one can.
+const COMMENTS_BYTES_MAX: usize = 4 << 10;
+
 /// How long a stream whose run was stopped for its move is read on. The events that the source sent
 /// before are on the way already.
 const STOPPED_STREAM_MAX: Duration = Duration::from_millis(100);
@@ -187,6 +191,9 @@
                 // If comments alone were passed on, the answer would have begun, and no other
                 // server could answer any more.
                 self.comments.extend_from_slice(&events);
+                if self.comments.len() > COMMENTS_BYTES_MAX {
+                    return Err(Cause::Broken);
+                }
                 self.charge.cover(self.held_bytes());
                 continue;
             }
