Failures: the rest of a failure's body isn't read while another server could answer

Cause: a failure is kept to be passed on if no other server answers, so its body was read whole before the next attempt, up to 16 MiB and the request's whole time.

Change: while another attempt is allowed and there is a server or host for it, the body of a failure is read for 100 ms and up to 64 KiB. A failure given up like that counts for the server as before; if no other attempt succeeds, the caller gets this host's refusal, which says that the request may have run. Where nothing else can answer, the body is read as before.

--- a/crates/gateway/src/hedge.rs
+++ b/crates/gateway/src/hedge.rs
@@ -348,7 +348,7 @@
     async fn run(&self, backend: &Arc<Backend>, waits: &MemoryWait) -> Result<Reply, Failure> {
         let mut reply = self.send(backend, None).await?;
         let is_framed = is_framed(&reply);
-        let body = match self.collect(&mut reply.body, waits).await {
+        let body = match self.collect(reply.head.status, &mut reply.body, waits).await {
             Ok(body) => body,
             Err(failure) => {
                 self.end_watch(reply.watched, failure);
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -2,7 +2,7 @@
 //! request is sent again.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use entry::body::{self, Fault, Gate, Limits, Reservation, Shortage};
@@ -26,7 +26,11 @@
 use crate::job::Job;
 use crate::pick;
 use crate::relay::LiveStream;
-use crate::volume::ANSWER_BYTES_MAX;
+use crate::volume::{ANSWER_BYTES_MAX, SMALL_BYTES};
+
+/// How long the body of a failure is read while another server could answer. It comes with its head
+/// or right after it.
+const FAILURE_READ_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Counts an answer that is read whole, as one of all such answers and as held for its request.
 struct AnswerGate<'a> {
@@ -93,33 +97,52 @@
         &mut self,
         mut reply: Reply,
     ) -> Result<Option<AcceptedAnswer>, Failure> {
-        let backend = Arc::clone(&reply.backend);
+        let (backend, status) = (Arc::clone(&reply.backend), reply.head.status.as_u16());
         reply.watched.take().into_iter().for_each(Watched::resolve);
         backend.record_outcome(true, clock::steady());
         self.record_for_rollout(&backend, None);
         self.record_fetch_failed();
         self.attempts.may_have_run = true;
-        let (head, body) = self.read_whole(reply).await?;
+        let read = self.read_whole(reply).await;
+        let is_given_up = matches!(read, Err(Failure::Lost(Cause::Failed(_))));
+        let answer = match read {
+            Err(_) if is_given_up => None,
+            read => Some(read?),
+        };
         // The host that made the attempt may be asked again, for another server.
         self.record_failed_server(self.attempts.backend.clone());
         log::info!(target: "route", request:% = self.info.id, backend:% = backend.id,
-            status = head.status.as_u16(), sent = self.attempts.sent;
+            status, sent = self.attempts.sent, is_given_up;
             "backend server answered with an error");
-        match self.route().kind.may_repeat() {
-            true => {
-                self.attempts.failure_answer = Some((head, body));
+        match answer {
+            Some((head, body)) if !self.route().kind.may_repeat() => {
+                Ok(Some(AcceptedAnswer::Whole(head, body)))
+            }
+            answer => {
+                self.attempts.failure_answer = answer.or(self.attempts.failure_answer.take());
                 Ok(None)
             }
-            false => Ok(Some(AcceptedAnswer::Whole(head, body))),
         }
     }
 
     /// Reads the whole body of an answer. Counts the time for which that waits for memory.
     ///
+    /// The body of a failure is read only for a moment while another server could answer: the
+    /// caller has no use for it then, and it may have no end.
+    ///
     /// # Errors
     /// The body broke off or is too long, or the deadline has passed.
-    pub async fn collect(&self, body: &mut Incoming, waits: &MemoryWait) -> Result<Bytes, Failure> {
-        let limits = Limits::new(ANSWER_BYTES_MAX);
+    pub async fn collect(
+        &self,
+        status: StatusCode,
+        body: &mut Incoming,
+        waits: &MemoryWait,
+    ) -> Result<Bytes, Failure> {
+        let is_replaceable = status.is_server_error() && self.can_be_answered_elsewhere();
+        let limits = match is_replaceable {
+            true => Limits { whole: FAILURE_READ_TIMEOUT, ..Limits::new(SMALL_BYTES) },
+            false => Limits::new(ANSWER_BYTES_MAX),
+        };
         let limits = Limits { until: Some(self.deadline), ..limits };
         let mut gate = AnswerGate {
             reservation: self.state.buffers.reserve(),
@@ -128,6 +151,9 @@
         };
         match body::read(body, &limits, &mut gate).await {
             Ok(body) => Ok(gate.charge.hold(body)),
+            Err(Fault::Slow { .. } | Fault::TooLong(_) | Fault::NoMemory(_)) if is_replaceable => {
+                Err(Failure::Lost(Cause::Failed(status.as_u16())))
+            }
             Err(Fault::Late | Fault::NoMemory(Shortage::Expired)) => {
                 Err(Failure::Lost(Cause::Deadline))
             }
@@ -135,6 +161,13 @@
         }
     }
 
+    /// Whether another attempt may be made, and there is a server or host for it.
+    fn can_be_answered_elsewhere(&self) -> bool {
+        self.route().kind.may_repeat()
+            && self.attempts.sent < self.attempts_max
+            && (pick::has_server(self) || self.has_host())
+    }
+
     async fn read_whole(&self, reply: Reply) -> Result<(Parts, Bytes), Failure> {
         let is_framed = is_framed(&reply);
         let load_class = reply.load_class;
@@ -143,7 +176,7 @@
             Some(collected) => (collected.body, collected.is_framed, collected.memory_wait),
             None => {
                 let waits = MemoryWait::default();
-                match self.collect(&mut body, &waits).await {
+                match self.collect(head.status, &mut body, &waits).await {
                     Ok(body) => (body, is_framed, waits.total()),
                     Err(failure) => {
                         self.end_watch(watched, failure);
