--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use entry::body::{self, Budget, Fault, Limits};
+use entry::connection::BUFFER_BYTES_MAX;
 use hyper::body::{Bytes, Incoming};
 use hyper::header::HeaderMap;
 use hyper::service::service_fn;
@@ -70,6 +71,7 @@
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(SLOW)
+        .max_buf_size(BUFFER_BYTES_MAX)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let result = tokio::select! {
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -2,18 +2,24 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
 
 use crate::answer::Answer;
+use crate::connection::BUFFER_BYTES_MAX;
 use crate::state::State;
 
+/// Longest wait for the head of an operator's next request. Longer than the usual pause between two
+/// reads of the metrics.
+const IDLE_MAX: Duration = Duration::from_secs(60);
+
 /// Serves the interface until the process ends.
 pub async fn serve(listener: TcpListener, state: Arc<State>, metrics: PrometheusHandle) {
     loop {
@@ -24,7 +30,7 @@
             async move { Ok::<_, Infallible>(response) }
         });
         tokio::spawn(async move {
-            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let served = connection().serve_connection(TokioIo::new(stream), service);
             if let Err(error) = served.await {
                 log::debug!("entry: an operator's connection failed: {error}");
             }
@@ -32,6 +38,18 @@
     }
 }
 
+/// How an operator's connection is served: its buffer is short, and it is closed if it sends no
+/// request.
+#[must_use]
+pub fn connection() -> http1::Builder {
+    let mut connection = http1::Builder::new();
+    connection
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_MAX)
+        .max_buf_size(BUFFER_BYTES_MAX);
+    connection
+}
+
 fn respond(
     state: &State,
     metrics: &PrometheusHandle,
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -4,11 +4,10 @@
 use std::sync::Arc;
 
 use entry::answer::Answer;
-use entry::{call, clock};
+use entry::{call, clock, operators};
 use gateway::explain::{self, Question};
 use gateway::{Codec, State};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -56,7 +55,7 @@
             }
         });
         tokio::spawn(async move {
-            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let served = operators::connection().serve_connection(TokioIo::new(stream), service);
             if let Err(error) = served.await {
                 log::debug!(target: "operators", error:% = error;
                     "connection of an operator ended with an error");
