--- a/crates/chestnutspur/tests/support/nodes.rs
+++ b/crates/chestnutspur/tests/support/nodes.rs
@@ -11,6 +11,7 @@
 use platform::names;
 use serde_json::{Value, json};
 use standin::platform::Platform;
+use standin::proxy::{self, Proxy};
 use standin::routed::{ScriptedReply, ScriptedServer};
 use standin::server::{Running, start};
 use tokio_util::task::AbortOnDropHandle;
@@ -43,6 +44,8 @@
     pub old: Vec<Running<ScriptedServer>>,
     pub new: Vec<Running<ScriptedServer>>,
     pub nodes: Vec<(Child, SocketAddr)>,
+    /// Each node's way to the store.
+    pub links: Vec<Proxy>,
 }
 
 impl Drop for Fleet {
@@ -114,6 +117,7 @@
             new: servers(&store, "v2", new),
             store,
             nodes: Vec::new(),
+            links: Vec::new(),
         };
         for number in 0..2 {
             fleet.add_node(&format!("{name}-{number}")).await;
@@ -123,7 +127,10 @@
 
     /// Starts a node and waits until it is ready.
     pub async fn add_node(&mut self, name: &str) {
-        let (file, [callers, operators]) = write_settings(name, self.store.address);
+        let link = proxy::start(ANY).await.expect("way to the store");
+        link.set_target(self.store.address);
+        let (file, [callers, operators]) = write_settings(name, link.address);
+        self.links.push(link);
         let log = std::fs::File::create(file.with_extension("log")).expect("log");
         let child = Command::new(env!("CARGO_BIN_EXE_chestnutspur"))
             .args(["node", "--settings", &file.display().to_string()])
