Leaving servers: logs tell when the store confirmed a change, and how old the list was

A request that reaches a server late could not be explained: the line that a server was removed came without any time of the store, and nothing said whether its entry was kept.

- the store's clock is read from its answers and set against the host's (policy::remote_clock), so that a host that reads late for lack of processor time still knows when the store answered;
- 'backend server listed' and 'removed' tell confirmed_ms and confirmed_max_ms, between which the store had confirmed the change, and 'entry kept' until when and why;
- 'request ended' tells list_ms, the age of the list by which it was sent;
- 'request sent to a server that is not listed as ready' tells why (a copy there, an entry that may have lapsed), for every way to a server, and is counted.

No decision is changed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -112,6 +112,7 @@
         return Err(Failure::Unwanted);
     }
     let request = request(job, attempt).ok_or(Failure::Unsent(Cause::Broken))?;
+    record_listing(job, backend);
     let model = job.model_hash();
     let rank = attempt.priority.unwrap_or_default();
     let estimate = backend.estimate(rank, clock::steady());
@@ -198,6 +199,23 @@
     })
 }
 
+/// Records how old the list was by which the request is sent, and logs why it goes to a server that
+/// is not listed as ready.
+fn record_listing<C: Codec>(job: &Job<C>, backend: &Backend) {
+    let now = clock::steady();
+    let listed_at = Millis(job.state.listed_at.load(Ordering::Relaxed));
+    let list_ms = now.since(listed_at);
+    job.attempts.list_ms.store(list_ms, Ordering::Relaxed);
+    let why = match () {
+        () if backend.is_leaving() => "continues a stream from a copy there",
+        () if backend.is_kept() => "the entry may have lapsed while the store was away",
+        () => return,
+    };
+    metrics::counter!("gateway_sent_to_unlisted_total").increment(1);
+    log::info!(target: "route", request:% = job.info.id, backend:% = backend.id, why, list_ms;
+        "request sent to a server that is not listed as ready");
+}
+
 /// Announces a long prompt to the other hosts of the failure domain. A prompt for a server of
 /// another one is announced only for the prefix cache index.
 fn announce<C: Codec>(job: &Job<C>, backend: &Backend, prompt: Prompt) {
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -90,6 +90,8 @@
     has_models: AtomicBool,
     /// Whether the server's row says that it is leaving.
     is_draining: AtomicBool,
+    /// Whether the server's row is gone, and kept because it may have lapsed.
+    is_kept: AtomicBool,
     observations: Mutex<Observations>,
     /// When the server last refused a connection, in milliseconds; 0 if it has answered since.
     refused_at: AtomicU64,
@@ -166,6 +168,7 @@
             is_engine: AtomicBool::new(false),
             has_models: AtomicBool::new(false),
             is_draining: AtomicBool::new(row.draining),
+            is_kept: AtomicBool::new(false),
             server: Arc::new(Server::new(row.id.clone(), row.address, domain)),
             observations: Mutex::default(),
             refused_at: AtomicU64::new(0),
@@ -255,6 +258,17 @@
         self.is_draining.store(is_draining, Ordering::Relaxed);
     }
 
+    /// Sets whether the server's row is gone, and kept because it may have lapsed.
+    pub fn set_kept(&self, is_kept: bool) {
+        self.is_kept.store(is_kept, Ordering::Relaxed);
+    }
+
+    /// Whether the server's row is gone, and kept because it may have lapsed.
+    #[must_use]
+    pub fn is_kept(&self) -> bool {
+        self.is_kept.load(Ordering::Relaxed)
+    }
+
     /// Whether the server is leaving, by its row or by what it says itself.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
--- a/crates/gateway/src/end.rs
+++ b/crates/gateway/src/end.rs
@@ -1,5 +1,6 @@
 //! Logs one line for each request when its answer has ended.
 
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use entry::clock;
@@ -94,6 +95,7 @@
         fetched_from:% = display(attempts.fetch.as_ref().map(|fetch| &fetch.source.id)),
         head_ms = attempts.head_ms, first_ms = attempts.began_after_ms, ms = ms as u64,
         continued = attempts.used_copies.len(), waited_ms = attempts.waited_ms,
+        list_ms = attempts.list_ms.load(Ordering::Relaxed),
         table = job.state.snapshot.load().index.version, outcome:? = end; "request ended");
 }
 
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,6 +1,6 @@
 //! A request in flight and the state of its attempts.
 
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -100,6 +100,8 @@
     pub found_no_server: bool,
     /// The backend server of the last attempt.
     pub backend: Option<Name>,
+    /// Age of the list of backend servers when the last attempt was sent, in milliseconds.
+    pub list_ms: AtomicU64,
     /// Backend servers and hosts that this host does not choose again for the request.
     pub excluded: Vec<Name>,
     /// Backend servers that received the request and failed it or rejected it. Other hosts must not
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -83,6 +83,9 @@
     /// Longest time until this host has stopped sending requests to a leaving backend server, in
     /// milliseconds.
     pub leaving_ms: AtomicU64,
+    /// When the list of backend servers was last known to be current, on the steady clock; 0 before
+    /// it was read.
+    pub listed_at: AtomicU64,
     /// How often this host may send requests again.
     pub allowance: ArcSwap<Allowance>,
     /// The requests and repeats of the last seconds, by service.
@@ -163,6 +166,7 @@
             placement: ArcSwap::default(),
             streams: ArcSwap::default(),
             leaving_ms: AtomicU64::default(),
+            listed_at: AtomicU64::default(),
             allowance: ArcSwap::from_pointee(allowance),
             windows: Sharded::default(),
             hedging: Hedging::default(),
--- a/crates/node/src/catalog/snapshot.rs
+++ b/crates/node/src/catalog/snapshot.rs
@@ -28,6 +28,7 @@
             let backend = old.unwrap_or_else(|| Arc::new(Backend::new(row, is_near)));
             backend.set_service(self.index.services.get(&row.service));
             backend.set_draining(row.draining);
+            backend.set_kept(self.roster.is_kept(&row.id));
             if let Some(limit) = self.warmup_limit(row, now) {
                 backend.learn_limit(limit, now);
             }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -9,6 +9,7 @@
 use policy::name::Name;
 use policy::recovery;
 use policy::relay::{Action, Relay};
+use policy::remote_clock::RemoteClock;
 use policy::revision::Revision;
 use policy::roster;
 use policy::time::Millis;
@@ -82,6 +83,35 @@
     list_bytes: AtomicU64,
     /// The change that this host has heard of and not received; `None` if it lacks none.
     missing: Mutex<Option<Missing>>,
+    currency: Mutex<Currency>,
+}
+
+/// When the copy was current, on this host's clock.
+#[derive(Clone, Copy, Debug, Default)]
+struct Currency {
+    store_clock: RemoteClock,
+    /// When the store last gave its state, to this host or to the peer that announced it.
+    at: Option<Millis>,
+    /// The same of the state before.
+    before: Option<Millis>,
+}
+
+impl Currency {
+    fn record(&mut self, at: Millis) {
+        if self.at.is_none_or(|known| known < at) {
+            (self.before, self.at) = (self.at, Some(at));
+        }
+    }
+}
+
+/// How long ago the store had confirmed the newest changes of a copy, in milliseconds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Confirmed {
+    /// At the least: the store gave its state with the changes then.
+    pub least_ms: u64,
+    /// At the most: the store had given its state without the changes; `None` if this is the first
+    /// state that this host knows of.
+    pub most_ms: Option<u64>,
 }
 
 /// A change that this host has heard of and not received.
@@ -121,9 +151,39 @@
             is_incoming: AtomicBool::new(false),
             list_bytes: AtomicU64::new(0),
             missing: Mutex::default(),
+            currency: Mutex::default(),
         }
     }
 
+    /// Records that the store has answered when its clock showed `store_ms`; 0 if it did not tell.
+    pub fn record_answered(&self, store_ms: u64, now: Millis) {
+        let mut currency = lock(&self.currency);
+        if store_ms > 0 {
+            currency.store_clock.record(store_ms, now);
+        }
+        let at = if store_ms > 0 { currency.store_clock.local(store_ms) } else { None };
+        currency.record(at.unwrap_or(now));
+    }
+
+    /// Records that a peer announced the state that the store gave it at `at`.
+    pub fn record_announced(&self, at: Millis) {
+        lock(&self.currency).record(at);
+    }
+
+    /// When the copy was last known to be current; `None` before the list was read.
+    #[must_use]
+    pub fn current_at(&self) -> Option<Millis> {
+        lock(&self.currency).at
+    }
+
+    /// How long ago the store had confirmed the changes that came last.
+    #[must_use]
+    pub fn confirmed(&self, now: Millis) -> Confirmed {
+        let currency = *lock(&self.currency);
+        let least_ms = currency.at.map_or(0, |at| now.since(at));
+        Confirmed { least_ms, most_ms: currency.before.map(|before| now.since(before)) }
+    }
+
     /// Decides which host of the failure domain reads the list.
     pub fn relay(&self) -> MutexGuard<'_, Relay> {
         lock(&self.relay)
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -98,6 +98,8 @@
     pub update: Update,
     /// How long the answer took to arrive.
     pub arrival: Arrival,
+    /// The store's clock when it answered, in milliseconds; 0 if it does not tell.
+    pub store_ms: u64,
 }
 
 impl Arrival {
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -170,8 +170,10 @@
             };
             follower.set_incoming(false);
             record_call(list, hold, &answer);
-            if let Ok(Answer { update, arrival }) = &answer {
+            if let Ok(Answer { update, arrival, store_ms }) = &answer {
                 follower.record_bytes(arrival.bytes, update.is_whole);
+                follower.record_answered(*store_ms, clock::steady());
+                self.publish_currency();
             }
             let duration = Duration::from_millis(clock::steady().since(requested_at));
             if was_store_away(&answer, duration, hold) {
@@ -305,6 +307,13 @@
         });
     }
 
+    /// Tells requests when the list of backend servers was last known to be current.
+    pub(super) fn publish_currency(&self) {
+        if let Some(at) = self.follower(List::Backends).current_at() {
+            self.state.listed_at.store(at.0, Ordering::Relaxed);
+        }
+    }
+
     /// Shares the retry budget of the failure domain among the hosts that are known now.
     pub fn update_retry_budget(&self) {
         self.budget.set_host_count(self.directory.count() + 1);
@@ -422,7 +431,7 @@
     let outcome = answer.as_ref().map_or_else(Error::label, |_| "answered");
     let name = list.name();
     metrics::counter!("node_store_calls_total", "list" => name, "outcome" => outcome).increment(1);
-    let Ok(Answer { update, arrival }) = answer else { return };
+    let Ok(Answer { update, arrival, .. }) = answer else { return };
     metrics::counter!("node_store_bytes_total", "list" => name).increment(arrival.bytes);
     let body_ms = arrival.whole_ms.saturating_sub(arrival.head_ms);
     metrics::histogram!("node_store_body_seconds", "list" => name).record(body_ms as f64 / 1e3);
--- a/crates/node/src/watch/accept.rs
+++ b/crates/node/src/watch/accept.rs
@@ -1,12 +1,18 @@
 //! Applies updates of a list, from the store or a peer, to this host's state.
 
+use std::collections::HashMap;
+
 use entry::clock;
 use gateway::Codec;
 use policy::evacuation::{self, Change};
+use policy::name::Name;
 use policy::recovery;
+use policy::roster::Removal;
+use policy::time::Millis;
 use wire::routing::Table;
 
 use super::{Era, Watch};
+use crate::follow::Confirmed;
 use crate::store::{Entry, Fact, List, Store, Update};
 
 /// Most changes of backend servers in an update that get a log line each. For a longer update one
@@ -137,6 +143,7 @@
         let now = clock::steady();
         let count = update.entries.len();
         let revision = update.revision;
+        let mut removals = HashMap::new();
         let is_accepted = self.catalog.with_roster(|roster| match update.is_whole {
             true => {
                 let rows = update.entries.iter().filter_map(|entry| match &entry.fact {
@@ -154,7 +161,10 @@
                 for entry in &update.entries {
                     match &entry.fact {
                         Fact::Backend(backend) => roster.put(backend.clone(), entry.revision),
-                        Fact::Removed => roster.remove(&entry.key, entry.revision, now),
+                        Fact::Removed => {
+                            let removal = roster.remove(&entry.key, entry.revision, now);
+                            removals.insert(entry.key.clone(), removal);
+                        }
                         Fact::Unreadable(_) => roster.withdraw(&entry.key, entry.revision, now),
                         Fact::Table(_) | Fact::Edit(_) | Fact::Order(_) | Fact::Evacuation(_) => {}
                     }
@@ -169,10 +179,18 @@
             });
             backends.for_each(|backend| self.catalog.set_warmup(backend, now));
         }
+        let confirmed = self.follower(List::Backends).confirmed(now);
         match update.is_whole {
-            true => log::info!(target: "watch", revision:%, count; "all backend servers listed"),
-            false if count > LOGGED_MAX => log_backends(update),
-            false => update.entries.iter().for_each(log_backend),
+            true => {
+                log::info!(target: "watch", revision:%, count; "all backend servers listed");
+                self.catalog.with_roster(|roster| {
+                    roster.kept().take(LOGGED_MAX).for_each(|(id, until)| log_kept(id, until, now));
+                });
+            }
+            false if count > LOGGED_MAX => log_backends(update, confirmed, &removals, now),
+            false => update.entries.iter().for_each(|entry| {
+                log_backend(entry, confirmed, removals.get(&entry.key).copied(), now);
+            }),
         }
         if !is_accepted {
             log::info!(target: "watch", revision:%, count; "stale list of backend servers ignored");
@@ -192,27 +210,46 @@
     update.entries.iter().filter(|entry| matches!(entry.fact, Fact::Unreadable(_)))
 }
 
-fn log_backends(update: &Update) {
+/// Logs that an entry is kept although it is gone from the list.
+fn log_kept(id: &Name, until: Millis, now: Millis) {
+    log::info!(target: "watch", backend:% = id, kept_ms = until.since(now);
+        "entry kept, it may have lapsed while the store was away");
+}
+
+fn log_backends(
+    update: &Update,
+    confirmed: Confirmed,
+    removals: &HashMap<Name, Removal>,
+    now: Millis,
+) {
     let count =
         |is: fn(&Fact) -> bool| update.entries.iter().filter(|entry| is(&entry.fact)).count();
     let is_draining = |fact: &Fact| matches!(fact, Fact::Backend(backend) if backend.draining);
+    let kept = removals.values().filter(|removal| matches!(removal, Removal::Kept(_))).count();
     log::info!(target: "watch", revision:% = update.revision, count = update.entries.len(),
-        draining = count(is_draining), removed = count(|fact| *fact == Fact::Removed);
+        draining = count(is_draining), removed = count(|fact| *fact == Fact::Removed), kept,
+        confirmed_ms = confirmed.least_ms, confirmed_max_ms:? = confirmed.most_ms;
         "many backend servers changed");
     let unreadable = unreadable(update).take(LOGGED_MAX);
-    unreadable.for_each(log_backend);
+    unreadable.for_each(|entry| log_backend(entry, confirmed, None, now));
 }
 
-fn log_backend(entry: &Entry) {
+/// Logs what became of a server's entry. `confirmed` tells when the store had confirmed the change.
+fn log_backend(entry: &Entry, confirmed: Confirmed, removal: Option<Removal>, now: Millis) {
+    let (confirmed_ms, confirmed_max_ms) = (confirmed.least_ms, confirmed.most_ms);
     match &entry.fact {
         Fact::Backend(backend) => {
             log::info!(target: "watch", backend:% = backend.id, service:% = backend.service,
                 version:% = backend.version, address:% = backend.address,
-                draining = backend.draining, revision:% = entry.revision; "backend server listed");
+                draining = backend.draining, revision:% = entry.revision, confirmed_ms,
+                confirmed_max_ms:?; "backend server listed");
         }
         Fact::Removed => {
-            log::info!(target: "watch", backend:% = entry.key, revision:% = entry.revision;
-                "backend server removed");
+            log::info!(target: "watch", backend:% = entry.key, revision:% = entry.revision,
+                confirmed_ms, confirmed_max_ms:?; "backend server removed");
+            if let Some(Removal::Kept(until)) = removal {
+                log_kept(&entry.key, until, now);
+            }
         }
         Fact::Unreadable(why) => {
             log::error!(target: "watch", key:% = entry.key, why:% = why; "entry can't be parsed");
--- a/crates/node/src/watch/peers.rs
+++ b/crates/node/src/watch/peers.rs
@@ -64,6 +64,8 @@
         let now = clock::steady();
         follower.relay().record_peer_read(peer, now - position.age_ms, now);
         follower.record_bytes(position.bytes, false);
+        follower.record_announced(now - position.age_ms);
+        self.publish_currency();
         self.record_contact(position.list, now - position.age_ms);
         if follower.revision().is_some_and(|own| own < position.changed) {
             follower.record_missing(position.changed, peer, now);
--- a/crates/node/tests/watch.rs
+++ b/crates/node/tests/watch.rs
@@ -10,7 +10,7 @@
 
 fn answer(head_ms: u64, whole_ms: u64) -> Result<Answer, Error> {
     let arrival = Arrival { head_ms, whole_ms, bytes: 1_097_965 };
-    Ok(Answer { update: Update::default(), arrival })
+    Ok(Answer { update: Update::default(), arrival, ..Answer::default() })
 }
 
 #[test]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod recovery;
 pub mod rejection;
 pub mod relay;
+pub mod remote_clock;
 pub mod repeat;
 pub mod report;
 pub mod retry;
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -46,6 +46,18 @@
     }
 }
 
+/// What became of an entry that was removed from the list.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Removal {
+    /// The roster knows no such entry, or something newer of it.
+    Ignored,
+    /// The entry is given up.
+    Final,
+    /// The entry is kept until the given time, because the list was unreachable and the entry may
+    /// have lapsed.
+    Kept(Millis),
+}
+
 /// What the roster knows of one id.
 #[derive(Clone, Debug)]
 struct Record<T> {
@@ -124,18 +136,33 @@
 
     /// Removes an entry as of a revision. After an outage the removal counts as a lapse, and the
     /// entry is kept for a short time, unless its server is leaving.
-    pub fn remove(&mut self, id: &Name, revision: Revision, now: Millis) {
+    pub fn remove(&mut self, id: &Name, revision: Revision, now: Millis) -> Removal {
         self.revision = self.revision.max(revision);
         let lapsing = self.lapse_deadline(now);
-        let Some(record) = self.records.get_mut(id) else { return };
-        if record.revision >= revision {
-            return;
-        }
+        let known = self.records.get_mut(id).filter(|record| record.revision < revision);
+        let Some(record) = known else { return Removal::Ignored };
         record.revision = revision;
-        record.status = match (lapsing, record.is_leaving) {
-            (Some(until), false) => Status::Lapsed(until),
-            _ => Status::Removed(now),
+        let (status, removal) = match (lapsing, record.is_leaving) {
+            (Some(until), false) => (Status::Lapsed(until), Removal::Kept(until)),
+            _ => (Status::Removed(now), Removal::Final),
         };
+        record.status = status;
+        removal
+    }
+
+    /// Whether the id's entry is kept although it was removed from the list.
+    #[must_use]
+    pub fn is_kept(&self, id: &Name) -> bool {
+        self.records.get(id).is_some_and(|record| matches!(record.status, Status::Lapsed(_)))
+    }
+
+    /// The ids of entries that are kept although they were removed from the list, each with the
+    /// time until which it is.
+    pub fn kept(&self) -> impl Iterator<Item = (&Name, Millis)> {
+        self.records.iter().filter_map(|(id, record)| match record.status {
+            Status::Lapsed(until) => Some((id, until)),
+            _ => None,
+        })
     }
 
     /// Removes an entry that was replaced by an unreadable one, which names no usable server. The
@@ -168,7 +195,8 @@
         let missing: Vec<Name> =
             held.map(|(id, _)| id.clone()).filter(|id| !listed.contains(id)).collect();
         for id in missing {
-            self.remove(&id, revision.max(Revision::from(1)), now);
+            // What becomes of each is asked of `kept`.
+            let _ = self.remove(&id, revision.max(Revision::from(1)), now);
         }
         self.revision = revision;
         true
