Lapsed servers: given up only where requests are told

Callers' requests went on to a server that was gone, for as long as nothing else changed in the list of servers. Roster::entries, which reads, also gave up lapsed entries whose time was over.

Other reading functions that change state were looked for in roster, catalog, history, relay and intake: relay::action takes a turn, and is called by its one follower only.

Test: publish_gives_up_a_lapsed_server_after_an_answer_about_evacuations fails before (next_lapse is none, Some(3000) expected) and passes now; entries_leaves_lapsed_entries_to_expire for the roster alone.

--- a/crates/node/src/catalog/snapshot.rs
+++ b/crates/node/src/catalog/snapshot.rs
@@ -15,6 +15,7 @@
 impl Inner {
     /// Builds a snapshot. Known servers keep their state.
     pub(super) fn build_snapshot(&mut self, catalog: &Catalog, now: Millis) -> RoutingSnapshot {
+        self.roster.expire(now);
         let entries = self.roster.entries(now);
         self.warm_at.retain(|_, until| now < *until);
         let mut backends = HashMap::new();
--- a/crates/node/tests/catalog.rs
+++ b/crates/node/tests/catalog.rs
@@ -122,3 +122,25 @@
     catalog.publish(&target, ended_at);
     assert_eq!(remaining_warmup_ms(&target, ended_at), WARMUP.ms);
 }
+
+/// Guards against requests to a lapsed server for good: an answer about the operators' list comes
+/// between the end of its time and the next round that tells requests of it.
+#[test]
+fn publish_gives_up_a_lapsed_server_after_an_answer_about_evacuations() {
+    let (catalog, target) = (catalog(), ArcSwap::from_pointee(RoutingSnapshot::default()));
+    let listed = server("a", None);
+    catalog.with_roster(|roster| {
+        roster.put(listed.clone(), 1.into());
+        roster.record_unreachable(NOW);
+        roster.record_reached(NOW);
+        roster.remove(&listed.id, 2.into(), NOW);
+    });
+    catalog.publish(&target, NOW);
+    let servers = || target.load().pools[&Name::from(SERVICE)].backends.len();
+    assert_eq!(servers(), 1);
+    let over = catalog.next_lapse().unwrap();
+    catalog.accept_evacuations(&[], 3.into(), false, over);
+    assert_eq!(catalog.next_lapse(), Some(over));
+    catalog.publish(&target, over);
+    assert_eq!(servers(), 0);
+}
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -202,14 +202,16 @@
         true
     }
 
-    /// Returns the servers that exist now, leaving ones included.
-    pub fn entries(&mut self, now: Millis) -> Vec<T> {
-        self.expire(now);
+    /// Returns the servers that exist now, leaving ones included. Nothing is given up by this: see
+    /// [`Self::expire`].
+    #[must_use]
+    pub fn entries(&self, now: Millis) -> Vec<T> {
         self.records
             .values()
             .filter_map(|record| match record.status {
-                Status::Listed | Status::Lapsed(_) => record.entry.clone(),
-                Status::Removed(_) => None,
+                Status::Listed => record.entry.clone(),
+                Status::Lapsed(until) if now < until => record.entry.clone(),
+                Status::Lapsed(_) | Status::Removed(_) => None,
             })
             .collect()
     }
@@ -220,7 +222,7 @@
         self.records.contains_key(id)
     }
 
-    /// When the next lapsed entry is dropped; none if no entry has lapsed.
+    /// When the next lapsed entry must be given up by [`Self::expire`]; none if no entry has lapsed.
     #[must_use]
     pub fn next_lapse(&self) -> Option<Millis> {
         let lapses = self.records.values().filter_map(|record| match record.status {
@@ -239,8 +241,11 @@
         }
     }
 
-    /// Removes lapsed entries whose time is over, and forgets ids that were removed long ago.
-    fn expire(&mut self, now: Millis) {
+    /// Gives up lapsed entries whose time is over, and forgets ids that were removed long ago.
+    ///
+    /// Only whoever tells requests of it afterwards may call this: [`Self::next_lapse`] no longer
+    /// names the entries, and requests would go on to their servers for good.
+    pub fn expire(&mut self, now: Millis) {
         for record in self.records.values_mut() {
             match record.status {
                 Status::Lapsed(until) if until <= now => {
--- a/crates/policy/tests/roster.rs
+++ b/crates/policy/tests/roster.rs
@@ -203,3 +203,19 @@
     roster.put(server("a"), at(4));
     assert_eq!(working(&mut roster, START + 300), ["a", "b"]);
 }
+
+/// Guards against lapsed servers that stay in use for good: their time is over, something else asks
+/// for the entries, and nobody is left who tells requests.
+#[test]
+fn entries_leaves_lapsed_entries_to_expire() {
+    let mut roster = Roster::default();
+    roster.put(server("a"), at(1));
+    roster.record_unreachable(START);
+    roster.record_reached(START);
+    roster.remove(&Name::from("a"), at(2), START);
+    let over = START + LAPSE_GRACE_MS;
+    assert!(working(&mut roster, over).is_empty());
+    assert_eq!(roster.next_lapse(), Some(over));
+    roster.expire(over);
+    assert_eq!(roster.next_lapse(), None);
+}
