Leaving servers: one sum from the store's confirmation to the last read, and no absence from a lost call

What callers saw: requests went to a server for up to 3.5 s after the store had confirmed that it leaves, 2 s allowed. Two parts of the same sum, which nobody added up:

- read late: a pause of 1 s after an answer with changes, up to 1.8 s of hold, 0.7 s until a lost call was given up, then retry and connection.
'alone_ms' counted the last two against contact_ms only.
- kept: a host that reads for itself took any failed call, and any answer 150 ms late, for an absence of the store, and kept each entry removed then or within 2 s as lapsed for the rest of 2 s.
A host without processor time does that by itself.

Now relay::Bounds::notice_ms states the sum, each part at its worst: the pause (0.2 of the time at most), the hold (0.4, alone too), a lost held call given up 0.45 s after it is overdue, or a reader lost right after its announcement and the first call of the host that takes over; then retry, connection, reading. The settings' least change_ms and leaving_ms (1.9 s) follow from it, and a bound that it exceeds is a fault of the settings. Whether entries may have lapsed follows from what the store left unanswered, in the time that the calls allow and longer than those single losses (Relay::end_outage), for hosts that read alone, for others or from others; a host that did not run, a late or a long answer, one lost call say nothing. Since the lists of operators are read by the same code, routes, keys and evacuations have the same sum.

--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use entry::{callers, clock};
@@ -205,7 +205,6 @@
         followers: Arc::new(List::ALL.map(follower)),
         notifier,
         counts: Counts::default(),
-        fresh_at: AtomicU64::new(0),
         era: tokio::sync::watch::Sender::new(None),
         directory: Directory::default(),
         cache: Cache::default(),
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -145,7 +145,8 @@
     fn read(&self, list: List) -> impl Future<Output = Result<Answer, Error>> + Send;
 
     /// Waits until a list has changes behind the revision `after` and returns them, or returns an
-    /// empty update when `wait` is over.
+    /// empty update when `wait` is over. An answer whose head has not come `overdue` after that is
+    /// given up.
     ///
     /// `on_head` is called when the head of the answer has come, with the length of the body, or 0
     /// if the head does not tell it. It returns whether to read on.
@@ -158,6 +159,7 @@
         list: List,
         after: Revision,
         wait: Duration,
+        overdue: Duration,
         on_head: impl FnOnce(u64) -> bool + Send,
     ) -> impl Future<Output = Result<Answer, Error>> + Send;
 
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -7,7 +7,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use entry::clock;
@@ -28,17 +28,9 @@
 use crate::follow::Follower;
 use crate::store::{Answer, List, Store, Update};
 
-/// If the head of an answer comes this much later than the hold time that was asked for, the store
-/// was away in between.
-const LATE_THRESHOLD: Duration = Duration::from_millis(150);
-/// Pause before the next call for backend servers after one that brought changes. Many servers come
-/// or go together, and one call for each of them would be most of a large deployment's calls. The
-/// pause is bounded because a draining server must not get requests for longer than about two
-/// seconds.
-const BACKENDS_BATCH_DELAY: Duration = Duration::from_secs(1);
 /// Shortest and longest delay after failed calls; it doubles with each, and the actual one is drawn
 /// from its upper half.
-const RETRY_DELAY_MIN_MS: u64 = 100;
+const RETRY_DELAY_MIN_MS: u64 = relay::RETRY_MIN_MS;
 const RETRY_DELAY_MAX_MS: u64 = 800;
 
 /// State shared by the tasks that follow the lists, exchange messages with peers and carry out
@@ -64,9 +56,6 @@
     pub cache: Cache,
     /// This host's quota of extra attempts.
     pub budget: Budget,
-    /// Latest time at which the store's state is known to have been current, from either list; 0
-    /// before the first.
-    pub fresh_at: AtomicU64,
     /// How often the store was restored from a copy; `None` before this host has heard of the
     /// store. When it rises, the tasks that write rows for this host check whether these still
     /// exist.
@@ -164,8 +153,9 @@
             let answer = match follower.request_after() {
                 None => self.read_whole(list).await,
                 Some(after) => {
+                    let overdue = Duration::from_millis(follower.relay().overdue_ms());
                     let on_head = |bytes| self.accept_head(list, bytes);
-                    self.store.follow(list, after, hold, on_head).await
+                    self.store.follow(list, after, hold, overdue, on_head).await
                 }
             };
             follower.set_incoming(false);
@@ -175,13 +165,6 @@
                 follower.record_answered(*store_ms, clock::steady());
                 self.publish_currency();
             }
-            let duration = Duration::from_millis(clock::steady().since(requested_at));
-            if was_store_away(&answer, duration, hold) {
-                log::info!(target: "watch", list:? = list, took_ms = duration.as_millis() as u64,
-                    hold_ms = hold.as_millis() as u64;
-                    "late answer: the store was away in between");
-                self.record_absence(list);
-            }
             let update = answer.map(|answer| answer.update);
             let changes = match self.accept_answer(list, update) {
                 Ok(count) => {
@@ -202,6 +185,9 @@
                     // can't serve them yet.
                     self.state.started.cancel();
                     self.fetch_missing(list);
+                    let waited_ms = clock::steady().since(requested_at);
+                    let hold_ms = hold.as_millis() as u64;
+                    follower.relay().record_unanswered(waited_ms, hold_ms, clock::steady());
                     // Until the store has answered again, calls ask for no hold time. A call sent
                     // while the store is silent is never answered, and its return must be noticed
                     // at once.
@@ -211,7 +197,8 @@
                 }
             };
             if changes > 0 {
-                tokio::time::sleep(self.batch_delay(list, changes)).await;
+                let gather_ms = follower.relay().gather_ms(changes);
+                tokio::time::sleep(Duration::from_millis(gather_ms)).await;
             }
         }
     }
@@ -240,16 +227,6 @@
         !follower.is_reread_shorter(bytes)
     }
 
-    /// How long to let further changes gather before the store is asked again, after an answer with
-    /// `changes` changes.
-    fn batch_delay(&self, list: List, changes: usize) -> Duration {
-        let relay = self.follower(list).relay();
-        match relay.reads_for_others(clock::steady()) {
-            true => Duration::from_millis(relay.gather_ms(changes)),
-            false => BACKENDS_BATCH_DELAY,
-        }
-    }
-
     /// Applies the store's answer. Returns how many changes it brought.
     fn accept_answer(&self, list: List, update: Result<Update, Error>) -> Result<usize, Error> {
         let follower = self.follower(list);
@@ -262,10 +239,7 @@
                 follower.mark_incomplete();
                 return Ok(0);
             }
-            Err(error) => {
-                self.record_absence(list);
-                return Err(error);
-            }
+            Err(error) => return Err(error),
         };
         self.record_contact(list, clock::steady());
         let own = follower.revision().unwrap_or_default();
@@ -283,27 +257,24 @@
     /// Records that the store's state was current at `fresh_at`, as this host has read it or a peer
     /// reports.
     ///
-    /// Entries of backend servers lapse only while their servers can't reach the store, and then
-    /// hosts can't reach it either. A host that reads for itself alone notices this from its own
-    /// calls. Among several hosts a failed call says nothing, because another host may have read
-    /// meanwhile. If it counted as an absence of the store, servers that have really left would be
-    /// used for seconds more.
+    /// Entries of live servers lapse only while the store is away for long, and then it leaves the
+    /// calls of every host unanswered. A call or two that failed, and a host that did not run, say
+    /// nothing: if they counted as an absence, servers that have really left would be used for
+    /// seconds more.
     fn record_contact(&self, list: List, fresh_at: Millis) {
-        self.catalog.set_answered_at(list.name(), clock::steady());
-        let before = Millis(self.fresh_at.fetch_max(fresh_at.0, Ordering::Relaxed));
-        let relay = self.follower(list).relay();
-        let (is_alone, away_ms) = (relay.reads_alone(clock::steady()), relay.outage_threshold_ms());
+        let now = clock::steady();
+        self.catalog.set_answered_at(list.name(), now);
+        let mut relay = self.follower(list).relay();
+        let is_recent = now.since(fresh_at) < relay.change_ms();
+        let was_away = is_recent && relay.end_outage(now);
         drop(relay);
-        let was_away = !is_alone && before > Millis(0) && fresh_at.since(before) > away_ms;
-        if was_away {
-            log::info!(target: "watch", list:? = list, without_ms = fresh_at.since(before);
-                "the store was away for all hosts of the domain");
+        if !was_away || list != List::Backends {
+            return;
         }
+        log::info!(target: "watch", list:? = list; "the store was away, entries may have lapsed");
         self.catalog.with_roster(|roster| {
-            if was_away {
-                roster.record_unreachable(before);
-            }
-            roster.record_reached(clock::steady());
+            roster.record_unreachable(now);
+            roster.record_reached(now);
         });
     }
 
@@ -362,14 +333,6 @@
         }
     }
 
-    /// Records that a host that reads for itself alone got no answer, or a late one: servers whose
-    /// entries lapse meanwhile have not crashed.
-    fn record_absence(&self, list: List) {
-        if self.follower(list).relay().reads_alone(clock::steady()) {
-            self.catalog.with_roster(|roster| roster.record_unreachable(clock::steady()));
-        }
-    }
-
     /// Tells requests which hosts of the failure domain are alive.
     fn publish_peers(&self) {
         let hash = |name: &Name| place::hash(name.as_bytes());
@@ -412,20 +375,6 @@
     }
 }
 
-/// Whether an answer, or the failure of a call, came so late that the store was away in between.
-///
-/// Only the time to the head of the answer counts, since the time for the body depends on the link.
-/// When a long table on a narrow link counted as an absence, servers that left within the next two
-/// seconds were kept in use as lapsed.
-#[must_use]
-pub fn was_store_away(answer: &Result<Answer, Error>, duration: Duration, hold: Duration) -> bool {
-    let waited = match answer {
-        Ok(answer) => Duration::from_millis(answer.arrival.head_ms),
-        Err(_) => duration,
-    };
-    waited > hold + LATE_THRESHOLD
-}
-
 /// Records metrics of a call of the store, and logs answers that changed the operators' list.
 fn record_call(list: List, hold: Duration, answer: &Result<Answer, Error>) {
     let outcome = answer.as_ref().map_or_else(Error::label, |_| "answered");
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -38,19 +38,28 @@
 /// Time between the turns of the first two hosts, in milliseconds; a read and its announcement take
 /// a few milliseconds.
 const TURN_GAP_MS: u64 = 50;
+/// How much later than asked a call of the store may be answered before it counts as lost, in
+/// milliseconds. The store answers in a few milliseconds, and in some hundred when it is slow.
+const OVERDUE_MS: u64 = 450;
+/// The same after a lost call, in milliseconds: the store may be slow.
+const OVERDUE_RETRY_MS: u64 = 700;
+/// Longest time to open a connection to the store, in milliseconds.
+pub const CONNECT_MS: u64 = 400;
+/// Retry pause after the first failed read, in milliseconds; it doubles with each further one.
+pub const RETRY_MIN_MS: u64 = 100;
+/// Time to read the store once it answers, and to tell requests, in milliseconds.
+const READ_MS: u64 = 100;
 /// Retry pause after a failed read for each other host of the domain, in milliseconds, so that all
 /// of them together call an unreachable store about once in this time.
 const RETRY_PER_HOST_MS: u64 = 100;
 /// Upper limit of the retry pause as a fraction of [`Bounds::change_ms`]: a store that answers only
 /// this host must be found by it in time.
 const RETRY_MAX_FRACTION: f64 = 0.75;
-/// Time beyond [`STALE_FRACTION`] without fresh state after which the store counts as having been
-/// away, in milliseconds. It is long enough for the host whose turn it is to take over.
-const OUTAGE_MARGIN_MS: u64 = 1_000;
+/// How much longer calls must go unanswered than after a single loss before the store counts as
+/// having been away, in milliseconds.
+const OUTAGE_MARGIN_MS: u64 = 100;
 /// Longest time for which a host that reads alone lets the store hold a call, in milliseconds. A
-/// longer hold means fewer calls, each of which has a price. The limit stays below the three
-/// heartbeats after which a silent server's entry lapses, so that an outage long enough to cause
-/// lapses is noticed.
+/// longer hold means fewer calls, each of which has a price.
 const ALONE_HOLD_MAX_MS: u64 = 3_500;
 /// Time from the end of a hold until a host whose connection went silent has read on a new one, in
 /// milliseconds: it waits for the answer, pauses and connects.
@@ -75,6 +84,59 @@
     contact_ms.saturating_sub(RECONNECT_MS).min(ALONE_HOLD_MAX_MS)
 }
 
+/// Least time in which changes can be in force, in milliseconds, see [`Bounds::notice_ms`].
+pub const CHANGE_MS_MIN: u64 = 1_900;
+
+impl Bounds {
+    /// For how long the store may hold a call, in milliseconds.
+    fn hold_ms(&self) -> u64 {
+        self.fraction_ms(READ_HOLD_FRACTION)
+    }
+
+    /// Time without fresh state after which a host reads for itself, in milliseconds.
+    fn stale_ms(&self) -> u64 {
+        self.fraction_ms(STALE_FRACTION)
+    }
+
+    /// A fraction of the time in which a change must be in force, in milliseconds.
+    fn fraction_ms(&self, fraction: f64) -> u64 {
+        (self.change_ms as f64 * fraction) as u64
+    }
+
+    /// Longest time from the store's confirmation of a change until this host has read it, in
+    /// milliseconds, if one call or one reader is lost meanwhile, or both.
+    ///
+    /// Whoever reads pauses for further changes, then loses a held call; the change came at the
+    /// beginning of the pause. Whoever listens loses the reader right after its announcement, and
+    /// then the first call of its own. Both then open a connection and read.
+    #[must_use]
+    pub fn notice_ms(&self) -> u64 {
+        let pause_ms = GATHER_MS.max(self.fraction_ms(GATHER_MANY_FRACTION));
+        let reads = pause_ms + self.lost_read_ms();
+        let listens = TURN_GAP_MS + self.lost_takeover_ms();
+        reads.max(listens) + READ_MS
+    }
+
+    /// For how long the store seems not to answer if one held call is lost, in milliseconds: until
+    /// the retry, or until it is this host's turn again.
+    fn lost_read_ms(&self) -> u64 {
+        (self.hold_ms() + OVERDUE_MS + RETRY_MIN_MS).max(self.stale_ms() + TURN_GAP_MS)
+    }
+
+    /// The same if a reader is lost, and then the first call of the host that takes over.
+    fn lost_takeover_ms(&self) -> u64 {
+        self.stale_ms() + OVERDUE_MS.max(CONNECT_MS) + RETRY_MIN_MS
+    }
+
+    /// Time for which calls of the store must have gone unanswered, in milliseconds, before entries
+    /// that are removed may have lapsed. One lost call, or the loss of a reader and a call, is less:
+    /// servers that leave meanwhile would be kept.
+    fn outage_ms(&self, has_taken_over: bool) -> u64 {
+        let lost_ms = if has_taken_over { self.lost_takeover_ms() } else { self.lost_read_ms() };
+        lost_ms + OUTAGE_MARGIN_MS
+    }
+}
+
 domain! {
     /// Time limits that follow from the settings, in milliseconds.
     #[derive(Copy)]
@@ -135,6 +197,14 @@
     retry_at: Option<Millis>,
     /// Whether the last read failed.
     has_failed: bool,
+    /// For how long the store has failed to answer this host since it last answered a host of the
+    /// domain, in milliseconds: the calls with the time that they allow, and the pauses between
+    /// them. Time in which this host did not run, or did not ask, says nothing of the store.
+    unanswered_ms: u64,
+    /// From which [`Self::unanswered_ms`] on the store was away, in milliseconds.
+    outage_ms: u64,
+    /// When the pause after the last failed call began, and its greatest length in milliseconds.
+    pause: Option<(Millis, u64)>,
     /// Whether this host must read now, because no peer could give it an announced change.
     is_forced: bool,
     /// When this host reads for the first time.
@@ -158,6 +228,9 @@
             skips_hold: true,
             retry_at: None,
             has_failed: false,
+            unanswered_ms: 0,
+            outage_ms: 0,
+            pause: None,
             is_forced: false,
             bootstrap,
         }
@@ -195,7 +268,7 @@
     /// `fresh_at`. The list must be as new as that of a reader which is still trusted.
     #[must_use]
     pub fn may_start_from_peer(&self, fresh_at: Millis, now: Millis) -> bool {
-        !self.has_list && now.since(fresh_at) < self.fraction_ms(STALE_FRACTION)
+        !self.has_list && now.since(fresh_at) < self.bounds.stale_ms()
     }
 
     /// Records that this host has started with a peer's list that was new at `fresh_at`.
@@ -236,10 +309,7 @@
         // A read by a weaker peer does not show that this host, which would read in its place,
         // reaches the store. Only a read by a peer at least as strong ends the retry pause.
         let is_as_strong = held.class >= self.class;
-        if is_as_strong
-            && fresh_at > self.read_at
-            && now.since(fresh_at) < self.fraction_ms(STALE_FRACTION)
-        {
+        if is_as_strong && fresh_at > self.read_at && now.since(fresh_at) < self.bounds.stale_ms() {
             self.retry_at = None;
         }
     }
@@ -255,15 +325,63 @@
         self.is_forced = false;
     }
 
+    /// Records that a call was lost for which this host has waited for `waited_ms`, of which the
+    /// store was asked to hold it for `hold_ms`.
+    pub fn record_unanswered(&mut self, waited_ms: u64, hold_ms: u64, now: Millis) {
+        let paused_ms = self.paused_ms(now - waited_ms);
+        // A host without processor time has waited for longer than it would have.
+        let waited_ms = waited_ms.min(hold_ms + self.overdue_ms());
+        if self.unanswered_ms == 0 {
+            // A host that takes over does so because whoever read for it was silent.
+            let has_taken_over = self.has_taken_over();
+            self.unanswered_ms = if has_taken_over { self.bounds.stale_ms() } else { 0 };
+            self.outage_ms = self.bounds.outage_ms(has_taken_over);
+        }
+        self.unanswered_ms += paused_ms + waited_ms.max(1);
+    }
+
+    /// How long this host has paused since its last failed call, in milliseconds.
+    fn paused_ms(&mut self, now: Millis) -> u64 {
+        self.pause.take().map_or(0, |(since, most_ms)| now.since(since).min(most_ms))
+    }
+
+    /// Whether this host's next call is the first one since it has taken over reading.
+    fn has_taken_over(&self) -> bool {
+        self.skips_hold && self.has_list && !self.has_failed
+    }
+
+    /// Records that the store has answered, this host or another one of the domain. Returns whether
+    /// it was away for so long that entries may have lapsed.
+    pub fn end_outage(&mut self, now: Millis) -> bool {
+        let paused_ms = self.paused_ms(now);
+        let unanswered_ms = std::mem::take(&mut self.unanswered_ms);
+        unanswered_ms > 0 && unanswered_ms + paused_ms >= self.outage_ms
+    }
+
+    /// How much later than asked a call of this host may be answered, in milliseconds.
+    #[must_use]
+    pub fn overdue_ms(&self) -> u64 {
+        if self.has_failed { OVERDUE_RETRY_MS } else { OVERDUE_MS }
+    }
+
     /// Records that this host could not read, and sets when it reads again. The pause lies between
     /// half and all of `pause_ms`, or of a longer time in a domain with many hosts; `draw` is a
     /// uniform draw from 0 to 1.
     pub fn record_failure(&mut self, pause_ms: u64, draw: f64, now: Millis) {
+        let has_taken_over = self.has_taken_over();
         let others = self.alive_count(now) as u64;
         let most_ms = self.fraction_ms(RETRY_MAX_FRACTION).max(pause_ms);
         let spread_ms = (others * RETRY_PER_HOST_MS).clamp(pause_ms, most_ms);
         let ms = spread_ms as f64 * (0.5 + draw / 2.0);
         self.retry_at = Some(now + ms as u64);
+        let is_first = !self.has_failed;
+        if is_first && !has_taken_over {
+            // Nobody else reads before this host's own retry.
+            self.outage_ms += (ms as u64).saturating_sub(RETRY_MIN_MS);
+        }
+        // A host that no longer reads for others also waits for its turn.
+        let most_ms = self.turn(now).since(now).max(ms as u64);
+        self.pause = (self.unanswered_ms > 0).then_some((now, most_ms));
         self.has_failed = true;
         self.skips_hold = true;
         self.is_reader = false;
@@ -297,14 +415,13 @@
     #[must_use]
     pub fn reads_alone(&self, now: Millis) -> bool {
         let hosts = self.alive_count(now) as u64 + 1;
-        hosts * self.fraction_ms(READ_HOLD_FRACTION) <= self.bounds.alone_ms
+        hosts * self.bounds.hold_ms() <= self.alone_hold_ms()
     }
 
-    /// Time without fresh state, in milliseconds, after which the store counts as having been away
-    /// for all hosts of the domain: any host that had got an answer would have announced it.
-    #[must_use]
-    pub fn outage_threshold_ms(&self) -> u64 {
-        self.fraction_ms(STALE_FRACTION) + OUTAGE_MARGIN_MS
+    /// For how long a host that reads for itself lets the store hold a call, in milliseconds. Longer
+    /// holds would cost fewer calls, but only an overdue answer shows that one was lost.
+    fn alone_hold_ms(&self) -> u64 {
+        self.bounds.alone_ms.min(self.bounds.hold_ms())
     }
 
     /// Whether this host has no list and failed to read it. It then takes over a peer's list
@@ -377,23 +494,27 @@
             return Action::Listen { until: due };
         }
         self.is_reader = true;
-        Action::Read { hold_ms: if self.skips_hold { 0 } else { self.bounds.alone_ms } }
+        Action::Read { hold_ms: if self.skips_hold { 0 } else { self.alone_hold_ms() } }
     }
 
-    fn action_among_others(&mut self, now: Millis) -> Action {
-        let stale_ms = self.fraction_ms(STALE_FRACTION);
-        if self.is_reader && self.has_fresh_predecessor(now) {
-            self.is_reader = false;
-        }
+    /// When this host reads for the others unless it hears of fresh state by then.
+    fn turn(&self, now: Millis) -> Millis {
         // A weaker host reads only for lack of a stronger one, and over its link a long change
         // comes late to all hosts. Its reads therefore don't put off those of this host.
         let as_strong = self.peers.values().filter(|peer| peer.class >= self.class);
         let newest = as_strong.filter_map(|peer| peer.fresh_at).max().unwrap_or_default();
-        let due = newest.max(self.read_at) + stale_ms + turn::delay_ms(self.rank(now), TURN_GAP_MS);
+        let stale_ms = self.bounds.stale_ms();
+        newest.max(self.read_at) + stale_ms + turn::delay_ms(self.rank(now), TURN_GAP_MS)
+    }
+
+    fn action_among_others(&mut self, now: Millis) -> Action {
+        if self.is_reader && self.has_fresh_predecessor(now) {
+            self.is_reader = false;
+        }
+        let due = self.turn(now);
         match () {
             () if self.is_reader => {
-                let hold_ms =
-                    if self.skips_hold { 0 } else { self.fraction_ms(READ_HOLD_FRACTION) };
+                let hold_ms = if self.skips_hold { 0 } else { self.bounds.hold_ms() };
                 Action::Read { hold_ms }
             }
             () if now >= due => {
@@ -405,9 +526,8 @@
         }
     }
 
-    /// A fraction of the time in which a change must be in force, in milliseconds.
     fn fraction_ms(&self, fraction: f64) -> u64 {
-        (self.bounds.change_ms as f64 * fraction) as u64
+        self.bounds.fraction_ms(fraction)
     }
 
     /// Returns the names of the peers whose last message is recent.
@@ -422,7 +542,7 @@
 
     /// Whether a host of earlier rank has fresh state.
     fn has_fresh_predecessor(&self, now: Millis) -> bool {
-        let stale_ms = self.fraction_ms(STALE_FRACTION);
+        let stale_ms = self.bounds.stale_ms();
         let is_fresh = |peer: &Peer| peer.fresh_at.is_some_and(|at| now.since(at) < stale_ms);
         self.peers.iter().any(|(name, peer)| self.is_before(name, peer) && is_fresh(peer))
     }
--- a/crates/wire/src/settings/check.rs
+++ b/crates/wire/src/settings/check.rs
@@ -4,6 +4,7 @@
 use std::ops::RangeInclusive;
 
 use policy::name::Name;
+use policy::relay;
 
 use super::{Control, Entry, Node, Resources, Secret, is_sha256_hex, is_valid_name};
 use crate::fault::Fault;
@@ -106,8 +107,9 @@
     }
     for (member, value, min) in [
         ("repeats.window_ms", node.repeats.window_ms, 100),
-        ("change_ms", node.change_ms, 500),
-        ("leaving_ms", node.leaving_ms, 500),
+        // A change takes as long to be read if a call of the store or a host is lost meanwhile.
+        ("change_ms", node.change_ms, relay::CHANGE_MS_MIN),
+        ("leaving_ms", node.leaving_ms, relay::CHANGE_MS_MIN),
         ("contact_ms", node.contact_ms, 2_000),
         ("drain_ms", node.drain_ms, 1_000),
     ] {
