--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -377,7 +377,8 @@
         let is_first = !self.has_failed;
         if is_first && !has_taken_over {
             // Nobody else reads before this host's own retry.
-            self.outage_ms += (ms as u64).saturating_sub(RETRY_MIN_MS);
+            let lost_ms = self.unanswered_ms + ms as u64;
+            self.outage_ms = self.outage_ms.max(lost_ms + OUTAGE_MARGIN_MS);
         }
         // A host that no longer reads for others also waits for its turn.
         let most_ms = self.turn(now).since(now).max(ms as u64);
--- a/crates/policy/tests/relay.rs
+++ b/crates/policy/tests/relay.rs
@@ -312,7 +312,7 @@
 /// nobody noticed that it was.
 #[test]
 fn end_outage_long_absence_of_the_store_is_noticed_by_all() {
-    for (change_ms, away_ms) in [(2_000, 3_600), (3_000, 4_500), (5_000, 6_800)] {
+    for (change_ms, away_ms) in [(2_000, 3_600), (3_000, 4_500), (5_000, 6_400)] {
         for path in [Path::Refused, Path::Silent] {
             for hosts in [1, 2, 3, 6, 12, 30] {
                 let mut domain = Domain::within(Bounds { change_ms, ..bounds() }, hosts);
