Leaving servers: looked at again right before the first byte, and streams go back in the store's time only

Between the choice of a server and the first byte lie a permission (0.5 s), a probe, memory and a connection (0.25 s). Before the first byte a host asked only what the server itself had said, not the list, so a request that was chosen before went to a server whose row said draining, or was gone. And a stream that an engine stopped for a move and keeps went back to it for half of leaving_ms after the stream's own task had noticed, however late the host had read it: 1 s and more after the reading time.

Now Backend::is_closed asks the row as well (draining, gone), for every way that ends in attempt::send: first tries, repeats, hedges, continued and forwarded requests. A kept stream goes back only within 0.85 of leaving_ms, counted from when the store can first have confirmed the leave (the state before, by the store's clock) or the server said so; looked at where the copy is chosen and again before the first byte.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -106,9 +106,9 @@
     attempt: &AttemptInfo<'_>,
 ) -> Result<Reply, Failure> {
     let mut connection = open(job, backend).await?;
-    let keeps_copy = attempt.continue_from.is_some()
-        && job.attempts.kept_at.as_ref().is_some_and(|kept_at| kept_at.start == backend.start);
-    if !keeps_copy && backend.is_closed(clock::steady()) {
+    // The server was chosen before: since then the request has waited for permission, memory or
+    // a connection, and the server may have left.
+    if backend.is_closed(clock::steady()) && !takes_back(job, backend, attempt) {
         return Err(Failure::Unwanted);
     }
     let request = request(job, attempt).ok_or(Failure::Unsent(Cause::Broken))?;
@@ -199,6 +199,14 @@
     })
 }
 
+/// Whether a leaving engine takes the stream back that it has stopped and keeps.
+fn takes_back<C: Codec>(job: &Job<C>, backend: &Backend, attempt: &AttemptInfo<'_>) -> bool {
+    let is_kept_at = |kept_at: &Arc<Backend>| kept_at.start == backend.start;
+    attempt.continue_from.is_some()
+        && job.attempts.kept_at.as_ref().is_some_and(is_kept_at)
+        && backend.may_take_back(job.state.leaving_ms.load(Ordering::Relaxed), clock::steady())
+}
+
 /// Records how old the list was by which the request is sent, and logs why it goes to a server that
 /// is not listed as ready.
 fn record_listing<C: Codec>(job: &Job<C>, backend: &Backend) {
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -31,6 +31,9 @@
 /// Consecutive connection attempts that must time out before a server is marked ill. A lost packet
 /// delays one attempt beyond its timeout; two in a row are rare on a working link.
 const TIMEOUTS_TO_ILL: u32 = 2;
+/// Part of the time in which hosts stop sending requests to a leaving server within which a stream
+/// may continue there from its copy. The rest is for the request's way.
+const TAKE_BACK_SHARE: f64 = 0.85;
 /// How long a host that says it takes no requests is not asked again.
 const UNAVAILABLE_PAUSE_MS: u64 = 1_000;
 
@@ -92,6 +95,11 @@
     is_draining: AtomicBool,
     /// Whether the server's row is gone, and kept because it may have lapsed.
     is_kept: AtomicBool,
+    /// Whether the server's row is gone and not kept.
+    is_removed: AtomicBool,
+    /// When the store can first have confirmed that the server leaves, in milliseconds; 0 while its
+    /// row does not say so.
+    draining_since: AtomicU64,
     observations: Mutex<Observations>,
     /// When the server last refused a connection, in milliseconds; 0 if it has answered since.
     refused_at: AtomicU64,
@@ -169,6 +177,8 @@
             has_models: AtomicBool::new(false),
             is_draining: AtomicBool::new(row.draining),
             is_kept: AtomicBool::new(false),
+            is_removed: AtomicBool::new(false),
+            draining_since: AtomicU64::new(0),
             server: Arc::new(Server::new(row.id.clone(), row.address, domain)),
             observations: Mutex::default(),
             refused_at: AtomicU64::new(0),
@@ -253,11 +263,45 @@
         self.has_models.store(has_models, Ordering::Relaxed);
     }
 
-    /// Sets whether the server's row says that it is leaving.
-    pub fn set_draining(&self, is_draining: bool) {
+    /// Sets that the server is listed, and whether its row says that it is leaving, which the store
+    /// can have confirmed from `since` on.
+    pub fn set_listed(&self, is_draining: bool, since: Millis) {
+        self.is_removed.store(false, Ordering::Relaxed);
+        if is_draining && !self.is_draining.swap(true, Ordering::Relaxed) {
+            self.draining_since.store(since.0.max(1), Ordering::Relaxed);
+        }
         self.is_draining.store(is_draining, Ordering::Relaxed);
     }
 
+    /// Sets that the server's row is gone for good.
+    pub fn set_removed(&self) {
+        self.is_removed.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the server's row is gone, or says that it is leaving.
+    fn is_delisted(&self) -> bool {
+        self.is_removed.load(Ordering::Relaxed) || self.is_draining.load(Ordering::Relaxed)
+    }
+
+    /// Since when the server has been leaving, as far as this host can know: by its row or by what it
+    /// says itself. None if it is not leaving.
+    #[must_use]
+    pub fn leaving_since(&self) -> Option<Millis> {
+        let said_at = self.with_intake(|intake| intake.leaving_at());
+        let draining_since = Millis(self.draining_since.load(Ordering::Relaxed));
+        let is_draining = self.is_draining.load(Ordering::Relaxed);
+        is_draining.then_some(draining_since).into_iter().chain(said_at).min()
+    }
+
+    /// Whether a stream may still continue at the server, which is leaving and keeps its KV cache.
+    /// `leaving_ms` is the time after which it must get no requests.
+    #[must_use]
+    pub fn may_take_back(&self, leaving_ms: u64, now: Millis) -> bool {
+        let most_ms = (leaving_ms as f64 * TAKE_BACK_SHARE) as u64;
+        let is_removed = self.is_removed.load(Ordering::Relaxed);
+        !is_removed && self.leaving_since().is_none_or(|since| now.since(since) < most_ms)
+    }
+
     /// Sets whether the server's row is gone, and kept because it may have lapsed.
     pub fn set_kept(&self, is_kept: bool) {
         self.is_kept.store(is_kept, Ordering::Relaxed);
--- a/crates/gateway/src/backend/restriction.rs
+++ b/crates/gateway/src/backend/restriction.rs
@@ -135,9 +135,10 @@
         self.server.with_intake(clock::steady(), use_it)
     }
 
-    /// Whether the server has said that it takes no requests now.
+    /// Whether the server takes no requests now: it has said so, its row says so, or is gone.
     #[must_use]
     pub fn is_closed(&self, now: Millis) -> bool {
-        self.server.is_restricted() && self.with_intake(|intake| intake.is_closed(now))
+        let has_said = || self.with_intake(|intake| intake.is_closed(now));
+        self.is_delisted() || self.server.is_restricted() && has_said()
     }
 }
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use entry::clock;
@@ -243,8 +244,9 @@
             () => return Err(Unusable::Version),
         }
         if let Some(kept_at) = attempts.kept_at.as_ref().filter(|at| at.start == copy.start) {
-            let is_ill = kept_at.server.is_ill(now);
-            return if is_ill { Err(Unusable::Closed) } else { Ok(Arc::clone(kept_at)) };
+            let leaving_ms = self.state.leaving_ms.load(Ordering::Relaxed);
+            let is_open = !kept_at.server.is_ill(now) && kept_at.may_take_back(leaving_ms, now);
+            return if is_open { Ok(Arc::clone(kept_at)) } else { Err(Unusable::Closed) };
         }
         let mut servers = pool.servers(version);
         let backend = servers.find(|backend| backend.start == copy.start).ok_or(Unusable::Start)?;
--- a/crates/gateway/src/moves/relocation.rs
+++ b/crates/gateway/src/moves/relocation.rs
@@ -22,9 +22,6 @@
 use crate::pick;
 use crate::running::Run;
 
-/// Part of the time in which hosts stop sending requests to a leaving engine, within which a stream
-/// may continue there. The rest is for the request's way, and for hosts that learnt of it earlier.
-const RETURN_SHARE: f64 = 0.5;
 /// Interval at which a stream's engine is checked for leaving. A small part of the pause that routes
 /// allow.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -257,7 +254,7 @@
                 Some((stream, Decision::Move)) => {
                     match SourceMove::begin(&self.job.state.moves, self.backend.start) {
                         None => None,
-                        Some(source) => match self.move_once(&stream, source, known_at).await {
+                        Some(source) => match self.move_once(&stream, source).await {
                             Ok(stopped) => return Outcome::Stopped(Box::new(stopped)),
                             Err(obstacle) => Some(obstacle),
                         },
@@ -300,11 +297,10 @@
         Instant::now()
     }
 
-    /// Whether the stream may continue at the engine, which has been leaving since `known_at`. After
-    /// a while hosts must send a leaving server nothing more.
-    fn may_return(&self, known_at: Instant) -> bool {
+    /// Whether the stream may continue at the engine although it leaves.
+    fn may_return(&self) -> bool {
         let leaving_ms = self.job.state.leaving_ms.load(Ordering::Relaxed);
-        known_at.elapsed() < Duration::from_millis(leaving_ms).mul_f64(RETURN_SHARE)
+        self.backend.may_take_back(leaving_ms, clock::steady())
     }
 
     fn record_stays(&self, why: &'static str) {
@@ -345,12 +341,7 @@
     }
 
     /// Copies the stream to another engine and stops its run here.
-    async fn move_once(
-        &self,
-        stream: &Stream,
-        source: SourceMove,
-        known_at: Instant,
-    ) -> Result<Stopped, Obstacle> {
+    async fn move_once(&self, stream: &Stream, source: SourceMove) -> Result<Stopped, Obstacle> {
         let mut refused = Vec::new();
         let (target, first) = loop {
             let target = self.choose(stream, &refused).ok_or(Obstacle::NoTarget)?;
@@ -376,7 +367,7 @@
         let within = self.pause_max().mul_f64(LAST_COPY_SHARE);
         let last = self.copy(&target.backend, true, within).await;
         self.is_stopping.store(false, Ordering::Relaxed);
-        let may_return = self.may_return(known_at);
+        let may_return = self.may_return();
         let is_kept = may_return && matches!(last, Err(Trouble::NoRoom(Some(_))));
         let kept_at = is_kept.then(|| Arc::clone(&self.backend));
         let (copy, outcome) = match last {
--- a/crates/node/src/catalog.rs
+++ b/crates/node/src/catalog.rs
@@ -68,6 +68,8 @@
     evacuations: Evacuations,
     /// When each backend server that is still cold will be warm.
     warm_at: HashMap<Name, Millis>,
+    /// When the store can first have confirmed the newest changes of the list of backend servers.
+    changed_since: Millis,
 }
 
 /// Everything known from the store, under one lock. Requests read only the snapshots built from it.
@@ -134,6 +136,12 @@
         change(&mut self.lock().roster)
     }
 
+    /// Records when the store can first have confirmed the newest changes of the list of backend
+    /// servers.
+    pub fn set_changed_since(&self, since: Millis) {
+        self.lock().changed_since = since;
+    }
+
     /// Records how long a backend server will be cold: as long as its entry says, or for the
     /// service's usual warm-up if the server is new and says nothing.
     pub fn set_warmup(&self, backend: &wire::routing::Backend, now: Millis) {
--- a/crates/node/src/catalog/snapshot.rs
+++ b/crates/node/src/catalog/snapshot.rs
@@ -28,7 +28,7 @@
             let old = old.filter(|old| old.server.address == row.address && old.born == row.born);
             let backend = old.unwrap_or_else(|| Arc::new(Backend::new(row, is_near)));
             backend.set_service(self.index.services.get(&row.service));
-            backend.set_draining(row.draining);
+            backend.set_listed(row.draining, self.changed_since);
             backend.set_kept(self.roster.is_kept(&row.id));
             if let Some(limit) = self.warmup_limit(row, now) {
                 backend.learn_limit(limit, now);
@@ -68,7 +68,10 @@
 
     /// Keeps the state of servers that are no longer listed, in case their entries come back.
     fn keep_unlisted(&mut self, unlisted: HashMap<Name, Arc<Backend>>) {
-        unlisted.values().for_each(|backend| backend.server.retire(true));
+        for backend in unlisted.values() {
+            backend.server.retire(true);
+            backend.set_removed();
+        }
         self.unlisted.extend(unlisted);
         let roster = &self.roster;
         self.unlisted.retain(|id, _| roster.remembers(id));
--- a/crates/node/src/watch/accept.rs
+++ b/crates/node/src/watch/accept.rs
@@ -143,6 +143,8 @@
         let now = clock::steady();
         let count = update.entries.len();
         let revision = update.revision;
+        let confirmed = self.follower(List::Backends).confirmed(now);
+        self.catalog.set_changed_since(now - confirmed.most_ms.unwrap_or(confirmed.least_ms));
         let mut removals = HashMap::new();
         let is_accepted = self.catalog.with_roster(|roster| match update.is_whole {
             true => {
@@ -179,7 +181,6 @@
             });
             backends.for_each(|backend| self.catalog.set_warmup(backend, now));
         }
-        let confirmed = self.follower(List::Backends).confirmed(now);
         match update.is_whole {
             true => {
                 log::info!(target: "watch", revision:%, count; "all backend servers listed");
--- a/crates/node/tests/catalog.rs
+++ b/crates/node/tests/catalog.rs
@@ -144,3 +144,27 @@
     catalog.publish(&target, over);
     assert_eq!(servers(), 0);
 }
+
+/// Guards against a request whose server was chosen before the list said that it leaves or is gone,
+/// and that is sent there all the same.
+#[test]
+fn publish_closes_servers_that_were_chosen_before() {
+    for is_draining in [true, false] {
+        let (catalog, target) = (catalog(), ArcSwap::from_pointee(RoutingSnapshot::default()));
+        let listed = server("a", None);
+        catalog.with_roster(|roster| roster.put(listed.clone(), 1.into()));
+        catalog.publish(&target, NOW);
+        let chosen = Arc::clone(&target.load().pools[&Name::from(SERVICE)].backends[0]);
+        assert!(!chosen.is_closed(NOW));
+        catalog.set_changed_since(NOW + 500);
+        catalog.with_roster(|roster| match is_draining {
+            true => roster.put(wire::routing::Backend { draining: true, ..listed }, 2.into()),
+            false => drop(roster.remove(&listed.id, 2.into(), NOW)),
+        });
+        catalog.publish(&target, NOW + 1_000);
+        assert!(chosen.is_closed(NOW + 1_000));
+        // A stream that the server keeps may go back to it, counted from the store's word.
+        assert_eq!(chosen.may_take_back(2_000, NOW + 2_100), is_draining);
+        assert!(!chosen.may_take_back(2_000, NOW + 2_300));
+    }
+}
--- a/crates/policy/src/intake.rs
+++ b/crates/policy/src/intake.rs
@@ -109,6 +109,13 @@
         self.leaving_at.is_some()
     }
 
+    /// When this host learnt that the server is leaving, from the server or another host; none if it
+    /// has not.
+    #[must_use]
+    pub fn leaving_at(&self) -> Option<Millis> {
+        self.leaving_at
+    }
+
     /// Whether the server accepts nothing now, limits and trials aside. To be checked again just
     /// before a request's first byte: since the server was chosen, a connection was opened and
     /// perhaps permission requested elsewhere, and the server may have asked for a pause meanwhile.
