Planned stop: what can't be answered in the time left is refused as not run, and nothing is cut unanswered

What callers saw: in a planned stop in calm, a request whose head had begun before the connections were closed was taken whenever it became whole, passed on, and cut with no answer at the end of the grace; among them ones that may not be repeated. hyper lets a head that has begun be ended after graceful_shutdown, and the host did not use what it knows: how much of its time is left.

Now a request is looked at before each first attempt (policy::grace, in Job::permit, so also after a wait for a place, for a body, for permission, and for forwarded requests): its caller's whole patience fits, or it came in the 3 s in which the load balancer still sends and may be repeated or usually takes a third of what is left. Otherwise 503, not run, to come back at once. What is still unanswered 0.4 s before the end gets its final answer, 504 if it was sent and 503 if not, in place of a closed connection.

Evidence: stopped.rs, a real process with a grace of 8 s, 8 callers on kept connections and 32 whose heads end 0.1 to 7.2 s after the signal, servers that take 3 s. Streams that still run at the end are cut as before.

--- a/crates/chestnutspur/tests/support/nodes.rs
+++ b/crates/chestnutspur/tests/support/nodes.rs
@@ -33,6 +33,8 @@
 /// Backend servers of each version.
 const SERVERS: usize = 2;
 
+/// Time from the signal to stop until the node must have ended.
+pub const GRACE: Duration = Duration::from_secs(8);
 /// Memory that each node may use, in megabytes.
 pub const MEMORY_MB: u64 = 110;
 /// Longest body of a request, in bytes.
@@ -87,7 +89,7 @@
         "role": "node", "name": name, "failure_domain": "a",
         "listen": callers, "operators": operators, "platform": store, "peers": "127.0.0.1:0",
         "failure_domains": ["a"],
-        "resources": {"memory_mb": MEMORY_MB},
+        "resources": {"memory_mb": MEMORY_MB}, "drain_ms": GRACE.as_millis() as u64,
         "repeats": {"share": 0.9, "slack": 50, "window_ms": 10_000}, "exposure_share": 0.15,
     });
     let file = directory.join("node.json");
@@ -194,6 +196,15 @@
     }
 }
 
+/// The head of a request on a kept connection, without its last line.
+pub fn raw_head(id: &str, deadline_ms: u64) -> String {
+    let (deadline, name) = (names::DEADLINE_MS, names::REQUEST_ID);
+    format!(
+        "POST /one/{id} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\n\
+         {deadline}: {deadline_ms}\r\n{name}: {id}\r\ncontent-length: 0\r\n"
+    )
+}
+
 fn call(id: &str, deadline_ms: u64, body_bytes: usize) -> Call {
     Call::new(hyper::Method::POST, &format!("/one/{id}"), "x".repeat(body_bytes))
         .header("host", HOST)
--- a/crates/gateway/src/admission/request.rs
+++ b/crates/gateway/src/admission/request.rs
@@ -139,7 +139,7 @@
     }
 
     /// Mean time until a request of this kind is answered, in milliseconds; 0 if it is not known.
-    fn usual_answer_ms(&self) -> f64 {
+    pub fn usual_answer_ms(&self) -> f64 {
         let timing = self.state.timings.with(self.timing_key(), |timing| *timing);
         match self.route().kind.is_stream() {
             true => timing.first.mean_ms(0.0),
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -156,6 +156,7 @@
         if let Some(run) = &self.run {
             run.record_attempt(backend);
         }
+        self.attempts.has_begun = true;
         self.attempts.is_answering = false;
         self.attempts.answer_began_at = None;
         self.attempts.hedge.answered_by = None;
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -150,11 +150,14 @@
     let holder = state.buffers.open(head.extensions.get().cloned());
     holder.set_deadline(deadline);
     let mut charge = holder.charge(0);
-    let body =
-        call::read_body_through(&mut charge, body, &bounds).await.map_err(|fault| match fault {
-            Fault::NoMemory(_) => refuse::no_memory(rand::random()),
-            fault => call::refusal(fault),
-        })?;
+    let body = tokio::select! {
+        body = call::read_body_through(&mut charge, body, &bounds) => body,
+        () = state.ending.cancelled() => return Err(refuse::stopping().into()),
+    };
+    let body = body.map_err(|fault| match fault {
+        Fault::NoMemory(_) => refuse::no_memory(rand::random()),
+        fault => call::refusal(fault),
+    })?;
     let body = charge.hold(body);
     let subject = info.session.as_ref().unwrap_or(&info.id);
     let service = choose_service(route, subject);
@@ -194,7 +197,13 @@
         registration: forwarded.registration,
         attempts,
     };
-    match job.answer().await {
+    let ending = state.ending.clone();
+    let answered = tokio::select! {
+        answered = job.answer() => answered,
+        // Dropping the attempt closes its connection, which stops the backend server's work.
+        () = ending.cancelled() => Err(job.refused_at_the_end()),
+    };
+    match answered {
         Ok(AcceptedAnswer::Whole(head, bytes)) => {
             end::log(&job, End::Answered, RelayProgress::default());
             let headers = answer_headers(&job, &head);
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -82,6 +82,8 @@
     pub refused: u32,
     /// Whether a backend server may have run the request.
     pub may_have_run: bool,
+    /// Whether an attempt was begun.
+    pub has_begun: bool,
     /// Other hosts that the request was passed to and that made no attempt.
     pub failed_detours: u32,
     /// Whether the host that the request was last passed to made an attempt, or may have made one.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod fetches;
 pub mod fingerprint;
 pub mod forward;
+mod grace;
 pub mod handle;
 pub mod hedge;
 pub mod holder;
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -176,8 +176,10 @@
     /// Checks that the request may be sent to one more server, or to another host.
     ///
     /// # Errors
-    /// The request is held back, because it was lost with one server after another.
+    /// The request is held back, because it was lost with one server after another, or this host is
+    /// stopping and has no time for it.
     pub async fn permit(&mut self, place: &Backend) -> Result<(), Refusal> {
+        self.check_grace()?;
         if let Some(backend) = self.attempts.unprobed_server.take() {
             // The outcome of the last attempt decides about the next one.
             self.state.probe(&backend).await;
--- a/crates/gateway/src/refuse.rs
+++ b/crates/gateway/src/refuse.rs
@@ -86,6 +86,12 @@
         .retry_after(ms + spread as u64)
 }
 
+/// This host is stopping. Another one takes the request at once.
+#[must_use]
+pub fn stopping() -> Refusal {
+    Refusal::not_run(Code::ShuttingDown, "this host is stopping").retry_after(0)
+}
+
 /// No backend server can be reached.
 #[must_use]
 pub fn no_backend() -> Refusal {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,7 +1,8 @@
 //! The state that all requests of a host share.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize};
+use std::sync::{Arc, OnceLock};
+use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use entry::sharded::Sharded;
@@ -147,6 +148,20 @@
     pub started: CancellationToken,
     /// Cancelled when the process stops accepting new connections.
     pub stop: CancellationToken,
+    /// The time that the process has after the signal to stop; unset before.
+    pub grace: OnceLock<Grace>,
+    /// Cancelled shortly before the end of that time. Requests that are still unanswered get a final
+    /// answer then.
+    pub ending: CancellationToken,
+}
+
+/// The time that a process has after the signal to stop.
+#[derive(Clone, Copy, Debug)]
+pub struct Grace {
+    /// When the signal came.
+    pub since: Instant,
+    /// When requests that are still unanswered get a final answer.
+    pub until: Instant,
 }
 
 impl<C> State<C> {
@@ -190,6 +205,8 @@
             buffers: BufferBudget::new(None),
             started: CancellationToken::new(),
             stop,
+            grace: OnceLock::new(),
+            ending: CancellationToken::new(),
         }
     }
 }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -11,11 +11,12 @@
 use gateway::moves::{self, Moves};
 use gateway::prefixes::Prefixes;
 use gateway::shed::Shedder;
-use gateway::state::Outbox;
+use gateway::state::{Grace, Outbox};
 use gateway::volume::BufferBudget;
 use gateway::{Codec, State};
 use metrics_exporter_prometheus::PrometheusHandle;
 use policy::bootstrap::Bootstrap;
+use policy::grace;
 use policy::overload;
 use policy::relay::Relay;
 use policy::strength;
@@ -293,6 +294,15 @@
     }
     let deadline =
         Instant::now() + Duration::from_millis(current.drain_ms).saturating_sub(STOP_RESERVE);
+    let until = deadline - Duration::from_millis(grace::ANSWER_RESERVE_MS);
+    let stop_grace = Grace { since: Instant::now().into_std(), until: until.into_std() };
+    // The signal comes once, and nobody else sets it.
+    let _ = state.grace.set(stop_grace);
+    let ending = state.ending.clone();
+    background.push(spawn(async move {
+        tokio::time::sleep_until(until).await;
+        ending.cancel();
+    }));
     log::info!(target: "process", connections = connections.len(),
         requests = state.in_flight.load(Ordering::Relaxed);
         "stopping: not ready any more, open requests go on");
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod evacuation;
 pub mod exposure;
 pub mod gain;
+pub mod grace;
 pub mod heartbeat;
 pub mod hedge;
 pub mod intake;
