Entry role: the beginning of an answer that is held back is counted, and kept in one buffer

A server that sends an answer without end, in pieces of a byte, could use up the memory of a process of the entry role: reply::Stream held up to 1 MiB of each answer back, copied it anew with each piece, kept the first piece as a slice of its connection's buffer, and nothing bounded all answers together.

entry::beginning copies each piece into one buffer, whose capacity is counted before it grows, in one budget for all answers (what Shares gives to requests, 64 MB for a host whose memory is not told). When it is used up, an answer is passed on as it comes.

Tests: append_counts_what_is_held_for_any_split, append_holds_nothing_more_back_when_the_budget_is_used_up; neither compiles before. The role does not run on the users' platform.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -101,6 +101,12 @@
 }
 
 impl Reservation {
+    /// Begins the reservation of another body of the same budget.
+    #[must_use]
+    pub fn sibling(&self) -> Self {
+        self.budget.reserve()
+    }
+
     /// Changes how much memory the body uses, and tells whether it may use that much.
     #[must_use]
     pub fn resize(&mut self, bytes: usize) -> bool {
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -197,7 +197,10 @@
             claimed.mark_used();
         }
         let result = match connection.send(request, limit.min(job.remaining())).await {
-            Ok(response) => reply::read(job, response, connection, lease, sent, sent_at).await,
+            Ok(response) => {
+                let memory = state.beginnings.reserve();
+                reply::read(job, response, connection, lease, sent, sent_at, memory).await
+            }
             Err(failure) => Err(failure),
         };
         result.inspect(|_| self.record_answer(server)).map_err(|failure| {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`snapshot::Snapshot`], which is rebuilt from each view that a control sends.
 
 pub mod answer;
+pub mod beginning;
 pub mod bills;
 pub mod body;
 pub mod call;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -73,8 +73,7 @@
 
 /// Passes on all pieces but the last, which it returns; empty if the stream ended without one.
 async fn pass_on(stream: &mut Stream, pieces: &Pieces, deadline: Instant) -> Result<Bytes, Abort> {
-    let received = std::mem::take(&mut stream.received);
-    send(pieces, received, deadline).await?;
+    send(pieces, stream.take_received(), deadline).await?;
     loop {
         let within = stream.between_bytes_timeout;
         let piece = tokio::select! {
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
@@ -13,6 +13,8 @@
 use policy::time::Millis;
 use wire::backend::{LEAVING, REQUEST_ID};
 
+use crate::beginning::Beginning;
+use crate::body::Reservation;
 use crate::clock;
 use crate::connection::{Cause, Connection, Failure};
 use crate::job::Job;
@@ -48,7 +50,7 @@
 /// An answer that is still arriving.
 pub struct Stream {
     /// The part of the body that was read so far.
-    pub received: Bytes,
+    pub received: Beginning,
     /// The part of the body that is still to be read.
     pub body: Incoming,
     /// Detects the final event. `None` unless the answer is an event stream of a model engine.
@@ -62,7 +64,8 @@
     pub lease: Lease,
 }
 
-/// Reads a small answer whole, and the beginning of a large or streamed one.
+/// Reads a small answer whole, and the beginning of a large or streamed one. `memory` counts what is
+/// held of it meanwhile.
 ///
 /// # Errors
 /// The failure always has `sent: true`, and its connection is closed.
@@ -73,6 +76,7 @@
     lease: Lease,
     sent: Millis,
     sent_at: Instant,
+    memory: Reservation,
 ) -> Result<Reply, Failure> {
     let (head, body) = response.into_parts();
     record_statement(&lease.server, &head, sent);
@@ -84,7 +88,7 @@
         false => Watch::default(),
     });
     let between_bytes_timeout = job.between_bytes_timeout;
-    let received = Bytes::new();
+    let received = Beginning::new(memory);
     let mut stream = Stream { received, body, watch, between_bytes_timeout, connection, lease };
     let limit = job.first_byte_timeout.saturating_sub(sent_at.elapsed());
     let is_buffered = job.is_buffered || !is_events;
@@ -176,17 +180,17 @@
     ) -> Result<bool, Cause> {
         let mut limit = limit;
         loop {
-            match self.next(limit, job.deadline).await? {
-                Piece::Data(data) => self.append(data),
+            let has_room = match self.next(limit, job.deadline).await? {
+                Piece::Data(data) => self.received.append(&data),
                 Piece::Final(data) => {
-                    self.append(data);
+                    self.received.append(&data);
                     return Ok(true);
                 }
                 Piece::End => return Ok(true),
-            }
+            };
             limit = self.between_bytes_timeout;
             let is_enough = match is_buffered {
-                true => self.received.len() > WHOLE_BYTES_MAX,
+                true => self.received.len() > WHOLE_BYTES_MAX || !has_room,
                 false => !self.received.is_empty(),
             };
             if is_enough {
@@ -195,17 +199,6 @@
         }
     }
 
-    /// Appends a piece to the received part. The first piece, usually the only one, is not copied.
-    fn append(&mut self, data: Bytes) {
-        if self.received.is_empty() {
-            self.received = data;
-            return;
-        }
-        let mut received = BytesMut::from(std::mem::take(&mut self.received));
-        received.extend_from_slice(&data);
-        self.received = received.freeze();
-    }
-
     /// Reads the next piece of the body.
     ///
     /// # Errors
@@ -248,7 +241,13 @@
                 tokio::spawn(return_connection(body, connection, lease));
             }
         }
-        received
+        received.into_bytes()
+    }
+
+    /// Takes the part of the body that was read so far.
+    pub fn take_received(&mut self) -> Bytes {
+        let empty = self.received.successor();
+        std::mem::replace(&mut self.received, empty).into_bytes()
     }
 
     /// Takes the text collected for the rating service; `None` if it was not wanted.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -4,6 +4,7 @@
 
 use arc_swap::ArcSwap;
 use policy::limit::Usage;
+use policy::memory::Shares;
 use policy::name::Name;
 use policy::retry::Budget;
 use tokio_util::sync::CancellationToken;
@@ -12,6 +13,7 @@
 use wire::settings;
 
 use crate::bills::Bills;
+use crate::body;
 use crate::controls::Controls;
 use crate::filter::admit::Gates;
 use crate::pins::Pins;
@@ -40,6 +42,8 @@
     pub retry_budgets: Sharded<Budget>,
     /// Budget for second attempts, by pool.
     pub pool_retry_budgets: Sharded<Budget>,
+    /// Memory for the beginnings of answers that are held back.
+    pub beginnings: body::Budget,
     /// Selection of the answers to be rated.
     pub ratings: Ratings,
     /// Evidence and outcomes for the next report to a control.
@@ -69,6 +73,9 @@
             usage: Sharded::default(),
             retry_budgets: Sharded::default(),
             pool_retry_budgets: Sharded::default(),
+            beginnings: body::Budget::new(
+                usize::try_from(Shares::new(None).held).unwrap_or(usize::MAX),
+            ),
             reports: Reports::default(),
             relays: TaskTracker::new(),
             in_flight: AtomicUsize::new(0),
