--- /dev/null
+++ b/review/standin-2/hosts.rs
@@ -0,0 +1,110 @@
+//! The system's own processes, with the command of the deploy file and its settings.
+
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use crate::http;
+
+pub struct Host {
+    pub name: String,
+    pub zone: String,
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    process: Child,
+}
+
+/// Figures of the deployment that settings are filled from.
+pub struct Bounds {
+    pub config_apply_ms: u64,
+    pub drain_ms: u64,
+    pub contact_ms: u64,
+    pub grace_s: u64,
+    pub exposure_share: f64,
+    pub retry_budget_ratio: f64,
+    pub budget_slack: u64,
+    pub budget_window_s: u64,
+    pub cores: f64,
+    pub memory_mb: u64,
+    pub descriptors: u64,
+}
+
+fn free() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+/// Starts a host. `platform` is the address at which it finds the store.
+pub fn start(
+    name: &str,
+    zone: &str,
+    zones: &[&str],
+    platform: SocketAddr,
+    bounds: &Bounds,
+    folder: &std::path::Path,
+) -> Host {
+    let folder = folder.join(name);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let (callers, ready, metrics, peers, forward) = (free(), free(), free(), free(), free());
+    let domains: Vec<String> = zones.iter().map(|zone| format!("\"{zone}\"")).collect();
+    // As deploy/settings.json.template fills it.
+    let settings = format!(
+        "{{\"role\":\"node\",\"name\":\"{name}\",\"failure_domain\":\"{zone}\",\
+         \"failure_domains\":[{}],\"listen\":\"{callers}\",\"operators\":\"{ready}\",\
+         \"metrics\":\"{metrics}\",\"platform\":\"{platform}\",\"peers\":\"{peers}\",\
+         \"forward\":\"{forward}\",\"first_start\":true,\"change_ms\":{},\"leaving_ms\":{},\
+         \"contact_ms\":{},\"threads\":1,\"standing_delay_ms\":40,\
+         \"prefix_index\":{{\"entries_max\":65536}},\
+         \"placement\":{{\"fetch\":true,\"loads\":true,\"speeds\":true}},\
+         \"resources\":{{\"core_share\":{},\"link_mbps\":1000.0,\"descriptors\":{},\
+         \"memory_mb\":{}}},\"drain_ms\":{},\"repeats\":{{\"share\":{},\"slack\":{},\
+         \"window_ms\":{}}},\"exposure_share\":{}}}",
+        domains.join(","),
+        bounds.config_apply_ms,
+        bounds.drain_ms,
+        bounds.contact_ms,
+        bounds.cores,
+        bounds.descriptors,
+        bounds.memory_mb,
+        bounds.grace_s * 1_000,
+        bounds.retry_budget_ratio,
+        bounds.budget_slack,
+        bounds.budget_window_s * 1_000,
+        bounds.exposure_share
+    );
+    let file = folder.join("settings.json");
+    std::fs::write(&file, settings).expect("settings");
+    let log = std::fs::File::create(folder.join("log")).expect("a log");
+    let copy = log.try_clone().expect("a log");
+    let process = Command::new("target/release/chestnutspur")
+        .arg("node")
+        .env_clear()
+        .env("CHESTNUTSPUR_NODE_FILE", &file)
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(copy)
+        .spawn()
+        .expect("the program of the deploy file");
+    Host { name: name.to_owned(), zone: zone.to_owned(), callers, ready, process }
+}
+
+impl Host {
+    pub fn is_ready(&self) -> bool {
+        http::get(self.ready, "/ready") == 200
+    }
+
+    pub fn end(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+pub fn until_ready(hosts: &[Host]) -> bool {
+    http::wait_until(Duration::from_secs(15), || hosts.iter().all(Host::is_ready))
+}
