--- a/review/standin-2/hosts.rs
+++ b/review/standin-2/hosts.rs
@@ -74,15 +74,13 @@
     );
     let file = folder.join("settings.json");
     std::fs::write(&file, settings).expect("settings");
-    let log = std::fs::File::create(folder.join("log")).expect("a log");
-    let copy = log.try_clone().expect("a log");
     let process = Command::new("target/release/chestnutspur")
         .arg("node")
         .env_clear()
         .env("CHESTNUTSPUR_NODE_FILE", &file)
         .stdin(Stdio::null())
-        .stdout(log)
-        .stderr(copy)
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
         .spawn()
         .expect("the program of the deploy file");
     Host { name: name.to_owned(), zone: zone.to_owned(), callers, ready, process }
@@ -93,6 +91,10 @@
         http::get(self.ready, "/ready") == 200
     }
 
+    pub fn id(&self) -> u32 {
+        self.process.id()
+    }
+
     pub fn end(&mut self) {
         let _ = self.process.kill();
         let _ = self.process.wait();
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 //! `scene NAME RECORD`; TROUBLE=0 plays the scene without its disruption.
 
 mod deadly;
+mod growth;
 mod hosts;
 mod http;
 mod json;
@@ -31,6 +32,7 @@
     std::fs::create_dir_all(&folder).expect("a temporary folder");
     let outcome = match name {
         "deadly" => deadly::play(&record, has_trouble, &folder),
+        "growth" => growth::play(&record, has_trouble, &folder),
         _ => Outcome::CouldNotRun("no such scene"),
     };
     if std::env::var("KEEP").is_err() {
