--- a/review/standin-2/deadly.rs
+++ b/review/standin-2/deadly.rs
@@ -1,6 +1,7 @@
 //! A request that crashes each worker that begins to run it comes again at machines of other zones
 //! once `contactMs` after the third crash has passed.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -13,19 +14,19 @@
 use crate::store::Store;
 use crate::worker::{Manner, Workers};
 
-const ZONES: [&str; 3] = ["derby-hall", "melton-hall", "newark-hall"];
+pub const ZONES: [&str; 3] = ["derby-hall", "melton-hall", "newark-hall"];
 /// Hosts of each zone, as on the sheet.
-const HOSTS: [usize; 3] = [3, 2, 2];
+pub const HOSTS: [usize; 3] = [3, 2, 2];
 /// Model workers of each zone, as on the sheet.
-const WORKERS: usize = 6;
-const SERVICE: &str = "ration-model";
-const KEY: &str = "n2ctnfzs989anu6wsjnb";
-const DEADLY: &str = "the herd records that no worker stands";
+pub const WORKERS: usize = 6;
+pub const SERVICE: &str = "ration-model";
+pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
+pub const DEADLY: &str = "the herd records that no worker stands";
 /// `contactMs`.
-const CONTACT: Duration = Duration::from_millis(3_000);
+pub const CONTACT: Duration = Duration::from_millis(3_000);
 /// The most retries that may reach workers later than that.
-const RETRIES_MAX: usize = 3;
-const BOUNDS: Bounds = Bounds {
+pub const RETRIES_MAX: usize = 3;
+pub const BOUNDS: Bounds = Bounds {
     config_apply_ms: 2_000,
     drain_ms: 2_000,
     contact_ms: 3_000,
@@ -39,7 +40,7 @@
     descriptors: 4_200,
 };
 
-fn manifest() -> String {
+pub fn manifest() -> String {
     format!(
         "{{\"version\":3,\"routes\":[{{\"name\":\"r-plan\",\"host\":\"ficu95.example\",\
          \"prefix\":\"/plan/\",\"routeType\":\"streaming\",\"timeoutMs\":20000,\"sloMs\":2000,\
@@ -56,19 +57,36 @@
     )
 }
 
-struct Scene {
-    record: Arc<Record>,
-    hosts: Vec<Host>,
-    next: AtomicU64,
+/// A host as clients see it.
+pub struct Node {
+    pub name: String,
+    pub zone: String,
+    pub callers: SocketAddr,
+}
+
+pub struct Scene {
+    pub record: Arc<Record>,
+    pub hosts: Vec<Node>,
+    pub next: AtomicU64,
+}
+
+/// The hosts as clients see them.
+pub fn nodes(hosts: &[Host]) -> Vec<Node> {
+    let node = |host: &Host| Node {
+        name: host.name.clone(),
+        zone: host.zone.clone(),
+        callers: host.callers,
+    };
+    hosts.iter().map(node).collect()
 }
 
 impl Scene {
     /// The hosts of a zone.
-    fn zone(&self, zone: &str) -> Vec<&Host> {
+    fn zone(&self, zone: &str) -> Vec<&Node> {
         self.hosts.iter().filter(|host| host.zone == zone).collect()
     }
 
-    fn send(&self, host: &Host, what: &str, body: &str) -> Answer {
+    pub fn send(&self, host: &Node, what: &str, body: &str) -> Answer {
         let number = self.next.fetch_add(1, Ordering::SeqCst);
         let id = format!("{number:016x}");
         self.record.line(&format!("{what} request {id} sent to {}", host.name));
@@ -93,7 +111,7 @@
 
     /// One submission of a client of a zone: a request that may be resumed is tried again once
     /// after a failure, at another node.
-    fn submit(&self, zone: &str, what: &str, body: &str) {
+    pub fn submit(&self, zone: &str, what: &str, body: &str) {
         let hosts = self.zone(zone);
         for host in hosts.iter().take(2) {
             let answer = self.send(host, what, body);
@@ -136,8 +154,11 @@
         return Outcome::CouldNotRun("the hosts did not get ready");
     }
     record.line("all hosts are ready");
-    let scene =
-        Arc::new(Scene { record: Arc::clone(record), hosts: started, next: AtomicU64::new(1) });
+    let scene = Arc::new(Scene {
+        record: Arc::clone(record),
+        hosts: nodes(&started),
+        next: AtomicU64::new(1),
+    });
     // Sound requests at every host, each for about a second, one after the other.
     let is_over = Arc::new(AtomicBool::new(false));
     let failed = Arc::new(AtomicU64::new(0));
--- a/review/standin-2/hosts.rs
+++ b/review/standin-2/hosts.rs
@@ -1,6 +1,7 @@
 //! The system's own processes, with the command of the deploy file and its settings.
 
 use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
     pub zone: String,
     pub callers: SocketAddr,
     pub ready: SocketAddr,
+    settings: PathBuf,
     process: Child,
 }
 
@@ -74,19 +76,26 @@
     );
     let file = folder.join("settings.json");
     std::fs::write(&file, settings).expect("settings");
-    let process = Command::new("target/release/chestnutspur")
-        .arg("node")
-        .env_clear()
-        .env("CHESTNUTSPUR_NODE_FILE", &file)
-        .stdin(Stdio::null())
-        .stdout(Stdio::null())
-        .stderr(Stdio::null())
-        .spawn()
-        .expect("the program of the deploy file");
-    Host { name: name.to_owned(), zone: zone.to_owned(), callers, ready, process }
+    let process = spawn(&file);
+    Host { name: name.to_owned(), zone: zone.to_owned(), callers, ready, settings: file, process }
+}
+
+fn spawn(settings: &Path) -> Child {
+    let mut command = Command::new("target/release/chestnutspur");
+    command.arg("node").env_clear().env("CHESTNUTSPUR_NODE_FILE", settings);
+    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+    command.spawn().expect("the program of the deploy file")
 }
 
 impl Host {
+    /// Starts the process again. `bootstrap` is true only at the first start of the whole system.
+    pub fn start_again(&mut self) {
+        let settings = std::fs::read_to_string(&self.settings).expect("settings");
+        let settings = settings.replace("\"first_start\":true", "\"first_start\":false");
+        std::fs::write(&self.settings, settings).expect("settings");
+        self.process = spawn(&self.settings);
+    }
+
     pub fn is_ready(&self) -> bool {
         http::get(self.ready, "/ready") == 200
     }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 //! `scene NAME RECORD`; TROUBLE=0 plays the scene without its disruption.
 
 mod deadly;
+mod forgotten;
 mod growth;
 mod hosts;
 mod http;
@@ -33,6 +34,7 @@
     let outcome = match name {
         "deadly" => deadly::play(&record, has_trouble, &folder),
         "growth" => growth::play(&record, has_trouble, &folder),
+        "forgotten" => forgotten::play(&record, has_trouble, &folder),
         _ => Outcome::CouldNotRun("no such scene"),
     };
     if std::env::var("KEEP").is_err() {
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -31,6 +32,8 @@
     data: Mutex<Data>,
     changed: Condvar,
     began: Instant,
+    /// Whether the store is down and answers 503: nothing is done.
+    pub is_busy: AtomicBool,
     pub address: SocketAddr,
 }
 
@@ -39,7 +42,13 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let (data, changed) = (Mutex::default(), Condvar::new());
-        let store = Arc::new(Self { data, changed, began: Instant::now(), address });
+        let store = Arc::new(Self {
+            data,
+            changed,
+            began: Instant::now(),
+            is_busy: AtomicBool::new(false),
+            address,
+        });
         let served = Arc::clone(&store);
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -65,6 +74,7 @@
             let target = head.word(1).to_owned();
             let (path, query) = target.split_once('?').unwrap_or((&target, ""));
             let (status, body) = match path {
+                _ if self.is_busy.load(Ordering::SeqCst) => (503, "{}".to_owned()),
                 "/chestnutspur/rows-get" => (200, self.read(query)),
                 "/chestnutspur/rows-feed" => (200, self.feed(query)),
                 "/chestnutspur/rows-tx" => self.transact(&String::from_utf8_lossy(&body)),
