--- a/review/standin-2/deadly.rs
+++ b/review/standin-2/deadly.rs
@@ -3,8 +3,9 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use crate::Outcome;
@@ -22,6 +23,8 @@
 pub const SERVICE: &str = "ration-model";
 pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
 pub const DEADLY: &str = "the herd records that no worker stands";
+/// Clients of each host that send sound requests, one after the other.
+const SOUND_CLIENTS: usize = 4;
 /// `contactMs`.
 pub const CONTACT: Duration = Duration::from_millis(3_000);
 /// The most retries that may reach workers later than that.
@@ -45,7 +48,11 @@
         "{{\"version\":3,\"routes\":[{{\"name\":\"r-plan\",\"host\":\"ficu95.example\",\
          \"prefix\":\"/plan/\",\"routeType\":\"streaming\",\"timeoutMs\":20000,\"sloMs\":2000,\
          \"priority\":1,\"service\":\"{SERVICE}\",\"maxAttempts\":3,\"allowAnonymous\":false,\
-         \"sessionAffinity\":true,\"streamResumption\":true,\"gapTargetMs\":1000}}],\
+         \"sessionAffinity\":true,\"streamResumption\":true,\"gapTargetMs\":1000}},\
+         {{\"name\":\"r-letter\",\"host\":\"ficu95.example\",\"prefix\":\"/letter/\",\
+         \"routeType\":\"streaming\",\"timeoutMs\":20000,\"sloMs\":2000,\"priority\":1,\
+         \"service\":\"{SERVICE}\",\"maxAttempts\":1,\"allowAnonymous\":false,\
+         \"sessionAffinity\":true,\"streamResumption\":false,\"gapTargetMs\":1000}}],\
          \"services\":[{{\"name\":\"{SERVICE}\",\"healthPath\":\"/health\",\"maxConnections\":300,\
          \"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":48,\"kvCapacityTokens\":545774,\
          \"kvTokenBytes\":35136,\"linkMbps\":1100000.0,\"moves\":true,\"backups\":true,\"stride\":7,\
@@ -89,9 +96,10 @@
     pub fn send(&self, host: &Node, what: &str, body: &str) -> Answer {
         let number = self.next.fetch_add(1, Ordering::SeqCst);
         let id = format!("{number:016x}");
+        let path = if what == "sound" { "/letter/a" } else { "/plan/a" };
         self.record.line(&format!("{what} request {id} sent to {}", host.name));
         let request = format!(
-            "POST /plan/a HTTP/1.1\r\nHost: ficu95.example\r\nChestnutspur-Request-Id: {id}\r\n\
+            "POST {path} HTTP/1.1\r\nHost: ficu95.example\r\nChestnutspur-Request-Id: {id}\r\n\
              Chestnutspur-Model: daka510000\r\nChestnutspur-Token-Usage: 1460,80\r\n\
              Chestnutspur-Prefix-Hash: 5c1e07a2:800,{number:x}f1:660\r\n\
              Chestnutspur-Deadline-Ms: 20000\r\nAuthorization: Bearer {KEY}\r\n\
@@ -128,6 +136,35 @@
     }
 }
 
+/// Sends sound streams that may not be resumed to all hosts, until told to end. Gathers when one was
+/// not served.
+pub fn send_sound(
+    scene: &Arc<Scene>,
+    is_over: &Arc<AtomicBool>,
+    failed: &Arc<Mutex<Vec<Instant>>>,
+) -> Vec<JoinHandle<()>> {
+    (0..scene.hosts.len() * SOUND_CLIENTS)
+        .map(|index| {
+            let (scene, is_over, failed) =
+                (Arc::clone(scene), Arc::clone(is_over), Arc::clone(failed));
+            std::thread::spawn(move || {
+                for turn in 0.. {
+                    if is_over.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    let host = &scene.hosts[index % scene.hosts.len()];
+                    let body = format!("a herd's records {index} {turn}");
+                    let answer = scene.send(host, "sound", &body);
+                    let is_served = answer.status == 200 && answer.is_whole;
+                    if !is_served {
+                        failed.lock().unwrap().push(Instant::now());
+                    }
+                }
+            })
+        })
+        .collect()
+}
+
 pub fn play(record: &Arc<Record>, has_trouble: bool, folder: &Path) -> Outcome {
     let store = Store::start();
     store.put("op", "config", Some(&manifest()));
@@ -159,26 +196,10 @@
         hosts: nodes(&started),
         next: AtomicU64::new(1),
     });
-    // Sound requests at every host, each for about a second, one after the other.
+    // Sound streams that may not be resumed, at every host, each for about a second.
     let is_over = Arc::new(AtomicBool::new(false));
-    let failed = Arc::new(AtomicU64::new(0));
-    let sound: Vec<_> = (0..scene.hosts.len())
-        .map(|index| {
-            let (scene, is_over, failed) =
-                (Arc::clone(&scene), Arc::clone(&is_over), Arc::clone(&failed));
-            std::thread::spawn(move || {
-                for turn in 0.. {
-                    if is_over.load(Ordering::SeqCst) {
-                        return;
-                    }
-                    let body = format!("a herd's records {turn}");
-                    let answer = scene.send(&scene.hosts[index], "sound", &body);
-                    let is_served = answer.status == 200 && answer.is_whole;
-                    failed.fetch_add(u64::from(!is_served), Ordering::SeqCst);
-                }
-            })
-        })
-        .collect();
+    let failed: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let sound = send_sound(&scene, &is_over, &failed);
     std::thread::sleep(Duration::from_secs(10));
     // The request comes for the first time shortly after the workers' heartbeats.
     while workers.since_heartbeat() > Duration::from_millis(150) {
@@ -202,11 +223,14 @@
     sound.into_iter().for_each(|thread| drop(thread.join()));
     let crashes = workers.crashes.lock().unwrap().clone();
     let late = crashes.iter().filter(|crash| crash.at > third + CONTACT).count();
-    let failed = failed.load(Ordering::SeqCst);
+    let failed = failed.lock().unwrap();
+    let lost = failed.iter().filter(|at| **at > third + CONTACT).count();
     record.line(&format!(
         "crashes: {}; retries that reached workers later than contactMs after the third: {late} \
-         (at most {RETRIES_MAX}); sound requests not served: {failed}",
-        crashes.len()
+         (at most {RETRIES_MAX}); sound streams that may not be resumed and were cut then: {lost}; \
+         cut by the first crashes: {}",
+        crashes.len(),
+        failed.len() - lost
     ));
     if late > RETRIES_MAX { Outcome::Broken } else { Outcome::Held }
 }
--- a/review/standin-2/forgotten.rs
+++ b/review/standin-2/forgotten.rs
@@ -3,12 +3,13 @@
 
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::Outcome;
 use crate::deadly::{
     BOUNDS, CONTACT, DEADLY, HOSTS, RETRIES_MAX, SERVICE, Scene, WORKERS, ZONES, manifest, nodes,
+    send_sound,
 };
 use crate::hosts;
 use crate::record::Record;
@@ -45,8 +46,11 @@
         return Outcome::CouldNotRun("the hosts did not get ready");
     }
     record.line("all hosts are ready");
-    let scene =
-        Scene { record: Arc::clone(record), hosts: nodes(&started), next: AtomicU64::new(1) };
+    let scene = Arc::new(Scene {
+        record: Arc::clone(record),
+        hosts: nodes(&started),
+        next: AtomicU64::new(1),
+    });
     std::thread::sleep(Duration::from_secs(3));
     for host in &scene.hosts {
         scene.send(host, "sound", "a herd's records");
@@ -80,19 +84,22 @@
     record.line("all hosts are ready");
     let calm = Instant::now();
     std::thread::sleep(CONTACT + Duration::from_secs(2));
-    for host in &scene.hosts {
-        scene.send(host, "sound", "a herd's records once more");
-    }
+    let (is_over, failed) = (Arc::new(AtomicBool::new(false)), Arc::default());
+    let sound = send_sound(&scene, &is_over, &failed);
+    std::thread::sleep(Duration::from_secs(2));
     for zone in ZONES {
         scene.submit(zone, "deadly", DEADLY);
     }
     std::thread::sleep(Duration::from_secs(1));
+    is_over.store(true, Ordering::SeqCst);
+    sound.into_iter().for_each(|thread| drop(thread.join()));
+    let lost = failed.lock().unwrap().len();
     let crashes = workers.crashes.lock().unwrap().clone();
     let is_late = |at: Instant| at > third + CONTACT && at > calm + CONTACT;
     let late = crashes.iter().filter(|crash| is_late(crash.at)).count();
     record.line(&format!(
         "crashes: {}; retries that reached workers, contactMs after the third and after all was calm: \
-         {late} (at most {RETRIES_MAX})",
+         {late} (at most {RETRIES_MAX}); sound streams that may not be resumed and were cut then: {lost}",
         crashes.len()
     ));
     if late > RETRIES_MAX { Outcome::Broken } else { Outcome::Held }
--- a/review/standin-2/growth.rs
+++ b/review/standin-2/growth.rs
@@ -73,7 +73,7 @@
 }
 
 fn start_worker(store: &Store, number: usize, channels: &Arc<Mutex<Vec<Working>>>) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let listener = TcpListener::bind(hosts::free()).expect("a free port");
     let address = listener.local_addr().expect("an address");
     let id = format!("i-{number:08x}");
     store.put(
--- a/review/standin-2/hosts.rs
+++ b/review/standin-2/hosts.rs
@@ -1,8 +1,9 @@
 //! The system's own processes, with the command of the deploy file and its settings.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use crate::http;
@@ -31,9 +32,18 @@
     pub descriptors: u64,
 }
 
-fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+/// A free port for TCP and UDP. Below the ports that the system gives to outgoing channels, which
+/// could take it before it is listened at, or while its worker is away.
+pub fn free() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = 12_000 + u16::try_from(std::process::id() % 150).unwrap_or(0) * 100;
+    loop {
+        let port = first + NEXT.fetch_add(1, Ordering::SeqCst);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Starts a host. `platform` is the address at which it finds the store.
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
+use crate::hosts;
 use crate::http::Conn;
 use crate::json::{self, base64};
 
@@ -39,7 +40,7 @@
 
 impl Store {
     pub fn start() -> Arc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let listener = TcpListener::bind(hosts::free()).expect("a free port");
         let address = listener.local_addr().expect("an address");
         let (data, changed) = (Mutex::default(), Condvar::new());
         let store = Arc::new(Self {
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use crate::hosts;
 use crate::http::{Conn, Head};
 use crate::record::Record;
 use crate::store::Store;
@@ -74,8 +75,7 @@
     }
 
     pub fn add(&mut self, service: &str, zone: &str, slots: u32) {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("an address");
+        let address = hosts::free();
         self.all.push(Arc::new(Worker {
             service: service.to_owned(),
             zone: zone.to_owned(),
